--- /dev/null
+++ b/src/spoolhead/_internal/cli/exit_codes.py
@@ -0,0 +1,38 @@
+"""Exit codes of the operators' program; their table is in ``docs/OPERATING.md``."""
+
+import enum
+
+from spoolhead._internal.models import codes
+
+
+class ExitCode(enum.IntEnum):
+    """What the program's exit code says."""
+
+    OK = 0
+    FAILED = 1
+    BAD_INPUT = 2
+    CONFLICT = 3
+    UNREACHABLE = 4
+    NOT_FOUND = 5
+    NOT_IN_FORCE = 6
+    DIFFERENT = 7
+
+
+_BY_CODE = {
+    codes.ResultCode.SETTINGS_UNREADABLE: ExitCode.BAD_INPUT,
+    codes.ResultCode.SETTINGS_INVALID: ExitCode.BAD_INPUT,
+    codes.ResultCode.EDIT_INVALID: ExitCode.BAD_INPUT,
+    codes.ResultCode.EDIT_CONFLICT: ExitCode.CONFLICT,
+    codes.ResultCode.EDIT_ID_REUSED: ExitCode.CONFLICT,
+    codes.ResultCode.EDIT_OUTCOME_UNKNOWN: ExitCode.UNREACHABLE,
+    codes.ResultCode.PEER_UNREACHABLE: ExitCode.UNREACHABLE,
+    codes.ResultCode.PEER_REFUSED: ExitCode.UNREACHABLE,
+    codes.ResultCode.DECISION_NOT_FOUND: ExitCode.NOT_FOUND,
+}
+
+
+def get_exit_code(code: codes.ResultCode) -> ExitCode:
+    """Return the exit code that goes with a result code."""
+    if code is codes.ResultCode.OK:
+        return ExitCode.OK
+    return _BY_CODE.get(code, ExitCode.FAILED)
--- /dev/null
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -0,0 +1,188 @@
+"""Entry point of ``spoolhead``, the operators' program."""
+
+import functools
+from collections.abc import Callable
+from typing import Annotated
+
+import typer
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.cli import exit_codes, output
+from spoolhead._internal.commands import (
+    apply,
+    check,
+    diff,
+    edit,
+    explain,
+    history,
+    keepers,
+    make_key,
+    show,
+    status,
+)
+from spoolhead._internal.models import rows, settings
+
+app = typer.Typer(
+    name="spoolhead",
+    help="Read and edit the table, and see how the fleet is.",
+    no_args_is_help=True,
+    add_completion=False,
+)
+
+SettingsOption = Annotated[
+    str,
+    typer.Option(
+        "--settings", envvar="SPOOLHEAD_SETTINGS", help="Settings file, JSON with comments."
+    ),
+]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+AuthorOption = Annotated[str, typer.Option("--author", help="Who makes the edit.")]
+EditIdOption = Annotated[
+    str, typer.Option("--edit-id", help="Id of an edit that is sent again after a lost answer.")
+]
+WaitOption = Annotated[
+    int, typer.Option("--wait-ms", min=0, help="Longest wait for the edit to be in force.")
+]
+
+
+def _exit_with(
+    run: Callable[..., exit_codes.ExitCode],
+) -> Callable[..., None]:
+    """Turn what a command returns or raises into an exit code and a line of text."""
+
+    @functools.wraps(run)
+    def _run(*args: object, **kwargs: object) -> None:
+        try:
+            code = run(*args, **kwargs)
+        except exceptions.SpoolheadError as error:
+            output.print_error(f"{error} [{int(error.code)}]")
+            raise typer.Exit(exit_codes.get_exit_code(error.code)) from error
+        raise typer.Exit(int(code))
+
+    return _run
+
+
+def _read(path: str) -> settings.OperatorSettings:
+    return settings.read_settings(settings.OperatorSettings, path)
+
+
+@app.command("show")
+@_exit_with
+def _show(
+    settings_file: SettingsOption,
+    sheet: Annotated[rows.Sheet | None, typer.Argument(help="Only this sheet.")] = None,
+    name: Annotated[str, typer.Argument(help="Only this row.")] = "",
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Print the table."""
+    return show.run(_read(settings_file), sheet=sheet, name=name, as_json=as_json)
+
+
+@app.command("diff")
+@_exit_with
+def _diff(
+    settings_file: SettingsOption,
+    path: Annotated[str, typer.Argument(help="Table file, JSON with comments.")],
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Print what applying a table file would change."""
+    return diff.run(_read(settings_file), path, as_json=as_json)
+
+
+@app.command("apply")
+@_exit_with
+def _apply(
+    settings_file: SettingsOption,
+    path: Annotated[str, typer.Argument(help="Table file, JSON with comments.")],
+    author: AuthorOption = "",
+    edit_id: EditIdOption = "",
+    wait_ms: WaitOption = 5_000,
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Make the table equal to a file, as one edit."""
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
+    return apply.run(_read(settings_file), path, options)
+
+
+@app.command("edit")
+@_exit_with
+def _edit(
+    settings_file: SettingsOption,
+    sheet: Annotated[rows.Sheet, typer.Argument(help="Sheet of the row.")],
+    name: Annotated[str, typer.Argument(help="Name of the row.")],
+    assignments: Annotated[list[str] | None, typer.Argument(help="COLUMN=VALUE ...")] = None,
+    remove: Annotated[bool, typer.Option("--remove", help="Remove the row.")] = False,
+    expected_version: Annotated[
+        int | None, typer.Option("--expected-version", help="Version the row must have.")
+    ] = None,
+    author: AuthorOption = "",
+    edit_id: EditIdOption = "",
+    wait_ms: WaitOption = 5_000,
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Change, add or remove one row."""
+    change = edit.RowChange(
+        sheet=sheet,
+        name=name,
+        assignments=assignments or [],
+        removes=remove,
+        expected_version=expected_version,
+    )
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
+    return edit.run(_read(settings_file), change, options)
+
+
+@app.command("history")
+@_exit_with
+def _history(
+    settings_file: SettingsOption,
+    limit: Annotated[int, typer.Option("--limit", min=1, help="Changes at most.")] = 20,
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Print the last changes, newest first."""
+    return history.run(_read(settings_file), limit=limit, as_json=as_json)
+
+
+@app.command("status")
+@_exit_with
+def _status(settings_file: SettingsOption, as_json: JsonOption = False) -> exit_codes.ExitCode:
+    """Print how keepers, entries and upstreams are."""
+    return status.run(_read(settings_file), as_json=as_json)
+
+
+@app.command("explain")
+@_exit_with
+def _explain(
+    settings_file: SettingsOption,
+    request_id: Annotated[str, typer.Argument(help="The request's X-Request-Id.")],
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Print why a request was decided as it was."""
+    return explain.run(_read(settings_file), request_id, as_json=as_json)
+
+
+@app.command("check")
+@_exit_with
+def _check(
+    kind: Annotated[check.FileKind, typer.Argument(help="What the file is.")],
+    path: Annotated[str, typer.Argument(help="The file.")],
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Check a settings or table file without using it."""
+    return check.run(kind, path, as_json=as_json)
+
+
+@app.command("make-key")
+@_exit_with
+def _make_key(as_json: JsonOption = False) -> exit_codes.ExitCode:
+    """Draw an API key for a workspace."""
+    return make_key.run(as_json=as_json)
+
+
+def main() -> None:
+    """Run the operators' program."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/spoolhead/_internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command of the operators' program."""
--- /dev/null
+++ b/src/spoolhead/_internal/commands/edit.py
@@ -0,0 +1,79 @@
+"""``spoolhead edit``: change, add or remove one row."""
+
+import json
+from collections.abc import Sequence
+
+from spoolhead._internal.cli import exit_codes, output
+from spoolhead._internal.commands import keepers
+from spoolhead._internal.models import rows, settings
+from spoolhead.coordination import versioned_table
+
+
+class RowChange:
+    """What is to become of a row.
+
+    :ivar sheet: its sheet.
+    :ivar name: its name.
+    :ivar assignments: ``COLUMN=VALUE`` each; a value is JSON, or else text.
+    :ivar removes: the row is to be removed.
+    :ivar expected_version: version that the row must have; None for the present one.
+    """
+
+    __slots__ = ("assignments", "expected_version", "name", "removes", "sheet")
+
+    def __init__(
+        self,
+        *,
+        sheet: rows.Sheet,
+        name: str,
+        assignments: Sequence[str],
+        removes: bool,
+        expected_version: int | None,
+    ) -> None:
+        self.sheet = sheet
+        self.name = name
+        self.assignments = assignments
+        self.removes = removes
+        self.expected_version = expected_version
+
+
+def run(
+    config: settings.OperatorSettings, change: RowChange, options: keepers.EditOptions
+) -> exit_codes.ExitCode:
+    """Send a change of one row; columns that are not named stay as they are."""
+    if change.removes == bool(change.assignments):
+        output.print_error("name columns as COLUMN=VALUE, or give --remove, not both")
+        return exit_codes.ExitCode.BAD_INPUT
+    wrong = [item for item in change.assignments if "=" not in item]
+    if wrong:
+        output.print_error(f"not COLUMN=VALUE: {', '.join(wrong)}")
+        return exit_codes.ExitCode.BAD_INPUT
+    table_rows = keepers.unpack_rows(keepers.get_table(config))
+    key = versioned_table.RowKey(change.sheet, change.name)
+    known = table_rows.get(key)
+    if change.removes and known is None:
+        output.print_error(f"there is no row {key}")
+        return exit_codes.ExitCode.NOT_FOUND
+    version = known.version if known is not None else versioned_table.ABSENT_VERSION
+    if change.expected_version is not None:
+        version = change.expected_version
+    value = None if change.removes else _assign(known, change.assignments)
+    edit = versioned_table.RowEdit(key, version, value)
+    return keepers.send_edit(config, [edit], options)
+
+
+def _assign(
+    known: versioned_table.VersionedRow | None, assignments: Sequence[str]
+) -> dict[str, object]:
+    value = dict(known.value) if known is not None else {}
+    for item in assignments:
+        column, _, text = item.partition("=")
+        value[column] = _parse_value(text)
+    return value
+
+
+def _parse_value(text: str) -> object:
+    try:
+        return json.loads(text)
+    except ValueError:
+        return text
--- /dev/null
+++ b/src/spoolhead/_internal/entry/control.py
@@ -0,0 +1,42 @@
+"""What an entry tells operators: its status, and why it decided as it did."""
+
+from collections.abc import Callable
+
+from spoolhead._internal.entry import dispatcher as dispatchers
+from spoolhead._internal.network import messages, peer_server
+
+Status = dict[str, object]
+
+
+class ControlService:
+    """Handles operators' messages; implements :class:`peer_server.PeerService`.
+
+    :param dispatcher: knows the decisions.
+    :param get_status: returns the entry's status.
+    """
+
+    def __init__(
+        self, dispatcher: dispatchers.Dispatcher, get_status: Callable[[], Status]
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._get_status = get_status
+
+    def on_opened(self, session: peer_server.PeerSession) -> None:
+        """Do nothing: operators ask."""
+
+    def on_closed(self, session: peer_server.PeerSession) -> None:
+        """Do nothing: a session holds nothing."""
+
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
+        """Answer a question."""
+        match message:
+            case messages.GetStatus():
+                answer = messages.StatusAnswer(request=message.request, status=self._get_status())
+            case messages.GetDecision():
+                made = self._dispatcher.get_decisions(message.request_id)
+                answer = messages.DecisionAnswer(
+                    request=message.request, decisions=[item.get_fields() for item in made]
+                )
+            case _:
+                raise messages.MessageError(f"unexpected {type(message).__name__}")
+        session.send(answer)
--- /dev/null
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -0,0 +1,384 @@
+"""Brings requests and upstreams together: queue, placement, running flows."""
+
+import collections
+import logging
+import random
+import time
+
+from spoolhead._internal.entry import answers, flow
+from spoolhead._internal.models import codes, decision, fault, requests, rows, settings
+from spoolhead._internal.network import caller_front, upstream_calls
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.policy import admission, lengths, placement, replicas
+from spoolhead._internal.table import view
+from spoolhead._internal.utils import metrics
+
+logger = logging.getLogger("spoolhead.decisions")
+
+TICK_S = 0.1
+PUMP_S = 0.025
+
+
+class _Job:
+    """A request that waits, with its caller."""
+
+    __slots__ = ("caller", "request")
+
+    def __init__(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
+        self.request = request
+        self.caller = caller
+
+
+class Dispatcher:
+    """Decides for each request whether it runs, waits or is refused, and where.
+
+    :param loop: root of the program.
+    :param config: the entry's settings.
+    :param table: the table.
+    :param calls: makes requests to upstreams.
+    :param gathered: metrics.
+    :ivar on_idle: called when the last request has ended.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        config: settings.EntrySettings,
+        table: view.TableView,
+        calls: upstream_calls.UpstreamCalls,
+        gathered: metrics.Metrics,
+    ) -> None:
+        self._config = config
+        self._table = table
+        self._gathered = gathered
+        self._calls = calls
+        self._admission = admission.Admission(table.workspaces)
+        self._lengths = lengths.LengthModel()
+        self._placement = placement.Placement(config.hall, self._lengths, random.Random())
+        self._pools: dict[str, placement.Pool] = {}
+        self._replicas: dict[str, replicas.Replica] = {}
+        self._flows: set[flow.Flow] = set()
+        self._decisions: collections.OrderedDict[str, list[decision.Decision]] = (
+            collections.OrderedDict()
+        )
+        self._on_end: dict[str, collections.abc.Callable[[flow.Result], None]] = {}
+        self._started_s = time.monotonic()
+        self.on_idle: collections.abc.Callable[[], None] | None = None
+        self._context = flow.Context(
+            calls=calls,
+            host=self,
+            gathered=gathered,
+            clock=time.monotonic,
+            shared_key=config.shared_key,
+            attempts=config.upstreams.attempts,
+            answer_bytes=config.upstreams.answer_bytes,
+            unread_bytes=config.callers.unread_bytes,
+        )
+        loop.scheduler.call_every(TICK_S, self._tick)
+        loop.scheduler.call_every(PUMP_S, self._pump)
+
+    @property
+    def held_count(self) -> int:
+        """Requests waiting and running."""
+        return len(self._flows) + self._admission.waiting_count
+
+    @property
+    def running_count(self) -> int:
+        """Requests running."""
+        return len(self._flows)
+
+    @property
+    def upstreams(self) -> list[replicas.Replica]:
+        """Upstreams in the table, those leaving included."""
+        return list(self._replicas.values())
+
+    def get_decisions(self, request_id: str) -> list[decision.Decision]:
+        """Return what was decided on a request, oldest first."""
+        return list(self._decisions.get(request_id, ()))
+
+    def set_entry_count(self, count: int) -> None:
+        """Say how many entries share the upstreams."""
+        self._placement.entry_count = max(1, count)
+
+    def update_upstreams(self) -> None:
+        """Take over the table's upstreams; one that leaves is in no pool from here on."""
+        now_s = time.monotonic()
+        is_new = now_s - self._started_s > replicas.REPORT_STALE_S
+        for name in list(self._replicas):
+            if name not in self._table.upstreams:
+                self._remove_replica(name)
+        for name, row in self._table.upstreams.items():
+            known = self._replicas.get(name)
+            if known is not None and known.row is row:
+                continue
+            if known is not None and known.row.address != row.address:
+                self._remove_replica(name)
+                known = None
+            if known is None:
+                known = replicas.Replica(name, row, now_s, is_new=is_new)
+            self._put_replica(known, row)
+        self._pump()
+
+    def submit(
+        self,
+        request: requests.CallerRequest,
+        caller: caller_front.Caller,
+        on_end: collections.abc.Callable[[flow.Result], None] | None = None,
+    ) -> None:
+        """Take a request: run it, let it wait, or refuse it.
+
+        :param on_end: called with the result once it has run, or could not be run.
+        """
+        if on_end is not None:
+            self._on_end[request.request_id] = on_end
+        now_s = request.arrived_s
+        self._context.budget.note_request()
+        if request.resume is not None:
+            self._resume(request, caller)
+            return
+        refusal = self._get_early_refusal(request)
+        if refusal is None:
+            refusal = self._offer(request, caller, now_s)
+        if refusal is not None:
+            self._refuse(request, caller, refusal)
+            return
+        self._pump_service(request.service_name)
+
+    def choose_again(self, running: flow.Flow, excluded: frozenset[str]) -> placement.Choice:
+        """Choose an upstream for another attempt of a flow."""
+        return self._choose(running.request, excluded)
+
+    def note_attempt(
+        self,
+        running: flow.Flow,
+        action: str,
+        choice: placement.Choice,
+        code: codes.ResultCode,
+    ) -> None:
+        """Log another attempt of a flow."""
+        self._note(running.request, action, code, choice=choice)
+
+    def charge(self, running: flow.Flow, tokens: int) -> None:
+        """Charge tokens to a flow's workspace."""
+        self._gathered.count(metrics.Metric.TOKENS, tokens)
+        self._admission.charge(running.request.workspace, tokens, time.monotonic())
+
+    def end(self, running: flow.Flow, result: flow.Result) -> None:
+        """Take a flow that is over out of the books."""
+        request = running.request
+        self._flows.discard(running)
+        self._admission.finish(request.workspace)
+        if result.is_natural_end and 0 < result.tokens < request.limit_tokens:
+            self._lengths.observe(request.workspace, request.service_name, result.tokens)
+        if request.wants_stream:
+            self._gathered.time(metrics.Metric.STALL_MS, running.stalled_s * 1000)
+        text = f"ran: {result.ran.value}, tokens: {result.tokens}"
+        self._note(request, "end", result.code, text=text)
+        self._call_on_end(request, result)
+        self._pump_service(request.service_name)
+        if self.on_idle is not None and not self.held_count:
+            self.on_idle()
+
+    def refuse_unparsed(
+        self, request_id: str, workspace: str, item: fault.Fault, now_s: float
+    ) -> None:
+        """Log the refusal of a request that could not be understood."""
+        self._remember(
+            decision.Decision(
+                request_id=request_id,
+                workspace=workspace,
+                service="",
+                action="refuse",
+                code=item.code,
+                wait_ms=int((time.monotonic() - now_s) * 1000),
+                text=item.text,
+            )
+        )
+
+    def _put_replica(self, replica: replicas.Replica, row: rows.UpstreamRow) -> None:
+        old_pool = self._pools.get(replica.row.service)
+        if old_pool is not None:
+            old_pool.remove(replica.name)
+        replica.row = row
+        self._replicas[replica.name] = replica
+        if replica.is_leaving:
+            self._calls.forget(row.address)
+            return
+        self._pools.setdefault(row.service, placement.Pool()).put(replica)
+
+    def _remove_replica(self, name: str) -> None:
+        replica = self._replicas.pop(name)
+        (
+            self._pools[replica.row.service].remove(name)
+            if replica.row.service in self._pools
+            else None
+        )
+        self._calls.forget(replica.row.address)
+
+    def _get_early_refusal(self, request: requests.CallerRequest) -> admission.Refused | None:
+        if self.held_count >= self._config.max_requests:
+            return _make_refusal(
+                codes.ResultCode.ENTRY_FULL, f"this entry holds {self.held_count} requests"
+            )
+        pool = self._pools.get(request.service_name)
+        if pool is None or not len(pool):
+            text = f"no upstream of {request.service_name} is in use"
+            return _make_refusal(codes.ResultCode.NO_UPSTREAM, text)
+        return None
+
+    def _offer(
+        self, request: requests.CallerRequest, caller: caller_front.Caller, now_s: float
+    ) -> admission.Refused | None:
+        waiting = admission.Waiting(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            service=request.service_name,
+            arrived_s=now_s,
+            deadline_s=request.deadline_s,
+            owner=_Job(request, caller),
+        )
+        offered = self._admission.offer(waiting, now_s)
+        if offered.is_error():
+            return offered.error
+        caller.on_gone = lambda: self._withdraw(waiting)
+        return None
+
+    def _withdraw(self, waiting: admission.Waiting) -> None:
+        request = waiting.owner.request
+        self._admission.withdraw(waiting)
+        self._note(request, "withdraw", codes.ResultCode.OK, text="the caller left")
+        self._call_on_end(request, flow.Result(codes.ResultCode.OK, codes.Ran.NO, 0))
+
+    def _resume(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
+        point = request.resume
+        replica = self._replicas.get(point.upstream)
+        if replica is None:
+            item = fault.Fault(codes.ResultCode.GENERATION_LOST, "its upstream is gone")
+            self._note(request, "refuse", item.code, text=item.text)
+            answers.send_error(caller, item, ran=codes.Ran.YES, request_id=request.request_id)
+            return
+        self._admission.start_unqueued(request.workspace, request.arrived_s)
+        running = flow.Flow(request, caller, self._context)
+        self._flows.add(running)
+        self._note(request, "resume", codes.ResultCode.OK, choice=_make_forced_choice(replica))
+        running.resume(replica, point.generation)
+
+    def _pump(self) -> None:
+        for service in self._admission.waiting_services:
+            self._pump_service(service)
+
+    def _pump_service(self, service: str) -> None:
+        while self._start_one(service):
+            pass
+
+    def _start_one(self, service: str) -> bool:
+        """Start the next request of a service; False where none can start."""
+        now_s = time.monotonic()
+        for waiting in self._admission.iterate(service, now_s):
+            request = waiting.owner.request
+            choice = self._choose(request, frozenset())
+            if choice.replica is not None:
+                self._start(waiting, choice, now_s)
+                return True
+            # What does not fit anywhere keeps its turn: smaller requests that passed it by
+            # would hold a long one up for ever.
+            return False
+        return False
+
+    def _start(self, waiting: admission.Waiting, choice: placement.Choice, now_s: float) -> None:
+        request, caller = waiting.owner.request, waiting.owner.caller
+        self._admission.start(waiting, now_s)
+        wait_ms = (now_s - request.arrived_s) * 1000
+        self._gathered.time(metrics.Metric.QUEUE_WAIT_MS, wait_ms)
+        self._note(request, "run", codes.ResultCode.OK, choice=choice)
+        running = flow.Flow(request, caller, self._context)
+        self._flows.add(running)
+        running.start(choice)
+
+    def _choose(
+        self, request: requests.CallerRequest, excluded: frozenset[str]
+    ) -> placement.Choice:
+        pool = self._pools.get(request.service_name)
+        service = self._table.services.get(request.service_name)
+        if pool is None or service is None:
+            return placement.Choice(None, 0.0, ())
+        need = placement.Need(
+            workspace=request.workspace,
+            service=request.service_name,
+            prompt_tokens=request.prompt_tokens,
+            limit_tokens=request.limit_tokens,
+            excluded=excluded,
+        )
+        return self._placement.choose(need, service, pool, time.monotonic())
+
+    def _tick(self) -> None:
+        for running in list(self._flows):
+            running.tick()
+        now_s = time.monotonic()
+        for waiting in self._admission.take_overdue(now_s):
+            request, caller = waiting.owner.request, waiting.owner.caller
+            text = "the deadline passed while the request was waiting"
+            item = fault.Fault(codes.ResultCode.DEADLINE_BEFORE_START, text)
+            retry_after_ms = self._admission.get_retry_after_ms(request.service_name, now_s)
+            self._refuse(request, caller, admission.Refused(item, retry_after_ms))
+
+    def _refuse(
+        self,
+        request: requests.CallerRequest,
+        caller: caller_front.Caller,
+        refused: admission.Refused,
+    ) -> None:
+        self._note(request, "refuse", refused.fault.code, text=refused.fault.text)
+        self._call_on_end(request, flow.Result(refused.fault.code, codes.Ran.NO, 0))
+        answers.send_error(
+            caller,
+            refused.fault,
+            ran=codes.Ran.NO,
+            request_id=request.request_id,
+            retry_after_ms=refused.retry_after_ms,
+        )
+
+    def _call_on_end(self, request: requests.CallerRequest, result: flow.Result) -> None:
+        on_end = self._on_end.pop(request.request_id, None)
+        if on_end is not None:
+            on_end(result)
+
+    def _note(
+        self,
+        request: requests.CallerRequest,
+        action: str,
+        code: codes.ResultCode,
+        *,
+        choice: placement.Choice | None = None,
+        text: str = "",
+    ) -> None:
+        chosen = choice.replica if choice is not None else None
+        self._remember(
+            decision.Decision(
+                request_id=request.request_id,
+                workspace=request.workspace,
+                service=request.service_name,
+                action=action,
+                code=code,
+                wait_ms=int((time.monotonic() - request.arrived_s) * 1000),
+                upstream=chosen.name if chosen is not None else "",
+                candidates=choice.candidates if choice is not None else (),
+                text=text,
+            )
+        )
+
+    def _remember(self, made: decision.Decision) -> None:
+        self._gathered.count(metrics.Metric.DECISIONS, kind=str(int(made.code)))
+        self._decisions.setdefault(made.request_id, []).append(made)
+        while len(self._decisions) > self._config.remembered_decisions:
+            self._decisions.popitem(last=False)
+        if logger.isEnabledFor(logging.INFO):
+            logger.info(made.action, extra={"fields": made.get_fields()})
+
+
+def _make_refusal(code: codes.ResultCode, text: str) -> admission.Refused:
+    return admission.Refused(fault.Fault(code, text), flow.RETRY_AFTER_MS)
+
+
+def _make_forced_choice(replica: replicas.Replica) -> placement.Choice:
+    return placement.Choice(replica, 0.0, [placement.Candidate(replica.name, 0.0, "")])
--- /dev/null
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -0,0 +1,569 @@
+"""One request from its start at an upstream to the end of its answer.
+
+The flow makes attempts, relays what they bring, and decides with
+:mod:`~spoolhead._internal.policy.retry` what follows a failed one. Sockets and the clock are
+behind what it is given, so tests drive it with fakes.
+"""
+
+import json
+import logging
+from collections.abc import Callable, Sequence
+from typing import Protocol
+
+from spoolhead._internal.entry import answers, api, stream_token
+from spoolhead._internal.models import codes, fault, requests
+from spoolhead._internal.network import caller_front, upstream_calls
+from spoolhead._internal.policy import pace, placement, replicas, retry
+from spoolhead._internal.relay import sequencer, stream_relay
+from spoolhead._internal.utils import metrics
+
+logger = logging.getLogger(__name__)
+
+Headers = Sequence[tuple[str, str]]
+
+RETRY_AFTER_MS = 1_000
+"""When to come back after upstreams failed before they could act."""
+
+_OK = 200
+_SERVER_ERRORS = range(500, 600)
+_REFUSALS = frozenset({429, 503})
+_EVENT_STREAM = "text/event-stream"
+_DROPPED_ANSWER_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "proxy-authenticate",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        api.REQUEST_ID_HEADER,
+    }
+)
+
+
+class Result:
+    """How a flow ended.
+
+    :ivar code: result code.
+    :ivar ran: whether the request ran.
+    :ivar tokens: tokens that were produced for it.
+    :ivar is_natural_end: the engine ended the answer by itself, so its length says something.
+    :ivar status: HTTP status of a whole answer; 0 where there is none.
+    :ivar content_type: its Content-Type.
+    :ivar body: its body.
+    """
+
+    __slots__ = ("body", "code", "content_type", "is_natural_end", "ran", "status", "tokens")
+
+    def __init__(self, code: codes.ResultCode, ran: codes.Ran, tokens: int) -> None:
+        self.code = code
+        self.ran = ran
+        self.tokens = tokens
+        self.is_natural_end = False
+        self.status = 0
+        self.content_type = ""
+        self.body = b""
+
+
+class Calls(Protocol):
+    """What a flow needs of :class:`upstream_calls.UpstreamCalls`."""
+
+    def open(
+        self,
+        address: str,
+        request: bytes,
+        user: upstream_calls.CallUser,
+        *,
+        fresh: bool = False,
+        is_head: bool = False,
+    ) -> upstream_calls.UpstreamCall:
+        """Begin a request."""
+
+
+class Host(Protocol):
+    """What a flow asks of the dispatcher that owns it."""
+
+    def choose_again(self, flow: "Flow", excluded: frozenset[str]) -> placement.Choice:
+        """Choose an upstream for another attempt."""
+
+    def note_attempt(
+        self, flow: "Flow", action: str, choice: placement.Choice, code: codes.ResultCode
+    ) -> None:
+        """Log that another attempt is made because the last one ended with a code."""
+
+    def charge(self, flow: "Flow", tokens: int) -> None:
+        """Charge tokens to the workspace."""
+
+    def end(self, flow: "Flow", result: Result) -> None:
+        """The flow is over."""
+
+
+class Context:
+    """What all flows of an entry share.
+
+    :ivar calls: makes requests to upstreams.
+    :ivar host: the dispatcher.
+    :ivar budget: bounds retries.
+    :ivar gathered: metrics.
+    :ivar clock: returns the monotonic time in seconds.
+    :ivar shared_key: the fleet's secret.
+    :ivar attempts: attempts for one request, the first included.
+    :ivar answer_bytes: largest answer held whole.
+    :ivar unread_bytes: bytes kept for a caller that reads slowly.
+    """
+
+    __slots__ = (
+        "answer_bytes",
+        "attempts",
+        "budget",
+        "calls",
+        "clock",
+        "gathered",
+        "host",
+        "shared_key",
+        "unread_bytes",
+    )
+
+    def __init__(
+        self,
+        *,
+        calls: Calls,
+        host: Host,
+        gathered: metrics.Metrics,
+        clock: Callable[[], float],
+        shared_key: str,
+        attempts: int,
+        answer_bytes: int,
+        unread_bytes: int,
+    ) -> None:
+        self.calls = calls
+        self.host = host
+        self.budget = retry.RetryBudget()
+        self.gathered = gathered
+        self.clock = clock
+        self.shared_key = shared_key
+        self.attempts = attempts
+        self.answer_bytes = answer_bytes
+        self.unread_bytes = unread_bytes
+
+
+class _Attempt:
+    """One call to one upstream; its answer counts only while it is the flow's present one."""
+
+    __slots__ = ("call", "flow", "generation", "headers", "replica", "status")
+
+    def __init__(self, flow: "Flow", replica: replicas.Replica, generation: str) -> None:
+        self.flow = flow
+        self.replica = replica
+        self.generation = generation
+        self.call: upstream_calls.UpstreamCall | None = None
+        self.status = 0
+        self.headers: Headers = ()
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        self.flow.take_head(self, status, headers)
+
+    def on_answer_body(self, data: bytes) -> None:
+        self.flow.take_body(self, data)
+
+    def on_answer_end(self) -> None:
+        self.flow.take_end(self)
+
+    def on_call_lost(self, reason: str) -> None:
+        self.flow.take_loss(self, reason)
+
+
+class _Forgotten:
+    """Takes the answer to a cancel order, which nobody waits for."""
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        pass
+
+    def on_answer_body(self, data: bytes) -> None:
+        pass
+
+    def on_answer_end(self) -> None:
+        pass
+
+    def on_call_lost(self, reason: str) -> None:
+        pass
+
+
+class Flow:
+    """One request that runs.
+
+    :param request: the request.
+    :param caller: who gets the answer.
+    :param context: what all flows share.
+    :ivar work: what the request holds on its upstream.
+    :ivar replica: the upstream of the present attempt, or None.
+    :ivar is_over: the flow has ended.
+    """
+
+    def __init__(
+        self, request: requests.CallerRequest, caller: caller_front.Caller, context: Context
+    ) -> None:
+        self.request = request
+        self.caller = caller
+        self.work = replicas.RunningWork(
+            request.workspace, request.prompt_tokens, request.limit_tokens
+        )
+        self.is_over = False
+        self._context = context
+        self._relay = stream_relay.StreamRelay(_make_order(request))
+        self._attempt: _Attempt | None = None
+        self._attempts_made = 0
+        self._failed_upstreams: set[str] = set()
+        self._may_have_run = request.resume is not None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._first_token_s: float | None = None
+        self._pace = pace.Pace(context.clock())
+        caller.on_gone = self._on_caller_gone
+
+    @property
+    def replica(self) -> replicas.Replica | None:
+        """Upstream of the present attempt."""
+        return self._attempt.replica if self._attempt is not None else None
+
+    @property
+    def stalled_s(self) -> float:
+        """Time that the stream stood still, in seconds."""
+        return self._pace.stalled_s
+
+    def start(self, choice: placement.Choice) -> None:
+        """Make an attempt at the chosen upstream, from the beginning of the answer."""
+        assert choice.replica is not None
+        self._attempts_made += 1
+        request = self.request
+        generation = f"{request.request_id}.{self._attempts_made}"
+        attempt = self._begin(choice.replica, generation, choice.planned_tokens)
+        headers = [*request.headers, (api.REQUEST_ID_HEADER, generation)]
+        self._open(attempt, request.method, request.target, headers, request.body)
+
+    def resume(self, replica: replicas.Replica, generation: str) -> None:
+        """Go on with a generation that runs at an upstream."""
+        self._attempts_made += 1
+        attempt = self._begin(replica, generation, 0.0)
+        self._relay.begin_connection()
+        headers = [("accept", _EVENT_STREAM)]
+        if self._relay.order.next_index:
+            last = f"{generation}:{self._relay.order.next_index - 1}"
+            headers.append((api.LAST_EVENT_HEADER, last))
+        self._open(attempt, "GET", f"{api.STREAMS_PATH}{generation}", headers, b"")
+
+    def tick(self) -> None:
+        """Look at the clock: deadline, silence, stall."""
+        if self.is_over:
+            return
+        now_s = self._context.clock()
+        if now_s >= self.request.deadline_s:
+            text = "the deadline passed while the request was running"
+            self._give_up(codes.ResultCode.DEADLINE_DURING_RUN, text, self._get_ran_now())
+        elif self._is_silent(now_s):
+            self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the upstream is silent")
+        elif self._has_stalled(now_s):
+            self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the stream has stalled")
+
+    def cut(self, code: codes.ResultCode, text: str) -> None:
+        """End the flow with an error, because the entry cannot go on with it."""
+        self._give_up(code, text, self._get_ran_now())
+
+    def take_head(self, attempt: _Attempt, status: int, headers: Headers) -> None:
+        """Take the head of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        self._pace.last_s = self._context.clock()
+        attempt.status = status
+        attempt.headers = headers
+        if not self.request.is_model or status == _OK:
+            return
+        if self.request.resume is not None or self._relay.order.has_delivered:
+            text = f"the upstream no longer has the generation (status {status})"
+            self._fail_attempt(codes.ResultCode.GENERATION_LOST, text, is_final=True)
+        elif status in _REFUSALS:
+            text = f"the upstream refused with status {status}"
+            self._fail_attempt(codes.ResultCode.UPSTREAM_REFUSED, text, refused=True)
+        elif status in _SERVER_ERRORS:
+            text = f"the upstream failed with status {status}"
+            self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, text)
+
+    def take_body(self, attempt: _Attempt, data: bytes) -> None:
+        """Take a part of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        if self.request.wants_stream and attempt.status == _OK:
+            self._relay_data(attempt, data)
+            return
+        self._pace.last_s = self._context.clock()
+        self._body.append(data)
+        self._body_bytes += len(data)
+        if self._body_bytes > self._context.answer_bytes:
+            text = f"the answer exceeds {self._context.answer_bytes} bytes"
+            self._give_up(codes.ResultCode.ANSWER_TOO_LARGE, text, codes.Ran.YES)
+
+    def take_end(self, attempt: _Attempt) -> None:
+        """Take the end of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        if self.request.wants_stream and attempt.status == _OK:
+            self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, "the stream ended without its mark")
+            return
+        self._finish_whole(attempt)
+
+    def take_loss(self, attempt: _Attempt, reason: str) -> None:
+        """Take the loss of an attempt's connection."""
+        if attempt is not self._attempt:
+            return
+        code = codes.ResultCode.UPSTREAM_LOST
+        if attempt.call is not None and not attempt.call.may_have_arrived:
+            code = codes.ResultCode.UPSTREAM_UNREACHABLE
+        self._fail_attempt(code, f"upstream {attempt.replica.name}: {reason}")
+
+    def _begin(self, replica: replicas.Replica, generation: str, planned: float) -> _Attempt:
+        attempt = _Attempt(self, replica, generation)
+        self._attempt = attempt
+        self._body = []
+        self._body_bytes = 0
+        self._pace.last_s = self._context.clock()
+        replica.start(self.work, planned)
+        return attempt
+
+    def _open(
+        self, attempt: _Attempt, method: str, target: str, headers: Headers, body: bytes
+    ) -> None:
+        address = attempt.replica.row.address
+        attempt.call = self._context.calls.open(
+            address,
+            upstream_calls.make_request(method, target, address, headers, body),
+            attempt,
+            fresh=self.request.is_once,
+            is_head=method == "HEAD",
+        )
+
+    def _relay_data(self, attempt: _Attempt, data: bytes) -> None:
+        relayed = self._relay.feed(data)
+        if relayed.tokens:
+            self._note_tokens(relayed.tokens)
+        if relayed.data and not self._send(attempt, relayed.data):
+            return
+        if relayed.fault is not None:
+            code, text = relayed.fault.code, relayed.fault.text
+            self._fail_attempt(code, text, is_final=not self._relay.order.can_resume)
+        elif relayed.is_done:
+            self._finish_stream(attempt)
+
+    def _send(self, attempt: _Attempt, data: bytes) -> bool:
+        """Send bytes to the caller; False where that ended the flow."""
+        if not self.caller.is_started:
+            self.caller.start_stream(_OK, self._make_stream_headers(attempt), data)
+            return not self.is_over
+        unsent = self.caller.send_part(data)
+        if unsent <= self._context.unread_bytes:
+            return not self.is_over
+        self.caller.abort()
+        text = f"the caller left {unsent} bytes unread"
+        self._give_up(codes.ResultCode.CALLER_TOO_SLOW, text, codes.Ran.YES)
+        return False
+
+    def _make_stream_headers(self, attempt: _Attempt) -> Headers:
+        token = stream_token.make_token(
+            self._context.shared_key,
+            stream_token.StreamToken(
+                workspace=self.request.workspace,
+                service=self.request.service_name,
+                upstream=attempt.replica.name,
+                generation=attempt.generation,
+            ),
+        )
+        return [
+            ("Content-Type", _EVENT_STREAM),
+            ("Cache-Control", "no-cache"),
+            (api.STREAM_HEADER, token),
+            (api.REQUEST_ID_HEADER, self.request.request_id),
+        ]
+
+    def _note_tokens(self, count: int) -> None:
+        now_s = self._context.clock()
+        gap_s = self._pace.note_tokens(count, now_s)
+        gathered = self._context.gathered
+        if self._first_token_s is None:
+            self._first_token_s = now_s
+            waited_s = now_s - self.request.arrived_s
+            gathered.time(metrics.Metric.FIRST_TOKEN_MS, waited_s * 1000)
+            self._pace.stalled_s = 0.0
+        else:
+            gathered.time(metrics.Metric.BETWEEN_TOKENS_MS, gap_s * 1000)
+        self.work.generated_tokens += count
+        self._context.host.charge(self, count)
+
+    def _is_silent(self, now_s: float) -> bool:
+        # A model's whole answer comes after its last token; until then silence says nothing.
+        if self.request.is_model and not self.request.wants_stream:
+            return False
+        return now_s - self._pace.last_s > self.request.service.silence_ms / 1000
+
+    def _has_stalled(self, now_s: float) -> bool:
+        return (
+            self._relay.order.has_delivered
+            and self._relay.order.can_resume
+            and self._attempts_made < self._context.attempts
+            and self._pace.is_stalled(now_s)
+        )
+
+    def _finish_stream(self, attempt: _Attempt) -> None:
+        self.caller.end_stream()
+        self._drop_attempt(cancel=False)
+        attempt.replica.health.note_success(self._context.clock())
+        result = Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
+        result.is_natural_end = self.request.resume is None
+        self._end(result)
+
+    def _finish_whole(self, attempt: _Attempt) -> None:
+        body = b"".join(self._body)
+        if self.request.is_model:
+            self.work.generated_tokens = _get_usage_tokens(body)
+            self._context.host.charge(self, self.work.generated_tokens)
+        headers = [item for item in attempt.headers if item[0] not in _DROPPED_ANSWER_HEADERS]
+        headers.append((api.REQUEST_ID_HEADER, self.request.request_id))
+        self.caller.send_whole(attempt.status, headers, body)
+        attempt.replica.health.note_success(self._context.clock())
+        self._drop_attempt(cancel=False)
+        result = Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
+        result.is_natural_end = self.request.is_model and attempt.status == _OK
+        result.status = attempt.status
+        result.content_type = dict(attempt.headers).get("content-type", "")
+        result.body = body
+        self._end(result)
+
+    def _fail_attempt(
+        self,
+        code: codes.ResultCode,
+        text: str,
+        *,
+        refused: bool = False,
+        is_final: bool = False,
+    ) -> None:
+        attempt = self._attempt
+        assert attempt is not None and attempt.call is not None
+        now_s = self._context.clock()
+        if not refused:
+            attempt.replica.health.note_failure(now_s)
+        arrived = attempt.call.may_have_arrived
+        self._may_have_run = self._may_have_run or (arrived and not refused)
+        order = self._relay.order
+        has_begun = order.has_delivered or self.request.resume is not None
+        failed = retry.FailedAttempt(
+            may_have_arrived=self._may_have_run or arrived,
+            refused=refused and not self._may_have_run,
+            has_delivered=has_begun,
+            can_resume=order.can_resume or self.request.resume is not None,
+            is_once=self.request.is_once,
+            attempts_left=0 if is_final else self._context.attempts - self._attempts_made,
+        )
+        step = retry.decide(failed, self._context.budget)
+        ran = retry.get_ran(failed)
+        self._drop_attempt(cancel=step is not retry.NextStep.RESUME)
+        if step is retry.NextStep.RESUME:
+            self._resume_again(attempt, code)
+        elif step is not retry.NextStep.RETRY or not self._try_again(attempt, code):
+            self._give_up(_get_final_code(code, has_begun), text, ran)
+
+    def _resume_again(self, attempt: _Attempt, code: codes.ResultCode) -> None:
+        choice = placement.Choice(attempt.replica, 0.0, ())
+        self._context.host.note_attempt(self, "resume", choice, code)
+        self._context.gathered.count(metrics.Metric.RESUMES)
+        self._pace.note_resume(self._context.clock())
+        self.resume(attempt.replica, attempt.generation)
+
+    def _try_again(self, attempt: _Attempt, code: codes.ResultCode) -> bool:
+        self._failed_upstreams.add(attempt.replica.name)
+        excluded = frozenset(self._failed_upstreams)
+        choice = self._context.host.choose_again(self, excluded)
+        if choice.replica is None:
+            return False
+        self._context.host.note_attempt(self, "retry", choice, code)
+        self._context.gathered.count(metrics.Metric.RETRIES)
+        self._relay = stream_relay.StreamRelay()
+        self.start(choice)
+        return True
+
+    def _get_ran_now(self) -> codes.Ran:
+        if self._relay.order.has_delivered or self.request.resume is not None:
+            return codes.Ran.YES
+        call = self._attempt.call if self._attempt is not None else None
+        arrived = call is not None and call.may_have_arrived
+        return codes.Ran.UNKNOWN if arrived or self._may_have_run else codes.Ran.NO
+
+    def _give_up(self, code: codes.ResultCode, text: str, ran: codes.Ran) -> None:
+        self._drop_attempt(cancel=True)
+        item = fault.Fault(code, text)
+        answers.send_error(
+            self.caller,
+            item,
+            ran=ran,
+            request_id=self.request.request_id,
+            retry_after_ms=RETRY_AFTER_MS if ran is codes.Ran.NO else None,
+        )
+        self._end(Result(code, ran, self.work.generated_tokens))
+
+    def _on_caller_gone(self) -> None:
+        if self.is_over:
+            return
+        ran = self._get_ran_now()
+        # A once-only request goes on without its caller: its outcome is what a resend gets.
+        if self.request.once_key and ran is not codes.Ran.NO:
+            return
+        self._drop_attempt(cancel=True)
+        self._end(Result(codes.ResultCode.OK, ran, self.work.generated_tokens))
+
+    def _drop_attempt(self, *, cancel: bool) -> None:
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.replica.finish(self.work)
+        call = attempt.call
+        if call is None:
+            return
+        arrived = call.may_have_arrived
+        if not call.is_over:
+            call.cancel()
+        if cancel and arrived and self.request.is_model:
+            self._cancel_generation(attempt)
+
+    def _cancel_generation(self, attempt: _Attempt) -> None:
+        # Closing the connection is not enough: an engine that can resume keeps a generation
+        # for a while after that, and a generation nobody reads takes memory from others.
+        address = attempt.replica.row.address
+        target = f"{api.STREAMS_PATH}{attempt.generation}/cancel"
+        request = upstream_calls.make_request("POST", target, address, [], b"")
+        self._context.calls.open(address, request, _Forgotten())
+
+    def _end(self, result: Result) -> None:
+        if self.is_over:
+            return
+        self.is_over = True
+        self._context.host.end(self, result)
+
+
+def _make_order(request: requests.CallerRequest) -> sequencer.Sequencer:
+    if request.resume is None:
+        return sequencer.Sequencer()
+    return sequencer.Sequencer(request.resume.generation.encode(), request.resume.next_index)
+
+
+def _get_final_code(code: codes.ResultCode, has_begun: bool) -> codes.ResultCode:
+    if has_begun and code is not codes.ResultCode.STREAM_OUT_OF_ORDER:
+        return codes.ResultCode.GENERATION_LOST
+    return code
+
+
+def _get_usage_tokens(body: bytes) -> int:
+    try:
+        tokens = json.loads(body)["usage"]["completion_tokens"]
+    except (ValueError, KeyError, TypeError):
+        return 0
+    return tokens if isinstance(tokens, int) else 0
--- /dev/null
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -0,0 +1,266 @@
+"""The entry's stream to a keeper: follows the table and claims keys that may run once."""
+
+import itertools
+import logging
+import pathlib
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from spoolhead._internal.models import codes, settings
+from spoolhead._internal.network import links, messages, peer_client
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.table import packing, saved_copy, view
+from spoolhead._internal.utils import files
+from spoolhead.coordination import following, once_journal, versioned_table
+
+logger = logging.getLogger(__name__)
+
+ROLE = "entry"
+CLAIM_TIMEOUT_S = 2.0
+MAX_KEPT_BODY_BYTES = 16_384
+FAILED_STATE = "failed"
+
+
+class ClaimResult:
+    """Answer to a claim.
+
+    :ivar state: what became of it; None where no keeper answered in time.
+    :ivar outcome: the first run's answer, where it is known.
+    """
+
+    __slots__ = ("outcome", "state")
+
+    def __init__(
+        self,
+        state: once_journal.ClaimState | None,
+        outcome: once_journal.Outcome | None = None,
+    ) -> None:
+        self.state = state
+        self.outcome = outcome
+
+
+class TableUser(Protocol):
+    """Who is told of the table."""
+
+    def on_table(self) -> None:
+        """Another version is in force."""
+
+    def on_entry_count(self, count: int) -> None:
+        """The number of entries that follow the table has changed."""
+
+
+class _PendingClaim:
+    __slots__ = ("key", "on_answer", "timer")
+
+    def __init__(self, key: str, on_answer: Callable[[ClaimResult], None]) -> None:
+        self.key = key
+        self.on_answer = on_answer
+        self.timer = None
+
+
+class KeeperLink:
+    """Keeps the entry's table current.
+
+    :param loop: root of the program.
+    :param outgoing: the program's outgoing connections.
+    :param config: the entry's settings.
+    :param table: filled from here.
+    :param user: is told of the table.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        outgoing: links.Links,
+        config: settings.EntrySettings,
+        table: view.TableView,
+        user: TableUser,
+    ) -> None:
+        self._scheduler = loop.scheduler
+        self._table = table
+        self._user = user
+        self._followed = following.FollowedTable()
+        self._copy: saved_copy.SavedCopy | None = None
+        self._folder_lock: files.FolderLock | None = None
+        self._numbers = itertools.count(1)
+        self._claims: dict[int, _PendingClaim] = {}
+        self._unconfirmed: dict[str, messages.FinishOnce] = {}
+        self._lost_s: float | None = time.monotonic()
+        self._save_planned = False
+        if config.data_dir is not None:
+            self._open_copy(pathlib.Path(config.data_dir))
+        self._client = peer_client.PeerClient(
+            loop,
+            outgoing,
+            config.keepers,
+            role=ROLE,
+            name=config.name,
+            shared_key=config.shared_key,
+            user=self,
+        )
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether a keeper confirms the table just now."""
+        return self._client.is_ready
+
+    @property
+    def keeper_address(self) -> str:
+        """``IP:PORT`` of the keeper it talks to, or last tried."""
+        return self._client.address
+
+    @property
+    def unconfirmed_ms(self) -> int:
+        """Time since a keeper last confirmed the table; 0 while one does."""
+        if self._lost_s is None:
+            return 0
+        return int((time.monotonic() - self._lost_s) * 1000)
+
+    @property
+    def unconfirmed_count(self) -> int:
+        """Ends of claimed requests that no keeper has confirmed yet."""
+        return len(self._unconfirmed)
+
+    def claim(self, key: str, fingerprint: bytes, on_answer: Callable[[ClaimResult], None]) -> None:
+        """Claim a key that may run only once.
+
+        :param on_answer: called exactly once, never from within this call.
+        """
+        number = next(self._numbers)
+        pending = _PendingClaim(key, on_answer)
+        self._claims[number] = pending
+        message = messages.ClaimOnce(request=number, key=key, fingerprint=fingerprint)
+        is_sent = self._client.send(message)
+        delay_s = CLAIM_TIMEOUT_S if is_sent else 0
+        pending.timer = self._scheduler.call_later(
+            delay_s, lambda: self._give_up_claim(number, is_sent)
+        )
+
+    def finish(self, key: str, ran: codes.Ran, outcome: once_journal.Outcome | None) -> None:
+        """Report the end of a claimed request; repeated until a keeper has it on its disk."""
+        is_kept = outcome is not None and len(outcome.body) <= MAX_KEPT_BODY_BYTES
+        message = messages.FinishOnce(
+            key=key,
+            ran=ran.value,
+            status=outcome.status if is_kept else 0,
+            content_type=outcome.content_type if is_kept else "",
+            body=outcome.body if is_kept else b"",
+        )
+        self._unconfirmed[key] = message
+        self._client.send(message)
+
+    def on_peer_ready(self) -> None:
+        """Ask for what was missed, and report what was not confirmed."""
+        logger.info("keeper at %s follows", self._client.address)
+        self._client.send(
+            messages.Follow(log_id=self._followed.log_id, version=self._followed.version)
+        )
+        for message in self._unconfirmed.values():
+            self._client.send(message)
+
+    def on_peer_lost(self) -> None:
+        """Go on with the table as it is."""
+        self._lost_s = time.monotonic()
+        logger.warning(
+            "no keeper confirms the table", extra={"fields": {"version": self._table.version}}
+        )
+
+    def on_peer_message(self, message: messages.Message) -> None:
+        """Handle a keeper's message."""
+        match message:
+            case messages.Snapshot():
+                self._take_snapshot(message)
+            case messages.ChangeMade():
+                self._take_change(message)
+            case messages.Current():
+                self._confirm()
+            case messages.Members():
+                self._user.on_entry_count(message.count)
+            case messages.ClaimAnswer():
+                self._take_claim_answer(message)
+            case messages.FinishNoted():
+                self._unconfirmed.pop(message.key, None)
+            case _:
+                self._client.reconnect(f"unexpected {type(message).__name__}")
+
+    def _open_copy(self, folder: pathlib.Path) -> None:
+        self._folder_lock = files.FolderLock(folder)
+        self._copy = saved_copy.SavedCopy(folder)
+        if self._copy.load(self._followed):
+            self._table.replace((key, row.value) for key, row in self._followed.rows.items())
+            self._table.version = self._followed.version
+            logger.info("table of version %d read from the disk", self._followed.version)
+
+    def _take_snapshot(self, message: messages.Snapshot) -> None:
+        rows = packing.unpack_rows(message.rows)
+        taken = self._followed.take_snapshot(message.log_id, message.version, rows)
+        if taken.is_error():
+            self._refuse_source(taken.error, message.version)
+            return
+        if taken.ok:
+            self._table.replace((key, row.value) for key, row in rows.items())
+            self._put_in_force()
+        self._confirm()
+
+    def _take_change(self, message: messages.ChangeMade) -> None:
+        change = versioned_table.Change.unpack(message.change)
+        taken = self._followed.take_change(message.log_id, change)
+        if taken.is_error():
+            self._refuse_source(taken.error, change.version)
+            return
+        if taken.ok:
+            for edit in change.proposal.edits:
+                self._table.set_row(edit.key, edit.value)
+            self._put_in_force()
+        self._confirm()
+
+    def _refuse_source(self, reason: following.FollowFault, version: int) -> None:
+        logger.error(
+            "a keeper's table is not taken: %s",
+            reason.value,
+            extra={"fields": {"offered": version, "in_force": self._followed.version}},
+        )
+        self._client.reconnect(f"its table is not taken: {reason.value}")
+
+    def _put_in_force(self) -> None:
+        self._table.version = self._followed.version
+        self._user.on_table()
+        logger.info("table in force", extra={"fields": {"version": self._table.version}})
+        if self._copy is not None and not self._save_planned:
+            # Changes come in bursts; one write serves all that arrive in the same turn.
+            self._save_planned = True
+            self._scheduler.call_later(0, self._save)
+
+    def _save(self) -> None:
+        self._save_planned = False
+        if self._copy is not None:
+            self._copy.save(self._followed)
+
+    def _confirm(self) -> None:
+        self._lost_s = None
+        self._client.send(messages.InForce(version=self._table.version))
+
+    def _take_claim_answer(self, message: messages.ClaimAnswer) -> None:
+        pending = self._claims.pop(message.request, None)
+        if pending is None:
+            return
+        if pending.timer is not None:
+            pending.timer.cancel()
+        if message.state == FAILED_STATE:
+            pending.on_answer(ClaimResult(None))
+            return
+        outcome = None
+        if message.status:
+            outcome = once_journal.Outcome(message.status, message.content_type, message.body)
+        pending.on_answer(ClaimResult(once_journal.ClaimState(message.state), outcome))
+
+    def _give_up_claim(self, number: int, is_sent: bool) -> None:
+        pending = self._claims.pop(number, None)
+        if pending is None:
+            return
+        if is_sent:
+            # The claim may have been granted although its answer did not come. Nothing was
+            # run under it, so it is given back.
+            self.finish(pending.key, codes.Ran.NO, None)
+        pending.on_answer(ClaimResult(None))
--- /dev/null
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -0,0 +1,150 @@
+"""Fetches the load reports of upstreams: Prometheus text, in the names that vLLM publishes."""
+
+import logging
+import random
+import time
+from collections.abc import Sequence
+
+from prometheus_client import parser
+
+from spoolhead._internal.entry import dispatcher as dispatchers
+from spoolhead._internal.models import load_report, settings
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.policy import replicas
+from spoolhead._internal.utils import metrics
+
+logger = logging.getLogger(__name__)
+
+REPORT_PATH = "/metrics"
+MAX_REPORT_BYTES = 1_048_576
+TIMEOUT_INTERVALS = 8
+
+_RUNNING = "vllm:num_requests_running"
+_WAITING = "vllm:num_requests_waiting"
+_KV_USED = "vllm:kv_cache_usage_perc"
+_PREEMPTIONS = "vllm:num_preemptions"
+_CACHE_CONFIG = "vllm:cache_config_info"
+
+
+def parse_report(text: str, received_s: float) -> load_report.LoadReport:
+    """Read a load report.
+
+    :param text: the report's text; what it does not name counts as 0.
+    :param received_s: monotonic time of its arrival.
+    :raises ValueError: if it is not in the format.
+    """
+    values: dict[str, float] = {}
+    capacity = 0
+    for family in parser.text_string_to_metric_families(text):
+        for sample in family.samples:
+            name = sample.name.removesuffix("_total")
+            values[name] = values.get(name, 0.0) + sample.value
+            if name == _CACHE_CONFIG:
+                blocks = int(sample.labels.get("num_gpu_blocks", "0"))
+                capacity += blocks * int(sample.labels.get("block_size", "0"))
+    return load_report.LoadReport(
+        running=int(values.get(_RUNNING, 0)),
+        waiting=int(values.get(_WAITING, 0)),
+        kv_used_tokens=int(values.get(_KV_USED, 0.0) * capacity),
+        kv_capacity_tokens=capacity,
+        preemptions=int(values.get(_PREEMPTIONS, 0)),
+        received_s=received_s,
+    )
+
+
+class _Fetch:
+    """One fetch under way."""
+
+    def __init__(self, owner: "LoadReports", replica: replicas.Replica, now_s: float) -> None:
+        self._owner = owner
+        self._replica = replica
+        self._status = 0
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self.begun_s = now_s
+        self.call: upstream_calls.UpstreamCall | None = None
+
+    def on_answer_head(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+        self._status = status
+
+    def on_answer_body(self, data: bytes) -> None:
+        self._body_bytes += len(data)
+        if self._body_bytes <= MAX_REPORT_BYTES:
+            self._body.append(data)
+
+    def on_answer_end(self) -> None:
+        if self._status == 200 and self._body_bytes <= MAX_REPORT_BYTES:
+            self._owner.take(self._replica, b"".join(self._body))
+        else:
+            self._owner.fail(self._replica, f"status {self._status}")
+
+    def on_call_lost(self, reason: str) -> None:
+        self._owner.fail(self._replica, reason)
+
+
+class LoadReports:
+    """Fetches the report of each upstream again and again.
+
+    :param loop: root of the program.
+    :param config: interval of the fetches.
+    :param calls: makes requests to upstreams.
+    :param owner: knows the upstreams.
+    :param gathered: metrics.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        config: settings.UpstreamSettings,
+        calls: upstream_calls.UpstreamCalls,
+        owner: dispatchers.Dispatcher,
+        gathered: metrics.Metrics,
+    ) -> None:
+        self._interval_s = config.report_interval_ms / 1000
+        self._calls = calls
+        self._owner = owner
+        self._gathered = gathered
+        self._fetches: dict[str, _Fetch] = {}
+        self._random = random.Random()
+        loop.scheduler.call_every(self._interval_s, self._fetch_all)
+
+    def take(self, replica: replicas.Replica, body: bytes) -> None:
+        """Take a report that has come."""
+        self._fetches.pop(replica.name, None)
+        try:
+            report = parse_report(body.decode("utf-8"), time.monotonic())
+        except ValueError as error:
+            logger.warning("report of %s cannot be read: %s", replica.name, error)
+            return
+        known = replica.report
+        if known is not None and report.preemptions > known.preemptions:
+            amount = report.preemptions - known.preemptions
+            self._gathered.count(metrics.Metric.PREEMPTIONS, amount)
+        replica.take_report(report)
+
+    def fail(self, replica: replicas.Replica, reason: str) -> None:
+        """Note a fetch that failed; the last report grows old."""
+        self._fetches.pop(replica.name, None)
+        logger.debug("report of %s not fetched: %s", replica.name, reason)
+
+    def _fetch_all(self) -> None:
+        now_s = time.monotonic()
+        self._drop_overdue(now_s)
+        for replica in self._owner.upstreams:
+            if replica.name not in self._fetches:
+                self._fetch(replica, now_s)
+
+    def _fetch(self, replica: replicas.Replica, now_s: float) -> None:
+        fetch = _Fetch(self, replica, now_s)
+        self._fetches[replica.name] = fetch
+        address = replica.row.address
+        request = upstream_calls.make_request("GET", REPORT_PATH, address, [], b"")
+        fetch.call = self._calls.open(address, request, fetch)
+
+    def _drop_overdue(self, now_s: float) -> None:
+        for name, fetch in list(self._fetches.items()):
+            if now_s - fetch.begun_s > TIMEOUT_INTERVALS * self._interval_s:
+                del self._fetches[name]
+                if fetch.call is not None:
+                    fetch.call.cancel()
--- /dev/null
+++ b/src/spoolhead/_internal/entry/program.py
@@ -0,0 +1,275 @@
+"""The entry program: puts its parts together and runs them."""
+
+import logging
+import secrets
+import time
+
+from spoolhead._internal.entry import (
+    answers,
+    api,
+    control,
+    dispatcher,
+    keeper_link,
+    load_reports,
+    once_requests,
+)
+from spoolhead._internal.models import codes, fault, settings
+from spoolhead._internal.network import (
+    caller_front,
+    links,
+    loop,
+    peer_server,
+    upstream_calls,
+)
+from spoolhead._internal.table import view
+from spoolhead._internal.utils import metrics
+
+logger = logging.getLogger(__name__)
+
+STOP_RETRY_AFTER_MS = 1_000
+STOP_CHECK_S = 0.05
+STOP_CONFIRM_S = 2.0
+"""Longest wait, once all requests have ended, for a keeper to confirm their ends."""
+
+
+class Entry:
+    """One entry instance's program.
+
+    :param config: its settings.
+    """
+
+    def __init__(self, config: settings.EntrySettings) -> None:
+        self._config = config
+        self._is_stopping = False
+        self._started_s = time.monotonic()
+        self._drained_s = self._started_s
+        self._loop = loop.Loop(self._begin_stop)
+        self._metrics = metrics.Metrics()
+        self._table = view.TableView()
+        outgoing = links.Links(self._loop, channel="links").register(self._loop)
+        calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        self._dispatcher = dispatcher.Dispatcher(
+            self._loop, config, self._table, calls, self._metrics
+        )
+        load_reports.LoadReports(
+            self._loop, config.upstreams, calls, self._dispatcher, self._metrics
+        )
+        self._keeper = keeper_link.KeeperLink(self._loop, outgoing, config, self._table, self)
+        self._once = once_requests.OnceRequests(self._dispatcher, self._keeper)
+        self._dispatcher.update_upstreams()
+        self._control = peer_server.PeerServer(
+            self._loop,
+            (config.control_host, config.control_port),
+            name=config.name,
+            shared_key=config.shared_key,
+            service=control.ControlService(self._dispatcher, self.get_status),
+        ).register(self._loop)
+        self._front = caller_front.CallerFront(
+            self._loop, config, take=self._take, refuse=self._refuse_bytes
+        ).register(self._loop)
+        if config.statsd is not None:
+            self._send_metrics(config.statsd)
+
+    def run(self) -> None:
+        """Serve until told to stop and all that is in flight has ended."""
+        fields = {
+            "callers": self._front.address,
+            "control": self._control.address,
+            "hall": self._config.hall,
+        }
+        logger.info("entry %s serves", self._config.name, extra={"fields": fields})
+        self._loop.run()
+
+    def on_table(self) -> None:
+        """Take over another version of the table."""
+        self._dispatcher.update_upstreams()
+
+    def on_entry_count(self, count: int) -> None:
+        """Take over how many entries share the upstreams."""
+        self._dispatcher.set_entry_count(count)
+
+    def get_status(self) -> control.Status:
+        """Return the entry's status, for operators and readiness."""
+        now_s = time.monotonic()
+        upstreams = [
+            {
+                "name": replica.name,
+                "hall": replica.row.hall,
+                "service": replica.row.service,
+                "state": str(replica.row.state),
+                "ejected": replica.health.is_ejected(now_s),
+                "running_here": len(replica.running),
+                "running": replica.report.running if replica.report else None,
+                "waiting": replica.report.waiting if replica.report else None,
+                "kv_used_tokens": replica.report.kv_used_tokens if replica.report else None,
+                "kv_capacity_tokens": (
+                    replica.report.kv_capacity_tokens if replica.report else None
+                ),
+                "preemptions": replica.report.preemptions if replica.report else None,
+                "planning_limit": round(replica.operating_point.limit, 3),
+                "has_fresh_report": replica.has_fresh_report(now_s),
+            }
+            for replica in self._dispatcher.upstreams
+        ]
+        return {
+            "role": "entry",
+            "name": self._config.name,
+            "hall": self._config.hall,
+            "ready": self._is_ready,
+            "stopping": self._is_stopping,
+            "version": self._table.version,
+            "keeper": self._keeper.keeper_address,
+            "keeper_connected": self._keeper.is_connected,
+            "table_unconfirmed_ms": self._keeper.unconfirmed_ms,
+            "running": self._dispatcher.running_count,
+            "waiting": self._dispatcher.held_count - self._dispatcher.running_count,
+            "connections": self._front.connection_count,
+            "exceptions": self._loop.exceptions,
+            "uptime_ms": int((now_s - self._started_s) * 1000),
+            "upstreams": upstreams,
+        }
+
+    @property
+    def _is_ready(self) -> bool:
+        return self._table.version > 0 and not self._is_stopping
+
+    def _take(self, caller: caller_front.Caller) -> None:
+        now_s = time.monotonic()
+        request_id = f"{self._config.name}-{secrets.token_hex(8)}"
+        path = api.get_path(caller.request)
+        if path in (api.LIVE_PATH, api.READY_PATH):
+            self._answer_probe(caller, path, request_id)
+            return
+        self._metrics.count(metrics.Metric.REQUESTS)
+        item = self._get_obstacle()
+        if item is not None:
+            self._refuse(caller, request_id, "", item, now_s, STOP_RETRY_AFTER_MS)
+            return
+        owner = api.get_workspace(caller.request, self._table)
+        if owner.is_error():
+            self._refuse(caller, request_id, "", owner.error, now_s)
+        elif path == api.MODELS_PATH or path.startswith(f"{api.MODELS_PATH}/"):
+            self._answer_models(caller, owner.ok, path, request_id)
+        else:
+            self._take_work(caller, owner.ok, request_id, now_s)
+
+    def _take_work(
+        self, caller: caller_front.Caller, workspace: str, request_id: str, now_s: float
+    ) -> None:
+        arrival = api.Arrival(
+            request_id=request_id, now_s=now_s, shared_key=self._config.shared_key
+        )
+        parsed = api.parse(caller.request, workspace, self._table, arrival)
+        if parsed.is_error():
+            self._refuse(caller, request_id, workspace, parsed.error, now_s)
+        elif parsed.ok.once_key:
+            self._once.submit(parsed.ok, caller)
+        else:
+            self._dispatcher.submit(parsed.ok, caller)
+
+    def _get_obstacle(self) -> fault.Fault | None:
+        if self._is_stopping:
+            return fault.Fault(codes.ResultCode.STOPPING, "this entry is stopping")
+        if not self._table.version:
+            return fault.Fault(codes.ResultCode.NO_TABLE, "this entry has no table yet")
+        return None
+
+    def _answer_probe(self, caller: caller_front.Caller, path: str, request_id: str) -> None:
+        if caller.request.method not in ("GET", "HEAD"):
+            item = fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET")
+            answers.send_error(caller, item, ran=codes.Ran.NO, request_id=request_id)
+        elif path == api.LIVE_PATH:
+            answers.send_json(caller, 200, {"live": True})
+        else:
+            detail = {
+                "ready": self._is_ready,
+                "stopping": self._is_stopping,
+                "version": self._table.version,
+                "keeper_connected": self._keeper.is_connected,
+                "table_unconfirmed_ms": self._keeper.unconfirmed_ms,
+            }
+            answers.send_json(caller, 200 if self._is_ready else 503, detail)
+
+    def _answer_models(
+        self, caller: caller_front.Caller, workspace: str, path: str, request_id: str
+    ) -> None:
+        if caller.request.method not in ("GET", "HEAD"):
+            item = fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET")
+            answers.send_error(caller, item, ran=codes.Ran.NO, request_id=request_id)
+            return
+        names = self._table.workspaces[workspace].models
+        models = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "spoolhead"} for name in names
+        ]
+        wanted = path.removeprefix(api.MODELS_PATH).removeprefix("/")
+        if not wanted:
+            answers.send_json(caller, 200, {"object": "list", "data": models})
+        elif wanted in names:
+            answers.send_json(caller, 200, models[names.index(wanted)])
+        else:
+            item = fault.Fault(codes.ResultCode.UNKNOWN_MODEL, f"no model is named {wanted}")
+            answers.send_error(caller, item, ran=codes.Ran.NO, request_id=request_id)
+
+    def _refuse(
+        self,
+        caller: caller_front.Caller,
+        request_id: str,
+        workspace: str,
+        item: fault.Fault,
+        now_s: float,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        self._dispatcher.refuse_unparsed(request_id, workspace, item, now_s)
+        answers.send_error(
+            caller,
+            item,
+            ran=codes.Ran.NO,
+            request_id=request_id,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _refuse_bytes(self, caller: caller_front.Caller, item: fault.Fault) -> None:
+        request_id = f"{self._config.name}-{secrets.token_hex(8)}"
+        self._refuse(caller, request_id, "", item, time.monotonic())
+
+    def _begin_stop(self) -> None:
+        self._is_stopping = True
+        self._drained_s = time.monotonic()
+        logger.info("stopping; %d requests are in flight", self._dispatcher.held_count)
+        self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        if self._dispatcher.held_count or self._once.claiming_count:
+            self._drained_s = time.monotonic()
+            return
+        waited_s = time.monotonic() - self._drained_s
+        if self._keeper.unconfirmed_count and waited_s < STOP_CONFIRM_S:
+            return
+        self._front.close_when_idle()
+        if not self._front.connection_count:
+            self._loop.finish()
+
+    def _send_metrics(self, config: settings.StatsdSettings) -> None:
+        sender = metrics.Sender(config, self._metrics)
+
+        def _send() -> None:
+            gauge = self._metrics.gauge
+            gauge(metrics.Metric.RUNNING, self._dispatcher.running_count)
+            waiting = self._dispatcher.held_count - self._dispatcher.running_count
+            gauge(metrics.Metric.WAITING, waiting)
+            gauge(metrics.Metric.CONNECTIONS, self._front.connection_count)
+            gauge(metrics.Metric.TABLE_VERSION, self._table.version)
+            gauge(metrics.Metric.KEEPER_CONNECTED, int(self._keeper.is_connected))
+            gauge(metrics.Metric.EXCEPTIONS, self._loop.exceptions)
+            sender.send()
+
+        self._loop.scheduler.call_every(config.interval_ms / 1000, _send)
+
+
+def run(config: settings.EntrySettings) -> None:
+    """Run an entry until it is told to stop.
+
+    :param config: its settings.
+    :raises exceptions.SpoolheadError: if it cannot start.
+    """
+    Entry(config).run()
--- /dev/null
+++ b/src/spoolhead/_internal/keeper/log_file.py
@@ -0,0 +1,80 @@
+"""The keeper's log on its disk: nothing is acknowledged before it is synced."""
+
+import logging
+import os
+import pathlib
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.utils import files
+from spoolhead.coordination import changelog
+
+logger = logging.getLogger(__name__)
+
+LOG_NAME = "table.log"
+
+
+class LogFile:
+    """An append-only file of records.
+
+    :ivar payloads: payloads found when it was opened; the owner may drop the list.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self._path = folder / LOG_NAME
+        self._failed = False
+        try:
+            self._descriptor = os.open(self._path, os.O_RDWR | os.O_CREAT, 0o600)
+            data = self._path.read_bytes()
+        except OSError as error:
+            raise exceptions.DiskError(f"{self._path}: {error.strerror}") from error
+        found = changelog.scan(data)
+        if found.damage is not None:
+            raise exceptions.LogDamagedError(str(self._path), found.good_bytes, found.damage)
+        self.payloads = found.payloads
+        self._length = found.good_bytes
+        if found.torn:
+            cut = len(data) - found.good_bytes
+            logger.warning("%s: %d bytes of a torn last write are cut off", self._path, cut)
+        self._truncate()
+        files.sync_folder(folder)
+
+    def append(self, payload: bytes) -> None:
+        """Append one record and sync it.
+
+        :raises exceptions.DiskError: if the record is not durable; the log is then as before,
+            or takes nothing more until the process starts again.
+        """
+        if self._failed:
+            raise exceptions.DiskError(f"{self._path}: an earlier write failed")
+        record = changelog.make_record(payload)
+        try:
+            self._write(record)
+        except OSError as error:
+            self._undo()
+            raise exceptions.DiskError(f"{self._path}: {error.strerror}") from error
+        try:
+            os.fsync(self._descriptor)
+        except OSError as error:
+            # After a failed sync the kernel may drop the pages and report success next time,
+            # so what the file holds is known only after it is read again.
+            self._failed = True
+            raise exceptions.DiskError(f"{self._path}: {error.strerror}") from error
+        self._length += len(record)
+
+    def _write(self, record: bytes) -> None:
+        written = 0
+        while written < len(record):
+            written += os.pwrite(self._descriptor, record[written:], self._length + written)
+
+    def _undo(self) -> None:
+        try:
+            self._truncate()
+        except exceptions.DiskError:
+            self._failed = True
+
+    def _truncate(self) -> None:
+        try:
+            os.ftruncate(self._descriptor, self._length)
+            os.fsync(self._descriptor)
+        except OSError as error:
+            raise exceptions.DiskError(f"{self._path}: {error.strerror}") from error
--- /dev/null
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -0,0 +1,352 @@
+"""What a keeper does with the messages of entries and operators."""
+
+import functools
+import logging
+import secrets
+import time
+import typing
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.keeper import log_file, records, state
+from spoolhead._internal.models import codes, settings
+from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.table import packing
+from spoolhead.coordination import once_journal, versioned_table
+
+logger = logging.getLogger(__name__)
+
+ENTRY_ROLE = "entry"
+OPERATOR_ROLE = "operator"
+OWNER_GONE_AFTER_S = 5.0
+
+
+class Follower:
+    """An entry that follows the table.
+
+    :ivar session: its stream, or None while it is away.
+    :ivar is_following: it has asked for the table on this stream; no change is sent before.
+    :ivar version: version it said is in force there.
+    :ivar seen_s: monotonic time of its last message, in seconds.
+    """
+
+    __slots__ = ("is_following", "seen_s", "session", "version")
+
+    def __init__(self) -> None:
+        self.session: peer_server.PeerSession | None = None
+        self.is_following = False
+        self.version = 0
+        self.seen_s = 0.0
+
+
+class KeeperService:
+    """Handles messages; implements :class:`peer_server.PeerService`.
+
+    :param config: the keeper's settings.
+    :param log: the log on the disk, already opened.
+    :raises exceptions.LogDamagedError: if the log's records do not fit each other.
+    """
+
+    def __init__(self, config: settings.KeeperSettings, log: log_file.LogFile) -> None:
+        self._config = config
+        self._log = log
+        self._state = state.KeeperState(kept_changes=config.kept_changes)
+        self._followers: dict[str, Follower] = {}
+        self._started_s = time.monotonic()
+        self._replay()
+
+    @property
+    def version(self) -> int:
+        """Version of the table."""
+        return self._state.table.version
+
+    def on_opened(self, session: peer_server.PeerSession) -> None:
+        """Note a peer; an entry counts as present from now on."""
+        logger.info("%s %s connected", session.role, session.name)
+        if session.role == ENTRY_ROLE:
+            follower = self._followers.setdefault(session.name, Follower())
+            follower.session = session
+            follower.is_following = False
+            follower.seen_s = time.monotonic()
+            self._tell_members()
+
+    def on_closed(self, session: peer_server.PeerSession) -> None:
+        """Note that a peer is away."""
+        logger.info("%s %s disconnected", session.role, session.name)
+        follower = self._followers.get(session.name)
+        if follower is not None and follower.session is session:
+            follower.session = None
+            follower.seen_s = time.monotonic()
+            self._tell_members()
+
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
+        """Handle one message."""
+        _handle(message, self, session)
+
+    def follow(self, session: peer_server.PeerSession, message: messages.Follow) -> None:
+        """Send a follower what it has missed, or the whole table."""
+        follower = self._followers.get(session.name)
+        if follower is None or follower.session is not session:
+            raise messages.MessageError("only the present stream of an entry follows")
+        follower.is_following = True
+        missed = self._state.get_changes_after(message.log_id, message.version)
+        if missed is None:
+            session.send(
+                messages.Snapshot(
+                    log_id=self._state.log_id,
+                    version=self.version,
+                    rows=packing.pack_rows(self._state.table.rows),
+                )
+            )
+            return
+        for change in missed:
+            session.send_encoded(self._encode_change(change))
+        session.send(messages.Current(version=self.version))
+
+    def note_in_force(self, session: peer_server.PeerSession, message: messages.InForce) -> None:
+        """Note the version that an entry has in force."""
+        follower = self._followers.get(session.name)
+        if follower is not None:
+            follower.version = message.version
+            follower.seen_s = time.monotonic()
+
+    def propose(self, session: peer_server.PeerSession, message: messages.Propose) -> None:
+        """Accept an edit, or refuse it whole."""
+        answer = self._decide(message)
+        session.send(answer)
+        logger.info(
+            "edit decided",
+            extra={
+                "fields": {
+                    "edit_id": message.edit_id,
+                    "author": message.author,
+                    "result_code": answer.code,
+                    "version": answer.version,
+                    "rows": len(message.edits),
+                }
+            },
+        )
+
+    def send_table(self, session: peer_server.PeerSession, message: messages.GetTable) -> None:
+        """Send the rows to an operator."""
+        session.send(
+            messages.TableAnswer(
+                request=message.request,
+                log_id=self._state.log_id,
+                version=self.version,
+                rows=packing.pack_rows(self._state.table.rows),
+            )
+        )
+
+    def send_history(self, session: peer_server.PeerSession, message: messages.GetHistory) -> None:
+        """Send the last changes to an operator."""
+        history = self._state.table.get_history()[::-1][: max(0, message.limit)]
+        changes = [change.pack() for change in history]
+        session.send(messages.HistoryAnswer(request=message.request, changes=changes))
+
+    def send_status(self, session: peer_server.PeerSession, message: messages.GetStatus) -> None:
+        """Tell an operator how the keeper and its followers are."""
+        now_s = time.monotonic()
+        entries = [
+            {
+                "name": name,
+                "connected": follower.session is not None,
+                "version_in_force": follower.version,
+                "is_current": follower.version == self.version,
+                "seen_ms_ago": int((now_s - follower.seen_s) * 1000),
+            }
+            for name, follower in sorted(self._followers.items())
+        ]
+        status = {
+            "role": "keeper",
+            "name": self._config.name,
+            "hall": self._config.hall,
+            "log_id": self._state.log_id,
+            "version": self.version,
+            "claims": len(self._state.once.claims),
+            "entries": entries,
+        }
+        session.send(messages.StatusAnswer(request=message.request, status=status))
+
+    def claim_once(self, session: peer_server.PeerSession, message: messages.ClaimOnce) -> None:
+        """Grant a claim, or tell what became of the first one."""
+        time_ms = _get_time_ms()
+        self._state.once.drop_expired(time_ms)
+        claim = self._state.once.claims.get(message.key)
+        owner_is_gone = claim is not None and self._is_gone(claim.owner)
+        found = self._state.once.get_state(
+            message.key, message.fingerprint, owner_is_gone=owner_is_gone
+        )
+        name = found.value
+        if found is once_journal.ClaimState.GRANTED:
+            name = self._grant(session.name, message, time_ms)
+        outcome = claim.outcome if found is once_journal.ClaimState.FINISHED and claim else None
+        session.send(
+            messages.ClaimAnswer(
+                request=message.request,
+                state=name,
+                status=outcome.status if outcome else 0,
+                content_type=outcome.content_type if outcome else "",
+                body=outcome.body if outcome else b"",
+            )
+        )
+
+    def finish_once(self, session: peer_server.PeerSession, message: messages.FinishOnce) -> None:
+        """Record the end of a claimed request; not confirmed unless it is durable."""
+        claim = self._state.once.claims.get(message.key)
+        if claim is not None and claim.owner == session.name and not claim.is_finished:
+            try:
+                self._record_end(session.name, message)
+            except exceptions.DiskError as error:
+                logger.error("the end of a claimed request is not recorded: %s", error)
+                return
+        session.send(messages.FinishNoted(key=message.key))
+
+    def _replay(self) -> None:
+        for number, payload in enumerate(self._log.payloads):
+            try:
+                self._state.replay(payload)
+            except (ValueError, TypeError) as error:
+                raise exceptions.LogDamagedError("table.log", number, str(error)) from error
+        self._log.payloads = []
+        if not self._state.log_id:
+            log_id = secrets.token_hex(8)
+            self._log.append(records.make_log_id(log_id))
+            self._state.log_id = log_id
+        logger.info("log %s read: version %d", self._state.log_id, self.version)
+
+    def _decide(self, message: messages.Propose) -> messages.ProposeAnswer:
+        try:
+            edits = [versioned_table.RowEdit.unpack(edit) for edit in message.edits]
+        except (ValueError, TypeError):
+            return self._refuse(message, codes.ResultCode.PEER_PROTOCOL)
+        proposal = versioned_table.Proposal(
+            edit_id=message.edit_id,
+            author=message.author,
+            time_ms=message.time_ms,
+            edits=edits,
+        )
+        prepared = self._state.prepare_change(proposal)
+        if prepared.is_error():
+            return self._refuse_edit(message, prepared.error)
+        change = prepared.ok.change
+        if not prepared.ok.is_resend:
+            try:
+                self._log.append(records.make_change(change))
+            except exceptions.DiskError as error:
+                logger.error("edit %s is not accepted: %s", message.edit_id, error)
+                faults = [["", str(error)]]
+                return self._refuse(message, codes.ResultCode.DISK_FAILED, faults=faults)
+            self._state.apply_change(change)
+            self._push(change)
+        return messages.ProposeAnswer(
+            request=message.request,
+            code=codes.ResultCode.OK,
+            version=change.version,
+            faults=[],
+            conflicts=[],
+        )
+
+    def _refuse_edit(
+        self, message: messages.Propose, refusal: versioned_table.Refusal
+    ) -> messages.ProposeAnswer:
+        code = _REFUSAL_CODES[refusal.kind]
+        faults = [[item.path, item.text] for item in refusal.faults]
+        conflicts = [
+            [key.sheet, key.name, row.version if row else 0, row.value if row else None]
+            for key, row in refusal.conflicts.items()
+        ]
+        return self._refuse(message, code, faults=faults, conflicts=conflicts)
+
+    def _refuse(
+        self,
+        message: messages.Propose,
+        code: codes.ResultCode,
+        *,
+        faults: list | None = None,
+        conflicts: list | None = None,
+    ) -> messages.ProposeAnswer:
+        return messages.ProposeAnswer(
+            request=message.request,
+            code=code,
+            version=self.version,
+            faults=faults or [],
+            conflicts=conflicts or [],
+        )
+
+    def _push(self, change: versioned_table.Change) -> None:
+        data = self._encode_change(change)
+        for follower in self._followers.values():
+            if follower.session is not None and follower.is_following:
+                follower.session.send_encoded(data)
+
+    def _tell_members(self) -> None:
+        present = [item.session for item in self._followers.values() if item.session is not None]
+        for session in present:
+            session.send(messages.Members(count=len(present)))
+
+    def _encode_change(self, change: versioned_table.Change) -> bytes:
+        return messages.encode(messages.ChangeMade(log_id=self._state.log_id, change=change.pack()))
+
+    def _grant(self, owner: str, message: messages.ClaimOnce, time_ms: int) -> str:
+        try:
+            self._log.append(records.make_claim(message.key, message.fingerprint, owner, time_ms))
+        except exceptions.DiskError as error:
+            logger.error("a claim is not granted: %s", error)
+            return "failed"
+        self._state.once.claim(message.key, message.fingerprint, owner, time_ms)
+        return once_journal.ClaimState.GRANTED.value
+
+    def _record_end(self, owner: str, message: messages.FinishOnce) -> None:
+        if message.ran == codes.Ran.NO:
+            self._log.append(records.make_release(message.key, owner))
+            self._state.once.release(message.key, owner)
+            return
+        outcome = None
+        if message.status:
+            outcome = once_journal.Outcome(message.status, message.content_type, message.body)
+        self._log.append(records.make_finish(message.key, owner, outcome))
+        self._state.once.finish(message.key, owner, outcome)
+
+    def _is_gone(self, owner: str) -> bool:
+        follower = self._followers.get(owner)
+        now_s = time.monotonic()
+        if follower is None:
+            return now_s - self._started_s > OWNER_GONE_AFTER_S
+        if follower.session is not None:
+            return False
+        return now_s - follower.seen_s > OWNER_GONE_AFTER_S
+
+
+_REFUSAL_CODES = {
+    versioned_table.RefusalKind.INVALID: codes.ResultCode.EDIT_INVALID,
+    versioned_table.RefusalKind.CONFLICT: codes.ResultCode.EDIT_CONFLICT,
+    versioned_table.RefusalKind.EDIT_ID_REUSED: codes.ResultCode.EDIT_ID_REUSED,
+}
+
+
+def _get_time_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+_Session = peer_server.PeerSession
+
+
+@functools.singledispatch
+def _handle(message: messages.Message, service: KeeperService, session: _Session) -> None:
+    raise messages.MessageError(f"unexpected {type(message).__name__}")
+
+
+def _register(
+    kind: type, call: typing.Callable[[KeeperService, _Session, typing.Any], None]
+) -> None:
+    _handle.register(kind, lambda message, service, session: call(service, session, message))
+
+
+_register(messages.Follow, KeeperService.follow)
+_register(messages.InForce, KeeperService.note_in_force)
+_register(messages.Propose, KeeperService.propose)
+_register(messages.GetTable, KeeperService.send_table)
+_register(messages.GetHistory, KeeperService.send_history)
+_register(messages.GetStatus, KeeperService.send_status)
+_register(messages.ClaimOnce, KeeperService.claim_once)
+_register(messages.FinishOnce, KeeperService.finish_once)
--- /dev/null
+++ b/src/spoolhead/_internal/network/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, the event loop and the protocols between processes."""
--- /dev/null
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -0,0 +1,424 @@
+"""Callers' HTTP connections: checked requests in, answers out.
+
+Bytes from callers go through :mod:`~spoolhead._internal.network.request_reader`. Each complete
+request is then handed, one at a time for each connection, to the HTTP library as a plain head
+of our own making, so its parser never sees a caller's bytes; the library gives it back as its
+``request`` event with a response object. Answers are written straight to the socket.
+"""
+
+import collections
+import contextlib
+import logging
+import socket
+import time
+from collections.abc import Callable, Sequence
+from http import HTTPStatus
+
+import circuits
+from circuits.net import events as net_events
+from circuits.web import http, wrappers
+
+from spoolhead._internal.models import codes, fault, settings
+from spoolhead._internal.network import direct_server, request_reader
+from spoolhead._internal.network import loop as loops
+
+logger = logging.getLogger(__name__)
+
+Headers = Sequence[tuple[str, str]]
+
+SWEEP_INTERVAL_S = 0.25
+LINGER_S = 1.0
+KERNEL_BYTES = 131_072
+"""Bytes that the kernel keeps for a caller that does not read, before ours are counted."""
+
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_LIBRARY_REQUEST = b"POST / HTTP/1.1\r\nHost: spoolhead\r\nContent-Length: 0\r\n\r\n"
+_LAST_CHUNK = b"0\r\n\r\n"
+
+
+class Caller:
+    """The caller's side of one request.
+
+    :ivar request: what was asked.
+    :ivar remote: the caller's IP number.
+    :ivar on_gone: called once if the connection ends before the answer does.
+    :ivar is_gone: the connection has ended.
+    :ivar is_started: the head of the answer has been sent.
+    :ivar is_finished: the answer is complete, or was given up.
+    """
+
+    __slots__ = (
+        "_connection",
+        "_front",
+        "_response",
+        "is_finished",
+        "is_gone",
+        "is_started",
+        "on_gone",
+        "remote",
+        "request",
+    )
+
+    def __init__(
+        self,
+        front: "CallerFront",
+        connection: "_Connection",
+        request: request_reader.WireRequest,
+        response: wrappers.Response,
+    ) -> None:
+        self._front = front
+        self._connection = connection
+        self._response = response
+        self.request = request
+        self.remote = connection.remote
+        self.on_gone: Callable[[], None] | None = None
+        self.is_gone = False
+        self.is_started = False
+        self.is_finished = False
+
+    def send_whole(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a complete answer.
+
+        :param status: HTTP status.
+        :param headers: headers besides length and connection.
+        :param body: the body; not sent in answer to HEAD.
+        """
+        if self.is_gone or self.is_finished:
+            return
+        head = self._make_head(status, headers)
+        if status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
+            head["Content-Length"] = str(len(body))
+        data = body if self.request.method != "HEAD" else b""
+        self.is_started = True
+        self._front.send(self._connection, self._get_head_bytes() + data)
+        self._finish()
+
+    def start_stream(self, status: int, headers: Headers, first: bytes = b"") -> None:
+        """Send the head of an answer whose length is not known.
+
+        :param first: its first bytes, sent along.
+        """
+        if self.is_gone or self.is_finished:
+            return
+        head = self._make_head(status, headers)
+        if self.request.http_version == "1.1":
+            head["Transfer-Encoding"] = "chunked"
+            self._response.chunked = True
+        else:
+            self._response.close = True
+            head["Connection"] = "close"
+        self.is_started = True
+        self._front.send(self._connection, self._get_head_bytes() + self._frame(first))
+
+    def send_part(self, data: bytes) -> int:
+        """Send a part of a started stream.
+
+        :returns: bytes that wait for the caller to read; -1 if the caller is gone.
+        """
+        if self.is_gone or self.is_finished:
+            return -1
+        return self._front.send(self._connection, self._frame(data))
+
+    def end_stream(self) -> None:
+        """End a started stream as complete."""
+        if self.is_gone or self.is_finished:
+            return
+        if self._response.chunked:
+            self._front.send(self._connection, _LAST_CHUNK)
+        self._finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer reads as cut off."""
+        self.is_finished = True
+        self._front.close(self._connection)
+
+    def _frame(self, data: bytes) -> bytes:
+        if not data or not self._response.chunked:
+            return data
+        return b"%x\r\n%b\r\n" % (len(data), data)
+
+    def _make_head(self, status: int, headers: Headers) -> dict[str, str]:
+        response = self._response
+        response.status = status
+        response.headers.pop("X-Powered-By", None)
+        for name, value in headers:
+            response.headers[name] = value
+        if not self._connection.may_keep_alive(self.request):
+            response.close = True
+            response.headers["Connection"] = "close"
+        elif self.request.http_version == "1.0":
+            response.headers["Connection"] = "keep-alive"
+        return response.headers
+
+    def _get_head_bytes(self) -> bytes:
+        response = self._response
+        # The library's own preparation would add a length of 0 to a chunked answer.
+        return bytes(response) + bytes(response.headers)
+
+    def _finish(self) -> None:
+        self.is_finished = True
+        self._response.done = True
+        self._front.finish(self._connection, close=self._response.close)
+
+
+class _Connection:
+    """One caller's connection.
+
+    :ivar deadline_s: monotonic time by which the awaited bytes must have come; None while a
+        request is being served.
+    """
+
+    __slots__ = (
+        "current",
+        "deadline_s",
+        "is_closing",
+        "must_linger",
+        "phase",
+        "reader",
+        "remote",
+        "sock",
+        "waiting",
+        "waiting_bytes",
+    )
+
+    def __init__(self, sock: socket.socket, remote: str, limits: settings.CallerLimits) -> None:
+        self.sock = sock
+        self.remote = remote
+        self.reader = request_reader.RequestReader(limits)
+        self.waiting: collections.deque[request_reader.WireRequest] = collections.deque()
+        self.waiting_bytes = 0
+        self.current: Caller | None = None
+        self.phase = request_reader.Phase.IDLE
+        self.deadline_s: float | None = None
+        self.is_closing = False
+        self.must_linger = False
+
+    def may_keep_alive(self, request: request_reader.WireRequest) -> bool:
+        return request.keep_alive and not self.is_closing
+
+
+class CallerFront(circuits.BaseComponent):
+    """Listens for callers and hands their requests to the entry.
+
+    :param loop: root of the program.
+    :param config: the entry's settings.
+    :param take: called with each request's caller side.
+    :param refuse: called with the caller side of a request that cannot be served and why.
+    """
+
+    channel = "web"
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        config: settings.EntrySettings,
+        *,
+        take: Callable[[Caller], None],
+        refuse: Callable[[Caller, fault.Fault], None],
+    ) -> None:
+        super().__init__()
+        self._limits = config.callers
+        self._take = take
+        self._refuse = refuse
+        self._connections: dict[socket.socket, _Connection] = {}
+        self._server = direct_server.DirectServer(
+            (config.host, config.port), channel="callers", kernel_bytes=KERNEL_BYTES
+        ).register(self)
+        self._library = http.HTTP(self, channel=self.channel).register(self)
+        loop.scheduler.call_every(SWEEP_INTERVAL_S, self._sweep)
+
+    secure = False
+    display_banner = False
+
+    @property
+    def host(self) -> str:
+        """IP number that it listens on."""
+        return self._server.host
+
+    @property
+    def port(self) -> int:
+        """Port that it listens on."""
+        return self._server.port
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that it listens on."""
+        return f"{self._server.host}:{self._server.port}"
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections."""
+        return len(self._connections)
+
+    def close_when_idle(self) -> None:
+        """Take no further connections, and end each open one after its present request."""
+        self._server.stop_listening()
+        for connection in list(self._connections.values()):
+            connection.is_closing = True
+            if connection.current is None and not connection.waiting:
+                self._server.close_after_send(connection.sock)
+
+    def send(self, connection: _Connection, data: bytes) -> int:
+        """Send bytes to a caller.
+
+        :returns: bytes that wait for the caller to read; -1 if it is gone.
+        """
+        return self._server.send_now(connection.sock, data)
+
+    def close(self, connection: _Connection) -> None:
+        """Close a connection at once."""
+        self._server.close_now(connection.sock)
+
+    def finish(self, connection: _Connection, *, close: bool) -> None:
+        """End the present request of a connection and begin the next."""
+        connection.current = None
+        self._library._clients.pop(connection.sock, None)
+        if close or connection.is_closing and not connection.waiting:
+            connection.is_closing = True
+            self._end(connection)
+            return
+        self._set_deadline(connection, restart=True)
+        self._begin_next(connection)
+
+    def _end(self, connection: _Connection) -> None:
+        # Closing a socket that holds unread bytes resets the connection, and the caller may
+        # lose the refusal that was just sent. So a refused caller's bytes are read for a while.
+        if not connection.must_linger or self._server.get_unsent_bytes(connection.sock):
+            self._server.close_after_send(connection.sock)
+            return
+        connection.deadline_s = time.monotonic() + LINGER_S
+        with contextlib.suppress(OSError):
+            connection.sock.shutdown(socket.SHUT_WR)
+
+    @circuits.handler("connect", channel="callers")
+    def _on_connect(self, sock: socket.socket, remote: str, _port: int) -> None:
+        if len(self._connections) >= self._limits.connections:
+            logger.warning("connection of %s closed: too many are open", remote)
+            self._server.close_now(sock)
+            return
+        connection = _Connection(sock, remote, self._limits)
+        self._connections[sock] = connection
+        self._set_deadline(connection, restart=True)
+
+    @circuits.handler("disconnect", channel="callers")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        connection = self._connections.pop(sock, None)
+        self._library._clients.pop(sock, None)
+        self._library._buffers.pop(sock, None)
+        if connection is None or connection.current is None:
+            return
+        caller, connection.current = connection.current, None
+        caller.is_gone = True
+        if caller.on_gone is not None and not caller.is_finished:
+            caller.on_gone()
+
+    @circuits.handler("read", channel="callers")
+    def _on_read(self, sock: socket.socket, data: bytes) -> None:
+        connection = self._connections.get(sock)
+        if connection is None or connection.is_closing:
+            return
+        result = connection.reader.feed(data)
+        if result.is_error():
+            self._refuse_bytes(connection, result.error)
+            return
+        if connection.reader.wants_continue and connection.current is None:
+            connection.reader.wants_continue = False
+            self._server.send_now(sock, _CONTINUE)
+        for request in result.ok:
+            connection.waiting.append(request)
+            connection.waiting_bytes += len(request.body)
+        if self._has_too_much_waiting(connection):
+            text = "too many requests sent ahead"
+            item = fault.Fault(codes.ResultCode.TOO_MANY_PIPELINED, text)
+            self._refuse_bytes(connection, item)
+            return
+        self._set_deadline(connection, restart=bool(result.ok))
+        self._begin_next(connection)
+
+    @circuits.handler("request")
+    def _on_request(self, request: wrappers.Request, response: wrappers.Response) -> bool:
+        connection = self._connections.get(request.sock)
+        if connection is None or not connection.waiting or connection.current is not None:
+            return True
+        wire = connection.waiting.popleft()
+        connection.waiting_bytes -= len(wire.body)
+        caller = self._make_caller(connection, wire, response)
+        self._take(caller)
+        return True
+
+    @circuits.handler("write")
+    def _on_library_write(self, sock: socket.socket, data: bytes) -> None:
+        self._server.send_now(sock, data)
+
+    @circuits.handler("close")
+    def _on_library_close(self, sock: socket.socket) -> None:
+        self._server.close_after_send(sock)
+
+    def _begin_next(self, connection: _Connection) -> None:
+        if connection.current is None and connection.waiting:
+            connection.deadline_s = None
+            self.fire(net_events.read(connection.sock, _LIBRARY_REQUEST), self.channel)
+
+    def _make_caller(
+        self,
+        connection: _Connection,
+        wire: request_reader.WireRequest,
+        response: wrappers.Response,
+    ) -> Caller:
+        response.protocol = f"HTTP/{wire.http_version}"
+        caller = Caller(self, connection, wire, response)
+        connection.current = caller
+        connection.deadline_s = None
+        return caller
+
+    def _refuse_bytes(self, connection: _Connection, item: fault.Fault) -> None:
+        # A request before the bad bytes may still be running. Its answer is worth more than a
+        # refusal of what follows it, so the connection ends after that answer instead.
+        connection.is_closing = True
+        connection.waiting.clear()
+        logger.info("bytes of %s refused: %s", connection.remote, item)
+        if connection.current is not None:
+            return
+        wire = request_reader.WireRequest()
+        wire.keep_alive = False
+        response = wrappers.Response(wrappers.Request(None, server=self))
+        connection.must_linger = True
+        self._refuse(self._make_caller(connection, wire, response), item)
+
+    def _has_too_much_waiting(self, connection: _Connection) -> bool:
+        return (
+            len(connection.waiting) > self._limits.pipelined
+            or connection.waiting_bytes > self._limits.pipelined * self._limits.body_bytes
+        )
+
+    def _set_deadline(self, connection: _Connection, *, restart: bool) -> None:
+        if connection.current is not None:
+            connection.deadline_s = None
+            return
+        phase = connection.reader.phase
+        if phase is connection.phase and connection.deadline_s is not None and not restart:
+            return
+        connection.phase = phase
+        connection.deadline_s = time.monotonic() + _get_wait_ms(self._limits, phase) / 1000
+
+    def _sweep(self) -> None:
+        now_s = time.monotonic()
+        for connection in list(self._connections.values()):
+            if connection.deadline_s is None or now_s < connection.deadline_s:
+                continue
+            connection.deadline_s = None
+            if connection.phase is request_reader.Phase.IDLE or connection.is_closing:
+                self._server.close_now(connection.sock)
+                continue
+            text = f"the {connection.phase.value} of the request took too long"
+            self._refuse_bytes(connection, fault.Fault(codes.ResultCode.REQUEST_TOO_SLOW, text))
+
+
+def _get_wait_ms(limits: settings.CallerLimits, phase: request_reader.Phase) -> int:
+    match phase:
+        case request_reader.Phase.IDLE:
+            return limits.idle_ms
+        case request_reader.Phase.HEAD:
+            return limits.head_ms
+        case request_reader.Phase.BODY:
+            return limits.body_ms
--- /dev/null
+++ b/src/spoolhead/_internal/network/links.py
@@ -0,0 +1,225 @@
+"""Outgoing TCP connections, many in one component.
+
+The event library's client is one component for each connection and polls while it connects.
+Registering a component makes the library look up all handlers again, which grows with the
+number of connections. Here all of them share one component and one channel, and connecting
+waits in the poller.
+"""
+
+import collections
+import errno
+import logging
+import os
+import socket
+from typing import Protocol
+
+import circuits
+
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.network import scheduler
+
+logger = logging.getLogger(__name__)
+
+READ_BYTES = 65_536
+_TRY_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
+
+
+class LinkUser(Protocol):
+    """What the owner of a link is told."""
+
+    def on_connected(self) -> None:
+        """The connection is made."""
+
+    def on_data(self, data: bytes) -> None:
+        """Bytes arrived."""
+
+    def on_lost(self, reason: str) -> None:
+        """The connection is over, or was never made; nothing follows."""
+
+
+class Link:
+    """One outgoing connection.
+
+    :ivar address: ``IP:PORT`` of the other side.
+    :ivar is_connected: the connection was made.
+    :ivar is_closed: the connection is over.
+    :ivar sent_bytes: bytes that the kernel has taken.
+    :ivar user: who is told of it; may be exchanged on an idle link.
+    """
+
+    __slots__ = (
+        "_owner",
+        "_unsent",
+        "address",
+        "connect_timer",
+        "is_closed",
+        "is_connected",
+        "sent_bytes",
+        "sock",
+        "user",
+    )
+
+    def __init__(self, owner: "Links", sock: socket.socket, address: str, user: LinkUser) -> None:
+        self._owner = owner
+        self._unsent: collections.deque[bytes] = collections.deque()
+        self.sock = sock
+        self.address = address
+        self.user = user
+        self.connect_timer: scheduler.Timer | None = None
+        self.is_connected = False
+        self.is_closed = False
+        self.sent_bytes = 0
+
+    def send(self, data: bytes) -> None:
+        """Send bytes, at once as far as the kernel takes them.
+
+        :param data: the bytes; ignored on a closed link.
+        """
+        if self.is_closed:
+            return
+        self._unsent.append(data)
+        if self.is_connected and len(self._unsent) == 1:
+            self.flush()
+
+    def close(self) -> None:
+        """Close the connection; the user is not told."""
+        self._owner.drop(self)
+
+    def flush(self) -> bool:
+        """Give the kernel what waits.
+
+        :returns: whether nothing waits any more.
+        """
+        while self._unsent:
+            data = self._unsent[0]
+            try:
+                sent = self.sock.send(data)
+            except OSError as error:
+                if error.errno in _TRY_AGAIN:
+                    break
+                self._owner.lose_later(self, os.strerror(error.errno or 0))
+                return False
+            self.sent_bytes += sent
+            if sent < len(data):
+                self._unsent[0] = data[sent:]
+                break
+            self._unsent.popleft()
+        self._owner.watch_writing(self, bool(self._unsent))
+        return not self._unsent
+
+
+class Links(circuits.BaseComponent):
+    """All outgoing connections of a program.
+
+    :param loop: root of the program.
+    :param channel: channel that the poller's events for them use.
+    """
+
+    def __init__(self, loop: loops.Loop, *, channel: str) -> None:
+        super().__init__(channel=channel)
+        self._poller = loop.poller
+        self._scheduler = loop.scheduler
+        self._links: dict[socket.socket, Link] = {}
+        self._writing: set[socket.socket] = set()
+
+    def open(self, address: str, user: LinkUser, *, connect_ms: int) -> Link:
+        """Begin a connection.
+
+        :param address: ``IP:PORT`` to connect to.
+        :param user: who is told; never from within this call.
+        :param connect_ms: time for the connection to be made.
+        """
+        host, _, port = address.rpartition(":")
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        link = Link(self, sock, address, user)
+        self._links[sock] = link
+        result = sock.connect_ex((host, int(port)))
+        if result not in (0, errno.EINPROGRESS):
+            self.lose_later(link, os.strerror(result))
+            return link
+        link.connect_timer = self._scheduler.call_later(
+            connect_ms / 1000, lambda: self.lose(link, "connecting took too long")
+        )
+        self.watch_writing(link, True)
+        return link
+
+    def lose(self, link: Link, reason: str) -> None:
+        """Close a link and tell its user why."""
+        if link.is_closed:
+            return
+        self.drop(link)
+        link.user.on_lost(reason)
+
+    def lose_later(self, link: Link, reason: str) -> None:
+        """Close a link in the next turn, so that a user is not told while it sends."""
+        self._scheduler.call_later(0, lambda: self.lose(link, reason))
+
+    def drop(self, link: Link) -> None:
+        """Close a link without telling its user."""
+        if link.is_closed:
+            return
+        link.is_closed = True
+        if link.connect_timer is not None:
+            link.connect_timer.cancel()
+        self._links.pop(link.sock, None)
+        self._writing.discard(link.sock)
+        self._poller.discard(link.sock)
+        link.sock.close()
+
+    def watch_writing(self, link: Link, wanted: bool) -> None:
+        """Say whether the poller should tell when the kernel takes more bytes."""
+        if wanted and link.sock not in self._writing:
+            self._writing.add(link.sock)
+            self._poller.addWriter(self, link.sock)
+        elif not wanted and link.sock in self._writing:
+            self._writing.discard(link.sock)
+            self._poller.removeWriter(link.sock)
+
+    @circuits.handler("_read")
+    def _on_read(self, sock: socket.socket) -> None:
+        link = self._links.get(sock)
+        if link is None:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except OSError as error:
+            if error.errno not in _TRY_AGAIN:
+                self.lose(link, os.strerror(error.errno or 0))
+            return
+        if data:
+            link.user.on_data(data)
+        else:
+            self.lose(link, "closed by the other side")
+
+    @circuits.handler("_write")
+    def _on_write(self, sock: socket.socket) -> None:
+        link = self._links.get(sock)
+        if link is None:
+            return
+        if not link.is_connected:
+            self._finish_connecting(link)
+        else:
+            link.flush()
+
+    @circuits.handler("_disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        link = self._links.get(sock)
+        if link is None:
+            return
+        number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        self.lose(link, os.strerror(number) if number else "closed by the other side")
+
+    def _finish_connecting(self, link: Link) -> None:
+        number = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if number:
+            self.lose(link, os.strerror(number))
+            return
+        link.is_connected = True
+        if link.connect_timer is not None:
+            link.connect_timer.cancel()
+        self._poller.addReader(self, link.sock)
+        link.user.on_connected()
+        if not link.is_closed:
+            link.flush()
--- /dev/null
+++ b/src/spoolhead/_internal/network/loop.py
@@ -0,0 +1,64 @@
+"""The root of a program: event loop, poller, timers, signals and stray exceptions."""
+
+import logging
+import signal
+from collections.abc import Callable
+
+import circuits
+from circuits.core import pollers
+
+from spoolhead._internal.network import scheduler
+
+logger = logging.getLogger(__name__)
+
+
+class Loop(circuits.BaseComponent):
+    """Root component of each program.
+
+    The default poller stops at 1,024 descriptors, so EPoll is registered before any socket.
+
+    :param on_stop: called once on SIGTERM or SIGINT; the program ends when it calls
+        :meth:`finish`.
+    :ivar poller: the poller that sockets register with.
+    :ivar scheduler: monotonic timers.
+    :ivar exceptions: exceptions that reached the loop since the start.
+    """
+
+    channel = "loop"
+
+    def __init__(self, on_stop: Callable[[], None]) -> None:
+        super().__init__()
+        self.poller = pollers.EPoll().register(self)
+        self.scheduler = scheduler.Scheduler().register(self)
+        self.exceptions = 0
+        self._on_stop = on_stop
+        self._stopping = False
+
+    def finish(self) -> None:
+        """End the program after the present turn, with exit code 0."""
+        self.stop()
+
+    @circuits.handler("signal", channel="*", priority=10)
+    def _on_signal(self, event: circuits.Event, number: int, _frame: object) -> None:
+        event.stop()
+        if number not in (signal.SIGTERM, signal.SIGINT) or self._stopping:
+            return
+        self._stopping = True
+        logger.info("stop requested by signal %d", number)
+        self._on_stop()
+
+    @circuits.handler("exception", channel="*", priority=10)
+    def _on_exception(
+        self,
+        event: circuits.Event,
+        kind: type[BaseException],
+        error: BaseException,
+        trace: object,
+        handler: object = None,
+        fevent: object = None,
+    ) -> None:
+        event.stop()
+        self.exceptions += 1
+        logger.error(
+            "exception while handling %s", fevent, exc_info=(kind, error, error.__traceback__)
+        )
--- /dev/null
+++ b/src/spoolhead/_internal/network/peer_call.py
@@ -0,0 +1,115 @@
+"""Questions of the command line to other spoolhead processes, one after another."""
+
+import secrets
+import socket
+import time
+from collections.abc import Sequence
+from typing import TypeVar
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.models import codes, settings
+from spoolhead._internal.network import handshake, messages
+
+ROLE = "operator"
+READ_BYTES = 65_536
+
+_MessageT = TypeVar("_MessageT")
+
+
+class PeerCall:
+    """A connection to one process for questions and answers.
+
+    :param address: ``IP:PORT`` of the process.
+    :param config: shared key and time-out.
+    :raises exceptions.PeerError: if it cannot be reached or does not know the shared key.
+    """
+
+    def __init__(self, address: str, config: settings.OperatorSettings) -> None:
+        self.address = address
+        self._timeout_s = config.timeout_ms / 1000
+        self._reader = messages.MessageReader()
+        self._arrived: list[messages.Message] = []
+        host, _, port = address.rpartition(":")
+        try:
+            self._sock = socket.create_connection((host, int(port)), self._timeout_s)
+        except OSError as error:
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
+        self._shake_hands(config.shared_key)
+
+    def __enter__(self) -> "PeerCall":
+        return self
+
+    def __exit__(self, *_details: object) -> None:
+        self._sock.close()
+
+    def ask(self, question: messages.Message, kind: type[_MessageT]) -> _MessageT:
+        """Send a question and return its answer.
+
+        :param kind: class of the answer.
+        :raises exceptions.PeerError: if no such answer comes in time.
+        """
+        self._send(question)
+        return self._receive(kind)
+
+    def _shake_hands(self, shared_key: str) -> None:
+        challenge = self._receive(messages.Challenge)
+        nonce = secrets.token_bytes(handshake.NONCE_BYTES)
+        hello = handshake.make_hello(
+            shared_key, challenge, role=ROLE, name=socket.gethostname(), nonce=nonce
+        )
+        self._send(hello)
+        try:
+            welcome = self._receive(messages.Welcome)
+        except exceptions.PeerError as error:
+            text = "closed the connection after the handshake; is the shared key right?"
+            raise self._make_error(codes.ResultCode.PEER_REFUSED, text) from error
+        if not handshake.check_welcome(shared_key, nonce, welcome):
+            raise self._make_error(codes.ResultCode.PEER_REFUSED, "does not know the shared key")
+
+    def _send(self, message: messages.Message) -> None:
+        try:
+            self._sock.sendall(messages.encode(message))
+        except OSError as error:
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
+
+    def _receive(self, kind: type[_MessageT]) -> _MessageT:
+        deadline_s = time.monotonic() + self._timeout_s
+        while True:
+            while self._arrived:
+                message = self._arrived.pop(0)
+                if isinstance(message, kind):
+                    return message
+                if not isinstance(message, messages.Heartbeat):
+                    text = f"sent {type(message).__name__} instead of {kind.__name__}"
+                    raise self._make_error(codes.ResultCode.PEER_PROTOCOL, text)
+            self._read(deadline_s)
+
+    def _read(self, deadline_s: float) -> None:
+        try:
+            self._sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+            data = self._sock.recv(READ_BYTES)
+        except OSError as error:
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
+        if not data:
+            text = "closed the connection"
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, text)
+        try:
+            self._arrived.extend(self._reader.feed(data))
+        except messages.MessageError as error:
+            raise self._make_error(codes.ResultCode.PEER_PROTOCOL, str(error)) from error
+
+    def _make_error(self, code: codes.ResultCode, text: str) -> exceptions.PeerError:
+        return exceptions.PeerError(code, f"{self.address}: {text}")
+
+
+def open_first(addresses: Sequence[str], config: settings.OperatorSettings) -> PeerCall:
+    """Open a connection to the first of several equal processes that answers.
+
+    :raises exceptions.PeerError: of the last one, if none answers.
+    """
+    for address in addresses[:-1]:
+        try:
+            return PeerCall(address, config)
+        except exceptions.PeerError:
+            continue
+    return PeerCall(addresses[-1], config)
--- /dev/null
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -0,0 +1,164 @@
+"""Connecting side of a stream to another spoolhead process: connects again by itself."""
+
+import logging
+import random
+import secrets
+import time
+from collections.abc import Sequence
+from typing import Protocol
+
+from spoolhead._internal.network import handshake, links, messages
+from spoolhead._internal.network import loop as loops
+
+logger = logging.getLogger(__name__)
+
+CONNECT_MS = 1_000
+FIRST_RETRY_S = 0.1
+LONGEST_RETRY_S = 2.0
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 5.0
+
+
+class PeerClientUser(Protocol):
+    """What the owner of a client is told."""
+
+    def on_peer_ready(self) -> None:
+        """Both sides have proved the shared key."""
+
+    def on_peer_message(self, message: messages.Message) -> None:
+        """A message arrived."""
+
+    def on_peer_lost(self) -> None:
+        """The stream is over; the client connects again, maybe to another address."""
+
+
+class PeerClient:
+    """A stream to one of several equal processes.
+
+    The addresses are tried in turn, from a random one on, so that the clients of a fleet
+    spread.
+
+    :param loop: root of the program.
+    :param outgoing: the program's outgoing connections.
+    :param addresses: ``IP:PORT`` of each process that will do.
+    :param role: this process's role.
+    :param name: this process's name.
+    :param shared_key: secret that the fleet's processes share.
+    :param user: is told what happens.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        outgoing: links.Links,
+        addresses: Sequence[str],
+        *,
+        role: str,
+        name: str,
+        shared_key: str,
+        user: PeerClientUser,
+    ) -> None:
+        self._scheduler = loop.scheduler
+        self._outgoing = outgoing
+        self._addresses = list(addresses)
+        self._role = role
+        self._name = name
+        self._shared_key = shared_key
+        self._user = user
+        self._random = random.Random()
+        self._next = self._random.randrange(len(self._addresses))
+        self._retry_s = FIRST_RETRY_S
+        self._link: links.Link | None = None
+        self._reader = messages.MessageReader()
+        self._nonce = b""
+        self._heard_s = time.monotonic()
+        self.is_ready = False
+        self._scheduler.call_every(HEARTBEAT_INTERVAL_S, self._keep_alive)
+        self._connect()
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` of the process it talks to, or last tried."""
+        return self._link.address if self._link is not None else ""
+
+    def send(self, message: messages.Message) -> bool:
+        """Send a message.
+
+        :returns: False if there is no stream just now, so that nothing was sent.
+        """
+        if not self.is_ready or self._link is None:
+            return False
+        self._link.send(messages.encode(message))
+        return True
+
+    def reconnect(self, reason: str) -> None:
+        """Give up the present stream and try the next address."""
+        if self._link is not None:
+            self._outgoing.lose(self._link, reason)
+
+    def on_connected(self) -> None:
+        """Wait for the challenge."""
+        self._heard_s = time.monotonic()
+
+    def on_data(self, data: bytes) -> None:
+        """Take bytes of the other side."""
+        self._heard_s = time.monotonic()
+        try:
+            for message in self._reader.feed(data):
+                self._take(message)
+        except messages.MessageError as error:
+            self.reconnect(str(error))
+
+    def on_lost(self, reason: str) -> None:
+        """Plan the next try, a little later each time."""
+        logger.info("stream to %s lost: %s", self.address, reason)
+        was_ready, self.is_ready = self.is_ready, False
+        self._link = None
+        self._next += 1
+        delay_s = self._retry_s * self._random.uniform(0.5, 1.0)
+        self._retry_s = min(self._retry_s * 2, LONGEST_RETRY_S)
+        self._scheduler.call_later(delay_s, self._connect)
+        if was_ready:
+            self._user.on_peer_lost()
+
+    def _connect(self) -> None:
+        self._reader = messages.MessageReader()
+        address = self._addresses[self._next % len(self._addresses)]
+        self._heard_s = time.monotonic()
+        self._link = self._outgoing.open(address, self, connect_ms=CONNECT_MS)
+
+    def _take(self, message: messages.Message) -> None:
+        if self.is_ready:
+            if not isinstance(message, messages.Heartbeat):
+                self._user.on_peer_message(message)
+        elif isinstance(message, messages.Challenge):
+            self._answer_challenge(message)
+        elif isinstance(message, messages.Welcome):
+            self._take_welcome(message)
+        else:
+            raise messages.MessageError("neither challenge nor welcome")
+
+    def _answer_challenge(self, challenge: messages.Challenge) -> None:
+        if challenge.protocol != messages.PROTOCOL_VERSION:
+            raise messages.MessageError(f"protocol version {challenge.protocol}")
+        self._nonce = secrets.token_bytes(handshake.NONCE_BYTES)
+        hello = handshake.make_hello(
+            self._shared_key, challenge, role=self._role, name=self._name, nonce=self._nonce
+        )
+        assert self._link is not None
+        self._link.send(messages.encode(hello))
+
+    def _take_welcome(self, welcome: messages.Welcome) -> None:
+        if not handshake.check_welcome(self._shared_key, self._nonce, welcome):
+            raise messages.MessageError("a welcome without the shared key")
+        self.is_ready = True
+        self._retry_s = FIRST_RETRY_S
+        self._user.on_peer_ready()
+
+    def _keep_alive(self) -> None:
+        if self._link is None or not self._link.is_connected:
+            return
+        if time.monotonic() - self._heard_s > SILENCE_LIMIT_S:
+            self.reconnect("silent for too long")
+        else:
+            self.send(messages.Heartbeat())
--- /dev/null
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -0,0 +1,154 @@
+"""Accepting side of the streams between spoolhead's own processes."""
+
+import logging
+import secrets
+import socket
+import time
+from typing import Protocol
+
+import circuits
+
+from spoolhead._internal.network import direct_server, handshake, messages
+from spoolhead._internal.network import loop as loops
+
+logger = logging.getLogger(__name__)
+
+HELLO_TIMEOUT_S = 5.0
+HEARTBEAT_INTERVAL_S = 1.0
+SILENCE_LIMIT_S = 5.0
+UNSENT_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class PeerSession:
+    """One accepted connection.
+
+    :ivar role: what the other side said it is; empty until it has proved the shared key.
+    :ivar name: the other side's name.
+    :ivar heard_s: monotonic time of the last bytes, in seconds.
+    """
+
+    __slots__ = ("_server", "heard_s", "name", "nonce", "reader", "role", "sock")
+
+    def __init__(self, server: "PeerServer", sock: socket.socket) -> None:
+        self._server = server
+        self.sock = sock
+        self.reader = messages.MessageReader()
+        self.nonce = secrets.token_bytes(handshake.NONCE_BYTES)
+        self.role = ""
+        self.name = ""
+        self.heard_s = time.monotonic()
+
+    def send(self, message: messages.Message) -> None:
+        """Send a message; dropped if the connection is gone."""
+        self._server.send(self, messages.encode(message))
+
+    def send_encoded(self, data: bytes) -> None:
+        """Send the bytes of a message, made once for several sessions."""
+        self._server.send(self, data)
+
+
+class PeerService(Protocol):
+    """What a program does with the messages it gets."""
+
+    def on_opened(self, session: PeerSession) -> None:
+        """A peer has proved the shared key."""
+
+    def on_message(self, session: PeerSession, message: messages.Message) -> None:
+        """A message arrived."""
+
+    def on_closed(self, session: PeerSession) -> None:
+        """A session is over."""
+
+
+class PeerServer(circuits.BaseComponent):
+    """Listens for other spoolhead processes.
+
+    :param loop: root of the program.
+    :param bind: IP number and port.
+    :param name: this process's name.
+    :param shared_key: secret that the fleet's processes share.
+    :param service: gets the messages.
+    """
+
+    channel = "peers"
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        bind: tuple[str, int],
+        *,
+        name: str,
+        shared_key: str,
+        service: PeerService,
+    ) -> None:
+        super().__init__()
+        self._server = direct_server.DirectServer(bind, channel=self.channel).register(self)
+        self._scheduler = loop.scheduler
+        self._name = name
+        self._shared_key = shared_key
+        self._service = service
+        self._sessions: dict[socket.socket, PeerSession] = {}
+        self._scheduler.call_every(HEARTBEAT_INTERVAL_S, self._keep_alive)
+
+    @property
+    def address(self) -> str:
+        """``IP:PORT`` that it listens on."""
+        return f"{self._server.host}:{self._server.port}"
+
+    def send(self, session: PeerSession, data: bytes) -> None:
+        """Send bytes on a session; a peer that does not read is dropped."""
+        if session.sock not in self._sessions:
+            return
+        if self._server.send_now(session.sock, data) > UNSENT_LIMIT_BYTES:
+            logger.warning("peer %s does not read; its connection is closed", session.name)
+            self._server.close_now(session.sock)
+
+    @circuits.handler("connect")
+    def _on_connect(self, sock: socket.socket, *_address: object) -> None:
+        session = PeerSession(self, sock)
+        self._sessions[sock] = session
+        session.send(messages.Challenge(protocol=messages.PROTOCOL_VERSION, nonce=session.nonce))
+
+    @circuits.handler("disconnect")
+    def _on_disconnect(self, sock: socket.socket) -> None:
+        session = self._sessions.pop(sock, None)
+        if session is not None and session.role:
+            self._service.on_closed(session)
+
+    @circuits.handler("read")
+    def _on_read(self, sock: socket.socket, data: bytes) -> None:
+        session = self._sessions.get(sock)
+        if session is None:
+            return
+        session.heard_s = time.monotonic()
+        try:
+            for message in session.reader.feed(data):
+                self._take(session, message)
+        except messages.MessageError as error:
+            logger.warning("peer %s: %s; its connection is closed", session.name or "?", error)
+            self._server.close_now(sock)
+
+    def _take(self, session: PeerSession, message: messages.Message) -> None:
+        if session.role:
+            if not isinstance(message, messages.Heartbeat):
+                self._service.on_message(session, message)
+            return
+        if not isinstance(message, messages.Hello):
+            raise messages.MessageError("no hello")
+        if not handshake.check_hello(self._shared_key, session.nonce, message):
+            raise messages.MessageError("a hello without the shared key")
+        session.role = message.role
+        session.name = message.name
+        session.send(handshake.make_welcome(self._shared_key, message, self._name))
+        self._service.on_opened(session)
+
+    def _keep_alive(self) -> None:
+        now_s = time.monotonic()
+        beat = messages.encode(messages.Heartbeat())
+        for session in list(self._sessions.values()):
+            limit_s = SILENCE_LIMIT_S if session.role else HELLO_TIMEOUT_S
+            if now_s - session.heard_s > limit_s and session.role != "operator":
+                logger.warning("peer %s is silent; its connection is closed", session.name or "?")
+                self._server.close_now(session.sock)
+            elif session.role:
+                self.send(session, beat)
--- /dev/null
+++ b/src/spoolhead/_internal/network/request_reader.py
@@ -0,0 +1,211 @@
+"""Callers' bytes cut into whole requests, strictly and within bounds; no sockets, no clock.
+
+The HTTP library's own parser lets through what must be refused: two ways of stating a length,
+heads of any size, a second request lost behind the first, and escapes in header values that it
+turns into line ends. So bytes pass through here first, and only a complete request that has
+been checked goes on.
+"""
+
+import enum
+from collections.abc import Sequence
+
+import expression
+import httptools
+
+from spoolhead._internal.models import codes, fault, settings
+
+Headers = Sequence[tuple[str, str]]
+
+RAW_BODY_FACTOR = 4
+"""Bytes that may be spent on sending one byte of a chunked body, on the whole."""
+
+READ_SLACK_BYTES = 65_536
+"""Bytes of a request's head or of its successor that one read may bring with the body."""
+
+
+class Phase(enum.Enum):
+    """What a connection is waiting for."""
+
+    IDLE = "idle"
+    HEAD = "head"
+    BODY = "body"
+
+
+class WireRequest:
+    """One complete request.
+
+    :ivar method: its method.
+    :ivar target: path and query as sent.
+    :ivar http_version: ``1.0`` or ``1.1``.
+    :ivar headers: names in lower case, with their values, in order.
+    :ivar body: its body, decoded from chunks where it was chunked.
+    :ivar keep_alive: the connection may serve another request.
+    """
+
+    __slots__ = ("body", "headers", "http_version", "keep_alive", "method", "target")
+
+    def __init__(self) -> None:
+        self.method = ""
+        self.target = ""
+        self.http_version = "1.1"
+        self.headers: list[tuple[str, str]] = []
+        self.body = b""
+        self.keep_alive = True
+
+    def get_header(self, name: str) -> str | None:
+        """Return a header's value, the first where there are several.
+
+        :param name: its name in lower case.
+        """
+        return next((value for key, value in self.headers if key == name), None)
+
+
+class _ReaderError(Exception):
+    """Raised inside a parser callback to stop the parser; carries the fault."""
+
+    def __init__(self, code: codes.ResultCode, text: str) -> None:
+        super().__init__(text)
+        self.fault = fault.Fault(code, text)
+
+
+class RequestReader:
+    """Reads the requests of one connection.
+
+    :param limits: bounds on head, body and pipelining.
+    :ivar phase: what is awaited next.
+    :ivar wants_continue: the caller waits for ``100 Continue`` before it sends the body; the
+        owner clears this.
+    """
+
+    def __init__(self, limits: settings.CallerLimits) -> None:
+        self._limits = limits
+        self._parser = httptools.HttpRequestParser(self)
+        self._request = WireRequest()
+        self._body: list[bytes] = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._raw_body_bytes = 0
+        self._complete: list[WireRequest] = []
+        self.phase = Phase.IDLE
+        self.wants_continue = False
+
+    def feed(self, data: bytes) -> expression.Result[list[WireRequest], fault.Fault]:
+        """Take bytes.
+
+        :param data: bytes in the order of arrival.
+        :returns: the requests that they complete, or a fault after which the connection is of
+            no further use.
+        """
+        try:
+            self._parser.feed_data(data)
+            if self.phase is Phase.BODY:
+                self._count_raw_body(len(data))
+            else:
+                self._count_unfinished_head(len(data))
+        except httptools.HttpParserUpgrade:
+            return self._fail(codes.ResultCode.MALFORMED_REQUEST, "upgrades are not served")
+        except httptools.HttpParserCallbackError as error:
+            if isinstance(error.__context__, _ReaderError):
+                return expression.Error(error.__context__.fault)
+            raise
+        except _ReaderError as error:
+            return expression.Error(error.fault)
+        except httptools.HttpParserError as error:
+            return self._fail(_get_code(str(error)), str(error))
+        complete, self._complete = self._complete, []
+        return expression.Ok(complete)
+
+    def on_message_begin(self) -> None:
+        """Begin a request; called by the parser."""
+        self._request = WireRequest()
+        self._body = []
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._raw_body_bytes = 0
+        self.phase = Phase.HEAD
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target; called by the parser."""
+        self._add_head_bytes(len(url))
+        self._request.target += url.decode("latin-1")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; called by the parser, after the body for trailers too."""
+        if self.phase is not Phase.HEAD:
+            return
+        self._add_head_bytes(len(name) + len(value) + 4)
+        self._request.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        """Check the head; called by the parser."""
+        request = self._request
+        request.method = self._parser.get_method().decode("latin-1")
+        request.http_version = self._parser.get_http_version()
+        request.keep_alive = self._parser.should_keep_alive()
+        if request.http_version not in ("1.0", "1.1"):
+            raise _ReaderError(codes.ResultCode.MALFORMED_REQUEST, "not HTTP/1.0 or HTTP/1.1")
+        hosts = sum(1 for name, _ in request.headers if name == "host")
+        if hosts > 1 or (hosts == 0 and request.http_version == "1.1"):
+            raise _ReaderError(codes.ResultCode.MALFORMED_REQUEST, "not exactly one Host header")
+        length = request.get_header("content-length")
+        if length is not None and int(length) > self._limits.body_bytes:
+            self._refuse_body()
+        self.wants_continue = request.get_header("expect") == "100-continue"
+        self.phase = Phase.BODY
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body; called by the parser."""
+        self._body_bytes += len(data)
+        if self._body_bytes > self._limits.body_bytes:
+            self._refuse_body()
+        self._body.append(data)
+
+    def on_message_complete(self) -> None:
+        """Finish a request; called by the parser."""
+        self._request.body = b"".join(self._body)
+        self._body = []
+        self._complete.append(self._request)
+        self.phase = Phase.IDLE
+        self.wants_continue = False
+        if len(self._complete) > self._limits.pipelined:
+            raise _ReaderError(codes.ResultCode.TOO_MANY_PIPELINED, "too many requests sent ahead")
+
+    def _count_unfinished_head(self, fed_bytes: int) -> None:
+        # The parser keeps a header that is not yet whole to itself, so a header without an end
+        # would grow there unseen: what was fed counts, not what came out.
+        self._head_bytes += fed_bytes
+        if self.phase is Phase.IDLE and self._complete:
+            self._head_bytes = 0
+        elif self._head_bytes > 2 * self._limits.head_bytes:
+            self._refuse_head()
+
+    def _count_raw_body(self, fed_bytes: int) -> None:
+        # Chunk framing and trailers are no part of the body, yet cost the same to take in.
+        self._raw_body_bytes += fed_bytes
+        if self._raw_body_bytes > RAW_BODY_FACTOR * self._limits.body_bytes + READ_SLACK_BYTES:
+            self._refuse_body()
+
+    def _add_head_bytes(self, count: int) -> None:
+        self._head_bytes += count
+        if self._head_bytes > self._limits.head_bytes:
+            self._refuse_head()
+
+    def _refuse_head(self) -> None:
+        text = f"request line and headers exceed {self._limits.head_bytes} bytes"
+        raise _ReaderError(codes.ResultCode.HEAD_TOO_LARGE, text)
+
+    def _refuse_body(self) -> None:
+        text = f"the body exceeds {self._limits.body_bytes} bytes"
+        raise _ReaderError(codes.ResultCode.BODY_TOO_LARGE, text)
+
+    @staticmethod
+    def _fail(
+        code: codes.ResultCode, text: str
+    ) -> expression.Result[list[WireRequest], fault.Fault]:
+        return expression.Error(fault.Fault(code, text))
+
+
+def _get_code(text: str) -> codes.ResultCode:
+    if "Content-Length" in text or "Transfer-Encoding" in text:
+        return codes.ResultCode.CONFLICTING_LENGTHS
+    return codes.ResultCode.MALFORMED_REQUEST
--- /dev/null
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -0,0 +1,98 @@
+"""Timers on the monotonic clock.
+
+The event library's own timer counts on the wall clock, which can be set back; a deadline or a
+lease must not move with it.
+"""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import circuits
+from circuits.core import events
+
+
+class Timer:
+    """A pending call.
+
+    :ivar due_s: monotonic time of the call, in seconds.
+    """
+
+    __slots__ = ("_call", "due_s")
+
+    def __init__(self, due_s: float, call: Callable[[], None]) -> None:
+        self.due_s = due_s
+        self._call: Callable[[], None] | None = call
+
+    def cancel(self) -> None:
+        """Make sure the call does not happen any more."""
+        self._call = None
+
+    @property
+    def is_cancelled(self) -> bool:
+        """Whether the call was cancelled or has happened."""
+        return self._call is None
+
+    def run(self) -> None:
+        """Make the call, unless it was cancelled."""
+        call, self._call = self._call, None
+        if call is not None:
+            call()
+
+
+class Scheduler(circuits.BaseComponent):
+    """Makes calls at monotonic times, from the event loop."""
+
+    channel = "scheduler"
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._heap: list[tuple[float, int, Timer]] = []
+        self._counter = itertools.count()
+
+    def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
+        """Make a call after a delay.
+
+        :param delay_s: seconds from now; 0 for the next turn of the loop.
+        :param call: what to call; an exception in it is reported by the loop.
+        """
+        timer = Timer(time.monotonic() + delay_s, call)
+        heapq.heappush(self._heap, (timer.due_s, next(self._counter), timer))
+        return timer
+
+    def call_every(self, interval_s: float, call: Callable[[], None]) -> None:
+        """Make a call again and again until the process ends.
+
+        :param interval_s: seconds between the end of a call and the next.
+        """
+
+        def _repeat() -> None:
+            try:
+                call()
+            finally:
+                self.call_later(interval_s, _repeat)
+
+        self.call_later(interval_s, _repeat)
+
+    @circuits.handler("generate_events", channel="*")
+    def _on_generate_events(self, event: circuits.Event) -> None:
+        now_s = time.monotonic()
+        ran = False
+        while self._heap and (self._heap[0][2].is_cancelled or self._heap[0][0] <= now_s):
+            timer = heapq.heappop(self._heap)[2]
+            ran = ran or not timer.is_cancelled
+            self._run(timer, event)
+        if ran:
+            # What the calls fired is already queued, so the poller must not wait this turn.
+            event.reduce_time_left(0)
+        elif self._heap:
+            event.reduce_time_left(max(0.0, self._heap[0][0] - now_s))
+
+    def _run(self, timer: Timer, event: circuits.Event) -> None:
+        # An exception that left the handler would leave the poller without the time of the
+        # next timer, and the program would sleep on until a byte came.
+        try:
+            timer.run()
+        except Exception as error:
+            self.fire(events.exception(type(error), error, error.__traceback__, None, event), "*")
--- /dev/null
+++ b/src/spoolhead/_internal/policy/health.py
@@ -0,0 +1,49 @@
+"""Whether an upstream gets new work: ejection after failures, gradual return, slow start."""
+
+FAILURES_BEFORE_EJECTION = 3
+FIRST_EJECTION_S = 1.0
+LONGEST_EJECTION_S = 30.0
+SLOW_START_S = 8.0
+FIRST_SHARE = 0.1
+
+
+class Health:
+    """Health of one upstream as this entry sees it.
+
+    :param now_s: monotonic time in seconds at which the upstream was first seen.
+    :param is_new: it came after this entry had started, so it begins slowly.
+    """
+
+    __slots__ = ("_ejected_until_s", "_ejections", "_failures", "_ramp_from_s")
+
+    def __init__(self, now_s: float, *, is_new: bool) -> None:
+        self._failures = 0
+        self._ejections = 0
+        self._ejected_until_s = 0.0
+        self._ramp_from_s = now_s if is_new else now_s - SLOW_START_S
+
+    def note_success(self, now_s: float) -> None:
+        """Note an answer that came whole."""
+        self._failures = 0
+        if now_s - self._ramp_from_s > 2 * SLOW_START_S:
+            self._ejections = 0
+
+    def note_failure(self, now_s: float) -> None:
+        """Note a connection that failed or an answer that was lost."""
+        self._failures += 1
+        if self._failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now_s):
+            return
+        self._failures = 0
+        duration_s = min(LONGEST_EJECTION_S, FIRST_EJECTION_S * 2**self._ejections)
+        self._ejections += 1
+        self._ejected_until_s = now_s + duration_s
+        self._ramp_from_s = self._ejected_until_s
+
+    def is_ejected(self, now_s: float) -> bool:
+        """Whether it gets no new work just now."""
+        return now_s < self._ejected_until_s
+
+    def get_share(self, now_s: float) -> float:
+        """Return the part of its capacity that may be used: rises to 1 after a start or return."""
+        age = (now_s - self._ramp_from_s) / SLOW_START_S
+        return min(1.0, max(FIRST_SHARE, age))
--- /dev/null
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -0,0 +1,245 @@
+"""Where a request goes: the choice among the upstreams of its service.
+
+Load reports lag, and several entries choose from the same ones without asking each other. So
+an entry looks at a random sample, counts what it has sent itself since a report, and takes for
+itself only its part of the room that a report shows.
+"""
+
+import random
+from collections.abc import Sequence
+
+from spoolhead._internal.models import rows
+from spoolhead._internal.policy import lengths, replicas
+
+SAMPLE_SIZE = 8
+"""Upstreams of one hall looked at for one request; the cost does not grow with the fleet."""
+
+MAX_ENGINE_QUEUE = 0
+"""Requests waiting inside an engine above which nothing more is sent to it."""
+
+
+class Need:
+    """What a request needs.
+
+    :ivar workspace: who asks.
+    :ivar service: for what.
+    :ivar prompt_tokens: its prompt, estimated.
+    :ivar limit_tokens: longest that its answer may become.
+    :ivar excluded: upstreams that have failed for it.
+    """
+
+    __slots__ = ("excluded", "limit_tokens", "prompt_tokens", "service", "workspace")
+
+    def __init__(
+        self,
+        *,
+        workspace: str,
+        service: str,
+        prompt_tokens: int,
+        limit_tokens: int,
+        excluded: frozenset[str] = frozenset(),
+    ) -> None:
+        self.workspace = workspace
+        self.service = service
+        self.prompt_tokens = prompt_tokens
+        self.limit_tokens = limit_tokens
+        self.excluded = excluded
+
+
+class Candidate:
+    """An upstream that was looked at.
+
+    :ivar name: its name.
+    :ivar fill: planned use as a part of what it may be planned to; lower is better.
+    :ivar lost_because: why it was not chosen; empty for the chosen one.
+    """
+
+    __slots__ = ("fill", "lost_because", "name")
+
+    def __init__(self, name: str, fill: float, lost_because: str) -> None:
+        self.name = name
+        self.fill = fill
+        self.lost_because = lost_because
+
+
+class Choice:
+    """The outcome.
+
+    :ivar replica: the chosen upstream, or None where the request has to wait.
+    :ivar planned_tokens: memory that the request is expected to need in the end.
+    :ivar candidates: all that were looked at.
+    """
+
+    __slots__ = ("candidates", "planned_tokens", "replica")
+
+    def __init__(
+        self,
+        replica: replicas.Replica | None,
+        planned_tokens: float,
+        candidates: Sequence[Candidate],
+    ) -> None:
+        self.replica = replica
+        self.planned_tokens = planned_tokens
+        self.candidates = list(candidates)
+
+
+class Placement:
+    """Chooses upstreams for one entry.
+
+    :param hall: hall of the entry; its upstreams come first.
+    :param model: learned lengths.
+    :param source: random numbers.
+    :ivar entry_count: entries that share the upstreams, this one included.
+    """
+
+    def __init__(self, hall: str, model: lengths.LengthModel, source: random.Random) -> None:
+        self._hall = hall
+        self._model = model
+        self._random = source
+        self.entry_count = 1
+
+    def choose(
+        self,
+        need: Need,
+        service: rows.ServiceRow,
+        pool: "Pool",
+        now_s: float,
+    ) -> Choice:
+        """Choose an upstream for a request.
+
+        :param need: the request.
+        :param service: row of its service.
+        :param pool: upstreams of the service.
+        :param now_s: monotonic time in seconds.
+        """
+        planned = need.prompt_tokens + self._model.get_rest_tokens(
+            need.workspace, need.service, generated_tokens=0, limit_tokens=need.limit_tokens
+        )
+        candidates: list[Candidate] = []
+        for hall in pool.get_halls(first=self._hall):
+            sample = self._sample(pool.get_hall(hall))
+            best = self._choose_in_hall(need, service, sample, planned, candidates, now_s)
+            if best is not None:
+                return Choice(best, planned, candidates)
+        return Choice(None, planned, candidates)
+
+    def _sample(self, hall_replicas: Sequence[replicas.Replica]) -> Sequence[replicas.Replica]:
+        if len(hall_replicas) <= SAMPLE_SIZE:
+            return hall_replicas
+        return self._random.sample(hall_replicas, SAMPLE_SIZE)
+
+    def _choose_in_hall(
+        self,
+        need: Need,
+        service: rows.ServiceRow,
+        sample: Sequence[replicas.Replica],
+        planned: float,
+        candidates: list[Candidate],
+        now_s: float,
+    ) -> replicas.Replica | None:
+        best: replicas.Replica | None = None
+        best_candidate: Candidate | None = None
+        best_key = (0.0, 0.0)
+        for replica in sample:
+            candidate = self._judge(need, service, replica, planned, now_s)
+            candidates.append(candidate)
+            if candidate.lost_because:
+                continue
+            key = (round(candidate.fill, 2), self._random.random())
+            if best_candidate is None or key < best_key:
+                if best_candidate is not None:
+                    best_candidate.lost_because = "fuller"
+                best, best_candidate, best_key = replica, candidate, key
+            else:
+                candidate.lost_because = "fuller"
+        return best
+
+    def _judge(
+        self,
+        need: Need,
+        service: rows.ServiceRow,
+        replica: replicas.Replica,
+        planned: float,
+        now_s: float,
+    ) -> Candidate:
+        """Tell how full a replica would be, and what speaks against it, if anything."""
+        own = len(replica.running)
+        if replica.name in need.excluded:
+            return Candidate(replica.name, 0.0, "failed for this request")
+        if replica.health.is_ejected(now_s):
+            return Candidate(replica.name, 0.0, "ejected")
+        share = replica.health.get_share(now_s)
+        if own >= max(1, int(service.max_running_per_upstream * share)):
+            return Candidate(replica.name, 1.0, "as many running as the service's row allows")
+        if service.kind is rows.ServiceKind.PLAIN:
+            reported = replica.report.running if replica.report else 0
+            fill = max(own, reported) / service.max_running_per_upstream
+            return Candidate(replica.name, fill, "")
+        return self._judge_engine(replica, planned, share, now_s)
+
+    def _judge_engine(
+        self, replica: replicas.Replica, planned: float, share: float, now_s: float
+    ) -> Candidate:
+        report = replica.report
+        if report is None or not replica.has_fresh_report(now_s):
+            # Nothing is known of its memory: one request at a time tells whether it serves.
+            return Candidate(replica.name, 1.0, "no fresh report" if replica.running else "")
+        capacity = report.kv_capacity_tokens * replica.operating_point.limit * share
+        if capacity <= 0:
+            return Candidate(replica.name, float(len(replica.running)), "")
+        total = replica.get_planned_tokens(self._model, now_s)
+        fill = (total + planned) / capacity
+        if not report.running and not replica.running:
+            # An idle engine takes any request, even one that plans more than its memory.
+            return Candidate(replica.name, fill, "")
+        if report.waiting > MAX_ENGINE_QUEUE:
+            replica.held_back = True
+            return Candidate(replica.name, fill, "requests wait inside it")
+        room = capacity - (total - replica.sent_tokens)
+        if total + planned > capacity:
+            replica.held_back = True
+            return Candidate(replica.name, fill, "its memory would fill")
+        if replica.sent_since_report and replica.sent_tokens + planned > room / self.entry_count:
+            return Candidate(
+                replica.name, fill, "this entry's part of its room is used until the next report"
+            )
+        return Candidate(replica.name, fill, "")
+
+
+class Pool:
+    """Upstreams of one service by hall; those leaving are not in it."""
+
+    __slots__ = ("_by_hall", "_by_name")
+
+    def __init__(self) -> None:
+        self._by_name: dict[str, replicas.Replica] = {}
+        self._by_hall: dict[str, list[replicas.Replica]] = {}
+
+    def __len__(self) -> int:
+        return len(self._by_name)
+
+    def put(self, replica: replicas.Replica) -> None:
+        """Add or replace an upstream."""
+        self.remove(replica.name)
+        self._by_name[replica.name] = replica
+        self._by_hall.setdefault(replica.row.hall, []).append(replica)
+
+    def remove(self, name: str) -> None:
+        """Remove an upstream, if it is there."""
+        replica = self._by_name.pop(name, None)
+        if replica is None:
+            return
+        for hall, members in list(self._by_hall.items()):
+            if replica in members:
+                members.remove(replica)
+                if not members:
+                    del self._by_hall[hall]
+
+    def get_halls(self, *, first: str) -> list[str]:
+        """Return the halls that have upstreams, a given one first."""
+        others = [hall for hall in self._by_hall if hall != first]
+        return [first, *others] if first in self._by_hall else others
+
+    def get_hall(self, hall: str) -> Sequence[replicas.Replica]:
+        """Return the upstreams in a hall."""
+        return self._by_hall.get(hall, ())
--- /dev/null
+++ b/src/spoolhead/_internal/relay/stream_relay.py
@@ -0,0 +1,86 @@
+"""A streamed answer on its way: what of an upstream's bytes goes to the caller."""
+
+from spoolhead._internal.models import codes, fault
+from spoolhead._internal.relay import event_stream, sequencer
+
+_COMMENT = b":"
+
+
+class Relayed:
+    """What came of some bytes.
+
+    :ivar data: bytes for the caller; may be empty.
+    :ivar tokens: events with content among them, each one token.
+    :ivar is_done: the answer is complete.
+    :ivar fault: why the stream must not go on, or None.
+    """
+
+    __slots__ = ("data", "fault", "is_done", "tokens")
+
+    def __init__(self) -> None:
+        self.data = b""
+        self.tokens = 0
+        self.is_done = False
+        self.fault: fault.Fault | None = None
+
+
+class StreamRelay:
+    """Relays one answer, over one connection after another if need be.
+
+    :param order: order of the events; one that has begun elsewhere for a resumed answer.
+    """
+
+    def __init__(self, order: sequencer.Sequencer | None = None) -> None:
+        self.order = order if order is not None else sequencer.Sequencer()
+        self.is_done = False
+        self._splitter = event_stream.EventSplitter()
+
+    def begin_connection(self) -> None:
+        """Forget the part of an event that a lost connection left."""
+        self._splitter = event_stream.EventSplitter()
+
+    def feed(self, data: bytes) -> Relayed:
+        """Take bytes of the upstream.
+
+        :returns: what goes to the caller; a fault ends the relay.
+        """
+        relayed = Relayed()
+        if self.is_done:
+            return relayed
+        try:
+            events = self._splitter.feed(data)
+        except event_stream.EventTooLargeError as error:
+            relayed.fault = fault.Fault(codes.ResultCode.STREAM_OUT_OF_ORDER, str(error))
+            return relayed
+        parts: list[bytes] = []
+        for event in events:
+            if self._take(event, parts, relayed):
+                break
+        relayed.data = b"".join(parts)
+        return relayed
+
+    def _is_in_place(self, done_mark: event_stream.Event) -> bool:
+        # A numbered mark after a gap would end an answer that lacks its last tokens.
+        if done_mark.event_id is None:
+            return True
+        _, _, digits = done_mark.event_id.rpartition(b":")
+        return digits == b"%d" % self.order.next_index
+
+    def _take(self, event: event_stream.Event, parts: list[bytes], relayed: Relayed) -> bool:
+        """Take one event; return whether the rest is not to be looked at."""
+        if event.raw.startswith(_COMMENT) and not event.data:
+            return False
+        if event.is_done_mark and self._is_in_place(event):
+            parts.append(event.raw + b"\n\n")
+            self.is_done = relayed.is_done = True
+            return True
+        verdict = self.order.judge(event)
+        if verdict is sequencer.Verdict.DELIVER:
+            parts.append(event.raw + b"\n\n")
+            relayed.tokens += 1
+            return False
+        if verdict is sequencer.Verdict.DUPLICATE:
+            return False
+        text = f"the upstream's stream cannot go on: {verdict.value}"
+        relayed.fault = fault.Fault(codes.ResultCode.STREAM_OUT_OF_ORDER, text)
+        return True
--- /dev/null
+++ b/src/spoolhead/_internal/table/packing.py
@@ -0,0 +1,31 @@
+"""Rows of the table as plain lists, for messages and files."""
+
+from collections.abc import Mapping, Sequence
+
+from spoolhead.coordination import versioned_table
+
+Rows = Mapping[versioned_table.RowKey, versioned_table.VersionedRow]
+
+
+def pack_rows(table_rows: Rows) -> list[list[object]]:
+    """Return each row as sheet, name, version and value."""
+    return [[key.sheet, key.name, row.version, row.value] for key, row in table_rows.items()]
+
+
+def unpack_rows(
+    packed: Sequence[object],
+) -> dict[versioned_table.RowKey, versioned_table.VersionedRow]:
+    """Make rows from what :func:`pack_rows` returned.
+
+    :raises ValueError: if the shape is wrong.
+    """
+    unpacked = {}
+    for item in packed:
+        if not isinstance(item, list) or len(item) != 4:
+            raise ValueError("not a row")
+        sheet, name, version, value = item
+        if not isinstance(version, int) or not isinstance(value, dict):
+            raise ValueError("not a row")
+        key = versioned_table.RowKey(str(sheet), str(name))
+        unpacked[key] = versioned_table.VersionedRow(version, value)
+    return unpacked
--- /dev/null
+++ b/src/spoolhead/_internal/table/view.py
@@ -0,0 +1,92 @@
+"""The table as an entry uses it: typed rows, and who an API key belongs to."""
+
+import hashlib
+import hmac
+import logging
+from collections.abc import Iterable
+
+from spoolhead._internal.models import rows
+from spoolhead.coordination import versioned_table
+
+logger = logging.getLogger(__name__)
+
+
+def get_key_digest(api_key: str) -> str:
+    """Return the form in which the table holds an API key: SHA-256, hexadecimal.
+
+    Keys are drawn at random with 256 bits, so neither salt nor a slow hash is needed.
+    """
+    return hashlib.sha256(api_key.encode("utf-8", "surrogateescape")).hexdigest()
+
+
+class TableView:
+    """Typed rows at one version of the table.
+
+    The mappings keep their identity, so that others may hold them.
+
+    :ivar version: version of the table; 0 before the first.
+    :ivar workspaces: rows by name.
+    :ivar services: rows by name.
+    :ivar upstreams: rows by name.
+    """
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.workspaces: dict[str, rows.WorkspaceRow] = {}
+        self.services: dict[str, rows.ServiceRow] = {}
+        self.upstreams: dict[str, rows.UpstreamRow] = {}
+        self._owners: dict[str, str] = {}
+        self._sheets = {
+            rows.Sheet.WORKSPACES: self.workspaces,
+            rows.Sheet.SERVICES: self.services,
+            rows.Sheet.UPSTREAMS: self.upstreams,
+        }
+
+    def set_row(self, key: versioned_table.RowKey, value: object | None) -> None:
+        """Set or remove one row.
+
+        :param value: its columns, checked by a keeper already; None to remove it.
+        """
+        if key.sheet not in self._sheets:
+            logger.error("row %s: this version knows no such sheet", key)
+            return
+        sheet = rows.Sheet(key.sheet)
+        old = self._sheets[sheet].pop(key.name, None)
+        if isinstance(old, rows.WorkspaceRow):
+            self._forget_keys(key.name, old)
+        if value is None:
+            return
+        parsed = rows.parse_row(sheet, key.name, value)
+        if parsed.is_error():
+            logger.error("row %s cannot be used: %s", key, "; ".join(map(str, parsed.error)))
+            return
+        self._sheets[sheet][key.name] = parsed.ok
+        if isinstance(parsed.ok, rows.WorkspaceRow):
+            for digest in parsed.ok.key_sha256:
+                self._owners[digest] = key.name
+
+    def replace(self, table_rows: Iterable[tuple[versioned_table.RowKey, object]]) -> None:
+        """Set every row, and remove those not given."""
+        fresh = dict(table_rows)
+        for sheet, known in self._sheets.items():
+            for name in list(known):
+                key = versioned_table.RowKey(sheet, name)
+                if key not in fresh:
+                    self.set_row(key, None)
+        for key, value in fresh.items():
+            self.set_row(key, value)
+
+    def get_workspace_of(self, api_key: str) -> str | None:
+        """Return the workspace that an API key belongs to, or None."""
+        digest = get_key_digest(api_key)
+        owner = self._owners.get(digest)
+        if owner is None:
+            return None
+        row = self.workspaces[owner]
+        matches = [hmac.compare_digest(digest, known) for known in row.key_sha256]
+        return owner if any(matches) else None
+
+    def _forget_keys(self, name: str, row: rows.WorkspaceRow) -> None:
+        for digest in row.key_sha256:
+            if self._owners.get(digest) == name:
+                del self._owners[digest]
--- /dev/null
+++ b/src/spoolhead/_internal/utils/__init__.py
@@ -0,0 +1,1 @@
+"""Small modules with a single purpose."""
--- /dev/null
+++ b/src/spoolhead/_internal/utils/jsonc.py
@@ -0,0 +1,45 @@
+"""JSON with comments, and JSON from callers: duplicate names refused in both."""
+
+import json
+
+import expression
+import json5
+
+from spoolhead._internal.models import codes, fault
+
+
+class _DuplicateNameError(ValueError):
+    pass
+
+
+def parse_with_comments(text: str) -> expression.Result[object, fault.Fault]:
+    """Parse JSON that may hold comments and trailing commas.
+
+    :param text: the file's text.
+    :returns: the value, or a fault (``SETTINGS_UNREADABLE``) that names the line.
+    """
+    # json5 takes about 20 s for each megabyte, and a table of 17,000 rows has several:
+    # a file without comments is read by the standard parser, which takes well under a second.
+    try:
+        return expression.Ok(json.loads(text, object_pairs_hook=_make_object))
+    except _DuplicateNameError as error:
+        return expression.Error(_make_fault(str(error)))
+    except ValueError:
+        pass
+    try:
+        return expression.Ok(json5.loads(text, allow_duplicate_keys=False))
+    except (ValueError, RecursionError) as error:
+        return expression.Error(_make_fault(str(error)))
+
+
+def _make_object(pairs: list[tuple[str, object]]) -> dict[str, object]:
+    value = dict(pairs)
+    if len(value) != len(pairs):
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise _DuplicateNameError(f"the name {twice!r} stands twice in one object")
+    return value
+
+
+def _make_fault(text: str) -> fault.Fault:
+    return fault.Fault(codes.ResultCode.SETTINGS_UNREADABLE, text)
--- /dev/null
+++ b/src/spoolhead/_internal/utils/metrics.py
@@ -0,0 +1,104 @@
+"""Metrics by statsd, gathered in the process and sent once an interval.
+
+A packet for each token would cost more than the token. So counts are summed, and times go
+into histograms whose quantiles are sent as gauges.
+"""
+
+import enum
+import logging
+
+import statsd
+from hdrh import histogram
+
+from spoolhead._internal.models import settings
+
+logger = logging.getLogger(__name__)
+
+_LONGEST_MS = 3_600_000
+_DIGITS = 2
+_QUANTILES = (50, 95, 99)
+
+
+class Metric(enum.StrEnum):
+    """Names of the metrics; their table is in ``docs/METRICS.md``."""
+
+    STALL_MS = "stall_ms"
+    FIRST_TOKEN_MS = "first_token_ms"
+    BETWEEN_TOKENS_MS = "between_tokens_ms"
+    QUEUE_WAIT_MS = "queue_wait_ms"
+    PREEMPTIONS = "preemptions"
+    DECISIONS = "decisions"
+    TOKENS = "tokens"
+    REQUESTS = "requests"
+    RETRIES = "retries"
+    RESUMES = "resumes"
+    EXCEPTIONS = "exceptions"
+    RUNNING = "running"
+    WAITING = "waiting"
+    CONNECTIONS = "connections"
+    TABLE_VERSION = "table_version"
+    KEEPER_CONNECTED = "keeper_connected"
+
+
+class Metrics:
+    """Metrics of one process."""
+
+    def __init__(self) -> None:
+        self._counts: dict[str, int] = {}
+        self._gauges: dict[str, float] = {}
+        self._times: dict[str, histogram.HdrHistogram] = {}
+
+    def count(self, metric: Metric, amount: int = 1, *, kind: str = "") -> None:
+        """Add to a counter.
+
+        :param kind: put behind the name, to tell kinds apart.
+        """
+        name = f"{metric}.{kind}" if kind else str(metric)
+        self._counts[name] = self._counts.get(name, 0) + amount
+
+    def time(self, metric: Metric, duration_ms: float) -> None:
+        """Record a duration in milliseconds."""
+        times = self._times.get(metric)
+        if times is None:
+            times = self._times[metric] = histogram.HdrHistogram(1, _LONGEST_MS, _DIGITS)
+        times.record_value(min(_LONGEST_MS, max(1, int(duration_ms))))
+
+    def gauge(self, metric: Metric, value: float) -> None:
+        """Set a gauge."""
+        self._gauges[metric] = value
+
+    def get_time_quantile(self, metric: Metric, percent: float) -> int:
+        """Return a quantile of what was recorded since the last sending; 0 for nothing."""
+        times = self._times.get(metric)
+        return times.get_value_at_percentile(percent) if times is not None else 0
+
+    def send(self, pipeline: statsd.client.base.PipelineBase) -> None:
+        """Send what was gathered and begin anew.
+
+        :param pipeline: an open pipeline of a statsd client.
+        """
+        for name, amount in self._counts.items():
+            pipeline.incr(name, amount)
+        for name, value in self._gauges.items():
+            pipeline.gauge(name, value)
+        for name, times in self._times.items():
+            if not times.get_total_count():
+                continue
+            pipeline.incr(f"{name}.count", times.get_total_count())
+            for percent in _QUANTILES:
+                pipeline.gauge(f"{name}.p{percent}", times.get_value_at_percentile(percent))
+            times.reset()
+        self._counts.clear()
+
+
+class Sender:
+    """Sends a process's metrics to a statsd server over UDP."""
+
+    def __init__(self, config: settings.StatsdSettings, metrics: Metrics) -> None:
+        self._metrics = metrics
+        self._client = statsd.StatsClient(host=config.host, port=config.port, prefix=config.prefix)
+
+    def send(self) -> None:
+        """Send what was gathered; a lost packet is lost."""
+        with self._client.pipeline() as pipeline:
+            self._metrics.send(pipeline)
--- /dev/null
+++ b/tests/functional/conftest.py
@@ -0,0 +1,18 @@
+import pytest
+
+import fleet
+from lib import fleets
+
+
+@pytest.fixture
+def running(tmp_path):
+    with fleet.Fleet(tmp_path) as made:
+        yield made
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    """A fleet for tests that leave it as they find it."""
+    with fleet.Fleet(tmp_path_factory.mktemp("fleet")) as made:
+        fleets.start_fleet(made, engine_options=("--step-ms", "5"))
+        yield made
--- /dev/null
+++ b/tools/standins/http_server.py
@@ -0,0 +1,119 @@
+"""A small HTTP/1.1 server for the stand-ins."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+READ_LIMIT_BYTES = 16 * 1024 * 1024
+
+
+class Request:
+    """A request: method, path, query, headers in lower case, body."""
+
+    __slots__ = ("body", "headers", "method", "path", "query")
+
+    def __init__(self, method: str, target: str, headers: dict[str, str], body: bytes) -> None:
+        self.method = method
+        self.path, _, self.query = target.partition("?")
+        self.headers = headers
+        self.body = body
+
+
+class Answer:
+    """Writes one answer."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+
+    def send(
+        self, status: int, body: bytes, *, content_type: str, headers: dict[str, str] | None = None
+    ) -> None:
+        """Send a whole answer."""
+        lines = [f"HTTP/1.1 {status} X", f"Content-Type: {content_type}"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        lines += [f"Content-Length: {len(body)}", "", ""]
+        self._writer.write("\r\n".join(lines).encode() + body)
+
+    def send_json(self, status: int, value: object) -> None:
+        """Send a JSON value."""
+        self.send(status, json.dumps(value).encode(), content_type="application/json")
+
+    def start_events(self) -> None:
+        """Begin a stream of events."""
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        self._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+
+    async def send_events(self, data: bytes) -> None:
+        """Send a part of a stream."""
+        self._writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        await self._writer.drain()
+
+    def end_events(self) -> None:
+        """End a stream."""
+        self._writer.write(b"0\r\n\r\n")
+
+
+Handler = Callable[[Request, Answer], Awaitable[None]]
+
+
+async def _read_request(reader: asyncio.StreamReader) -> Request | None:
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode("latin-1").split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, separator, value = line.partition(":")
+        if separator:
+            headers[name.lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Request(method, target, headers, body)
+
+
+class _Reader(asyncio.StreamReader):
+    """A reader that tells when the other side has gone, without being read."""
+
+    def __init__(self, limit: int) -> None:
+        super().__init__(limit)
+        self.gone = asyncio.Event()
+
+    def feed_eof(self) -> None:
+        super().feed_eof()
+        self.gone.set()
+
+    def set_exception(self, exc: BaseException) -> None:
+        super().set_exception(exc)
+        self.gone.set()
+
+
+async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
+    """Listen; each connection serves one request after another."""
+
+    async def _serve_connection(reader: _Reader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while (request := await _read_request(reader)) is not None:
+                await _serve_until_gone(handler(request, Answer(writer)), reader)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    def _make_protocol() -> asyncio.StreamReaderProtocol:
+        return asyncio.StreamReaderProtocol(_Reader(READ_LIMIT_BYTES), _serve_connection)
+
+    return await asyncio.get_running_loop().create_server(_make_protocol, host, port)
+
+
+async def _serve_until_gone(serving: Awaitable[None], reader: _Reader) -> None:
+    task = asyncio.ensure_future(serving)
+    gone = asyncio.ensure_future(reader.gone.wait())
+    await asyncio.wait([task, gone], return_when=asyncio.FIRST_COMPLETED)
+    gone.cancel()
+    if not task.done():
+        task.cancel()
+        await asyncio.wait([task])
+        raise ConnectionResetError
+    task.result()
--- /dev/null
+++ b/tools/standins/proxy.py
@@ -0,0 +1,132 @@
+"""A TCP proxy that makes a bad network: delay, stall, cut, drop after some bytes.
+
+It is steered by lines of JSON on its control port. Each line sets the faults for one direction
+(``up`` towards the target, ``down`` from it) of present and future connections::
+
+    {"direction": "down", "delay_ms": 50, "stall": false, "drop_after_bytes": null}
+
+``{"cut": true}`` closes every connection at once, ``{"refuse": true}`` also refuses new ones.
+Each line is answered by one with the bytes carried so far.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import signal
+import sys
+
+CHUNK_BYTES = 65_536
+STALL_POLL_S = 0.01
+
+
+class Faults:
+    """Faults of one direction."""
+
+    def __init__(self) -> None:
+        self.delay_ms = 0.0
+        self.stall = False
+        self.drop_after_bytes: int | None = None
+        self.carried_bytes = 0
+
+
+class Proxy:
+    """Carries bytes between callers and one target."""
+
+    def __init__(self, target: str) -> None:
+        self._host, _, port = target.rpartition(":")
+        self._port = int(port)
+        self._faults = {"up": Faults(), "down": Faults()}
+        self._refuse = False
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Carry one connection until either side ends it."""
+        if self._refuse:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(self._host, self._port)
+        except OSError:
+            writer.transport.abort()
+            return
+        both = {writer, far_writer}
+        self._writers |= both
+        tasks = [
+            asyncio.create_task(self._pump(reader, far_writer, self._faults["up"])),
+            asyncio.create_task(self._pump(far_reader, writer, self._faults["down"])),
+        ]
+        _, pending = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        for task in pending:
+            task.cancel()
+        self._writers -= both
+        for item in both:
+            with contextlib.suppress(OSError):
+                item.close()
+
+    async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Take orders, one a line."""
+        while line := await reader.readline():
+            self._obey(json.loads(line))
+            carried = {name: faults.carried_bytes for name, faults in self._faults.items()}
+            writer.write(json.dumps(carried).encode() + b"\n")
+            await writer.drain()
+        writer.close()
+
+    def _obey(self, order: dict) -> None:
+        if "refuse" in order:
+            self._refuse = order["refuse"]
+        if order.get("cut"):
+            for writer in self._writers:
+                writer.transport.abort()
+        if "direction" not in order:
+            return
+        faults = self._faults[order["direction"]]
+        faults.delay_ms = order.get("delay_ms", 0.0)
+        faults.stall = order.get("stall", False)
+        faults.drop_after_bytes = order.get("drop_after_bytes")
+        faults.carried_bytes = 0
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, faults: Faults
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(CHUNK_BYTES):
+                await asyncio.sleep(faults.delay_ms / 1000)
+                while faults.stall:
+                    await asyncio.sleep(STALL_POLL_S)
+                if faults.drop_after_bytes is not None:
+                    left = max(0, faults.drop_after_bytes - faults.carried_bytes)
+                    data = data[:left]
+                faults.carried_bytes += len(data)
+                writer.write(data)
+                await writer.drain()
+                if faults.carried_bytes == faults.drop_after_bytes:
+                    # The limit holds for one connection; what comes back later is carried.
+                    faults.drop_after_bytes = None
+                    return
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Carry until SIGTERM."""
+    proxy = Proxy(options.target)
+    server = await asyncio.start_server(proxy.carry, options.host, options.port)
+    control = await asyncio.start_server(proxy.control, options.host, 0)
+    ports = [item.sockets[0].getsockname()[1] for item in (server, control)]
+    print(f"ready port={ports[0]} control={ports[1]}", flush=True)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+
+
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description="A TCP proxy that makes a bad network.")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--target", required=True)
+    return parser.parse_args(arguments)
+
+
+if __name__ == "__main__":
+    asyncio.run(run(parse_options(sys.argv[1:])))
