--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -483,6 +483,10 @@
         self._failed_upstreams.add(attempt.replica.name)
         excluded = frozenset(self._failed_upstreams)
         choice = self._context.host.choose_again(self, excluded)
+        if choice.replica is None and code is not codes.ResultCode.UPSTREAM_REFUSED:
+            # Where nobody else serves, one lost connection is no reason to give up: the upstream
+            # itself may be well, and if it is not it will soon be ejected.
+            choice = self._context.host.choose_again(self, frozenset())
         if choice.replica is None:
             return False
         self._context.host.note_attempt(self, "retry", choice, code)
--- /dev/null
+++ b/tests/functional/test_stop.py
@@ -0,0 +1,89 @@
+"""Planned stops: nothing in flight is cut, nothing new is taken."""
+
+import json
+import signal
+import threading
+
+import fleet
+from lib import calls, fleets
+
+
+def test_stop_under_load_cuts_nothing(running):
+    fleets.start_fleet(running, engine_options=("--step-ms", "10"))
+    address = running.addresses["entry-1"]
+    results = []
+
+    def _chat():
+        results.append(calls.ChatStream(address, calls.make_chat(100)).read_all())
+
+    def _tally():
+        answer = calls.send(address, "POST", "/countdesk/t?delay_ms=1000", {"count": 1})
+        results.append(answer.status)
+
+    threads = [threading.Thread(target=_chat) for _ in range(8)]
+    threads += [threading.Thread(target=_tally) for _ in range(4)]
+    for thread in threads:
+        thread.start()
+    entry = running.processes["entry-1"]
+    fleet.wait_for(
+        lambda: len([r for r in entry.get_records() if r.get("action") == "run"]) == 12,
+        "everything to run",
+    )
+    open_connection = calls.connect(address)
+    open_connection.request("GET", "/livez")
+    open_connection.getresponse().read()
+    entry.send_signal(signal.SIGTERM)
+    fleet.wait_for(
+        lambda: [r for r in entry.get_records() if r["text"].startswith("stopping")], "the stop"
+    )
+    ready = calls.send(address, "GET", "/readyz")
+    assert (ready.status, ready.json["stopping"]) == (503, True)
+    refused = calls.send(address, "POST", "/v1/chat/completions", calls.make_chat(1))
+    assert (refused.status, refused.error["result_code"]) == (503, 2004)
+    assert refused.error["ran"] == "no"
+    assert int(refused.headers["retry-after"]) >= 1
+    for thread in threads:
+        thread.join()
+    assert entry.wait() == 0
+    assert results.count(200) == 4
+    assert [r for r in results if r != 200] == [list(range(100))] * 8
+
+
+def test_waiting_requests_are_served_before_the_end(running):
+    fleets.start_fleet(
+        running,
+        services=(),
+        entries=("entry-1",),
+        workspace={"max_running": 1},
+        engine_options=("--step-ms", "10"),
+    )
+    address = running.addresses["entry-1"]
+    results = []
+    threads = [
+        threading.Thread(
+            target=lambda: results.append(calls.ChatStream(address, calls.make_chat(200)).read_all())
+        )
+        for _ in range(3)
+    ]
+    for thread in threads:
+        thread.start()
+    entry = running.processes["entry-1"]
+    fleet.wait_for(lambda: [r for r in entry.get_records() if r.get("action") == "run"], "a run")
+    fleet.wait_for(lambda: _get_held(running) == 3, "all three to be held")
+    assert entry.stop() == 0
+    for thread in threads:
+        thread.join()
+    assert results == [list(range(200))] * 3
+
+
+def _get_held(running):
+    for item in json.loads(running.run_operator("status", "--json").stdout):
+        if item["role"] == "entry":
+            return item["running"] + item["waiting"]
+    return 0
+
+
+def test_idle_programs_stop_with_exit_code_0(running):
+    fleets.start_fleet(running, entries=("entry-1",))
+    for name in ("entry-1", "keeper-1"):
+        assert running.processes[name].stop() == 0
