Prove the decisions and the relay without I/O, and that the proofs can fail

Cause: the sans-I/O parts had no tests of their own.

Found: (1) a head of up to twice its bound was taken, as fed bytes and parsed bytes shared one counter; each has its own now.

--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -1,7 +1,7 @@
 """Numbered result codes, the one list that programs, logs and docs share.
 
 Every answer that is not a plain success carries one of these numbers. The table in
-``docs/RESULT_CODES.md`` is written from this module by ``tools/write-result-codes`` and a
+``docs/RESULT_CODES.md`` is written from this module by ``tools/write_result_codes.py`` and a
 test keeps the two alike.
 """
 
--- a/src/spoolhead/_internal/network/request_reader.py
+++ b/src/spoolhead/_internal/network/request_reader.py
@@ -83,6 +83,7 @@
         self._request = WireRequest()
         self._body: list[bytes] = []
         self._head_bytes = 0
+        self._raw_head_bytes = 0
         self._body_bytes = 0
         self._raw_body_bytes = 0
         self._complete: list[WireRequest] = []
@@ -97,10 +98,11 @@
             no further use.
         """
         try:
+            began_in_body = self.phase is Phase.BODY
             self._parser.feed_data(data)
             if self.phase is Phase.BODY:
                 self._count_raw_body(len(data))
-            else:
+            elif not began_in_body and not self._complete:
                 self._count_unfinished_head(len(data))
         except httptools.HttpParserUpgrade:
             return self._fail(codes.ResultCode.MALFORMED_REQUEST, "upgrades are not served")
@@ -120,6 +122,7 @@
         self._request = WireRequest()
         self._body = []
         self._head_bytes = 0
+        self._raw_head_bytes = 0
         self._body_bytes = 0
         self._raw_body_bytes = 0
         self.phase = Phase.HEAD
@@ -172,11 +175,9 @@
 
     def _count_unfinished_head(self, fed_bytes: int) -> None:
         # The parser keeps a header that is not yet whole to itself, so a header without an end
-        # would grow there unseen: what was fed counts, not what came out.
-        self._head_bytes += fed_bytes
-        if self.phase is Phase.IDLE and self._complete:
-            self._head_bytes = 0
-        elif self._head_bytes > 2 * self._limits.head_bytes:
+        # would grow there unseen. So what was fed counts too, not only what came out.
+        self._raw_head_bytes += fed_bytes
+        if self._raw_head_bytes > self._limits.head_bytes:
             self._refuse_head()
 
     def _count_raw_body(self, fed_bytes: int) -> None:
--- a/tests/functional/test_stop.py
+++ b/tests/functional/test_stop.py
@@ -61,7 +61,9 @@
     results = []
     threads = [
         threading.Thread(
-            target=lambda: results.append(calls.ChatStream(address, calls.make_chat(200)).read_all())
+            target=lambda: results.append(
+                calls.ChatStream(address, calls.make_chat(200)).read_all()
+            )
         )
         for _ in range(3)
     ]
--- /dev/null
+++ b/tests/lib/fakes.py
@@ -0,0 +1,178 @@
+"""Fakes at the interfaces of a flow: calls to upstreams, the caller, the dispatcher."""
+
+from spoolhead._internal.entry import flow
+from spoolhead._internal.models import codes, requests, rows
+from spoolhead._internal.policy import placement, replicas
+from spoolhead._internal.utils import metrics
+
+SHARED_KEY = "a-shared-key-for-tests"
+
+
+class FakeCall:
+    """A call that a test drives."""
+
+    def __init__(self, request, user):
+        self.head, _, self.body = request.partition(b"\r\n\r\n")
+        self.user = user
+        self.is_over = False
+        self.may_have_arrived = False
+
+    def cancel(self):
+        self.is_over = True
+
+    def get_header(self, name):
+        for line in self.head.decode().split("\r\n")[1:]:
+            key, _, value = line.partition(": ")
+            if key == name:
+                return value
+        return None
+
+    @property
+    def target(self):
+        return self.head.split(b" ")[1].decode()
+
+    @property
+    def is_cancel_order(self):
+        return self.target.endswith("/cancel")
+
+    @property
+    def generation(self):
+        if self.target.startswith("/v1/streams/"):
+            return self.target.split("/")[3]
+        return self.get_header("x-request-id")
+
+    @property
+    def first_index(self):
+        last = self.get_header("last-event-id")
+        return int(last.rpartition(":")[2]) + 1 if last else 0
+
+
+class FakeCalls:
+    """Remembers every call."""
+
+    def __init__(self):
+        self.made = []
+
+    def open(self, address, request, user, *, fresh=False, is_head=False):
+        call = FakeCall(request, user)
+        self.made.append(call)
+        return call
+
+    @property
+    def attempts(self):
+        return [call for call in self.made if not call.is_cancel_order]
+
+
+class FakeCaller:
+    """Keeps what it was sent."""
+
+    def __init__(self):
+        self.on_gone = None
+        self.is_gone = False
+        self.is_started = False
+        self.is_finished = False
+        self.status = 0
+        self.data = b""
+        self.unread_bytes = 0
+
+    def start_stream(self, status, headers, first=b""):
+        assert not self.is_started
+        self.is_started = True
+        self.status = status
+        self.data += first
+
+    def send_part(self, data):
+        assert self.is_started
+        assert not self.is_finished
+        self.data += data
+        return -1 if self.is_gone else self.unread_bytes
+
+    def send_whole(self, status, headers, body):
+        if self.is_gone:
+            return
+        assert not self.is_started
+        self.is_started = self.is_finished = True
+        self.status = status
+        self.data = body
+
+    def end_stream(self):
+        self.is_finished = True
+
+    def abort(self):
+        self.is_finished = True
+
+
+class FakeHost:
+    """Offers two upstreams and notes the end."""
+
+    def __init__(self):
+        self.replicas = [make_replica("u1"), make_replica("u2")]
+        self.results = []
+        self.charged = 0
+
+    def choose_again(self, running, excluded):
+        left = [item for item in self.replicas if item.name not in excluded]
+        return placement.Choice(left[0] if left else None, 10.0, ())
+
+    def note_attempt(self, running, action, choice, code):
+        pass
+
+    def charge(self, running, tokens):
+        self.charged += tokens
+
+    def end(self, running, result):
+        self.results.append(result)
+
+
+def make_replica(name):
+    row = rows.UpstreamRow(address="10.0.0.1:80", hall="h", service="m")
+    return replicas.Replica(name, row, 0.0, is_new=False)
+
+
+def make_request(*, kind="model", stream=True, once=False, deadline_s=1e9):
+    request = requests.CallerRequest(
+        request_id="r",
+        workspace="w",
+        service_name="m",
+        service=rows.ServiceRow(kind=rows.ServiceKind(kind)),
+        method="POST",
+        target="/v1/chat/completions" if kind == "model" else "/tallies",
+        headers=[],
+        body=b"{}",
+        arrived_s=0.0,
+        deadline_s=deadline_s,
+    )
+    request.wants_stream = stream
+    request.is_once = once
+    request.limit_tokens = 1_000
+    return request
+
+
+class Setting:
+    """A flow among fakes, with a clock that a test sets."""
+
+    def __init__(self, request, *, attempts=3):
+        self.now_s = 0.0
+        self.calls = FakeCalls()
+        self.caller = FakeCaller()
+        self.host = FakeHost()
+        context = flow.Context(
+            calls=self.calls,
+            host=self.host,
+            gathered=metrics.Metrics(),
+            clock=lambda: self.now_s,
+            shared_key=SHARED_KEY,
+            attempts=attempts,
+            answer_bytes=1_000,
+            unread_bytes=1_000,
+        )
+        self.flow = flow.Flow(request, self.caller, context)
+        self.flow.start(placement.Choice(self.host.replicas[0], 10.0, ()))
+
+    @property
+    def result(self):
+        return self.host.results[0] if self.host.results else None
+
+    @property
+    def ran(self):
+        return self.result.ran if self.result else codes.Ran.UNKNOWN
--- /dev/null
+++ b/tests/unit/test_flow.py
@@ -0,0 +1,288 @@
+"""A request's way through attempts, among fakes, under every order of events."""
+
+import json
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from lib import fakes
+from spoolhead._internal.models import codes
+
+EVENT_STREAM = [("content-type", "text/event-stream")]
+LENGTH = 12
+
+
+def _make_event(generation, index):
+    return f"id: {generation}:{index}\ndata: {generation} {index}\n\n".encode()
+
+
+class FlowMachine(stateful.RuleBasedStateMachine):
+    """Upstreams do anything with any attempt, old ones included."""
+
+    is_once = False
+    kind = "model"
+
+    def __init__(self):
+        super().__init__()
+        request = fakes.make_request(once=self.is_once, kind=self.kind, deadline_s=500.0)
+        self.setting = fakes.Setting(request)
+        self.sent = {}
+        self.headed = set()
+        self.refused = set()
+        self.dead = set()
+
+    def _live(self, call):
+        return call not in self.dead
+
+    def _draw(self, data):
+        """An attempt to act on: mostly the newest, now and then one given up before."""
+        calls = [call for call in self.setting.calls.attempts if self._live(call)]
+        if not calls:
+            return None
+        return data.draw(strategies.sampled_from([*calls, *[calls[-1]] * 3]))
+
+    @stateful.rule(data=strategies.data())
+    def arrive(self, data):
+        call = self._draw(data)
+        if call is not None and not call.is_over:
+            call.may_have_arrived = True
+
+    @stateful.rule(
+        data=strategies.data(), status=strategies.sampled_from([200, 200, 429, 500, 404])
+    )
+    def head(self, data, status):
+        call = self._draw(data)
+        if call is None or call in self.headed:
+            return
+        # What a cancelled call still brings was on its way before; it changes nothing.
+        call.may_have_arrived = call.may_have_arrived or not call.is_over
+        self.headed.add(call)
+        if status == 429:
+            self.refused.add(call)
+        if status == 200:
+            self.sent[call] = call.first_index
+        else:
+            self.dead.add(call)
+        call.user.on_answer_head(status, EVENT_STREAM)
+        if status != 200:
+            call.user.on_answer_body(b'{"error": {}}')
+            call.user.on_answer_end()
+
+    @stateful.rule(
+        data=strategies.data(), back=strategies.integers(0, 3), count=strategies.integers(1, 5)
+    )
+    def tokens(self, data, back, count):
+        call = self._draw(data)
+        if call is None or call not in self.sent:
+            return
+        first = max(0, self.sent[call] - back)
+        last = min(LENGTH, first + count)
+        call.user.on_answer_body(
+            b"".join(_make_event(call.generation, n) for n in range(first, last))
+        )
+        self.sent[call] = max(self.sent[call], last)
+
+    @stateful.rule(data=strategies.data())
+    def gap(self, data):
+        call = self._draw(data)
+        if call is not None and call in self.sent:
+            call.user.on_answer_body(_make_event(call.generation, self.sent[call] + 2))
+
+    @stateful.rule(data=strategies.data())
+    def foreign(self, data):
+        call = self._draw(data)
+        if call is not None and call in self.sent and self.sent[call]:
+            call.user.on_answer_body(_make_event("foreign", self.sent[call]))
+
+    @stateful.rule(data=strategies.data())
+    def done(self, data):
+        call = self._draw(data)
+        if call is None or self.sent.get(call, 0) < LENGTH:
+            return
+        self.dead.add(call)
+        call.user.on_answer_body(b"data: [DONE]\n\n")
+        call.user.on_answer_end()
+
+    @stateful.rule(data=strategies.data(), clean=strategies.booleans())
+    def lose(self, data, clean):
+        call = self._draw(data)
+        if call is None:
+            return
+        self.dead.add(call)
+        if clean and call in self.sent:
+            call.user.on_answer_end()
+        else:
+            call.user.on_call_lost("reset")
+
+    @stateful.rule(passed_s=strategies.sampled_from([0.2, 0.2, 2.0, 2.0, 40.0]))
+    def pass_time(self, passed_s):
+        self.setting.now_s += passed_s
+        self.setting.flow.tick()
+
+    @stateful.rule(really=strategies.sampled_from([False, False, False, True]))
+    def leave(self, really):
+        caller = self.setting.caller
+        if really and not caller.is_gone and not caller.is_finished:
+            caller.is_gone = True
+            caller.on_gone()
+
+    @stateful.invariant()
+    def delivered_is_a_prefix_of_one_generation(self):
+        caller = self.setting.caller
+        if caller.status != 200:
+            return
+        events = [event for event in caller.data.split(b"\n\n") if event.startswith(b"id: ")]
+        generations = {event.split(b"\n")[0][4:].rpartition(b":")[0] for event in events}
+        assert len(generations) <= 1
+        expected = [
+            _make_event(g.decode(), n)[:-2] for g in generations for n in range(len(events))
+        ]
+        assert events == expected
+        if b"[DONE]" in caller.data:
+            assert len(events) == LENGTH
+
+    @stateful.invariant()
+    def ends_once_and_says_whether_it_ran(self):
+        results = self.setting.host.results
+        assert len(results) <= 1
+        assert bool(results) == self.setting.flow.is_over
+        if not results:
+            return
+        acted = [
+            call
+            for call in self.setting.calls.attempts
+            if call.may_have_arrived and call not in self.refused
+        ]
+        if results[0].ran is codes.Ran.NO:
+            assert not acted
+        caller = self.setting.caller
+        if not caller.is_gone:
+            assert caller.is_finished
+            if results[0].code is not codes.ResultCode.OK:
+                text = caller.data[caller.data.index(b'{"error"') :]
+                error = json.loads(text.partition(b"\n\n")[0])["error"]
+                assert error["ran"] == results[0].ran
+                assert error["result_code"] == results[0].code
+
+    @stateful.invariant()
+    def nothing_is_left_running_behind(self):
+        if self.setting.flow.is_over:
+            assert all(not replica.running for replica in self.setting.host.replicas)
+
+    @stateful.invariant()
+    def at_most_one_generation_runs(self):
+        """Before another generation is begun, the one before is ordered to be cancelled."""
+        begun = [c for c in self.setting.calls.attempts if not c.target.startswith("/v1/streams")]
+        ordered = {c.generation for c in self.setting.calls.made if c.is_cancel_order}
+        for call in begun[:-1]:
+            assert call.generation in ordered or not call.may_have_arrived
+
+
+TestFlowMachine = FlowMachine.TestCase
+TestFlowMachine.settings = hypothesis.settings(max_examples=250, stateful_step_count=40)
+
+
+class OnceMachine(stateful.RuleBasedStateMachine):
+    """A plain request that must not be repeated."""
+
+    def __init__(self):
+        super().__init__()
+        request = fakes.make_request(kind="plain", stream=False, once=True, deadline_s=100.0)
+        self.setting = fakes.Setting(request)
+
+    @stateful.rule(arrives=strategies.booleans())
+    def lose(self, arrives):
+        call = self.setting.calls.attempts[-1]
+        if not call.is_over and not self.setting.flow.is_over:
+            call.may_have_arrived = call.may_have_arrived or arrives
+            call.is_over = True
+            call.user.on_call_lost("reset")
+
+    @stateful.rule(status=strategies.sampled_from([200, 429, 500, 503]))
+    def answer(self, status):
+        call = self.setting.calls.attempts[-1]
+        if call.is_over or self.setting.flow.is_over:
+            return
+        call.may_have_arrived = True
+        call.user.on_answer_head(status, [])
+        call.user.on_answer_body(b"abc")
+        call.is_over = True
+        call.user.on_answer_end()
+
+    @stateful.rule(passed_s=strategies.sampled_from([1.0, 35.0, 200.0]))
+    def pass_time(self, passed_s):
+        self.setting.now_s += passed_s
+        self.setting.flow.tick()
+
+    @stateful.invariant()
+    def at_most_one_attempt_arrives(self):
+        attempts = self.setting.calls.attempts
+        arrived = [call for call in attempts if call.may_have_arrived]
+        assert len(arrived) <= 1
+        assert not arrived or arrived[0] is attempts[-1]
+        if self.setting.result is not None and self.setting.ran is codes.Ran.NO:
+            assert not arrived
+
+
+TestOnceMachine = OnceMachine.TestCase
+
+
+def test_a_late_answer_of_a_given_up_attempt_is_ignored():
+    setting = fakes.Setting(fakes.make_request())
+    first = setting.calls.attempts[0]
+    first.may_have_arrived = True
+    first.user.on_answer_head(200, EVENT_STREAM)
+    first.user.on_call_lost("reset")
+    second = setting.calls.attempts[1]
+    assert first.generation != second.generation
+    first.user.on_answer_body(_make_event(first.generation, 0))
+    assert setting.caller.data == b""
+    second.user.on_answer_head(200, EVENT_STREAM)
+    second.user.on_answer_body(_make_event(second.generation, 0))
+    first.user.on_answer_body(_make_event(first.generation, 1))
+    first.user.on_answer_end()
+    assert setting.caller.data == _make_event(second.generation, 0)
+    assert not setting.flow.is_over
+
+
+def test_after_the_first_token_no_other_generation_is_begun():
+    setting = fakes.Setting(fakes.make_request())
+    for _ in range(2):
+        call = setting.calls.attempts[-1]
+        call.may_have_arrived = True
+        call.user.on_answer_head(200, EVENT_STREAM)
+        call.user.on_answer_body(_make_event(call.generation, call.first_index))
+        call.user.on_call_lost("reset")
+    assert len({call.generation for call in setting.calls.attempts}) == 1
+    setting.calls.attempts[-1].user.on_answer_head(404, [])
+    assert setting.result.code is codes.ResultCode.GENERATION_LOST
+    assert len({call.generation for call in setting.calls.attempts}) == 1
+
+
+def test_a_generation_given_up_is_cancelled():
+    setting = fakes.Setting(fakes.make_request())
+    call = setting.calls.attempts[0]
+    call.may_have_arrived = True
+    setting.caller.is_gone = True
+    setting.caller.on_gone()
+    assert [item.generation for item in setting.calls.made if item.is_cancel_order] == ["r.1"]
+
+
+def test_a_whole_answer_beyond_bounds_is_refused():
+    setting = fakes.Setting(fakes.make_request(kind="plain", stream=False))
+    call = setting.calls.attempts[0]
+    call.user.on_answer_head(200, [])
+    call.user.on_answer_body(b"x" * 1_001)
+    assert setting.result.code is codes.ResultCode.ANSWER_TOO_LARGE
+    assert call.is_over
+
+
+def test_a_whole_answer_is_delivered_only_when_it_is_whole():
+    setting = fakes.Setting(fakes.make_request(kind="plain", stream=False, once=True))
+    call = setting.calls.attempts[0]
+    call.may_have_arrived = True
+    call.user.on_answer_head(200, [])
+    call.user.on_answer_body(b"half")
+    call.user.on_call_lost("reset")
+    assert b"half" not in setting.caller.data
+    assert (setting.result.code, setting.ran) == (codes.ResultCode.UPSTREAM_LOST, codes.Ran.UNKNOWN)
