--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -6,7 +6,7 @@
 import time
 
 from spoolhead._internal.entry import answers, flow
-from spoolhead._internal.models import codes, decision, fault, requests, rows, settings
+from spoolhead._internal.models import codes, decision, fault, load_report, requests, rows, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import admission, lengths, placement, replicas
@@ -16,7 +16,6 @@
 logger = logging.getLogger("spoolhead.decisions")
 
 TICK_S = 0.1
-PUMP_S = 0.025
 
 
 class _Job:
@@ -75,7 +74,6 @@
             unread_bytes=config.callers.unread_bytes,
         )
         loop.scheduler.call_every(TICK_S, self._tick)
-        loop.scheduler.call_every(PUMP_S, self._pump)
 
     @property
     def held_count(self) -> int:
@@ -263,6 +261,12 @@
         self._note(request, "resume", codes.ResultCode.OK, choice=_make_forced_choice(replica))
         running.resume(replica, point.generation)
 
+    def take_report(self, replica: replicas.Replica, report: load_report.LoadReport) -> None:
+        """Take an upstream's load report, and start what it makes room for."""
+        replica.take_report(report)
+        if self._admission.waiting_count:
+            self._pump_service(replica.row.service)
+
     def _pump(self) -> None:
         for service in self._admission.waiting_services:
             self._pump_service(service)
@@ -321,6 +325,7 @@
             item = fault.Fault(codes.ResultCode.DEADLINE_BEFORE_START, text)
             retry_after_ms = self._admission.get_retry_after_ms(request.service_name, now_s)
             self._refuse(request, caller, admission.Refused(item, retry_after_ms))
+        self._pump()
 
     def _refuse(
         self,
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -82,6 +82,9 @@
     ) -> upstream_calls.UpstreamCall:
         """Begin a request."""
 
+    def let_end(self, call: upstream_calls.UpstreamCall) -> None:
+        """Let a call end whose answer is no longer needed."""
+
 
 class Host(Protocol):
     """What a flow asks of the dispatcher that owns it."""
@@ -416,7 +419,11 @@
 
     def _finish_stream(self, attempt: _Attempt) -> None:
         self.caller.end_stream()
-        self._drop_attempt(cancel=False)
+        # The done mark comes a little before the end of the message; a connection closed in
+        # between could not be used again.
+        self._attempt = None
+        attempt.replica.finish(self.work)
+        self._context.calls.let_end(attempt.call)
         attempt.replica.health.note_success(self._context.clock())
         result = Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
         result.is_natural_end = self.request.resume is None
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -121,7 +121,7 @@
         if known is not None and report.preemptions > known.preemptions:
             amount = report.preemptions - known.preemptions
             self._gathered.count(metrics.Metric.PREEMPTIONS, amount)
-        replica.take_report(report)
+        self._owner.take_report(replica, report)
 
     def fail(self, replica: replicas.Replica, reason: str) -> None:
         """Note a fetch that failed; the last report grows old."""
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -219,7 +219,7 @@
         link.is_connected = True
         if link.connect_timer is not None:
             link.connect_timer.cancel()
-        self._poller.addReader(self, link.sock)
+        self._poller.add_direct_reader(self, link.sock, self._on_read)
         link.user.on_connected()
         if not link.is_closed:
             link.flush()
--- a/src/spoolhead/_internal/network/loop.py
+++ b/src/spoolhead/_internal/network/loop.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 
 import circuits
-from circuits.core import pollers
 
-from spoolhead._internal.network import scheduler
+from spoolhead._internal.network import direct_poller, scheduler
 
 logger = logging.getLogger(__name__)
 
@@ -28,7 +27,7 @@
 
     def __init__(self, on_stop: Callable[[], None]) -> None:
         super().__init__()
-        self.poller = pollers.EPoll().register(self)
+        self.poller = direct_poller.DirectPoller().register(self)
         self.scheduler = scheduler.Scheduler().register(self)
         self.exceptions = 0
         self._on_stop = on_stop
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -207,6 +207,14 @@
         self.since_s = since_s
 
 
+class _EndingCall:
+    __slots__ = ("call", "since_s")
+
+    def __init__(self, call: UpstreamCall, since_s: float) -> None:
+        self.call = call
+        self.since_s = since_s
+
+
 class UpstreamCalls:
     """Makes requests to upstreams.
 
@@ -221,6 +229,7 @@
         self._outgoing = outgoing
         self._config = config
         self._idle: dict[str, collections.deque[_IdleLink]] = {}
+        self._ending: collections.deque[_EndingCall] = collections.deque()
         loop.scheduler.call_every(config.idle_ms / 1000, self._close_idle)
 
     def open(
@@ -257,6 +266,14 @@
         link.user = _IdleUser(link)
         idle.append(_IdleLink(link, time.monotonic()))
 
+    def let_end(self, call: UpstreamCall) -> None:
+        """Let a call end whose answer is no longer needed, so that its link may be kept.
+
+        One that does not end within the time that idle connections are kept is cancelled.
+        """
+        if not call.is_over:
+            self._ending.append(_EndingCall(call, time.monotonic()))
+
     def forget(self, address: str) -> None:
         """Close the idle connections to an upstream that is no longer used."""
         for item in self._idle.pop(address, ()):
@@ -272,6 +289,10 @@
 
     def _close_idle(self) -> None:
         oldest_s = time.monotonic() - self._config.idle_ms / 1000
+        while self._ending and (self._ending[0].call.is_over or self._ending[0].since_s < oldest_s):
+            ending = self._ending.popleft()
+            if not ending.call.is_over:
+                ending.call.cancel()
         for address, idle in list(self._idle.items()):
             while idle and idle[0].since_s < oldest_s:
                 idle.popleft().link.close()
--- a/src/spoolhead/_internal/policy/placement.py
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -8,14 +8,20 @@
 import random
 from collections.abc import Sequence
 
-from spoolhead._internal.models import rows
+from spoolhead._internal.models import load_report, rows
 from spoolhead._internal.policy import lengths, replicas
 
 SAMPLE_SIZE = 8
 """Upstreams of one hall looked at for one request; the cost does not grow with the fleet."""
 
-MAX_ENGINE_QUEUE = 0
-"""Requests waiting inside an engine above which nothing more is sent to it."""
+QUEUE_PART = 1 / 8
+"""Part of an engine's running requests that may wait inside it for its next step."""
+
+MIN_QUEUE = 2
+"""Requests that may wait inside an engine however few run."""
+
+SENT_PART = 1 / 2
+"""Part of what was sent during the last report that may wait inside the engine."""
 
 
 class Need:
@@ -192,7 +198,7 @@
         if not report.running and not replica.running:
             # An idle engine takes any request, even one that plans more than its memory.
             return Candidate(replica.name, fill, "")
-        if report.waiting > MAX_ENGINE_QUEUE:
+        if report.waiting > self._get_allowed_queue(replica, report):
             replica.held_back = True
             return Candidate(replica.name, fill, "requests wait inside it")
         room = capacity - (total - replica.sent_tokens)
@@ -205,6 +211,15 @@
             )
         return Candidate(replica.name, fill, "")
 
+    def _get_allowed_queue(
+        self, replica: replicas.Replica, report: load_report.LoadReport
+    ) -> float:
+        # A request waits for the engine's next step in any case, so short answers in quick
+        # succession always show some waiting. More than that means that the engine is full,
+        # whatever its memory says.
+        sent = replica.sent_before_report * self.entry_count * SENT_PART
+        return max(MIN_QUEUE, report.running * QUEUE_PART, sent)
+
 
 class Pool:
     """Upstreams of one service by hall; those leaving are not in it."""
--- a/src/spoolhead/_internal/policy/replicas.py
+++ b/src/spoolhead/_internal/policy/replicas.py
@@ -40,6 +40,8 @@
     :ivar report: its last load report, or None.
     :ivar running: what this entry has running there.
     :ivar sent_tokens: planned size of what was sent since the last report.
+    :ivar sent_since_report: requests sent since the last report.
+    :ivar sent_before_report: requests sent between the last two reports.
     :ivar held_back: the planning limit kept work from it since the last report.
     """
 
@@ -55,6 +57,7 @@
         "report",
         "row",
         "running",
+        "sent_before_report",
         "sent_since_report",
         "sent_tokens",
     )
@@ -67,6 +70,7 @@
         self.report: load_report.LoadReport | None = None
         self.running: set[RunningWork] = set()
         self.sent_tokens = 0.0
+        self.sent_before_report = 0
         self.sent_since_report = 0
         self.held_back = False
         self.own_at_report_tokens = 0
@@ -93,6 +97,7 @@
         )
         self.report = report
         self.sent_tokens = 0.0
+        self.sent_before_report = self.sent_since_report
         self.sent_since_report = 0
         self.held_back = False
         self.own_at_report_tokens = self.own_tokens
--- a/src/spoolhead/_internal/policy/retry.py
+++ b/src/spoolhead/_internal/policy/retry.py
@@ -89,6 +89,10 @@
     # Whoever answers "refused" has read the request; only its word says that it did not act.
     if failed.is_once and failed.may_have_arrived:
         return NextStep.GIVE_UP
+    # An attempt that never reached its upstream cost it nothing, so trying again amplifies
+    # nothing; the number of attempts bounds it.
+    if not failed.may_have_arrived:
+        return NextStep.RETRY
     return NextStep.RETRY if budget.take() else NextStep.GIVE_UP
 
 
--- a/src/spoolhead/_internal/utils/metrics.py
+++ b/src/spoolhead/_internal/utils/metrics.py
@@ -4,6 +4,7 @@
 into histograms whose quantiles are sent as gauges.
 """
 
+import collections
 import enum
 import logging
 
@@ -46,7 +47,7 @@
     def __init__(self) -> None:
         self._counts: dict[str, int] = {}
         self._gauges: dict[str, float] = {}
-        self._times: dict[str, histogram.HdrHistogram] = {}
+        self._times: dict[str, collections.Counter[int]] = {}
 
     def count(self, metric: Metric, amount: int = 1, *, kind: str = "") -> None:
         """Add to a counter.
@@ -58,20 +59,17 @@
 
     def time(self, metric: Metric, duration_ms: float) -> None:
         """Record a duration in milliseconds."""
+        # Once for each token: counting whole milliseconds costs a tenth of what recording into
+        # a histogram does, and one second's durations have few different values.
         times = self._times.get(metric)
         if times is None:
-            times = self._times[metric] = histogram.HdrHistogram(1, _LONGEST_MS, _DIGITS)
-        times.record_value(min(_LONGEST_MS, max(1, int(duration_ms))))
+            times = self._times[metric] = collections.Counter()
+        times[min(_LONGEST_MS, max(1, int(duration_ms)))] += 1
 
     def gauge(self, metric: Metric, value: float) -> None:
         """Set a gauge."""
         self._gauges[metric] = value
 
-    def get_time_quantile(self, metric: Metric, percent: float) -> int:
-        """Return a quantile of what was recorded since the last sending; 0 for nothing."""
-        times = self._times.get(metric)
-        return times.get_value_at_percentile(percent) if times is not None else 0
-
     def send(self, pipeline: statsd.client.base.PipelineBase) -> None:
         """Send what was gathered and begin anew.
 
@@ -82,15 +80,22 @@
         for name, value in self._gauges.items():
             pipeline.gauge(name, value)
         for name, times in self._times.items():
-            if not times.get_total_count():
-                continue
-            pipeline.incr(f"{name}.count", times.get_total_count())
-            for percent in _QUANTILES:
-                pipeline.gauge(f"{name}.p{percent}", times.get_value_at_percentile(percent))
-            times.reset()
+            _send_times(pipeline, name, times)
+        self._times.clear()
         self._counts.clear()
 
 
+def _send_times(
+    pipeline: statsd.client.base.PipelineBase, name: str, times: collections.Counter[int]
+) -> None:
+    recorded = histogram.HdrHistogram(1, _LONGEST_MS, _DIGITS)
+    for duration_ms, count in times.items():
+        recorded.record_value(duration_ms, count)
+    pipeline.incr(f"{name}.count", recorded.get_total_count())
+    for percent in _QUANTILES:
+        pipeline.gauge(f"{name}.p{percent}", recorded.get_value_at_percentile(percent))
+
+
 class Sender:
     """Sends a process's metrics to a statsd server over UDP."""
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -58,6 +58,9 @@
         self.made.append(call)
         return call
 
+    def let_end(self, call):
+        assert not call.is_over
+
     @property
     def attempts(self):
         return [call for call in self.made if not call.is_cancel_order]
--- a/tools/standins/http_server.py
+++ b/tools/standins/http_server.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable
 
 READ_LIMIT_BYTES = 16 * 1024 * 1024
+BACKLOG = 4_096
 
 
 class Request:
@@ -104,7 +105,9 @@
     def _make_protocol() -> asyncio.StreamReaderProtocol:
         return asyncio.StreamReaderProtocol(_Reader(READ_LIMIT_BYTES), _serve_connection)
 
-    return await asyncio.get_running_loop().create_server(_make_protocol, host, port)
+    return await asyncio.get_running_loop().create_server(
+        _make_protocol, host, port, backlog=BACKLOG
+    )
 
 
 async def _serve_until_gone(serving: Awaitable[None], reader: _Reader) -> None:
