--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -9,23 +9,36 @@
 from spoolhead._internal.models import codes, decision, fault, load_report, requests, rows, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import admission, lengths, placement, replicas
+from spoolhead._internal.policy import admission, placement, policy_set, replicas
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import metrics
 
 logger = logging.getLogger("spoolhead.decisions")
 
 TICK_S = 0.1
+STRANDED_S = 3.0
+"""Time without any upstream after which what waits for one is refused."""
 
 
 class _Job:
-    """A request that waits, with its caller."""
+    """A request that waits, with its caller, and its flow if it has been tried before."""
 
-    __slots__ = ("caller", "request")
+    __slots__ = ("caller", "request", "tried")
 
-    def __init__(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
+    def __init__(
+        self,
+        request: requests.CallerRequest,
+        caller: caller_front.Caller,
+        tried: flow.Flow | None = None,
+    ) -> None:
         self.request = request
         self.caller = caller
+        self.tried = tried
+
+    @property
+    def ran(self) -> codes.Ran:
+        """Whether the request may have run, now that it waits."""
+        return self.tried.get_ran_before() if self.tried is not None else codes.Ran.NO
 
 
 class Dispatcher:
@@ -36,7 +49,7 @@
     :param table: the table.
     :param calls: makes requests to upstreams.
     :param gathered: metrics.
-    :ivar on_idle: called when the last request has ended.
+    :param policies: what decides.
     """
 
     def __init__(
@@ -46,14 +59,15 @@
         table: view.TableView,
         calls: upstream_calls.UpstreamCalls,
         gathered: metrics.Metrics,
+        policies: policy_set.PolicySet,
     ) -> None:
         self._config = config
         self._table = table
         self._gathered = gathered
         self._calls = calls
-        self._admission = admission.Admission(table.workspaces)
-        self._lengths = lengths.LengthModel()
-        self._placement = placement.Placement(config.hall, self._lengths, random.Random())
+        self._admission = policies.make_admission(table.workspaces)
+        self._lengths = policies.make_lengths()
+        self._placement = policies.make_placement(config.hall, self._lengths, random.Random())
         self._pools: dict[str, placement.Pool] = {}
         self._replicas: dict[str, replicas.Replica] = {}
         self._flows: set[flow.Flow] = set()
@@ -61,8 +75,8 @@
             collections.OrderedDict()
         )
         self._on_end: dict[str, collections.abc.Callable[[flow.Result], None]] = {}
+        self._available_s: dict[str, float] = {}
         self._started_s = time.monotonic()
-        self.on_idle: collections.abc.Callable[[], None] | None = None
         self._context = flow.Context(
             calls=calls,
             host=self,
@@ -72,6 +86,7 @@
             attempts=config.upstreams.attempts,
             answer_bytes=config.upstreams.answer_bytes,
             unread_bytes=config.callers.unread_bytes,
+            policies=policies,
         )
         loop.scheduler.call_every(TICK_S, self._tick)
 
@@ -138,7 +153,7 @@
         if refusal is None:
             refusal = self._offer(request, caller, now_s)
         if refusal is not None:
-            self._refuse(request, caller, refusal)
+            self._refuse(_Job(request, caller), refusal)
             return
         self._pump_service(request.service_name)
 
@@ -156,6 +171,23 @@
         """Log another attempt of a flow."""
         self._note(running.request, action, code, choice=choice)
 
+    def wait_again(self, running: flow.Flow, code: codes.ResultCode) -> bool:
+        """Put a flow whose attempt failed back to the head of its queue.
+
+        :returns: False if no upstream is left that could make room.
+        """
+        request = running.request
+        pool = self._pools.get(request.service_name)
+        if pool is None or not pool.has_available(time.monotonic()):
+            return False
+        self._flows.discard(running)
+        self._admission.finish(request.workspace)
+        self._note(request, "wait", code, text="no upstream has room for another attempt")
+        waiting = self._make_waiting(_Job(request, running.caller, running))
+        self._admission.put_back(waiting, time.monotonic())
+        running.caller.on_gone = lambda: self._withdraw(waiting)
+        return True
+
     def charge(self, running: flow.Flow, tokens: int) -> None:
         """Charge tokens to a flow's workspace."""
         self._gathered.count(metrics.Metric.TOKENS, tokens)
@@ -174,8 +206,6 @@
         self._note(request, "end", result.code, text=text)
         self._call_on_end(request, result)
         self._pump_service(request.service_name)
-        if self.on_idle is not None and not self.held_count:
-            self.on_idle()
 
     def refuse_unparsed(
         self, request_id: str, workspace: str, item: fault.Fault, now_s: float
@@ -219,7 +249,7 @@
                 codes.ResultCode.ENTRY_FULL, f"this entry holds {self.held_count} requests"
             )
         pool = self._pools.get(request.service_name)
-        if pool is None or not len(pool):
+        if pool is None or not pool.has_available(request.arrived_s):
             text = f"no upstream of {request.service_name} is in use"
             return _make_refusal(codes.ResultCode.NO_UPSTREAM, text)
         return None
@@ -227,25 +257,30 @@
     def _offer(
         self, request: requests.CallerRequest, caller: caller_front.Caller, now_s: float
     ) -> admission.Refused | None:
-        waiting = admission.Waiting(
-            request_id=request.request_id,
-            workspace=request.workspace,
-            service=request.service_name,
-            arrived_s=now_s,
-            deadline_s=request.deadline_s,
-            owner=_Job(request, caller),
-        )
+        waiting = self._make_waiting(_Job(request, caller))
         offered = self._admission.offer(waiting, now_s)
         if offered.is_error():
             return offered.error
         caller.on_gone = lambda: self._withdraw(waiting)
         return None
 
+    @staticmethod
+    def _make_waiting(job: _Job) -> admission.Waiting:
+        request = job.request
+        return admission.Waiting(
+            request_id=request.request_id,
+            workspace=request.workspace,
+            service=request.service_name,
+            arrived_s=request.arrived_s,
+            deadline_s=request.deadline_s,
+            owner=job,
+        )
+
     def _withdraw(self, waiting: admission.Waiting) -> None:
         request = waiting.owner.request
         self._admission.withdraw(waiting)
         self._note(request, "withdraw", codes.ResultCode.OK, text="the caller left")
-        self._call_on_end(request, flow.Result(codes.ResultCode.OK, codes.Ran.NO, 0))
+        self._call_on_end(request, flow.Result(codes.ResultCode.OK, waiting.owner.ran, 0))
 
     def _resume(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         point = request.resume
@@ -290,12 +325,13 @@
         return False
 
     def _start(self, waiting: admission.Waiting, choice: placement.Choice, now_s: float) -> None:
-        request, caller = waiting.owner.request, waiting.owner.caller
+        job: _Job = waiting.owner
+        request = job.request
         self._admission.start(waiting, now_s)
         wait_ms = (now_s - request.arrived_s) * 1000
         self._gathered.time(metrics.Metric.QUEUE_WAIT_MS, wait_ms)
         self._note(request, "run", codes.ResultCode.OK, choice=choice)
-        running = flow.Flow(request, caller, self._context)
+        running = job.tried or flow.Flow(request, job.caller, self._context)
         self._flows.add(running)
         running.start(choice)
 
@@ -320,25 +356,37 @@
             running.tick()
         now_s = time.monotonic()
         for waiting in self._admission.take_overdue(now_s):
-            request, caller = waiting.owner.request, waiting.owner.caller
+            job: _Job = waiting.owner
             text = "the deadline passed while the request was waiting"
             item = fault.Fault(codes.ResultCode.DEADLINE_BEFORE_START, text)
-            retry_after_ms = self._admission.get_retry_after_ms(request.service_name, now_s)
-            self._refuse(request, caller, admission.Refused(item, retry_after_ms))
+            retry_after_ms = self._admission.get_retry_after_ms(waiting.service, now_s)
+            self._refuse(job, admission.Refused(item, retry_after_ms))
+        self._refuse_stranded(now_s)
         self._pump()
 
-    def _refuse(
-        self,
-        request: requests.CallerRequest,
-        caller: caller_front.Caller,
-        refused: admission.Refused,
-    ) -> None:
+    def _refuse_stranded(self, now_s: float) -> None:
+        """Refuse what waits for a service whose upstreams have all been gone for a while."""
+        for service in self._admission.waiting_services:
+            pool = self._pools.get(service)
+            if pool is not None and pool.has_available(now_s):
+                self._available_s[service] = now_s
+                continue
+            if now_s - self._available_s.setdefault(service, now_s) < STRANDED_S:
+                continue
+            refusal = _make_refusal(
+                codes.ResultCode.NO_UPSTREAM, f"no upstream of {service} answers"
+            )
+            for waiting in self._admission.take_all(service):
+                self._refuse(waiting.owner, refusal)
+
+    def _refuse(self, job: _Job, refused: admission.Refused) -> None:
+        request = job.request
         self._note(request, "refuse", refused.fault.code, text=refused.fault.text)
-        self._call_on_end(request, flow.Result(refused.fault.code, codes.Ran.NO, 0))
+        self._call_on_end(request, flow.Result(refused.fault.code, job.ran, 0))
         answers.send_error(
-            caller,
+            job.caller,
             refused.fault,
-            ran=codes.Ran.NO,
+            ran=job.ran,
             request_id=request.request_id,
             retry_after_ms=refused.retry_after_ms,
         )
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -13,7 +13,7 @@
 from spoolhead._internal.entry import answers, api, stream_token
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front, upstream_calls
-from spoolhead._internal.policy import pace, placement, replicas, retry
+from spoolhead._internal.policy import placement, policy_set, replicas, retry
 from spoolhead._internal.relay import sequencer, stream_relay
 from spoolhead._internal.utils import metrics
 
@@ -97,6 +97,12 @@
     ) -> None:
         """Log that another attempt is made because the last one ended with a code."""
 
+    def wait_again(self, flow: "Flow", code: codes.ResultCode) -> bool:
+        """Put a flow back into the queue, because no upstream has room for another attempt.
+
+        :returns: False if no upstream is left that could make room.
+        """
+
     def charge(self, flow: "Flow", tokens: int) -> None:
         """Charge tokens to the workspace."""
 
@@ -116,6 +122,7 @@
     :ivar attempts: attempts for one request, the first included.
     :ivar answer_bytes: largest answer held whole.
     :ivar unread_bytes: bytes kept for a caller that reads slowly.
+    :ivar policies: what decides.
     """
 
     __slots__ = (
@@ -126,6 +133,7 @@
         "clock",
         "gathered",
         "host",
+        "policies",
         "shared_key",
         "unread_bytes",
     )
@@ -141,6 +149,7 @@
         attempts: int,
         answer_bytes: int,
         unread_bytes: int,
+        policies: policy_set.PolicySet,
     ) -> None:
         self.calls = calls
         self.host = host
@@ -151,6 +160,7 @@
         self.attempts = attempts
         self.answer_bytes = answer_bytes
         self.unread_bytes = unread_bytes
+        self.policies = policies
 
 
 class _Attempt:
@@ -219,12 +229,13 @@
         self._relay = stream_relay.StreamRelay(_make_order(request))
         self._attempt: _Attempt | None = None
         self._attempts_made = 0
+        self._generations_made = 0
         self._failed_upstreams: set[str] = set()
         self._may_have_run = request.resume is not None
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._first_token_s: float | None = None
-        self._pace = pace.Pace(context.clock())
+        self._pace = context.policies.make_pace(context.clock())
         caller.on_gone = self._on_caller_gone
 
     @property
@@ -240,9 +251,11 @@
     def start(self, choice: placement.Choice) -> None:
         """Make an attempt at the chosen upstream, from the beginning of the answer."""
         assert choice.replica is not None
+        self.caller.on_gone = self._on_caller_gone
         self._attempts_made += 1
         request = self.request
-        generation = f"{request.request_id}.{self._attempts_made}"
+        self._generations_made += 1
+        generation = f"{request.request_id}.{self._generations_made}"
         attempt = self._begin(choice.replica, generation, choice.planned_tokens)
         headers = [*request.headers, (api.REQUEST_ID_HEADER, generation)]
         self._open(attempt, request.method, request.target, headers, request.body)
@@ -271,9 +284,9 @@
         elif self._has_stalled(now_s):
             self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the stream has stalled")
 
-    def cut(self, code: codes.ResultCode, text: str) -> None:
-        """End the flow with an error, because the entry cannot go on with it."""
-        self._give_up(code, text, self._get_ran_now())
+    def get_ran_before(self) -> codes.Ran:
+        """Tell whether the request ran, while no attempt is being made."""
+        return codes.Ran.UNKNOWN if self._may_have_run else codes.Ran.NO
 
     def take_head(self, attempt: _Attempt, status: int, headers: Headers) -> None:
         """Take the head of an attempt's answer."""
@@ -457,12 +470,17 @@
         attempt = self._attempt
         assert attempt is not None and attempt.call is not None
         now_s = self._context.clock()
-        if not refused:
-            attempt.replica.health.note_failure(now_s)
         arrived = attempt.call.may_have_arrived
-        self._may_have_run = self._may_have_run or (arrived and not refused)
         order = self._relay.order
         has_begun = order.has_delivered or self.request.resume is not None
+        if not arrived:
+            # It cost no upstream anything, so it does not count as one of the attempts; but a
+            # generation can be resumed at one upstream only, which may be gone for good.
+            self._attempts_made -= 0 if has_begun else 1
+            attempt.replica.health.note_unreachable(now_s)
+        elif not refused:
+            attempt.replica.health.note_failure(now_s)
+        self._may_have_run = self._may_have_run or (arrived and not refused)
         failed = retry.FailedAttempt(
             may_have_arrived=self._may_have_run or arrived,
             refused=refused and not self._may_have_run,
@@ -471,7 +489,7 @@
             is_once=self.request.is_once,
             attempts_left=0 if is_final else self._context.attempts - self._attempts_made,
         )
-        step = retry.decide(failed, self._context.budget)
+        step = self._context.policies.decide_retry(failed, self._context.budget)
         ran = retry.get_ran(failed)
         self._drop_attempt(cancel=step is not retry.NextStep.RESUME)
         if step is retry.NextStep.RESUME:
@@ -488,17 +506,16 @@
 
     def _try_again(self, attempt: _Attempt, code: codes.ResultCode) -> bool:
         self._failed_upstreams.add(attempt.replica.name)
+        self._relay = stream_relay.StreamRelay()
+        self._context.gathered.count(metrics.Metric.RETRIES)
         excluded = frozenset(self._failed_upstreams)
         choice = self._context.host.choose_again(self, excluded)
-        if choice.replica is None and code is not codes.ResultCode.UPSTREAM_REFUSED:
-            # Where nobody else serves, one lost connection is no reason to give up: the upstream
-            # itself may be well, and if it is not it will soon be ejected.
-            choice = self._context.host.choose_again(self, frozenset())
         if choice.replica is None:
-            return False
+            # An upstream that lost one connection may be well, and if it is not it is ejected
+            # by now; so after a wait it may be asked again.
+            self._failed_upstreams.clear()
+            return self._context.host.wait_again(self, code)
         self._context.host.note_attempt(self, "retry", choice, code)
-        self._context.gathered.count(metrics.Metric.RETRIES)
-        self._relay = stream_relay.StreamRelay()
         self.start(choice)
         return True
 
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -21,6 +21,7 @@
     peer_server,
     upstream_calls,
 )
+from spoolhead._internal.policy import policy_set
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import metrics
 
@@ -36,9 +37,10 @@
     """One entry instance's program.
 
     :param config: its settings.
+    :param policies: what decides.
     """
 
-    def __init__(self, config: settings.EntrySettings) -> None:
+    def __init__(self, config: settings.EntrySettings, policies: policy_set.PolicySet) -> None:
         self._config = config
         self._is_stopping = False
         self._started_s = time.monotonic()
@@ -49,7 +51,7 @@
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
         self._dispatcher = dispatcher.Dispatcher(
-            self._loop, config, self._table, calls, self._metrics
+            self._loop, config, self._table, calls, self._metrics, policies
         )
         load_reports.LoadReports(
             self._loop, config.upstreams, calls, self._dispatcher, self._metrics
@@ -272,4 +274,4 @@
     :param config: its settings.
     :raises exceptions.SpoolheadError: if it cannot start.
     """
-    Entry(config).run()
+    Entry(config, policy_set.PolicySet()).run()
--- a/src/spoolhead/_internal/policy/admission.py
+++ b/src/spoolhead/_internal/policy/admission.py
@@ -143,6 +143,15 @@
         self._append(queue, account, waiting)
         return expression.Ok(None)
 
+    def put_back(self, waiting: Waiting, now_s: float) -> None:
+        """Take a request that could not run after all back to the head of its queue."""
+        account = self._get_account(waiting.workspace, now_s)
+        queue = self._queues.setdefault(waiting.service, _Queue())
+        own = queue.by_workspace.setdefault(waiting.workspace, collections.deque())
+        own.appendleft(waiting)
+        queue.total += 1
+        account.waiting += 1
+
     def iterate(self, service: str, now_s: float) -> Iterator[Waiting]:
         """Yield the requests that may start, the next one first, one for each workspace.
 
@@ -210,6 +219,16 @@
             self.withdraw(item)
         return overdue
 
+    def take_all(self, service: str) -> list[Waiting]:
+        """Take out everything that waits for a service."""
+        queue = self._queues.get(service)
+        if queue is None:
+            return []
+        waiting = [item for own in queue.by_workspace.values() for item in own]
+        for item in waiting:
+            self.withdraw(item)
+        return waiting
+
     def get_retry_after_ms(self, service: str, now_s: float) -> int:
         """Return when a caller should come back: about when the queue has moved on."""
         queue = self._queues.get(service)
--- a/src/spoolhead/_internal/policy/health.py
+++ b/src/spoolhead/_internal/policy/health.py
@@ -28,8 +28,13 @@
         if now_s - self._ramp_from_s > 2 * SLOW_START_S:
             self._ejections = 0
 
+    def note_unreachable(self, now_s: float) -> None:
+        """Note a connection that could not be made: nobody listens, so it is ejected at once."""
+        self._failures = FAILURES_BEFORE_EJECTION
+        self.note_failure(now_s)
+
     def note_failure(self, now_s: float) -> None:
-        """Note a connection that failed or an answer that was lost."""
+        """Note an answer that was lost."""
         self._failures += 1
         if self._failures < FAILURES_BEFORE_EJECTION or self.is_ejected(now_s):
             return
--- a/src/spoolhead/_internal/policy/placement.py
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -250,6 +250,10 @@
                 if not members:
                     del self._by_hall[hall]
 
+    def has_available(self, now_s: float) -> bool:
+        """Whether any upstream is not ejected."""
+        return any(not item.health.is_ejected(now_s) for item in self._by_name.values())
+
     def get_halls(self, *, first: str) -> list[str]:
         """Return the halls that have upstreams, a given one first."""
         others = [hall for hall in self._by_hall if hall != first]
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -2,7 +2,7 @@
 
 from spoolhead._internal.entry import flow
 from spoolhead._internal.models import codes, requests, rows
-from spoolhead._internal.policy import placement, replicas
+from spoolhead._internal.policy import placement, policy_set, replicas
 from spoolhead._internal.utils import metrics
 
 SHARED_KEY = "a-shared-key-for-tests"
@@ -117,6 +117,10 @@
         left = [item for item in self.replicas if item.name not in excluded]
         return placement.Choice(left[0] if left else None, 10.0, ())
 
+    def wait_again(self, running, code):
+        running.start(placement.Choice(self.replicas[0], 10.0, ()))
+        return True
+
     def note_attempt(self, running, action, choice, code):
         pass
 
@@ -168,6 +172,7 @@
             attempts=attempts,
             answer_bytes=1_000,
             unread_bytes=1_000,
+            policies=policy_set.PolicySet(),
         )
         self.flow = flow.Flow(request, self.caller, context)
         self.flow.start(placement.Choice(self.host.replicas[0], 10.0, ()))
--- a/tests/unit/test_flow.py
+++ b/tests/unit/test_flow.py
@@ -259,6 +259,32 @@
     assert len({call.generation for call in setting.calls.attempts}) == 1
 
 
+def test_resuming_at_an_upstream_that_is_gone_ends():
+    setting = fakes.Setting(fakes.make_request())
+    call = setting.calls.attempts[0]
+    call.may_have_arrived = True
+    call.user.on_answer_head(200, EVENT_STREAM)
+    call.user.on_answer_body(_make_event(call.generation, 0))
+    call.user.on_call_lost("reset")
+    for _ in range(10):
+        if setting.flow.is_over:
+            break
+        setting.calls.attempts[-1].user.on_call_lost("refused")
+    assert setting.result.code is codes.ResultCode.GENERATION_LOST
+
+
+def test_an_attempt_that_never_arrived_does_not_count():
+    setting = fakes.Setting(fakes.make_request(kind="plain", stream=False, once=True))
+    for _ in range(10):
+        setting.calls.attempts[-1].user.on_call_lost("refused")
+    assert not setting.flow.is_over
+    call = setting.calls.attempts[-1]
+    call.may_have_arrived = True
+    call.user.on_answer_head(200, [])
+    call.user.on_answer_end()
+    assert setting.result.code is codes.ResultCode.OK
+
+
 def test_a_generation_given_up_is_cancelled():
     setting = fakes.Setting(fakes.make_request())
     call = setting.calls.attempts[0]
--- a/tools/fleet.py
+++ b/tools/fleet.py
@@ -47,7 +47,9 @@
     def __init__(self, name: str, command: Sequence[str], folder: pathlib.Path) -> None:
         self.name = name
         self.log_path = folder / f"{name}.log"
-        environment = {**os.environ, "PYTHONPATH": str(TOOLS)}
+        # The tree's own source, so that a copy of the tree runs what it holds.
+        paths = os.pathsep.join([str(TOOLS), str(TOOLS.parent / "src")])
+        environment = {**os.environ, "PYTHONPATH": paths}
         with self.log_path.open("ab") as stream:
             self._process = subprocess.Popen(
                 command, stdout=stream, stderr=stream, env=environment, stdin=subprocess.DEVNULL
@@ -186,9 +188,17 @@
         return process
 
     def start_entry(
-        self, name: str, *, hall: str = "hall-a", changes: Mapping[str, object] | None = None
+        self,
+        name: str,
+        *,
+        hall: str = "hall-a",
+        changes: Mapping[str, object] | None = None,
+        launcher: Sequence[str] | None = None,
     ) -> Process:
-        """Start an entry that follows the keepers started so far."""
+        """Start an entry that follows the keepers started so far.
+
+        :param launcher: command to use instead of the product's own, for comparisons.
+        """
         keepers = [self.addresses[item] for item in self.addresses if item.startswith("keeper")]
         config = {
             "name": name,
@@ -201,7 +211,7 @@
             "shared_key": SHARED_KEY,
             **(changes or {}),
         }
-        process = self._start_program(name, "entry", config)
+        process = self._start_program(name, "entry", config, launcher)
         record = process.wait_for_record("callers")
         self.addresses[name] = str(record["callers"])
         self.control_addresses[name] = str(record["control"])
@@ -241,9 +251,15 @@
         path.write_text(json.dumps(value, indent=2), encoding="utf-8")
         return path
 
-    def _start_program(self, name: str, module: str, config: Mapping[str, object]) -> Process:
+    def _start_program(
+        self,
+        name: str,
+        module: str,
+        config: Mapping[str, object],
+        launcher: Sequence[str] | None = None,
+    ) -> Process:
         path = self._write(f"{name}.json", config)
-        command = [sys.executable, "-m", f"spoolhead._internal.cli.{module}"]
+        command = launcher or [sys.executable, "-m", f"spoolhead._internal.cli.{module}"]
         log_path = self.folder / f"{name}.log"
         if log_path.exists():
             log_path.unlink()
