Foresee an engine's memory at several moments ahead; let others pass what fits nowhere

Change: memory is foreseen at 0 to 1,024 tokens ahead, each answer with the probability that it still runs; others may pass for a second; the pace of starts is averaged over longer.

--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -1,6 +1,7 @@
 """Brings requests and upstreams together: queue, placement, running flows."""
 
 import collections
+import itertools
 import logging
 import random
 import time
@@ -16,6 +17,9 @@
 logger = logging.getLogger("spoolhead.decisions")
 
 TICK_S = 0.1
+LOOK_AHEAD = 4
+"""Workspaces whose next request is tried when the one before fits nowhere."""
+
 STRANDED_S = 3.0
 """Time without any upstream after which what waits for one is refused."""
 
@@ -313,15 +317,13 @@
     def _start_one(self, service: str) -> bool:
         """Start the next request of a service; False where none can start."""
         now_s = time.monotonic()
-        for waiting in self._admission.iterate(service, now_s):
-            request = waiting.owner.request
-            choice = self._choose(request, frozenset())
+        for waiting in itertools.islice(self._admission.iterate(service, now_s), LOOK_AHEAD):
+            choice = self._choose(waiting.owner.request, frozenset())
             if choice.replica is not None:
                 self._start(waiting, choice, now_s)
                 return True
-            # What does not fit anywhere keeps its turn: smaller requests that passed it by
-            # would hold a long one up for ever.
-            return False
+            if not waiting.may_be_passed(now_s):
+                return False
         return False
 
     def _start(self, waiting: admission.Waiting, choice: placement.Choice, now_s: float) -> None:
@@ -342,14 +344,16 @@
         service = self._table.services.get(request.service_name)
         if pool is None or service is None:
             return placement.Choice(None, 0.0, ())
+        now_s = time.monotonic()
         need = placement.Need(
             workspace=request.workspace,
             service=request.service_name,
             prompt_tokens=request.prompt_tokens,
             limit_tokens=request.limit_tokens,
             excluded=excluded,
+            is_over_share=self._admission.is_over_share(request.workspace, now_s),
         )
-        return self._placement.choose(need, service, pool, time.monotonic())
+        return self._placement.choose(need, service, pool, now_s)
 
     def _tick(self) -> None:
         for running in list(self._flows):
--- a/src/spoolhead/_internal/policy/admission.py
+++ b/src/spoolhead/_internal/policy/admission.py
@@ -19,9 +19,21 @@
 START_CHARGE_TOKENS = 16.0
 """Charged when a request starts, so that a burst of starts is not free until tokens come."""
 
-RATE_MEMORY = 0.8
+RATE_MEMORY = 0.95
 """Weight of the past in the rate of starts."""
 
+PAUSE_PART = 1 / 4
+"""Part of a pause in the starts that counts as their rate, before the next start ends it."""
+
+OVER_SHARE_FACTOR = 1.5
+"""Multiple of its share of what runs above which a workspace is over its share."""
+
+ACTIVE_S = 30.0
+"""Time after its last request for which a workspace's share is kept for it."""
+
+LONGEST_PASSED_S = 1.0
+"""Time for which smaller requests may pass one that fits nowhere."""
+
 MIN_RETRY_AFTER_MS = 500
 MAX_RETRY_AFTER_MS = 60_000
 
@@ -35,9 +47,19 @@
     :ivar arrived_s: monotonic time of its arrival, in seconds.
     :ivar deadline_s: monotonic time by which its answer must be complete.
     :ivar owner: what the user of this module keeps with it.
+    :ivar passed_from_s: monotonic time since when it was next and fitted nowhere; None where
+        that is not so.
     """
 
-    __slots__ = ("arrived_s", "deadline_s", "owner", "request_id", "service", "workspace")
+    __slots__ = (
+        "arrived_s",
+        "deadline_s",
+        "owner",
+        "passed_from_s",
+        "request_id",
+        "service",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -55,6 +77,17 @@
         self.arrived_s = arrived_s
         self.deadline_s = deadline_s
         self.owner = owner
+        self.passed_from_s: float | None = None
+
+    def may_be_passed(self, now_s: float) -> bool:
+        """Tell whether others may go first, now that this one is next and fits nowhere.
+
+        Keeping everybody else waiting for it would leave room unused; letting them pass for
+        ever would starve it, as there is always something smaller.
+        """
+        if self.passed_from_s is None:
+            self.passed_from_s = now_s
+        return now_s - self.passed_from_s < LONGEST_PASSED_S
 
 
 class Refused:
@@ -74,7 +107,7 @@
 class _Account:
     """What one workspace does at this entry."""
 
-    __slots__ = ("balance_tokens", "consumed", "refilled_s", "running", "waiting")
+    __slots__ = ("balance_tokens", "consumed", "refilled_s", "running", "seen_s", "waiting")
 
     def __init__(self, now_s: float) -> None:
         self.running = 0
@@ -82,6 +115,7 @@
         self.consumed = 0.0
         self.balance_tokens = 0.0
         self.refilled_s = now_s
+        self.seen_s = now_s
 
 
 class _Queue:
@@ -118,6 +152,23 @@
         """Services that have requests waiting."""
         return [name for name, queue in self._queues.items() if queue.total]
 
+    def is_over_share(self, workspace: str, now_s: float) -> bool:
+        """Tell whether a workspace has much more running than its weight among the active ones.
+
+        One that has the entry to itself is never over its share.
+        """
+        active_weight = 0.0
+        running = 0
+        for name, account in self._accounts.items():
+            if name in self._rows and now_s - account.seen_s < ACTIVE_S:
+                active_weight += self._rows[name].weight
+                running += account.running
+        own = self._accounts.get(workspace)
+        if own is None or workspace not in self._rows or not active_weight:
+            return False
+        share = self._rows[workspace].weight / active_weight
+        return share < 1 and own.running > OVER_SHARE_FACTOR * share * running
+
     def get_running(self, workspace: str) -> int:
         """Requests of a workspace that run."""
         account = self._accounts.get(workspace)
@@ -278,7 +329,7 @@
     def _get_gap_s(queue: _Queue, now_s: float) -> float | None:
         if queue.start_gap_s is None or queue.last_start_s is None:
             return queue.start_gap_s
-        return max(queue.start_gap_s, now_s - queue.last_start_s)
+        return max(queue.start_gap_s, PAUSE_PART * (now_s - queue.last_start_s))
 
     def _append(self, queue: _Queue, account: _Account, waiting: Waiting) -> None:
         if account.running == 0 and account.waiting == 0:
@@ -286,6 +337,7 @@
         queue.by_workspace.setdefault(waiting.workspace, collections.deque()).append(waiting)
         queue.total += 1
         account.waiting += 1
+        account.seen_s = waiting.arrived_s
 
     def _level_consumption(self, account: _Account) -> None:
         # A workspace that was away must not claim the turns it did not use, or it would hold
--- a/src/spoolhead/_internal/policy/lengths.py
+++ b/src/spoolhead/_internal/policy/lengths.py
@@ -1,11 +1,19 @@
 """How much longer an answer will get, learned from answers that have ended.
 
-Lengths are heavy-tailed, so the mean says little: what counts is the expected rest of an
-answer given that it has come this far. Each workspace has a distribution for each model,
-which leans on the model's distribution while it has few answers of its own.
+Lengths are heavy-tailed, so a mean says little. What counts for an engine's memory is how much
+is expected to be held some tokens from now: an answer that goes on needs more by then, one that
+ends needs nothing. Each workspace has a distribution for each model, which leans on the model's
+distribution while it has few answers of its own.
 """
 
 import bisect
+from collections.abc import Sequence
+
+HORIZONS_TOKENS = (0, 16, 64, 128, 256, 512, 1024)
+"""Tokens from now for which the memory is foreseen; everything on an engine keeps one pace."""
+
+Profile = Sequence[float]
+"""Expected memory in tokens at each of :data:`HORIZONS_TOKENS`."""
 
 DEFAULT_LENGTH_TOKENS = 256
 PRIOR_ANSWERS = 8.0
@@ -32,13 +40,13 @@
 class _Distribution:
     """Counts by class of length, and the expected rest for each class."""
 
-    __slots__ = ("_parent", "_rest", "_stale", "answers", "counts")
+    __slots__ = ("_parent", "_stale", "_tails", "answers", "counts")
 
     def __init__(self, parent: "_Distribution | None") -> None:
         self.counts = [0.0] * len(_BOUNDS)
         self.answers = 0.0
         self._parent = parent
-        self._rest: list[float] = []
+        self._tails: list[float] = []
         self._stale = True
 
     def observe(self, length: int) -> None:
@@ -55,11 +63,21 @@
         parent_share = self._parent.get_share(index) if self._parent else _DEFAULT_SHARES[index]
         return (self.counts[index] + PRIOR_ANSWERS * parent_share) / (self.answers + PRIOR_ANSWERS)
 
-    def get_rest(self, generated: int) -> float:
+    def get_tail(self, length: float) -> float:
+        """Probability that an answer gets longer than a length."""
         if self._stale:
-            self._rest = _get_rests([self.get_share(index) for index in range(len(_BOUNDS))])
+            self._tails = _get_tails([self.get_share(index) for index in range(len(_BOUNDS))])
             self._stale = False
-        return self._rest[_get_class(max(1, generated))]
+        index = _get_class(max(1, int(length)))
+        if index + 1 >= len(_BOUNDS):
+            return self._tails[-1]
+        begin, end = _BOUNDS[index], _BOUNDS[index + 1]
+        part = max(0.0, length + 1 - begin) / (end - begin)
+        return self._tails[index] * (1 - part) + self._tails[index + 1] * part
+
+    def get_mean(self) -> float:
+        shares = [self.get_share(index) for index in range(len(_BOUNDS))]
+        return sum(share * _get_middle(index) for index, share in enumerate(shares))
 
 
 class LengthModel:
@@ -79,16 +97,38 @@
         self._get(workspace, service).observe(length_tokens)
         self._services[service].observe(length_tokens)
 
-    def get_rest_tokens(
-        self, workspace: str, service: str, *, generated_tokens: int, limit_tokens: int
-    ) -> float:
-        """Return how many more tokens an answer is expected to get.
-
+    def get_profile(
+        self,
+        workspace: str,
+        service: str,
+        *,
+        prompt_tokens: float,
+        generated_tokens: int,
+        limit_tokens: int,
+    ) -> Profile:
+        """Return the memory that an answer is expected to hold at each horizon.
+
+        :param prompt_tokens: its prompt.
         :param generated_tokens: tokens it already has.
         :param limit_tokens: longest that it may become.
         """
-        rest = self._get(workspace, service).get_rest(generated_tokens)
-        return max(0.0, min(rest, limit_tokens - generated_tokens))
+        known = self._get(workspace, service)
+        held = prompt_tokens + generated_tokens
+        alive = known.get_tail(generated_tokens)
+        profile = []
+        for ahead in HORIZONS_TOKENS:
+            length = generated_tokens + ahead
+            if length >= limit_tokens and ahead:
+                profile.append(0.0)
+                continue
+            stays = known.get_tail(length) / alive if alive > 0 else 0.0
+            profile.append(stays * (held + ahead))
+        return profile
+
+    def get_mean_tokens(self, service: str) -> float:
+        """Return the mean length of a model's answers."""
+        self._get("", service)
+        return self._services[service].get_mean()
 
     def _get(self, workspace: str, service: str) -> _Distribution:
         parent = self._services.get(service)
@@ -110,16 +150,14 @@
     return (_BOUNDS[index] + upper - 1) / 2
 
 
-def _get_rests(shares: list[float]) -> list[float]:
-    """For each class the mean length of what lies in it or above, less the class's middle."""
-    rests = [0.0] * len(shares)
+def _get_tails(shares: list[float]) -> list[float]:
+    """For each class the probability of a length in it or above."""
+    tails = [0.0] * len(shares)
     mass = 0.0
-    total = 0.0
     for index in range(len(shares) - 1, -1, -1):
         mass += shares[index]
-        total += shares[index] * _get_middle(index)
-        rests[index] = max(1.0, total / mass - _get_middle(index)) if mass > 0 else 1.0
-    return rests
+        tails[index] = mass
+    return tails
 
 
 def _make_default_shares() -> list[float]:
--- a/src/spoolhead/_internal/policy/operating_point.py
+++ b/src/spoolhead/_internal/policy/operating_point.py
@@ -1,23 +1,23 @@
 """How full an engine's memory may be planned, found from its preemptions.
 
-The limit is a multiple of the engine's memory that the expected final size of everything on it
-may reach. It falls by a factor when the engine preempts, and rises slowly while it held work
+The limit is a multiple of the engine's memory that what is foreseen on it may reach at any
+horizon. It falls by a factor when the engine preempts, and rises slowly while it held work
 back and the engine did not preempt. No constant is tied to an engine: what is expected is
 wrong by a factor that differs between engines and workloads, and the limit absorbs it.
 """
 
-FIRST_LIMIT = 0.85
+FIRST_LIMIT = 0.75
 LOWEST_LIMIT = 0.3
-HIGHEST_LIMIT = 1.6
+HIGHEST_LIMIT = 1.5
 FALL_FACTOR = 0.85
-RISE_PER_S = 0.01
+RISE_PER_S = 0.005
 HOLD_AFTER_FALL_S = 1.0
 
 
 class OperatingPoint:
     """Planning limit for one engine.
 
-    :ivar limit: planned final size of all work, as a multiple of the engine's memory.
+    :ivar limit: largest foreseen size of all work, as a multiple of the engine's memory.
     """
 
     __slots__ = ("_fell_s", "_last_s", "_preemptions", "limit")
--- a/src/spoolhead/_internal/policy/placement.py
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -24,6 +24,10 @@
 """Part of what was sent during the last report that may wait inside the engine."""
 
 
+RESERVED_PART = 0.15
+"""Part of an engine's memory that a workspace over its share leaves to the others."""
+
+
 class Need:
     """What a request needs.
 
@@ -32,9 +36,17 @@
     :ivar prompt_tokens: its prompt, estimated.
     :ivar limit_tokens: longest that its answer may become.
     :ivar excluded: upstreams that have failed for it.
+    :ivar is_over_share: its workspace has more running than its share.
     """
 
-    __slots__ = ("excluded", "limit_tokens", "prompt_tokens", "service", "workspace")
+    __slots__ = (
+        "excluded",
+        "is_over_share",
+        "limit_tokens",
+        "prompt_tokens",
+        "service",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -44,12 +56,14 @@
         prompt_tokens: int,
         limit_tokens: int,
         excluded: frozenset[str] = frozenset(),
+        is_over_share: bool = False,
     ) -> None:
         self.workspace = workspace
         self.service = service
         self.prompt_tokens = prompt_tokens
         self.limit_tokens = limit_tokens
         self.excluded = excluded
+        self.is_over_share = is_over_share
 
 
 class Candidate:
@@ -118,16 +132,20 @@
         :param pool: upstreams of the service.
         :param now_s: monotonic time in seconds.
         """
-        planned = need.prompt_tokens + self._model.get_rest_tokens(
-            need.workspace, need.service, generated_tokens=0, limit_tokens=need.limit_tokens
+        planned = self._model.get_profile(
+            need.workspace,
+            need.service,
+            prompt_tokens=need.prompt_tokens,
+            generated_tokens=0,
+            limit_tokens=need.limit_tokens,
         )
         candidates: list[Candidate] = []
         for hall in pool.get_halls(first=self._hall):
             sample = self._sample(pool.get_hall(hall))
             best = self._choose_in_hall(need, service, sample, planned, candidates, now_s)
             if best is not None:
-                return Choice(best, planned, candidates)
-        return Choice(None, planned, candidates)
+                return Choice(best, max(planned), candidates)
+        return Choice(None, max(planned), candidates)
 
     def _sample(self, hall_replicas: Sequence[replicas.Replica]) -> Sequence[replicas.Replica]:
         if len(hall_replicas) <= SAMPLE_SIZE:
@@ -139,7 +157,7 @@
         need: Need,
         service: rows.ServiceRow,
         sample: Sequence[replicas.Replica],
-        planned: float,
+        planned: lengths.Profile,
         candidates: list[Candidate],
         now_s: float,
     ) -> replicas.Replica | None:
@@ -165,7 +183,7 @@
         need: Need,
         service: rows.ServiceRow,
         replica: replicas.Replica,
-        planned: float,
+        planned: lengths.Profile,
         now_s: float,
     ) -> Candidate:
         """Tell how full a replica would be, and what speaks against it, if anything."""
@@ -181,10 +199,12 @@
             reported = replica.report.running if replica.report else 0
             fill = max(own, reported) / service.max_running_per_upstream
             return Candidate(replica.name, fill, "")
+        if need.is_over_share:
+            share *= 1 - RESERVED_PART
         return self._judge_engine(replica, planned, share, now_s)
 
     def _judge_engine(
-        self, replica: replicas.Replica, planned: float, share: float, now_s: float
+        self, replica: replicas.Replica, planned: lengths.Profile, share: float, now_s: float
     ) -> Candidate:
         report = replica.report
         if report is None or not replica.has_fresh_report(now_s):
@@ -193,22 +213,23 @@
         capacity = report.kv_capacity_tokens * replica.operating_point.limit * share
         if capacity <= 0:
             return Candidate(replica.name, float(len(replica.running)), "")
-        total = replica.get_planned_tokens(self._model, now_s)
-        fill = (total + planned) / capacity
+        held = replica.get_profile(self._model, now_s)
+        peak = max(known + more for known, more in zip(held, planned, strict=True))
+        fill = peak / capacity
         if not report.running and not replica.running:
             # An idle engine takes any request, even one that plans more than its memory.
             return Candidate(replica.name, fill, "")
         if report.waiting > self._get_allowed_queue(replica, report):
             replica.held_back = True
             return Candidate(replica.name, fill, "requests wait inside it")
-        room = capacity - (total - replica.sent_tokens)
-        if total + planned > capacity:
+        if fill > 1:
             replica.held_back = True
             return Candidate(replica.name, fill, "its memory would fill")
-        if replica.sent_since_report and replica.sent_tokens + planned > room / self.entry_count:
-            return Candidate(
-                replica.name, fill, "this entry's part of its room is used until the next report"
-            )
+        room = capacity - (max(held) - replica.sent_tokens)
+        own_part = room / self.entry_count
+        if replica.sent_since_report and replica.sent_tokens + max(planned) > own_part:
+            reason = "this entry's part of its room is used until the next report"
+            return Candidate(replica.name, fill, reason)
         return Candidate(replica.name, fill, "")
 
     def _get_allowed_queue(
--- a/src/spoolhead/_internal/policy/replicas.py
+++ b/src/spoolhead/_internal/policy/replicas.py
@@ -3,13 +3,16 @@
 from spoolhead._internal.models import load_report, rows
 from spoolhead._internal.policy import health, lengths, operating_point
 
-OTHERS_LENGTH_TOKENS = 256.0
-"""Rest expected of a request that another entry sent, of which nothing else is known."""
-
-GROWTH_REFRESH_S = 0.1
-"""Age at which the expected growth of the running work is worked out again."""
+PROFILE_REFRESH_S = 0.1
+"""Age at which what the running work will hold is worked out again."""
 
 REPORT_STALE_S = 5.0
+NEVER_S = float("-inf")
+
+OTHERS = ""
+"""Workspace under which what other entries send is foreseen: it has no answers of its own."""
+
+OTHERS_LIMIT_TOKENS = 1_000_000
 
 
 class RunningWork:
@@ -46,8 +49,8 @@
     """
 
     __slots__ = (
-        "_growth_at_s",
-        "_growth_tokens",
+        "_profile",
+        "_profile_at_s",
         "health",
         "held_back",
         "name",
@@ -75,8 +78,8 @@
         self.held_back = False
         self.own_at_report_tokens = 0
         self.own_running_at_report = 0
-        self._growth_tokens = 0.0
-        self._growth_at_s = 0.0
+        self._profile: lengths.Profile = ()
+        self._profile_at_s = NEVER_S
 
     @property
     def is_leaving(self) -> bool:
@@ -96,6 +99,7 @@
             now_s=report.received_s,
         )
         self.report = report
+        self._profile_at_s = NEVER_S
         self.sent_tokens = 0.0
         self.sent_before_report = self.sent_since_report
         self.sent_since_report = 0
@@ -112,38 +116,49 @@
         self.running.add(work)
         self.sent_tokens += planned_tokens
         self.sent_since_report += 1
-        self._growth_at_s = 0.0
+        self._profile_at_s = NEVER_S
 
     def finish(self, work: RunningWork) -> None:
         """Note that work has ended there."""
         self.running.discard(work)
-        self._growth_at_s = 0.0
+        self._profile_at_s = NEVER_S
 
-    def get_planned_tokens(self, model: lengths.LengthModel, now_s: float) -> float:
-        """Return the memory that everything on it is expected to need in the end.
+    def get_profile(self, model: lengths.LengthModel, now_s: float) -> lengths.Profile:
+        """Return the memory that everything on it is expected to hold at each horizon.
 
         What others have there is known from the last report, less this entry's part of it;
         what this entry has there it knows itself.
         """
-        report = self.report
-        if report is None:
-            return self.own_tokens + self._get_own_growth(model, now_s)
-        others_tokens = max(0, report.kv_used_tokens - self.own_at_report_tokens)
-        others_running = max(0, report.running - self.own_running_at_report)
-        others_growth = others_running * OTHERS_LENGTH_TOKENS / 2
-        return others_tokens + others_growth + self.own_tokens + self._get_own_growth(model, now_s)
-
-    def _get_own_growth(self, model: lengths.LengthModel, now_s: float) -> float:
-        if now_s - self._growth_at_s < GROWTH_REFRESH_S:
-            return self._growth_tokens
-        self._growth_at_s = now_s
-        self._growth_tokens = sum(
-            model.get_rest_tokens(
+        if now_s - self._profile_at_s < PROFILE_REFRESH_S:
+            return self._profile
+        self._profile_at_s = now_s
+        total = [0.0] * len(lengths.HORIZONS_TOKENS)
+        for work in self.running:
+            profile = model.get_profile(
                 work.workspace,
                 self.row.service,
+                prompt_tokens=work.prompt_tokens,
                 generated_tokens=work.generated_tokens,
                 limit_tokens=work.limit_tokens,
             )
-            for work in self.running
+            total = [known + more for known, more in zip(total, profile, strict=True)]
+        others = self._get_others_profile(model)
+        self._profile = [own + more for own, more in zip(total, others, strict=True)]
+        return self._profile
+
+    def _get_others_profile(self, model: lengths.LengthModel) -> lengths.Profile:
+        report = self.report
+        count = report.running - self.own_running_at_report if report is not None else 0
+        if report is None or count <= 0:
+            return [0.0] * len(lengths.HORIZONS_TOKENS)
+        held = max(0, report.kv_used_tokens - self.own_at_report_tokens)
+        # Seen at any moment, an answer is half done on average.
+        generated = min(held / count, model.get_mean_tokens(self.row.service) / 2)
+        profile = model.get_profile(
+            OTHERS,
+            self.row.service,
+            prompt_tokens=held / count - generated,
+            generated_tokens=int(generated),
+            limit_tokens=OTHERS_LIMIT_TOKENS,
         )
-        return self._growth_tokens
+        return [count * value for value in profile]
