--- a/src/spoolhead/_internal/commands/explain.py
+++ b/src/spoolhead/_internal/commands/explain.py
@@ -36,7 +36,7 @@
     print(f"after {item['wait_ms']} ms: {item['action']}{place}, {code}")
     print(f"  workspace {item['workspace'] or '-'}, service {item['service'] or '-'}")
     if item["detail"]:
-        print(f"  {item['text']}")
+        print(f"  {item['detail']}")
     for candidate in item["candidates"]:
         reason = candidate["lost_because"] or "chosen"
         print(f"  {candidate['upstream']}: fill {candidate['fill']}, {reason}")
