--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -351,7 +351,6 @@
             prompt_tokens=request.prompt_tokens,
             limit_tokens=request.limit_tokens,
             excluded=excluded,
-            is_over_share=self._admission.is_over_share(request.workspace, now_s),
         )
         return self._placement.choose(need, service, pool, now_s)
 
--- a/src/spoolhead/_internal/policy/admission.py
+++ b/src/spoolhead/_internal/policy/admission.py
@@ -25,12 +25,6 @@
 PAUSE_PART = 1 / 4
 """Part of a pause in the starts that counts as their rate, before the next start ends it."""
 
-OVER_SHARE_FACTOR = 1.5
-"""Multiple of its share of what runs above which a workspace is over its share."""
-
-ACTIVE_S = 30.0
-"""Time after its last request for which a workspace's share is kept for it."""
-
 LONGEST_PASSED_S = 1.0
 """Time for which smaller requests may pass one that fits nowhere."""
 
@@ -107,7 +101,7 @@
 class _Account:
     """What one workspace does at this entry."""
 
-    __slots__ = ("balance_tokens", "consumed", "refilled_s", "running", "seen_s", "waiting")
+    __slots__ = ("balance_tokens", "consumed", "refilled_s", "running", "waiting")
 
     def __init__(self, now_s: float) -> None:
         self.running = 0
@@ -115,7 +109,6 @@
         self.consumed = 0.0
         self.balance_tokens = 0.0
         self.refilled_s = now_s
-        self.seen_s = now_s
 
 
 class _Queue:
@@ -152,23 +145,6 @@
         """Services that have requests waiting."""
         return [name for name, queue in self._queues.items() if queue.total]
 
-    def is_over_share(self, workspace: str, now_s: float) -> bool:
-        """Tell whether a workspace has much more running than its weight among the active ones.
-
-        One that has the entry to itself is never over its share.
-        """
-        active_weight = 0.0
-        running = 0
-        for name, account in self._accounts.items():
-            if name in self._rows and now_s - account.seen_s < ACTIVE_S:
-                active_weight += self._rows[name].weight
-                running += account.running
-        own = self._accounts.get(workspace)
-        if own is None or workspace not in self._rows or not active_weight:
-            return False
-        share = self._rows[workspace].weight / active_weight
-        return share < 1 and own.running > OVER_SHARE_FACTOR * share * running
-
     def get_running(self, workspace: str) -> int:
         """Requests of a workspace that run."""
         account = self._accounts.get(workspace)
@@ -337,7 +313,6 @@
         queue.by_workspace.setdefault(waiting.workspace, collections.deque()).append(waiting)
         queue.total += 1
         account.waiting += 1
-        account.seen_s = waiting.arrived_s
 
     def _level_consumption(self, account: _Account) -> None:
         # A workspace that was away must not claim the turns it did not use, or it would hold
--- a/src/spoolhead/_internal/policy/placement.py
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -24,10 +24,6 @@
 """Part of what was sent during the last report that may wait inside the engine."""
 
 
-RESERVED_PART = 0.15
-"""Part of an engine's memory that a workspace over its share leaves to the others."""
-
-
 class Need:
     """What a request needs.
 
@@ -36,12 +32,10 @@
     :ivar prompt_tokens: its prompt, estimated.
     :ivar limit_tokens: longest that its answer may become.
     :ivar excluded: upstreams that have failed for it.
-    :ivar is_over_share: its workspace has more running than its share.
     """
 
     __slots__ = (
         "excluded",
-        "is_over_share",
         "limit_tokens",
         "prompt_tokens",
         "service",
@@ -56,14 +50,12 @@
         prompt_tokens: int,
         limit_tokens: int,
         excluded: frozenset[str] = frozenset(),
-        is_over_share: bool = False,
     ) -> None:
         self.workspace = workspace
         self.service = service
         self.prompt_tokens = prompt_tokens
         self.limit_tokens = limit_tokens
         self.excluded = excluded
-        self.is_over_share = is_over_share
 
 
 class Candidate:
@@ -199,8 +191,6 @@
             reported = replica.report.running if replica.report else 0
             fill = max(own, reported) / service.max_running_per_upstream
             return Candidate(replica.name, fill, "")
-        if need.is_over_share:
-            share *= 1 - RESERVED_PART
         return self._judge_engine(replica, planned, share, now_s)
 
     def _judge_engine(
--- a/tests/unit/test_policy.py
+++ b/tests/unit/test_policy.py
@@ -189,30 +189,6 @@
     assert started["small"] == 1
 
 
-def test_only_a_workspace_among_others_can_be_over_its_share():
-    queue = admission.Admission({"a": _make_row(max_running=50), "b": _make_row()})
-    for _ in range(6):
-        queue.start_unqueued("a", 0.0)
-    assert not queue.is_over_share("a", 0.0), "it has the entry to itself"
-    queue.offer(_make_waiting(1, "b"), 0.0)
-    assert queue.is_over_share("a", 0.0)
-    assert not queue.is_over_share("b", 0.0)
-    queue.withdraw(next(iter(queue.iterate("m", 0.0))))
-    assert not queue.is_over_share("a", admission.ACTIVE_S + 1)
-
-
-def test_memory_is_left_for_those_below_their_share():
-    nearly_full = _make_replica("r", report=_make_report(kv_used_tokens=6_600, running=5))
-    nearly_full.operating_point.limit = 1.0
-    chooser = _make_placement()
-    pool = _make_pool(nearly_full)
-    fills = {}
-    for is_over in (False, True):
-        choice = chooser.choose(_make_need(is_over_share=is_over), SERVICE, pool, 0.1)
-        fills[is_over] = choice.candidates[0].fill
-    assert fills[True] == pytest.approx(fills[False] / (1 - placement.RESERVED_PART))
-
-
 def test_priority_goes_first_but_waiting_wins_in_the_end():
     table_rows = {"high": _make_row(priority=9), "low": _make_row(priority=0)}
     queue = admission.Admission(table_rows)
