Fetch each load report once in a hall and share it

Change: entries learn their neighbours through the keeper; each report is fetched by one entry of the hall (rendezvous hashing over those heard of) and sent to the others in msgpack. An entry that misses a report for three turns fetches it itself, so a paused or dead neighbour leaves nobody without. Upstreams of other halls are asked a quarter as often.

--- a/src/spoolhead/_internal/entry/control.py
+++ b/src/spoolhead/_internal/entry/control.py
@@ -1,8 +1,9 @@
-"""What an entry tells operators: its status, and why it decided as it did."""
+"""What an entry tells operators and its neighbours in the hall."""
 
 from collections.abc import Callable
 
 from spoolhead._internal.entry import dispatcher as dispatchers
+from spoolhead._internal.entry import neighbours as entry_neighbours
 from spoolhead._internal.network import messages, peer_server
 
 Status = dict[str, object]
@@ -12,20 +13,28 @@
     """Handles operators' messages; implements :class:`peer_server.PeerService`.
 
     :param dispatcher: knows the decisions.
+    :param neighbours: the other entries of the hall, which connect here too.
     :param get_status: returns the entry's status.
     """
 
     def __init__(
-        self, dispatcher: dispatchers.Dispatcher, get_status: Callable[[], Status]
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        neighbours: entry_neighbours.Neighbours,
+        get_status: Callable[[], Status],
     ) -> None:
         self._dispatcher = dispatcher
+        self._neighbours = neighbours
         self._get_status = get_status
 
     def on_opened(self, session: peer_server.PeerSession) -> None:
-        """Do nothing: operators ask."""
+        """Send reports to a neighbour; operators ask."""
+        if session.role == entry_neighbours.ROLE:
+            self._neighbours.add_session(session)
 
     def on_closed(self, session: peer_server.PeerSession) -> None:
-        """Do nothing: a session holds nothing."""
+        """Send nothing more to a neighbour."""
+        self._neighbours.remove_session(session)
 
     def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
         """Answer a question."""
--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -4,9 +4,10 @@
 import logging
 import pathlib
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
+from spoolhead._internal.entry import neighbours
 from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import links, messages, peer_client
 from spoolhead._internal.network import loop as loops
@@ -46,8 +47,8 @@
     def on_table(self) -> None:
         """Another version is in force."""
 
-    def on_entry_count(self, count: int) -> None:
-        """The number of entries that follow the table has changed."""
+    def on_members(self, members: Sequence[neighbours.Member]) -> None:
+        """Other entries follow the table than before."""
 
 
 class _PendingClaim:
@@ -67,6 +68,7 @@
     :param config: the entry's settings.
     :param table: filled from here.
     :param user: is told of the table.
+    :param control_address: ``IP:PORT`` at which the entry's neighbours reach it.
     """
 
     def __init__(
@@ -76,7 +78,10 @@
         config: settings.EntrySettings,
         table: view.TableView,
         user: TableUser,
+        control_address: str,
     ) -> None:
+        self._hall = config.hall
+        self._control_address = control_address
         self._scheduler = loop.scheduler
         self._table = table
         self._user = user
@@ -153,6 +158,7 @@
     def on_peer_ready(self) -> None:
         """Ask for what was missed, and report what was not confirmed."""
         logger.info("keeper at %s follows", self._client.address)
+        self._client.send(messages.Introduce(hall=self._hall, address=self._control_address))
         self._client.send(
             messages.Follow(log_id=self._followed.log_id, version=self._followed.version)
         )
@@ -176,7 +182,7 @@
             case messages.Current():
                 self._confirm()
             case messages.Members():
-                self._user.on_entry_count(message.count)
+                self._user.on_members([neighbours.Member(*entry) for entry in message.entries])
             case messages.ClaimAnswer():
                 self._take_claim_answer(message)
             case messages.FinishNoted():
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -1,4 +1,8 @@
-"""Fetches the load reports of upstreams: Prometheus text, in the names that vLLM publishes."""
+"""Fetches the load reports of upstreams: Prometheus text, in the names that vLLM publishes.
+
+An entry fetches its part of the reports and gets the others from its neighbours in the hall; see
+:mod:`~spoolhead._internal.policy.reporting`.
+"""
 
 import logging
 import random
@@ -8,10 +12,11 @@
 from prometheus_client import parser
 
 from spoolhead._internal.entry import dispatcher as dispatchers
+from spoolhead._internal.entry import neighbours as entry_neighbours
 from spoolhead._internal.models import load_report, settings
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import replicas
+from spoolhead._internal.policy import replicas, reporting
 from spoolhead._internal.utils import metrics
 
 logger = logging.getLogger(__name__)
@@ -20,6 +25,12 @@
 MAX_REPORT_BYTES = 1_048_576
 TIMEOUT_INTERVALS = 8
 
+FAR_TURNS = 4
+"""Turns between two fetches from an upstream of another hall."""
+
+MISSED_TURNS = 3
+"""Turns without a neighbour's report after which an entry fetches it itself."""
+
 _RUNNING = "vllm:num_requests_running"
 _WAITING = "vllm:num_requests_waiting"
 _KV_USED = "vllm:kv_cache_usage_perc"
@@ -90,7 +101,9 @@
     :param config: interval of the fetches.
     :param calls: makes requests to upstreams.
     :param owner: knows the upstreams.
+    :param neighbours: the other entries of the hall.
     :param gathered: metrics.
+    :param hall: hall of the entry; upstreams of other halls are asked less often.
     """
 
     def __init__(
@@ -99,8 +112,15 @@
         config: settings.UpstreamSettings,
         calls: upstream_calls.UpstreamCalls,
         owner: dispatchers.Dispatcher,
+        neighbours: entry_neighbours.Neighbours,
         gathered: metrics.Metrics,
+        hall: str,
     ) -> None:
+        self._neighbours = neighbours
+        self._hall = hall
+        self._turn = 0
+        self._fetched: list[entry_neighbours.NamedReport] = []
+        self.fetched_counts: dict[str, int] = {}
         self._interval_s = config.report_interval_ms / 1000
         self._calls = calls
         self._owner = owner
@@ -117,12 +137,25 @@
         except ValueError as error:
             logger.warning("report of %s cannot be read: %s", replica.name, error)
             return
+        count = self.fetched_counts.get(replica.name, 0)
+        self.fetched_counts[replica.name] = count + 1
         known = replica.report
         if known is not None and report.preemptions > known.preemptions:
             amount = report.preemptions - known.preemptions
             self._gathered.count(metrics.Metric.PREEMPTIONS, amount)
+        self._fetched.append(entry_neighbours.NamedReport(replica.name, report))
         self._owner.take_report(replica, report)
 
+    def take_from_neighbour(self, reports: Sequence[entry_neighbours.NamedReport]) -> None:
+        """Take reports that a neighbour has fetched, those newer than what is known."""
+        by_name = {replica.name: replica for replica in self._owner.upstreams}
+        for item in reports:
+            replica = by_name.get(item.upstream)
+            if replica is None:
+                continue
+            if replica.report is None or item.report.received_s > replica.report.received_s:
+                self._owner.take_report(replica, item.report)
+
     def fail(self, replica: replicas.Replica, reason: str) -> None:
         """Note a fetch that failed; the last report grows old."""
         self._fetches.pop(replica.name, None)
@@ -131,10 +164,25 @@
     def _fetch_all(self) -> None:
         now_s = time.monotonic()
         self._drop_overdue(now_s)
+        self._neighbours.publish(self._fetched)
+        self._fetched = []
+        self._turn += 1
+        heard = self._neighbours.get_heard(now_s)
         for replica in self._owner.upstreams:
-            if replica.name not in self._fetches:
+            if replica.name not in self._fetches and self._is_due(replica, heard, now_s):
                 self._fetch(replica, now_s)
 
+    def _is_due(self, replica: replicas.Replica, heard: Sequence[str], now_s: float) -> bool:
+        """Whether this entry is to fetch a report in this turn."""
+        is_near = replica.row.hall == self._hall
+        interval = 1 if is_near else FAR_TURNS
+        if reporting.get_fetcher(replica.name, heard) == heard[0]:
+            return self._turn % interval == 0
+        if replica.report is None:
+            return True
+        age_s = now_s - replica.report.received_s
+        return age_s > MISSED_TURNS * interval * self._interval_s
+
     def _fetch(self, replica: replicas.Replica, now_s: float) -> None:
         fetch = _Fetch(self, replica, now_s)
         self._fetches[replica.name] = fetch
--- /dev/null
+++ b/src/spoolhead/_internal/entry/neighbours.py
@@ -0,0 +1,174 @@
+"""The other entries of the hall: load reports are sent to them and taken from them."""
+
+import time
+from collections.abc import Callable, Sequence
+
+from spoolhead._internal.models import load_report, settings
+from spoolhead._internal.network import links, messages, peer_client, peer_server
+from spoolhead._internal.network import loop as loops
+
+ROLE = "entry"
+HEARD_WITHIN_S = 2.0
+
+
+class NamedReport:
+    """A load report and whose it is.
+
+    :ivar upstream: name of the upstream.
+    :ivar report: its report.
+    """
+
+    __slots__ = ("report", "upstream")
+
+    def __init__(self, upstream: str, report: load_report.LoadReport) -> None:
+        self.upstream = upstream
+        self.report = report
+
+
+class Member:
+    """An entry that follows the table.
+
+    :ivar name: its name.
+    :ivar hall: its hall.
+    :ivar address: ``IP:PORT`` at which its neighbours reach it.
+    """
+
+    __slots__ = ("address", "hall", "name")
+
+    def __init__(self, name: str, hall: str, address: str) -> None:
+        self.name = name
+        self.hall = hall
+        self.address = address
+
+
+class _Neighbour:
+    """A stream from another entry of the hall."""
+
+    def __init__(self, owner: "Neighbours", member: Member) -> None:
+        self._owner = owner
+        self.address = member.address
+        self.client = owner.make_client(member, self)
+
+    def on_peer_ready(self) -> None:
+        """Do nothing: the other side sends by itself."""
+
+    def on_peer_lost(self) -> None:
+        """Do nothing: silence counts, not the stream."""
+
+    def on_peer_message(self, message: messages.Message) -> None:
+        """Take reports."""
+        if isinstance(message, messages.Reports):
+            self._owner.take(message)
+
+
+class Neighbours:
+    """Streams to and from the other entries of the hall.
+
+    :param loop: root of the program.
+    :param outgoing: the program's outgoing connections.
+    :param config: the entry's settings.
+    :param take_reports: called with reports that a neighbour has fetched.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        outgoing: links.Links,
+        config: settings.EntrySettings,
+        take_reports: Callable[[Sequence[NamedReport]], None],
+    ) -> None:
+        self._loop = loop
+        self._outgoing = outgoing
+        self._config = config
+        self._take_reports = take_reports
+        self._neighbours: dict[str, _Neighbour] = {}
+        self._sessions: set[peer_server.PeerSession] = set()
+
+    def set_members(self, members: Sequence[Member]) -> None:
+        """Connect to those of the hall, and drop streams to those that are gone."""
+        wanted = {
+            item.name: item
+            for item in members
+            if item.hall == self._config.hall and item.name != self._config.name
+        }
+        for name, known in list(self._neighbours.items()):
+            if name not in wanted or wanted[name].address != known.address:
+                known.client.close()
+                del self._neighbours[name]
+        for name, member in wanted.items():
+            if name not in self._neighbours:
+                self._neighbours[name] = _Neighbour(self, member)
+
+    def make_client(self, member: Member, user: _Neighbour) -> peer_client.PeerClient:
+        """Make the stream from a neighbour."""
+        return peer_client.PeerClient(
+            self._loop,
+            self._outgoing,
+            [member.address],
+            role=ROLE,
+            name=self._config.name,
+            shared_key=self._config.shared_key,
+            user=user,
+        )
+
+    def get_heard(self, now_s: float) -> list[str]:
+        """Return the names of this entry and of the neighbours heard of lately."""
+        heard = [
+            name
+            for name, item in self._neighbours.items()
+            if item.client.is_ready and now_s - item.client.heard_s < HEARD_WITHIN_S
+        ]
+        return [self._config.name, *heard]
+
+    def add_session(self, session: peer_server.PeerSession) -> None:
+        """Send reports to a neighbour from now on."""
+        self._sessions.add(session)
+
+    def remove_session(self, session: peer_server.PeerSession) -> None:
+        """Send nothing more to a neighbour."""
+        self._sessions.discard(session)
+
+    def publish(self, reports: Sequence[NamedReport]) -> None:
+        """Send reports that this entry has fetched to its neighbours."""
+        if not reports or not self._sessions:
+            return
+        now_s = time.monotonic()
+        data = messages.encode(messages.Reports(items=[_pack(item, now_s) for item in reports]))
+        for session in self._sessions:
+            session.send_encoded(data)
+
+    def take(self, message: messages.Reports) -> None:
+        """Take reports that a neighbour has fetched."""
+        now_s = time.monotonic()
+        self._take_reports([_unpack(item, now_s) for item in message.items])
+
+
+def _pack(item: NamedReport, now_s: float) -> list[object]:
+    report = item.report
+    return [
+        item.upstream,
+        report.running,
+        report.waiting,
+        report.kv_used_tokens,
+        report.kv_capacity_tokens,
+        report.preemptions,
+        int((now_s - report.received_s) * 1000),
+    ]
+
+
+def _unpack(item: object, now_s: float) -> NamedReport:
+    if not isinstance(item, list) or len(item) != 7:
+        raise messages.MessageError("not a report")
+    upstream, *numbers = item
+    if not isinstance(upstream, str) or not all(isinstance(number, int) for number in numbers):
+        raise messages.MessageError("not a report")
+    running, waiting, used, capacity, preemptions, age_ms = numbers
+    report = load_report.LoadReport(
+        running=running,
+        waiting=waiting,
+        kv_used_tokens=used,
+        kv_capacity_tokens=capacity,
+        preemptions=preemptions,
+        received_s=now_s - age_ms / 1000,
+    )
+    return NamedReport(upstream, report)
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -3,6 +3,7 @@
 import logging
 import secrets
 import time
+from collections.abc import Sequence
 
 from spoolhead._internal.entry import (
     answers,
@@ -11,6 +12,7 @@
     dispatcher,
     keeper_link,
     load_reports,
+    neighbours,
     once_requests,
 )
 from spoolhead._internal.models import codes, fault, settings
@@ -53,19 +55,30 @@
         self._dispatcher = dispatcher.Dispatcher(
             self._loop, config, self._table, calls, self._metrics, policies
         )
-        load_reports.LoadReports(
-            self._loop, config.upstreams, calls, self._dispatcher, self._metrics
+        self._neighbours = neighbours.Neighbours(
+            self._loop, outgoing, config, lambda reports: self._reports.take_from_neighbour(reports)
+        )
+        self._reports = load_reports.LoadReports(
+            self._loop,
+            config.upstreams,
+            calls,
+            self._dispatcher,
+            self._neighbours,
+            self._metrics,
+            config.hall,
         )
-        self._keeper = keeper_link.KeeperLink(self._loop, outgoing, config, self._table, self)
-        self._once = once_requests.OnceRequests(self._dispatcher, self._keeper)
-        self._dispatcher.update_upstreams()
         self._control = peer_server.PeerServer(
             self._loop,
             (config.control_host, config.control_port),
             name=config.name,
             shared_key=config.shared_key,
-            service=control.ControlService(self._dispatcher, self.get_status),
+            service=control.ControlService(self._dispatcher, self._neighbours, self.get_status),
         ).register(self._loop)
+        self._keeper = keeper_link.KeeperLink(
+            self._loop, outgoing, config, self._table, self, self._control.address
+        )
+        self._once = once_requests.OnceRequests(self._dispatcher, self._keeper)
+        self._dispatcher.update_upstreams()
         self._front = caller_front.CallerFront(
             self._loop, config, take=self._take, refuse=self._refuse_bytes
         ).register(self._loop)
@@ -86,9 +99,10 @@
         """Take over another version of the table."""
         self._dispatcher.update_upstreams()
 
-    def on_entry_count(self, count: int) -> None:
-        """Take over how many entries share the upstreams."""
-        self._dispatcher.set_entry_count(count)
+    def on_members(self, members: Sequence[neighbours.Member]) -> None:
+        """Take over which entries share the upstreams."""
+        self._dispatcher.set_entry_count(len(members))
+        self._neighbours.set_members(members)
 
     def get_status(self) -> control.Status:
         """Return the entry's status, for operators and readiness."""
@@ -109,6 +123,7 @@
                 ),
                 "preemptions": replica.report.preemptions if replica.report else None,
                 "planning_limit": round(replica.operating_point.limit, 3),
+                "reports_fetched_here": self._reports.fetched_counts.get(replica.name, 0),
                 "has_fresh_report": replica.has_fresh_report(now_s),
             }
             for replica in self._dispatcher.upstreams
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -27,15 +27,19 @@
     :ivar is_following: it has asked for the table on this stream; no change is sent before.
     :ivar version: version it said is in force there.
     :ivar seen_s: monotonic time of its last message, in seconds.
+    :ivar hall: hall it stands in; empty until it has said so.
+    :ivar address: ``IP:PORT`` at which its neighbours reach it.
     """
 
-    __slots__ = ("is_following", "seen_s", "session", "version")
+    __slots__ = ("address", "hall", "is_following", "seen_s", "session", "version")
 
     def __init__(self) -> None:
         self.session: peer_server.PeerSession | None = None
         self.is_following = False
         self.version = 0
         self.seen_s = 0.0
+        self.hall = ""
+        self.address = ""
 
 
 class KeeperService:
@@ -67,7 +71,6 @@
             follower.session = session
             follower.is_following = False
             follower.seen_s = time.monotonic()
-            self._tell_members()
 
     def on_closed(self, session: peer_server.PeerSession) -> None:
         """Note that a peer is away."""
@@ -82,6 +85,15 @@
         """Handle one message."""
         _handle(message, self, session)
 
+    def introduce(self, session: peer_server.PeerSession, message: messages.Introduce) -> None:
+        """Note where an entry stands, and tell all entries."""
+        follower = self._followers.get(session.name)
+        if follower is None or follower.session is not session:
+            raise messages.MessageError("only the present stream of an entry introduces it")
+        follower.hall = message.hall
+        follower.address = message.address
+        self._tell_members()
+
     def follow(self, session: peer_server.PeerSession, message: messages.Follow) -> None:
         """Send a follower what it has missed, or the whole table."""
         follower = self._followers.get(session.name)
@@ -280,9 +292,15 @@
                 follower.session.send_encoded(data)
 
     def _tell_members(self) -> None:
-        present = [item.session for item in self._followers.values() if item.session is not None]
-        for session in present:
-            session.send(messages.Members(count=len(present)))
+        present = {
+            name: item
+            for name, item in self._followers.items()
+            if item.session is not None and item.address
+        }
+        entries = [[name, item.hall, item.address] for name, item in sorted(present.items())]
+        data = messages.encode(messages.Members(entries=entries))
+        for item in present.values():
+            item.session.send_encoded(data)
 
     def _encode_change(self, change: versioned_table.Change) -> bytes:
         return messages.encode(messages.ChangeMade(log_id=self._state.log_id, change=change.pack()))
@@ -342,6 +360,7 @@
     _handle.register(kind, lambda message, service, session: call(service, session, message))
 
 
+_register(messages.Introduce, KeeperService.introduce)
 _register(messages.Follow, KeeperService.follow)
 _register(messages.InForce, KeeperService.note_in_force)
 _register(messages.Propose, KeeperService.propose)
--- a/src/spoolhead/_internal/network/messages.py
+++ b/src/spoolhead/_internal/network/messages.py
@@ -127,14 +127,37 @@
     version: int
 
 
+@_message
+class Introduce:
+    """An entry tells its keeper where it stands.
+
+    :ivar hall: its hall.
+    :ivar address: ``IP:PORT`` at which its neighbours reach it.
+    """
+
+    hall: str
+    address: str
+
+
 @_message
 class Members:
-    """How many entries follow the table.
+    """The entries that follow the table.
+
+    :ivar entries: for each its name, hall and address.
+    """
+
+    entries: list
+
+
+@_message
+class Reports:
+    """Load reports that an entry has fetched, for its neighbours in the hall.
 
-    :ivar count: entries connected to the keeper.
+    :ivar items: for each upstream its name, running, waiting, tokens used, tokens in all,
+        preemptions, and the report's age in milliseconds.
     """
 
-    count: int
+    items: list
 
 
 @_message
@@ -342,6 +365,8 @@
     13: InForce,
     14: Current,
     15: Members,
+    16: Introduce,
+    17: Reports,
     20: Propose,
     21: ProposeAnswer,
     22: GetTable,
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -73,7 +73,8 @@
         self._nonce = b""
         self._heard_s = time.monotonic()
         self.is_ready = False
-        self._scheduler.call_every(HEARTBEAT_INTERVAL_S, self._keep_alive)
+        self._is_closed = False
+        self._beats = self._scheduler.call_every(HEARTBEAT_INTERVAL_S, self._keep_alive)
         self._connect()
 
     @property
@@ -81,6 +82,20 @@
         """``IP:PORT`` of the process it talks to, or last tried."""
         return self._link.address if self._link is not None else ""
 
+    @property
+    def heard_s(self) -> float:
+        """Monotonic time of the last bytes of the other side, in seconds."""
+        return self._heard_s
+
+    def close(self) -> None:
+        """End the stream for good."""
+        self._is_closed = True
+        self.is_ready = False
+        self._beats.cancel()
+        if self._link is not None:
+            self._link.close()
+            self._link = None
+
     def send(self, message: messages.Message) -> bool:
         """Send a message.
 
@@ -105,7 +120,8 @@
         self._heard_s = time.monotonic()
         try:
             for message in self._reader.feed(data):
-                self._take(message)
+                if not self._is_closed:
+                    self._take(message)
         except messages.MessageError as error:
             self.reconnect(str(error))
 
@@ -122,6 +138,8 @@
             self._user.on_peer_lost()
 
     def _connect(self) -> None:
+        if self._is_closed:
+            return
         self._reader = messages.MessageReader()
         address = self._addresses[self._next % len(self._addresses)]
         self._heard_s = time.monotonic()
--- a/src/spoolhead/_internal/network/scheduler.py
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -41,6 +41,31 @@
             call()
 
 
+class Repetition:
+    """A call made again and again."""
+
+    __slots__ = ("_call", "_interval_s", "_scheduler", "_timer")
+
+    def __init__(self, scheduler: "Scheduler", interval_s: float, call: Callable[[], None]) -> None:
+        self._scheduler = scheduler
+        self._interval_s = interval_s
+        self._call: Callable[[], None] | None = call
+        self._timer = scheduler.call_later(interval_s, self._run)
+
+    def cancel(self) -> None:
+        """Make sure that no further call happens."""
+        self._call = None
+        self._timer.cancel()
+
+    def _run(self) -> None:
+        try:
+            if self._call is not None:
+                self._call()
+        finally:
+            if self._call is not None:
+                self._timer = self._scheduler.call_later(self._interval_s, self._run)
+
+
 class Scheduler(circuits.BaseComponent):
     """Makes calls at monotonic times, from the event loop."""
 
@@ -61,19 +86,12 @@
         heapq.heappush(self._heap, (timer.due_s, next(self._counter), timer))
         return timer
 
-    def call_every(self, interval_s: float, call: Callable[[], None]) -> None:
-        """Make a call again and again until the process ends.
+    def call_every(self, interval_s: float, call: Callable[[], None]) -> "Repetition":
+        """Make a call again and again until the process ends or it is cancelled.
 
         :param interval_s: seconds between the end of a call and the next.
         """
-
-        def _repeat() -> None:
-            try:
-                call()
-            finally:
-                self.call_later(interval_s, _repeat)
-
-        self.call_later(interval_s, _repeat)
+        return Repetition(self, interval_s, call)
 
     @circuits.handler("generate_events", channel="*")
     def _on_generate_events(self, event: circuits.Event) -> None:
