--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -30,6 +30,8 @@
 FOLLOWERS = (1, 4, 12)
 FLEET_SIZES = (5, 107, 400, 1_600)
 REPLICAS_POLLED = (2, 8, 24)
+SHARING_ENTRIES = (1, 3, 6)
+SHARED_REPLICAS = 24
 WAITING_WORKSPACES = (10, 100, 1_000)
 EDITS = 40
 IDLE_S = 4.0
@@ -185,6 +187,38 @@
     return results
 
 
+def measure_sharing(folder: pathlib.Path) -> list[dict[str, float]]:
+    """What an entry at rest costs when a hall's entries share the fetching of reports."""
+    results = []
+    for entries in SHARING_ENTRIES:
+        with fleet.Fleet(folder / f"sharing-{entries}") as running:
+            running.folder.mkdir()
+            engines = [f"engine-{number}" for number in range(SHARED_REPLICAS)]
+            for name in engines:
+                running.start_engine(name, "--model", "m")
+            running.start_keeper()
+            names = [f"entry-{number}" for number in range(entries)]
+            for name in names:
+                running.start_entry(name)
+            running.apply_table(
+                fleet.make_table(running.addresses, api_key="bench", model="m", engines=engines)
+            )
+            time.sleep(IDLE_S)
+            pids = [running.processes[name].pid for name in names]
+            before_s = sum(entry_bench.get_cpu_s(pid) for pid in pids)
+            time.sleep(2 * IDLE_S)
+            used_s = sum(entry_bench.get_cpu_s(pid) for pid in pids) - before_s
+            percent = used_s / (2 * IDLE_S) * 100 / entries
+            results.append(
+                {
+                    "entries": entries,
+                    "replicas": SHARED_REPLICAS,
+                    "entry_idle_cpu_percent": percent,
+                }
+            )
+    return results
+
+
 def _make_pool(count: int) -> placement.Pool:
     pool = placement.Pool()
     for number in range(count):
@@ -267,6 +301,7 @@
             "table": measure_table(path),
             "followers": measure_followers(path),
             "polling": measure_polling(path),
+            "sharing": measure_sharing(path),
             "decisions": measure_decisions(),
             "queue": measure_queue(),
             "report": measure_report_parsing(),
