--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from spoolhead._internal.entry import answers, flow
+from spoolhead._internal.entry import answers, flow, flow_context
 from spoolhead._internal.models import codes, decision, fault, load_report, requests, rows, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
@@ -78,10 +78,10 @@
         self._decisions: collections.OrderedDict[str, list[decision.Decision]] = (
             collections.OrderedDict()
         )
-        self._on_end: dict[str, collections.abc.Callable[[flow.Result], None]] = {}
+        self._on_end: dict[str, collections.abc.Callable[[flow_context.Result], None]] = {}
         self._available_s: dict[str, float] = {}
         self._started_s = time.monotonic()
-        self._context = flow.Context(
+        self._context = flow_context.Context(
             calls=calls,
             host=self,
             gathered=gathered,
@@ -140,7 +140,7 @@
         self,
         request: requests.CallerRequest,
         caller: caller_front.Caller,
-        on_end: collections.abc.Callable[[flow.Result], None] | None = None,
+        on_end: collections.abc.Callable[[flow_context.Result], None] | None = None,
     ) -> None:
         """Take a request: run it, let it wait, or refuse it.
 
@@ -197,7 +197,7 @@
         self._gathered.count(metrics.Metric.TOKENS, tokens)
         self._admission.charge(running.request.workspace, tokens, time.monotonic())
 
-    def end(self, running: flow.Flow, result: flow.Result) -> None:
+    def end(self, running: flow.Flow, result: flow_context.Result) -> None:
         """Take a flow that is over out of the books."""
         request = running.request
         self._flows.discard(running)
@@ -284,7 +284,7 @@
         request = waiting.owner.request
         self._admission.withdraw(waiting)
         self._note(request, "withdraw", codes.ResultCode.OK, text="the caller left")
-        self._call_on_end(request, flow.Result(codes.ResultCode.OK, waiting.owner.ran, 0))
+        self._call_on_end(request, flow_context.Result(codes.ResultCode.OK, waiting.owner.ran, 0))
 
     def _resume(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         point = request.resume
@@ -385,7 +385,7 @@
     def _refuse(self, job: _Job, refused: admission.Refused) -> None:
         request = job.request
         self._note(request, "refuse", refused.fault.code, text=refused.fault.text)
-        self._call_on_end(request, flow.Result(refused.fault.code, job.ran, 0))
+        self._call_on_end(request, flow_context.Result(refused.fault.code, job.ran, 0))
         answers.send_error(
             job.caller,
             refused.fault,
@@ -394,7 +394,7 @@
             retry_after_ms=refused.retry_after_ms,
         )
 
-    def _call_on_end(self, request: requests.CallerRequest, result: flow.Result) -> None:
+    def _call_on_end(self, request: requests.CallerRequest, result: flow_context.Result) -> None:
         on_end = self._on_end.pop(request.request_id, None)
         if on_end is not None:
             on_end(result)
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -7,13 +7,12 @@
 
 import json
 import logging
-from collections.abc import Callable, Sequence
-from typing import Protocol
+from collections.abc import Sequence
 
-from spoolhead._internal.entry import answers, api, stream_token
+from spoolhead._internal.entry import answers, api, flow_context, stream_token
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front, upstream_calls
-from spoolhead._internal.policy import placement, policy_set, replicas, retry
+from spoolhead._internal.policy import placement, replicas, retry
 from spoolhead._internal.relay import sequencer, stream_relay
 from spoolhead._internal.utils import metrics
 
@@ -44,125 +43,6 @@
 )
 
 
-class Result:
-    """How a flow ended.
-
-    :ivar code: result code.
-    :ivar ran: whether the request ran.
-    :ivar tokens: tokens that were produced for it.
-    :ivar is_natural_end: the engine ended the answer by itself, so its length says something.
-    :ivar status: HTTP status of a whole answer; 0 where there is none.
-    :ivar content_type: its Content-Type.
-    :ivar body: its body.
-    """
-
-    __slots__ = ("body", "code", "content_type", "is_natural_end", "ran", "status", "tokens")
-
-    def __init__(self, code: codes.ResultCode, ran: codes.Ran, tokens: int) -> None:
-        self.code = code
-        self.ran = ran
-        self.tokens = tokens
-        self.is_natural_end = False
-        self.status = 0
-        self.content_type = ""
-        self.body = b""
-
-
-class Calls(Protocol):
-    """What a flow needs of :class:`upstream_calls.UpstreamCalls`."""
-
-    def open(
-        self,
-        address: str,
-        request: bytes,
-        user: upstream_calls.CallUser,
-        *,
-        fresh: bool = False,
-        is_head: bool = False,
-    ) -> upstream_calls.UpstreamCall:
-        """Begin a request."""
-
-    def let_end(self, call: upstream_calls.UpstreamCall) -> None:
-        """Let a call end whose answer is no longer needed."""
-
-
-class Host(Protocol):
-    """What a flow asks of the dispatcher that owns it."""
-
-    def choose_again(self, flow: "Flow", excluded: frozenset[str]) -> placement.Choice:
-        """Choose an upstream for another attempt."""
-
-    def note_attempt(
-        self, flow: "Flow", action: str, choice: placement.Choice, code: codes.ResultCode
-    ) -> None:
-        """Log that another attempt is made because the last one ended with a code."""
-
-    def wait_again(self, flow: "Flow", code: codes.ResultCode) -> bool:
-        """Put a flow back into the queue, because no upstream has room for another attempt.
-
-        :returns: False if no upstream is left that could make room.
-        """
-
-    def charge(self, flow: "Flow", tokens: int) -> None:
-        """Charge tokens to the workspace."""
-
-    def end(self, flow: "Flow", result: Result) -> None:
-        """The flow is over."""
-
-
-class Context:
-    """What all flows of an entry share.
-
-    :ivar calls: makes requests to upstreams.
-    :ivar host: the dispatcher.
-    :ivar budget: bounds retries.
-    :ivar gathered: metrics.
-    :ivar clock: returns the monotonic time in seconds.
-    :ivar shared_key: the fleet's secret.
-    :ivar attempts: attempts for one request, the first included.
-    :ivar answer_bytes: largest answer held whole.
-    :ivar unread_bytes: bytes kept for a caller that reads slowly.
-    :ivar policies: what decides.
-    """
-
-    __slots__ = (
-        "answer_bytes",
-        "attempts",
-        "budget",
-        "calls",
-        "clock",
-        "gathered",
-        "host",
-        "policies",
-        "shared_key",
-        "unread_bytes",
-    )
-
-    def __init__(
-        self,
-        *,
-        calls: Calls,
-        host: Host,
-        gathered: metrics.Metrics,
-        clock: Callable[[], float],
-        shared_key: str,
-        attempts: int,
-        answer_bytes: int,
-        unread_bytes: int,
-        policies: policy_set.PolicySet,
-    ) -> None:
-        self.calls = calls
-        self.host = host
-        self.budget = retry.RetryBudget()
-        self.gathered = gathered
-        self.clock = clock
-        self.shared_key = shared_key
-        self.attempts = attempts
-        self.answer_bytes = answer_bytes
-        self.unread_bytes = unread_bytes
-        self.policies = policies
-
-
 class _Attempt:
     """One call to one upstream; its answer counts only while it is the flow's present one."""
 
@@ -217,7 +97,10 @@
     """
 
     def __init__(
-        self, request: requests.CallerRequest, caller: caller_front.Caller, context: Context
+        self,
+        request: requests.CallerRequest,
+        caller: caller_front.Caller,
+        context: flow_context.Context,
     ) -> None:
         self.request = request
         self.caller = caller
@@ -438,7 +321,7 @@
         attempt.replica.finish(self.work)
         self._context.calls.let_end(attempt.call)
         attempt.replica.health.note_success(self._context.clock())
-        result = Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
+        result = flow_context.Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
         result.is_natural_end = self.request.resume is None
         self._end(result)
 
@@ -452,7 +335,7 @@
         self.caller.send_whole(attempt.status, headers, body)
         attempt.replica.health.note_success(self._context.clock())
         self._drop_attempt(cancel=False)
-        result = Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
+        result = flow_context.Result(codes.ResultCode.OK, codes.Ran.YES, self.work.generated_tokens)
         result.is_natural_end = self.request.is_model and attempt.status == _OK
         result.status = attempt.status
         result.content_type = dict(attempt.headers).get("content-type", "")
@@ -536,7 +419,7 @@
             request_id=self.request.request_id,
             retry_after_ms=RETRY_AFTER_MS if ran is codes.Ran.NO else None,
         )
-        self._end(Result(code, ran, self.work.generated_tokens))
+        self._end(flow_context.Result(code, ran, self.work.generated_tokens))
 
     def _on_caller_gone(self) -> None:
         if self.is_over:
@@ -546,7 +429,7 @@
         if self.request.once_key and ran is not codes.Ran.NO:
             return
         self._drop_attempt(cancel=True)
-        self._end(Result(codes.ResultCode.OK, ran, self.work.generated_tokens))
+        self._end(flow_context.Result(codes.ResultCode.OK, ran, self.work.generated_tokens))
 
     def _drop_attempt(self, *, cancel: bool) -> None:
         attempt, self._attempt = self._attempt, None
@@ -570,7 +453,7 @@
         request = upstream_calls.make_request("POST", target, address, [], b"")
         self._context.calls.open(address, request, _Forgotten())
 
-    def _end(self, result: Result) -> None:
+    def _end(self, result: flow_context.Result) -> None:
         if self.is_over:
             return
         self.is_over = True
--- a/src/spoolhead/_internal/entry/once_requests.py
+++ b/src/spoolhead/_internal/entry/once_requests.py
@@ -8,7 +8,7 @@
 import hashlib
 import logging
 
-from spoolhead._internal.entry import answers, api, flow, keeper_link
+from spoolhead._internal.entry import answers, api, flow_context, keeper_link
 from spoolhead._internal.entry import dispatcher as dispatchers
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front
@@ -68,7 +68,7 @@
             self._keeper.finish(key, codes.Ran.NO, None)
             return
 
-        def _on_end(result: flow.Result) -> None:
+        def _on_end(result: flow_context.Result) -> None:
             outcome = None
             if result.status:
                 outcome = once_journal.Outcome(result.status, result.content_type, result.body)
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -1,6 +1,6 @@
 """Fakes at the interfaces of a flow: calls to upstreams, the caller, the dispatcher."""
 
-from spoolhead._internal.entry import flow
+from spoolhead._internal.entry import flow, flow_context
 from spoolhead._internal.models import codes, requests, rows
 from spoolhead._internal.policy import placement, policy_set, replicas
 from spoolhead._internal.utils import metrics
@@ -163,7 +163,7 @@
         self.calls = FakeCalls()
         self.caller = FakeCaller()
         self.host = FakeHost()
-        context = flow.Context(
+        context = flow_context.Context(
             calls=self.calls,
             host=self.host,
             gathered=metrics.Metrics(),
