--- a/src/spoolhead/_internal/models/rows.py
+++ b/src/spoolhead/_internal/models/rows.py
@@ -9,7 +9,7 @@
 import enum
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from typing import Annotated, Any
 
 import expression
@@ -168,29 +168,41 @@
 
 def check_references(
     parsed: Mapping[Sheet, Mapping[str, Row]],
+    changed: Collection[tuple[Sheet, str]],
 ) -> list[fault.Fault]:
-    """Check what one row says of another, over a whole table.
+    """Check what rows say of others.
 
     :param parsed: every row of the table by sheet and name.
+    :param changed: sheet and name of the rows to look at; the others are known to be right. All
+        rows must be among them where a service was changed or removed.
     :returns: a fault (``EDIT_INVALID``) for each name that no row has, each model or service
         of the wrong kind, and each API key that two workspaces have.
     """
     services = parsed[Sheet.SERVICES]
+    faults = []
+    for sheet, name in changed:
+        row = parsed[sheet].get(name)
+        place = f"{sheet}.{name}"
+        if isinstance(row, WorkspaceRow):
+            faults.extend(_check_names(f"{place}.models", row.models, services, ServiceKind.MODEL))
+            plain = ServiceKind.PLAIN
+            faults.extend(_check_names(f"{place}.services", row.services, services, plain))
+        elif isinstance(row, UpstreamRow) and row.service not in services:
+            text = f"no service is named {row.service}"
+            faults.append(_make_fault(f"{place}.service", text))
+    return faults + _check_keys(parsed[Sheet.WORKSPACES])
+
+
+def _check_keys(workspaces: Mapping[str, WorkspaceRow]) -> list[fault.Fault]:
     faults = []
     owners: dict[str, str] = {}
-    for name, row in parsed[Sheet.WORKSPACES].items():
-        place = f"{Sheet.WORKSPACES}.{name}"
-        faults.extend(_check_names(f"{place}.models", row.models, services, ServiceKind.MODEL))
-        faults.extend(_check_names(f"{place}.services", row.services, services, ServiceKind.PLAIN))
+    for name, row in workspaces.items():
         for digest in row.key_sha256:
             owner = owners.setdefault(digest, name)
             if owner != name:
                 text = f"the key already belongs to workspace {owner}"
-                faults.append(_make_fault(f"{place}.key_sha256", text))
-    for name, row in parsed[Sheet.UPSTREAMS].items():
-        if row.service not in services:
-            place = f"{Sheet.UPSTREAMS}.{name}.service"
-            faults.append(_make_fault(place, f"no service is named {row.service}"))
+                place = f"{Sheet.WORKSPACES}.{name}.key_sha256"
+                faults.append(_make_fault(place, text))
     return faults
 
 
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -106,7 +106,8 @@
     :ivar hall: hall it stands in.
     :ivar host: IP number it listens on for callers.
     :ivar port: port for callers; 0 lets the system choose.
-    :ivar control_host: IP number it listens on for operators.
+    :ivar control_host: IP number it listens on for operators and for the hall's other entries,
+        which must be able to reach it there.
     :ivar control_port: port for operators; 0 lets the system choose.
     :ivar keepers: ``IP:PORT`` of each keeper.
     :ivar shared_key: secret that the fleet's processes share.
--- a/src/spoolhead/_internal/table/checking.py
+++ b/src/spoolhead/_internal/table/checking.py
@@ -7,24 +7,39 @@
 
 
 class TableChecker:
-    """Checks whole tables, parsing only the rows that are new since the last call."""
+    """Checks whole tables, looking only at what is new since the last table it found right."""
 
     def __init__(self) -> None:
         self._parsed: dict[versioned_table.RowKey, _ParsedRow] = {}
+        self._right: dict[versioned_table.RowKey, object] = {}
 
     def __call__(self, values: versioned_table.RowValues) -> Sequence[fault.Fault]:
         """Return every fault of a table; none means that it may be accepted."""
         faults: list[fault.Fault] = []
-        parsed: dict[rows.Sheet, dict[str, rows.Row]] = {sheet: {} for sheet in rows.Sheet}
+        parsed: dict[str, dict[str, rows.Row]] = {sheet: {} for sheet in rows.Sheet}
         for key, value in values.items():
-            if key.sheet not in set(rows.Sheet):
+            if key.sheet not in parsed:
                 text = "no such sheet"
                 faults.append(fault.Fault(codes.ResultCode.EDIT_INVALID, text, path=key.sheet))
                 continue
             row = self._parse(key, value, faults)
             if row is not None:
-                parsed[rows.Sheet(key.sheet)][key.name] = row
-        return faults or rows.check_references(parsed)
+                parsed[key.sheet][key.name] = row
+        if faults:
+            return faults
+        faults = rows.check_references(parsed, self._get_changed(values))
+        if not faults:
+            self._right = dict(values)
+        return faults
+
+    def _get_changed(self, values: versioned_table.RowValues) -> list[tuple[rows.Sheet, str]]:
+        """Return the rows whose references are to be looked at."""
+        right = self._right
+        changed = [key for key, value in values.items() if right.get(key) is not value]
+        gone = [key for key in right if key not in values]
+        if any(key.sheet == rows.Sheet.SERVICES for key in (*changed, *gone)):
+            changed = list(values)
+        return [(rows.Sheet(key.sheet), key.name) for key in changed]
 
     def _parse(
         self, key: versioned_table.RowKey, value: object, faults: list[fault.Fault]
