Survive a load report with numbers that have no bound

Cause: reading the new tests' first example, a report with +Inf raised OverflowError, which was not caught where the report is taken: the fetch ended in the loop's exception handler. Now it is logged like any other bad report.

--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-import random
 import time
 from collections.abc import Sequence
 
@@ -44,6 +43,7 @@
     :param text: the report's text; what it does not name counts as 0.
     :param received_s: monotonic time of its arrival.
     :raises ValueError: if it is not in the format.
+    :raises OverflowError: if a number in it has no bound.
     """
     values: dict[str, float] = {}
     capacity = 0
@@ -126,7 +126,6 @@
         self._owner = owner
         self._gathered = gathered
         self._fetches: dict[str, _Fetch] = {}
-        self._random = random.Random()
         loop.scheduler.call_every(self._interval_s, self._fetch_all)
 
     def take(self, replica: replicas.Replica, body: bytes) -> None:
@@ -134,7 +133,7 @@
         self._fetches.pop(replica.name, None)
         try:
             report = parse_report(body.decode("utf-8"), time.monotonic())
-        except ValueError as error:
+        except (ValueError, OverflowError) as error:
             logger.warning("report of %s cannot be read: %s", replica.name, error)
             return
         count = self.fetched_counts.get(replica.name, 0)
--- a/src/spoolhead/_internal/entry/neighbours.py
+++ b/src/spoolhead/_internal/entry/neighbours.py
@@ -133,17 +133,20 @@
         if not reports or not self._sessions:
             return
         now_s = time.monotonic()
-        data = messages.encode(messages.Reports(items=[_pack(item, now_s) for item in reports]))
+        data = messages.encode(
+            messages.Reports(items=[pack(item, now_s=now_s) for item in reports])
+        )
         for session in self._sessions:
             session.send_encoded(data)
 
     def take(self, message: messages.Reports) -> None:
         """Take reports that a neighbour has fetched."""
         now_s = time.monotonic()
-        self._take_reports([_unpack(item, now_s) for item in message.items])
+        self._take_reports([unpack(item, now_s=now_s) for item in message.items])
 
 
-def _pack(item: NamedReport, now_s: float) -> list[object]:
+def pack(item: NamedReport, *, now_s: float) -> list[object]:
+    """Return a report for a message, with its age instead of a time of this machine's clock."""
     report = item.report
     return [
         item.upstream,
@@ -156,7 +159,11 @@
     ]
 
 
-def _unpack(item: object, now_s: float) -> NamedReport:
+def unpack(item: object, *, now_s: float) -> NamedReport:
+    """Make a report from what :func:`pack` returned on another machine.
+
+    :raises messages.MessageError: if it is none.
+    """
     if not isinstance(item, list) or len(item) != 7:
         raise messages.MessageError("not a report")
     upstream, *numbers = item
