--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -79,6 +79,18 @@
         assert answer.code == 0, answer.faults[:3]
         return answer.version
 
+    def measure_edits(self, version: int) -> list[float]:
+        """Edit one row again and again; return the ms until each edit is in force everywhere."""
+        waits = []
+        for number in range(EDITS):
+            key = versioned_table.RowKey("workspaces", "w0")
+            value = {**_make_workspace(0), "max_waiting": number}
+            begun_s = time.monotonic()
+            version = self.propose(f"e{number}", [versioned_table.RowEdit(key, version, value)])
+            self.wait_in_force(version)
+            waits.append((time.monotonic() - begun_s) * 1000)
+        return waits
+
     def wait_in_force(self, version: int) -> None:
         while True:
             status = self._call.ask(messages.GetStatus(request=1), messages.StatusAnswer).status
@@ -99,17 +111,7 @@
             operator.wait_in_force(operator.propose("fill", _make_rows(count)))
             pids = {name: running.processes[name].pid for name in ("keeper-1", "entry-1")}
             before = {name: entry_bench.get_cpu_s(pid) for name, pid in pids.items()}
-            waits = []
-            version = 1
-            for number in range(EDITS):
-                key = versioned_table.RowKey("workspaces", "w0")
-                value = {**_make_workspace(0), "max_waiting": number}
-                begun_s = time.monotonic()
-                version = operator.propose(
-                    f"e{number}", [versioned_table.RowEdit(key, version, value)]
-                )
-                operator.wait_in_force(version)
-                waits.append((time.monotonic() - begun_s) * 1000)
+            waits = operator.measure_edits(1)
             used = {name: entry_bench.get_cpu_s(pid) - before[name] for name, pid in pids.items()}
             results.append(
                 {
@@ -141,17 +143,7 @@
             time.sleep(IDLE_S)
             idle = (entry_bench.get_cpu_s(pid) - before_s) / IDLE_S
             before_s = entry_bench.get_cpu_s(pid)
-            version = 1
-            waits = []
-            for number in range(EDITS):
-                key = versioned_table.RowKey("workspaces", "w0")
-                value = {**_make_workspace(0), "max_waiting": number}
-                begun_s = time.monotonic()
-                version = operator.propose(
-                    f"e{number}", [versioned_table.RowEdit(key, version, value)]
-                )
-                operator.wait_in_force(version)
-                waits.append((time.monotonic() - begun_s) * 1000)
+            waits = operator.measure_edits(1)
             edit_ms = (entry_bench.get_cpu_s(pid) - before_s) * 1000 / EDITS
             results.append(
                 {
--- a/tests/functional/test_once.py
+++ b/tests/functional/test_once.py
@@ -94,10 +94,12 @@
     assert _count_all_runs(small) == 1
 
 
-def test_service_killed_during_the_run_is_unknown_and_never_repeated(small):
+def _kill_during_run(small, key, *, method="POST", delay_ms=60_000):
+    """Kill the service that runs a request; return the answer, its name and the other's."""
     results = []
+    query = f"?delay_ms={delay_ms}"
     thread = threading.Thread(
-        target=lambda: results.append(_send(small, "k1", query="?delay_ms=60000"))
+        target=lambda: results.append(_send(small, key, query=query, method=method))
     )
     thread.start()
     used = fleet.wait_for(
@@ -107,44 +109,28 @@
     small.processes[used].kill()
     thread.join()
     other = "countdesk-2" if used == "countdesk-1" else "countdesk-1"
-    assert (results[0].status, results[0].error["ran"]) == (502, "unknown")
+    return results[0], used, other
+
+
+def test_service_killed_during_the_run_is_unknown_and_never_repeated(small):
+    answer, _, other = _kill_during_run(small, "k1")
+    assert (answer.status, answer.error["ran"]) == (502, "unknown")
     again = _send(small, "k1", "entry-2", query="?delay_ms=60000")
     assert (again.status, again.error["result_code"]) == (409, 3007)
     assert _count_runs(small, other) == 0
 
 
 def test_without_a_key_it_is_not_repeated_either(small):
-    results = []
-    thread = threading.Thread(
-        target=lambda: results.append(_send(small, "", query="?delay_ms=60000"))
-    )
-    thread.start()
-    used = fleet.wait_for(
-        lambda: [name for name in ("countdesk-1", "countdesk-2") if _count_runs(small, name)],
-        "the run",
-    )[0]
-    small.processes[used].kill()
-    thread.join()
-    other = "countdesk-2" if used == "countdesk-1" else "countdesk-1"
-    assert (results[0].status, results[0].error["result_code"]) == (502, 3002)
-    assert results[0].error["ran"] == "unknown"
+    answer, _, other = _kill_during_run(small, "")
+    assert (answer.status, answer.error["result_code"]) == (502, 3002)
+    assert answer.error["ran"] == "unknown"
     assert _count_runs(small, other) == 0
 
 
 def test_repeatable_call_goes_to_another_upstream(small):
-    results = []
-    thread = threading.Thread(
-        target=lambda: results.append(_send(small, "", query="?delay_ms=1000", method="PUT"))
-    )
-    thread.start()
-    used = fleet.wait_for(
-        lambda: [name for name in ("countdesk-1", "countdesk-2") if _count_runs(small, name)],
-        "the run",
-    )[0]
-    small.processes[used].kill()
-    thread.join()
-    assert results[0].status == 200
-    assert results[0].json["service"] != used
+    answer, used, other = _kill_during_run(small, "", method="PUT", delay_ms=1_000)
+    assert answer.status == 200
+    assert answer.json["service"] == other != used
 
 
 def test_no_connection_means_not_run_and_the_key_is_free(small):
