--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -4,7 +4,7 @@
        [--against naive] [--duration-s 12] [--json FILE]
 
 For each seed both policy sets serve the same trace in turn, each with fresh processes: 5 model
-engines in 3 halls, 3 plain services, 3 entries, a keeper. One engine is killed at 60% of the
+engines in 3 halls, 3 entries, a keeper. One engine is killed at 60% of the
 trace. Printed are medians over the seeds, and the ratio real / other with its least and
 greatest value.
 """
