--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -109,6 +109,10 @@
         """Upstreams in the table, those leaving included."""
         return list(self._replicas.values())
 
+    def get_upstream(self, name: str) -> replicas.Replica | None:
+        """Return an upstream of the table, or None."""
+        return self._replicas.get(name)
+
     def get_decisions(self, request_id: str) -> list[decision.Decision]:
         """Return what was decided on a request, oldest first."""
         return list(self._decisions.get(request_id, ()))
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -147,9 +147,8 @@
 
     def take_from_neighbour(self, reports: Sequence[entry_neighbours.NamedReport]) -> None:
         """Take reports that a neighbour has fetched, those newer than what is known."""
-        by_name = {replica.name: replica for replica in self._owner.upstreams}
         for item in reports:
-            replica = by_name.get(item.upstream)
+            replica = self._owner.get_upstream(item.upstream)
             if replica is None:
                 continue
             if replica.report is None or item.report.received_s > replica.report.received_s:
--- a/src/spoolhead/_internal/relay/event_stream.py
+++ b/src/spoolhead/_internal/relay/event_stream.py
@@ -56,11 +56,6 @@
             raise EventTooLargeError(f"an event has over {MAX_EVENT_BYTES} bytes")
         return [parse_event(part) for part in parts if part]
 
-    @property
-    def has_rest(self) -> bool:
-        """Whether an event has begun and not ended."""
-        return bool(self._rest.strip(b"\r\n"))
-
     def _unify_line_ends(self, data: bytes) -> bytes:
         # A carriage return that ends the bytes may be half of a line end, so it waits for more.
         held = b"\r" if data.endswith(b"\r") else b""
