--- /dev/null
+++ b/src/spoolhead/_internal/discovery/__init__.py
@@ -0,0 +1,1 @@
+"""Finding the upstream instances of each service."""
--- /dev/null
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -0,0 +1,111 @@
+"""Reads the platform's list of upstream instances, page by page."""
+
+import logging
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.models import dialects, instances, settings
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.network import upstream_calls
+
+logger = logging.getLogger(__name__)
+
+LONGEST_READING_S = 1.5
+"""Time for a whole reading; a page takes some milliseconds, so a longer one is lost."""
+MAX_PAGES = 200
+"""Bound on the pages of a reading: 1,600 instances at 50 a page are 32 pages."""
+
+_OK = 200
+
+
+class ListReader:
+    """Makes one reading at a time.
+
+    :param loop: root of the program.
+    :param calls: makes the HTTP requests.
+    :param config: where the list is.
+    :param dialect: how the list is written.
+    :param take: gets each whole reading.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        calls: upstream_calls.UpstreamCalls,
+        config: settings.InstanceListSettings,
+        dialect: dialects.TableDialect,
+        take: Callable[[list[instances.Instance]], None],
+    ) -> None:
+        self._loop = loop
+        self._calls = calls
+        self._config = config
+        self._dialect = dialect
+        self._take = take
+        self._call: upstream_calls.UpstreamCall | None = None
+        self._began_s = 0.0
+        self._page_count = 0
+        self._found: list[instances.Instance] = []
+        self._status = 0
+        self._body: list[bytes] = []
+        self._has_failed = False
+
+    def read(self) -> None:
+        """Begin a reading, unless one is under way."""
+        now_s = time.monotonic()
+        if self._call is not None:
+            if now_s - self._began_s < LONGEST_READING_S:
+                return
+            self._call.cancel()
+            self._fail("the reading took too long")
+        self._began_s = now_s
+        self._page_count = 0
+        self._found = []
+        self._ask(self._dialect.list_target)
+
+    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
+        """Take the head of a page."""
+        del headers
+        self._status = status
+
+    def on_answer_body(self, data: bytes) -> None:
+        """Take a part of a page."""
+        self._body.append(data)
+
+    def on_answer_end(self) -> None:
+        """Take the end of a page."""
+        self._call = None
+        if self._status != _OK:
+            self._fail(f"status {self._status}")
+            return
+        page = self._dialect.decode_instances(b"".join(self._body))
+        if page.is_error():
+            self._fail(str(page.error))
+            return
+        self._found.extend(page.ok.instances)
+        if page.ok.next_target and self._page_count < MAX_PAGES:
+            self._ask(page.ok.next_target)
+            return
+        if self._has_failed:
+            self._has_failed = False
+            logger.info("instance list is readable again")
+        self._take(self._found)
+
+    def on_call_lost(self, reason: str) -> None:
+        """Take the loss of a page."""
+        self._call = None
+        self._fail(reason)
+
+    def _ask(self, target: str) -> None:
+        self._page_count += 1
+        self._status = 0
+        self._body = []
+        address = self._config.address
+        request = upstream_calls.make_request("GET", target, address, (), b"")
+        self._call = self._calls.open(address, request, self)
+
+    def _fail(self, reason: str) -> None:
+        self._call = None
+        if not self._has_failed:
+            fields = {"address": self._config.address, "reason": reason}
+            logger.warning("instance list is not readable", extra={"fields": fields})
+        self._has_failed = True
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entry program for traffic that is routed by host and path."""
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -0,0 +1,260 @@
+"""One routed request from its arrival to the end of its answer: what all kinds share."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.gateway import refusals
+from spoolhead._internal.models import codes, dialects, fault, route_table, settings
+from spoolhead._internal.network import caller_front, scheduler, upstream_calls
+from spoolhead._internal.policy import retry_allowance, upstream_book, upstream_choice
+
+logger = logging.getLogger(__name__)
+
+RETRY_AFTER_MS = 300
+"""When to come back after a refusal because of failures: about a round of the balancer's
+connections and of the shortest rest of an upstream."""
+
+
+class Context:
+    """What all exchanges of an entry share.
+
+    :ivar config: the entry's settings.
+    :ivar dialect: how callers and instances speak.
+    :ivar calls: makes HTTP requests.
+    :ivar timers: calls back.
+    :ivar book: the instances.
+    :ivar chance: source of random numbers.
+    :ivar on_change: called when what this entry holds at an instance has changed.
+    """
+
+    __slots__ = (
+        "_allowances",
+        "book",
+        "calls",
+        "chance",
+        "config",
+        "dialect",
+        "entry_count",
+        "on_change",
+        "timers",
+    )
+
+    def __init__(
+        self,
+        *,
+        config: settings.GatewaySettings,
+        dialect: dialects.EntryDialect,
+        calls: upstream_calls.UpstreamCalls,
+        timers: scheduler.Scheduler,
+        book: upstream_book.UpstreamBook,
+        chance: random.Random,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.config = config
+        self.dialect = dialect
+        self.calls = calls
+        self.timers = timers
+        self.book = book
+        self.chance = chance
+        self.on_change = on_change
+        self.entry_count = 1
+        self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
+
+    def get_allowance(self, service: str) -> retry_allowance.RetryAllowance:
+        """Return the allowance of second attempts for a service."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            allowance = self._allowances[service] = retry_allowance.RetryAllowance(
+                ratio=self.config.retry_ratio,
+                slack=self.config.retry_slack,
+                window_ms=self.config.retry_window_ms,
+            )
+        allowance.entry_count = self.entry_count
+        return allowance
+
+
+class Job:
+    """A request that was matched to a route.
+
+    :ivar head: its head.
+    :ivar route: its route.
+    :ivar service: service that it goes to.
+    :ivar workspace: whose it is; None on a route without keys.
+    :ivar version: version of the table that decided this.
+    """
+
+    __slots__ = ("head", "route", "service", "version", "workspace")
+
+    def __init__(
+        self,
+        head: dialects.RequestHead,
+        route: route_table.Route,
+        service: route_table.Service,
+        workspace: route_table.Workspace | None,
+        version: int,
+    ) -> None:
+        self.head = head
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.version = version
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace; empty for none."""
+        return self.workspace.name if self.workspace is not None else ""
+
+    @property
+    def priority(self) -> int:
+        """Rank of the request; the workspace's goes before the route's."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
+
+
+class Exchange:
+    """One request. Subclasses say what is done with an attempt's answer.
+
+    :param job: the request and its route.
+    :param caller: who gets the answer.
+    :param context: what all exchanges share.
+    :param on_end: called once it is over.
+    :ivar is_over: the exchange has ended.
+    """
+
+    def __init__(
+        self,
+        job: Job,
+        caller: caller_front.Caller,
+        context: Context,
+        on_end: Callable[["Exchange"], None],
+    ) -> None:
+        self.job = job
+        self.caller = caller
+        self.is_over = False
+        self._context = context
+        self._on_end = on_end
+        self._arrived_s = time.monotonic()
+        wait_ms = job.route.timeout_ms
+        if job.head.wait_ms is not None:
+            wait_ms = min(wait_ms, job.head.wait_ms)
+        self._deadline_s = self._arrived_s + wait_ms / 1000
+        self._timer = context.timers.call_later(wait_ms / 1000, self._on_deadline)
+        self._tried: set[str] = set()
+        self._ran = codes.Ran.NO
+        caller.on_gone = self._on_caller_gone
+
+    @property
+    def remaining_ms(self) -> int:
+        """Time left."""
+        return max(0, int((self._deadline_s - time.monotonic()) * 1000))
+
+    def get_fields(self) -> dict[str, object]:
+        """Return the fields that each log line of the request has."""
+        return {
+            "request": self.job.head.request_id,
+            "route": self.job.route.name,
+            "service": self.job.service.name,
+            "table_version": self.job.version,
+            "age_ms": int((time.monotonic() - self._arrived_s) * 1000),
+        }
+
+    def choose(self, need_tokens: int) -> upstream_choice.Choice:
+        """Choose an instance that was not tried yet."""
+        return upstream_choice.choose(
+            self.job.service,
+            self._context.book.get_service(self.job.service.name),
+            hall=self._context.config.hall,
+            need_tokens=need_tokens,
+            excluded=self._tried,
+            now_s=time.monotonic(),
+            chance=self._context.chance,
+        )
+
+    def log_choice(self, action: str, choice: upstream_choice.Choice) -> None:
+        """Log where the request goes and what it was chosen from."""
+        chosen = choice.upstream.instance.instance_id if choice.upstream is not None else ""
+        fields = {
+            **self.get_fields(),
+            "upstream": chosen,
+            "candidates": [
+                [item.upstream.instance.instance_id, round(item.cost, 2)]
+                for item in choice.candidates[:4]
+            ],
+            "remaining_ms": self.remaining_ms,
+        }
+        logger.info(action, extra={"fields": fields})
+
+    def send_attempt(
+        self,
+        upstream: upstream_book.Upstream,
+        user: upstream_calls.CallUser,
+        orders: dialects.AttemptOrders,
+    ) -> upstream_calls.UpstreamCall:
+        """Send the request to an instance."""
+        wire = self.caller.request
+        headers = self._context.dialect.write_request(self.job.head, orders)
+        data = upstream_calls.make_request(
+            wire.method, wire.target, self.job.head.host, headers, wire.body
+        )
+        kind = self.job.route.kind
+        return self._context.calls.open(
+            upstream.instance.address,
+            data,
+            user,
+            fresh=kind is not route_table.RequestKind.REPEATABLE,
+            is_head=wire.method == "HEAD",
+        )
+
+    def fail(
+        self, code: codes.ResultCode, text: str, *, retry_after_ms: int = RETRY_AFTER_MS
+    ) -> None:
+        """Give the request its final answer at once."""
+        if self.is_over:
+            return
+        status = refusals.send(
+            self.caller,
+            self._context.dialect,
+            fault.Fault(code, text),
+            ran=self._ran,
+            request_id=self.job.head.request_id,
+            retry_after_ms=retry_after_ms,
+        )
+        fields = {
+            **self.get_fields(),
+            "code": int(code),
+            "reason": text,
+            "status": status,
+            "ran": self._ran.value,
+        }
+        logger.info("refused" if self._ran is codes.Ran.NO else "failed", extra={"fields": fields})
+        self.end()
+
+    def end(self) -> None:
+        """Take the request out of the books."""
+        if self.is_over:
+            return
+        self.is_over = True
+        self._timer.cancel()
+        self.release()
+        self._on_end(self)
+        self._context.on_change()
+
+    def start(self) -> None:
+        """Make the first attempt."""
+        raise NotImplementedError
+
+    def release(self) -> None:
+        """Cancel what runs and give back what the request holds."""
+        raise NotImplementedError
+
+    def _on_deadline(self) -> None:
+        self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
+
+    def _on_caller_gone(self) -> None:
+        if self.is_over:
+            return
+        logger.info("caller left", extra={"fields": self.get_fields()})
+        self.end()
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -0,0 +1,178 @@
+"""A request whose answer is held until it is whole: safe to repeat, or to run at most once."""
+
+import logging
+import time
+
+from spoolhead._internal.gateway import exchange
+from spoolhead._internal.models import codes, dialects, route_table
+from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.policy import upstream_book
+
+logger = logging.getLogger(__name__)
+
+_SUCCESS = range(200, 300)
+_SERVER_ERRORS = range(500, 600)
+
+
+class _Attempt:
+    """One attempt; what it is told counts only while it is the exchange's present one."""
+
+    __slots__ = ("body", "body_bytes", "call", "head", "owner", "upstream")
+
+    def __init__(self, owner: "PlainExchange", upstream: upstream_book.Upstream) -> None:
+        self.owner = owner
+        self.upstream = upstream
+        self.call: upstream_calls.UpstreamCall | None = None
+        self.head: dialects.AnswerHead | None = None
+        self.body: list[bytes] = []
+        self.body_bytes = 0
+
+    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
+        self.owner.take_head(self, status, headers)
+
+    def on_answer_body(self, data: bytes) -> None:
+        self.owner.take_body(self, data)
+
+    def on_answer_end(self) -> None:
+        self.owner.take_end(self)
+
+    def on_call_lost(self, reason: str) -> None:
+        self.owner.take_loss(self, reason)
+
+
+class PlainExchange(exchange.Exchange):
+    """One plain request."""
+
+    _attempt: _Attempt | None = None
+    _attempts_made = 0
+    _kept: _Attempt | None = None
+
+    def start(self) -> None:
+        """Make an attempt at the best instance."""
+        choice = self.choose(0)
+        self.log_choice("attempt", choice)
+        if choice.upstream is None:
+            if self._kept is not None:
+                self._deliver(self._kept)
+            else:
+                text = f"no upstream of {self.job.service.name} is usable"
+                self.fail(codes.ResultCode.NO_UPSTREAM, text)
+            return
+        upstream = choice.upstream
+        attempt = self._attempt = _Attempt(self, upstream)
+        self._attempts_made += 1
+        self._tried.add(upstream.instance.instance_id)
+        upstream.works[self.job.head.request_id] = upstream_book.Work(self.job.head.request_id, 0)
+        self._context.on_change()
+        orders = dialects.AttemptOrders(
+            instance_id=upstream.instance.instance_id,
+            remaining_ms=self.remaining_ms,
+            workspace=self.job.workspace_name,
+        )
+        attempt.call = self.send_attempt(upstream, attempt, orders)
+
+    def release(self) -> None:
+        """Cancel the present attempt."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.upstream.works.pop(self.job.head.request_id, None)
+        if attempt.call is not None and not attempt.call.is_over:
+            attempt.call.cancel()
+
+    def take_head(self, attempt: _Attempt, status: int, headers: upstream_calls.Headers) -> None:
+        """Take the head of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        attempt.head = self._context.dialect.read_answer(status, headers)
+        attempt.upstream.note_load(attempt.head.load, time.monotonic())
+
+    def take_body(self, attempt: _Attempt, data: bytes) -> None:
+        """Take a part of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        attempt.body.append(data)
+        attempt.body_bytes += len(data)
+        if attempt.body_bytes > self._context.config.upstreams.answer_bytes:
+            self._ran = codes.Ran.YES
+            self.fail(codes.ResultCode.ANSWER_TOO_LARGE, "the answer is too large")
+
+    def take_end(self, attempt: _Attempt) -> None:
+        """Take the end of an attempt's answer."""
+        if attempt is not self._attempt or attempt.head is None:
+            return
+        head = attempt.head
+        if head.request_id and head.request_id != self.job.head.request_id:
+            self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request")
+        elif head.has_not_run:
+            attempt.upstream.note_answer()
+            self._retry(codes.ResultCode.UPSTREAM_REFUSED, "not run", has_run=False)
+        elif head.status in _SUCCESS and (not head.is_signed or head.is_encoded):
+            self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer is not the upstream's own")
+        elif head.status in _SERVER_ERRORS:
+            attempt.upstream.note_answer()
+            self._kept = attempt
+            self._retry(codes.ResultCode.UPSTREAM_LOST, f"status {head.status}")
+        else:
+            attempt.upstream.note_answer()
+            self._deliver(attempt)
+
+    def take_loss(self, attempt: _Attempt, reason: str) -> None:
+        """Take the loss of an attempt's connection."""
+        if attempt is not self._attempt:
+            return
+        assert attempt.call is not None
+        arrived = attempt.call.may_have_arrived
+        if attempt.upstream.note_failure(time.monotonic()):
+            fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
+            logger.warning("upstream rests", extra={"fields": fields})
+        code = codes.ResultCode.UPSTREAM_LOST if arrived else codes.ResultCode.UPSTREAM_UNREACHABLE
+        self._retry(code, reason, has_run=arrived)
+
+    def _retry(self, code: codes.ResultCode, text: str, *, has_run: bool = True) -> None:
+        attempt = self._attempt
+        assert attempt is not None and attempt.call is not None
+        if has_run:
+            self._ran = codes.Ran.UNKNOWN
+        arrived = attempt.call.may_have_arrived
+        if not arrived:
+            self._attempts_made -= 1
+        fields = {
+            **self.get_fields(),
+            "upstream": attempt.upstream.instance.instance_id,
+            "code": int(code),
+            "reason": text,
+        }
+        logger.info("attempt failed", extra={"fields": fields})
+        self.release()
+        if self._may_try_again(arrived):
+            self.start()
+        elif self._kept is not None:
+            self._deliver(self._kept)
+        else:
+            self.fail(code, text)
+
+    def _may_try_again(self, arrived: bool) -> bool:
+        kind = self.job.route.kind
+        if kind is not route_table.RequestKind.REPEATABLE and self._ran is not codes.Ran.NO:
+            return False
+        if not arrived:
+            return True
+        if self._attempts_made >= self.job.route.attempts:
+            return False
+        allowance = self._context.get_allowance(self.job.service.name)
+        return allowance.take(time.monotonic())
+
+    def _deliver(self, attempt: _Attempt) -> None:
+        head = attempt.head
+        assert head is not None
+        self._ran = codes.Ran.YES
+        self.caller.send_whole(head.status, head.headers, b"".join(attempt.body))
+        fields = {
+            **self.get_fields(),
+            "upstream": attempt.upstream.instance.instance_id,
+            "status": head.status,
+            "attempts": self._attempts_made,
+        }
+        logger.info("answered", extra={"fields": fields})
+        self.end()
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -0,0 +1,221 @@
+"""The entry program for traffic that is routed by host and path."""
+
+import logging
+import random
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.gateway import (
+    exchange,
+    load_sharing,
+    plain_exchange,
+    ready_server,
+    refusals,
+    stream_exchange,
+    table_feed,
+)
+from spoolhead._internal.models import codes, dialects, fault, instances, route_table, settings
+from spoolhead._internal.network import caller_front, links, loop, upstream_calls
+from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.routing import matcher, table_checks
+
+logger = logging.getLogger(__name__)
+
+STOP_LISTEN_S = 3.0
+"""Time from the order to stop for which new connections are still served: the balancer asks
+each second and leaves an entry out after two bad answers."""
+STOP_CHECK_S = 0.05
+STOP_MARGIN_S = 0.5
+"""Time before the end of a planned stop at which what still runs is cut."""
+FIRST_TABLE_WAIT_S = 1.0
+"""Longest wait at the start for a majority of keepers to name their version; an entry that can
+reach only a few then serves with the newest that it got."""
+READY_CHECK_S = 0.05
+
+
+class Gateway:
+    """One entry's program.
+
+    :param config: its settings.
+    :param dialect: how callers, instances and the platform's list speak.
+    """
+
+    def __init__(self, config: settings.GatewaySettings, dialect: dialects.EntryDialect) -> None:
+        self._config = config
+        self._dialect = dialect
+        self._matcher: matcher.Matcher | None = None
+        self._is_ready = False
+        self._is_stopping = False
+        self._began_s = time.monotonic()
+        self._stop_s = 0.0
+        self._exchanges: set[exchange.Exchange] = set()
+        self._loop = loop.Loop(self._begin_stop)
+        outgoing = links.Links(self._loop, channel="links").register(self._loop)
+        calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        self._book = upstream_book.UpstreamBook()
+        self._sharing = load_sharing.LoadSharing(self._loop, config, self._book)
+        self._context = exchange.Context(
+            config=config,
+            dialect=dialect,
+            calls=calls,
+            timers=self._loop.scheduler,
+            book=self._book,
+            chance=random.Random(),
+            on_change=self._sharing.note_change,
+        )
+        self._front = caller_front.CallerFront(
+            self._loop, config, take=self._take, refuse=self._refuse_bytes
+        ).register(self._loop)
+        ready_server.ReadyServer(config, self._get_ready).register(self._loop)
+        self._feed = table_feed.TableFeed(self._loop, outgoing, calls, config, dialect, self)
+        self._loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
+
+    def run(self) -> None:
+        """Serve until told to stop and all that is in flight has ended."""
+        fields = {"callers": self._front.address, "hall": self._config.hall}
+        logger.info("entry %s starts", self._config.name, extra={"fields": fields})
+        self._loop.run()
+
+    def on_table(self, version: int, document: bytes) -> None:
+        """Put a newer route table in force."""
+        decoded = self._dialect.decode_table(document)
+        faults = decoded.error if decoded.is_error() else table_checks.check(decoded.ok)
+        if faults:
+            fields = {"version": version, "faults": [str(item) for item in faults]}
+            logger.error("committed table is not usable", extra={"fields": fields})
+            return
+        self._matcher = matcher.Matcher(decoded.ok)
+        fields = {"version": version, "routes": len(decoded.ok.routes)}
+        logger.info("table in force", extra={"fields": fields})
+
+    def on_instances(self, listed: list[instances.Instance]) -> None:
+        """Take over a reading of the list of instances."""
+        known = {upstream.instance.instance_id for upstream in self._book.get_all()}
+        leaving = self._book.take_list(listed)
+        now_known = {item.instance_id for item in listed}
+        for instance_id in sorted(now_known - known):
+            logger.info("upstream came", extra={"fields": {"upstream": instance_id}})
+        for instance_id in sorted(known - now_known):
+            logger.info("upstream is gone", extra={"fields": {"upstream": instance_id}})
+        self._sharing.refresh()
+        for upstream in leaving:
+            self._empty(upstream)
+
+    def on_fleet(self, entries: list[list[object]]) -> None:
+        """Take over which entries there are."""
+        self._sharing.set_peers([str(address) for _, _, address in entries])
+        self._context.entry_count = max(self._context.entry_count, len(entries))
+
+    def _empty(self, upstream: upstream_book.Upstream) -> None:
+        fields = {
+            "upstream": upstream.instance.instance_id,
+            "requests_here": len(upstream.works),
+        }
+        logger.info("upstream leaves", extra={"fields": fields})
+        runs = [
+            item
+            for item in self._exchanges
+            if isinstance(item, stream_exchange.StreamExchange) and item.upstream is upstream
+        ]
+        runs.sort(key=lambda item: item.need_tokens, reverse=True)
+        for item in runs:
+            item.move_away()
+
+    def _get_ready(self) -> bool:
+        return self._is_ready and not self._is_stopping
+
+    def _check_ready(self) -> None:
+        if self._is_ready or self._matcher is None:
+            return
+        has_majority = self._feed.connected_count * 2 > self._feed.keeper_count
+        if has_majority or time.monotonic() - self._began_s > FIRST_TABLE_WAIT_S:
+            self._is_ready = True
+            fields = {"version": self._feed.version, "keepers": self._feed.connected_count}
+            logger.info("entry is ready", extra={"fields": fields})
+
+    def _take(self, caller: caller_front.Caller) -> None:
+        if self._dialect.is_ready_probe(caller.request):
+            caller.send_whole(200 if self._get_ready() else 503, [], b"")
+            return
+        read = self._dialect.read_request(caller.request)
+        if read.is_error():
+            self._refuse(caller, "", read.error)
+            return
+        matched = self._match(read.ok, caller)
+        if isinstance(matched, fault.Fault):
+            self._refuse(caller, read.ok.request_id, matched)
+            return
+        allowance = self._context.get_allowance(matched.service.name)
+        allowance.note_request(time.monotonic())
+        is_stream = matched.route.kind is route_table.RequestKind.STREAM
+        cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
+        item = cls(matched, caller, self._context, self._exchanges.discard)
+        self._exchanges.add(item)
+        item.start()
+
+    def _match(
+        self, head: dialects.RequestHead, caller: caller_front.Caller
+    ) -> exchange.Job | fault.Fault:
+        table = self._matcher
+        if table is None or not self._is_ready:
+            return fault.Fault(codes.ResultCode.NO_TABLE, "this entry has no table yet")
+        path = caller.request.target.partition("?")[0]
+        route = table.find_route(head.host, path)
+        if route is None:
+            return fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no route leads there")
+        workspace = table.get_owner(head.api_key) if head.api_key else None
+        if table.needs_key(route) and workspace is None:
+            code = codes.ResultCode.KEY_UNKNOWN if head.api_key else codes.ResultCode.KEY_MISSING
+            return fault.Fault(code, "the API key belongs to no workspace")
+        service = table.get_service(matcher.choose_service(route, self._context.chance))
+        assert service is not None
+        return exchange.Job(head, route, service, workspace, table.version)
+
+    def _refuse(self, caller: caller_front.Caller, request_id: str, item: fault.Fault) -> None:
+        status = refusals.send(
+            caller,
+            self._dialect,
+            item,
+            ran=codes.Ran.NO,
+            request_id=request_id,
+            retry_after_ms=exchange.RETRY_AFTER_MS,
+        )
+        fields = {
+            "request": request_id,
+            "code": int(item.code),
+            "reason": item.text,
+            "status": status,
+            "table_version": self._feed.version,
+        }
+        logger.info("refused", extra={"fields": fields})
+
+    def _refuse_bytes(self, caller: caller_front.Caller, item: fault.Fault) -> None:
+        self._refuse(caller, "", item)
+
+    def _begin_stop(self) -> None:
+        self._is_stopping = True
+        self._stop_s = time.monotonic()
+        fields = {"in_flight": len(self._exchanges)}
+        logger.info("entry stops", extra={"fields": fields})
+        self._front.close_after_answers()
+        self._loop.scheduler.call_later(STOP_LISTEN_S, self._front.close_when_idle)
+        self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        age_s = time.monotonic() - self._stop_s
+        is_due = age_s > self._config.stop_ms / 1000 - STOP_MARGIN_S
+        is_empty = age_s > STOP_LISTEN_S and not self._front.connection_count
+        if is_empty or is_due:
+            logger.info("entry ends", extra={"fields": {"cut": len(self._exchanges)}})
+            self._loop.finish()
+
+
+def run(
+    config: settings.GatewaySettings, make_dialect: Callable[[], dialects.EntryDialect]
+) -> None:
+    """Run an entry until it is told to stop.
+
+    :param config: its settings.
+    :param make_dialect: makes the adapter's part.
+    """
+    Gateway(config, make_dialect()).run()
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/refusals.py
@@ -0,0 +1,51 @@
+"""Answers that an entry itself gives to routed requests."""
+
+import json
+
+from spoolhead._internal.models import codes, dialects, fault
+from spoolhead._internal.network import caller_front
+
+_NOT_RUN_STATUS = 503
+_UNKNOWN_STATUS = 502
+_TIMEOUT_STATUS = 504
+_TIMEOUT_CODES = frozenset({codes.ResultCode.DEADLINE_DURING_RUN, codes.ResultCode.UPSTREAM_SILENT})
+
+
+def get_status(item: fault.Fault, ran: codes.Ran) -> int:
+    """Return the HTTP status of a refusal or failure.
+
+    A status that promises that nothing ran is given only where that is so.
+    """
+    status = int(codes.get_status(item.code))
+    if int(item.code) < int(codes.ResultCode.QUEUE_FULL):
+        return status
+    if ran is codes.Ran.NO:
+        return _NOT_RUN_STATUS
+    return _TIMEOUT_STATUS if item.code in _TIMEOUT_CODES else _UNKNOWN_STATUS
+
+
+def send(
+    caller: caller_front.Caller,
+    dialect: dialects.EntryDialect,
+    item: fault.Fault,
+    *,
+    ran: codes.Ran,
+    request_id: str,
+    retry_after_ms: int | None = None,
+) -> int:
+    """Give a request its final answer; a stream that has begun is cut off instead.
+
+    :returns: the HTTP status; 0 for a stream that was cut off.
+    """
+    if caller.is_started:
+        caller.abort()
+        return 0
+    status = get_status(item, ran)
+    error = {"message": item.text, "result_code": int(item.code), "ran": ran.value}
+    wait_ms = retry_after_ms if status == _NOT_RUN_STATUS else None
+    headers = [
+        ("Content-Type", "application/json"),
+        *dialect.write_refusal(request_id, wait_ms),
+    ]
+    caller.send_whole(status, headers, json.dumps({"error": error}).encode())
+    return status
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -0,0 +1,215 @@
+"""An entry's streams to the keepers: route table, instances and the fleet.
+
+The entry follows every keeper it hears of at once, so that one that is cut off or behind
+cannot hold it back: the newest version that any keeper names is fetched from that keeper.
+"""
+
+import logging
+import time
+from typing import Protocol
+
+from spoolhead._internal.discovery import list_reader
+from spoolhead._internal.models import dialects, instances, settings
+from spoolhead._internal.network import links, messages, peer_client, upstream_calls
+from spoolhead._internal.network import loop as loops
+
+logger = logging.getLogger(__name__)
+
+ROLE = "entry"
+TIMING = peer_client.PeerTiming(
+    connect_ms=700, first_retry_ms=50, longest_retry_ms=700, heartbeat_ms=500, silence_ms=1_600
+)
+"""A keeper sends something each quarter of a second; a cut must be noticed and its end found
+well within the time in which an accepted table has to be in force (two seconds)."""
+CHECK_S = 0.5
+"""Pause between looks at the age of the instance list; a quarter of its longest age."""
+FETCH_AGAIN_S = 0.5
+"""Time after which a table that was asked for and did not come is asked for again."""
+
+
+class FeedUser(Protocol):
+    """What the owner of a feed is told."""
+
+    def on_table(self, version: int, document: bytes) -> None:
+        """A newer committed route table is here."""
+
+    def on_instances(self, listed: list[instances.Instance]) -> None:
+        """A reading of the list of instances is here."""
+
+    def on_fleet(self, entries: list[list[object]]) -> None:
+        """The connected entries changed: name, hall and address of each."""
+
+
+class _Keeper:
+    """One keeper that is followed."""
+
+    def __init__(self, feed: "TableFeed", address: str) -> None:
+        self._feed = feed
+        self.address = address
+        self.version = 0
+        self.asked_s = 0.0
+        self.packed: list[list[object]] | None = None
+        self.fleet: list[str] = []
+        self.client = feed.make_client(address, self)
+
+    def on_peer_ready(self) -> None:
+        self._feed.on_keeper_ready(self)
+
+    def on_peer_message(self, message: messages.Message) -> None:
+        self._feed.on_keeper_message(self, message)
+
+    def on_peer_lost(self) -> None:
+        self._feed.on_keeper_lost(self)
+
+
+class TableFeed:
+    """Follows the keepers.
+
+    :param loop: root of the program.
+    :param outgoing: the program's outgoing connections.
+    :param calls: makes HTTP requests, for the list when no keeper brings it.
+    :param config: the entry's settings.
+    :param dialect: how the list is written.
+    :param user: gets what comes.
+    :ivar version: version of the table passed on.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        outgoing: links.Links,
+        calls: upstream_calls.UpstreamCalls,
+        config: settings.GatewaySettings,
+        dialect: dialects.TableDialect,
+        user: FeedUser,
+    ) -> None:
+        self.version = 0
+        self._loop = loop
+        self._outgoing = outgoing
+        self._config = config
+        self._user = user
+        self._keepers: dict[str, _Keeper] = {}
+        self._listed_s = time.monotonic()
+        self._reader_term = 0
+        self._reads_itself = False
+        self._reader = list_reader.ListReader(
+            loop, calls, config.instance_list, dialect, self._take_own_reading
+        )
+        self._follow()
+        loop.scheduler.call_every(CHECK_S, self._check)
+
+    @property
+    def connected_count(self) -> int:
+        """Keepers whose stream stands."""
+        return sum(keeper.client.is_ready for keeper in self._keepers.values())
+
+    @property
+    def keeper_count(self) -> int:
+        """Keepers heard of."""
+        return len(self._keepers)
+
+    def set_seeds(self, addresses: list[str]) -> None:
+        """Take over the keepers that changed settings name."""
+        self._config.keepers = addresses
+        self._follow()
+
+    def make_client(self, address: str, keeper: _Keeper) -> peer_client.PeerClient:
+        """Return a new stream to a keeper."""
+        return peer_client.PeerClient(
+            self._loop,
+            self._outgoing,
+            [address],
+            role=ROLE,
+            name=self._config.name,
+            shared_key=self._config.shared_key,
+            user=keeper,
+            timing=TIMING,
+        )
+
+    def on_keeper_ready(self, keeper: _Keeper) -> None:
+        """Subscribe at a keeper whose stream stands."""
+        logger.info("keeper is reachable", extra={"fields": {"address": keeper.address}})
+        address = f"{self._config.host}:{self._config.peer_port}"
+        keeper.client.send(messages.Subscribe(hall=self._config.hall, address=address))
+
+    def on_keeper_lost(self, keeper: _Keeper) -> None:
+        """Take note of a keeper that is lost."""
+        logger.warning("keeper is lost", extra={"fields": {"address": keeper.address}})
+        keeper.packed = None
+        keeper.asked_s = 0.0
+
+    def on_keeper_message(self, keeper: _Keeper, message: messages.Message) -> None:
+        """Take a keeper's message."""
+        match message:
+            case messages.RouteTableVersion():
+                keeper.version = message.version
+                self._fetch(keeper)
+            case messages.RouteTableDocument():
+                self._take_table(keeper, message)
+            case messages.InstanceList():
+                self._take_list(keeper, message)
+            case messages.Fleet():
+                keeper.fleet = message.keepers
+                self._follow()
+                self._user.on_fleet(message.entries)
+            case _:
+                logger.warning("unexpected %s of a keeper", type(message).__name__)
+
+    def _fetch(self, keeper: _Keeper) -> None:
+        now_s = time.monotonic()
+        if keeper.version <= self.version or now_s - keeper.asked_s < FETCH_AGAIN_S:
+            return
+        keeper.asked_s = now_s
+        keeper.client.send(messages.GetRouteTable())
+
+    def _take_table(self, keeper: _Keeper, message: messages.RouteTableDocument) -> None:
+        keeper.asked_s = 0.0
+        if message.version > self.version:
+            self.version = message.version
+            self._user.on_table(message.version, message.document)
+        self._fetch(keeper)
+
+    def _take_list(self, keeper: _Keeper, message: messages.InstanceList) -> None:
+        now_s = time.monotonic()
+        if not message.is_unchanged:
+            keeper.packed = message.instances
+        is_stale = now_s - self._listed_s > self._config.instance_list.fallback_ms / 1000
+        if keeper.packed is None or (message.reader_term < self._reader_term and not is_stale):
+            return
+        self._reader_term = message.reader_term
+        self._listed_s = now_s
+        if self._reads_itself:
+            self._reads_itself = False
+            logger.info("instance list comes from a keeper again")
+        try:
+            listed = instances.unpack(keeper.packed)
+        except ValueError as error:
+            logger.error("instance list of %s: %s", keeper.address, error)
+            return
+        self._user.on_instances(listed)
+
+    def _take_own_reading(self, listed: list[instances.Instance]) -> None:
+        self._user.on_instances(listed)
+
+    def _follow(self) -> None:
+        wanted = set(self._config.keepers)
+        for keeper in self._keepers.values():
+            wanted.update(keeper.fleet if keeper.client.is_ready else ())
+        for address in wanted - set(self._keepers):
+            self._keepers[address] = _Keeper(self, address)
+        for address in set(self._keepers) - wanted:
+            keeper = self._keepers.pop(address)
+            keeper.client.close()
+
+    def _check(self) -> None:
+        for keeper in list(self._keepers.values()):
+            if keeper.client.is_ready:
+                self._fetch(keeper)
+        age_s = time.monotonic() - self._listed_s
+        if age_s < self._config.instance_list.fallback_ms / 1000:
+            return
+        if not self._reads_itself:
+            self._reads_itself = True
+            fields = {"age_ms": int(age_s * 1000)}
+            logger.warning("instance list is read directly", extra={"fields": fields})
+        self._reader.read()
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -32,9 +32,11 @@
 
     :ivar format: ``json`` for a JSON object a line, ``text`` for people.
     :ivar level: lowest level written.
+    :ivar output: ``stderr`` or ``stdout``.
     """
 
     format: LogFormat = "json"
+    output: Annotated[str, pydantic.StringConstraints(pattern="^(stderr|stdout)$")] = "stderr"
     level: LogLevel = "INFO"
 
 
@@ -157,6 +159,94 @@
     statsd: StatsdSettings | None = None
 
 
+@pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
+class InstanceListSettings:
+    """Where the platform lists upstream instances.
+
+    :ivar address: ``IP:PORT`` of the list.
+    :ivar interval_ms: time between two readings by the one keeper that reads for all.
+    :ivar fallback_ms: age of the newest reading from which an entry reads for itself.
+    """
+
+    address: rows.Address
+    interval_ms: Positive = 250
+    fallback_ms: Positive = 2_000
+
+
+@pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
+class QuorumKeeperSettings:
+    """Settings of a keeper that agrees with others on the route table.
+
+    :ivar name: this keeper's name, unique in the fleet.
+    :ivar hall: hall it stands in.
+    :ivar host: IP number it listens on.
+    :ivar port: port for operators.
+    :ivar peer_port: port for keepers and entries, the same at every keeper.
+    :ivar keepers: ``IP:PORT`` of some keepers' peer ports, this one's perhaps among them.
+    :ivar data_dir: folder for the log; lives on a disk.
+    :ivar is_first_start: the whole system starts for the first time, and the keepers named are
+        its first members.
+    :ivar shared_key: secret that the fleet's processes share.
+    :ivar instance_list: where upstream instances are listed.
+    :ivar answer_ms: longest wait for the other keepers before an operator is told that nothing
+        is sure.
+    """
+
+    name: str
+    hall: str
+    host: IpNumber
+    port: Port
+    peer_port: Port
+    keepers: Annotated[list[rows.Address], pydantic.Field(min_length=1)]
+    data_dir: str
+    is_first_start: bool
+    shared_key: SharedKey
+    instance_list: InstanceListSettings
+    answer_ms: Positive = 2_500
+    callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
+    upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
+    log: LogSettings = pydantic.Field(default_factory=LogSettings)
+
+
+@pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
+class GatewaySettings:
+    """Settings of an entry that routes by host and path.
+
+    :ivar name: this entry's name, unique in the fleet.
+    :ivar hall: hall it stands in.
+    :ivar host: IP number it listens on.
+    :ivar port: port for callers.
+    :ivar ready_host: IP number for the balancer's readiness probe.
+    :ivar ready_port: port for that probe.
+    :ivar peer_port: UDP port for other entries' loads.
+    :ivar keepers: ``IP:PORT`` of some keepers' peer ports.
+    :ivar shared_key: secret that the fleet's processes share.
+    :ivar instance_list: where upstream instances are listed.
+    :ivar stop_ms: time that a planned stop may take; what still runs then is cut.
+    :ivar retry_ratio: second attempts allowed for each request, over all entries.
+    :ivar retry_slack: second attempts allowed besides, over all entries and one window.
+    :ivar retry_window_ms: length of the window.
+    """
+
+    name: str
+    hall: str
+    host: IpNumber
+    port: Port
+    ready_host: IpNumber
+    ready_port: Port
+    peer_port: Port
+    keepers: Annotated[list[rows.Address], pydantic.Field(min_length=1)]
+    shared_key: SharedKey
+    instance_list: InstanceListSettings
+    stop_ms: Positive = 8_000
+    retry_ratio: float = 0.2
+    retry_slack: int = 0
+    retry_window_ms: Positive = 10_000
+    callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
+    upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
+    log: LogSettings = pydantic.Field(default_factory=LogSettings)
+
+
 @pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
 class OperatorSettings:
     """Settings of ``spoolhead``, the operators' command line.
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -143,7 +143,7 @@
         response.headers.pop("X-Powered-By", None)
         for name, value in headers:
             response.headers[name] = value
-        if not self._connection.may_keep_alive(self.request):
+        if self._front.is_ending or not self._connection.may_keep_alive(self.request):
             response.close = True
             response.headers["Connection"] = "close"
         elif self.request.http_version == "1.0":
@@ -221,6 +221,7 @@
         self._take = take
         self._refuse = refuse
         self._connections: dict[socket.socket, _Connection] = {}
+        self._is_ending = False
         self._server = direct_server.DirectServer(
             (config.host, config.port), channel="callers", kernel_bytes=KERNEL_BYTES
         ).register(self)
@@ -245,11 +246,20 @@
         """``IP:PORT`` that it listens on."""
         return f"{self._server.host}:{self._server.port}"
 
+    @property
+    def is_ending(self) -> bool:
+        """Whether each connection ends after its next answer."""
+        return self._is_ending
+
     @property
     def connection_count(self) -> int:
         """Open connections."""
         return len(self._connections)
 
+    def close_after_answers(self) -> None:
+        """End each connection after its next answer; new ones are still taken."""
+        self._is_ending = True
+
     def close_when_idle(self) -> None:
         """Take no further connections, and end each open one after its present request."""
         self._server.stop_listening()
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -21,6 +21,8 @@
 logger = logging.getLogger(__name__)
 
 READ_BYTES = 65_536
+CLOSED_CLEANLY = "closed by the other side"
+"""Reason of a loss that is an orderly end and not a reset."""
 _TRY_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 
 
@@ -191,7 +193,7 @@
         if data:
             link.user.on_data(data)
         else:
-            self.lose(link, "closed by the other side")
+            self.lose(link, CLOSED_CLEANLY)
 
     @circuits.handler("_write")
     def _on_write(self, sock: socket.socket) -> None:
@@ -209,7 +211,7 @@
         if link is None:
             return
         number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        self.lose(link, os.strerror(number) if number else "closed by the other side")
+        self.lose(link, os.strerror(number) if number else CLOSED_CLEANLY)
 
     def _finish_connecting(self, link: Link) -> None:
         number = link.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -12,11 +12,42 @@
 
 logger = logging.getLogger(__name__)
 
-CONNECT_MS = 1_000
-FIRST_RETRY_S = 0.1
-LONGEST_RETRY_S = 2.0
-HEARTBEAT_INTERVAL_S = 1.0
-SILENCE_LIMIT_S = 5.0
+
+class PeerTiming:
+    """Times of a stream.
+
+    :ivar connect_ms: time for a connection to be made.
+    :ivar first_retry_ms: pause before the first new try; it doubles with each.
+    :ivar longest_retry_ms: longest such pause.
+    :ivar heartbeat_ms: time between two heartbeats.
+    :ivar silence_ms: silence after which a stream counts as dead; a few heartbeats.
+    """
+
+    __slots__ = (
+        "connect_ms",
+        "first_retry_ms",
+        "heartbeat_ms",
+        "longest_retry_ms",
+        "silence_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        connect_ms: int = 1_000,
+        first_retry_ms: int = 100,
+        longest_retry_ms: int = 2_000,
+        heartbeat_ms: int = 1_000,
+        silence_ms: int = 5_000,
+    ) -> None:
+        self.connect_ms = connect_ms
+        self.first_retry_ms = first_retry_ms
+        self.longest_retry_ms = longest_retry_ms
+        self.heartbeat_ms = heartbeat_ms
+        self.silence_ms = silence_ms
+
+
+DEFAULT_TIMING = PeerTiming()
 
 
 class PeerClientUser(Protocol):
@@ -45,6 +76,7 @@
     :param name: this process's name.
     :param shared_key: secret that the fleet's processes share.
     :param user: is told what happens.
+    :param timing: times of the stream.
     """
 
     def __init__(
@@ -57,7 +89,9 @@
         name: str,
         shared_key: str,
         user: PeerClientUser,
+        timing: PeerTiming = DEFAULT_TIMING,
     ) -> None:
+        self._timing = timing
         self._scheduler = loop.scheduler
         self._outgoing = outgoing
         self._addresses = list(addresses)
@@ -67,14 +101,14 @@
         self._user = user
         self._random = random.Random()
         self._next = self._random.randrange(len(self._addresses))
-        self._retry_s = FIRST_RETRY_S
+        self._retry_s = timing.first_retry_ms / 1000
         self._link: links.Link | None = None
         self._reader = messages.MessageReader()
         self._nonce = b""
         self._heard_s = time.monotonic()
         self.is_ready = False
         self._is_closed = False
-        self._beats = self._scheduler.call_every(HEARTBEAT_INTERVAL_S, self._keep_alive)
+        self._beats = self._scheduler.call_every(timing.heartbeat_ms / 1000, self._keep_alive)
         self._connect()
 
     @property
@@ -132,7 +166,7 @@
         self._link = None
         self._next += 1
         delay_s = self._retry_s * self._random.uniform(0.5, 1.0)
-        self._retry_s = min(self._retry_s * 2, LONGEST_RETRY_S)
+        self._retry_s = min(self._retry_s * 2, self._timing.longest_retry_ms / 1000)
         self._scheduler.call_later(delay_s, self._connect)
         if was_ready:
             self._user.on_peer_lost()
@@ -143,7 +177,7 @@
         self._reader = messages.MessageReader()
         address = self._addresses[self._next % len(self._addresses)]
         self._heard_s = time.monotonic()
-        self._link = self._outgoing.open(address, self, connect_ms=CONNECT_MS)
+        self._link = self._outgoing.open(address, self, connect_ms=self._timing.connect_ms)
 
     def _take(self, message: messages.Message) -> None:
         if self.is_ready:
@@ -170,13 +204,13 @@
         if not handshake.check_welcome(self._shared_key, self._nonce, welcome):
             raise messages.MessageError("a welcome without the shared key")
         self.is_ready = True
-        self._retry_s = FIRST_RETRY_S
+        self._retry_s = self._timing.first_retry_ms / 1000
         self._user.on_peer_ready()
 
     def _keep_alive(self) -> None:
         if self._link is None or not self._link.is_connected:
             return
-        if time.monotonic() - self._heard_s > SILENCE_LIMIT_S:
+        if time.monotonic() - self._heard_s > self._timing.silence_ms / 1000:
             self.reconnect("silent for too long")
         else:
             self.send(messages.Heartbeat())
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -40,14 +40,14 @@
         """The call ended before its answer was whole; nothing follows."""
 
 
-def make_request(method: str, target: str, address: str, headers: Headers, body: bytes) -> bytes:
+def make_request(method: str, target: str, host: str, headers: Headers, body: bytes) -> bytes:
     """Return the bytes of a request.
 
     :param target: path and query.
-    :param address: ``IP:PORT``, for the Host header.
+    :param host: value of the Host header.
     :param headers: headers besides Host, length and connection.
     """
-    lines = [f"{method} {target} HTTP/1.1", f"host: {address}"]
+    lines = [f"{method} {target} HTTP/1.1", f"host: {host}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
     if body or method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
         lines.append(f"content-length: {len(body)}")
@@ -89,6 +89,11 @@
         """
         return self._link is not None and self._link.sent_bytes > self._bytes_before
 
+    @property
+    def ended_whole(self) -> bool:
+        """Whether the answer ended where its framing said, and not with the connection."""
+        return self._ended
+
     def begin(self, link: links.Link) -> None:
         """Send the request on a link that is connected or connecting."""
         self._link = link
@@ -123,7 +128,7 @@
         if self.is_over:
             return
         self.is_over = True
-        if self._until_close:
+        if self._until_close and reason == links.CLOSED_CLEANLY:
             self._user.on_answer_end()
         else:
             self._user.on_call_lost(reason)
--- /dev/null
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -0,0 +1,142 @@
+"""What an entry knows of the instances of each service; no I/O, time passed in."""
+
+from collections.abc import Iterable
+
+from spoolhead._internal.models import dialects, instances
+
+FAILURES_TO_EJECT = 3
+"""Attempts in a row that must fail without an answer before an instance rests; one or two
+happen on a good one."""
+FIRST_REST_S = 0.5
+LONGEST_REST_S = 4.0
+"""Rests grow from one to the other: the first outlasts a burst of resets, the last is about as
+long as the platform lists an instance that is gone."""
+LOAD_FRESH_S = 1.0
+"""Age up to which a load told by an instance counts; it changes within a second or so."""
+
+
+class Work:
+    """A request at an instance.
+
+    :ivar request_id: its id.
+    :ivar tokens: memory that it holds or will hold, in tokens; 0 for a plain request.
+    """
+
+    __slots__ = ("request_id", "tokens")
+
+    def __init__(self, request_id: str, tokens: int) -> None:
+        self.request_id = request_id
+        self.tokens = tokens
+
+
+class Upstream:
+    """One instance.
+
+    :ivar instance: as listed.
+    :ivar works: this entry's requests there.
+    :ivar others_tokens: memory that other entries' requests hold there, in tokens.
+    :ivar others_count: other entries' requests there.
+    :ivar is_leaving: it takes no new work.
+    """
+
+    __slots__ = (
+        "_failures",
+        "_load",
+        "_load_s",
+        "_rest_s",
+        "_rest_until_s",
+        "instance",
+        "is_leaving",
+        "others_count",
+        "others_tokens",
+        "works",
+    )
+
+    def __init__(self, instance: instances.Instance) -> None:
+        self.instance = instance
+        self.works: dict[str, Work] = {}
+        self.others_tokens = 0
+        self.others_count = 0
+        self.is_leaving = instance.is_leaving
+        self._load: dialects.UpstreamLoad | None = None
+        self._load_s = 0.0
+        self._failures = 0
+        self._rest_s = FIRST_REST_S
+        self._rest_until_s = 0.0
+
+    @property
+    def tokens(self) -> int:
+        """Memory that all known requests hold or will hold, in tokens."""
+        return self.others_tokens + sum(work.tokens for work in self.works.values())
+
+    @property
+    def count(self) -> int:
+        """Known requests of all entries."""
+        return self.others_count + len(self.works)
+
+    def is_usable(self, now_s: float) -> bool:
+        """Tell whether new work may go there."""
+        return not self.is_leaving and now_s >= self._rest_until_s
+
+    def note_load(self, load: dialects.UpstreamLoad | None, now_s: float) -> None:
+        """Take the load that an answer told."""
+        if load is not None:
+            self._load = load
+            self._load_s = now_s
+
+    def get_told_count(self, now_s: float) -> int:
+        """Return the requests there by its own word, or 0 if that word is old."""
+        if self._load is None or now_s - self._load_s > LOAD_FRESH_S:
+            return 0
+        return self._load.running + self._load.waiting
+
+    def note_answer(self) -> None:
+        """Take note that it answers."""
+        self._failures = 0
+        self._rest_s = FIRST_REST_S
+
+    def note_failure(self, now_s: float) -> bool:
+        """Take note of an attempt without an answer; True if it rests from now on."""
+        self._failures += 1
+        if self._failures < FAILURES_TO_EJECT:
+            return False
+        self._rest_until_s = now_s + self._rest_s
+        self._rest_s = min(self._rest_s * 2, LONGEST_REST_S)
+        return True
+
+
+class UpstreamBook:
+    """All listed instances."""
+
+    def __init__(self) -> None:
+        self._upstreams: dict[str, Upstream] = {}
+
+    def get(self, instance_id: str) -> Upstream | None:
+        """Return an instance, or None if it is not listed."""
+        return self._upstreams.get(instance_id)
+
+    def get_service(self, service: str) -> list[Upstream]:
+        """Return the instances of a service."""
+        return [item for item in self._upstreams.values() if item.instance.service == service]
+
+    def get_all(self) -> list[Upstream]:
+        """Return all instances."""
+        return list(self._upstreams.values())
+
+    def take_list(self, listed: Iterable[instances.Instance]) -> list[Upstream]:
+        """Take over a reading of the platform's list.
+
+        :returns: instances that began to leave or are gone with work on them.
+        """
+        before = self._upstreams
+        self._upstreams = {}
+        leaving: list[Upstream] = []
+        for instance in listed:
+            upstream = before.pop(instance.instance_id, None) or Upstream(instance)
+            upstream.instance = instance
+            if instance.is_leaving and not upstream.is_leaving:
+                upstream.is_leaving = True
+                leaving.append(upstream)
+            self._upstreams[instance.instance_id] = upstream
+        leaving.extend(upstream for upstream in before.values() if upstream.works)
+        return leaving
--- /dev/null
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -0,0 +1,89 @@
+"""Which instance a request goes to; no I/O, time passed in."""
+
+import random
+from collections.abc import Collection, Sequence
+
+from spoolhead._internal.models import route_table
+from spoolhead._internal.policy import upstream_book
+
+OTHER_HALL_COST = 0.1
+"""What another hall counts against an instance, as a share of its capacity: a tenth more work
+beside costs a request about as much as the way between halls and the bytes on it."""
+SLOW_START_COST = 0.5
+"""What a start that is not over counts against an instance, as a share of its capacity."""
+
+
+class Candidate:
+    """An instance and why it was or was not chosen.
+
+    :ivar upstream: the instance.
+    :ivar cost: what counts against it; the least is chosen.
+    """
+
+    __slots__ = ("cost", "upstream")
+
+    def __init__(self, upstream: upstream_book.Upstream, cost: float) -> None:
+        self.upstream = upstream
+        self.cost = cost
+
+
+class Choice:
+    """Outcome of a choice.
+
+    :ivar upstream: the chosen instance, or None.
+    :ivar candidates: what it was chosen from.
+    """
+
+    __slots__ = ("candidates", "upstream")
+
+    def __init__(self, candidates: Sequence[Candidate]) -> None:
+        self.candidates = candidates
+        self.upstream = candidates[0].upstream if candidates else None
+
+
+def choose(
+    service: route_table.Service,
+    upstreams: Sequence[upstream_book.Upstream],
+    *,
+    hall: str,
+    need_tokens: int,
+    excluded: Collection[str],
+    now_s: float,
+    chance: random.Random,
+) -> Choice:
+    """Choose an instance.
+
+    :param service: the request's service.
+    :param upstreams: its instances.
+    :param hall: hall of the entry.
+    :param need_tokens: memory that the request will hold at a model engine.
+    :param excluded: ids of instances that it must not go to.
+    """
+    candidates = [
+        Candidate(upstream, _get_cost(service, upstream, hall, need_tokens, now_s))
+        for upstream in upstreams
+        if upstream.is_usable(now_s) and upstream.instance.instance_id not in excluded
+    ]
+    chance.shuffle(candidates)
+    candidates.sort(key=lambda candidate: candidate.cost)
+    return Choice(candidates)
+
+
+def _get_cost(
+    service: route_table.Service,
+    upstream: upstream_book.Upstream,
+    hall: str,
+    need_tokens: int,
+    now_s: float,
+) -> float:
+    instance = upstream.instance
+    if service.engine is not None:
+        cost = (upstream.tokens + need_tokens) / service.engine.memory_tokens
+    else:
+        known = max(upstream.count, upstream.get_told_count(now_s))
+        cost = known / max(1, instance.slots)
+    if instance.hall != hall:
+        cost += OTHER_HALL_COST
+    if instance.slow_ms > 0:
+        cost += SLOW_START_COST
+    return cost
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/__init__.py
@@ -0,0 +1,1 @@
+"""Keepers that agree on the route table."""
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -0,0 +1,89 @@
+"""What a keeper tells the entries: the table's version, the instances, the fleet."""
+
+import logging
+from collections.abc import Callable
+
+from spoolhead._internal.models import instances
+from spoolhead._internal.network import messages, peer_server
+
+logger = logging.getLogger(__name__)
+
+
+class Feed:
+    """The entries that follow a keeper.
+
+    :param get_keepers: returns the address of each keeper.
+    :param get_table: returns the committed table.
+    """
+
+    def __init__(
+        self,
+        get_keepers: Callable[[], list[str]],
+        get_table: Callable[[], messages.RouteTableDocument],
+    ) -> None:
+        self._get_keepers = get_keepers
+        self._get_table = get_table
+        self._followers: dict[peer_server.PeerSession, messages.Subscribe] = {}
+        self._sequence = 0
+        self._reader_term = 0
+        self._packed: list[list[object]] = []
+        self._keepers: list[str] = []
+
+    def add(self, session: peer_server.PeerSession, subscription: messages.Subscribe) -> None:
+        """Take a follower and tell it what is known."""
+        self._followers[session] = subscription
+        fields = {"entry": session.name, "hall": subscription.hall}
+        logger.info("entry follows", extra={"fields": fields})
+        session.send(self._make_version())
+        if self._packed:
+            session.send(self._make_list(is_unchanged=False))
+        self._tell_fleet()
+
+    def remove(self, session: peer_server.PeerSession) -> None:
+        """Forget a follower."""
+        if self._followers.pop(session, None) is not None:
+            logger.info("entry left", extra={"fields": {"entry": session.name}})
+            self._tell_fleet()
+
+    def send_table(self, session: peer_server.PeerSession) -> None:
+        """Send the committed table to a follower."""
+        session.send(self._get_table())
+
+    def announce_version(self) -> None:
+        """Tell all followers of a new version."""
+        self._send_all(self._make_version())
+        if self._keepers != self._get_keepers():
+            self._tell_fleet()
+
+    def publish_instances(self, term: int, listed: list[instances.Instance]) -> None:
+        """Tell all followers of a reading of the list of instances."""
+        packed = instances.pack(listed)
+        is_unchanged = packed == self._packed and term == self._reader_term
+        self._packed = packed
+        self._reader_term = term
+        self._sequence += 1
+        self._send_all(self._make_list(is_unchanged=is_unchanged))
+
+    def _make_version(self) -> messages.RouteTableVersion:
+        return messages.RouteTableVersion(version=self._get_table().version)
+
+    def _make_list(self, *, is_unchanged: bool) -> messages.InstanceList:
+        return messages.InstanceList(
+            reader_term=self._reader_term,
+            sequence=self._sequence,
+            instances=[] if is_unchanged else self._packed,
+            is_unchanged=is_unchanged,
+        )
+
+    def _tell_fleet(self) -> None:
+        self._keepers = self._get_keepers()
+        entries = [
+            [session.name, subscription.hall, subscription.address]
+            for session, subscription in self._followers.items()
+        ]
+        self._send_all(messages.Fleet(keepers=self._keepers, entries=entries))
+
+    def _send_all(self, message: messages.Message) -> None:
+        data = messages.encode(message)
+        for session in list(self._followers):
+            session.send_encoded(data)
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -0,0 +1,218 @@
+"""The keeper program that agrees with others on the route table."""
+
+import logging
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.discovery import list_reader
+from spoolhead._internal.entry import answers
+from spoolhead._internal.models import codes, dialects, fault, instances, settings
+from spoolhead._internal.network import (
+    caller_front,
+    links,
+    loop,
+    messages,
+    peer_server,
+    upstream_calls,
+)
+from spoolhead._internal.quorum import feed, member, mesh, questions
+from spoolhead._internal.routing import table_checks
+from spoolhead.coordination import consensus_messages
+
+logger = logging.getLogger(__name__)
+
+RETRY_AFTER_MS = 500
+"""When an operator should come back to a keeper that is not sure: about an election."""
+STOP_CHECK_S = 0.05
+"""Pause between looks at whether the last operator has been answered."""
+
+
+class Keeper:
+    """One keeper's program.
+
+    :param config: its settings.
+    :param dialect: how operators and the instance list are read.
+    :raises exceptions.DiskError: if its data folder cannot be used.
+    """
+
+    def __init__(
+        self, config: settings.QuorumKeeperSettings, dialect: dialects.OperatorDialect
+    ) -> None:
+        self._config = config
+        self._dialect = dialect
+        self._loop = loop.Loop(self._begin_stop)
+        outgoing = links.Links(self._loop, channel="links").register(self._loop)
+        calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        address = f"{config.host}:{config.peer_port}"
+        self._mesh = mesh.Mesh(
+            self._loop,
+            outgoing,
+            name=config.name,
+            shared_key=config.shared_key,
+            take=self._take_answer,
+            note=_note_stream,
+        )
+        self._feed = feed.Feed(self._get_keepers, self._get_table)
+        self._member = member.Member(self._loop, config, address, self._mesh, self._on_table_change)
+        self._questions = questions.Questions(
+            self._loop.scheduler, self._mesh, self._member, config
+        )
+        self._reader = list_reader.ListReader(
+            self._loop, calls, config.instance_list, dialect, self._take_instances
+        )
+        self._peers = peer_server.PeerServer(
+            self._loop,
+            (config.host, config.peer_port),
+            name=config.name,
+            shared_key=config.shared_key,
+            service=self,
+        ).register(self._loop)
+        self._front = caller_front.CallerFront(
+            self._loop, config, take=self._take, refuse=self._refuse
+        ).register(self._loop)
+        interval_s = config.instance_list.interval_ms / 1000
+        self._loop.scheduler.call_every(interval_s, self._read_instances)
+
+    def run(self) -> None:
+        """Serve until told to stop."""
+        fields = {"operators": self._front.address, "hall": self._config.hall}
+        logger.info("keeper %s serves", self._config.name, extra={"fields": fields})
+        self._loop.run()
+
+    def on_opened(self, session: peer_server.PeerSession) -> None:
+        """Wait for what the peer asks."""
+
+    def on_closed(self, session: peer_server.PeerSession) -> None:
+        """Forget a follower that is gone."""
+        self._feed.remove(session)
+
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
+        """Take a message of an entry or of another keeper."""
+        match message:
+            case messages.Subscribe():
+                self._feed.add(session, message)
+            case messages.GetRouteTable():
+                self._feed.send_table(session)
+            case messages.ForwardTable():
+                self._questions.answer_forwarded(session, message)
+            case messages.ConfirmRead():
+                self._questions.answer_confirmation(session, message)
+            case _ if isinstance(message, tuple(consensus_messages.CLASSES.values())):
+                self._member.receive(message)
+            case _:
+                logger.warning("unexpected %s of %s", type(message).__name__, session.name)
+
+    def _take(self, caller: caller_front.Caller) -> None:
+        order = self._dialect.read_order(caller.request)
+        if order.is_error():
+            self._refuse(caller, order.error)
+        elif isinstance(order.ok, dialects.PutTable):
+            self._put_table(caller, order.ok.document)
+        else:
+            self._read_table(caller)
+
+    def _put_table(self, caller: caller_front.Caller, document: bytes) -> None:
+        decoded = self._dialect.decode_table(document)
+        faults = decoded.error if decoded.is_error() else table_checks.check(decoded.ok)
+        if faults:
+            fields = {"faults": [str(item) for item in faults], "bytes": len(document)}
+            logger.info("table refused", extra={"fields": fields})
+            self._refuse(caller, faults[0])
+            return
+        version = decoded.ok.version
+        began_s = time.monotonic()
+
+        def _answer(is_sure: bool) -> None:
+            fields = {
+                "version": version,
+                "held_version": self._member.register.version,
+                "acknowledged": is_sure,
+                "took_ms": int((time.monotonic() - began_s) * 1000),
+            }
+            logger.info("table order answered", extra={"fields": fields})
+            if is_sure:
+                answers.send_json(caller, 200, {"version": version})
+            else:
+                self._send_unsure(caller)
+
+        self._questions.put(version, document, _answer)
+
+    def _read_table(self, caller: caller_front.Caller) -> None:
+        def _answer(is_sure: bool) -> None:
+            register = self._member.register
+            fields = {"version": register.version, "sure": is_sure}
+            logger.info("table read", extra={"fields": fields})
+            if not is_sure:
+                self._send_unsure(caller)
+            elif not register.version:
+                item = fault.Fault(codes.ResultCode.NO_TABLE, "there is no table yet")
+                self._refuse(caller, item)
+            else:
+                headers = [("Content-Type", "application/json")]
+                caller.send_whole(200, headers, register.document)
+
+        self._questions.confirm(_answer)
+
+    def _send_unsure(self, caller: caller_front.Caller) -> None:
+        text = "no majority of keepers confirmed this in time"
+        item = fault.Fault(codes.ResultCode.EDIT_OUTCOME_UNKNOWN, text)
+        answers.send_error(
+            caller,
+            item,
+            ran=codes.Ran.UNKNOWN,
+            request_id="",
+            retry_after_ms=RETRY_AFTER_MS,
+        )
+
+    def _refuse(self, caller: caller_front.Caller, item: fault.Fault) -> None:
+        answers.send_error(caller, item, ran=codes.Ran.NO, request_id="")
+
+    def _on_table_change(self) -> None:
+        self._feed.announce_version()
+        self._questions.on_table_change()
+
+    def _get_keepers(self) -> list[str]:
+        return self._member.member_addresses
+
+    def _get_table(self) -> messages.RouteTableDocument:
+        register = self._member.register
+        return messages.RouteTableDocument(version=register.version, document=register.document)
+
+    def _take_answer(self, message: messages.Message) -> None:
+        if isinstance(message, messages.KeeperAnswer):
+            self._questions.take_answer(message)
+        else:
+            logger.warning("unexpected %s of a keeper", type(message).__name__)
+
+    def _read_instances(self) -> None:
+        if self._member.is_leader:
+            self._reader.read()
+
+    def _take_instances(self, listed: list[instances.Instance]) -> None:
+        self._feed.publish_instances(self._member.term, listed)
+
+    def _begin_stop(self) -> None:
+        logger.info("keeper %s stops", self._config.name)
+        self._front.close_when_idle()
+        self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
+
+    def _finish_stop(self) -> None:
+        if not self._questions.open_count:
+            self._loop.finish()
+
+
+def _note_stream(address: str, is_up: bool) -> None:
+    text = "keeper is reachable" if is_up else "keeper is lost"
+    logger.info(text, extra={"fields": {"address": address}})
+
+
+def run(
+    config: settings.QuorumKeeperSettings, make_dialect: Callable[[], dialects.OperatorDialect]
+) -> None:
+    """Run a keeper until it is told to stop.
+
+    :param config: its settings.
+    :param make_dialect: makes the adapter's part.
+    :raises exceptions.SpoolheadError: if it cannot start.
+    """
+    Keeper(config, make_dialect()).run()
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -0,0 +1,208 @@
+"""One keeper as a member of the group: agreement, disk and streams put together."""
+
+import logging
+import pathlib
+import random
+import secrets
+import socket
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.quorum import mesh, storage, table_register
+from spoolhead.coordination import consensus, replicated_log
+from spoolhead.coordination import consensus_messages as messages
+
+logger = logging.getLogger(__name__)
+
+TICK_S = 0.02
+"""A fifth of the heartbeat interval, so that elections are not late by much."""
+ASK_TO_JOIN_S = 0.5
+"""Pause between requests to join; a third of the time for which one counts."""
+FIRST_MARK = "first"
+"""Mark of the ids of the first start, which each keeper can tell from the seeds alone."""
+MARK_BYTES = 4
+
+
+class Member:
+    """A keeper's part in the agreement.
+
+    :param loop: root of the program.
+    :param config: the keeper's settings.
+    :param address: ``IP:PORT`` where other keepers reach this one.
+    :param peers: streams to other keepers.
+    :param on_change: called after a new table was committed.
+    :raises exceptions.DiskError: if the data folder cannot be used.
+    :ivar register: the committed table.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        config: settings.QuorumKeeperSettings,
+        address: str,
+        peers: mesh.Mesh,
+        on_change: Callable[[], None],
+    ) -> None:
+        self.register = table_register.TableRegister()
+        self._config = config
+        self._peers = peers
+        self._on_change = on_change
+        self._seen_version = 0
+        self._leader = ""
+        self._members: tuple[str, ...] = ()
+        self._asked_s = 0.0
+        self._held: list[consensus.Envelope] = []
+        self._synced = 0
+        log = self._begin(address, pathlib.Path(config.data_dir))
+        self._log = log
+        self._consensus = consensus.Consensus(
+            self.member_id,
+            log,
+            self.register,
+            consensus.Timing(),
+            random.Random(),
+            time.monotonic(),
+        )
+        self._wake_read, self._wake_write = socket.socketpair()
+        self._wake_read.setblocking(False)
+        self._wake_write.setblocking(False)
+        loop.poller.add_direct_reader(loop, self._wake_read, self._on_wake)
+        loop.scheduler.call_every(TICK_S, self._tick)
+        self._note_changes()
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this keeper leads, as far as it knows."""
+        return self._consensus.is_leader
+
+    @property
+    def term(self) -> int:
+        """Latest term of the agreement."""
+        return self._consensus.term
+
+    @property
+    def leader_address(self) -> str:
+        """``IP:PORT`` of the leading keeper; empty for none."""
+        return messages.get_address(self._consensus.leader)
+
+    @property
+    def member_addresses(self) -> list[str]:
+        """``IP:PORT`` of each member."""
+        return [messages.get_address(member) for member in self._consensus.members]
+
+    def propose(self, version: int, document: bytes) -> bool:
+        """Propose a table; False if this keeper does not lead."""
+        change = table_register.pack_change(version, document)
+        taken = self._consensus.propose(change, time.monotonic())
+        self._carry_out()
+        return taken
+
+    def begin_read(self) -> int | None:
+        """Begin to confirm that this keeper leads; see :meth:`is_confirmed`."""
+        number = self._consensus.begin_read(time.monotonic())
+        self._carry_out()
+        return number
+
+    def is_confirmed(self, round_number: int) -> bool:
+        """Tell whether this keeper still led after a confirmation was begun."""
+        return self._consensus.is_confirmed(round_number)
+
+    def receive(self, message: messages.Message) -> None:
+        """Take a message of another keeper."""
+        self._consensus.receive(message, time.monotonic())
+        self._carry_out()
+
+    def _begin(self, address: str, folder: pathlib.Path) -> replicated_log.ReplicatedLog:
+        saved = storage.read(folder)
+        seeds = [messages.make_member_id(seed, FIRST_MARK) for seed in self._config.keepers]
+        mark = FIRST_MARK if self._config.is_first_start else secrets.token_hex(MARK_BYTES)
+        self.member_id = saved.member_id or messages.make_member_id(address, mark)
+        founders = seeds if self.member_id in seeds and self._config.is_first_start else []
+        log = replicated_log.ReplicatedLog(
+            replicated_log.Snapshot(0, 0, founders, len(founders), b"")
+        )
+        for record in saved.records:
+            log.restore(record)
+        fields = {
+            "member": self.member_id,
+            "had_memory": bool(saved.member_id),
+            "term": log.vote.term,
+            "last_index": log.last_index,
+            "members": list(log.membership.members),
+        }
+        logger.info("log read", extra={"fields": fields})
+        self._storage = storage.Storage(
+            folder, self.member_id, log.get_records(), self._wake_from_thread
+        )
+        return log
+
+    def _wake_from_thread(self, number: int) -> None:
+        self._synced = number
+        try:
+            self._wake_write.send(b"\0")
+        except BlockingIOError:
+            # The loop has so many wake-ups before it that it will see the number anyway.
+            return
+
+    def _on_wake(self, sock: socket.socket) -> None:
+        sock.recv(4_096)
+        self._consensus.note_synced(self._synced, time.monotonic())
+        self._carry_out()
+
+    def _tick(self) -> None:
+        now_s = time.monotonic()
+        self._consensus.tick(now_s)
+        if not self._consensus.leader or not self._consensus.is_member:
+            self._ask_to_join(now_s)
+        self._carry_out()
+
+    def _ask_to_join(self, now_s: float) -> None:
+        if now_s - self._asked_s < ASK_TO_JOIN_S:
+            return
+        self._asked_s = now_s
+        request = messages.JoinRequest(
+            member=self.member_id, is_first_start=self._config.is_first_start
+        )
+        own = messages.get_address(self.member_id)
+        for address in {*self._config.keepers, *self.member_addresses} - {own}:
+            self._peers.send(address, request)
+
+    def _carry_out(self) -> None:
+        while True:
+            effects = self._consensus.take_effects()
+            if not effects.records and not effects.envelopes:
+                break
+            if effects.records:
+                self._storage.write(effects.records)
+            self._held.extend(effects.envelopes)
+            if self._storage.needs_rewrite:
+                self._storage.rewrite(self._log.get_records())
+        self._send_held()
+        self._note_changes()
+
+    def _send_held(self) -> None:
+        if not self._held:
+            return
+        held, self._held = self._held, []
+        for envelope in held:
+            if envelope.after_record > self._synced:
+                self._held.append(envelope)
+            else:
+                self._peers.send(envelope.address, envelope.message)
+
+    def _note_changes(self) -> None:
+        if self._leader != self._consensus.leader:
+            self._leader = self._consensus.leader
+            fields = {"leader": self._leader, "term": self.term}
+            logger.info("leader changed", extra={"fields": fields})
+        if self._members != tuple(self._consensus.members):
+            self._members = tuple(self._consensus.members)
+            fields = {"members": list(self._members), "term": self.term}
+            logger.info("members changed", extra={"fields": fields})
+        if self._seen_version != self.register.version:
+            self._seen_version = self.register.version
+            fields = {"version": self._seen_version, "term": self.term}
+            logger.info("table committed", extra={"fields": fields})
+            self._on_change()
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/mesh.py
@@ -0,0 +1,110 @@
+"""Streams from one keeper to the others, opened when first needed."""
+
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.network import links, messages, peer_client
+from spoolhead._internal.network import loop as loops
+
+ROLE = "keeper"
+TIMING = peer_client.PeerTiming(
+    connect_ms=500, first_retry_ms=50, longest_retry_ms=500, heartbeat_ms=250, silence_ms=1_000
+)
+"""A cut must be noticed, and its end too, well within the second or so that operators wait;
+all the times are some ten to a hundred round trips between halls."""
+UNUSED_S = 10.0
+"""Time after which a stream that nothing was sent on is closed: far longer than an election."""
+
+
+class _Peer:
+    """One other keeper."""
+
+    def __init__(self, mesh: "Mesh", address: str) -> None:
+        self._mesh = mesh
+        self.address = address
+        self.used_s = time.monotonic()
+        self.client = mesh.make_client(address, self)
+
+    def on_peer_ready(self) -> None:
+        self._mesh.on_ready(self.address)
+
+    def on_peer_message(self, message: messages.Message) -> None:
+        self._mesh.on_message(message)
+
+    def on_peer_lost(self) -> None:
+        self._mesh.on_lost(self.address)
+
+
+class Mesh:
+    """This keeper's streams to others.
+
+    :param loop: root of the program.
+    :param outgoing: the program's outgoing connections.
+    :param name: this keeper's name.
+    :param shared_key: secret that the fleet's processes share.
+    :param take: gets the messages that come back.
+    :param note: told of an address and whether its stream has begun or ended.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        outgoing: links.Links,
+        *,
+        name: str,
+        shared_key: str,
+        take: Callable[[messages.Message], None],
+        note: Callable[[str, bool], None],
+    ) -> None:
+        self._loop = loop
+        self._outgoing = outgoing
+        self._name = name
+        self._shared_key = shared_key
+        self._take = take
+        self._note = note
+        self._peers: dict[str, _Peer] = {}
+        loop.scheduler.call_every(UNUSED_S / 2, self._close_unused)
+
+    def send(self, address: str, message: messages.Message) -> bool:
+        """Send a message.
+
+        :param address: ``IP:PORT`` of the other keeper.
+        :returns: False if no stream stands yet; the message is then dropped.
+        """
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = _Peer(self, address)
+        peer.used_s = time.monotonic()
+        return peer.client.send(message)
+
+    def make_client(self, address: str, peer: _Peer) -> peer_client.PeerClient:
+        """Return a new stream to an address."""
+        return peer_client.PeerClient(
+            self._loop,
+            self._outgoing,
+            [address],
+            role=ROLE,
+            name=self._name,
+            shared_key=self._shared_key,
+            user=peer,
+            timing=TIMING,
+        )
+
+    def on_ready(self, address: str) -> None:
+        """Take note of a stream that stands."""
+        self._note(address, True)
+
+    def on_lost(self, address: str) -> None:
+        """Take note of a stream that ended."""
+        self._note(address, False)
+
+    def on_message(self, message: messages.Message) -> None:
+        """Pass on a message that came back."""
+        self._take(message)
+
+    def _close_unused(self) -> None:
+        oldest_s = time.monotonic() - UNUSED_S
+        for address, peer in list(self._peers.items()):
+            if peer.used_s < oldest_s:
+                peer.client.close()
+                del self._peers[address]
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/questions.py
@@ -0,0 +1,193 @@
+"""Operators' orders and reads on their way to the leading keeper and back."""
+
+import itertools
+import logging
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import messages, peer_server, scheduler
+from spoolhead._internal.quorum import member, mesh
+
+logger = logging.getLogger(__name__)
+
+CHECK_S = 0.02
+"""Pause between looks at open questions; a round between halls takes a few milliseconds."""
+ASK_AGAIN_S = 0.3
+"""Pause before a question is put to the leader again: a few times the longest round."""
+
+Answer = Callable[[bool], None]
+
+
+class _Order:
+    """A table that waits to be committed."""
+
+    __slots__ = ("answer", "asked_s", "document", "until_s", "version")
+
+    def __init__(self, version: int, document: bytes, answer: Answer, until_s: float) -> None:
+        self.version = version
+        self.document = document
+        self.answer = answer
+        self.until_s = until_s
+        self.asked_s = 0.0
+
+
+class _Read:
+    """A read that waits for the confirmation of the newest version.
+
+    :ivar round_number: broadcast to be answered where this keeper leads; None before it began.
+    :ivar version: version confirmed by the leader; None before its answer.
+    """
+
+    __slots__ = ("answer", "asked_s", "request", "round_number", "until_s", "version")
+
+    def __init__(self, request: int, answer: Answer, until_s: float) -> None:
+        self.request = request
+        self.answer = answer
+        self.until_s = until_s
+        self.asked_s = 0.0
+        self.round_number: int | None = None
+        self.version: int | None = None
+
+
+class Questions:
+    """Open orders and reads of one keeper.
+
+    An order is done once a version as high as its own is committed here, whoever brought that
+    about, so it may be put to several leaders without harm.
+
+    :param timers: calls back.
+    :param peers: streams to other keepers.
+    :param group: this keeper's part in the agreement.
+    :param config: the keeper's settings.
+    """
+
+    def __init__(
+        self,
+        timers: scheduler.Scheduler,
+        peers: mesh.Mesh,
+        group: member.Member,
+        config: settings.QuorumKeeperSettings,
+    ) -> None:
+        self._peers = peers
+        self._group = group
+        self._answer_s = config.answer_ms / 1000
+        self._numbers = itertools.count(1)
+        self._orders: list[_Order] = []
+        self._reads: list[_Read] = []
+        timers.call_every(CHECK_S, self._check)
+
+    @property
+    def open_count(self) -> int:
+        """Orders and reads without an answer."""
+        return len(self._orders) + len(self._reads)
+
+    def put(self, version: int, document: bytes, answer: Answer) -> None:
+        """Have a table committed.
+
+        :param answer: called with whether it is, or a higher version.
+        """
+        order = _Order(version, document, answer, time.monotonic() + self._answer_s)
+        self._orders.append(order)
+        self._check()
+
+    def confirm(self, answer: Answer) -> None:
+        """Make sure that this keeper holds the newest committed version.
+
+        :param answer: called with whether it does.
+        """
+        read = _Read(next(self._numbers), answer, time.monotonic() + self._answer_s)
+        self._reads.append(read)
+        self._check()
+
+    def on_table_change(self) -> None:
+        """Answer what waited for a version that is now committed."""
+        self._check()
+
+    def answer_forwarded(
+        self, session: peer_server.PeerSession, message: messages.ForwardTable
+    ) -> None:
+        """Take a table that another keeper passed on."""
+        if self._group.is_leader and message.version > self._group.register.version:
+            self._group.propose(message.version, message.document)
+
+    def answer_confirmation(
+        self, session: peer_server.PeerSession, message: messages.ConfirmRead
+    ) -> None:
+        """Confirm the newest version to another keeper."""
+
+        def _answer(is_sure: bool) -> None:
+            session.send(
+                messages.KeeperAnswer(
+                    request=message.request,
+                    is_sure=is_sure,
+                    version=self._group.register.version,
+                )
+            )
+
+        if self._group.is_leader:
+            self.confirm(_answer)
+
+    def take_answer(self, message: messages.KeeperAnswer) -> None:
+        """Take the leader's confirmation of a read."""
+        for read in self._reads:
+            if read.request == message.request and message.is_sure:
+                read.version = message.version
+        self._check()
+
+    def _check(self) -> None:
+        now_s = time.monotonic()
+        for order in list(self._orders):
+            self._check_order(order, now_s)
+        for read in list(self._reads):
+            self._check_read(read, now_s)
+
+    def _check_order(self, order: _Order, now_s: float) -> None:
+        if order not in self._orders:
+            return
+        if self._group.register.version >= order.version:
+            self._orders.remove(order)
+            order.answer(True)
+        elif now_s >= order.until_s:
+            self._orders.remove(order)
+            order.answer(False)
+        elif now_s - order.asked_s >= ASK_AGAIN_S:
+            self._propose(order, now_s)
+
+    def _propose(self, order: _Order, now_s: float) -> None:
+        if self._group.is_leader:
+            order.asked_s = now_s
+            self._group.propose(order.version, order.document)
+        elif self._group.leader_address:
+            message = messages.ForwardTable(
+                request=0, version=order.version, document=order.document
+            )
+            if self._peers.send(self._group.leader_address, message):
+                order.asked_s = now_s
+
+    def _check_read(self, read: _Read, now_s: float) -> None:
+        if read not in self._reads:
+            return
+        if self._is_confirmed(read):
+            self._reads.remove(read)
+            read.answer(True)
+        elif now_s >= read.until_s:
+            self._reads.remove(read)
+            read.answer(False)
+        elif now_s - read.asked_s >= ASK_AGAIN_S:
+            self._ask(read, now_s)
+
+    def _is_confirmed(self, read: _Read) -> bool:
+        if read.version is not None:
+            return self._group.register.version >= read.version
+        return read.round_number is not None and self._group.is_confirmed(read.round_number)
+
+    def _ask(self, read: _Read, now_s: float) -> None:
+        if self._group.is_leader:
+            read.round_number = self._group.begin_read()
+            read.asked_s = now_s
+        elif self._group.leader_address:
+            read.round_number = None
+            message = messages.ConfirmRead(request=read.request)
+            if self._peers.send(self._group.leader_address, message):
+                read.asked_s = now_s
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -0,0 +1,186 @@
+"""A keeper's share of the replicated log on its disk.
+
+Records go to one file in batches, each synced as a whole by a thread of its own, so a slow
+disk delays what depends on it and nothing else. After a loss of power the records behind the
+last sync may be there, missing or torn each by itself; none of them was promised to anybody,
+so reading ends at the first one that is not whole.
+"""
+
+import collections
+import logging
+import os
+import pathlib
+import threading
+import time
+from collections.abc import Callable, Sequence
+
+import msgpack
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.utils import files
+from spoolhead.coordination import changelog, replicated_log
+
+logger = logging.getLogger(__name__)
+
+FILE_NAME = "agreement.log"
+REWRITE_BYTES = 8 * 1024 * 1024
+"""Size from which the file is written anew: a sixteenth of a disk of 128 MB, and some eighty
+of the largest tables seen (100 KiB)."""
+RETRY_S = 0.25
+"""Pause before a refused write is tried again; a few times a second is cheap and soon."""
+
+_IDENTITY = "identity"
+_TAGS: dict[type, str] = {
+    replicated_log.Vote: "vote",
+    replicated_log.Appended: "entry",
+    replicated_log.Snapshot: "snapshot",
+}
+_CLASSES = {tag: cls for cls, tag in _TAGS.items()}
+
+
+class Saved:
+    """What the disk held at the start.
+
+    :ivar member_id: id under which the records were written; empty for an empty disk.
+    :ivar records: the records in order.
+    """
+
+    __slots__ = ("member_id", "records")
+
+    def __init__(self) -> None:
+        self.member_id = ""
+        self.records: list[replicated_log.Record] = []
+
+
+def read(folder: pathlib.Path) -> Saved:
+    """Read what a keeper's folder holds.
+
+    :raises exceptions.DiskError: if it cannot be read.
+    """
+    saved = Saved()
+    path = folder / FILE_NAME
+    try:
+        data = path.read_bytes() if path.exists() else b""
+    except OSError as error:
+        raise exceptions.DiskError(f"{path}: {error.strerror}") from error
+    found = changelog.scan(data)
+    if found.good_bytes < len(data):
+        cut = len(data) - found.good_bytes
+        fields = {"path": str(path), "bytes": cut, "reason": found.damage or "torn"}
+        logger.warning("unsynced end of the log ignored", extra={"fields": fields})
+    for payload in found.payloads:
+        tag, *values = msgpack.unpackb(payload)
+        if tag == _IDENTITY:
+            saved.member_id = values[0]
+        else:
+            saved.records.append(_CLASSES[tag](*values))
+    return saved
+
+
+def _pack(record: replicated_log.Record) -> bytes:
+    values = [getattr(record, name) for name in record.__slots__]
+    return changelog.make_record(msgpack.packb([_TAGS[type(record)], *values]))
+
+
+class Storage:
+    """Writes records; tells by a callback, from its thread, up to which number they are synced.
+
+    :param folder: the keeper's data folder.
+    :param member_id: id under which records are written.
+    :param records: records that the file begins with; they are synced when this returns.
+    :param on_synced: called from the writer's thread with the number of synced records.
+    :raises exceptions.DiskError: if the file cannot be begun.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        member_id: str,
+        records: Sequence[replicated_log.Record],
+        on_synced: Callable[[int], None],
+    ) -> None:
+        self._path = folder / FILE_NAME
+        self._identity = changelog.make_record(msgpack.packb([_IDENTITY, member_id]))
+        self._on_synced = on_synced
+        self._condition = threading.Condition()
+        self._waiting: collections.deque[bytes] = collections.deque()
+        self._rewrite: bytes | None = None
+        self._queued = 0
+        self._descriptor = -1
+        self._length = 0
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+        except OSError as error:
+            raise exceptions.DiskError(f"{folder}: {error.strerror}") from error
+        self._replace(self._join(records))
+        self._thread = threading.Thread(target=self._run, name="storage", daemon=True)
+        self._thread.start()
+
+    @property
+    def needs_rewrite(self) -> bool:
+        """Whether the file has grown enough to be written anew."""
+        return self._length > REWRITE_BYTES and self._rewrite is None
+
+    def write(self, records: Sequence[replicated_log.Record]) -> None:
+        """Queue records; they are numbered on from 1."""
+        data = b"".join(_pack(record) for record in records)
+        with self._condition:
+            self._waiting.append(data)
+            self._queued += len(records)
+            self._condition.notify()
+
+    def rewrite(self, records: Sequence[replicated_log.Record]) -> None:
+        """Replace the file by records that stand for all that was queued before."""
+        with self._condition:
+            self._rewrite = self._join(records)
+            self._waiting.clear()
+            self._condition.notify()
+
+    def _join(self, records: Sequence[replicated_log.Record]) -> bytes:
+        return self._identity + b"".join(_pack(record) for record in records)
+
+    def _run(self) -> None:
+        while True:
+            with self._condition:
+                while not self._waiting and self._rewrite is None:
+                    self._condition.wait()
+                number = self._queued
+                rewrite, data = self._rewrite, b"".join(self._waiting)
+                self._waiting.clear()
+            self._store(rewrite, data)
+            self._on_synced(number)
+
+    def _store(self, rewrite: bytes | None, data: bytes) -> None:
+        refused_s = 0.0
+        while True:
+            try:
+                if rewrite is not None:
+                    self._replace(rewrite)
+                    self._rewrite = rewrite = None
+                if data:
+                    self._append(data)
+                break
+            except (OSError, exceptions.DiskError) as error:
+                if not refused_s:
+                    refused_s = time.monotonic()
+                    fields = {"path": str(self._path), "reason": str(error)}
+                    logger.error("disk refuses writes", extra={"fields": fields})
+                time.sleep(RETRY_S)
+        if refused_s:
+            fields = {"lost_ms": int((time.monotonic() - refused_s) * 1000)}
+            logger.warning("disk takes writes again", extra={"fields": fields})
+
+    def _append(self, data: bytes) -> None:
+        written = 0
+        while written < len(data):
+            written += os.pwrite(self._descriptor, data[written:], self._length + written)
+        os.fdatasync(self._descriptor)
+        self._length += len(data)
+
+    def _replace(self, data: bytes) -> None:
+        files.replace_file(self._path, data)
+        descriptor = os.open(self._path, os.O_RDWR)
+        if self._descriptor >= 0:
+            os.close(self._descriptor)
+        self._descriptor = descriptor
+        self._length = len(data)
--- /dev/null
+++ b/src/spoolhead/_internal/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The route table: where requests may go, and for whom."""
--- /dev/null
+++ b/src/spoolhead/_internal/routing/matcher.py
@@ -0,0 +1,68 @@
+"""Finds the route of a request and whose it is; no I/O."""
+
+import random
+from collections.abc import Sequence
+
+from spoolhead._internal.models import route_table
+
+
+class Matcher:
+    """One version of the route table, made ready for look-ups.
+
+    :param table: the table; it was checked.
+    :ivar version: version of the table.
+    :ivar bounds: what callers may send.
+    """
+
+    def __init__(self, table: route_table.RouteTable) -> None:
+        self.version = table.version
+        self.bounds = table.bounds
+        self._services = {service.name: service for service in table.services}
+        self._routes: dict[str, list[route_table.Route]] = {}
+        for route in table.routes:
+            self._routes.setdefault(route.host.lower(), []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+        self._needs_key = table.workspaces is not None
+        self._owners = {
+            api_key: workspace
+            for workspace in table.workspaces or ()
+            for api_key in workspace.api_keys
+        }
+
+    @property
+    def services(self) -> Sequence[route_table.Service]:
+        """Services of the table."""
+        return list(self._services.values())
+
+    def get_service(self, name: str) -> route_table.Service | None:
+        """Return a service, or None if the table has none of the name."""
+        return self._services.get(name)
+
+    def find_route(self, host: str, path: str) -> route_table.Route | None:
+        """Return the route of a host whose prefix of the path is longest.
+
+        :param host: Host header; a port in it does not count.
+        :param path: path without the query.
+        """
+        name = host.partition(":")[0].lower()
+        for route in self._routes.get(name, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def needs_key(self, route: route_table.Route) -> bool:
+        """Tell whether a route's requests need an API key."""
+        return self._needs_key and not route.is_public
+
+    def get_owner(self, api_key: str) -> route_table.Workspace | None:
+        """Return the workspace that holds an API key."""
+        return self._owners.get(api_key)
+
+
+def choose_service(route: route_table.Route, chance: random.Random) -> str:
+    """Return the service that a route's next request goes to, by the weights."""
+    if len(route.shares) == 1:
+        return route.shares[0].service
+    weights = [share.weight for share in route.shares]
+    return chance.choices(route.shares, weights)[0].service
--- /dev/null
+++ b/src/spoolhead/_internal/routing/table_checks.py
@@ -0,0 +1,57 @@
+"""Whether a route table makes sense; no I/O."""
+
+import collections
+
+from spoolhead._internal.models import codes, fault, route_table
+
+
+def check(table: route_table.RouteTable) -> list[fault.Fault]:
+    """Return everything that is wrong with a table; nothing if it may be put in force."""
+    faults: list[fault.Fault] = []
+    services = {service.name for service in table.services}
+    if table.version < 1:
+        faults.append(_make_fault("version", "must be at least 1"))
+    if len(services) < len(table.services):
+        faults.append(_make_fault("services", "two services have the same name"))
+    places: collections.Counter[tuple[str, str]] = collections.Counter()
+    for route in table.routes:
+        places[route.host, route.path_prefix] += 1
+        faults.extend(_check_route(route, services))
+    for (host, prefix), count in places.items():
+        if count > 1:
+            faults.append(_make_fault("routes", f"{count} routes stand at {host}{prefix}"))
+    faults.extend(_check_keys(table))
+    return faults
+
+
+def _check_route(route: route_table.Route, services: set[str]) -> list[fault.Fault]:
+    faults: list[fault.Fault] = []
+    place = f"routes.{route.name}"
+    for share in route.shares:
+        if share.service not in services:
+            faults.append(_make_fault(place, f"names the unknown service {share.service}"))
+        if share.weight < 0:
+            faults.append(_make_fault(place, f"has the weight {share.weight}"))
+    if sum(share.weight for share in route.shares) <= 0:
+        faults.append(_make_fault(place, "its weights add up to 0"))
+    if route.timeout_ms <= 0:
+        faults.append(_make_fault(place, "its time limit must be above 0"))
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        faults.append(_make_fault(place, "its path prefix must begin and end with a slash"))
+    return faults
+
+
+def _check_keys(table: route_table.RouteTable) -> list[fault.Fault]:
+    owners: dict[str, str] = {}
+    faults: list[fault.Fault] = []
+    for workspace in table.workspaces or ():
+        for api_key in workspace.api_keys:
+            owner = owners.setdefault(api_key, workspace.name)
+            if owner != workspace.name:
+                text = f"shares an API key with {owner}"
+                faults.append(_make_fault(f"workspaces.{workspace.name}", text))
+    return faults
+
+
+def _make_fault(place: str, text: str) -> fault.Fault:
+    return fault.Fault(codes.ResultCode.EDIT_INVALID, text, path=place)
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -43,8 +43,8 @@
 
 
 def set_up(log: settings.LogSettings) -> None:
-    """Send all log records to standard error in the format that the settings name."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send all log records where and in the format that the settings name."""
+    handler = logging.StreamHandler(sys.stdout if log.output == "stdout" else sys.stderr)
     handler.setFormatter(JsonFormatter() if log.format == "json" else TextFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/src/spoolhead/coordination/changelog.py
+++ b/src/spoolhead/coordination/changelog.py
@@ -55,13 +55,13 @@
     result = Scan()
     offset = 0
     while offset < len(data):
-        if not data[offset:].strip(b"\0"):
-            result.torn = True
-            break
         if len(data) - offset < _HEADER.size:
             result.torn = True
             break
         length, checksum = _HEADER.unpack_from(data, offset)
+        if length == 0 and not data[offset:].strip(b"\0"):
+            result.torn = True
+            break
         if not 0 < length <= MAX_PAYLOAD_BYTES:
             result.damage = f"a record claims {length} bytes"
             break
--- /dev/null
+++ b/src/spoolhead/coordination/consensus.py
@@ -0,0 +1,592 @@
+"""Agreement on one log among a few members, without I/O and without a clock of its own.
+
+This follows the Raft algorithm (Ongaro and Ousterhout, 2014): a leader elected for a term,
+entries committed by a majority after they are on disk, trial votes so that a member that was
+cut off does not disturb the others, reads confirmed by a round of heartbeats, and membership
+changed by one member at a time.
+
+The owner feeds messages, times and the progress of its disk, and carries out the
+:class:`Effects`: records to write and messages to send. A message that promises something
+about the disk names the record that must be synced first.
+"""
+
+import random
+from collections.abc import Sequence
+from typing import Protocol
+
+from spoolhead.coordination import consensus_messages as messages
+from spoolhead.coordination import replicated_log as logs
+
+APPEND_LIMIT_BYTES = 262_144
+"""Entries sent in one message; a few of the largest tables seen (100 KiB)."""
+
+
+class Timing:
+    """Times of the algorithm, in milliseconds.
+
+    :ivar heartbeat_ms: between two broadcasts of a leader.
+    :ivar election_ms: shortest silence of the leader before a member stands; the longest is
+        twice that. Several heartbeats, and more than a sync of a slow disk.
+    :ivar lost_ms: silence of a member before a newcomer may take its place.
+    :ivar newcomer_ms: time for which a request to join counts.
+    """
+
+    __slots__ = ("election_ms", "heartbeat_ms", "lost_ms", "newcomer_ms")
+
+    def __init__(
+        self,
+        *,
+        heartbeat_ms: int = 100,
+        election_ms: int = 500,
+        lost_ms: int = 1_500,
+        newcomer_ms: int = 1_500,
+    ) -> None:
+        self.heartbeat_ms = heartbeat_ms
+        self.election_ms = election_ms
+        self.lost_ms = lost_ms
+        self.newcomer_ms = newcomer_ms
+
+
+class StateMachine(Protocol):
+    """What the log's changes act on."""
+
+    def apply(self, data: bytes) -> None:
+        """Carry out a committed change."""
+
+    def dump(self) -> bytes:
+        """Return the whole state."""
+
+    def load(self, state: bytes) -> None:
+        """Replace the whole state."""
+
+
+class Envelope:
+    """A message to send.
+
+    :ivar address: ``IP:PORT`` of the receiver.
+    :ivar message: the message.
+    :ivar after_record: number of the record that must be synced before; 0 for none.
+    """
+
+    __slots__ = ("address", "after_record", "message")
+
+    def __init__(self, address: str, message: messages.Message, after_record: int) -> None:
+        self.address = address
+        self.message = message
+        self.after_record = after_record
+
+
+class Effects:
+    """What the owner has to do.
+
+    :ivar records: records to write in order, numbered on from the last ones.
+    :ivar envelopes: messages to send.
+    """
+
+    __slots__ = ("envelopes", "records")
+
+    def __init__(self) -> None:
+        self.records: list[logs.Record] = []
+        self.envelopes: list[Envelope] = []
+
+
+class _Peer:
+    """What a leader knows of another member."""
+
+    __slots__ = ("acked_round", "heard_s", "match_index", "next_index")
+
+    def __init__(self, next_index: int, now_s: float) -> None:
+        self.next_index = next_index
+        self.match_index = 0
+        self.acked_round = 0
+        self.heard_s = now_s
+
+
+class _Newcomer:
+    __slots__ = ("asked_s", "is_first_start")
+
+    def __init__(self, asked_s: float, is_first_start: bool) -> None:
+        self.asked_s = asked_s
+        self.is_first_start = is_first_start
+
+
+class Consensus:
+    """One member of the group.
+
+    :param member_id: this member's id.
+    :param log: its log, as read from the disk.
+    :param machine: gets the committed changes.
+    :param timing: times.
+    :param chance: source of random numbers.
+    :param now_s: monotonic time in seconds.
+    :ivar leader: id of the leader as far as known; empty for none.
+    :ivar commit_index: index up to which entries are known to be committed and are applied.
+    """
+
+    def __init__(
+        self,
+        member_id: str,
+        log: logs.ReplicatedLog,
+        machine: StateMachine,
+        timing: Timing,
+        chance: random.Random,
+        now_s: float,
+    ) -> None:
+        self.member_id = member_id
+        self.leader = ""
+        self.commit_index = log.snapshot.index
+        self._log = log
+        self._machine = machine
+        self._timing = timing
+        self._chance = chance
+        self._effects = Effects()
+        self._written = 0
+        self._synced = 0
+        self._pending_syncs: list[tuple[int, int]] = []
+        self._durable_index = log.last_index
+        self._votes: set[str] = set()
+        self._is_trial = False
+        self._is_candidate = False
+        self._vote_record = 0
+        self._peers: dict[str, _Peer] = {}
+        self._newcomers: dict[str, _Newcomer] = {}
+        self._round_number = 0
+        self._term_start_index = 0
+        self._next_broadcast_s = now_s
+        self._heard_leader_s = now_s
+        self._elect_s = now_s + self._draw_election_s()
+        if log.snapshot.state:
+            machine.load(log.snapshot.state)
+
+    @property
+    def term(self) -> int:
+        """Latest term seen."""
+        return self._log.vote.term
+
+    @property
+    def is_leader(self) -> bool:
+        """Whether this member leads, as far as it knows."""
+        return self.leader == self.member_id
+
+    @property
+    def members(self) -> Sequence[str]:
+        """Ids of the members by the latest entry on them."""
+        return self._log.membership.members
+
+    @property
+    def is_member(self) -> bool:
+        """Whether this process is a member."""
+        return self.member_id in self._log.membership.members
+
+    @property
+    def round_number(self) -> int:
+        """Number of the latest broadcast."""
+        return self._round_number
+
+    def take_effects(self) -> Effects:
+        """Return what is to be done since the last call."""
+        effects, self._effects = self._effects, Effects()
+        return effects
+
+    def tick(self, now_s: float) -> None:
+        """Look at the clock; to be called a few times in each heartbeat interval."""
+        if self.is_leader:
+            self._tick_leader(now_s)
+        elif now_s >= self._elect_s and self.is_member:
+            self._begin_election(now_s, is_trial=True)
+
+    def propose(self, data: bytes, now_s: float) -> bool:
+        """Append a change if this member leads.
+
+        :returns: whether it was appended. It holds once it is applied, not before.
+        """
+        if not self.is_leader:
+            return False
+        self._append(logs.EntryKind.CHANGE, data)
+        self._broadcast(now_s)
+        return True
+
+    def begin_read(self, now_s: float) -> int | None:
+        """Begin to confirm that this member still leads.
+
+        :returns: number of a broadcast for :meth:`is_confirmed`, or None if it cannot lead.
+        """
+        if not self.is_leader or self.commit_index < self._term_start_index:
+            return None
+        self._broadcast(now_s)
+        return self._round_number
+
+    def is_confirmed(self, round_number: int) -> bool:
+        """Tell whether a majority has answered a broadcast or a later one."""
+        if not self.is_leader or self.commit_index < self._term_start_index:
+            return False
+        acked = sum(peer.acked_round >= round_number for peer in self._get_member_peers())
+        return acked + self.is_member >= self._log.membership.quorum_size
+
+    def note_synced(self, record_number: int, now_s: float) -> None:
+        """Take note that records up to a number are on the disk."""
+        self._synced = max(self._synced, record_number)
+        while self._pending_syncs and self._pending_syncs[0][0] <= self._synced:
+            self._durable_index = self._pending_syncs.pop(0)[1]
+        if self.is_leader:
+            self._advance_commit(now_s)
+        elif self._is_candidate:
+            self._count_votes(now_s)
+
+    def receive(self, message: messages.Message, now_s: float) -> None:
+        """Take a message of another process."""
+        match message:
+            case messages.VoteRequest():
+                self._take_vote_request(message, now_s)
+            case messages.VoteReply():
+                self._take_vote_reply(message, now_s)
+            case messages.AppendRequest():
+                self._take_append(message, now_s)
+            case messages.AppendReply():
+                self._take_append_reply(message, now_s)
+            case messages.SnapshotOffer():
+                self._take_snapshot(message, now_s)
+            case messages.JoinRequest():
+                self._take_join(message, now_s)
+
+    # Elections
+
+    def _draw_election_s(self) -> float:
+        return self._timing.election_ms * self._chance.uniform(1.0, 2.0) / 1000
+
+    def _begin_election(self, now_s: float, *, is_trial: bool) -> None:
+        self.leader = ""
+        self._is_trial = is_trial
+        self._is_candidate = True
+        self._votes = {self.member_id}
+        self._elect_s = now_s + self._draw_election_s()
+        term = self.term + 1
+        if not is_trial:
+            self._write(self._log.set_vote(term, self.member_id))
+            self._vote_record = self._written
+        request = messages.VoteRequest(
+            term=term,
+            candidate=self.member_id,
+            last_index=self._log.last_index,
+            last_term=self._log.last_term,
+            is_trial=is_trial,
+        )
+        for member in self._get_others():
+            self._send(member, request, after_record=0 if is_trial else self._written)
+        self._count_votes(now_s)
+
+    def _take_vote_request(self, request: messages.VoteRequest, now_s: float) -> None:
+        if request.is_trial:
+            granted = (
+                request.term > self.term
+                and self._is_log_current(request)
+                and not self._hears_leader(now_s)
+            )
+            term = request.term if granted else self.term
+            self._send(request.candidate, self._make_vote_reply(term, granted, True))
+            return
+        if request.term > self.term:
+            if self._hears_leader(now_s):
+                return
+            self._step_down(request.term, now_s)
+        granted = (
+            request.term == self.term
+            and self._log.vote.voted_for in ("", request.candidate)
+            and self._is_log_current(request)
+        )
+        if granted and not self._log.vote.voted_for:
+            self._write(self._log.set_vote(self.term, request.candidate))
+        if granted:
+            self._elect_s = now_s + self._draw_election_s()
+        reply = self._make_vote_reply(self.term, granted, False)
+        self._send(request.candidate, reply, after_record=self._written)
+
+    def _make_vote_reply(self, term: int, granted: bool, is_trial: bool) -> messages.VoteReply:
+        return messages.VoteReply(
+            term=term, voter=self.member_id, granted=granted, is_trial=is_trial
+        )
+
+    def _is_log_current(self, request: messages.VoteRequest) -> bool:
+        theirs = (request.last_term, request.last_index)
+        return theirs >= (self._log.last_term, self._log.last_index)
+
+    def _hears_leader(self, now_s: float) -> bool:
+        # A leader that a majority still answers must not be unseated by a member that only
+        # lost its own path to it.
+        if self.is_leader:
+            return True
+        silence_s = now_s - self._heard_leader_s
+        return bool(self.leader) and silence_s < self._timing.election_ms / 1000
+
+    def _take_vote_reply(self, reply: messages.VoteReply, now_s: float) -> None:
+        if reply.term > self.term and not (reply.is_trial and reply.granted):
+            self._step_down(reply.term, now_s)
+            return
+        wanted_term = self.term + 1 if reply.is_trial else self.term
+        if not self._is_candidate or reply.is_trial is not self._is_trial:
+            return
+        if reply.granted and reply.term == wanted_term:
+            self._votes.add(reply.voter)
+            self._count_votes(now_s)
+
+    def _count_votes(self, now_s: float) -> None:
+        votes = len(self._votes.intersection(self.members))
+        if not self._is_candidate or votes < self._log.membership.quorum_size:
+            return
+        if self._is_trial:
+            self._begin_election(now_s, is_trial=False)
+        elif self._synced >= self._vote_record:
+            self._begin_leading(now_s)
+
+    def _begin_leading(self, now_s: float) -> None:
+        self.leader = self.member_id
+        self._is_candidate = False
+        self._newcomers.clear()
+        next_index = self._log.last_index + 1
+        self._peers = {member: _Peer(next_index, now_s) for member in self._get_others()}
+        self._append(logs.EntryKind.NOTHING, b"")
+        self._term_start_index = self._log.last_index
+        self._broadcast(now_s)
+
+    def _step_down(self, term: int, now_s: float) -> None:
+        if term > self.term:
+            self._write(self._log.set_vote(term, ""))
+        self.leader = ""
+        self._is_candidate = False
+        self._elect_s = now_s + self._draw_election_s()
+
+    # Leading
+
+    def _tick_leader(self, now_s: float) -> None:
+        limit_s = self._timing.election_ms * 2 / 1000
+        answering = sum(now_s - peer.heard_s < limit_s for peer in self._get_member_peers())
+        if answering + self.is_member < self._log.membership.quorum_size:
+            self._step_down(self.term, now_s)
+            return
+        self._consider_membership(now_s)
+        if now_s >= self._next_broadcast_s:
+            self._broadcast(now_s)
+
+    def _append(self, kind: logs.EntryKind, data: bytes) -> None:
+        self._write(self._log.append(logs.Entry(self.term, kind, data)))
+
+    def _broadcast(self, now_s: float) -> None:
+        self._round_number += 1
+        self._next_broadcast_s = now_s + self._timing.heartbeat_ms / 1000
+        for member in self._get_others():
+            self._send_entries(member)
+
+    def _send_entries(self, member: str) -> None:
+        peer = self._peers.get(member)
+        if peer is None:
+            return
+        previous_term = self._log.get_term(peer.next_index - 1)
+        if previous_term is None:
+            self._send_snapshot(member, peer)
+            return
+        entries: list[logs.Entry] = []
+        if peer.next_index <= self._log.last_index:
+            entries = self._log.get_entries(peer.next_index, APPEND_LIMIT_BYTES)
+        request = messages.AppendRequest(
+            term=self.term,
+            leader=self.member_id,
+            previous_index=peer.next_index - 1,
+            previous_term=previous_term,
+            entries=[[entry.term, int(entry.kind), entry.data] for entry in entries],
+            commit_index=self.commit_index,
+            round_number=self._round_number,
+        )
+        # What was sent is taken as received; a refusal of a later message sets this right.
+        peer.next_index += len(entries)
+        self._send(member, request)
+
+    def _send_snapshot(self, member: str, peer: _Peer) -> None:
+        snapshot = self._log.snapshot
+        peer.next_index = snapshot.index + 1
+        offer = messages.SnapshotOffer(
+            term=self.term,
+            leader=self.member_id,
+            index=snapshot.index,
+            entry_term=snapshot.term,
+            members=list(snapshot.members),
+            target_size=snapshot.target_size,
+            state=snapshot.state,
+            round_number=self._round_number,
+        )
+        self._send(member, offer)
+
+    def _take_append_reply(self, reply: messages.AppendReply, now_s: float) -> None:
+        if reply.term > self.term:
+            self._step_down(reply.term, now_s)
+            return
+        peer = self._peers.get(reply.follower)
+        if not self.is_leader or reply.term != self.term or peer is None:
+            return
+        peer.heard_s = now_s
+        peer.acked_round = max(peer.acked_round, reply.round_number)
+        if reply.accepted:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            self._advance_commit(now_s)
+        else:
+            peer.next_index = max(1, min(peer.next_index - 1, reply.match_index + 1))
+            self._send_entries(reply.follower)
+
+    def _advance_commit(self, now_s: float) -> None:
+        indexes = [peer.match_index for peer in self._get_member_peers()]
+        if self.is_member:
+            indexes.append(self._durable_index)
+        indexes.sort(reverse=True)
+        quorum_size = self._log.membership.quorum_size
+        if len(indexes) < quorum_size:
+            return
+        index = indexes[quorum_size - 1]
+        # Entries of earlier terms are committed only together with one of this term.
+        if index > self.commit_index and self._log.get_term(index) == self.term:
+            self._commit(index)
+            self._broadcast(now_s)
+
+    def _commit(self, index: int) -> None:
+        while self.commit_index < index:
+            entry = self._log.get_entry(self.commit_index + 1)
+            if entry.kind is logs.EntryKind.CHANGE:
+                self._machine.apply(entry.data)
+            self.commit_index += 1
+        self._log.compact(self.commit_index, self._machine.dump())
+
+    # Membership
+
+    def _take_join(self, request: messages.JoinRequest, now_s: float) -> None:
+        if self.is_leader and request.member not in self.members:
+            self._newcomers[request.member] = _Newcomer(now_s, request.is_first_start)
+
+    def _consider_membership(self, now_s: float) -> None:
+        is_settled = self._log.membership_index <= self.commit_index
+        if not is_settled or self.commit_index < self._term_start_index:
+            return
+        self._drop_old_newcomers(now_s)
+        if self._newcomers:
+            self._admit(min(self._newcomers), now_s)
+        elif len(self.members) > self._log.membership.target_size:
+            lost = self._get_lost(now_s)
+            if lost is not None:
+                self._change_members(set(self.members) - {lost}, now_s)
+
+    def _admit(self, newcomer: str, now_s: float) -> None:
+        membership = self._log.membership
+        members = set(membership.members)
+        address = messages.get_address(newcomer)
+        former = next((m for m in members if messages.get_address(m) == address), None)
+        is_first_start = self._newcomers[newcomer].is_first_start
+        lost = self._get_lost(now_s)
+        if former is not None:
+            self._change_members(members - {former}, now_s)
+        elif lost is not None and not is_first_start and len(members) >= membership.target_size:
+            self._change_members(members - {lost}, now_s)
+        else:
+            grown = len(members) + 1 if is_first_start else 0
+            self._newcomers.pop(newcomer)
+            self._change_members(members | {newcomer}, now_s, target_size=grown)
+
+    def _change_members(self, members: set[str], now_s: float, target_size: int = 0) -> None:
+        target_size = max(target_size, self._log.membership.target_size)
+        membership = logs.Membership(members, target_size)
+        self._append(logs.EntryKind.MEMBERS, membership.pack())
+        for member in self._get_others():
+            self._peers.setdefault(member, _Peer(self._log.first_index - 1, now_s))
+        self._broadcast(now_s)
+
+    def _drop_old_newcomers(self, now_s: float) -> None:
+        oldest_s = now_s - self._timing.newcomer_ms / 1000
+        for member, newcomer in list(self._newcomers.items()):
+            if newcomer.asked_s < oldest_s or member in self.members:
+                del self._newcomers[member]
+
+    def _get_lost(self, now_s: float) -> str | None:
+        """Return the member that has been silent longest, if for long enough."""
+        heard = [(self._peers[m].heard_s, m) for m in self._get_others() if m in self._peers]
+        if not heard:
+            return None
+        heard_s, member = min(heard)
+        return member if now_s - heard_s > self._timing.lost_ms / 1000 else None
+
+    # Following
+
+    def _accept_leader(self, term: int, leader: str, now_s: float) -> bool:
+        if term < self.term:
+            return False
+        if term > self.term or self.leader != leader:
+            self._step_down(term, now_s)
+        self.leader = leader
+        self._heard_leader_s = now_s
+        self._elect_s = now_s + self._draw_election_s()
+        return True
+
+    def _take_append(self, request: messages.AppendRequest, now_s: float) -> None:
+        if not self._accept_leader(request.term, request.leader, now_s):
+            self._reply(request.leader, False, self._log.last_index, request.round_number)
+            return
+        index = request.previous_index
+        known_term = self._log.get_term(index)
+        if index > self._log.last_index or (
+            known_term != request.previous_term and index > self.commit_index
+        ):
+            hint = min(self._log.last_index, index - 1)
+            self._reply(request.leader, False, max(hint, self.commit_index), request.round_number)
+            return
+        for term, kind, data in request.entries:
+            index += 1
+            if index <= self.commit_index or self._log.get_term(index) == term:
+                continue
+            entry = logs.Entry(term, logs.EntryKind(kind), data)
+            self._forget_syncs(index)
+            self._write(self._log.append(entry, index))
+        if request.commit_index > self.commit_index and index > self.commit_index:
+            self._commit(min(index, request.commit_index))
+        self._reply(request.leader, True, index, request.round_number)
+
+    def _take_snapshot(self, offer: messages.SnapshotOffer, now_s: float) -> None:
+        if not self._accept_leader(offer.term, offer.leader, now_s):
+            self._reply(offer.leader, False, self._log.last_index, offer.round_number)
+            return
+        if offer.index > self.commit_index:
+            snapshot = logs.Snapshot(
+                offer.index, offer.entry_term, offer.members, offer.target_size, offer.state
+            )
+            self._write(self._log.take_snapshot(snapshot))
+            self._machine.load(offer.state)
+            self.commit_index = offer.index
+        self._reply(offer.leader, True, offer.index, offer.round_number)
+
+    def _reply(self, leader: str, accepted: bool, match_index: int, round_number: int) -> None:
+        reply = messages.AppendReply(
+            term=self.term,
+            follower=self.member_id,
+            accepted=accepted,
+            match_index=match_index,
+            round_number=round_number,
+        )
+        self._send(leader, reply, after_record=self._written)
+
+    # Output
+
+    def _get_others(self) -> list[str]:
+        return [member for member in self.members if member != self.member_id]
+
+    def _get_member_peers(self) -> list[_Peer]:
+        return [self._peers[member] for member in self._get_others() if member in self._peers]
+
+    def _write(self, record: logs.Record) -> None:
+        self._effects.records.append(record)
+        self._written += 1
+        self._pending_syncs.append((self._written, self._log.last_index))
+
+    def _forget_syncs(self, index: int) -> None:
+        """Take note that what stood at an index and behind it is void."""
+        self._durable_index = min(self._durable_index, index - 1)
+        self._pending_syncs = [
+            (number, min(last_index, index - 1)) for number, last_index in self._pending_syncs
+        ]
+
+    def _send(self, member: str, message: messages.Message, *, after_record: int = 0) -> None:
+        address = messages.get_address(member)
+        self._effects.envelopes.append(Envelope(address, message, after_record))
--- /dev/null
+++ b/src/spoolhead/coordination/replicated_log.py
@@ -0,0 +1,260 @@
+"""The log of one member: a snapshot and the entries behind it; no I/O and no clock.
+
+Each change yields the record that must reach the disk before others may rely on it. Reading
+the records in order restores the log.
+"""
+
+import dataclasses
+import enum
+from collections.abc import Iterable, Sequence
+
+import msgpack
+
+KEPT_APPLIED_ENTRIES = 16
+"""Applied entries kept for followers that lag a little; a chosen compromise between the memory
+of entries, which may have 100 KiB each, and how often a whole snapshot is sent."""
+
+
+class EntryKind(enum.IntEnum):
+    """What an entry of the log holds."""
+
+    NOTHING = 0
+    CHANGE = 1
+    MEMBERS = 2
+
+
+class Entry:
+    """One entry of the log.
+
+    :ivar term: term of the leader that made it.
+    :ivar kind: what it holds.
+    :ivar data: its content.
+    """
+
+    __slots__ = ("data", "kind", "term")
+
+    def __init__(self, term: int, kind: EntryKind, data: bytes) -> None:
+        self.term = term
+        self.kind = kind
+        self.data = data
+
+
+class Membership:
+    """Who the members are.
+
+    :ivar members: their ids, sorted.
+    :ivar target_size: how many there should be.
+    """
+
+    __slots__ = ("members", "target_size")
+
+    def __init__(self, members: Iterable[str], target_size: int) -> None:
+        self.members = tuple(sorted(members))
+        self.target_size = target_size
+
+    @property
+    def quorum_size(self) -> int:
+        """Members that make a majority."""
+        return len(self.members) // 2 + 1
+
+    def pack(self) -> bytes:
+        """Return the form in a log entry."""
+        return msgpack.packb([list(self.members), self.target_size])
+
+    @classmethod
+    def unpack(cls, data: bytes) -> "Membership":
+        """Read the form in a log entry."""
+        members, target_size = msgpack.unpackb(data)
+        return cls(members, target_size)
+
+
+@dataclasses.dataclass(slots=True)
+class Vote:
+    """Record: the term and the vote given in it.
+
+    :ivar term: latest term seen.
+    :ivar voted_for: id of the member voted for in it; empty for none.
+    """
+
+    term: int
+    voted_for: str
+
+
+@dataclasses.dataclass(slots=True)
+class Appended:
+    """Record: an entry at an index; whatever stood there or behind it is void.
+
+    :ivar index: its index.
+    :ivar term: its term.
+    :ivar kind: its kind.
+    :ivar data: its content.
+    """
+
+    index: int
+    term: int
+    kind: int
+    data: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Snapshot:
+    """Record: the state up to an index; entries up to it are void.
+
+    :ivar index: index of the last entry included.
+    :ivar term: its term.
+    :ivar members: ids of the members then.
+    :ivar target_size: members wanted then.
+    :ivar state: the state.
+    """
+
+    index: int
+    term: int
+    members: list[str]
+    target_size: int
+    state: bytes
+
+
+Record = Vote | Appended | Snapshot
+
+
+class ReplicatedLog:
+    """Snapshot, entries, term and vote of one member.
+
+    :param snapshot: where the log begins.
+    """
+
+    def __init__(self, snapshot: Snapshot) -> None:
+        self.vote = Vote(0, "")
+        self.snapshot = snapshot
+        self._entries: list[Entry] = []
+        self._first_index = snapshot.index + 1
+        self._first_previous_term = snapshot.term
+        self._membership = Membership(snapshot.members, snapshot.target_size)
+        self._membership_index = snapshot.index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._first_index + len(self._entries) - 1
+
+    @property
+    def first_index(self) -> int:
+        """Index of the first entry still held."""
+        return self._first_index
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.get_term(self.last_index) or 0
+
+    @property
+    def membership(self) -> Membership:
+        """Members by the latest entry on them, committed or not."""
+        return self._membership
+
+    @property
+    def membership_index(self) -> int:
+        """Index of that entry."""
+        return self._membership_index
+
+    def get_term(self, index: int) -> int | None:
+        """Return the term of an entry, or None where it is not known any more or yet."""
+        if index == self._first_index - 1:
+            return self._first_previous_term
+        if self._first_index <= index <= self.last_index:
+            return self._entries[index - self._first_index].term
+        return None
+
+    def get_entry(self, index: int) -> Entry:
+        """Return an entry that is held."""
+        return self._entries[index - self._first_index]
+
+    def get_entries(self, first_index: int, limit_bytes: int) -> list[Entry]:
+        """Return entries from an index on: one at least, more while they fit into a size."""
+        chosen: list[Entry] = []
+        size = 0
+        for entry in self._entries[first_index - self._first_index :]:
+            size += len(entry.data)
+            if chosen and size > limit_bytes:
+                break
+            chosen.append(entry)
+        return chosen
+
+    def set_vote(self, term: int, voted_for: str) -> Record:
+        """Take over a term and a vote."""
+        self.vote = Vote(term, voted_for)
+        return self.vote
+
+    def append(self, entry: Entry, index: int | None = None) -> Record:
+        """Put an entry at an index, by default the next; what stood behind it is void."""
+        if index is None:
+            index = self.last_index + 1
+        if index <= self.last_index:
+            del self._entries[index - self._first_index :]
+            if self._membership_index >= index:
+                self._find_membership()
+        self._entries.append(entry)
+        if entry.kind is EntryKind.MEMBERS:
+            self._membership = Membership.unpack(entry.data)
+            self._membership_index = index
+        return Appended(index, entry.term, int(entry.kind), entry.data)
+
+    def take_snapshot(self, snapshot: Snapshot) -> Record:
+        """Replace the whole log by a snapshot of another member."""
+        self.snapshot = snapshot
+        self._entries = []
+        self._first_index = snapshot.index + 1
+        self._first_previous_term = snapshot.term
+        self._find_membership()
+        return snapshot
+
+    def compact(self, applied_index: int, state: bytes) -> None:
+        """Make the state up to an applied entry the snapshot and drop old entries."""
+        membership = self._get_membership_at(self._find_membership_index(applied_index))
+        self.snapshot = Snapshot(
+            applied_index,
+            self.get_term(applied_index) or 0,
+            list(membership.members),
+            membership.target_size,
+            state,
+        )
+        drop = applied_index - KEPT_APPLIED_ENTRIES - self._first_index + 1
+        if drop > 0:
+            self._first_previous_term = self._entries[drop - 1].term
+            del self._entries[:drop]
+            self._first_index += drop
+
+    def get_records(self) -> Sequence[Record]:
+        """Return the records that restore the log as it stands."""
+        records: list[Record] = [self.vote, self.snapshot]
+        for index in range(self.snapshot.index + 1, self.last_index + 1):
+            entry = self.get_entry(index)
+            records.append(Appended(index, entry.term, int(entry.kind), entry.data))
+        return records
+
+    def restore(self, record: Record) -> None:
+        """Take over a record read from the disk."""
+        match record:
+            case Vote():
+                self.vote = record
+            case Snapshot():
+                self.take_snapshot(record)
+            case Appended():
+                entry = Entry(record.term, EntryKind(record.kind), record.data)
+                self.append(entry, record.index)
+
+    def _find_membership(self) -> None:
+        index = self._find_membership_index(self.last_index)
+        self._membership = self._get_membership_at(index)
+        self._membership_index = index
+
+    def _find_membership_index(self, limit_index: int) -> int:
+        for index in range(limit_index, self.snapshot.index, -1):
+            if self.get_entry(index).kind is EntryKind.MEMBERS:
+                return index
+        return self.snapshot.index
+
+    def _get_membership_at(self, index: int) -> Membership:
+        if index == self.snapshot.index:
+            return Membership(self.snapshot.members, self.snapshot.target_size)
+        return Membership.unpack(self.get_entry(index).data)
--- /dev/null
+++ b/src/spoolhead/platform/dialect.py
@@ -0,0 +1,179 @@
+"""The platform's messages, read into and written from the product's types."""
+
+import json
+
+import expression
+
+from spoolhead._internal.models import codes, dialects, fault, route_table
+from spoolhead._internal.network import request_reader
+from spoolhead.platform import names, tables
+
+_NOT_RUN_STATUSES = frozenset({421})
+
+
+class Dialect:
+    """How callers, operators, instances and the list speak on the platform."""
+
+    list_target = names.LIST_PATH
+
+    def decode_table(
+        self, document: bytes
+    ) -> expression.Result[route_table.RouteTable, list[fault.Fault]]:
+        """Read a route table."""
+        return tables.decode_table(document)
+
+    def decode_instances(
+        self, document: bytes
+    ) -> expression.Result[dialects.InstancePage, fault.Fault]:
+        """Read a page of the list of instances."""
+        return tables.decode_instances(document)
+
+    def read_order(
+        self, wire: request_reader.WireRequest
+    ) -> expression.Result[dialects.PutTable | dialects.ReadTable, fault.Fault]:
+        """Read an operator's request."""
+        if wire.target.partition("?")[0] != names.TABLE_PATH:
+            return expression.Error(fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no such path"))
+        if wire.method == "PUT":
+            return expression.Ok(dialects.PutTable(wire.body))
+        if wire.method == "GET":
+            return expression.Ok(dialects.ReadTable())
+        text = f"{names.TABLE_PATH} takes GET and PUT"
+        return expression.Error(fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, text))
+
+    def is_ready_probe(self, wire: request_reader.WireRequest) -> bool:
+        """Tell whether a request is the balancer's readiness probe."""
+        return wire.target.partition("?")[0] == names.READY_PATH
+
+    def read_request(
+        self, wire: request_reader.WireRequest
+    ) -> expression.Result[dialects.RequestHead, fault.Fault]:
+        """Read the head of a caller's request."""
+        try:
+            deadline = wire.get_header(names.DEADLINE)
+            head = dialects.RequestHead(
+                request_id=wire.get_header(names.REQUEST_ID) or "",
+                host=wire.get_header("host") or "",
+                api_key=_get_key(wire.get_header("authorization")),
+                wait_ms=max(0, int(float(deadline))) if deadline else None,
+                headers=_get_passed_headers(wire),
+                generation=_read_generation(wire),
+                last_event_id=wire.get_header(names.LAST_EVENT_ID) or "",
+            )
+        except (ValueError, OverflowError) as error:
+            return expression.Error(fault.Fault(codes.ResultCode.WRONG_FIELD, str(error)))
+        return expression.Ok(head)
+
+    def write_request(
+        self, head: dialects.RequestHead, orders: dialects.AttemptOrders
+    ) -> dialects.Headers:
+        """Return the headers of an attempt, besides Host and length."""
+        headers = list(head.headers)
+        headers.append((names.DEADLINE, str(orders.remaining_ms)))
+        headers.append((names.EXPECTED_INSTANCE, orders.instance_id))
+        if orders.workspace:
+            headers.append((names.WORKSPACE, orders.workspace))
+        if orders.urgency is not None:
+            headers.append((names.URGENCY, str(orders.urgency)))
+        if orders.backup_address:
+            headers.append((names.BACKUP_TO, orders.backup_address))
+        if orders.resume is not None:
+            point = orders.resume
+            headers.append((names.RESUME_FROM, f"{point.address}/{point.handle}"))
+            headers = [item for item in headers if item[0] != names.LAST_EVENT_ID]
+            if point.last_event_id:
+                headers.append((names.LAST_EVENT_ID, point.last_event_id))
+        return headers
+
+    def read_answer(self, status: int, headers: dialects.Headers) -> dialects.AnswerHead:
+        """Read the head of an instance's answer."""
+        found = dict(headers)
+        hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, "date", "server"}
+        hidden |= names.ONE_CONNECTION
+        return dialects.AnswerHead(
+            status=status,
+            headers=[item for item in headers if item[0] not in hidden],
+            request_id=found.get(names.REQUEST_ID, ""),
+            is_signed=bool(found.get(names.SIGNATURE)),
+            has_not_run=names.NOT_RUN in found or status in _NOT_RUN_STATUSES,
+            is_encoded=found.get("content-encoding", "identity") != "identity",
+            is_closing=found.get("connection", "").lower() == "close",
+            load=_read_load(found.get(names.LOAD, "")),
+        )
+
+    def write_refusal(self, request_id: str, retry_after_ms: int | None) -> dialects.Headers:
+        """Return the headers of an entry's own answer."""
+        headers: list[tuple[str, str]] = []
+        if request_id:
+            headers.append((names.REQUEST_ID, request_id))
+        if retry_after_ms is not None:
+            headers.append((names.RETRY_AFTER, f"{retry_after_ms / 1000:.3f}"))
+        return headers
+
+    def write_move(self, order: dialects.MoveOrder) -> dialects.UpstreamOrder:
+        """Return the order to move a run's memory."""
+        # The target is named like a version; it is the address of the other instance.
+        value: dict[str, object] = {
+            "id": order.request_id,
+            "target_version": order.target_address,
+        }
+        if order.is_last:
+            value["last"] = True
+        body = json.dumps(value).encode()
+        return dialects.UpstreamOrder(method="POST", target=names.MOVE_PATH, body=body)
+
+    def read_move(self, status: int, body: bytes) -> dialects.MoveAnswer:
+        """Read the answer to a move."""
+        try:
+            value = json.loads(body) if body else {}
+        except ValueError:
+            value = {}
+        handle = value.get("handle", "") if isinstance(value, dict) else ""
+        return dialects.MoveAnswer(status=status, handle=str(handle or ""))
+
+    def write_release(self, handle: str) -> dialects.UpstreamOrder:
+        """Return the order to free a copy."""
+        return dialects.UpstreamOrder(
+            method="DELETE", target=f"{names.COPY_PATH}{handle}", body=b""
+        )
+
+
+def _get_key(header: str | None) -> str:
+    scheme, _, api_key = (header or "").partition(" ")
+    return api_key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _get_passed_headers(wire: request_reader.WireRequest) -> list[tuple[str, str]]:
+    listed = wire.get_header("connection") or ""
+    one_connection = {name.strip().lower() for name in listed.split(",")}
+    dropped = names.ONE_CONNECTION | names.SET_BY_SYSTEM | one_connection
+    dropped |= {"authorization", names.DEADLINE}
+    return [(name, value) for name, value in wire.headers if name not in dropped]
+
+
+def _read_generation(wire: request_reader.WireRequest) -> dialects.Generation | None:
+    usage = wire.get_header(names.TOKEN_USAGE)
+    if usage is None:
+        return None
+    prompt, _, limit = usage.partition(",")
+    hint = wire.get_header(names.LENGTH_HINT)
+    parts = []
+    for item in (wire.get_header(names.PROMPT_PARTS) or "").split(","):
+        part_id, _, tokens = item.strip().partition(":")
+        if part_id:
+            parts.append(dialects.PromptPart(part_id=part_id, tokens=int(tokens)))
+    return dialects.Generation(
+        model=wire.get_header(names.MODEL) or "",
+        prompt_tokens=int(prompt),
+        limit_tokens=int(limit),
+        hinted_tokens=int(float(hint)) if hint else 0,
+        parts=tuple(parts),
+    )
+
+
+def _read_load(text: str) -> dialects.UpstreamLoad | None:
+    values = text.split(",")
+    if len(values) != 3 or not all(value.strip().isdigit() for value in values):
+        return None
+    running, waiting, slots = (int(value) for value in values)
+    return dialects.UpstreamLoad(running=running, waiting=waiting, slots=slots)
--- /dev/null
+++ b/src/spoolhead/platform/node_file.py
@@ -0,0 +1,106 @@
+"""Reads the platform's settings file into the programs' own settings."""
+
+import os
+import pathlib
+import tomllib
+from typing import Any
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.models import codes, fault, settings
+from spoolhead.platform import names
+
+SHARED_KEY = "spoolhead-on-the-platform"
+"""The platform hands out no secret; this only keeps strangers from joining by mistake."""
+_LOG = settings.LogSettings(output="stdout")
+
+
+def get_path() -> str:
+    """Return the path of the settings file."""
+    return os.environ.get(names.SETTINGS_VARIABLE, "/etc/spoolhead/boot.toml")
+
+
+def read_entry(path: str) -> settings.GatewaySettings:
+    """Read an entry's settings.
+
+    :raises exceptions.SettingsError: if the file cannot be used.
+    """
+    return _translate(path, _make_entry)
+
+
+def read_keeper(path: str) -> settings.QuorumKeeperSettings:
+    """Read a keeper's settings.
+
+    :raises exceptions.SettingsError: if the file cannot be used.
+    """
+    return _translate(path, _make_keeper)
+
+
+def _translate(path: str, make: Any) -> Any:
+    try:
+        fields = tomllib.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+    except (OSError, ValueError) as error:
+        item = fault.Fault(codes.ResultCode.SETTINGS_UNREADABLE, str(error))
+        raise exceptions.SettingsError(path, [item]) from error
+    try:
+        return make(fields)
+    except KeyError as error:
+        item = fault.Fault(codes.ResultCode.SETTINGS_INVALID, "is missing", path=str(error))
+        raise exceptions.SettingsError(path, [item]) from error
+    except (ValueError, TypeError) as error:
+        item = fault.Fault(codes.ResultCode.SETTINGS_INVALID, str(error))
+        raise exceptions.SettingsError(path, [item]) from error
+
+
+def _make_entry(fields: dict[str, Any]) -> settings.GatewaySettings:
+    host, port = _split(fields["listen"]["front"])
+    ready_host, ready_port = _split(fields["listen"]["ready"])
+    bounds = fields["bounds"]
+    return settings.GatewaySettings(
+        name=fields["node_name"],
+        hall=fields["zone"],
+        host=host,
+        port=port,
+        ready_host=ready_host,
+        ready_port=ready_port,
+        peer_port=fields["internal_ports"][0],
+        keepers=_get_keepers(fields),
+        shared_key=SHARED_KEY,
+        instance_list=_make_list(fields),
+        stop_ms=int(bounds.get("grace_period_s", 8) * 1000),
+        retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
+        retry_slack=int(bounds.get("retry_slack", 0)),
+        retry_window_ms=int(bounds.get("retry_window_s", 10) * 1000),
+        log=_LOG,
+    )
+
+
+def _make_keeper(fields: dict[str, Any]) -> settings.QuorumKeeperSettings:
+    host, port = _split(fields["listen"]["control"])
+    return settings.QuorumKeeperSettings(
+        name=fields["node_name"],
+        hall=fields["zone"],
+        host=host,
+        port=port,
+        peer_port=fields["internal_ports"][0],
+        keepers=_get_keepers(fields),
+        data_dir=fields["data_dir"],
+        is_first_start=fields["bootstrap"],
+        shared_key=SHARED_KEY,
+        instance_list=_make_list(fields),
+        log=_LOG,
+    )
+
+
+def _make_list(fields: dict[str, Any]) -> settings.InstanceListSettings:
+    return settings.InstanceListSettings(address=fields["cloud"]["address"])
+
+
+def _get_keepers(fields: dict[str, Any]) -> list[str]:
+    # Seeds are the operators' addresses; keepers speak to one another on the first free port.
+    port = fields["internal_ports"][0]
+    return [f"{_split(seed)[0]}:{port}" for seed in fields["seeds"]]
+
+
+def _split(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/spoolhead/platform/tables.py
@@ -0,0 +1,186 @@
+"""Reads the platform's route tables and its list of instances."""
+
+import json
+import urllib.parse
+from typing import Any
+
+import expression
+
+from spoolhead._internal.models import codes, dialects, fault, instances, route_table
+from spoolhead.platform import names
+
+_KINDS = {
+    "safe": route_table.RequestKind.REPEATABLE,
+    "unsafe": route_table.RequestKind.ONCE,
+    "streaming": route_table.RequestKind.STREAM,
+}
+
+
+class _FieldError(Exception):
+    """Raised for a field that is missing or of another type; carries its path."""
+
+
+class _Fields:
+    """Typed access to the fields of a JSON object."""
+
+    def __init__(self, value: object, path: str) -> None:
+        if not isinstance(value, dict):
+            raise _FieldError(f"{path or 'the document'} is not an object")
+        self._value: dict[str, Any] = value
+        self._path = path
+
+    def has(self, name: str) -> bool:
+        return self._value.get(name) is not None
+
+    def get(self, name: str, kind: type, default: object = None) -> Any:
+        value = self._value.get(name)
+        if value is None:
+            value = default
+        if kind is float and isinstance(value, int) and not isinstance(value, bool):
+            value = float(value)
+        is_bool = isinstance(value, bool) and kind is not bool
+        if not isinstance(value, kind) or is_bool:
+            raise _FieldError(f"{self._path}{name} is missing or of a wrong type")
+        return value
+
+    def get_object(self, name: str) -> "_Fields":
+        return _Fields(self.get(name, dict), f"{self._path}{name}.")
+
+    def get_objects(self, name: str) -> list["_Fields"]:
+        items = self.get(name, list)
+        return [_Fields(item, f"{self._path}{name}.{i}.") for i, item in enumerate(items)]
+
+
+def decode_table(
+    document: bytes,
+) -> expression.Result[route_table.RouteTable, list[fault.Fault]]:
+    """Read a route table.
+
+    :returns: the table, or what keeps it from being read.
+    """
+    try:
+        fields = _Fields(json.loads(document), "")
+        return expression.Ok(_read_table(fields))
+    except _FieldError as error:
+        return expression.Error([_make_fault(str(error))])
+    except (ValueError, RecursionError) as error:
+        return expression.Error([_make_fault(f"not JSON: {error}")])
+
+
+def _make_fault(text: str) -> fault.Fault:
+    return fault.Fault(codes.ResultCode.EDIT_INVALID, text)
+
+
+def _read_table(fields: _Fields) -> route_table.RouteTable:
+    workspaces = None
+    if fields.has("tenants"):
+        workspaces = [_read_workspace(item) for item in fields.get_objects("tenants")]
+    return route_table.RouteTable(
+        version=fields.get("version", int),
+        routes=[_read_route(item) for item in fields.get_objects("routes")],
+        services=[_read_service(item) for item in fields.get_objects("services")],
+        workspaces=workspaces,
+        bounds=_read_bounds(fields),
+    )
+
+
+def _read_bounds(fields: _Fields) -> route_table.CallerBounds:
+    if not fields.has("limits"):
+        return route_table.CallerBounds()
+    limits = fields.get_object("limits")
+    return route_table.CallerBounds(
+        head_bytes=limits.get("max_header_bytes", int, 0),
+        body_bytes=limits.get("max_body_bytes", int, 0),
+        head_ms=limits.get("header_timeout_ms", int, 0),
+        idle_ms=limits.get("idle_timeout_ms", int, 0),
+    )
+
+
+def _read_route(fields: _Fields) -> route_table.Route:
+    kind = _KINDS.get(fields.get("kind", str, "unsafe"))
+    if kind is None:
+        raise _FieldError("a route is of an unknown kind")
+    timeout_ms = fields.get("timeout_ms", int)
+    return route_table.Route(
+        name=fields.get("name", str),
+        host=fields.get("host", str),
+        path_prefix=fields.get("path_prefix", str),
+        kind=kind,
+        timeout_ms=timeout_ms,
+        objective_ms=fields.get("target_latency_ms", int, timeout_ms),
+        priority=fields.get("priority", int, 0),
+        shares=_read_shares(fields),
+        attempts=fields.get("max_attempts", int, 1),
+        is_public=fields.get("public", bool, False),
+        pause_ms=fields.get("gap_aim_ms", int, 0),
+    )
+
+
+def _read_shares(fields: _Fields) -> tuple[route_table.Share, ...]:
+    if not fields.has("traffic_split"):
+        return (route_table.Share(service=fields.get("service", str), weight=1),)
+    return tuple(
+        route_table.Share(service=item.get("service", str), weight=item.get("weight", int))
+        for item in fields.get_objects("traffic_split")
+    )
+
+
+def _read_service(fields: _Fields) -> route_table.Service:
+    engine = None
+    if fields.has("engine"):
+        engine = _read_engine(fields.get_object("engine"))
+    return route_table.Service(
+        name=fields.get("name", str),
+        health_path=fields.get("health_path", str, ""),
+        max_connections=fields.get("max_connections", int, 0),
+        engine=engine,
+    )
+
+
+def _read_engine(fields: _Fields) -> route_table.Engine:
+    return route_table.Engine(
+        slots=fields.get("slots", int),
+        memory_tokens=fields.get("kv_capacity", int),
+        token_bytes=fields.get("kv_token_bytes", int, 0),
+        link_mbps=fields.get("link_mbps", float, 0.0),
+        can_move=fields.get("moves", bool, False),
+        can_back_up=fields.get("backups", bool, False),
+        tokens_per_event=fields.get("stride", int, 1),
+    )
+
+
+def _read_workspace(fields: _Fields) -> route_table.Workspace:
+    api_keys = fields.get("api_keys", list)
+    if not all(isinstance(api_key, str) for api_key in api_keys):
+        raise _FieldError("an API key is no text")
+    return route_table.Workspace(
+        name=fields.get("name", str),
+        api_keys=tuple(api_keys),
+        priority=fields.get("priority", int) if fields.has("priority") else None,
+    )
+
+
+def decode_instances(document: bytes) -> expression.Result[dialects.InstancePage, fault.Fault]:
+    """Read a page of the list of instances."""
+    try:
+        fields = _Fields(json.loads(document), "")
+        listed = [_read_instance(item) for item in fields.get_objects("instances")]
+        next_target = ""
+        if fields.has("next_token"):
+            token = urllib.parse.quote(fields.get("next_token", str))
+            next_target = f"{names.LIST_PATH}?page_token={token}"
+        return expression.Ok(dialects.InstancePage(listed, next_target))
+    except (_FieldError, ValueError, RecursionError) as error:
+        return expression.Error(fault.Fault(codes.ResultCode.PEER_PROTOCOL, str(error)))
+
+
+def _read_instance(fields: _Fields) -> instances.Instance:
+    return instances.Instance(
+        instance_id=fields.get("id", str),
+        service=fields.get("service", str),
+        address=fields.get("address", str),
+        hall=fields.get("zone", str),
+        slots=fields.get("slots", int, 1),
+        is_leaving=fields.get("state", str, "ready") != "ready",
+        slow_ms=int(fields.get("cold_remaining_ms", float, 0.0)),
+    )
