Keep a copy of each run's memory at a second instance

Change: copies that grow along from the start, renewed by order when their holder leaves; a run goes on from its copy when its stream breaks or stands still. Also: a request whose time ends while it runs is no longer answered with a status that promises it never ran (REFUSED).

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -214,6 +214,8 @@
         """Give the request its final answer at once."""
         if self.is_over:
             return
+        if self._ran is codes.Ran.NO and self.has_sent:
+            self._ran = codes.Ran.UNKNOWN
         status = refusals.send(
             self.caller,
             self._context.dialect,
@@ -250,6 +252,11 @@
         """Cancel what runs and give back what the request holds."""
         raise NotImplementedError
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether any byte of the request may have reached an instance."""
+        return False
+
     def _on_deadline(self) -> None:
         self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
 
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -24,11 +24,13 @@
 """Age at which a share no longer counts: three repetitions lost in a row."""
 MAX_DATAGRAM_BYTES = 60_000
 
+_NUMBERS = 3
+
 
 class _Share:
     """What another entry holds.
 
-    :ivar works: for each instance its id, tokens and requests.
+    :ivar works: for each instance its id, tokens, requests and tokens still to be read.
     """
 
     __slots__ = ("heard_s", "sequence", "works")
@@ -88,12 +90,14 @@
         for upstream in self._book.get_all():
             upstream.others_tokens = 0
             upstream.others_count = 0
+            upstream.others_reading = 0
         for share in self._shares.values():
-            for instance_id, tokens, count in share.works:
+            for instance_id, tokens, count, reading in share.works:
                 upstream = self._book.get(instance_id)
                 if upstream is not None:
                     upstream.others_tokens += tokens
                     upstream.others_count += count
+                    upstream.others_reading += reading
 
     def _send(self) -> None:
         self._is_due = False
@@ -103,6 +107,7 @@
                 upstream.instance.instance_id,
                 sum(work.tokens for work in upstream.works.values()),
                 len(upstream.works),
+                sum(work.reading_tokens for work in upstream.works.values()),
             ]
             for upstream in self._book.get_all()
             if upstream.works
@@ -130,8 +135,9 @@
     def _take(self, data: bytes) -> None:
         try:
             name, sequence, works = msgpack.unpackb(data)
-            if any(not isinstance(t, int) or not isinstance(c, int) for _, t, c in works):
-                raise ValueError("a share with odd numbers")
+            for _, *numbers in works:
+                if len(numbers) != _NUMBERS or not all(isinstance(n, int) for n in numbers):
+                    raise ValueError("a share with odd numbers")
         except (ValueError, TypeError, msgpack.UnpackException) as error:
             logger.warning("datagram that is no share: %s", error)
             return
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -47,6 +47,12 @@
     _attempts_made = 0
     _kept: _Attempt | None = None
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether any byte of the present attempt may have reached an instance."""
+        call = self._attempt.call if self._attempt is not None else None
+        return call is not None and call.may_have_arrived
+
     def start(self) -> None:
         """Make an attempt at the best instance."""
         choice = self.choose(0)
@@ -62,7 +68,8 @@
         attempt = self._attempt = _Attempt(self, upstream)
         self._attempts_made += 1
         self._tried.add(upstream.instance.instance_id)
-        upstream.works[self.job.head.request_id] = upstream_book.Work(self.job.head.request_id, 0)
+        request_id = self.job.head.request_id
+        upstream.works[request_id] = upstream_book.Work(request_id, 0, reading_tokens=0)
         self._context.on_change()
         orders = dialects.AttemptOrders(
             instance_id=upstream.instance.instance_id,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -113,13 +113,12 @@
         }
         logger.info("upstream leaves", extra={"fields": fields})
         runs = [
-            item
-            for item in self._exchanges
-            if isinstance(item, stream_exchange.StreamExchange) and item.upstream is upstream
+            item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
         ]
+        # The largest are worth most, and the first orders are carried out first.
         runs.sort(key=lambda item: item.need_tokens, reverse=True)
         for item in runs:
-            item.move_away()
+            item.on_instances_changed()
 
     def _get_ready(self) -> bool:
         return self._is_ready and not self._is_stopping
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -0,0 +1,275 @@
+"""Keeps a copy of a run's memory at a second instance, and moves the run when it must.
+
+From the start the engine itself sends the memory on as it grows. When the instance that holds
+the copy goes, another copy is made by order and brought up to date now and then. When the
+run's own instance goes, the run goes on at the copy.
+"""
+
+import logging
+import time
+from typing import Protocol
+
+from spoolhead._internal.gateway import exchange, run_move
+from spoolhead._internal.network import scheduler
+from spoolhead._internal.policy import run_safety, upstream_book
+
+logger = logging.getLogger(__name__)
+
+REFRESH_S = 1.5
+"""Pause between updates of a copy made by order: a copy lives five seconds without one, and
+what a run makes in this time is read anew within about 15 ms."""
+TRY_AGAIN_S = 0.12
+"""Pause before a failed order is tried again: a run that has not begun yet begins within some
+prompts' reading time (200 ms each), and an instance leaves within about two seconds."""
+
+
+class Copy:
+    """A copy from which a run can go on.
+
+    :ivar upstream: the instance that holds it.
+    :ivar address: ``IP:PORT`` that names it together with the handle.
+    :ivar handle: its handle.
+    """
+
+    __slots__ = ("address", "handle", "upstream")
+
+    def __init__(self, upstream: upstream_book.Upstream, address: str, handle: str) -> None:
+        self.upstream = upstream
+        self.address = address
+        self.handle = handle
+
+
+class Guarded(Protocol):
+    """The run that is guarded."""
+
+    is_over: bool
+
+    @property
+    def upstream(self) -> upstream_book.Upstream | None:
+        """Where the run is."""
+
+    @property
+    def events(self) -> int:
+        """Events passed on."""
+
+    @property
+    def need_tokens(self) -> int:
+        """Memory that the run will hold, in tokens."""
+
+    def on_run_stopping(self) -> None:
+        """The stream will end without its end."""
+
+    def on_run_stopped(self) -> None:
+        """The run was stopped; :meth:`RunGuard.take` names the copy to go on from."""
+
+    def on_stop_failed(self, copy: Copy | None) -> None:
+        """Stopping failed.
+
+        :param copy: where the run can go on if it was stopped; None if nowhere.
+        """
+
+
+class RunGuard:
+    """Guard of one run.
+
+    :param run: the run.
+    :param job: its request.
+    :param context: what all exchanges share.
+    """
+
+    def __init__(self, run: Guarded, job: exchange.Job, context: exchange.Context) -> None:
+        self._run = run
+        self._job = job
+        self._context = context
+        self._holder: upstream_book.Upstream | None = None
+        self._move: run_move.RunMove | None = None
+        self._timer: scheduler.Timer | None = None
+
+    def begin(self, running_at: upstream_book.Upstream) -> str:
+        """Choose who gets the copy from the start.
+
+        :returns: address of that instance; empty for none.
+        """
+        self.drop()
+        if not self._context.config.copies_runs:
+            return ""
+        holder = self._choose(running_at)
+        if holder is None:
+            self._look_later(REFRESH_S)
+            return ""
+        self._hold(holder)
+        self._log("copy grows along", running_at, holder)
+        return holder.instance.address
+
+    def look(self) -> None:
+        """Do what the present state asks for; called when instances leave, and now and then."""
+        running_at = self._run.upstream
+        if self._run.is_over or running_at is None:
+            return
+        if self._holder is not None and self._holder.is_leaving and not self._is_stopping:
+            fields = {
+                "request": self._job.head.request_id,
+                "holder": self._holder.instance.instance_id,
+                "is_gone": self._holder.is_gone,
+            }
+            logger.info("copy lost", extra={"fields": fields})
+            self.drop()
+        if self._move is not None and self._move.is_busy:
+            return
+        must_move = running_at.is_leaving and self._context.config.moves_runs
+        if self._holder is None:
+            if must_move or self._context.config.copies_runs:
+                self._make_copy(running_at)
+        elif self._move is not None and must_move:
+            self._run.on_run_stopping()
+            self._move.stop()
+        elif self._move is not None:
+            self._move.copy()
+
+    def take(self) -> Copy | None:
+        """Take the copy, if there is one, for the run to go on from it."""
+        holder, move = self._holder, self._move
+        if holder is None or holder.is_gone:
+            return None
+        if move is not None and not move.handle:
+            return None
+        self._holder = self._move = None
+        self._cancel_timer()
+        self._release(holder)
+        if move is None:
+            return Copy(holder, holder.instance.address, self._job.head.request_id)
+        move.abandon(must_free=False)
+        return Copy(holder, move.source_address, move.handle)
+
+    def take_stopped(self) -> Copy | None:
+        """Take the copy of a run that was stopped; None until it is whole."""
+        is_stopped = self._move is not None and self._move.step is run_move.Step.STOPPED
+        return self.take() if is_stopped else None
+
+    def drop(self) -> None:
+        """Give up the copy."""
+        holder, move = self._holder, self._move
+        self._holder = self._move = None
+        self._cancel_timer()
+        if move is not None:
+            move.abandon(must_free=True)
+        if holder is not None:
+            self._release(holder)
+
+    def on_copied(self, move: run_move.RunMove) -> None:
+        """Stop the run if its instance leaves; else keep the copy up to date."""
+        fields = {"request": move.request_id, "status": move.status, "handle": move.handle}
+        logger.info("copy made", extra={"fields": fields})
+        running_at = self._run.upstream
+        if running_at is not None and running_at.is_leaving:
+            self.look()
+        else:
+            self._look_later(REFRESH_S)
+
+    def on_stopped(self, move: run_move.RunMove) -> None:
+        """Let the run go on at the copy."""
+        self._run.on_run_stopped()
+
+    def on_move_failed(self, move: run_move.RunMove) -> None:
+        """Try elsewhere, or let the run go on where it was stopped."""
+        fields = {
+            "request": self._job.head.request_id,
+            "source": move.source_address,
+            "target": move.target_address,
+            "step": move.failed_step.value,
+            "status": move.status,
+        }
+        logger.info("move failed", extra={"fields": fields})
+        if move.failed_step is run_move.Step.STOPPING:
+            self._fail_stop(move)
+            return
+        if move.status == run_move.UNREACHABLE and move.handle:
+            # The source is gone; the copy made before is what the run goes on from.
+            return
+        self.drop()
+        self._look_later(TRY_AGAIN_S)
+
+    @property
+    def _is_stopping(self) -> bool:
+        return self._move is not None and self._move.step in (
+            run_move.Step.STOPPING,
+            run_move.Step.STOPPED,
+        )
+
+    def _fail_stop(self, move: run_move.RunMove) -> None:
+        if move.status == run_move.UNREACHABLE:
+            self._run.on_stop_failed(self.take())
+            return
+        # The memory stays at the source; what was copied before is of no more use.
+        copy = None
+        running_at = self._run.upstream
+        if move.handle and running_at is not None:
+            copy = Copy(running_at, move.source_address, move.handle)
+            move.handle = ""
+        self.drop()
+        self._run.on_stop_failed(copy)
+        self._look_later(TRY_AGAIN_S)
+
+    def _make_copy(self, running_at: upstream_book.Upstream) -> None:
+        engine = self._job.service.engine
+        if engine is None or not engine.can_move:
+            return
+        holder = self._choose(running_at) if self._run.events else None
+        if holder is None:
+            # There is no run to copy yet, or no room for a copy just now.
+            self._look_later(TRY_AGAIN_S if running_at.is_leaving else REFRESH_S)
+            return
+        self._log("copy ordered", running_at, holder)
+        self._hold(holder)
+        self._move = run_move.RunMove(
+            request_id=self._job.head.request_id,
+            source_address=running_at.instance.address,
+            target_address=holder.instance.address,
+            calls=self._context.calls,
+            dialect=self._context.dialect,
+            user=self,
+        )
+        self._move.copy()
+
+    def _log(
+        self, text: str, running_at: upstream_book.Upstream, holder: upstream_book.Upstream
+    ) -> None:
+        fields = {
+            "request": self._job.head.request_id,
+            "source": running_at.instance.instance_id,
+            "target": holder.instance.instance_id,
+            "target_tokens": holder.tokens,
+            "is_leaving": running_at.is_leaving,
+            "events": self._run.events,
+        }
+        logger.info(text, extra={"fields": fields})
+
+    def _choose(self, running_at: upstream_book.Upstream) -> upstream_book.Upstream | None:
+        return run_safety.choose_holder(
+            self._job.service,
+            self._context.book.get_service(self._job.service.name),
+            running_at=running_at,
+            need_tokens=self._run.need_tokens,
+            now_s=time.monotonic(),
+        )
+
+    def _hold(self, holder: upstream_book.Upstream) -> None:
+        request_id = self._job.head.request_id
+        self._holder = holder
+        holder.works[request_id] = upstream_book.Work(
+            request_id, self._run.need_tokens, reading_tokens=0
+        )
+        self._context.on_change()
+
+    def _release(self, holder: upstream_book.Upstream) -> None:
+        holder.works.pop(self._job.head.request_id, None)
+        self._context.on_change()
+
+    def _look_later(self, delay_s: float) -> None:
+        self._cancel_timer()
+        self._timer = self._context.timers.call_later(delay_s, self.look)
+
+    def _cancel_timer(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -1,8 +1,9 @@
-"""Moves the memory of one run from an instance to another, in two steps.
+"""Copies the memory of one run to another instance, and stops the run to go on there.
 
-The first step copies while the run goes on. The second stops the run and copies only what is
-new, so that the caller's stream stands still for a few milliseconds and not for the time that
-the whole memory takes.
+A copy is made while the run goes on and can be brought up to date at little cost. Stopping the
+run copies only what is new, so that the caller's stream stands still for a few milliseconds
+and not for the time that the whole memory takes. A copy that is there serves also when the
+source dies: the target then reads only what the copy lacks.
 """
 
 import enum
@@ -12,29 +13,31 @@
 from spoolhead._internal.network import upstream_calls
 
 _OK = 200
-_UNREACHABLE = 0
+UNREACHABLE = 0
+"""Status of an order that got no answer."""
 
 
 class Step(enum.Enum):
-    """Where a move stands."""
+    """What a move is doing."""
 
-    COPY = "copy"
-    STOP = "stop"
-    DONE = "done"
+    COPYING = "copying"
+    COPIED = "copied"
+    STOPPING = "stopping"
+    STOPPED = "stopped"
     FAILED = "failed"
 
 
 class MoveUser(Protocol):
     """What the owner of a move is told."""
 
-    def on_move_stopping(self, move: "RunMove") -> None:
-        """The run is about to be stopped; its stream will end without its end."""
+    def on_copied(self, move: "RunMove") -> None:
+        """The target holds a copy."""
 
-    def on_move_done(self, move: "RunMove") -> None:
-        """The run can go on at the target."""
+    def on_stopped(self, move: "RunMove") -> None:
+        """The run was stopped and can go on at the target."""
 
     def on_move_failed(self, move: "RunMove") -> None:
-        """The move came to nothing; in step ``STOP`` the run may have been stopped."""
+        """The last order came to nothing."""
 
 
 class RunMove:
@@ -42,13 +45,13 @@
 
     :param request_id: id of the request that runs.
     :param source_address: ``IP:PORT`` where it runs.
-    :param target_address: ``IP:PORT`` where it shall go on.
+    :param target_address: ``IP:PORT`` of the other instance.
     :param calls: makes HTTP requests.
     :param dialect: how instances speak.
     :param user: is told of it.
-    :ivar step: where it stands.
-    :ivar failed_step: step in which it failed.
-    :ivar status: HTTP status of the last answer; 0 if none came.
+    :ivar step: what it is doing.
+    :ivar failed_step: what it was doing when it failed.
+    :ivar status: HTTP status of the last answer; :data:`UNREACHABLE` if none came.
     :ivar handle: handle of the copy; empty for none.
     """
 
@@ -65,25 +68,40 @@
         self.request_id = request_id
         self.source_address = source_address
         self.target_address = target_address
-        self.step = Step.COPY
-        self.failed_step = Step.COPY
-        self.status = _UNREACHABLE
+        self.step = Step.COPIED
+        self.failed_step = Step.COPYING
+        self.status = UNREACHABLE
         self.handle = ""
         self._calls = calls
         self._dialect = dialect
         self._user = user
         self._call: upstream_calls.UpstreamCall | None = None
         self._body: list[bytes] = []
-        self._send()
 
-    def cancel(self) -> None:
-        """Stop caring; a copy that was made is freed."""
+    @property
+    def is_busy(self) -> bool:
+        """Whether an order is under way."""
+        return self.step in (Step.COPYING, Step.STOPPING)
+
+    def copy(self) -> None:
+        """Make the copy, or bring it up to date."""
+        self._send(Step.COPYING)
+
+    def stop(self) -> None:
+        """Stop the run, to go on at the target."""
+        self._send(Step.STOPPING)
+
+    def abandon(self, *, must_free: bool) -> None:
+        """Stop caring.
+
+        :param must_free: the copy will not be used, so its memory is given back.
+        """
         if self._call is not None and not self._call.is_over:
             self._call.cancel()
-        if self.handle and self.step is not Step.DONE:
-            free_copy(self._calls, self._dialect, self.source_address, self.handle)
-        if self.step is not Step.DONE:
-            self.step = Step.FAILED
+        self.step = Step.FAILED
+        if self.handle and must_free:
+            order = self._dialect.write_release(self.handle)
+            _send_order(self._calls, self.source_address, order, _Forgotten())
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of an answer."""
@@ -100,31 +118,31 @@
         self.handle = answer.handle or self.handle
         if self.status != _OK:
             self._fail()
-        elif self.step is Step.COPY:
-            self.step = Step.STOP
-            self._user.on_move_stopping(self)
-            self._send()
+        elif self.step is Step.COPYING:
+            self.step = Step.COPIED
+            self._user.on_copied(self)
         else:
-            self.step = Step.DONE
-            self._user.on_move_done(self)
+            self.step = Step.STOPPED
+            self._user.on_stopped(self)
 
     def on_call_lost(self, reason: str) -> None:
         """Take the loss of the connection."""
         del reason
-        self.status = _UNREACHABLE
+        self.status = UNREACHABLE
         self._fail()
 
     def _fail(self) -> None:
         self.failed_step, self.step = self.step, Step.FAILED
         self._user.on_move_failed(self)
 
-    def _send(self) -> None:
+    def _send(self, step: Step) -> None:
+        self.step = step
         self._body = []
         order = self._dialect.write_move(
             dialects.MoveOrder(
                 request_id=self.request_id,
                 target_address=self.target_address,
-                is_last=self.step is Step.STOP,
+                is_last=step is Step.STOPPING,
             )
         )
         self._call = _send_order(self._calls, self.source_address, order, self)
@@ -146,16 +164,6 @@
         pass
 
 
-def free_copy(
-    calls: upstream_calls.UpstreamCalls,
-    dialect: dialects.EntryDialect,
-    address: str,
-    handle: str,
-) -> None:
-    """Free the copy of a run's memory that will not be used."""
-    _send_order(calls, address, dialect.write_release(handle), _Forgotten())
-
-
 def _send_order(
     calls: upstream_calls.UpstreamCalls,
     address: str,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -3,19 +3,14 @@
 import logging
 import time
 
-from spoolhead._internal.gateway import exchange, run_move
+from spoolhead._internal.gateway import exchange, run_guard
 from spoolhead._internal.models import codes, dialects
-from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.network import scheduler, upstream_calls
+from spoolhead._internal.policy import run_safety, upstream_book
 from spoolhead._internal.relay import splice
 
 logger = logging.getLogger(__name__)
 
-MOVE_AGAIN_S = 0.12
-"""Pause before a failed move is tried again: a run that has not begun yet begins within some
-prompts' reading time (200 ms each), and an instance leaves within about two seconds."""
-MOVES_LIMIT = 12
-"""Moves tried for one departure: what fits into two seconds with that pause."""
 SWITCH_WAIT_S = 0.1
 """Longest wait for the rest of the old stream once its run was stopped; it was sent before the
 answer that names the copy, so only its way here is missing."""
@@ -58,11 +53,10 @@
     """One streamed request."""
 
     _attempt: _Attempt | None = None
-    _move: run_move.RunMove | None = None
-    _target: upstream_book.Upstream | None = None
-    _is_stopping = False
-    _moves_made = 0
+    _guard: run_guard.RunGuard
     _splice: splice.Splice
+    _is_stopping = False
+    _stall_timer: scheduler.Timer | None = None
 
     @property
     def upstream(self) -> upstream_book.Upstream | None:
@@ -74,6 +68,14 @@
         """Events passed on."""
         return self._splice.events
 
+    @property
+    def has_sent(self) -> bool:
+        """Whether any byte of the request may have reached an instance."""
+        attempt = self._attempt
+        if attempt is None or attempt.call is None:
+            return False
+        return attempt.is_resumed or attempt.call.may_have_arrived
+
     @property
     def need_tokens(self) -> int:
         """Memory that the run will hold, in tokens."""
@@ -86,61 +88,24 @@
     def start(self) -> None:
         """Begin the run at the best instance."""
         self._splice = splice.Splice(self.job.head.last_event_id)
-        choice = self.choose(self.need_tokens)
-        self.log_choice("attempt", choice)
-        if choice.upstream is None:
-            text = f"no upstream of {self.job.service.name} is usable"
-            self.fail(codes.ResultCode.NO_UPSTREAM, text)
-            return
-        self._open(choice.upstream, None)
+        self._guard = run_guard.RunGuard(self, self.job, self._context)
+        self._begin_run()
 
     def release(self) -> None:
-        """Cancel the run and any move of it."""
-        self._drop_move()
-        attempt, self._attempt = self._attempt, None
-        if attempt is None:
-            return
-        self._leave(attempt.upstream)
-        if attempt.call is not None and not attempt.call.is_over:
-            attempt.call.cancel()
+        """Cancel the run and give up its copy."""
+        self._guard.drop()
+        self._drop_attempt()
 
-    def move_away(self) -> None:
-        """Move the run, since its instance leaves."""
-        attempt = self._attempt
-        if self.is_over or attempt is None or self._move is not None:
-            return
-        if not attempt.upstream.is_leaving or self._moves_made >= MOVES_LIMIT:
-            return
-        engine = self.job.service.engine
-        if engine is None or not engine.can_move:
-            return
-        if not self._splice.events:
-            # Nothing has come yet, so there is no run to move, or only just.
-            self._move_later()
-            return
-        choice = self.choose(self.need_tokens)
-        self.log_choice("move", choice)
-        if choice.upstream is None:
-            self._move_later()
-            return
-        self._moves_made += 1
-        self._target = choice.upstream
-        self._hold(choice.upstream)
-        self._move = run_move.RunMove(
-            request_id=self.job.head.request_id,
-            source_address=attempt.upstream.instance.address,
-            target_address=choice.upstream.instance.address,
-            calls=self._context.calls,
-            dialect=self._context.dialect,
-            user=self,
-        )
+    def on_instances_changed(self) -> None:
+        """See whether the run or its copy must move."""
+        self._guard.look()
 
-    def on_move_stopping(self, move: run_move.RunMove) -> None:
+    def on_run_stopping(self) -> None:
         """Expect the stream to end without its end."""
         self._is_stopping = True
 
-    def on_move_done(self, move: run_move.RunMove) -> None:
-        """Go on at the target once the rest of the old stream is here."""
+    def on_run_stopped(self) -> None:
+        """Go on at the copy once the rest of the old stream is here."""
         attempt = self._attempt
         if self.is_over or attempt is None:
             return
@@ -149,32 +114,18 @@
         else:
             self._context.timers.call_later(SWITCH_WAIT_S, self._switch)
 
-    def on_move_failed(self, move: run_move.RunMove) -> None:
-        """Try again, or go on where the run was stopped."""
-        fields = {
-            **self.get_fields(),
-            "source": move.source_address,
-            "target": move.target_address,
-            "step": move.failed_step.value,
-            "status": move.status,
-            "events": self.events,
-        }
-        logger.info("move failed", extra={"fields": fields})
+    def on_stop_failed(self, copy: run_guard.Copy | None) -> None:
+        """Go on where the run was stopped, or where its copy is."""
         attempt = self._attempt
-        handle = move.handle
-        target, self._target, self._move = self._target, None, None
-        if target is not None:
-            self._leave(target)
         if self.is_over or attempt is None:
             return
-        if move.failed_step is run_move.Step.STOP and attempt.has_ended:
-            if handle:
-                self._resume(attempt.upstream, move.source_address, handle)
-            else:
-                self._break("the run was stopped and could not be moved")
-            return
         self._is_stopping = False
-        self._move_later()
+        if not attempt.has_ended:
+            return
+        if copy is not None:
+            self._resume(copy)
+        else:
+            self._break("the run was stopped and could not be moved")
 
     def take_head(self, attempt: _Attempt, status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of the answer."""
@@ -190,46 +141,53 @@
         if not self._is_good(attempt.head):
             attempt.body.append(data)
             return
+        self._note_read(attempt)
         spliced = self._splice.feed(data)
         if spliced.data and not self._pass_on(attempt.head, spliced.data):
             return
         if spliced.problem:
             self._break(spliced.problem)
+        else:
+            self._watch_for_stall()
 
     def take_end(self, attempt: _Attempt) -> None:
         """Take the end of the answer."""
-        if attempt is not self._attempt or attempt.head is None:
+        if attempt is not self._attempt or attempt.head is None or attempt.call is None:
             return
         attempt.has_ended = True
         if not self._is_good(attempt.head):
-            self._take_refusal(attempt)
-            return
-        if self._is_stopping and not attempt.call.ended_whole:
-            self._after_stopped_end()
-            return
-        attempt.upstream.note_answer()
-        self._finish(attempt.head)
+            self._take_refusal(attempt, attempt.head)
+        elif self._is_stopping and not attempt.call.ended_whole:
+            self._switch()
+        else:
+            attempt.upstream.note_answer()
+            self._finish(attempt.head)
 
     def take_loss(self, attempt: _Attempt, reason: str) -> None:
         """Take the loss of the connection."""
-        if attempt is not self._attempt:
+        if attempt is not self._attempt or attempt.call is None:
             return
         attempt.has_ended = True
         if self._is_stopping:
-            self._after_stopped_end()
+            self._switch()
             return
-        assert attempt.call is not None
         attempt.upstream.note_failure(time.monotonic())
+        self._log_attempt_failure(attempt, reason)
         if not attempt.call.may_have_arrived and not attempt.is_resumed:
-            self._log_attempt_failure(attempt, reason)
+            self._guard.drop()
             self._drop_attempt()
-            self.start()
+            self._begin_run()
             return
-        self._break(reason)
+        self._go_on_from_copy(reason)
 
-    def _after_stopped_end(self) -> None:
-        if self._move is not None and self._move.step is run_move.Step.DONE:
-            self._switch()
+    def _begin_run(self) -> None:
+        choice = self.choose(self.need_tokens)
+        self.log_choice("attempt", choice)
+        if choice.upstream is None:
+            text = f"no upstream of {self.job.service.name} is usable"
+            self.fail(codes.ResultCode.NO_UPSTREAM, text)
+            return
+        self._open(choice.upstream, None)
 
     def _is_good(self, head: dialects.AnswerHead) -> bool:
         own_id = self.job.head.request_id
@@ -240,20 +198,20 @@
             and head.request_id in ("", own_id)
         )
 
-    def _take_refusal(self, attempt: _Attempt) -> None:
-        head = attempt.head
-        assert head is not None
+    def _take_refusal(self, attempt: _Attempt, head: dialects.AnswerHead) -> None:
+        self._log_attempt_failure(attempt, f"status {head.status}")
         if attempt.is_resumed or self._splice.events:
             self._break(f"the run could not go on: status {head.status}")
             return
         if head.has_not_run:
-            self._log_attempt_failure(attempt, f"not run, status {head.status}")
+            self._guard.drop()
+            self._drop_attempt()
             allowance = self._context.get_allowance(self.job.service.name)
-            if len(self._tried) < self.job.route.attempts and allowance.take(time.monotonic()):
-                self._drop_attempt()
-                self.start()
-                return
-            self.fail(codes.ResultCode.UPSTREAM_REFUSED, "the upstream has no room")
+            may_repeat = len(self._tried) < self.job.route.attempts
+            if may_repeat and allowance.take(time.monotonic()):
+                self._begin_run()
+            else:
+                self.fail(codes.ResultCode.UPSTREAM_REFUSED, "the upstream has no room")
             return
         self._ran = codes.Ran.UNKNOWN
         if head.status == _OK or head.request_id not in ("", self.job.head.request_id):
@@ -269,77 +227,96 @@
         fields = {
             **self.get_fields(),
             "upstream": attempt.upstream.instance.instance_id,
+            "events": self.events,
             "reason": reason,
         }
         logger.info("attempt failed", extra={"fields": fields})
 
     def _open(self, upstream: upstream_book.Upstream, resume: dialects.ResumePoint | None) -> None:
         attempt = self._attempt = _Attempt(self, upstream, is_resumed=resume is not None)
+        request_id = self.job.head.request_id
+        generation = self.job.head.generation
+        reading = generation.prompt_tokens if generation is not None and resume is None else 0
         self._tried.add(upstream.instance.instance_id)
-        self._hold(upstream)
+        upstream.works[request_id] = upstream_book.Work(
+            request_id, self.need_tokens, reading_tokens=reading
+        )
+        backup_address = self._guard.begin(upstream)
+        self._context.on_change()
         orders = dialects.AttemptOrders(
             instance_id=upstream.instance.instance_id,
             remaining_ms=self.remaining_ms,
             workspace=self.job.workspace_name,
             resume=resume,
+            backup_address=backup_address,
         )
         attempt.call = self.send_attempt(upstream, attempt, orders)
 
-    def _hold(self, upstream: upstream_book.Upstream) -> None:
-        request_id = self.job.head.request_id
-        upstream.works[request_id] = upstream_book.Work(request_id, self.need_tokens)
-        self._context.on_change()
-
-    def _leave(self, upstream: upstream_book.Upstream) -> None:
-        upstream.works.pop(self.job.head.request_id, None)
-        self._context.on_change()
+    def _note_read(self, attempt: _Attempt) -> None:
+        """Take note that the prompt has been read."""
+        work = attempt.upstream.works.get(self.job.head.request_id)
+        if work is not None and work.reading_tokens:
+            work.reading_tokens = 0
+            self._context.on_change()
 
     def _drop_attempt(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+            self._stall_timer = None
         attempt, self._attempt = self._attempt, None
-        if attempt is not None:
-            self._leave(attempt.upstream)
-            if attempt.call is not None and not attempt.call.is_over:
-                attempt.call.cancel()
-
-    def _drop_move(self) -> None:
-        move, self._move = self._move, None
-        target, self._target = self._target, None
-        if move is not None:
-            move.cancel()
-        if target is not None:
-            self._leave(target)
-
-    def _move_later(self) -> None:
-        self._context.timers.call_later(MOVE_AGAIN_S, self.move_away)
+        if attempt is None:
+            return
+        attempt.upstream.works.pop(self.job.head.request_id, None)
+        self._context.on_change()
+        if attempt.call is not None and not attempt.call.is_over:
+            attempt.call.cancel()
+
+    def _watch_for_stall(self) -> None:
+        if self._stall_timer is not None:
+            self._stall_timer.cancel()
+        wait_s = run_safety.get_stall_s(self.job.route)
+        self._stall_timer = self._context.timers.call_later(wait_s, self._on_stall)
+
+    def _on_stall(self) -> None:
+        if self.is_over or self._attempt is None or self._is_stopping:
+            return
+        copy = self._guard.take()
+        if copy is not None:
+            self._log_attempt_failure(self._attempt, "the stream stands still")
+            self._resume(copy)
+
+    def _go_on_from_copy(self, reason: str) -> None:
+        copy = self._guard.take()
+        if copy is not None:
+            self._resume(copy)
+        else:
+            self._break(reason)
 
     def _switch(self) -> None:
-        move, target = self._move, self._target
-        if self.is_over or move is None or target is None:
+        """Let a stopped run go on, once both its stream has ended and its copy is there."""
+        if self.is_over or not self._is_stopping:
             return
-        self._move = None
-        self._target = None
-        self._resume(target, move.source_address, move.handle)
+        copy = self._guard.take_stopped()
+        if copy is not None:
+            self._resume(copy)
 
-    def _resume(self, upstream: upstream_book.Upstream, source_address: str, handle: str) -> None:
+    def _resume(self, copy: run_guard.Copy) -> None:
         point = dialects.ResumePoint(
-            address=source_address, handle=handle, last_event_id=self._splice.last_event_id
+            address=copy.address, handle=copy.handle, last_event_id=self._splice.last_event_id
         )
         fields = {
             **self.get_fields(),
-            "upstream": upstream.instance.instance_id,
-            "source": source_address,
+            "upstream": copy.upstream.instance.instance_id,
+            "copy_of": copy.address,
             "events": self.events,
             "last_event_id": point.last_event_id,
         }
         logger.info("run goes on elsewhere", extra={"fields": fields})
         self._drop_attempt()
         self._is_stopping = False
-        self._moves_made = 0
         self._tried.clear()
         self._splice.begin_connection()
-        self._open(upstream, point)
-        if upstream.is_leaving:
-            self._move_later()
+        self._open(copy.upstream, point)
 
     def _pass_on(self, head: dialects.AnswerHead, data: bytes) -> bool:
         """Send bytes to the caller; False where that ended the exchange."""
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -226,6 +226,8 @@
     :ivar retry_ratio: second attempts allowed for each request, over all entries.
     :ivar retry_slack: second attempts allowed besides, over all entries and one window.
     :ivar retry_window_ms: length of the window.
+    :ivar moves_runs: a run is moved when its instance leaves.
+    :ivar copies_runs: a run's memory is copied to a second instance while it grows.
     """
 
     name: str
@@ -242,6 +244,8 @@
     retry_ratio: float = 0.2
     retry_slack: int = 0
     retry_window_ms: Positive = 10_000
+    moves_runs: bool = True
+    copies_runs: bool = True
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
     upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
     log: LogSettings = pydantic.Field(default_factory=LogSettings)
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -20,13 +20,15 @@
 
     :ivar request_id: its id.
     :ivar tokens: memory that it holds or will hold, in tokens; 0 for a plain request.
+    :ivar reading_tokens: tokens of its prompt that are still to be read.
     """
 
-    __slots__ = ("request_id", "tokens")
+    __slots__ = ("reading_tokens", "request_id", "tokens")
 
-    def __init__(self, request_id: str, tokens: int) -> None:
+    def __init__(self, request_id: str, tokens: int, *, reading_tokens: int) -> None:
         self.request_id = request_id
         self.tokens = tokens
+        self.reading_tokens = reading_tokens
 
 
 class Upstream:
@@ -36,7 +38,9 @@
     :ivar works: this entry's requests there.
     :ivar others_tokens: memory that other entries' requests hold there, in tokens.
     :ivar others_count: other entries' requests there.
+    :ivar others_reading: tokens of other entries' prompts that are still to be read there.
     :ivar is_leaving: it takes no new work.
+    :ivar is_gone: it is no longer listed.
     """
 
     __slots__ = (
@@ -46,8 +50,10 @@
         "_rest_s",
         "_rest_until_s",
         "instance",
+        "is_gone",
         "is_leaving",
         "others_count",
+        "others_reading",
         "others_tokens",
         "works",
     )
@@ -57,7 +63,9 @@
         self.works: dict[str, Work] = {}
         self.others_tokens = 0
         self.others_count = 0
+        self.others_reading = 0
         self.is_leaving = instance.is_leaving
+        self.is_gone = False
         self._load: dialects.UpstreamLoad | None = None
         self._load_s = 0.0
         self._failures = 0
@@ -69,6 +77,11 @@
         """Memory that all known requests hold or will hold, in tokens."""
         return self.others_tokens + sum(work.tokens for work in self.works.values())
 
+    @property
+    def reading_tokens(self) -> int:
+        """Tokens of all known prompts that are still to be read."""
+        return self.others_reading + sum(work.reading_tokens for work in self.works.values())
+
     @property
     def count(self) -> int:
         """Known requests of all entries."""
@@ -138,5 +151,9 @@
                 upstream.is_leaving = True
                 leaving.append(upstream)
             self._upstreams[instance.instance_id] = upstream
-        leaving.extend(upstream for upstream in before.values() if upstream.works)
+        for upstream in before.values():
+            upstream.is_leaving = True
+            upstream.is_gone = True
+            if upstream.works:
+                leaving.append(upstream)
         return leaving
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -11,6 +11,9 @@
 beside costs a request about as much as the way between halls and the bytes on it."""
 SLOW_START_COST = 0.5
 """What a start that is not over counts against an instance, as a share of its capacity."""
+READING_TOKENS_PER_COST = 14_000
+"""Tokens still to be read that count as much as a full memory: the reading of one second, most
+of the time in which a first token is wanted."""
 
 
 class Candidate:
@@ -79,6 +82,7 @@
     instance = upstream.instance
     if service.engine is not None:
         cost = (upstream.tokens + need_tokens) / service.engine.memory_tokens
+        cost += upstream.reading_tokens / READING_TOKENS_PER_COST
     else:
         known = max(upstream.count, upstream.get_told_count(now_s))
         cost = known / max(1, instance.slots)
