Hear of departures from the engines' health and go on from copies without a stop

Cause: stopping a run before its last copy waits in the queue of the links, with the caller's stream standing still (386 to 1,103 ms seen); the list tells a departure 0.8 to 1.3 s late.

Change: each engine is asked for its health each 200 ms by one entry (rendezvous hashing), which tells the others; a run goes on from a copy with what the copy lacks read anew. Copies by order go to the same hall first.

Ruled out: standing copies for all runs (first tokens up to 3.1 s late for want of memory).

--- /dev/null
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -0,0 +1,120 @@
+"""Asks model engines for their health, to hear of a departure before the list tells it.
+
+An engine that is being emptied says so at once, while the platform's list runs most of a
+second behind, and what is told too late cannot be moved in time. A bad answer is taken as an
+alarm and not as the truth: it passes unless the list confirms it.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.policy import upstream_book, watch_duty
+from spoolhead._internal.routing import matcher
+
+logger = logging.getLogger(__name__)
+
+ANSWER_S = 0.5
+"""Longest wait for an answer: many times the usual few milliseconds."""
+
+_OK = 200
+
+
+class _Probe:
+    """One question; its answer raises an alarm if it is bad."""
+
+    __slots__ = ("began_s", "call", "owner", "status", "upstream")
+
+    def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream) -> None:
+        self.owner = owner
+        self.upstream = upstream
+        self.began_s = time.monotonic()
+        self.call: upstream_calls.UpstreamCall | None = None
+        self.status = 0
+
+    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
+        del headers
+        self.status = status
+
+    def on_answer_body(self, data: bytes) -> None:
+        pass
+
+    def on_answer_end(self) -> None:
+        self.owner.take(self, f"status {self.status}")
+
+    def on_call_lost(self, reason: str) -> None:
+        self.owner.take(self, reason)
+
+
+class HealthWatch:
+    """Watches the engines that fall to this entry.
+
+    :param loop: root of the program.
+    :param calls: makes HTTP requests.
+    :param config: the entry's settings.
+    :param book: the instances.
+    :param get_table: returns the table in force.
+    :param get_watchers: returns the entries that are alive.
+    :param on_alarm: called with an instance that was found bad.
+    """
+
+    def __init__(
+        self,
+        loop: loops.Loop,
+        calls: upstream_calls.UpstreamCalls,
+        config: settings.GatewaySettings,
+        book: upstream_book.UpstreamBook,
+        *,
+        get_table: Callable[[], matcher.Matcher | None],
+        get_watchers: Callable[[], list[watch_duty.Watcher]],
+        on_alarm: Callable[[upstream_book.Upstream], None],
+    ) -> None:
+        self._calls = calls
+        self._config = config
+        self._book = book
+        self._get_table = get_table
+        self._get_watchers = get_watchers
+        self._on_alarm = on_alarm
+        self._probes: dict[str, _Probe] = {}
+        loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
+
+    def take(self, probe: _Probe, outcome: str) -> None:
+        """Take the answer to a question, or its loss."""
+        instance_id = probe.upstream.instance.instance_id
+        self._probes.pop(instance_id, None)
+        if probe.status == _OK or probe.upstream.is_leaving:
+            return
+        now_s = time.monotonic()
+        if probe.upstream.raise_alarm(now_s):
+            fields = {"upstream": instance_id, "outcome": outcome}
+            logger.info("upstream says that it is not well", extra={"fields": fields})
+            self._on_alarm(probe.upstream)
+
+    def _ask_all(self) -> None:
+        table = self._get_table()
+        if table is None:
+            return
+        now_s = time.monotonic()
+        for probe in list(self._probes.values()):
+            if now_s - probe.began_s > ANSWER_S and probe.call is not None:
+                probe.call.cancel()
+                self.take(probe, "no answer")
+        watchers = self._get_watchers()
+        for service in table.services:
+            if service.engine is None or not service.health_path:
+                continue
+            for upstream in self._book.get_service(service.name):
+                if upstream.is_leaving or upstream.instance.instance_id in self._probes:
+                    continue
+                if watch_duty.is_on_duty(self._config.name, watchers, upstream.instance):
+                    self._ask(upstream, service.health_path)
+
+    def _ask(self, upstream: upstream_book.Upstream, path: str) -> None:
+        probe = _Probe(self, upstream)
+        self._probes[upstream.instance.instance_id] = probe
+        address = upstream.instance.address
+        request = upstream_calls.make_request("GET", path, address, (), b"")
+        probe.call = self._calls.open(address, request, probe)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -7,12 +7,13 @@
 import logging
 import socket
 import time
+from collections.abc import Callable
 
 import msgpack
 
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import upstream_book, watch_duty
 
 logger = logging.getLogger(__name__)
 
@@ -30,12 +31,14 @@
 class _Share:
     """What another entry holds.
 
+    :ivar hall: hall of that entry.
     :ivar works: for each instance its id, tokens, requests and tokens still to be read.
     """
 
-    __slots__ = ("heard_s", "sequence", "works")
+    __slots__ = ("hall", "heard_s", "sequence", "works")
 
-    def __init__(self, sequence: int, works: list[list[object]], heard_s: float) -> None:
+    def __init__(self, hall: str, sequence: int, works: list[list[object]], heard_s: float) -> None:
+        self.hall = hall
         self.sequence = sequence
         self.works = works
         self.heard_s = heard_s
@@ -47,6 +50,7 @@
     :param loop: root of the program.
     :param config: the entry's settings.
     :param book: the instances.
+    :param on_alarm: called with an instance that another entry found bad.
     """
 
     def __init__(
@@ -54,9 +58,13 @@
         loop: loops.Loop,
         config: settings.GatewaySettings,
         book: upstream_book.UpstreamBook,
+        on_alarm: Callable[[upstream_book.Upstream], None],
     ) -> None:
         self._timers = loop.scheduler
+        self._on_alarm = on_alarm
+        self._alarms: list[str] = []
         self._name = config.name
+        self._hall = config.hall
         self._own = f"{config.host}:{config.peer_port}"
         self._book = book
         self._peers: list[tuple[str, int]] = []
@@ -78,6 +86,21 @@
             if address != self._own and port.isdigit():
                 self._peers.append((host, int(port)))
 
+    def get_watchers(self) -> list[watch_duty.Watcher]:
+        """Return the entries that are alive, this one among them."""
+        self._forget_old()
+        watchers = [watch_duty.Watcher(name=self._name, hall=self._hall)]
+        for name, share in self._shares.items():
+            if name != self._name:
+                watchers.append(watch_duty.Watcher(name=name, hall=share.hall))
+        return watchers
+
+    def tell_alarm(self, instance_id: str) -> None:
+        """Tell the other entries at once of an instance that was found bad."""
+        self._alarms = [instance_id]
+        self._send()
+        self._alarms = []
+
     def note_change(self) -> None:
         """Send this entry's share soon."""
         if not self._is_due:
@@ -112,7 +135,7 @@
             for upstream in self._book.get_all()
             if upstream.works
         ]
-        data = msgpack.packb([self._name, self._sequence, works])
+        data = msgpack.packb([self._name, self._hall, self._sequence, works, self._alarms])
         for peer in self._peers:
             try:
                 self._sock.sendto(data, peer)
@@ -134,7 +157,7 @@
 
     def _take(self, data: bytes) -> None:
         try:
-            name, sequence, works = msgpack.unpackb(data)
+            name, hall, sequence, works, alarms = msgpack.unpackb(data)
             for _, *numbers in works:
                 if len(numbers) != _NUMBERS or not all(isinstance(n, int) for n in numbers):
                     raise ValueError("a share with odd numbers")
@@ -143,7 +166,18 @@
             return
         known = self._shares.get(name)
         if known is None or sequence > known.sequence:
-            self._shares[name] = _Share(sequence, works, time.monotonic())
+            self._shares[name] = _Share(hall, sequence, works, time.monotonic())
+        for instance_id in alarms:
+            self._take_alarm(name, instance_id)
+
+    def _take_alarm(self, name: str, instance_id: str) -> None:
+        upstream = self._book.get(instance_id)
+        if upstream is None or upstream.is_leaving:
+            return
+        if upstream.raise_alarm(time.monotonic()):
+            fields = {"upstream": instance_id, "told_by": name}
+            logger.info("upstream is said not to be well", extra={"fields": fields})
+            self._on_alarm(upstream)
 
     def _forget_old(self) -> None:
         oldest_s = time.monotonic() - EXPIRY_S
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -7,6 +7,7 @@
 
 from spoolhead._internal.gateway import (
     exchange,
+    health_watch,
     load_sharing,
     plain_exchange,
     ready_server,
@@ -53,7 +54,7 @@
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
         self._book = upstream_book.UpstreamBook()
-        self._sharing = load_sharing.LoadSharing(self._loop, config, self._book)
+        self._sharing = load_sharing.LoadSharing(self._loop, config, self._book, self._empty)
         self._context = exchange.Context(
             config=config,
             dialect=dialect,
@@ -68,6 +69,15 @@
         ).register(self._loop)
         ready_server.ReadyServer(config, self._get_ready).register(self._loop)
         self._feed = table_feed.TableFeed(self._loop, outgoing, calls, config, dialect, self)
+        self._health = health_watch.HealthWatch(
+            self._loop,
+            calls,
+            config,
+            self._book,
+            get_table=lambda: self._matcher,
+            get_watchers=self._sharing.get_watchers,
+            on_alarm=self._on_alarm,
+        )
         self._loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
 
     def run(self) -> None:
@@ -106,6 +116,10 @@
         self._sharing.set_peers([str(address) for _, _, address in entries])
         self._context.entry_count = max(self._context.entry_count, len(entries))
 
+    def _on_alarm(self, upstream: upstream_book.Upstream) -> None:
+        self._sharing.tell_alarm(upstream.instance.instance_id)
+        self._empty(upstream)
+
     def _empty(self, upstream: upstream_book.Upstream) -> None:
         fields = {
             "upstream": upstream.instance.instance_id,
@@ -115,8 +129,8 @@
         runs = [
             item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
         ]
-        # The largest are worth most, and the first orders are carried out first.
-        runs.sort(key=lambda item: item.need_tokens, reverse=True)
+        # The first orders are carried out first, and not all may be in time.
+        runs.sort(key=lambda item: item.rank, reverse=True)
         for item in runs:
             item.on_instances_changed()
 
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -21,6 +21,8 @@
 TRY_AGAIN_S = 0.12
 """Pause before a failed order is tried again: a run that has not begun yet begins within some
 prompts' reading time (200 ms each), and an instance leaves within about two seconds."""
+NO_ROOM = 503
+"""Status of an order that the other instance has no room for."""
 
 
 class Copy:
@@ -56,17 +58,8 @@
     def need_tokens(self) -> int:
         """Memory that the run will hold, in tokens."""
 
-    def on_run_stopping(self) -> None:
-        """The stream will end without its end."""
-
-    def on_run_stopped(self) -> None:
-        """The run was stopped; :meth:`RunGuard.take` names the copy to go on from."""
-
-    def on_stop_failed(self, copy: Copy | None) -> None:
-        """Stopping failed.
-
-        :param copy: where the run can go on if it was stopped; None if nowhere.
-        """
+    def on_copy_ready(self) -> None:
+        """The run's instance leaves and the copy is up to date; it should go on there."""
 
 
 class RunGuard:
@@ -84,6 +77,7 @@
         self._holder: upstream_book.Upstream | None = None
         self._move: run_move.RunMove | None = None
         self._timer: scheduler.Timer | None = None
+        self._refusers: set[str] = set()
 
     def begin(self, running_at: upstream_book.Upstream) -> str:
         """Choose who gets the copy from the start.
@@ -106,23 +100,22 @@
         running_at = self._run.upstream
         if self._run.is_over or running_at is None:
             return
-        if self._holder is not None and self._holder.is_leaving and not self._is_stopping:
+        now_s = time.monotonic()
+        holder = self._holder
+        if holder is not None and holder.is_departing(now_s):
             fields = {
                 "request": self._job.head.request_id,
-                "holder": self._holder.instance.instance_id,
-                "is_gone": self._holder.is_gone,
+                "holder": holder.instance.instance_id,
+                "is_gone": holder.is_gone,
             }
             logger.info("copy lost", extra={"fields": fields})
             self.drop()
         if self._move is not None and self._move.is_busy:
             return
-        must_move = running_at.is_leaving and self._context.config.moves_runs
+        must_move = running_at.is_departing(now_s) and self._context.config.moves_runs
         if self._holder is None:
             if must_move or self._context.config.copies_runs:
                 self._make_copy(running_at)
-        elif self._move is not None and must_move:
-            self._run.on_run_stopping()
-            self._move.stop()
         elif self._move is not None:
             self._move.copy()
 
@@ -141,11 +134,6 @@
         move.abandon(must_free=False)
         return Copy(holder, move.source_address, move.handle)
 
-    def take_stopped(self) -> Copy | None:
-        """Take the copy of a run that was stopped; None until it is whole."""
-        is_stopped = self._move is not None and self._move.step is run_move.Step.STOPPED
-        return self.take() if is_stopped else None
-
     def drop(self) -> None:
         """Give up the copy."""
         holder, move = self._holder, self._move
@@ -157,58 +145,34 @@
             self._release(holder)
 
     def on_copied(self, move: run_move.RunMove) -> None:
-        """Stop the run if its instance leaves; else keep the copy up to date."""
-        fields = {"request": move.request_id, "status": move.status, "handle": move.handle}
+        """Have the run go on at the copy if its instance leaves; else keep it up to date."""
+        fields = {"request": move.request_id, "handle": move.handle}
         logger.info("copy made", extra={"fields": fields})
         running_at = self._run.upstream
-        if running_at is not None and running_at.is_leaving:
-            self.look()
+        if running_at is not None and running_at.is_departing(time.monotonic()):
+            self._run.on_copy_ready()
         else:
             self._look_later(REFRESH_S)
 
-    def on_stopped(self, move: run_move.RunMove) -> None:
-        """Let the run go on at the copy."""
-        self._run.on_run_stopped()
-
     def on_move_failed(self, move: run_move.RunMove) -> None:
-        """Try elsewhere, or let the run go on where it was stopped."""
+        """Try elsewhere, unless an older copy is the best there is."""
         fields = {
             "request": self._job.head.request_id,
             "source": move.source_address,
             "target": move.target_address,
-            "step": move.failed_step.value,
             "status": move.status,
         }
         logger.info("move failed", extra={"fields": fields})
-        if move.failed_step is run_move.Step.STOPPING:
-            self._fail_stop(move)
-            return
         if move.status == run_move.UNREACHABLE and move.handle:
             # The source is gone; the copy made before is what the run goes on from.
             return
+        holder = self._holder
         self.drop()
-        self._look_later(TRY_AGAIN_S)
-
-    @property
-    def _is_stopping(self) -> bool:
-        return self._move is not None and self._move.step in (
-            run_move.Step.STOPPING,
-            run_move.Step.STOPPED,
-        )
-
-    def _fail_stop(self, move: run_move.RunMove) -> None:
-        if move.status == run_move.UNREACHABLE:
-            self._run.on_stop_failed(self.take())
-            return
-        # The memory stays at the source; what was copied before is of no more use.
-        copy = None
-        running_at = self._run.upstream
-        if move.handle and running_at is not None:
-            copy = Copy(running_at, move.source_address, move.handle)
-            move.handle = ""
-        self.drop()
-        self._run.on_stop_failed(copy)
-        self._look_later(TRY_AGAIN_S)
+        if move.status == NO_ROOM and holder is not None:
+            self._refusers.add(holder.instance.instance_id)
+            self.look()
+        else:
+            self._look_later(TRY_AGAIN_S)
 
     def _make_copy(self, running_at: upstream_book.Upstream) -> None:
         engine = self._job.service.engine
@@ -216,8 +180,10 @@
             return
         holder = self._choose(running_at) if self._run.events else None
         if holder is None:
+            self._refusers.clear()
             # There is no run to copy yet, or no room for a copy just now.
-            self._look_later(TRY_AGAIN_S if running_at.is_leaving else REFRESH_S)
+            is_urgent = running_at.is_departing(time.monotonic())
+            self._look_later(TRY_AGAIN_S if is_urgent else REFRESH_S)
             return
         self._log("copy ordered", running_at, holder)
         self._hold(holder)
@@ -245,12 +211,15 @@
         logger.info(text, extra={"fields": fields})
 
     def _choose(self, running_at: upstream_book.Upstream) -> upstream_book.Upstream | None:
+        now_s = time.monotonic()
         return run_safety.choose_holder(
             self._job.service,
             self._context.book.get_service(self._job.service.name),
             running_at=running_at,
             need_tokens=self._run.need_tokens,
-            now_s=time.monotonic(),
+            is_urgent=running_at.is_departing(now_s),
+            excluded=self._refusers,
+            now_s=now_s,
         )
 
     def _hold(self, holder: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -1,9 +1,8 @@
-"""Copies the memory of one run to another instance, and stops the run to go on there.
+"""Has the memory of one run copied from its instance to another.
 
-A copy is made while the run goes on and can be brought up to date at little cost. Stopping the
-run copies only what is new, so that the caller's stream stands still for a few milliseconds
-and not for the time that the whole memory takes. A copy that is there serves also when the
-source dies: the target then reads only what the copy lacks.
+The copy is made while the run goes on and can be brought up to date at little cost. The run
+can go on from it at the other instance, which then reads only what the copy lacks, whether the
+first instance still lives or not.
 """
 
 import enum
@@ -22,8 +21,6 @@
 
     COPYING = "copying"
     COPIED = "copied"
-    STOPPING = "stopping"
-    STOPPED = "stopped"
     FAILED = "failed"
 
 
@@ -33,9 +30,6 @@
     def on_copied(self, move: "RunMove") -> None:
         """The target holds a copy."""
 
-    def on_stopped(self, move: "RunMove") -> None:
-        """The run was stopped and can go on at the target."""
-
     def on_move_failed(self, move: "RunMove") -> None:
         """The last order came to nothing."""
 
@@ -50,7 +44,6 @@
     :param dialect: how instances speak.
     :param user: is told of it.
     :ivar step: what it is doing.
-    :ivar failed_step: what it was doing when it failed.
     :ivar status: HTTP status of the last answer; :data:`UNREACHABLE` if none came.
     :ivar handle: handle of the copy; empty for none.
     """
@@ -69,7 +62,6 @@
         self.source_address = source_address
         self.target_address = target_address
         self.step = Step.COPIED
-        self.failed_step = Step.COPYING
         self.status = UNREACHABLE
         self.handle = ""
         self._calls = calls
@@ -81,15 +73,16 @@
     @property
     def is_busy(self) -> bool:
         """Whether an order is under way."""
-        return self.step in (Step.COPYING, Step.STOPPING)
+        return self.step is Step.COPYING
 
     def copy(self) -> None:
         """Make the copy, or bring it up to date."""
-        self._send(Step.COPYING)
-
-    def stop(self) -> None:
-        """Stop the run, to go on at the target."""
-        self._send(Step.STOPPING)
+        self.step = Step.COPYING
+        self._body = []
+        order = self._dialect.write_move(
+            dialects.MoveOrder(request_id=self.request_id, target_address=self.target_address)
+        )
+        self._call = _send_order(self._calls, self.source_address, order, self)
 
     def abandon(self, *, must_free: bool) -> None:
         """Stop caring.
@@ -118,12 +111,9 @@
         self.handle = answer.handle or self.handle
         if self.status != _OK:
             self._fail()
-        elif self.step is Step.COPYING:
-            self.step = Step.COPIED
-            self._user.on_copied(self)
-        else:
-            self.step = Step.STOPPED
-            self._user.on_stopped(self)
+            return
+        self.step = Step.COPIED
+        self._user.on_copied(self)
 
     def on_call_lost(self, reason: str) -> None:
         """Take the loss of the connection."""
@@ -132,21 +122,9 @@
         self._fail()
 
     def _fail(self) -> None:
-        self.failed_step, self.step = self.step, Step.FAILED
+        self.step = Step.FAILED
         self._user.on_move_failed(self)
 
-    def _send(self, step: Step) -> None:
-        self.step = step
-        self._body = []
-        order = self._dialect.write_move(
-            dialects.MoveOrder(
-                request_id=self.request_id,
-                target_address=self.target_address,
-                is_last=step is Step.STOPPING,
-            )
-        )
-        self._call = _send_order(self._calls, self.source_address, order, self)
-
 
 class _Forgotten:
     """Takes an answer that nobody waits for."""
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -7,13 +7,10 @@
 from spoolhead._internal.models import codes, dialects
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import run_safety, upstream_book
-from spoolhead._internal.relay import splice
+from spoolhead._internal.relay import pace_meter, splice
 
 logger = logging.getLogger(__name__)
 
-SWITCH_WAIT_S = 0.1
-"""Longest wait for the rest of the old stream once its run was stopped; it was sent before the
-answer that names the copy, so only its way here is missing."""
 UNREAD_BYTES = 1_048_576
 """Bytes kept for a caller that reads slowly: several of the longest answers seen (120 KiB)."""
 
@@ -55,7 +52,7 @@
     _attempt: _Attempt | None = None
     _guard: run_guard.RunGuard
     _splice: splice.Splice
-    _is_stopping = False
+    _pace: pace_meter.PaceMeter
     _stall_timer: scheduler.Timer | None = None
 
     @property
@@ -79,16 +76,37 @@
     @property
     def need_tokens(self) -> int:
         """Memory that the run will hold, in tokens."""
+        generation = self.job.head.generation
+        if generation is None:
+            return 0
+        return generation.prompt_tokens + self._expected_tokens
+
+    @property
+    def rank(self) -> float:
+        """How much is saved by copying the run, for the time that it takes."""
+        generation = self.job.head.generation
+        engine = self.job.service.engine
+        if generation is None or engine is None:
+            return 0.0
+        return run_safety.get_rank(
+            generation.prompt_tokens,
+            self._expected_tokens,
+            self.events * engine.tokens_per_event,
+        )
+
+    @property
+    def _expected_tokens(self) -> int:
         generation = self.job.head.generation
         if generation is None:
             return 0
         expected = generation.hinted_tokens or generation.limit_tokens
-        return generation.prompt_tokens + min(expected, generation.limit_tokens)
+        return min(expected, generation.limit_tokens)
 
     def start(self) -> None:
         """Begin the run at the best instance."""
         self._splice = splice.Splice(self.job.head.last_event_id)
         self._guard = run_guard.RunGuard(self, self.job, self._context)
+        self._pace = pace_meter.PaceMeter(self._arrived_s)
         self._begin_run()
 
     def release(self) -> None:
@@ -100,32 +118,13 @@
         """See whether the run or its copy must move."""
         self._guard.look()
 
-    def on_run_stopping(self) -> None:
-        """Expect the stream to end without its end."""
-        self._is_stopping = True
-
-    def on_run_stopped(self) -> None:
-        """Go on at the copy once the rest of the old stream is here."""
-        attempt = self._attempt
-        if self.is_over or attempt is None:
-            return
-        if attempt.has_ended:
-            self._switch()
-        else:
-            self._context.timers.call_later(SWITCH_WAIT_S, self._switch)
-
-    def on_stop_failed(self, copy: run_guard.Copy | None) -> None:
-        """Go on where the run was stopped, or where its copy is."""
-        attempt = self._attempt
-        if self.is_over or attempt is None:
-            return
-        self._is_stopping = False
-        if not attempt.has_ended:
+    def on_copy_ready(self) -> None:
+        """Go on at the copy, before the instance that leaves is gone."""
+        if self.is_over or self._attempt is None or self._attempt.has_ended:
             return
+        copy = self._guard.take()
         if copy is not None:
             self._resume(copy)
-        else:
-            self._break("the run was stopped and could not be moved")
 
     def take_head(self, attempt: _Attempt, status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of the answer."""
@@ -142,7 +141,10 @@
             attempt.body.append(data)
             return
         self._note_read(attempt)
+        events_before = self._splice.events
         spliced = self._splice.feed(data)
+        if spliced.events:
+            self._pace.note_events(events_before, time.monotonic())
         if spliced.data and not self._pass_on(attempt.head, spliced.data):
             return
         if spliced.problem:
@@ -157,8 +159,6 @@
         attempt.has_ended = True
         if not self._is_good(attempt.head):
             self._take_refusal(attempt, attempt.head)
-        elif self._is_stopping and not attempt.call.ended_whole:
-            self._switch()
         else:
             attempt.upstream.note_answer()
             self._finish(attempt.head)
@@ -168,9 +168,6 @@
         if attempt is not self._attempt or attempt.call is None:
             return
         attempt.has_ended = True
-        if self._is_stopping:
-            self._switch()
-            return
         attempt.upstream.note_failure(time.monotonic())
         self._log_attempt_failure(attempt, reason)
         if not attempt.call.may_have_arrived and not attempt.is_resumed:
@@ -278,7 +275,7 @@
         self._stall_timer = self._context.timers.call_later(wait_s, self._on_stall)
 
     def _on_stall(self) -> None:
-        if self.is_over or self._attempt is None or self._is_stopping:
+        if self.is_over or self._attempt is None:
             return
         copy = self._guard.take()
         if copy is not None:
@@ -292,14 +289,6 @@
         else:
             self._break(reason)
 
-    def _switch(self) -> None:
-        """Let a stopped run go on, once both its stream has ended and its copy is there."""
-        if self.is_over or not self._is_stopping:
-            return
-        copy = self._guard.take_stopped()
-        if copy is not None:
-            self._resume(copy)
-
     def _resume(self, copy: run_guard.Copy) -> None:
         point = dialects.ResumePoint(
             address=copy.address, handle=copy.handle, last_event_id=self._splice.last_event_id
@@ -313,7 +302,6 @@
         }
         logger.info("run goes on elsewhere", extra={"fields": fields})
         self._drop_attempt()
-        self._is_stopping = False
         self._tried.clear()
         self._splice.begin_connection()
         self._open(copy.upstream, point)
@@ -334,7 +322,14 @@
         if rest or not self.caller.is_started:
             self._pass_on(head, rest)
         self.caller.end_stream()
-        fields = {**self.get_fields(), "status": head.status, "events": self.events}
+        fields = {
+            **self.get_fields(),
+            "status": head.status,
+            "events": self.events,
+            "first_ms": self._pace.first_ms,
+            "longest_pause_ms": self._pace.longest_pause_ms,
+            "pause_after_events": self._pace.longest_after,
+        }
         logger.info("answered", extra={"fields": fields})
         self.end()
 
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -214,12 +214,10 @@
 
     :ivar request_id: id of the request that runs.
     :ivar target_address: ``IP:PORT`` of the other instance.
-    :ivar is_last: the run stops first, to go on there.
     """
 
     request_id: str
     target_address: str
-    is_last: bool
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -169,7 +169,7 @@
     """
 
     address: rows.Address
-    interval_ms: Positive = 250
+    interval_ms: Positive = 500
     fallback_ms: Positive = 2_000
 
 
@@ -226,6 +226,7 @@
     :ivar retry_ratio: second attempts allowed for each request, over all entries.
     :ivar retry_slack: second attempts allowed besides, over all entries and one window.
     :ivar retry_window_ms: length of the window.
+    :ivar health_interval_ms: time between two questions for a model engine's health.
     :ivar moves_runs: a run is moved when its instance leaves.
     :ivar copies_runs: a run's memory is copied to a second instance while it grows.
     """
@@ -244,6 +245,7 @@
     retry_ratio: float = 0.2
     retry_slack: int = 0
     retry_window_ms: Positive = 10_000
+    health_interval_ms: Positive = 200
     moves_runs: bool = True
     copies_runs: bool = True
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -1,6 +1,6 @@
 """What keeps a run alive when its instance goes: where its memory is copied; no I/O."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import upstream_book
@@ -8,6 +8,13 @@
 COPY_FILL_LIMIT = 1.0
 """Share of an instance's memory that work and copies may be foreseen to fill before it takes no
 further copy; the rest is for runs, which a full memory would have preempted."""
+STANDING_FILL_LIMIT = 0.65
+"""The same for a copy that is made before there is need for one."""
+OTHER_HALL_COST = 0.4
+"""What another hall counts against a holder, as a share of a memory: a copy between halls takes
+twice as long, and an instance that leaves has time for a handful of copies only."""
+MADE_TOKEN_VALUE = 10
+"""Value of a token that was made in tokens that were read, as the users weigh them."""
 STALL_FACTOR = 2.0
 """A stream that stands still for this many of the longest good pauses goes on at its copy."""
 DEFAULT_PAUSE_MS = 500
@@ -20,26 +27,52 @@
     *,
     running_at: upstream_book.Upstream,
     need_tokens: int,
+    is_urgent: bool,
+    excluded: Collection[str],
     now_s: float,
 ) -> upstream_book.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
     :param running_at: where the run is.
     :param need_tokens: memory that the run will hold.
-    :returns: the least filled instance that has room, or None.
+    :param is_urgent: the run's instance leaves.
+    :param excluded: ids of instances that have just refused.
+    :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
     if engine is None or not engine.can_back_up:
         return None
-    limit = engine.memory_tokens * COPY_FILL_LIMIT
+    fill_limit = COPY_FILL_LIMIT if is_urgent else STANDING_FILL_LIMIT
+    limit = engine.memory_tokens * fill_limit
     chosen = [
         upstream
         for upstream in upstreams
         if upstream is not running_at
+        and upstream.instance.instance_id not in excluded
         and upstream.is_usable(now_s)
         and upstream.tokens + need_tokens <= limit
     ]
-    return min(chosen, key=lambda upstream: upstream.tokens, default=None)
+
+    def _get_cost(upstream: upstream_book.Upstream) -> float:
+        cost = upstream.tokens / engine.memory_tokens
+        if upstream.instance.hall != running_at.instance.hall:
+            cost += OTHER_HALL_COST
+        return cost
+
+    return min(chosen, key=_get_cost, default=None)
+
+
+def get_rank(prompt_tokens: int, expected_tokens: int, made_tokens: int) -> float:
+    """Return how much is saved by copying a run, for the time that it takes.
+
+    A run's value grows with its whole size, in which a token that was made counts for more
+    than one that was read; the time grows with what is in memory now.
+
+    :param expected_tokens: tokens that it will make on the whole.
+    :param made_tokens: tokens that it has made.
+    """
+    value = prompt_tokens + MADE_TOKEN_VALUE * max(expected_tokens, made_tokens)
+    return value / max(1, prompt_tokens + made_tokens)
 
 
 def get_stall_s(route: route_table.Route) -> float:
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -1,5 +1,6 @@
 """What an entry knows of the instances of each service; no I/O, time passed in."""
 
+import math
 from collections.abc import Iterable
 
 from spoolhead._internal.models import dialects, instances
@@ -13,6 +14,12 @@
 long as the platform lists an instance that is gone."""
 LOAD_FRESH_S = 1.0
 """Age up to which a load told by an instance counts; it changes within a second or so."""
+ALARM_S = 2.5
+"""Time for which an alarm counts unless the list confirms it: the list runs up to 0.8 s behind
+and is read each half second."""
+DISTRUST_S = 30.0
+"""Time for which an instance that raised a false alarm is not believed again: some times what
+an ordinary disturbance lasts."""
 
 
 class Work:
@@ -44,6 +51,7 @@
     """
 
     __slots__ = (
+        "_alarm_s",
         "_failures",
         "_load",
         "_load_s",
@@ -71,6 +79,7 @@
         self._failures = 0
         self._rest_s = FIRST_REST_S
         self._rest_until_s = 0.0
+        self._alarm_s = -math.inf
 
     @property
     def tokens(self) -> int:
@@ -89,7 +98,25 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
-        return not self.is_leaving and now_s >= self._rest_until_s
+        return not self.is_departing(now_s) and now_s >= self._rest_until_s
+
+    def is_departing(self, now_s: float) -> bool:
+        """Tell whether it leaves, or says something that may mean so."""
+        return self.is_leaving or self.is_alarmed(now_s)
+
+    def is_alarmed(self, now_s: float) -> bool:
+        """Tell whether an alarm about it counts."""
+        return now_s - self._alarm_s < ALARM_S
+
+    def raise_alarm(self, now_s: float) -> bool:
+        """Raise an alarm.
+
+        :returns: whether it is a new one; a false one before makes this one count for nothing.
+        """
+        if now_s - self._alarm_s < ALARM_S + DISTRUST_S:
+            return False
+        self._alarm_s = now_s
+        return True
 
     def note_load(self, load: dialects.UpstreamLoad | None, now_s: float) -> None:
         """Take the load that an answer told."""
--- /dev/null
+++ b/src/spoolhead/_internal/relay/pace_meter.py
@@ -0,0 +1,33 @@
+"""How a caller's stream flows: time to the first event and the longest pause; no I/O."""
+
+
+class PaceMeter:
+    """Meter of one stream.
+
+    :param began_s: monotonic time at which the request arrived, in seconds.
+    :ivar first_ms: time to the first event; None before it.
+    :ivar longest_pause_ms: longest pause between two parts of the stream.
+    :ivar longest_after: events passed on before that pause.
+    """
+
+    __slots__ = ("_began_s", "_last_s", "first_ms", "longest_after", "longest_pause_ms")
+
+    def __init__(self, began_s: float) -> None:
+        self._began_s = began_s
+        self._last_s = began_s
+        self.first_ms: int | None = None
+        self.longest_pause_ms = 0
+        self.longest_after = 0
+
+    def note_events(self, events_before: int, now_s: float) -> None:
+        """Take note of events.
+
+        :param events_before: events passed on before them.
+        """
+        pause_ms = int((now_s - self._last_s) * 1000)
+        self._last_s = now_s
+        if self.first_ms is None:
+            self.first_ms = pause_ms
+        elif pause_ms > self.longest_pause_ms:
+            self.longest_pause_ms = pause_ms
+            self.longest_after = events_before
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -113,12 +113,7 @@
     def write_move(self, order: dialects.MoveOrder) -> dialects.UpstreamOrder:
         """Return the order to move a run's memory."""
         # The target is named like a version; it is the address of the other instance.
-        value: dict[str, object] = {
-            "id": order.request_id,
-            "target_version": order.target_address,
-        }
-        if order.is_last:
-            value["last"] = True
+        value = {"id": order.request_id, "target_version": order.target_address}
         body = json.dumps(value).encode()
         return dialects.UpstreamOrder(method="POST", target=names.MOVE_PATH, body=body)
 
