--- /dev/null
+++ b/tests/lib/gateway_setting.py
@@ -0,0 +1,243 @@
+"""A routed request among fakes: calls to instances, the caller, timers and the book."""
+
+import random
+
+from lib import fakes
+from spoolhead._internal.gateway import exchange, plain_exchange, stream_exchange
+from spoolhead._internal.models import dialects, instances, route_table, settings
+from spoolhead._internal.network import request_reader
+from spoolhead._internal.policy import upstream_book
+from spoolhead.platform import dialect
+
+REQUEST_ID = "9c41d07be2a35f68"
+SIGNED = [("x-request-id", REQUEST_ID), ("x-response-signature", "3e1b.07")]
+ENGINE = route_table.Engine(
+    slots=64,
+    memory_tokens=34_000,
+    token_bytes=18_432,
+    link_mbps=2_700.0,
+    can_move=True,
+    can_back_up=True,
+    tokens_per_event=4,
+)
+
+
+class FakeTimer:
+    def __init__(self, delay_s, call):
+        self.delay_s = delay_s
+        self.call = call
+        self.is_cancelled = False
+
+    def cancel(self):
+        self.is_cancelled = True
+
+
+class FakeTimers:
+    """Timers that a test lets run."""
+
+    def __init__(self):
+        self.timers = []
+
+    def call_later(self, delay_s, call):
+        timer = FakeTimer(delay_s, call)
+        self.timers.append(timer)
+        return timer
+
+    def run_due(self, within_s):
+        """Run what is due within a time, once."""
+        due = [t for t in self.timers if not t.is_cancelled and t.delay_s <= within_s]
+        for timer in due:
+            timer.is_cancelled = True
+            timer.call()
+
+
+class GatewayCall(fakes.FakeCall):
+    """A call to an instance."""
+
+    def __init__(self, address, request, user, fresh):
+        super().__init__(request, user)
+        self.address = address
+        self.fresh = fresh
+        self.ended_whole = False
+
+    @property
+    def is_attempt(self):
+        return "/spoolhead/" not in self.target
+
+    def send(self):
+        self.may_have_arrived = True
+
+    def answer(self, status, headers, *parts, whole=True):
+        self.send()
+        self.user.on_answer_head(status, headers)
+        for part in parts:
+            self.user.on_answer_body(part)
+        if whole:
+            self.end()
+
+    def end(self):
+        self.is_over = True
+        self.ended_whole = True
+        self.user.on_answer_end()
+
+    def lose(self, reason="Connection reset by peer"):
+        self.is_over = True
+        self.user.on_call_lost(reason)
+
+
+class GatewayCalls:
+    def __init__(self):
+        self.made = []
+
+    def open(self, address, request, user, *, fresh=False, is_head=False):
+        call = GatewayCall(address, request, user, fresh)
+        self.made.append(call)
+        return call
+
+    @property
+    def attempts(self):
+        return [call for call in self.made if call.is_attempt]
+
+    @property
+    def copies(self):
+        return [call for call in self.made if call.target == "/spoolhead/kv-move"]
+
+
+class RoutedCaller(fakes.FakeCaller):
+    def __init__(self, wire):
+        super().__init__()
+        self.request = wire
+        self.headers = []
+
+    def send_whole(self, status, headers, body):
+        self.headers = list(headers)
+        super().send_whole(status, headers, body)
+
+    def get_header(self, name):
+        return dict(self.headers).get(name)
+
+
+def make_instance(name, *, hall="hall-a", service="s", is_leaving=False):
+    return instances.Instance(
+        instance_id=name,
+        service=service,
+        address=f"{name}:80",
+        hall=hall,
+        slots=6,
+        is_leaving=is_leaving,
+        slow_ms=0,
+    )
+
+
+def make_wire(*, method="POST", headers=(), body=b"{}"):
+    wire = request_reader.WireRequest()
+    wire.method = method
+    wire.target = "/a/2f"
+    wire.headers = [
+        ("host", "h.example"),
+        ("x-request-id", REQUEST_ID),
+        ("x-request-deadline", "3000"),
+        *headers,
+    ]
+    wire.body = body
+    return wire
+
+
+class Setting:
+    """One request of a kind, started."""
+
+    def __init__(self, kind, *, attempts=2, names=("i-1", "i-2"), slack=50, tokens="3000,800"):
+        self.calls = GatewayCalls()
+        self.timers = FakeTimers()
+        self.book = upstream_book.UpstreamBook()
+        self.names = names
+        self.list()
+        self.ended = []
+        is_stream = kind is route_table.RequestKind.STREAM
+        headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
+        wire = make_wire(headers=headers)
+        head = dialect.Dialect().read_request(wire).ok
+        route = route_table.Route(
+            name="r",
+            host="h.example",
+            path_prefix="/a/",
+            kind=kind,
+            timeout_ms=2_000,
+            objective_ms=400,
+            priority=1,
+            shares=(route_table.Share(service="s", weight=1),),
+            attempts=attempts,
+            is_public=False,
+            pause_ms=180,
+        )
+        service = route_table.Service(
+            name="s",
+            health_path="/healthz",
+            max_connections=100,
+            engine=ENGINE if is_stream else None,
+        )
+        workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
+        config = settings.GatewaySettings(
+            name="entry-1",
+            hall="hall-a",
+            host="10.0.0.1",
+            port=1,
+            ready_host="10.0.0.1",
+            ready_port=2,
+            peer_port=3,
+            keepers=["10.0.0.2:1"],
+            shared_key=fakes.SHARED_KEY,
+            instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
+            retry_slack=slack,
+        )
+        context = exchange.Context(
+            config=config,
+            dialect=dialect.Dialect(),
+            calls=self.calls,
+            timers=self.timers,
+            book=self.book,
+            chance=random.Random(1),
+            on_change=lambda: None,
+            get_silent_halls=frozenset,
+        )
+        self.caller = RoutedCaller(wire)
+        job = exchange.Job(head, route, service, workspace, 7)
+        cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
+        self.exchange = cls(job, self.caller, context, self.ended.append)
+        self.exchange.start()
+
+    def list(self, *, leaving=(), gone=()):
+        """Take over a list in which some instances leave or are gone."""
+        return self.book.take_list(
+            make_instance(name, is_leaving=name in leaving)
+            for name in self.names
+            if name not in gone
+        )
+
+    def leave(self, name):
+        self.list(leaving=[name])
+        self.exchange.on_instances_changed()
+
+    @property
+    def last(self):
+        return self.calls.attempts[-1]
+
+
+def make_events(first, count):
+    return b"".join(b"id: %d\ndata: x%d\n\n" % (i, i) for i in range(first, first + count))
+
+
+def make_answer_head(**changes):
+    head = dialects.AnswerHead(
+        status=200,
+        headers=[],
+        request_id=REQUEST_ID,
+        is_signed=True,
+        has_not_run=False,
+        is_encoded=False,
+        is_closing=False,
+        load=None,
+    )
+    for name, value in changes.items():
+        setattr(head, name, value)
+    return head
--- /dev/null
+++ b/tests/unit/test_gateway_streams.py
@@ -0,0 +1,159 @@
+"""Streams: each event once and in order, from one run, also when the run changes instances."""
+
+import json
+
+import hypothesis
+from hypothesis import strategies
+
+from lib import gateway_setting
+from spoolhead._internal.models import route_table
+from spoolhead._internal.relay import splice
+
+STREAM = route_table.RequestKind.STREAM
+SIGNED = gateway_setting.SIGNED
+make_events = gateway_setting.make_events
+
+
+def _start(**options):
+    return gateway_setting.Setting(STREAM, attempts=1, names=("i-1", "i-2", "i-3"), **options)
+
+
+def test_a_stream_is_passed_on_to_the_byte():
+    setting = _start()
+    data = make_events(1, 5)
+    setting.last.answer(200, SIGNED, data[:30], data[30:])
+    assert setting.caller.data == data
+    assert setting.caller.is_finished
+
+
+def test_half_an_event_is_not_passed_on():
+    setting = _start()
+    setting.last.answer(200, SIGNED, make_events(1, 2) + b"id: 3\nda", whole=False)
+    assert setting.caller.data == make_events(1, 2)
+
+
+def test_a_long_run_is_copied_ahead_of_need_and_goes_on_from_the_copy():
+    setting = _start(tokens="3000,2000")
+    first = setting.last
+    holder = first.get_header("kv-backup")
+    assert holder and holder != first.address
+    first.answer(200, SIGNED, make_events(1, 3) + b"id: 4\nd", whole=False)
+    first.lose()
+    second = setting.last
+    assert second.address == holder
+    assert second.get_header("kv-from") == f"{holder}/{gateway_setting.REQUEST_ID}"
+    assert second.get_header("last-event-id") == "3"
+    second.answer(200, SIGNED, make_events(3, 4))
+    assert setting.caller.data == make_events(1, 6)
+    assert setting.caller.is_finished
+
+
+def test_a_run_is_moved_when_its_instance_leaves():
+    setting = _start(tokens="3000,100")
+    first = setting.last
+    assert first.get_header("kv-backup") is None
+    first.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(first.address.removesuffix(":80"))
+    copy = setting.calls.copies[-1]
+    target = json.loads(copy.body)["target_version"]
+    assert copy.address == first.address
+    copy.answer(200, [], b'{"handle": "h-1", "made": 3}')
+    assert first.is_over
+    assert setting.last.address == target
+    assert setting.last.get_header("kv-from") == f"{first.address}/h-1"
+    setting.last.answer(200, SIGNED, make_events(4, 3))
+    assert setting.caller.data == make_events(1, 6)
+
+
+def test_a_copy_that_finds_no_room_is_made_elsewhere_at_once():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    setting.calls.copies[-1].answer(503, [], b"")
+    targets = [json.loads(call.body)["target_version"] for call in setting.calls.copies]
+    assert len(targets) == 2
+    assert targets[0] != targets[1]
+
+
+def test_a_run_without_a_copy_ends_as_visibly_cut_off():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.last.lose()
+    assert len(setting.calls.attempts) == 1
+    assert setting.caller.data == make_events(1, 3)
+    assert setting.caller.is_finished
+
+
+def test_a_run_that_may_have_begun_is_never_begun_again():
+    setting = _start(tokens="3000,100")
+    setting.last.send()
+    setting.last.lose()
+    assert len(setting.calls.attempts) == 1
+    assert setting.caller.status == 502
+
+
+def test_a_run_whose_copy_is_refused_is_never_begun_again():
+    setting = _start(tokens="3000,2000")
+    setting.last.send()
+    setting.last.lose()
+    setting.last.answer(503, [("x-not-executed", "1")])
+    assert len(setting.calls.attempts) == 2
+    assert setting.caller.status == 502
+
+
+def test_a_stream_that_stands_still_goes_on_at_its_copy():
+    setting = _start(tokens="3000,2000")
+    first = setting.last
+    first.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.timers.run_due(0.4)
+    assert first.is_over
+    assert setting.last is not first
+
+
+def test_when_the_holder_leaves_another_copy_is_ordered():
+    setting = _start(tokens="3000,2000")
+    holder = setting.last.get_header("kv-backup").removesuffix(":80")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(holder)
+    targets = [json.loads(call.body)["target_version"] for call in setting.calls.copies]
+    assert len(targets) == 1
+    assert targets[0] not in (f"{holder}:80", setting.last.address)
+
+
+def test_a_caller_that_leaves_ends_the_run_and_frees_the_copy():
+    setting = _start(tokens="3000,2000")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.caller.is_gone = True
+    setting.caller.on_gone()
+    assert setting.last.is_over
+    assert not any(upstream.works for upstream in setting.book.get_all())
+
+
+def test_a_missing_event_breaks_the_stream():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 2), make_events(4, 1), whole=False)
+    assert setting.caller.data == make_events(1, 2)
+    assert setting.caller.is_finished
+
+
+@hypothesis.given(
+    strategies.integers(1, 30),
+    strategies.lists(strategies.integers(0, 400), max_size=3),
+    strategies.integers(1, 17),
+)
+def test_events_come_once_and_in_order_however_the_run_moves(count, cuts, size):
+    """Each connection ends anywhere, and the next begins a little before what was passed on."""
+    whole = make_events(1, count)
+    order = splice.Splice()
+    passed = b""
+    for cut in [*cuts, len(whole)]:
+        order.begin_connection()
+        last = int(order.last_event_id or 0)
+        begin = max(1, last - 1)
+        data = make_events(begin, count - begin + 1)
+        data = data if cut == len(whole) else data[:cut]
+        for start in range(0, len(data), size):
+            part = order.feed(data[start : start + size])
+            assert not part.problem
+            passed += part.data
+    assert passed == whole
