--- /dev/null
+++ b/tests/unit/test_quorum_storage.py
@@ -0,0 +1,111 @@
+"""A keeper's disk: what was synced is read back, what was not is no reason to stay down."""
+
+import errno
+import os
+import threading
+
+import hypothesis
+from hypothesis import strategies
+
+from spoolhead._internal.quorum import storage
+from spoolhead.coordination import changelog, replicated_log
+
+RECORDS = [
+    replicated_log.Vote(3, "a#first"),
+    replicated_log.Appended(1, 3, 1, b"one"),
+    replicated_log.Appended(2, 3, 1, b"two"),
+]
+
+
+class _Synced:
+    def __init__(self):
+        self.number = 0
+        self._condition = threading.Condition()
+
+    def __call__(self, number):
+        with self._condition:
+            self.number = number
+            self._condition.notify_all()
+
+    def wait_for(self, number):
+        with self._condition:
+            assert self._condition.wait_for(lambda: self.number >= number, timeout=10)
+
+
+def test_what_was_synced_is_read_back(tmp_path):
+    synced = _Synced()
+    disk = storage.Storage(tmp_path, "a#first", RECORDS[:1], synced)
+    disk.write(RECORDS[1:])
+    synced.wait_for(2)
+    saved = storage.read(tmp_path)
+    assert saved.member_id == "a#first"
+    assert saved.records == RECORDS
+
+
+def test_an_empty_folder_has_no_memory(tmp_path):
+    saved = storage.read(tmp_path / "new")
+    assert (saved.member_id, saved.records) == ("", [])
+
+
+def test_the_file_is_written_anew_and_stands_for_all_before(tmp_path):
+    synced = _Synced()
+    disk = storage.Storage(tmp_path, "a#first", RECORDS, synced)
+    disk.rewrite(RECORDS[:1])
+    disk.write(RECORDS[2:])
+    synced.wait_for(1)
+    assert storage.read(tmp_path).records[0] == RECORDS[0]
+
+
+def test_a_full_disk_is_tried_until_it_takes_the_write(tmp_path, monkeypatch):
+    synced = _Synced()
+    disk = storage.Storage(tmp_path, "a#first", [], synced)
+    refusals = [1, 1]
+    write = os.pwrite
+
+    def _refuse(descriptor, data, offset):
+        if refusals:
+            refusals.pop()
+            write(descriptor, data[:5], offset)
+            raise OSError(errno.ENOSPC, "no space left on device")
+        return write(descriptor, data, offset)
+
+    monkeypatch.setattr(os, "pwrite", _refuse)
+    disk.write(RECORDS)
+    synced.wait_for(3)
+    assert storage.read(tmp_path).records == RECORDS
+
+
+@hypothesis.given(strategies.data())
+def test_records_behind_the_last_sync_may_be_torn_each_by_itself(tmp_path_factory, data):
+    """A torn record with whole ones behind it ends the reading; the synced part stays."""
+    folder = tmp_path_factory.mktemp("disk")
+    synced = b"".join(storage._pack(record) for record in RECORDS)
+    unsynced = [storage._pack(replicated_log.Appended(i, 3, 1, b"late" * 9)) for i in (3, 4, 5)]
+    rest = b""
+    for record in unsynced:
+        kept = data.draw(strategies.sampled_from(["present", "absent", "torn"]))
+        if kept == "torn":
+            record = record[: len(record) // 2] + b"\0" * (len(record) - len(record) // 2)
+        elif kept == "absent":
+            record = b"\0" * len(record)
+        rest += record
+    (folder / storage.FILE_NAME).write_bytes(synced + rest)
+    assert storage.read(folder).records[:3] == RECORDS
+
+
+def test_reading_a_log_takes_time_in_line_with_its_size():
+    """Counted in bytes copied, not in seconds: each record is looked at once."""
+    payload = b"x" * 1_000
+
+    class _Counting(bytes):
+        copied = 0
+
+        def __getitem__(self, key):
+            part = bytes.__getitem__(self, key)
+            if isinstance(key, slice):
+                _Counting.copied += len(part)
+            return part
+
+    log = _Counting(changelog.make_record(payload) * 300)
+    assert len(changelog.scan(log).payloads) == 300
+    assert _Counting.copied <= 2 * len(log)
--- /dev/null
+++ b/tests/unit/test_upstream_policy.py
@@ -0,0 +1,171 @@
+"""What an entry knows of instances, and which it chooses, watches, copies to."""
+
+import random
+
+from lib import gateway_setting
+from spoolhead._internal.models import route_table
+from spoolhead._internal.policy import (
+    retry_allowance,
+    run_safety,
+    upstream_book,
+    upstream_choice,
+    watch_duty,
+)
+
+MODEL = route_table.Service(
+    name="s", health_path="/h", max_connections=9, engine=gateway_setting.ENGINE
+)
+PLAIN = route_table.Service(name="s", health_path="/h", max_connections=9, engine=None)
+
+
+def _make_book(*items):
+    book = upstream_book.UpstreamBook()
+    book.take_list(items)
+    return book
+
+
+def _choose(book, service=PLAIN, *, silent=(), excluded=(), now_s=100.0):
+    view = upstream_choice.View(
+        hall="hall-a", silent_halls=silent, now_s=now_s, chance=random.Random(1)
+    )
+    return upstream_choice.choose(
+        service, book.get_service("s"), need_tokens=1_000, excluded=excluded, view=view
+    )
+
+
+def _name(choice):
+    return choice.upstream.instance.instance_id if choice.upstream is not None else None
+
+
+def _work(upstream, tokens, reading=0):
+    name = f"r{len(upstream.works)}"
+    upstream.works[name] = upstream_book.Work(name, tokens, reading_tokens=reading)
+
+
+def test_the_own_hall_is_preferred_until_it_is_busier():
+    book = _make_book(
+        gateway_setting.make_instance("near"),
+        gateway_setting.make_instance("far", hall="hall-b"),
+    )
+    assert _name(_choose(book)) == "near"
+    for _ in range(3):
+        _work(book.get("near"), 0)
+    assert _name(_choose(book)) == "far"
+
+
+def test_memory_and_reading_decide_at_engines():
+    book = _make_book(
+        gateway_setting.make_instance("full"), gateway_setting.make_instance("reading")
+    )
+    _work(book.get("full"), 20_000)
+    assert _name(_choose(book, MODEL)) == "reading"
+    _work(book.get("reading"), 9_000, reading=9_000)
+    assert _name(_choose(book, MODEL)) == "full"
+
+
+def test_a_silent_hall_comes_last_but_is_better_than_nothing():
+    book = _make_book(
+        gateway_setting.make_instance("near"),
+        gateway_setting.make_instance("far", hall="hall-b"),
+    )
+    for _ in range(6):
+        _work(book.get("near"), 0)
+    assert _name(_choose(book, silent={"hall-b"})) == "near"
+    assert _name(_choose(book, silent={"hall-b"}, excluded={"near"})) == "far"
+
+
+def test_an_instance_that_fails_rests_and_is_used_if_there_is_no_other():
+    book = _make_book(gateway_setting.make_instance("a"), gateway_setting.make_instance("b"))
+    for _ in range(upstream_book.FAILURES_TO_EJECT):
+        book.get("a").note_failure(100.0)
+    assert not book.get("a").is_usable(100.1)
+    assert _name(_choose(book, excluded={"b"}, now_s=100.1)) == "a"
+    assert book.get("a").is_usable(100.0 + upstream_book.FIRST_REST_S)
+
+
+def test_an_unreachable_instance_rests_at_once():
+    book = _make_book(gateway_setting.make_instance("a"))
+    assert book.get("a").note_failure(100.0, is_unreachable=True)
+
+
+def test_a_leaving_instance_is_never_chosen():
+    book = _make_book(gateway_setting.make_instance("a", is_leaving=True))
+    assert _choose(book).upstream is None
+
+
+def test_an_alarm_passes_and_a_false_one_costs_its_sender_belief():
+    upstream = upstream_book.Upstream(gateway_setting.make_instance("a"))
+    assert upstream.raise_alarm(100.0)
+    assert upstream.is_departing(100.1)
+    assert not upstream.raise_alarm(100.5)
+    assert not upstream.is_departing(100.0 + upstream_book.ALARM_S)
+    assert not upstream.raise_alarm(100.0 + upstream_book.ALARM_S + 1.0)
+    assert upstream.raise_alarm(100.0 + upstream_book.ALARM_S + upstream_book.DISTRUST_S)
+
+
+def test_the_list_tells_what_leaves_and_what_is_gone_with_work():
+    book = _make_book(gateway_setting.make_instance("a"), gateway_setting.make_instance("b"))
+    b = book.get("b")
+    _work(b, 10)
+    leaving = book.take_list([gateway_setting.make_instance("a", is_leaving=True)])
+    assert [item.instance.instance_id for item in leaving] == ["a", "b"]
+    assert b.is_gone
+    assert book.take_list([gateway_setting.make_instance("a", is_leaving=True)]) == []
+
+
+def test_each_instance_is_watched_by_exactly_one_entry_of_its_hall():
+    watchers = [watch_duty.Watcher(name=f"e{i}", hall=f"hall-{'ab'[i % 2]}") for i in range(6)]
+    for number in range(30):
+        instance = gateway_setting.make_instance(f"i-{number}", hall="hall-b")
+        on_duty = [w for w in watchers if watch_duty.is_on_duty(w.name, watchers, instance)]
+        assert len(on_duty) == 1
+        assert on_duty[0].hall == "hall-b"
+        others = [w for w in watchers if w is not on_duty[0]]
+        assert sum(watch_duty.is_on_duty(w.name, others, instance) for w in others) == 1
+
+
+def test_a_hall_without_entries_is_watched_from_another():
+    watchers = [watch_duty.Watcher(name="e", hall="hall-a")]
+    assert watch_duty.is_on_duty("e", watchers, gateway_setting.make_instance("i", hall="hall-z"))
+
+
+def test_a_copy_goes_to_the_same_hall_where_there_is_room():
+    book = _make_book(
+        gateway_setting.make_instance("here"),
+        gateway_setting.make_instance("mate"),
+        gateway_setting.make_instance("far", hall="hall-b"),
+    )
+    _work(book.get("mate"), 10_000)
+
+    def _choose_holder(is_urgent):
+        return run_safety.choose_holder(
+            MODEL,
+            book.get_service("s"),
+            running_at=book.get("here"),
+            need_tokens=4_000,
+            is_urgent=is_urgent,
+            excluded=(),
+            now_s=100.0,
+        )
+
+    assert _choose_holder(True).instance.instance_id == "mate"
+    _work(book.get("mate"), 12_000)
+    assert _choose_holder(False).instance.instance_id == "far"
+    _work(book.get("far"), 40_000)
+    assert _choose_holder(False) is None
+    assert _choose_holder(True).instance.instance_id == "mate"
+
+
+def test_second_attempts_of_all_entries_stay_within_what_is_allowed():
+    entries = 8
+    allowances = [
+        retry_allowance.RetryAllowance(ratio=0.2, slack=56, window_ms=10_000)
+        for _ in range(entries)
+    ]
+    taken = 0
+    for allowance in allowances:
+        allowance.entry_count = entries
+        for step in range(200):
+            allowance.note_request(step * 0.01)
+            taken += allowance.take(step * 0.01)
+    assert 0 < taken <= 0.2 * 200 * entries + 56
