Answer an invalid table with 400 and an unsure keeper with 503

Cause: the result codes of edits had no HTTP status, since only the command line knew them, so an operator over HTTP got 500. Found by a test with real processes (it failed first: 500 == 400).

Change: both codes have their status; stand-in of the platform, and tests with real keepers and entries: tables, kills, wipes, moves, reload, planned stop, logs.

--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -194,7 +194,7 @@
     ResultCode.ANSWER_TOO_LARGE: CodeFacts(
         _S.BAD_GATEWAY, "The upstream's answer exceeds the limit for whole answers."
     ),
-    ResultCode.EDIT_INVALID: CodeFacts(None, "The edit has faults; nothing was changed."),
+    ResultCode.EDIT_INVALID: CodeFacts(_S.BAD_REQUEST, "The edit has faults; nothing was changed."),
     ResultCode.EDIT_CONFLICT: CodeFacts(
         None, "A row has changed since it was read; nothing was changed."
     ),
@@ -202,7 +202,8 @@
         None, "The edit id was used before for another edit; nothing was changed."
     ),
     ResultCode.EDIT_OUTCOME_UNKNOWN: CodeFacts(
-        None, "The answer was lost; send the same edit again with the same edit id."
+        _S.SERVICE_UNAVAILABLE,
+        "The answer was lost; send the same edit again with the same edit id.",
     ),
     ResultCode.SETTINGS_UNREADABLE: CodeFacts(None, "A file cannot be read or parsed."),
     ResultCode.SETTINGS_INVALID: CodeFacts(None, "A settings file has faults."),
--- /dev/null
+++ b/tests/functional/test_platform_programs.py
@@ -0,0 +1,146 @@
+"""Real keepers and entries on the platform's settings: tables, requests, moves, stops, losses."""
+
+import signal
+import threading
+import time
+
+import pytest
+
+from lib import platform_fleet
+
+
+@pytest.fixture
+def running(tmp_path):
+    with platform_fleet.PlatformFleet(tmp_path) as made:
+        made.start()
+        made.put_until_taken("keeper-1", platform_fleet.make_table(3))
+        made.wait_until_ready("entry-1", "entry-2")
+        yield made
+
+
+def test_requests_are_served_and_refused_by_the_table(running):
+    served = running.ask("entry-1", "/once/x", X_Request_Id="a1")
+    assert (served.status, served.body) == (200, b"hello")
+    (run,) = running.get_runs("a1")
+    assert run["headers"]["x-tenant"] == "w1"
+    assert "authorization" not in run["headers"]
+    assert run["headers"]["host"] == "a.example"
+    assert running.ask("entry-1", "/once/x", key="unknown").status == 401
+    assert running.ask("entry-2", "/nowhere/x").status == 404
+
+
+def test_an_accepted_table_is_in_force_everywhere_within_seconds(running):
+    table = platform_fleet.make_table(9)
+    added = {**table["routes"][0], "name": "new", "path_prefix": "/new/"}
+    table["routes"].append(added)
+    running.put_until_taken("keeper-2", table)
+    until_s = time.monotonic() + 2.0
+    for entry in ("entry-1", "entry-2"):
+        while running.ask(entry, "/new/x", X_Request_Id="n").status != 200:
+            assert time.monotonic() < until_s
+            time.sleep(0.02)
+    assert running.put("keeper-3", platform_fleet.make_table(5)).status == 200
+    assert running.read_version("keeper-1") == 9
+    assert running.ask("entry-1", "/new/x", X_Request_Id="n").status == 200
+
+
+def test_invalid_tables_are_refused_whole(running):
+    twice = platform_fleet.make_table(20)
+    twice["routes"].append(twice["routes"][0])
+    assert running.put("keeper-1", twice).status == 400
+    assert running.put("keeper-2", b'{"version": 21, "rou').status == 400
+    assert running.read_version("keeper-3") == 3
+
+
+def test_a_table_outlives_a_killed_and_a_wiped_keeper(running):
+    running.kill("keeper-1")
+    running.put_until_taken("keeper-2", platform_fleet.make_table(12))
+    running.wipe("keeper-1")
+    running.start_keeper("keeper-1")
+    platform_fleet.wait_for(
+        lambda: running.read_version("keeper-1") == 12, "the wiped keeper did not learn"
+    )
+    running.kill("keeper-3")
+    running.put_until_taken("keeper-1", platform_fleet.make_table(13))
+    assert running.read_version("keeper-2") == 13
+
+
+def test_a_keeper_without_a_majority_is_not_sure(running):
+    running.kill("keeper-1")
+    running.kill("keeper-2")
+    assert running.read("keeper-3").status == 503
+    assert running.put("keeper-3", platform_fleet.make_table(14)).status == 503
+    assert running.ask("entry-1", "/once/x", X_Request_Id="b").status == 200
+
+
+def test_everything_killed_comes_back_with_the_table(running):
+    running.put_until_taken("keeper-1", platform_fleet.make_table(15))
+    for name in (*running.keeper_hosts, *running.entry_hosts):
+        running.kill(name)
+    for name in running.keeper_hosts:
+        running.start_keeper(name)
+    for name in running.entry_hosts:
+        running.start_entry(name)
+    running.wait_until_ready("entry-1", "entry-2")
+    assert running.read_version("keeper-2") == 15
+
+
+def test_a_stream_survives_the_departure_of_its_instance(running):
+    stream = running.open_stream("entry-1", "s1", 150)
+    received = stream.read(200)
+    (first,) = running.get_runs("s1")
+    running.set(first["instance"], state="draining")
+    time.sleep(0.8)
+    running.set(first["instance"], dead=True)
+    received += stream.read()
+    assert received == platform_fleet.make_events(150)
+    runs = running.get_runs("s1")
+    assert len(runs) == 2
+    assert "kv-from" in runs[1]["headers"]
+
+
+def test_a_leaving_instance_gets_no_new_work(running):
+    running.set("p-1", state="draining")
+    time.sleep(1.5)
+    for number in range(12):
+        entry = f"entry-{1 + number % 2}"
+        assert running.ask(entry, "/once/x", X_Request_Id=f"l{number}").status == 200
+        assert [run["instance"] for run in running.get_runs(f"l{number}")] == ["p-2"]
+
+
+def test_a_reload_ends_nothing(running):
+    stream = running.open_stream("entry-1", "h1", 60)
+    for name in (*running.keeper_hosts, *running.entry_hosts):
+        running.signal(name, signal.SIGHUP)
+    assert stream.read() == platform_fleet.make_events(60)
+    assert all(process.poll() is None for process in running.processes.values())
+    texts = [line["text"] for line in running.read_log("entry-1")]
+    assert "settings read again" in texts
+
+
+def test_a_planned_stop_cuts_nothing(running):
+    answers = []
+
+    def _ask():
+        answers.append(running.ask("entry-1", "/once/x", X_Request_Id="t", X_Delay_Ms="600"))
+
+    asking = threading.Thread(target=_ask)
+    stream = running.open_stream("entry-1", "t1", 150)
+    asking.start()
+    time.sleep(0.2)
+    running.signal("entry-1", signal.SIGTERM)
+    time.sleep(0.3)
+    assert not running.is_ready("entry-1")
+    assert running.ask("entry-1", "/once/y", X_Request_Id="late").status == 200
+    asking.join()
+    assert answers[0].status == 200
+    assert stream.read() == platform_fleet.make_events(150)
+    assert running.wait_for_end("entry-1") == 0
+
+
+def test_each_decision_on_a_request_is_logged_with_its_id(running):
+    running.ask("entry-2", "/once/x", X_Request_Id="logged")
+    lines = [line for line in running.read_log("entry-2") if line.get("request") == "logged"]
+    assert [line["text"] for line in lines] == ["attempt", "answered"]
+    assert lines[0]["candidates"]
+    assert lines[0]["table_version"] == 3
--- /dev/null
+++ b/tests/lib/platform_fleet.py
@@ -0,0 +1,252 @@
+"""Real keepers and entries with the platform's settings, before the stand-in of the platform."""
+
+import contextlib
+import http.client
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+TOOLS = pathlib.Path(__file__).parents[2] / "tools"
+API_KEY = "key-of-w1"
+WAIT_S = 15.0
+INSTANCES = (
+    "m-1:model:hall-a",
+    "m-2:model:hall-a",
+    "m-3:model:hall-a",
+    "p-1:plain:hall-a",
+    "p-2:plain:hall-a",
+)
+
+
+def _find_port():
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def make_table(version, **changes):
+    route = {
+        "host": "a.example",
+        "timeout_ms": 8000,
+        "target_latency_ms": 400,
+        "priority": 1,
+        "max_attempts": 1,
+        "public": False,
+    }
+    routes = [
+        {**route, "name": "once", "path_prefix": "/once/", "kind": "unsafe", "service": "plain"},
+        {**route, "name": "safe", "path_prefix": "/safe/", "kind": "safe", "service": "plain"},
+        {
+            **route,
+            "name": "talk",
+            "path_prefix": "/talk/",
+            "kind": "streaming",
+            "service": "model",
+            "gap_aim_ms": 180,
+        },
+    ]
+    engine = {"slots": 8, "kv_capacity": 34_000, "moves": True, "backups": True, "stride": 1}
+    service = {"health_path": "/healthz", "max_connections": 100, "protocol": "h1"}
+    return {
+        "version": version,
+        "routes": routes,
+        "services": [{**service, "name": "plain"}, {**service, "name": "model", "engine": engine}],
+        "tenants": [{"name": "w1", "api_keys": [API_KEY], "priority": 1}],
+        **changes,
+    }
+
+
+class Answer:
+    def __init__(self, answer):
+        self.status = answer.status
+        self.headers = dict(answer.headers)
+        self.body = answer.read()
+
+
+class PlatformFleet:
+    """Processes, each on a loopback address of its own."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.processes = {}
+        self.peer_port = _find_port()
+        self.port = _find_port()
+        self.ready_port = _find_port()
+        self.keeper_hosts = {f"keeper-{i}": f"127.0.0.{10 + i}" for i in (1, 2, 3)}
+        self.entry_hosts = {f"entry-{i}": f"127.0.0.{20 + i}" for i in (1, 2)}
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_details):
+        for name in list(self.processes):
+            self.kill(name)
+
+    def start(self, entries=("entry-1", "entry-2"), step_ms=10):
+        arguments = [sys.executable, "-m", "standins.platform", "--step-ms", str(step_ms)]
+        for instance in INSTANCES:
+            arguments += ["--instance", instance]
+        environment = {**os.environ, "PYTHONPATH": str(TOOLS)}
+        process = subprocess.Popen(
+            arguments, stdout=subprocess.PIPE, env=environment, cwd=TOOLS, text=True
+        )
+        self.processes["platform"] = process
+        line = process.stdout.readline()
+        self.list_address = f"127.0.0.1:{line.strip().partition('port=')[2]}"
+        for name in self.keeper_hosts:
+            self.start_keeper(name, is_first_start=True)
+        for name in entries:
+            self.start_entry(name)
+
+    def start_keeper(self, name, *, is_first_start=False):
+        host = self.keeper_hosts[name]
+        listen = f'control = "{host}:{self.port}"'
+        self._start(name, host, listen, "keeper", is_first_start)
+
+    def start_entry(self, name):
+        host = self.entry_hosts[name]
+        listen = f'front = "{host}:{self.port}"\nready = "{host}:{self.ready_port}"'
+        self._start(name, host, listen, "entry", False)
+
+    def _start(self, name, host, listen, program, is_first_start):
+        seeds = json.dumps([f"{seed}:{self.port}" for seed in self.keeper_hosts.values()])
+        path = self.folder / f"{name}.toml"
+        path.write_text(
+            f'node_name = "{name}"\nzone = "hall-a"\nip = "{host}"\n'
+            f"internal_ports = [{self.peer_port}, {self.peer_port}]\nseeds = {seeds}\n"
+            f"bootstrap = {json.dumps(is_first_start)}\n"
+            f'data_dir = "{self.get_data_dir(name)}"\n[listen]\n{listen}\n[bounds]\n'
+            "grace_period_s = 6\nretry_budget_ratio = 0.2\nretry_slack = 50\n"
+            f'[cloud]\naddress = "{self.list_address}"\n'
+        )
+        log = (self.folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", f"spoolhead.platform.{program}"],
+            stdout=log,
+            stderr=log,
+            env={**os.environ, "SPOOLHEAD_NODE_FILE": str(path)},
+        )
+        log.close()
+
+    def get_data_dir(self, name):
+        return self.folder / f"data-{name}"
+
+    def read_log(self, name):
+        return [
+            json.loads(line)
+            for line in (self.folder / f"{name}.log").read_text().splitlines()
+            if line.startswith("{")
+        ]
+
+    def signal(self, name, number):
+        os.kill(self.processes[name].pid, number)
+
+    def kill(self, name):
+        process = self.processes.pop(name)
+        with contextlib.suppress(ProcessLookupError):
+            process.send_signal(signal.SIGKILL)
+        process.wait()
+        if process.stdout is not None:
+            process.stdout.close()
+
+    def wait_for_end(self, name):
+        process = self.processes.pop(name)
+        return process.wait(timeout=WAIT_S)
+
+    def wipe(self, name):
+        shutil.rmtree(self.get_data_dir(name))
+
+    def put(self, keeper, table):
+        document = table if isinstance(table, bytes) else json.dumps(table).encode()
+        host = f"{self.keeper_hosts[keeper]}:{self.port}"
+        return send(host, "PUT", "/spoolhead/config", document)
+
+    def read(self, keeper):
+        return send(f"{self.keeper_hosts[keeper]}:{self.port}", "GET", "/spoolhead/config")
+
+    def put_until_taken(self, keeper, table):
+        wait_for(lambda: self.put(keeper, table).status == 200, "no keeper took the table")
+
+    def read_version(self, keeper):
+        answer = self.read(keeper)
+        return json.loads(answer.body)["version"] if answer.status == 200 else None
+
+    def is_ready(self, entry):
+        address = f"{self.entry_hosts[entry]}:{self.ready_port}"
+        return send(address, "GET", "/spoolhead/readyz").status == 200
+
+    def wait_until_ready(self, *entries):
+        for entry in entries:
+            wait_for(lambda entry=entry: self.is_ready(entry), f"{entry} is not ready")
+            # Ready means a table; the instances come with the next reading of the list.
+            wait_for(
+                lambda entry=entry: self.ask(
+                    entry, "/safe/x", method="GET", X_Request_Id="up"
+                ).status
+                == 200,
+                f"{entry} does not serve",
+            )
+
+    def ask(self, entry, path, *, method="POST", body=b"hello", key=API_KEY, **headers):
+        names = {name.replace("_", "-"): value for name, value in headers.items()}
+        address = f"{self.entry_hosts[entry]}:{self.port}"
+        return send(address, method, path, body, key=key, headers=names)
+
+    def open_stream(self, entry, request_id, tokens):
+        connection = http.client.HTTPConnection(
+            f"{self.entry_hosts[entry]}:{self.port}", timeout=WAIT_S
+        )
+        headers = {
+            "Host": "a.example",
+            "Authorization": f"Bearer {API_KEY}",
+            "X-Request-Id": request_id,
+            "X-Model": "m",
+            "X-Token-Usage": f"100,{tokens}",
+        }
+        connection.request("POST", "/talk/x", b"{}", headers)
+        return connection.getresponse()
+
+    def set(self, instance, **changes):
+        body = json.dumps({"instance": instance, **changes}).encode()
+        assert send(self.list_address, "POST", "/_set", body).status == 200
+
+    def get_runs(self, request_id):
+        runs = json.loads(send(self.list_address, "GET", "/_runs").body)
+        return [run for run in runs if run["id"] == request_id]
+
+
+def send(address, method, path, body=None, *, key="", headers=None):
+    all_headers = {"Host": "a.example", **(headers or {})}
+    if key:
+        all_headers["Authorization"] = f"Bearer {key}"
+    connection = http.client.HTTPConnection(address, timeout=WAIT_S)
+    try:
+        connection.request(method, path, body, all_headers)
+        return Answer(connection.getresponse())
+    except OSError:
+        return _Unreachable()
+    finally:
+        connection.close()
+
+
+class _Unreachable:
+    status = 0
+    headers = {}
+    body = b""
+
+
+def wait_for(condition, text):
+    until_s = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < until_s, text
+        time.sleep(0.05)
+
+
+def make_events(count):
+    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(1, count + 1))
--- /dev/null
+++ b/tools/standins/platform.py
@@ -0,0 +1,192 @@
+"""Stand-in for the users' platform: its list of instances and the instances themselves.
+
+One process listens for the list and for every instance. A plain instance echoes; a model
+instance streams numbered events and lets a run go on at another instance from a copy. A test
+steers it by ``POST /_set`` at the list's address (``{"instance": .., "state": .., "dead": ..}``)
+and reads ``GET /_runs``.
+"""
+
+import argparse
+import asyncio
+import json
+import signal
+import sys
+
+from standins import http_server
+
+SIGNATURE = "X-Response-Signature"
+
+
+class Instance:
+    """One instance.
+
+    :ivar tasks: requests in hand, so that a dead instance cuts them off.
+    """
+
+    def __init__(self, name: str, service: str, address: str, zone: str) -> None:
+        self.name = name
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.state = "ready"
+        self.is_dead = False
+        self.copies: set[str] = set()
+        self.tasks: set[asyncio.Task] = set()
+
+    def describe(self) -> dict:
+        """Return its entry in the list."""
+        return {
+            "id": self.name,
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 8,
+            "state": self.state,
+            "cold_remaining_ms": 0,
+        }
+
+
+class Platform:
+    """The list and the instances."""
+
+    def __init__(self, step_ms: float) -> None:
+        self._step_s = step_ms / 1000
+        self._runs: list[dict] = []
+        self._handles = 0
+        self.instances: dict[str, Instance] = {}
+
+    async def handle_list(self, request: http_server.Request, answer: http_server.Answer) -> None:
+        """Answer at the list's address."""
+        if request.path == "/replicas":
+            listed = [item.describe() for item in self.instances.values() if not item.is_dead]
+            answer.send_json(200, {"instances": listed, "next_token": None})
+        elif request.path == "/_runs":
+            answer.send_json(200, self._runs)
+        else:
+            order = json.loads(request.body)
+            instance = self.instances[order["instance"]]
+            instance.state = order.get("state", instance.state)
+            instance.is_dead = order.get("dead", instance.is_dead)
+            if instance.is_dead:
+                for task in list(instance.tasks):
+                    task.cancel()
+            answer.send_json(200, {})
+
+    async def handle(
+        self, instance: Instance, request: http_server.Request, answer: http_server.Answer
+    ) -> None:
+        """Answer at an instance."""
+        if instance.is_dead:
+            raise ConnectionResetError
+        task = asyncio.ensure_future(self._answer(instance, request, answer))
+        instance.tasks.add(task)
+        try:
+            await task
+        except asyncio.CancelledError:
+            task.cancel()
+            raise ConnectionResetError from None
+        finally:
+            instance.tasks.discard(task)
+
+    async def _answer(
+        self, instance: Instance, request: http_server.Request, answer: http_server.Answer
+    ) -> None:
+        if request.path == "/healthz":
+            status = 200 if instance.state == "ready" else 503
+            answer.send(status, b"", content_type="text/plain")
+        elif request.path == "/spoolhead/kv-move":
+            self._copy(request, answer)
+        elif request.path.startswith("/spoolhead/"):
+            answer.send_json(200, {})
+        elif request.headers.get("x-expected-replica") != instance.name:
+            answer.send(421, b"", content_type="text/plain")
+        elif "x-token-usage" in request.headers:
+            await self._stream(instance, request, answer)
+        else:
+            await self._echo(instance, request, answer)
+
+    def _copy(self, request: http_server.Request, answer: http_server.Answer) -> None:
+        order = json.loads(request.body)
+        target = order["target_version"]
+        self._handles += 1
+        handle = f"h-{self._handles}"
+        for instance in self.instances.values():
+            if instance.address == target:
+                instance.copies.add(handle)
+        answer.send_json(200, {"handle": handle, "made": 1})
+
+    def _note(self, instance: Instance, request: http_server.Request) -> None:
+        self._runs.append(
+            {
+                "instance": instance.name,
+                "id": request.headers.get("x-request-id"),
+                "path": request.path,
+                "headers": request.headers,
+            }
+        )
+
+    async def _echo(
+        self, instance: Instance, request: http_server.Request, answer: http_server.Answer
+    ) -> None:
+        self._note(instance, request)
+        delay_ms = float(request.headers.get("x-delay-ms", "0"))
+        await asyncio.sleep(delay_ms / 1000)
+        headers = {"X-Request-Id": request.headers["x-request-id"], SIGNATURE: "s"}
+        answer.send(200, request.body or b"empty", content_type="text/plain", headers=headers)
+
+    async def _stream(
+        self, instance: Instance, request: http_server.Request, answer: http_server.Answer
+    ) -> None:
+        first = 1
+        origin = request.headers.get("kv-from", "")
+        if origin:
+            handle = origin.partition("/")[2]
+            if handle not in instance.copies and handle != request.headers["x-request-id"]:
+                answer.send(503, b"", content_type="text/plain")
+                return
+            first = int(request.headers.get("last-event-id", "0")) + 1
+        self._note(instance, request)
+        count = int(request.headers["x-token-usage"].split(",")[1])
+        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        head += f"X-Request-Id: {request.headers['x-request-id']}\r\n{SIGNATURE}: s\r\n"
+        answer._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        for number in range(first, count + 1):
+            await answer.send_events(b"id: %d\ndata: t%d\n\n" % (number, number))
+            await asyncio.sleep(self._step_s)
+        answer.end_events()
+
+
+async def run(options: argparse.Namespace) -> None:
+    """Serve until SIGTERM."""
+    platform = Platform(options.step_ms)
+    server = await http_server.serve(options.host, 0, platform.handle_list)
+    ports = [server.sockets[0].getsockname()[1]]
+    for item in options.instance:
+        name, service, zone = item.split(":")
+        instance = Instance(name, service, "", zone)
+
+        def _handle(request, answer, instance=instance):
+            return platform.handle(instance, request, answer)
+
+        listening = await http_server.serve(options.host, 0, _handle)
+        port = listening.sockets[0].getsockname()[1]
+        instance.address = f"{options.host}:{port}"
+        platform.instances[name] = instance
+    print(f"ready port={ports[0]}", flush=True)
+    stop = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
+    await stop.wait()
+
+
+def parse_options(arguments: list[str]) -> argparse.Namespace:
+    """Parse the command line."""
+    parser = argparse.ArgumentParser(description="Stand-in for the users' platform.")
+    parser.add_argument("--host", default="127.0.0.1")
+    parser.add_argument("--step-ms", type=float, default=10.0)
+    parser.add_argument("--instance", action="append", default=[], help="NAME:SERVICE:ZONE")
+    return parser.parse_args(arguments)
+
+
+if __name__ == "__main__":
+    asyncio.run(run(parse_options(sys.argv[1:])))
