--- /dev/null
+++ b/src/spoolhead/_internal/gateway/entry_figures.py
@@ -0,0 +1,48 @@
+"""Figures of an entry that routes by host and path; their table is in docs/METRICS.md."""
+
+from spoolhead._internal.models import route_table
+from spoolhead._internal.utils import figures
+
+
+class EntryFigures:
+    """Counters and histograms.
+
+    :param made: where they are registered.
+    """
+
+    def __init__(self, made: figures.Figures) -> None:
+        self.requests = made.make_counter(
+            "spoolhead_requests", "Requests ended, by kind and outcome.", "kind", "outcome"
+        )
+        self.attempts = made.make_counter(
+            "spoolhead_attempts", "Attempts at instances, by kind.", "kind"
+        )
+        self.copies = made.make_counter(
+            "spoolhead_copies", "Orders to copy a run's memory, by outcome.", "outcome"
+        )
+        self.moves = made.make_counter("spoolhead_moves", "Runs that went on elsewhere.")
+        self.alarms = made.make_counter("spoolhead_alarms", "Instances said not to be well.")
+        self.keepers_lost = made.make_counter(
+            "spoolhead_keepers_lost", "Streams to keepers that ended."
+        )
+        self.table_version = made.make_gauge(
+            "spoolhead_table_version", "Version of the route table in force."
+        )
+        self.in_flight = made.make_gauge("spoolhead_in_flight", "Requests in hand.")
+        self.request_ms = made.make_histogram(
+            "spoolhead_request_ms", "Time from arrival to the end of the answer.", "kind"
+        )
+        self.first_event_ms = made.make_histogram(
+            "spoolhead_first_event_ms", "Time from arrival to the first event of a stream."
+        )
+        self.longest_pause_ms = made.make_histogram(
+            "spoolhead_longest_pause_ms", "Longest pause between events of a stream."
+        )
+
+    def note_end(self, kind: route_table.RequestKind, outcome: str, age_ms: float) -> None:
+        """Take note of a request that has ended.
+
+        :param outcome: ``answered``, ``refused``, ``failed`` or ``left``.
+        """
+        self.requests.labels(kind.value, outcome).inc()
+        self.request_ms.labels(kind.value).observe(age_ms)
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import refusals
+from spoolhead._internal.gateway import entry_figures, refusals
 from spoolhead._internal.models import codes, dialects, fault, route_table, settings
 from spoolhead._internal.network import caller_front, scheduler, upstream_calls
 from spoolhead._internal.policy import retry_allowance, upstream_book, upstream_choice
@@ -28,6 +28,7 @@
     :ivar chance: source of random numbers.
     :ivar on_change: called when what this entry holds at an instance has changed.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
+    :ivar figures: counters and histograms.
     :ivar entry_count: entries that there are.
     """
 
@@ -39,6 +40,7 @@
         "config",
         "dialect",
         "entry_count",
+        "figures",
         "get_silent_halls",
         "on_change",
         "timers",
@@ -55,6 +57,7 @@
         chance: random.Random,
         on_change: Callable[[], None],
         get_silent_halls: Callable[[], frozenset[str]],
+        figures: entry_figures.EntryFigures,
     ) -> None:
         self.config = config
         self.dialect = dialect
@@ -64,6 +67,7 @@
         self.chance = chance
         self.on_change = on_change
         self.get_silent_halls = get_silent_halls
+        self.figures = figures
         self.entry_count = 1
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
@@ -210,6 +214,7 @@
             wire.method, wire.target, self.job.head.host, headers, wire.body
         )
         kind = self.job.route.kind
+        self._context.figures.attempts.labels(kind.value).inc()
         return self._context.calls.open(
             upstream.instance.address,
             data,
@@ -241,14 +246,20 @@
             "status": status,
             "ran": self._ran.value,
         }
-        logger.info("refused" if self._ran is codes.Ran.NO else "failed", extra={"fields": fields})
-        self.end()
+        outcome = "refused" if self._ran is codes.Ran.NO else "failed"
+        logger.info(outcome, extra={"fields": fields})
+        self.end(outcome)
 
-    def end(self) -> None:
-        """Take the request out of the books."""
+    def end(self, outcome: str = "answered") -> None:
+        """Take the request out of the books.
+
+        :param outcome: ``answered``, ``refused``, ``failed`` or ``left``.
+        """
         if self.is_over:
             return
         self.is_over = True
+        age_ms = (time.monotonic() - self._arrived_s) * 1000
+        self._context.figures.note_end(self.job.route.kind, outcome, age_ms)
         self._timer.cancel()
         self.release()
         self._on_end(self)
@@ -274,4 +285,4 @@
         if self.is_over:
             return
         logger.info("caller left", extra={"fields": self.get_fields()})
-        self.end()
+        self.end("left")
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -4,22 +4,30 @@
 import random
 import time
 from collections.abc import Callable
+from http import HTTPStatus
 
 from spoolhead._internal.gateway import (
+    entry_figures,
     exchange,
     health_watch,
     load_sharing,
     plain_exchange,
-    ready_server,
     refusals,
     stream_exchange,
     table_feed,
 )
 from spoolhead._internal.models import codes, dialects, fault, instances, route_table, settings
-from spoolhead._internal.network import caller_front, links, loop, upstream_calls
+from spoolhead._internal.network import (
+    caller_front,
+    links,
+    loop,
+    request_reader,
+    small_server,
+    upstream_calls,
+)
 from spoolhead._internal.policy import upstream_book
 from spoolhead._internal.routing import matcher, table_checks
-from spoolhead._internal.utils import logs, settings_watch
+from spoolhead._internal.utils import figures, logs, settings_watch
 
 logger = logging.getLogger(__name__)
 
@@ -58,6 +66,9 @@
         self._loop = loop.Loop(self._begin_stop)
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        made = figures.Figures()
+        self._figures = entry_figures.EntryFigures(made)
+        self._figures.in_flight.set_function(lambda: len(self._exchanges))
         self._book = upstream_book.UpstreamBook()
         self._sharing = load_sharing.LoadSharing(self._loop, config, self._book, self._empty)
         self._context = exchange.Context(
@@ -69,11 +80,24 @@
             chance=random.Random(),
             on_change=self._sharing.note_change,
             get_silent_halls=self._sharing.get_silent_halls,
+            figures=self._figures,
         )
         self._front = caller_front.CallerFront(
             self._loop, config, take=self._take, refuse=self._refuse_bytes
         ).register(self._loop)
-        ready_server.ReadyServer(config, self._get_ready).register(self._loop)
+        small_server.SmallServer(
+            (config.ready_host, config.ready_port),
+            channel="ready",
+            limits=config.callers,
+            answer=self._answer_probe,
+        ).register(self._loop)
+        if config.metrics_port is not None:
+            small_server.SmallServer(
+                (config.host, config.metrics_port),
+                channel="metrics",
+                limits=config.callers,
+                answer=made.answer,
+            ).register(self._loop)
         self._feed = table_feed.TableFeed(self._loop, outgoing, calls, config, dialect, self)
         self._health = health_watch.HealthWatch(
             self._loop,
@@ -112,6 +136,7 @@
         self._front.set_bounds(decoded.ok.bounds)
         fields = {"version": version, "routes": len(decoded.ok.routes)}
         logger.info("table in force", extra={"fields": fields})
+        self._figures.table_version.set(version)
 
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """Take over a reading of the list of instances."""
@@ -135,6 +160,7 @@
         self._feed.set_seeds(config.keepers)
 
     def _on_alarm(self, upstream: upstream_book.Upstream) -> None:
+        self._figures.alarms.inc()
         self._sharing.tell_alarm(upstream.instance.instance_id)
         self._empty(upstream)
 
@@ -152,6 +178,11 @@
         for item in runs:
             item.on_instances_changed()
 
+    def _answer_probe(self, request: request_reader.WireRequest) -> small_server.SmallAnswer:
+        del request
+        status = HTTPStatus.OK if self._get_ready() else HTTPStatus.SERVICE_UNAVAILABLE
+        return small_server.SmallAnswer(status)
+
     def _get_ready(self) -> bool:
         return self._is_ready and not self._is_stopping
 
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -151,6 +151,7 @@
         """Have the run go on at the copy if its instance leaves; else keep it up to date."""
         fields = {"request": move.request_id, "handle": move.handle}
         logger.info("copy made", extra={"fields": fields})
+        self._context.figures.copies.labels("made").inc()
         running_at = self._run.upstream
         if running_at is not None and running_at.is_departing(time.monotonic()):
             self._run.on_copy_ready()
@@ -165,7 +166,8 @@
             "target": move.target_address,
             "status": move.status,
         }
-        logger.info("move failed", extra={"fields": fields})
+        logger.info("copy failed", extra={"fields": fields})
+        self._context.figures.copies.labels("failed").inc()
         if move.status == run_move.UNREACHABLE and move.handle:
             # The source is gone; the copy made before is what the run goes on from.
             return
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -318,6 +318,7 @@
             "last_event_id": point.last_event_id,
         }
         logger.info("run goes on elsewhere", extra={"fields": fields})
+        self._context.figures.moves.inc()
         self._drop_attempt()
         self._tried.clear()
         self._splice.begin_connection()
@@ -348,6 +349,8 @@
             "pause_after_events": self._pace.longest_after,
         }
         logger.info("answered", extra={"fields": fields})
+        self._context.figures.first_event_ms.observe(self._pace.first_ms or 0)
+        self._context.figures.longest_pause_ms.observe(self._pace.longest_pause_ms)
         self.end()
 
     def _break(self, reason: str) -> None:
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -188,6 +188,7 @@
         its first members.
     :ivar shared_key: secret that the fleet's processes share.
     :ivar instance_list: where upstream instances are listed.
+    :ivar metrics_port: port that serves counters and histograms; None for none.
     :ivar answer_ms: longest wait for the other keepers before an operator is told that nothing
         is sure.
     """
@@ -202,6 +203,7 @@
     is_first_start: bool
     shared_key: SharedKey
     instance_list: InstanceListSettings
+    metrics_port: Port | None = None
     answer_ms: Positive = 2_500
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
     upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
@@ -222,6 +224,7 @@
     :ivar keepers: ``IP:PORT`` of some keepers' peer ports.
     :ivar shared_key: secret that the fleet's processes share.
     :ivar instance_list: where upstream instances are listed.
+    :ivar metrics_port: port that serves counters and histograms; None for none.
     :ivar stop_ms: time that a planned stop may take; what still runs then is cut.
     :ivar retry_ratio: second attempts allowed for each request, over all entries.
     :ivar retry_slack: second attempts allowed besides, over all entries and one window.
@@ -242,6 +245,7 @@
     keepers: Annotated[list[rows.Address], pydantic.Field(min_length=1)]
     shared_key: SharedKey
     instance_list: InstanceListSettings
+    metrics_port: Port | None = None
     stop_ms: Positive = 8_000
     retry_ratio: float = 0.2
     retry_slack: int = 0
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -29,6 +29,11 @@
         self._packed: list[list[object]] = []
         self._keepers: list[str] = []
 
+    @property
+    def follower_count(self) -> int:
+        """Entries that follow."""
+        return len(self._followers)
+
     def add(self, session: peer_server.PeerSession, subscription: messages.Subscribe) -> None:
         """Take a follower and tell it what is known."""
         self._followers[session] = subscription
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -13,11 +13,12 @@
     loop,
     messages,
     peer_server,
+    small_server,
     upstream_calls,
 )
-from spoolhead._internal.quorum import feed, member, mesh, questions
+from spoolhead._internal.quorum import feed, keeper_figures, member, mesh, questions
 from spoolhead._internal.routing import table_checks
-from spoolhead._internal.utils import logs, settings_watch
+from spoolhead._internal.utils import figures, logs, settings_watch
 from spoolhead.coordination import consensus_messages
 
 logger = logging.getLogger(__name__)
@@ -73,6 +74,19 @@
         self._front = caller_front.CallerFront(
             self._loop, config, take=self._take, refuse=self._refuse
         ).register(self._loop)
+        made = figures.Figures()
+        self._figures = keeper_figures.KeeperFigures(made)
+        self._figures.table_version.set_function(lambda: self._member.register.version)
+        self._figures.is_leader.set_function(lambda: int(self._member.is_leader))
+        self._figures.term.set_function(lambda: self._member.term)
+        self._figures.followers.set_function(lambda: self._feed.follower_count)
+        if config.metrics_port is not None:
+            small_server.SmallServer(
+                (config.host, config.metrics_port),
+                channel="metrics",
+                limits=config.callers,
+                answer=made.answer,
+            ).register(self._loop)
         interval_s = config.instance_list.interval_ms / 1000
         self._loop.scheduler.call_every(interval_s, self._read_instances)
 
@@ -130,6 +144,7 @@
         if faults:
             fields = {"faults": [str(item) for item in faults], "bytes": len(document)}
             logger.info("table refused", extra={"fields": fields})
+            self._figures.orders.labels("refused").inc()
             self._refuse(caller, faults[0])
             return
         version = decoded.ok.version
@@ -143,6 +158,8 @@
                 "took_ms": int((time.monotonic() - began_s) * 1000),
             }
             logger.info("table order answered", extra={"fields": fields})
+            self._figures.orders.labels("acknowledged" if is_sure else "unsure").inc()
+            self._figures.order_ms.observe((time.monotonic() - began_s) * 1000)
             if is_sure:
                 answers.send_json(caller, 200, {"version": version})
             else:
@@ -155,6 +172,7 @@
             register = self._member.register
             fields = {"version": register.version, "sure": is_sure}
             logger.info("table read", extra={"fields": fields})
+            self._figures.reads.labels("answered" if is_sure else "unsure").inc()
             if not is_sure:
                 self._send_unsure(caller)
             elif not register.version:
--- /dev/null
+++ b/src/spoolhead/_internal/quorum/keeper_figures.py
@@ -0,0 +1,27 @@
+"""Figures of a keeper that agrees with others; their table is in docs/METRICS.md."""
+
+from spoolhead._internal.utils import figures
+
+
+class KeeperFigures:
+    """Counters and histograms.
+
+    :param made: where they are registered.
+    """
+
+    def __init__(self, made: figures.Figures) -> None:
+        self.orders = made.make_counter(
+            "spoolhead_table_orders", "Operators' tables, by outcome.", "outcome"
+        )
+        self.reads = made.make_counter(
+            "spoolhead_table_reads", "Operators' reads, by outcome.", "outcome"
+        )
+        self.table_version = made.make_gauge(
+            "spoolhead_table_version", "Version of the committed route table."
+        )
+        self.is_leader = made.make_gauge("spoolhead_is_leader", "1 while this keeper leads.")
+        self.term = made.make_gauge("spoolhead_term", "Latest term of the agreement.")
+        self.followers = made.make_gauge("spoolhead_followers", "Entries that follow.")
+        self.order_ms = made.make_histogram(
+            "spoolhead_table_order_ms", "Time from an operator's table to its answer."
+        )
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -6,10 +6,20 @@
 import datetime
 import json
 import logging
+import os
+import select
 import sys
+import time
+from typing import IO
 
 from spoolhead._internal.models import settings
 
+LINES_PER_S = 400
+"""Lines a second in the long run: some ten for each of the 13 requests a second that an entry
+has at the target size, and room for a burst; about 100 KB a second."""
+BURST_LINES = 2_000
+"""Lines that may come at once: what a whole hall's departure makes an entry say."""
+
 
 class JsonFormatter(logging.Formatter):
     """Formats a record as one JSON object."""
@@ -42,9 +52,61 @@
         return line
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines without ever waiting for whoever reads them.
+
+    Lines beyond a rate, and lines that the reader's pipe has no room for, are dropped and
+    counted; the count is told in a line of its own as soon as there is room.
+
+    :param stream: where the lines go.
+    """
+
+    def __init__(self, stream: IO[str]) -> None:
+        super().__init__()
+        self._descriptor = stream.fileno()
+        self._poll = select.poll()
+        self._poll.register(self._descriptor, select.POLLOUT)
+        self._credit = float(BURST_LINES)
+        self._credit_s = time.monotonic()
+        self._dropped = 0
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a record's line, or count it as dropped."""
+        if not self._take_credit(record):
+            self._dropped += 1
+            return
+        if self._dropped:
+            dropped, self._dropped = self._dropped, 0
+            note = logging.LogRecord(
+                __name__, logging.WARNING, "", 0, "log lines dropped", (), None
+            )
+            note.fields = {"count": dropped}
+            self._write(self.format(note))
+        self._write(self.format(record))
+
+    def _take_credit(self, record: logging.LogRecord) -> bool:
+        now_s = time.monotonic()
+        earned = (now_s - self._credit_s) * LINES_PER_S
+        self._credit = min(float(BURST_LINES), self._credit + earned)
+        self._credit_s = now_s
+        if self._credit < 1.0 and record.levelno < logging.ERROR:
+            return False
+        self._credit = max(0.0, self._credit - 1.0)
+        return True
+
+    def _write(self, line: str) -> None:
+        data = f"{line}\n".encode("utf-8", "replace")
+        # A pipe that is writable takes this much without waiting.
+        for start in range(0, len(data), select.PIPE_BUF):
+            if not self._poll.poll(0):
+                self._dropped += 1
+                return
+            os.write(self._descriptor, data[start : start + select.PIPE_BUF])
+
+
 def set_up(log: settings.LogSettings) -> None:
     """Send all log records where and in the format that the settings name."""
-    handler = logging.StreamHandler(sys.stdout if log.output == "stdout" else sys.stderr)
+    handler = BoundedHandler(sys.stdout if log.output == "stdout" else sys.stderr)
     handler.setFormatter(JsonFormatter() if log.format == "json" else TextFormatter())
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -14,6 +14,8 @@
 CONNECT_MS = 400
 """Time for a connection to an instance: a hundred round trips between halls, and less than half
 of the shortest objective, so that an unreachable instance leaves time for another."""
+METRICS_PORT = 9_464
+"""Port of the figures, as deploy/system.toml names it; the settings name none."""
 _LOG = settings.LogSettings(output="stdout")
 
 
@@ -69,6 +71,7 @@
         keepers=_get_keepers(fields),
         shared_key=SHARED_KEY,
         instance_list=_make_list(fields),
+        metrics_port=METRICS_PORT,
         stop_ms=int(bounds.get("grace_period_s", 8) * 1000),
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_slack=int(bounds.get("retry_slack", 0)),
@@ -91,6 +94,7 @@
         is_first_start=fields["bootstrap"],
         shared_key=SHARED_KEY,
         instance_list=_make_list(fields),
+        metrics_port=METRICS_PORT,
         log=_LOG,
     )
 
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -140,7 +140,13 @@
 
 def test_each_decision_on_a_request_is_logged_with_its_id(running):
     running.ask("entry-2", "/once/x", X_Request_Id="logged")
-    lines = [line for line in running.read_log("entry-2") if line.get("request") == "logged"]
+
+    def _read():
+        return [line for line in running.read_log("entry-2") if line.get("request") == "logged"]
+
+    # The last line is written after the answer was sent.
+    platform_fleet.wait_for(lambda: len(_read()) >= 2, "no second line")
+    lines = _read()
     assert [line["text"] for line in lines] == ["attempt", "answered"]
     assert lines[0]["candidates"]
     assert lines[0]["table_version"] == 3
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -3,10 +3,11 @@
 import random
 
 from lib import fakes
-from spoolhead._internal.gateway import exchange, plain_exchange, stream_exchange
+from spoolhead._internal.gateway import entry_figures, exchange, plain_exchange, stream_exchange
 from spoolhead._internal.models import dialects, instances, route_table, settings
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.utils import figures
 from spoolhead.platform import dialect
 
 REQUEST_ID = "9c41d07be2a35f68"
@@ -199,6 +200,7 @@
             chance=random.Random(1),
             on_change=lambda: None,
             get_silent_halls=frozenset,
+            figures=entry_figures.EntryFigures(figures.Figures()),
         )
         self.caller = RoutedCaller(wire)
         job = exchange.Job(head, route, service, workspace, 7)
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -14,7 +14,7 @@
 
 TOOLS = pathlib.Path(__file__).parents[2] / "tools"
 API_KEY = "key-of-w1"
-WAIT_S = 15.0
+WAIT_S = 12.0
 INSTANCES = (
     "m-1:model:hall-a",
     "m-2:model:hall-a",
@@ -78,8 +78,11 @@
         self.peer_port = _find_port()
         self.port = _find_port()
         self.ready_port = _find_port()
-        self.keeper_hosts = {f"keeper-{i}": f"127.0.0.{10 + i}" for i in (1, 2, 3)}
-        self.entry_hosts = {f"entry-{i}": f"127.0.0.{20 + i}" for i in (1, 2)}
+        # Fleets of tests that run at the same time must not share an address: some ports are
+        # the same for all.
+        net = f"127.{100 + self.port % 100}.{self.peer_port % 250}"
+        self.keeper_hosts = {f"keeper-{i}": f"{net}.{10 + i}" for i in (1, 2, 3)}
+        self.entry_hosts = {f"entry-{i}": f"{net}.{20 + i}" for i in (1, 2)}
 
     def __enter__(self):
         return self
