Tell engines the routes' ranks only; copy what is soon over last

Ruled out: more copies ahead of need (first tokens late for want of memory), faster health questions (no gain seen).

Conclusion: routes' ranks; copies for 800 tokens to come up to half a memory, which also cover a crash without notice.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -15,6 +15,8 @@
 RETRY_AFTER_MS = 300
 """When to come back after a refusal because of failures: about a round of the balancer's
 connections and of the shortest rest of an upstream."""
+LEAST_URGENT = 9
+"""Lowest rank that engines know."""
 
 
 class Context:
@@ -116,8 +118,18 @@
         return self.workspace.name if self.workspace is not None else ""
 
     @property
-    def priority(self) -> int:
-        """Rank of the request; the workspace's goes before the route's."""
+    def urgency(self) -> int:
+        """Rank of the request at a model engine, 0 for the most urgent.
+
+        An engine that is told ranks preempts what is less urgent, which wastes what that has
+        read and stops its stream. So only the routes' ranks go there; the workspaces' decide
+        among this entry's own requests.
+        """
+        return min(LEAST_URGENT, self.route.priority)
+
+    @property
+    def workspace_rank(self) -> int:
+        """Rank of the workspace, 0 for the most urgent; the route's where it has none."""
         if self.workspace is not None and self.workspace.priority is not None:
             return self.workspace.priority
         return self.route.priority
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -174,7 +174,7 @@
             item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
         ]
         # The first orders are carried out first, and not all may be in time.
-        runs.sort(key=lambda item: item.rank, reverse=True)
+        runs.sort(key=lambda item: (item.job.workspace_rank, -item.rank))
         for item in runs:
             item.on_instances_changed()
 
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -13,9 +13,6 @@
 
 UNREAD_BYTES = 1_048_576
 """Bytes kept for a caller that reads slowly: several of the longest answers seen (120 KiB)."""
-LEAST_URGENT = 9
-"""Lowest rank that engines know."""
-
 _OK = 200
 
 
@@ -264,7 +261,7 @@
     def _get_urgency(self) -> int | None:
         if not self._context.config.ranks_runs:
             return None
-        return min(LEAST_URGENT, self.job.priority)
+        return self.job.urgency
 
     def _note_read(self, attempt: _Attempt) -> None:
         """Take note that the prompt has been read."""
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -8,9 +8,9 @@
 COPY_FILL_LIMIT = 1.0
 """Share of an instance's memory that work and copies may be foreseen to fill before it takes no
 further copy; the rest is for runs, which a full memory would have preempted."""
-STANDING_FILL_LIMIT = 0.65
+STANDING_FILL_LIMIT = 0.5
 """The same for a copy that is made before there is need for one."""
-STANDING_COPY_TOKENS = 500
+STANDING_COPY_TOKENS = 800
 """Tokens still to be made from which a copy is made ahead of need: about four seconds, in which
 one of five instances was seen to leave with one chance in four."""
 OTHER_HALL_COST = 0.4
@@ -18,6 +18,10 @@
 twice as long, and an instance that leaves has time for a handful of copies only."""
 MADE_TOKEN_VALUE = 10
 """Value of a token that was made in tokens that were read, as the users weigh them."""
+SOON_OVER_TOKENS = 150
+SOON_OVER_PART = 0.3
+"""A run that is expected to make fewer tokens than this, a good second's worth, is likely to
+end by itself before its instance does, so copying it saves that part of its value only."""
 STALL_FACTOR = 2.0
 """A stream that stands still for this many of the longest good pauses goes on at its copy."""
 DEFAULT_PAUSE_MS = 500
@@ -83,6 +87,8 @@
     :param made_tokens: tokens that it has made.
     """
     value = prompt_tokens + MADE_TOKEN_VALUE * max(expected_tokens, made_tokens)
+    if 0 < expected_tokens - made_tokens < SOON_OVER_TOKENS:
+        value *= SOON_OVER_PART
     return value / max(1, prompt_tokens + made_tokens)
 
 
