--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -41,8 +41,8 @@
 """Age up to which an entry without a table keeps requests for it; a start with an election takes
 less than a second."""
 FIRST_TABLE_WAIT_S = 1.0
-"""Longest wait at the start for a majority of keepers to name their version; an entry that can
-reach only a few then serves with the newest that it got."""
+"""Longest wait at the start for a majority of keepers to name their version and for a list of
+instances; an entry that can reach only a few keepers then serves with the newest that it got."""
 READY_CHECK_S = 0.05
 
 
@@ -58,6 +58,7 @@
         self._dialect = dialect
         self._matcher: matcher.Matcher | None = None
         self._is_ready = False
+        self._has_instances = False
         self._is_stopping = False
         self._began_s = time.monotonic()
         self._stop_s = 0.0
@@ -148,6 +149,7 @@
         for instance_id in sorted(known - now_known):
             logger.info("upstream is gone", extra={"fields": {"upstream": instance_id}})
         self._sharing.refresh()
+        self._has_instances = True
         for upstream in leaving:
             self._empty(upstream)
 
@@ -194,7 +196,8 @@
         if self._matcher is None:
             return
         has_majority = self._feed.connected_count * 2 > self._feed.keeper_count
-        if has_majority or time.monotonic() - self._began_s > FIRST_TABLE_WAIT_S:
+        is_complete = has_majority and self._has_instances
+        if is_complete or time.monotonic() - self._began_s > FIRST_TABLE_WAIT_S:
             self._is_ready = True
             fields = {"version": self._feed.version, "keepers": self._feed.connected_count}
             logger.info("entry is ready", extra={"fields": fields})
--- a/src/spoolhead/platform/keeper.py
+++ b/src/spoolhead/platform/keeper.py
@@ -6,7 +6,10 @@
 
 def main() -> None:
     """Run a keeper with the platform's settings file."""
-    starting.start(lambda path: keeper.run(path, node_file.read_keeper, dialect.Dialect))
+    starting.start(
+        node_file.read_keeper,
+        lambda path: keeper.run(path, node_file.read_keeper, dialect.Dialect),
+    )
 
 
 if __name__ == "__main__":
--- a/src/spoolhead/platform/starting.py
+++ b/src/spoolhead/platform/starting.py
@@ -8,15 +8,24 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+CHECK_OPTION = "--check"
 
 
-def start(run: Callable[[str], None]) -> None:
+def start(read: Callable[[str], object], run: Callable[[str], None]) -> None:
     """Run a program with the settings file that the platform names.
 
+    With ``--check`` the settings are only read, and what is wrong with them is printed.
+
+    :param read: reads the settings.
     :param run: the program.
     """
+    path = node_file.get_path()
     try:
-        run(node_file.get_path())
+        if CHECK_OPTION in sys.argv[1:]:
+            read(path)
+            print(f"{path}: settings are good")
+            return
+        run(path)
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
