Ask no health behind a cut

Change: halls that are silent are neither asked nor believed; the line for an instance that is to be emptied says whether the list or an alarm is behind it.

--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -58,6 +58,8 @@
     :param book: the instances.
     :param get_table: returns the table in force.
     :param get_watchers: returns the entries that are alive.
+    :param get_silent_halls: returns the halls that look cut off; nothing is asked there, since
+        no answer would say nothing of an instance.
     :param on_alarm: called with an instance that was found bad.
     """
 
@@ -70,6 +72,7 @@
         *,
         get_table: Callable[[], matcher.Matcher | None],
         get_watchers: Callable[[], list[watch_duty.Watcher]],
+        get_silent_halls: Callable[[], frozenset[str]],
         on_alarm: Callable[[upstream_book.Upstream], None],
     ) -> None:
         self._calls = calls
@@ -77,6 +80,7 @@
         self._book = book
         self._get_table = get_table
         self._get_watchers = get_watchers
+        self._get_silent_halls = get_silent_halls
         self._on_alarm = on_alarm
         self._probes: dict[str, _Probe] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
@@ -87,6 +91,8 @@
         self._probes.pop(instance_id, None)
         if probe.status == _OK or probe.upstream.is_leaving:
             return
+        if probe.upstream.instance.hall in self._get_silent_halls():
+            return
         now_s = time.monotonic()
         if probe.upstream.raise_alarm(now_s):
             fields = {"upstream": instance_id, "outcome": outcome}
@@ -103,13 +109,17 @@
                 probe.call.cancel()
                 self.take(probe, "no answer")
         watchers = self._get_watchers()
+        silent_halls = self._get_silent_halls()
         for service in table.services:
             if service.engine is None or not service.health_path:
                 continue
             for upstream in self._book.get_service(service.name):
-                if upstream.is_leaving or upstream.instance.instance_id in self._probes:
+                instance = upstream.instance
+                if upstream.is_leaving or instance.instance_id in self._probes:
+                    continue
+                if instance.hall in silent_halls:
                     continue
-                if watch_duty.is_on_duty(self._config.name, watchers, upstream.instance):
+                if watch_duty.is_on_duty(self._config.name, watchers, instance):
                     self._ask(upstream, service.health_path)
 
     def _ask(self, upstream: upstream_book.Upstream, path: str) -> None:
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -107,6 +107,7 @@
             self._book,
             get_table=lambda: self._matcher,
             get_watchers=self._sharing.get_watchers,
+            get_silent_halls=self._sharing.get_silent_halls,
             on_alarm=self._on_alarm,
         )
         self._loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
@@ -169,9 +170,11 @@
     def _empty(self, upstream: upstream_book.Upstream) -> None:
         fields = {
             "upstream": upstream.instance.instance_id,
+            "is_listed_leaving": upstream.instance.is_leaving,
+            "is_gone": upstream.is_gone,
             "requests_here": len(upstream.works),
         }
-        logger.info("upstream leaves", extra={"fields": fields})
+        logger.info("upstream is to be emptied", extra={"fields": fields})
         runs = [
             item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
         ]
--- /dev/null
+++ b/tests/unit/test_health_watch.py
@@ -0,0 +1,116 @@
+"""Health questions: who asks, what a bad answer does, and what silence behind a cut does not."""
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.gateway import health_watch
+from spoolhead._internal.models import route_table, settings
+from spoolhead._internal.policy import upstream_book, watch_duty
+from spoolhead._internal.routing import matcher
+
+SERVICE = route_table.Service(
+    name="s", health_path="/healthz", max_connections=9, engine=gateway_setting.ENGINE
+)
+
+
+class _Loop:
+    class scheduler:  # noqa: N801
+        calls = []
+
+        @classmethod
+        def call_every(cls, interval_s, call):
+            cls.calls.append(call)
+
+
+class _Watch:
+    def __init__(self, *, silent=(), watchers=("entry-1",)):
+        self.calls = gateway_setting.GatewayCalls()
+        self.book = upstream_book.UpstreamBook()
+        self.book.take_list([gateway_setting.make_instance("i-1", hall="hall-b")])
+        self.alarms = []
+        self.silent = frozenset(silent)
+        table = route_table.RouteTable(
+            version=1,
+            routes=[],
+            services=[SERVICE],
+            workspaces=None,
+            bounds=route_table.CallerBounds(),
+        )
+        config = settings.GatewaySettings(
+            name="entry-1",
+            hall="hall-a",
+            host="10.0.0.1",
+            port=1,
+            ready_host="10.0.0.1",
+            ready_port=2,
+            peer_port=3,
+            keepers=["10.0.0.2:1"],
+            shared_key="a-shared-key-for-tests",
+            instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
+        )
+        _Loop.scheduler.calls = []
+        self.watch = health_watch.HealthWatch(
+            _Loop,
+            self.calls,
+            config,
+            self.book,
+            get_table=lambda: matcher.Matcher(table),
+            get_watchers=lambda: [watch_duty.Watcher(name=n, hall="hall-a") for n in watchers],
+            get_silent_halls=lambda: self.silent,
+            on_alarm=self.alarms.append,
+        )
+
+    def ask(self):
+        _Loop.scheduler.calls[0]()
+
+
+def test_a_good_answer_raises_no_alarm():
+    watch = _Watch()
+    watch.ask()
+    watch.calls.made[0].answer(200, [])
+    assert not watch.alarms
+    assert not watch.book.get("i-1").is_alarmed(0.0)
+
+
+@pytest.mark.parametrize("outcome", ["bad", "lost"])
+def test_a_bad_answer_or_none_raises_one_alarm(outcome):
+    watch = _Watch()
+    watch.ask()
+    if outcome == "bad":
+        watch.calls.made[0].answer(503, [])
+    else:
+        watch.calls.made[0].lose()
+    assert [item.instance.instance_id for item in watch.alarms] == ["i-1"]
+
+
+def test_an_instance_that_has_not_answered_is_not_asked_twice():
+    watch = _Watch()
+    watch.ask()
+    watch.ask()
+    assert len(watch.calls.made) == 1
+
+
+def test_only_the_entry_on_duty_asks():
+    asked = 0
+    for other in ("entry-0", "entry-2", "entry-3"):
+        watch = _Watch(watchers=("entry-1", other))
+        watch.ask()
+        asked += len(watch.calls.made)
+    names = ("entry-0", "entry-2", "entry-3")
+    instance = gateway_setting.make_instance("i-1", hall="hall-b")
+    expected = 0
+    for other in names:
+        watchers = [watch_duty.Watcher(name=n, hall="hall-a") for n in ("entry-1", other)]
+        expected += watch_duty.is_on_duty("entry-1", watchers, instance)
+    assert asked == expected
+
+
+def test_nothing_is_asked_and_nothing_believed_behind_a_cut():
+    watch = _Watch(silent=["hall-b"])
+    watch.ask()
+    assert not watch.calls.made
+    watch = _Watch()
+    watch.ask()
+    watch.silent = frozenset(["hall-b"])
+    watch.calls.made[0].lose()
+    assert not watch.alarms
