Tell the whole count of dropped log lines; one type of attempt, one discarded answer

Cause of the first: the count began anew when the line that tells it was itself dropped; found by a test with a reader that does not read (it failed first: 2 told of 1,804).

--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -69,22 +69,6 @@
         self.flow.take_loss(self, reason)
 
 
-class _Forgotten:
-    """Takes the answer to a cancel order, which nobody waits for."""
-
-    def on_answer_head(self, status: int, headers: Headers) -> None:
-        pass
-
-    def on_answer_body(self, data: bytes) -> None:
-        pass
-
-    def on_answer_end(self) -> None:
-        pass
-
-    def on_call_lost(self, reason: str) -> None:
-        pass
-
-
 class Flow:
     """One request that runs.
 
@@ -451,7 +435,7 @@
         address = attempt.replica.row.address
         target = f"{api.STREAMS_PATH}{attempt.generation}/cancel"
         request = upstream_calls.make_request("POST", target, address, [], b"")
-        self._context.calls.open(address, request, _Forgotten())
+        self._context.calls.open(address, request, upstream_calls.DiscardedAnswer())
 
     def _end(self, result: flow_context.Result) -> None:
         if self.is_over:
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -14,38 +14,12 @@
 _SERVER_ERRORS = range(500, 600)
 
 
-class _Attempt:
-    """One attempt; what it is told counts only while it is the exchange's present one."""
-
-    __slots__ = ("body", "body_bytes", "call", "head", "owner", "upstream")
-
-    def __init__(self, owner: "PlainExchange", upstream: upstream_book.Upstream) -> None:
-        self.owner = owner
-        self.upstream = upstream
-        self.call: upstream_calls.UpstreamCall | None = None
-        self.head: dialects.AnswerHead | None = None
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-
-    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
-        self.owner.take_head(self, status, headers)
-
-    def on_answer_body(self, data: bytes) -> None:
-        self.owner.take_body(self, data)
-
-    def on_answer_end(self) -> None:
-        self.owner.take_end(self)
-
-    def on_call_lost(self, reason: str) -> None:
-        self.owner.take_loss(self, reason)
-
-
 class PlainExchange(exchange.Exchange):
     """One plain request."""
 
-    _attempt: _Attempt | None = None
+    _attempt: exchange.Attempt | None = None
     _attempts_made = 0
-    _kept: _Attempt | None = None
+    _kept: exchange.Attempt | None = None
 
     @property
     def has_sent(self) -> bool:
@@ -65,7 +39,7 @@
                 self.fail(codes.ResultCode.NO_UPSTREAM, text)
             return
         upstream = choice.upstream
-        attempt = self._attempt = _Attempt(self, upstream)
+        attempt = self._attempt = exchange.Attempt(self, upstream)
         self._attempts_made += 1
         self._tried.add(upstream.instance.instance_id)
         request_id = self.job.head.request_id
@@ -87,14 +61,16 @@
         if attempt.call is not None and not attempt.call.is_over:
             attempt.call.cancel()
 
-    def take_head(self, attempt: _Attempt, status: int, headers: upstream_calls.Headers) -> None:
+    def take_head(
+        self, attempt: exchange.Attempt, status: int, headers: upstream_calls.Headers
+    ) -> None:
         """Take the head of an attempt's answer."""
         if attempt is not self._attempt:
             return
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, time.monotonic())
 
-    def take_body(self, attempt: _Attempt, data: bytes) -> None:
+    def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
         """Take a part of an attempt's answer."""
         if attempt is not self._attempt:
             return
@@ -104,7 +80,7 @@
             self._ran = codes.Ran.YES
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE, "the answer is too large")
 
-    def take_end(self, attempt: _Attempt) -> None:
+    def take_end(self, attempt: exchange.Attempt) -> None:
         """Take the end of an attempt's answer."""
         if attempt is not self._attempt or attempt.head is None:
             return
@@ -124,7 +100,7 @@
             attempt.upstream.note_answer()
             self._deliver(attempt)
 
-    def take_loss(self, attempt: _Attempt, reason: str) -> None:
+    def take_loss(self, attempt: exchange.Attempt, reason: str) -> None:
         """Take the loss of an attempt's connection."""
         if attempt is not self._attempt:
             return
@@ -171,7 +147,7 @@
         allowance = self._context.get_allowance(self.job.service.name)
         return allowance.take(time.monotonic())
 
-    def _deliver(self, attempt: _Attempt) -> None:
+    def _deliver(self, attempt: exchange.Attempt) -> None:
         head = attempt.head
         assert head is not None
         self._ran = codes.Ran.YES
--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -94,7 +94,7 @@
         self.step = Step.FAILED
         if self.handle and must_free:
             order = self._dialect.write_release(self.handle)
-            _send_order(self._calls, self.source_address, order, _Forgotten())
+            _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of an answer."""
@@ -126,22 +126,6 @@
         self._user.on_move_failed(self)
 
 
-class _Forgotten:
-    """Takes an answer that nobody waits for."""
-
-    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
-        pass
-
-    def on_answer_body(self, data: bytes) -> None:
-        pass
-
-    def on_answer_end(self) -> None:
-        pass
-
-    def on_call_lost(self, reason: str) -> None:
-        pass
-
-
 def _send_order(
     calls: upstream_calls.UpstreamCalls,
     address: str,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -16,39 +16,10 @@
 _OK = 200
 
 
-class _Attempt:
-    """The run's connection to one instance."""
-
-    __slots__ = ("body", "call", "has_ended", "head", "is_resumed", "owner", "upstream")
-
-    def __init__(
-        self, owner: "StreamExchange", upstream: upstream_book.Upstream, *, is_resumed: bool
-    ) -> None:
-        self.owner = owner
-        self.upstream = upstream
-        self.is_resumed = is_resumed
-        self.call: upstream_calls.UpstreamCall | None = None
-        self.head: dialects.AnswerHead | None = None
-        self.body: list[bytes] = []
-        self.has_ended = False
-
-    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
-        self.owner.take_head(self, status, headers)
-
-    def on_answer_body(self, data: bytes) -> None:
-        self.owner.take_body(self, data)
-
-    def on_answer_end(self) -> None:
-        self.owner.take_end(self)
-
-    def on_call_lost(self, reason: str) -> None:
-        self.owner.take_loss(self, reason)
-
-
 class StreamExchange(exchange.Exchange):
     """One streamed request."""
 
-    _attempt: _Attempt | None = None
+    _attempt: exchange.Attempt | None = None
     _guard: run_guard.RunGuard
     _splice: splice.Splice
     _pace: pace_meter.PaceMeter
@@ -132,14 +103,16 @@
         if copy is not None:
             self._resume(copy)
 
-    def take_head(self, attempt: _Attempt, status: int, headers: upstream_calls.Headers) -> None:
+    def take_head(
+        self, attempt: exchange.Attempt, status: int, headers: upstream_calls.Headers
+    ) -> None:
         """Take the head of the answer."""
         if attempt is not self._attempt:
             return
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, time.monotonic())
 
-    def take_body(self, attempt: _Attempt, data: bytes) -> None:
+    def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
         """Take a part of the answer."""
         if attempt is not self._attempt or attempt.head is None:
             return
@@ -158,22 +131,20 @@
         else:
             self._watch_for_stall()
 
-    def take_end(self, attempt: _Attempt) -> None:
+    def take_end(self, attempt: exchange.Attempt) -> None:
         """Take the end of the answer."""
         if attempt is not self._attempt or attempt.head is None or attempt.call is None:
             return
-        attempt.has_ended = True
         if not self._is_good(attempt.head):
             self._take_refusal(attempt, attempt.head)
         else:
             attempt.upstream.note_answer()
             self._finish(attempt.head)
 
-    def take_loss(self, attempt: _Attempt, reason: str) -> None:
+    def take_loss(self, attempt: exchange.Attempt, reason: str) -> None:
         """Take the loss of the connection."""
         if attempt is not self._attempt or attempt.call is None:
             return
-        attempt.has_ended = True
         attempt.upstream.note_failure(
             time.monotonic(), is_unreachable=not attempt.call.may_have_arrived
         )
@@ -203,7 +174,7 @@
             and head.request_id in ("", own_id)
         )
 
-    def _take_refusal(self, attempt: _Attempt, head: dialects.AnswerHead) -> None:
+    def _take_refusal(self, attempt: exchange.Attempt, head: dialects.AnswerHead) -> None:
         self._log_attempt_failure(attempt, f"status {head.status}")
         if attempt.is_resumed or self._splice.events:
             self._break(f"the run could not go on: status {head.status}")
@@ -228,7 +199,7 @@
         logger.info("answered", extra={"fields": fields})
         self.end()
 
-    def _log_attempt_failure(self, attempt: _Attempt, reason: str) -> None:
+    def _log_attempt_failure(self, attempt: exchange.Attempt, reason: str) -> None:
         fields = {
             **self.get_fields(),
             "upstream": attempt.upstream.instance.instance_id,
@@ -238,7 +209,7 @@
         logger.info("attempt failed", extra={"fields": fields})
 
     def _open(self, upstream: upstream_book.Upstream, resume: dialects.ResumePoint | None) -> None:
-        attempt = self._attempt = _Attempt(self, upstream, is_resumed=resume is not None)
+        attempt = self._attempt = exchange.Attempt(self, upstream, is_resumed=resume is not None)
         request_id = self.job.head.request_id
         generation = self.job.head.generation
         reading = generation.prompt_tokens if generation is not None and resume is None else 0
@@ -263,7 +234,7 @@
             return None
         return self.job.urgency
 
-    def _note_read(self, attempt: _Attempt) -> None:
+    def _note_read(self, attempt: exchange.Attempt) -> None:
         """Take note that the prompt has been read."""
         work = attempt.upstream.works.get(self.job.head.request_id)
         if work is not None and work.reading_tokens:
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -40,6 +40,22 @@
         """The call ended before its answer was whole; nothing follows."""
 
 
+class DiscardedAnswer:
+    """Owner of a call whose answer nobody waits for."""
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        """Pass over the head."""
+
+    def on_answer_body(self, data: bytes) -> None:
+        """Pass over a part of the body."""
+
+    def on_answer_end(self) -> None:
+        """Pass over the end."""
+
+    def on_call_lost(self, reason: str) -> None:
+        """Pass over the loss."""
+
+
 def make_request(method: str, target: str, host: str, headers: Headers, body: bytes) -> bytes:
     """Return the bytes of a request.
 
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -75,14 +75,19 @@
         if not self._take_credit(record):
             self._dropped += 1
             return
-        if self._dropped:
-            dropped, self._dropped = self._dropped, 0
-            note = logging.LogRecord(
-                __name__, logging.WARNING, "", 0, "log lines dropped", (), None
-            )
-            note.fields = {"count": dropped}
-            self._write(self.format(note))
-        self._write(self.format(record))
+        if self._dropped and not self._tell_dropped():
+            self._dropped += 1
+            return
+        if not self._write(self.format(record)):
+            self._dropped += 1
+
+    def _tell_dropped(self) -> bool:
+        note = logging.LogRecord(__name__, logging.WARNING, "", 0, "log lines dropped", (), None)
+        note.fields = {"count": self._dropped}
+        if not self._write(self.format(note)):
+            return False
+        self._dropped = 0
+        return True
 
     def _take_credit(self, record: logging.LogRecord) -> bool:
         now_s = time.monotonic()
@@ -94,14 +99,14 @@
         self._credit = max(0.0, self._credit - 1.0)
         return True
 
-    def _write(self, line: str) -> None:
+    def _write(self, line: str) -> bool:
         data = f"{line}\n".encode("utf-8", "replace")
         # A pipe that is writable takes this much without waiting.
         for start in range(0, len(data), select.PIPE_BUF):
             if not self._poll.poll(0):
-                self._dropped += 1
-                return
+                return False
             os.write(self._descriptor, data[start : start + select.PIPE_BUF])
+        return True
 
 
 def set_up(log: settings.LogSettings) -> None:
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -150,3 +150,9 @@
     assert [line["text"] for line in lines] == ["attempt", "answered"]
     assert lines[0]["candidates"]
     assert lines[0]["table_version"] == 3
+
+
+def test_the_figures_of_both_programs_are_served(running):
+    for host in (running.keeper_hosts["keeper-2"], running.entry_hosts["entry-1"]):
+        answer = platform_fleet.send(f"{host}:9464", "GET", "/metrics")
+        assert b"spoolhead_table_version 3.0" in answer.body
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -118,6 +118,22 @@
         return dict(self.headers).get(name)
 
 
+def make_settings(**changes):
+    return settings.GatewaySettings(
+        name="entry-1",
+        hall="hall-a",
+        host="10.0.0.1",
+        port=1,
+        ready_host="10.0.0.1",
+        ready_port=2,
+        peer_port=3,
+        keepers=["10.0.0.2:1"],
+        shared_key=fakes.SHARED_KEY,
+        instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
+        **changes,
+    )
+
+
 def make_instance(name, *, hall="hall-a", service="s", is_leaving=False):
     return instances.Instance(
         instance_id=name,
@@ -178,19 +194,7 @@
             engine=ENGINE if is_stream else None,
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
-        config = settings.GatewaySettings(
-            name="entry-1",
-            hall="hall-a",
-            host="10.0.0.1",
-            port=1,
-            ready_host="10.0.0.1",
-            ready_port=2,
-            peer_port=3,
-            keepers=["10.0.0.2:1"],
-            shared_key=fakes.SHARED_KEY,
-            instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
-            retry_slack=slack,
-        )
+        config = make_settings(retry_slack=slack)
         context = exchange.Context(
             config=config,
             dialect=dialect.Dialect(),
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -4,7 +4,7 @@
 
 from lib import gateway_setting
 from spoolhead._internal.gateway import health_watch
-from spoolhead._internal.models import route_table, settings
+from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import upstream_book, watch_duty
 from spoolhead._internal.routing import matcher
 
@@ -36,18 +36,7 @@
             workspaces=None,
             bounds=route_table.CallerBounds(),
         )
-        config = settings.GatewaySettings(
-            name="entry-1",
-            hall="hall-a",
-            host="10.0.0.1",
-            port=1,
-            ready_host="10.0.0.1",
-            ready_port=2,
-            peer_port=3,
-            keepers=["10.0.0.2:1"],
-            shared_key="a-shared-key-for-tests",
-            instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
-        )
+        config = gateway_setting.make_settings()
         _Loop.scheduler.calls = []
         self.watch = health_watch.HealthWatch(
             _Loop,
--- /dev/null
+++ b/tests/unit/test_logs.py
@@ -0,0 +1,88 @@
+"""Log lines: one JSON object each, bounded, and never waiting for whoever reads them."""
+
+import json
+import logging
+import os
+
+import pytest
+
+from spoolhead._internal.utils import logs
+
+
+class _Pipe:
+    """A pipe whose writing end stands for standard output."""
+
+    def __init__(self):
+        self.read_end, self.write_end = os.pipe()
+        os.set_blocking(self.read_end, False)
+
+    def fileno(self):
+        return self.write_end
+
+    def read_lines(self):
+        data = b""
+        while True:
+            try:
+                part = os.read(self.read_end, 65_536)
+            except BlockingIOError:
+                break
+            data += part
+        return [json.loads(line) for line in data.decode().splitlines()]
+
+
+@pytest.fixture
+def pipe():
+    made = _Pipe()
+    yield made
+    os.close(made.read_end)
+    os.close(made.write_end)
+
+
+def _make_handler(pipe):
+    handler = logs.BoundedHandler(pipe)
+    handler.setFormatter(logs.JsonFormatter())
+    return handler
+
+
+def _make_record(text, level=logging.INFO, **fields):
+    record = logging.LogRecord("test", level, "", 0, text, (), None)
+    record.fields = fields
+    return record
+
+
+def test_a_line_is_one_json_object_with_its_fields(pipe):
+    handler = _make_handler(pipe)
+    handler.emit(_make_record("attempt", request="a", age_ms=3))
+    (line,) = pipe.read_lines()
+    assert (line["text"], line["request"], line["age_ms"]) == ("attempt", "a", 3)
+
+
+def test_a_reader_that_does_not_read_stops_nothing_and_the_loss_is_told(pipe):
+    handler = _make_handler(pipe)
+    for number in range(logs.BURST_LINES):
+        handler.emit(_make_record("x" * 200, number=number))
+    kept = pipe.read_lines()
+    assert 0 < len(kept) < logs.BURST_LINES
+    handler.emit(_make_record("late", level=logging.ERROR))
+    note, last = pipe.read_lines()
+    assert note["text"] == "log lines dropped"
+    assert note["count"] == logs.BURST_LINES - len(kept)
+    assert last["text"] == "late"
+
+
+def test_lines_beyond_the_rate_are_dropped_but_errors_are_not(pipe, monkeypatch):
+    monkeypatch.setattr(logs, "BURST_LINES", 2)
+    monkeypatch.setattr(logs, "LINES_PER_S", 0)
+    handler = _make_handler(pipe)
+    for number in range(5):
+        handler.emit(_make_record("info", number=number))
+    handler.emit(_make_record("error", level=logging.ERROR))
+    texts = [line["text"] for line in pipe.read_lines()]
+    assert texts == ["info", "info", "log lines dropped", "error"]
+
+
+def test_a_long_line_is_written_whole(pipe):
+    handler = _make_handler(pipe)
+    handler.emit(_make_record("y" * 20_000))
+    (line,) = pipe.read_lines()
+    assert len(line["text"]) == 20_000
