--- /dev/null
+++ b/tests/unit/test_table_feed.py
@@ -0,0 +1,133 @@
+"""What an entry takes from several keepers: the newest table, never an older one."""
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.gateway import table_feed
+from spoolhead._internal.models import instances
+from spoolhead._internal.network import messages
+
+
+class _Client:
+    def __init__(self):
+        self.is_ready = True
+        self.is_closed = False
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+        return True
+
+    def close(self):
+        self.is_closed = True
+
+    def count(self, kind):
+        return sum(isinstance(message, kind) for message in self.sent)
+
+
+class _Loop:
+    def __init__(self):
+        self.scheduler = self
+
+    def call_every(self, interval_s, call):
+        pass
+
+
+class _User:
+    def __init__(self):
+        self.tables = []
+        self.lists = []
+        self.fleets = []
+
+    def on_table(self, version, document):
+        self.tables.append(version)
+
+    def on_instances(self, listed):
+        self.lists.append([item.instance_id for item in listed])
+
+    def on_fleet(self, entries):
+        self.fleets.append(entries)
+
+
+class _Dialect:
+    list_target = "/list"
+
+
+class _Feed(table_feed.TableFeed):
+    def make_client(self, address, keeper):
+        return _Client()
+
+
+@pytest.fixture
+def feed():
+    config = gateway_setting.make_settings()
+    config.keepers = ["a:1", "b:1", "c:1"]
+    made = _Feed(_Loop(), None, gateway_setting.GatewayCalls(), config, _Dialect(), _User())
+    for address in config.keepers:
+        made.on_keeper_ready(made._keepers[address])
+    return made
+
+
+def _tell(feed, address, message):
+    feed.on_keeper_message(feed._keepers[address], message)
+
+
+def _client(feed, address):
+    return feed._keepers[address].client
+
+
+def _make_list(names, *, term, sequence=1, is_unchanged=False):
+    packed = instances.pack([gateway_setting.make_instance(name) for name in names])
+    return messages.InstanceList(
+        reader_term=term,
+        sequence=sequence,
+        instances=[] if is_unchanged else packed,
+        is_unchanged=is_unchanged,
+    )
+
+
+def test_every_keeper_is_asked_for_its_version(feed):
+    assert all(_client(feed, a).count(messages.Subscribe) == 1 for a in ("a:1", "b:1", "c:1"))
+
+
+def test_the_newest_version_is_fetched_from_who_names_it(feed):
+    _tell(feed, "b:1", messages.RouteTableVersion(version=5))
+    assert _client(feed, "b:1").count(messages.GetRouteTable) == 1
+    _tell(feed, "b:1", messages.RouteTableDocument(version=5, document=b"five"))
+    _tell(feed, "a:1", messages.RouteTableVersion(version=5))
+    assert _client(feed, "a:1").count(messages.GetRouteTable) == 0
+    assert feed._user.tables == [5]
+
+
+def test_a_keeper_that_is_behind_never_takes_the_table_back(feed):
+    _tell(feed, "a:1", messages.RouteTableDocument(version=9, document=b"nine"))
+    _tell(feed, "b:1", messages.RouteTableVersion(version=7))
+    _tell(feed, "b:1", messages.RouteTableDocument(version=7, document=b"seven"))
+    _tell(feed, "c:1", messages.RouteTableDocument(version=9, document=b"nine"))
+    assert feed._user.tables == [9]
+    assert _client(feed, "b:1").count(messages.GetRouteTable) == 0
+
+
+def test_the_list_of_a_former_reader_does_not_replace_a_later_ones(feed):
+    _tell(feed, "a:1", _make_list(["i-1", "i-2"], term=4))
+    _tell(feed, "b:1", _make_list(["i-0"], term=3))
+    assert feed._user.lists == [["i-1", "i-2"]]
+
+
+def test_an_unchanged_list_stands_for_that_keepers_last_one(feed):
+    _tell(feed, "a:1", _make_list(["i-1"], term=4))
+    _tell(feed, "a:1", _make_list([], term=4, sequence=2, is_unchanged=True))
+    assert feed._user.lists == [["i-1"], ["i-1"]]
+    # A keeper that has not sent its list on this stream has nothing to leave unchanged.
+    _tell(feed, "b:1", _make_list([], term=4, sequence=3, is_unchanged=True))
+    assert len(feed._user.lists) == 2
+
+
+def test_keepers_come_and_go_with_what_the_others_say(feed):
+    _tell(feed, "a:1", messages.Fleet(keepers=["a:1", "b:1", "d:1"], entries=[["e", "h", "x:1"]]))
+    assert set(feed._keepers) == {"a:1", "b:1", "c:1", "d:1"}
+    gone = _client(feed, "c:1")
+    feed.set_seeds(["a:1", "b:1"])
+    assert set(feed._keepers) == {"a:1", "b:1", "d:1"}
+    assert gone.is_closed
+    assert feed._user.fleets == [[["e", "h", "x:1"]]]
