Let no log that cannot be written stop a program; tell a standstill

Its keeper may write no file any further, so the write of a log line raised in the middle of the answer, which the library's handler used to catch and the bounded one did not. Not load: it is red each time the log file is at the limit first. A unit test failed first.

--- a/src/spoolhead/_internal/network/scheduler.py
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -6,12 +6,19 @@
 
 import heapq
 import itertools
+import logging
 import time
 from collections.abc import Callable
 
 import circuits
 from circuits.core import events
 
+logger = logging.getLogger(__name__)
+
+STANDSTILL_S = 0.5
+"""Lateness of a timer that is worth a line: many times what a busy loop shows, and enough to
+upset whoever counts on this process."""
+
 
 class Timer:
     """A pending call.
@@ -96,6 +103,10 @@
     @circuits.handler("generate_events", channel="*")
     def _on_generate_events(self, event: circuits.Event) -> None:
         now_s = time.monotonic()
+        late_s = now_s - self._heap[0][0] if self._heap else 0.0
+        if late_s > STANDSTILL_S:
+            fields = {"late_ms": int(late_s * 1000)}
+            logger.warning("process stood still", extra={"fields": fields})
         ran = False
         while self._heap and (self._heap[0][2].is_cancelled or self._heap[0][0] <= now_s):
             timer = heapq.heappop(self._heap)[2]
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -105,7 +105,11 @@
         for start in range(0, len(data), select.PIPE_BUF):
             if not self._poll.poll(0):
                 return False
-            os.write(self._descriptor, data[start : start + select.PIPE_BUF])
+            try:
+                os.write(self._descriptor, data[start : start + select.PIPE_BUF])
+            except OSError:
+                # A log that cannot be written must not stop the service; the loss is counted.
+                return False
         return True
 
 
--- a/tests/unit/test_logs.py
+++ b/tests/unit/test_logs.py
@@ -1,5 +1,6 @@
 """Log lines: one JSON object each, bounded, and never waiting for whoever reads them."""
 
+import errno
 import json
 import logging
 import os
@@ -86,3 +87,17 @@
     handler.emit(_make_record("y" * 20_000))
     (line,) = pipe.read_lines()
     assert len(line["text"]) == 20_000
+
+
+def test_a_log_that_cannot_be_written_stops_nothing(pipe, monkeypatch):
+    handler = _make_handler(pipe)
+
+    def _refuse(descriptor, data):
+        raise OSError(errno.EFBIG, "file too large")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", _refuse)
+        handler.emit(_make_record("lost"))
+    handler.emit(_make_record("written"))
+    note, line = pipe.read_lines()
+    assert (note["count"], line["text"]) == (1, "written")
