--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -1,6 +1,8 @@
 """Real keepers and entries on the platform's settings: tables, requests, moves, stops, losses."""
 
 import signal
+import subprocess
+import sys
 import threading
 import time
 
@@ -154,5 +156,23 @@
 
 def test_the_figures_of_both_programs_are_served(running):
     for host in (running.keeper_hosts["keeper-2"], running.entry_hosts["entry-1"]):
-        answer = platform_fleet.send(f"{host}:9464", "GET", "/metrics")
-        assert b"spoolhead_table_version 3.0" in answer.body
+
+        def _has_version(host=host):
+            answer = platform_fleet.send(f"{host}:9464", "GET", "/metrics")
+            return b"spoolhead_table_version 3.0" in answer.body
+
+        # The keeper that took the table may be ahead of this one.
+        platform_fleet.wait_for(_has_version, f"{host} does not show the version")
+
+
+@pytest.mark.parametrize("program", ["entry", "keeper"])
+def test_a_reload_while_a_program_starts_does_not_end_it(program):
+    """The signal comes after the interpreter's start and before the program's own code."""
+    code = (
+        "import os, signal, spoolhead.platform\n"
+        "os.kill(os.getpid(), signal.SIGHUP)\n"
+        f"import spoolhead.platform.{program}\n"
+        "print('alive')"
+    )
+    done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
+    assert done.stdout == "alive\n"
