--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from lib import platform_fleet
+from lib import log_page, platform_fleet
 
 
 @pytest.fixture
@@ -176,3 +176,27 @@
     )
     done = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True)
     assert done.stdout == "alive\n"
+
+
+def test_each_line_of_both_programs_is_on_the_page_with_its_fields(running):
+    stream = running.open_stream("entry-1", "p1", 120)
+    stream.read(200)
+    (run,) = running.get_runs("p1")
+    running.set(run["instance"], state="draining")
+    running.ask("entry-1", "/nowhere/x", X_Request_Id="p2")
+    running.put("keeper-1", b"{")
+    running.read("keeper-2")
+    stream.read()
+    running.kill("keeper-3")
+    running.signal("entry-2", signal.SIGTERM)
+    running.wait_for_end("entry-2")
+    known = log_page.read()
+    seen = set()
+    for name in (*running.keeper_hosts, *running.entry_hosts):
+        for line in running.read_log(name):
+            fields = log_page.find(known, line["text"])
+            assert fields is not None, line
+            assert set(line) - log_page.ALWAYS <= fields, line
+            seen.add(line["text"])
+    assert {"attempt", "answered", "refused", "run goes on elsewhere", "entry ends"} <= seen
+    assert {"leader changed", "table committed", "table refused", "table read"} <= seen
