Split joining and types from the agreement, the keepers' messages from the others

A field that was always 0 (ForwardTable.request), a property that nobody read and a double start of a counter are gone.

--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -10,7 +10,7 @@
 
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.models import dialects, instances, settings
-from spoolhead._internal.network import links, messages, peer_client, upstream_calls
+from spoolhead._internal.network import links, messages, peer_client, route_messages, upstream_calls
 from spoolhead._internal.network import loop as loops
 
 logger = logging.getLogger(__name__)
@@ -130,7 +130,7 @@
         """Subscribe at a keeper whose stream stands."""
         logger.info("keeper is reachable", extra={"fields": {"address": keeper.address}})
         address = f"{self._config.host}:{self._config.peer_port}"
-        keeper.client.send(messages.Subscribe(hall=self._config.hall, address=address))
+        keeper.client.send(route_messages.Subscribe(hall=self._config.hall, address=address))
 
     def on_keeper_lost(self, keeper: _Keeper) -> None:
         """Take note of a keeper that is lost."""
@@ -141,14 +141,14 @@
     def on_keeper_message(self, keeper: _Keeper, message: messages.Message) -> None:
         """Take a keeper's message."""
         match message:
-            case messages.RouteTableVersion():
+            case route_messages.RouteTableVersion():
                 keeper.version = message.version
                 self._fetch(keeper)
-            case messages.RouteTableDocument():
+            case route_messages.RouteTableDocument():
                 self._take_table(keeper, message)
-            case messages.InstanceList():
+            case route_messages.InstanceList():
                 self._take_list(keeper, message)
-            case messages.Fleet():
+            case route_messages.Fleet():
                 keeper.fleet = message.keepers
                 self._follow()
                 self._user.on_fleet(message.entries)
@@ -160,16 +160,16 @@
         if keeper.version <= self.version or now_s - keeper.asked_s < FETCH_AGAIN_S:
             return
         keeper.asked_s = now_s
-        keeper.client.send(messages.GetRouteTable())
+        keeper.client.send(route_messages.GetRouteTable())
 
-    def _take_table(self, keeper: _Keeper, message: messages.RouteTableDocument) -> None:
+    def _take_table(self, keeper: _Keeper, message: route_messages.RouteTableDocument) -> None:
         keeper.asked_s = 0.0
         if message.version > self.version:
             self.version = message.version
             self._user.on_table(message.version, message.document)
         self._fetch(keeper)
 
-    def _take_list(self, keeper: _Keeper, message: messages.InstanceList) -> None:
+    def _take_list(self, keeper: _Keeper, message: route_messages.InstanceList) -> None:
         now_s = time.monotonic()
         if not message.is_unchanged:
             keeper.packed = message.instances
--- a/src/spoolhead/_internal/network/messages.py
+++ b/src/spoolhead/_internal/network/messages.py
@@ -10,6 +10,7 @@
 import msgpack
 
 from spoolhead._internal.models import codes
+from spoolhead._internal.network import route_messages
 from spoolhead.coordination import consensus_messages
 
 PROTOCOL_VERSION = 1
@@ -352,111 +353,6 @@
     key: str
 
 
-@_message
-class Subscribe:
-    """An entry asks a keeper for the route table, the instances and the fleet's processes.
-
-    :ivar hall: hall of the entry.
-    :ivar address: ``IP:PORT`` where the entry takes other entries' loads.
-    """
-
-    hall: str
-    address: str
-
-
-@_message
-class Fleet:
-    """Processes of the fleet that a keeper knows.
-
-    :ivar keepers: ``IP:PORT`` of each keeper.
-    :ivar entries: for each connected entry its name, hall and address.
-    """
-
-    keepers: list
-    entries: list
-
-
-@_message
-class RouteTableVersion:
-    """Version of the newest route table that a keeper knows to be committed.
-
-    :ivar version: that version; 0 for none.
-    """
-
-    version: int
-
-
-@_message
-class GetRouteTable:
-    """An entry asks for the newest committed route table."""
-
-
-@_message
-class RouteTableDocument:
-    """A committed route table.
-
-    :ivar version: its version.
-    :ivar document: its bytes, as the operator sent them.
-    """
-
-    version: int
-    document: bytes
-
-
-@_message
-class InstanceList:
-    """Upstream instances as the platform lists them.
-
-    :ivar reader_term: term of the keeper that read the list; a later reader's list wins.
-    :ivar sequence: number of the reading.
-    :ivar instances: packed instances; empty if they are the same as in the reading before.
-    :ivar is_unchanged: the instances did not change.
-    """
-
-    reader_term: int
-    sequence: int
-    instances: list
-    is_unchanged: bool
-
-
-@_message
-class ForwardTable:
-    """A keeper passes an operator's route table on to the leading keeper.
-
-    :ivar request: number of the question.
-    :ivar version: version of the table.
-    :ivar document: its bytes.
-    """
-
-    request: int
-    version: int
-    document: bytes
-
-
-@_message
-class ConfirmRead:
-    """A keeper asks the leading keeper which version must be shown by a read that begins now.
-
-    :ivar request: number of the question.
-    """
-
-    request: int
-
-
-@_message
-class KeeperAnswer:
-    """Answer of the leading keeper to another one.
-
-    :ivar request: number of the question.
-    :ivar is_sure: the table is committed, or the version is confirmed.
-    :ivar version: committed version.
-    """
-
-    request: int
-    is_sure: bool
-    version: int
-
-
 Message = object
 
 # Fields are checked with isinstance, so their types must be plain classes.
@@ -487,15 +383,7 @@
     41: ClaimAnswer,
     42: FinishOnce,
     43: FinishNoted,
-    50: Subscribe,
-    51: Fleet,
-    52: RouteTableVersion,
-    53: GetRouteTable,
-    54: RouteTableDocument,
-    55: InstanceList,
-    56: ForwardTable,
-    57: ConfirmRead,
-    58: KeeperAnswer,
+    **route_messages.CLASSES,
     **consensus_messages.CLASSES,
 }
 _TAGS = {cls: tag for tag, cls in CLASSES.items()}
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from spoolhead._internal.models import instances
-from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.network import messages, peer_server, route_messages
 
 logger = logging.getLogger(__name__)
 
@@ -19,11 +19,11 @@
     def __init__(
         self,
         get_keepers: Callable[[], list[str]],
-        get_table: Callable[[], messages.RouteTableDocument],
+        get_table: Callable[[], route_messages.RouteTableDocument],
     ) -> None:
         self._get_keepers = get_keepers
         self._get_table = get_table
-        self._followers: dict[peer_server.PeerSession, messages.Subscribe] = {}
+        self._followers: dict[peer_server.PeerSession, route_messages.Subscribe] = {}
         self._sequence = 0
         self._reader_term = 0
         self._packed: list[list[object]] = []
@@ -34,7 +34,7 @@
         """Entries that follow."""
         return len(self._followers)
 
-    def add(self, session: peer_server.PeerSession, subscription: messages.Subscribe) -> None:
+    def add(self, session: peer_server.PeerSession, subscription: route_messages.Subscribe) -> None:
         """Take a follower and tell it what is known."""
         self._followers[session] = subscription
         fields = {"entry": session.name, "hall": subscription.hall}
@@ -69,11 +69,11 @@
         self._sequence += 1
         self._send_all(self._make_list(is_unchanged=is_unchanged))
 
-    def _make_version(self) -> messages.RouteTableVersion:
-        return messages.RouteTableVersion(version=self._get_table().version)
+    def _make_version(self) -> route_messages.RouteTableVersion:
+        return route_messages.RouteTableVersion(version=self._get_table().version)
 
-    def _make_list(self, *, is_unchanged: bool) -> messages.InstanceList:
-        return messages.InstanceList(
+    def _make_list(self, *, is_unchanged: bool) -> route_messages.InstanceList:
+        return route_messages.InstanceList(
             reader_term=self._reader_term,
             sequence=self._sequence,
             instances=[] if is_unchanged else self._packed,
@@ -86,7 +86,7 @@
             [session.name, subscription.hall, subscription.address]
             for session, subscription in self._followers.items()
         ]
-        self._send_all(messages.Fleet(keepers=self._keepers, entries=entries))
+        self._send_all(route_messages.Fleet(keepers=self._keepers, entries=entries))
 
     def _send_all(self, message: messages.Message) -> None:
         data = messages.encode(message)
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -13,6 +13,7 @@
     loop,
     messages,
     peer_server,
+    route_messages,
     small_server,
     upstream_calls,
 )
@@ -116,13 +117,13 @@
     def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
         """Take a message of an entry or of another keeper."""
         match message:
-            case messages.Subscribe():
+            case route_messages.Subscribe():
                 self._feed.add(session, message)
-            case messages.GetRouteTable():
+            case route_messages.GetRouteTable():
                 self._feed.send_table(session)
-            case messages.ForwardTable():
+            case route_messages.ForwardTable():
                 self._questions.answer_forwarded(session, message)
-            case messages.ConfirmRead():
+            case route_messages.ConfirmRead():
                 self._questions.answer_confirmation(session, message)
             case _ if isinstance(message, tuple(consensus_messages.CLASSES.values())):
                 self._member.receive(message)
@@ -205,12 +206,14 @@
     def _get_keepers(self) -> list[str]:
         return self._member.member_addresses
 
-    def _get_table(self) -> messages.RouteTableDocument:
+    def _get_table(self) -> route_messages.RouteTableDocument:
         register = self._member.register
-        return messages.RouteTableDocument(version=register.version, document=register.document)
+        return route_messages.RouteTableDocument(
+            version=register.version, document=register.document
+        )
 
     def _take_answer(self, message: messages.Message) -> None:
-        if isinstance(message, messages.KeeperAnswer):
+        if isinstance(message, route_messages.KeeperAnswer):
             self._questions.take_answer(message)
         else:
             logger.warning("unexpected %s of a keeper", type(message).__name__)
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -11,7 +11,7 @@
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.quorum import mesh, storage, table_register
-from spoolhead.coordination import consensus, replicated_log
+from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
 
 logger = logging.getLogger(__name__)
@@ -52,11 +52,10 @@
         self._peers = peers
         self._on_change = on_change
         self._on_leading = on_leading
-        self._seen_version = 0
         self._leader = ""
         self._members: tuple[str, ...] = ()
         self._asked_s = 0.0
-        self._held: list[consensus.Envelope] = []
+        self._held: list[consensus_types.Envelope] = []
         self._synced = 0
         log = self._begin(address, pathlib.Path(config.data_dir))
         self._log = log
@@ -64,7 +63,7 @@
             self.member_id,
             log,
             self.register,
-            consensus.Timing(),
+            consensus_types.Timing(),
             random.Random(),
             time.monotonic(),
         )
--- a/src/spoolhead/_internal/quorum/questions.py
+++ b/src/spoolhead/_internal/quorum/questions.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from spoolhead._internal.models import settings
-from spoolhead._internal.network import messages, peer_server, scheduler
+from spoolhead._internal.network import peer_server, route_messages, scheduler
 from spoolhead._internal.quorum import member, mesh
 
 logger = logging.getLogger(__name__)
@@ -105,20 +105,20 @@
         self._check()
 
     def answer_forwarded(
-        self, session: peer_server.PeerSession, message: messages.ForwardTable
+        self, session: peer_server.PeerSession, message: route_messages.ForwardTable
     ) -> None:
         """Take a table that another keeper passed on."""
         if self._group.is_leader and message.version > self._group.register.version:
             self._group.propose(message.version, message.document)
 
     def answer_confirmation(
-        self, session: peer_server.PeerSession, message: messages.ConfirmRead
+        self, session: peer_server.PeerSession, message: route_messages.ConfirmRead
     ) -> None:
         """Confirm the newest version to another keeper."""
 
         def _answer(is_sure: bool) -> None:
             session.send(
-                messages.KeeperAnswer(
+                route_messages.KeeperAnswer(
                     request=message.request,
                     is_sure=is_sure,
                     version=self._group.register.version,
@@ -128,7 +128,7 @@
         if self._group.is_leader:
             self.confirm(_answer)
 
-    def take_answer(self, message: messages.KeeperAnswer) -> None:
+    def take_answer(self, message: route_messages.KeeperAnswer) -> None:
         """Take the leader's confirmation of a read."""
         for read in self._reads:
             if read.request == message.request and message.is_sure:
@@ -159,9 +159,7 @@
             order.asked_s = now_s
             self._group.propose(order.version, order.document)
         elif self._group.leader_address:
-            message = messages.ForwardTable(
-                request=0, version=order.version, document=order.document
-            )
+            message = route_messages.ForwardTable(version=order.version, document=order.document)
             if self._peers.send(self._group.leader_address, message):
                 order.asked_s = now_s
 
@@ -188,6 +186,6 @@
             read.asked_s = now_s
         elif self._group.leader_address:
             read.round_number = None
-            message = messages.ConfirmRead(request=read.request)
+            message = route_messages.ConfirmRead(request=read.request)
             if self._peers.send(self._group.leader_address, message):
                 read.asked_s = now_s
--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -5,16 +5,16 @@
 cut off does not disturb the others, reads confirmed by a round of heartbeats, and membership
 changed by one member at a time.
 
-The owner feeds messages, times and the progress of its disk, and carries out the
-:class:`Effects`: records to write and messages to send. A message that promises something
-about the disk names the record that must be synced first.
+The owner feeds messages, times and the progress of its disk, and carries out the effects
+(:class:`~spoolhead.coordination.consensus_types.Effects`): records to write and messages to send.
+A message that promises something about the disk names the record that must be synced first.
 """
 
 import random
 from collections.abc import Sequence
-from typing import Protocol
 
 from spoolhead.coordination import consensus_messages as messages
+from spoolhead.coordination import consensus_types, joining
 from spoolhead.coordination import replicated_log as logs
 
 APPEND_LIMIT_BYTES = 262_144
@@ -24,75 +24,6 @@
 others to have started too and for a heartbeat of a leader that there may be."""
 
 
-class Timing:
-    """Times of the algorithm, in milliseconds.
-
-    :ivar heartbeat_ms: between two broadcasts of a leader.
-    :ivar election_ms: shortest silence of the leader before a member stands; the longest is
-        twice that. Several heartbeats, and more than a sync of a slow disk.
-    :ivar lost_ms: silence of a member before a newcomer may take its place.
-    :ivar newcomer_ms: time for which a request to join counts.
-    """
-
-    __slots__ = ("election_ms", "heartbeat_ms", "lost_ms", "newcomer_ms")
-
-    def __init__(
-        self,
-        *,
-        heartbeat_ms: int = 100,
-        election_ms: int = 500,
-        lost_ms: int = 1_500,
-        newcomer_ms: int = 1_500,
-    ) -> None:
-        self.heartbeat_ms = heartbeat_ms
-        self.election_ms = election_ms
-        self.lost_ms = lost_ms
-        self.newcomer_ms = newcomer_ms
-
-
-class StateMachine(Protocol):
-    """What the log's changes act on."""
-
-    def apply(self, data: bytes) -> None:
-        """Carry out a committed change."""
-
-    def dump(self) -> bytes:
-        """Return the whole state."""
-
-    def load(self, state: bytes) -> None:
-        """Replace the whole state."""
-
-
-class Envelope:
-    """A message to send.
-
-    :ivar address: ``IP:PORT`` of the receiver.
-    :ivar message: the message.
-    :ivar after_record: number of the record that must be synced before; 0 for none.
-    """
-
-    __slots__ = ("address", "after_record", "message")
-
-    def __init__(self, address: str, message: messages.Message, after_record: int) -> None:
-        self.address = address
-        self.message = message
-        self.after_record = after_record
-
-
-class Effects:
-    """What the owner has to do.
-
-    :ivar records: records to write in order, numbered on from the last ones.
-    :ivar envelopes: messages to send.
-    """
-
-    __slots__ = ("envelopes", "records")
-
-    def __init__(self) -> None:
-        self.records: list[logs.Record] = []
-        self.envelopes: list[Envelope] = []
-
-
 class _Peer:
     """What a leader knows of another member."""
 
@@ -105,14 +36,6 @@
         self.heard_s = now_s
 
 
-class _Newcomer:
-    __slots__ = ("asked_s", "is_first_start")
-
-    def __init__(self, asked_s: float, is_first_start: bool) -> None:
-        self.asked_s = asked_s
-        self.is_first_start = is_first_start
-
-
 class Consensus:
     """One member of the group.
 
@@ -130,8 +53,8 @@
         self,
         member_id: str,
         log: logs.ReplicatedLog,
-        machine: StateMachine,
-        timing: Timing,
+        machine: consensus_types.StateMachine,
+        timing: consensus_types.Timing,
         chance: random.Random,
         now_s: float,
     ) -> None:
@@ -142,7 +65,7 @@
         self._machine = machine
         self._timing = timing
         self._chance = chance
-        self._effects = Effects()
+        self._effects = consensus_types.Effects()
         self._written = 0
         self._synced = 0
         self._pending_syncs: list[tuple[int, int]] = []
@@ -152,7 +75,7 @@
         self._is_candidate = False
         self._vote_record = 0
         self._peers: dict[str, _Peer] = {}
-        self._newcomers: dict[str, _Newcomer] = {}
+        self._newcomers = joining.Newcomers(timing.newcomer_ms)
         self._round_number = 0
         self._term_start_index = 0
         self._next_broadcast_s = now_s
@@ -183,14 +106,9 @@
         """Whether this process is a member."""
         return self.member_id in self._log.membership.members
 
-    @property
-    def round_number(self) -> int:
-        """Number of the latest broadcast."""
-        return self._round_number
-
-    def take_effects(self) -> Effects:
+    def take_effects(self) -> consensus_types.Effects:
         """Return what is to be done since the last call."""
-        effects, self._effects = self._effects, Effects()
+        effects, self._effects = self._effects, consensus_types.Effects()
         return effects
 
     def tick(self, now_s: float) -> None:
@@ -462,50 +380,21 @@
 
     def _take_join(self, request: messages.JoinRequest, now_s: float) -> None:
         if self.is_leader and request.member not in self.members:
-            self._newcomers[request.member] = _Newcomer(now_s, request.is_first_start)
+            self._newcomers.take(request, now_s)
 
     def _consider_membership(self, now_s: float) -> None:
         is_settled = self._log.membership_index <= self.commit_index
         if not is_settled or self.commit_index < self._term_start_index:
             return
-        self._drop_old_newcomers(now_s)
-        if self._newcomers:
-            self._admit(min(self._newcomers), now_s)
-        elif len(self.members) > self._log.membership.target_size:
-            lost = self._get_lost(now_s)
-            if lost is not None:
-                self._change_members(set(self.members) - {lost}, now_s)
-
-    def _admit(self, newcomer: str, now_s: float) -> None:
-        membership = self._log.membership
-        members = set(membership.members)
-        address = messages.get_address(newcomer)
-        former = next((m for m in members if messages.get_address(m) == address), None)
-        is_first_start = self._newcomers[newcomer].is_first_start
         lost = self._get_lost(now_s)
-        if former is not None:
-            self._change_members(members - {former}, now_s)
-        elif lost is not None and not is_first_start and len(members) >= membership.target_size:
-            self._change_members(members - {lost}, now_s)
-        else:
-            grown = len(members) + 1 if is_first_start else 0
-            self._newcomers.pop(newcomer)
-            self._change_members(members | {newcomer}, now_s, target_size=grown)
-
-    def _change_members(self, members: set[str], now_s: float, target_size: int = 0) -> None:
-        target_size = max(target_size, self._log.membership.target_size)
-        membership = logs.Membership(members, target_size)
+        membership = self._newcomers.get_next(self._log.membership, lost, now_s)
+        if membership is None:
+            return
         self._append(logs.EntryKind.MEMBERS, membership.pack())
         for member in self._get_others():
             self._peers.setdefault(member, _Peer(self._log.first_index - 1, now_s))
         self._broadcast(now_s)
 
-    def _drop_old_newcomers(self, now_s: float) -> None:
-        oldest_s = now_s - self._timing.newcomer_ms / 1000
-        for member, newcomer in list(self._newcomers.items()):
-            if newcomer.asked_s < oldest_s or member in self.members:
-                del self._newcomers[member]
-
     def _get_lost(self, now_s: float) -> str | None:
         """Return the member that has been silent longest, if for long enough."""
         heard = [(self._peers[m].heard_s, m) for m in self._get_others() if m in self._peers]
@@ -594,4 +483,4 @@
 
     def _send(self, member: str, message: messages.Message, *, after_record: int = 0) -> None:
         address = messages.get_address(member)
-        self._effects.envelopes.append(Envelope(address, message, after_record))
+        self._effects.envelopes.append(consensus_types.Envelope(address, message, after_record))
--- /dev/null
+++ b/src/spoolhead/coordination/joining.py
@@ -0,0 +1,71 @@
+"""Who should be a member next: newcomers take the places of lost members, one step at a time."""
+
+from spoolhead.coordination import consensus_messages as messages
+from spoolhead.coordination import replicated_log as logs
+
+
+class _Newcomer:
+    __slots__ = ("asked_s", "is_first_start")
+
+    def __init__(self, asked_s: float, is_first_start: bool) -> None:
+        self.asked_s = asked_s
+        self.is_first_start = is_first_start
+
+
+class Newcomers:
+    """Processes that ask a leader to become members.
+
+    :param kept_ms: time for which a request counts, in milliseconds.
+    """
+
+    def __init__(self, kept_ms: int) -> None:
+        self._kept_s = kept_ms / 1000
+        self._newcomers: dict[str, _Newcomer] = {}
+
+    def clear(self) -> None:
+        """Forget all requests."""
+        self._newcomers.clear()
+
+    def take(self, request: messages.JoinRequest, now_s: float) -> None:
+        """Take a request."""
+        self._newcomers[request.member] = _Newcomer(now_s, request.is_first_start)
+
+    def get_next(
+        self, membership: logs.Membership, lost: str | None, now_s: float
+    ) -> logs.Membership | None:
+        """Return the membership to change to, one member apart, or None for no change.
+
+        :param membership: the present one.
+        :param lost: the member that is silent for long enough to be replaced; None for none.
+        """
+        self._drop_old(membership, now_s)
+        members = set(membership.members)
+        if self._newcomers:
+            return self._admit(min(self._newcomers), membership, lost)
+        if len(members) > membership.target_size and lost is not None:
+            return logs.Membership(members - {lost}, membership.target_size)
+        return None
+
+    def _admit(
+        self, newcomer: str, membership: logs.Membership, lost: str | None
+    ) -> logs.Membership:
+        members = set(membership.members)
+        target_size = membership.target_size
+        address = messages.get_address(newcomer)
+        former = next((m for m in members if messages.get_address(m) == address), None)
+        is_first_start = self._newcomers[newcomer].is_first_start
+        if former is not None:
+            return logs.Membership(members - {former}, target_size)
+        if lost is not None and not is_first_start and len(members) >= target_size:
+            return logs.Membership(members - {lost}, target_size)
+        del self._newcomers[newcomer]
+        members.add(newcomer)
+        if is_first_start:
+            target_size = max(target_size, len(members))
+        return logs.Membership(members, target_size)
+
+    def _drop_old(self, membership: logs.Membership, now_s: float) -> None:
+        oldest_s = now_s - self._kept_s
+        for member, newcomer in list(self._newcomers.items()):
+            if newcomer.asked_s < oldest_s or member in membership.members:
+                del self._newcomers[member]
--- a/tests/lib/consensus_group.py
+++ b/tests/lib/consensus_group.py
@@ -8,11 +8,11 @@
 
 import msgpack
 
-from spoolhead.coordination import consensus, replicated_log
+from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
 
 STEP_S = 0.05
-TIMING = consensus.Timing()
+TIMING = consensus_types.Timing()
 
 
 class ListMachine:
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -5,7 +5,7 @@
 from lib import gateway_setting
 from spoolhead._internal.gateway import table_feed
 from spoolhead._internal.models import instances
-from spoolhead._internal.network import messages
+from spoolhead._internal.network import route_messages
 
 
 class _Client:
@@ -78,7 +78,7 @@
 
 def _make_list(names, *, term, sequence=1, is_unchanged=False):
     packed = instances.pack([gateway_setting.make_instance(name) for name in names])
-    return messages.InstanceList(
+    return route_messages.InstanceList(
         reader_term=term,
         sequence=sequence,
         instances=[] if is_unchanged else packed,
@@ -87,25 +87,25 @@
 
 
 def test_every_keeper_is_asked_for_its_version(feed):
-    assert all(_client(feed, a).count(messages.Subscribe) == 1 for a in ("a:1", "b:1", "c:1"))
+    assert all(_client(feed, a).count(route_messages.Subscribe) == 1 for a in ("a:1", "b:1", "c:1"))
 
 
 def test_the_newest_version_is_fetched_from_who_names_it(feed):
-    _tell(feed, "b:1", messages.RouteTableVersion(version=5))
-    assert _client(feed, "b:1").count(messages.GetRouteTable) == 1
-    _tell(feed, "b:1", messages.RouteTableDocument(version=5, document=b"five"))
-    _tell(feed, "a:1", messages.RouteTableVersion(version=5))
-    assert _client(feed, "a:1").count(messages.GetRouteTable) == 0
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=5))
+    assert _client(feed, "b:1").count(route_messages.GetRouteTable) == 1
+    _tell(feed, "b:1", route_messages.RouteTableDocument(version=5, document=b"five"))
+    _tell(feed, "a:1", route_messages.RouteTableVersion(version=5))
+    assert _client(feed, "a:1").count(route_messages.GetRouteTable) == 0
     assert feed._user.tables == [5]
 
 
 def test_a_keeper_that_is_behind_never_takes_the_table_back(feed):
-    _tell(feed, "a:1", messages.RouteTableDocument(version=9, document=b"nine"))
-    _tell(feed, "b:1", messages.RouteTableVersion(version=7))
-    _tell(feed, "b:1", messages.RouteTableDocument(version=7, document=b"seven"))
-    _tell(feed, "c:1", messages.RouteTableDocument(version=9, document=b"nine"))
+    _tell(feed, "a:1", route_messages.RouteTableDocument(version=9, document=b"nine"))
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=7))
+    _tell(feed, "b:1", route_messages.RouteTableDocument(version=7, document=b"seven"))
+    _tell(feed, "c:1", route_messages.RouteTableDocument(version=9, document=b"nine"))
     assert feed._user.tables == [9]
-    assert _client(feed, "b:1").count(messages.GetRouteTable) == 0
+    assert _client(feed, "b:1").count(route_messages.GetRouteTable) == 0
 
 
 def test_the_list_of_a_former_reader_does_not_replace_a_later_ones(feed):
@@ -124,7 +124,11 @@
 
 
 def test_keepers_come_and_go_with_what_the_others_say(feed):
-    _tell(feed, "a:1", messages.Fleet(keepers=["a:1", "b:1", "d:1"], entries=[["e", "h", "x:1"]]))
+    _tell(
+        feed,
+        "a:1",
+        route_messages.Fleet(keepers=["a:1", "b:1", "d:1"], entries=[["e", "h", "x:1"]]),
+    )
     assert set(feed._keepers) == {"a:1", "b:1", "c:1", "d:1"}
     gone = _client(feed, "c:1")
     feed.set_seeds(["a:1", "b:1"])
