One way to run a program, to serve figures, to drop and lose an attempt

Cause, from reading the change: both programs had the same start, settings watch and figures' port (17 lines twice); both kinds of request had the same release, head and has_sent, and the streams' copy of note_failure had lost the line that says an instance rests.

Behaviour as before, but for that line, which streams now write too. 244 unit tests and 14 with real processes pass.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -236,6 +236,7 @@
         self._timer = context.timers.call_later(wait_ms / 1000, self._on_deadline)
         self._tried: set[str] = set()
         self._ran = codes.Ran.NO
+        self._attempt: Attempt | None = None
         caller.on_gone = self._on_caller_gone
 
     @property
@@ -359,7 +360,40 @@
     @property
     def has_sent(self) -> bool:
         """Whether any byte of the request may have reached an instance."""
-        return False
+        attempt = self._attempt
+        if attempt is None or attempt.call is None:
+            return False
+        return attempt.is_resumed or attempt.call.may_have_arrived
+
+    def take_head(self, attempt: Attempt, status: int, headers: upstream_calls.Headers) -> None:
+        """Take the head of an attempt's answer."""
+        if attempt is not self._attempt:
+            return
+        attempt.head = self._context.dialect.read_answer(status, headers)
+        attempt.upstream.note_load(attempt.head.load, time.monotonic())
+
+    def note_loss(self, attempt: Attempt, reason: str) -> None:
+        """Take note of an attempt whose connection was lost, or was never made."""
+        assert attempt.call is not None
+        is_unreachable = not attempt.call.may_have_arrived
+        if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
+            fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
+            logger.warning("upstream rests", extra={"fields": fields})
+
+    def drop_attempt(self) -> None:
+        """Cancel the present attempt and give back what it holds."""
+        attempt, self._attempt = self._attempt, None
+        if attempt is None:
+            return
+        attempt.upstream.works.pop(self.job.head.request_id, None)
+        self._context.on_change()
+        if attempt.call is not None and not attempt.call.is_over:
+            attempt.call.cancel()
+
+    def fail_without_upstream(self) -> None:
+        """Refuse the request, since no instance may take it."""
+        text = f"no upstream of {self.job.service.name} is usable"
+        self.fail(codes.ResultCode.NO_UPSTREAM, text)
 
     def _on_deadline(self) -> None:
         self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -5,7 +5,6 @@
 
 from spoolhead._internal.gateway import exchange
 from spoolhead._internal.models import codes, dialects, route_table
-from spoolhead._internal.network import upstream_calls
 from spoolhead._internal.policy import upstream_book
 
 logger = logging.getLogger(__name__)
@@ -17,16 +16,9 @@
 class PlainExchange(exchange.Exchange):
     """One plain request."""
 
-    _attempt: exchange.Attempt | None = None
     _attempts_made = 0
     _kept: exchange.Attempt | None = None
 
-    @property
-    def has_sent(self) -> bool:
-        """Whether any byte of the present attempt may have reached an instance."""
-        call = self._attempt.call if self._attempt is not None else None
-        return call is not None and call.may_have_arrived
-
     def start(self) -> None:
         """Make an attempt at the best instance."""
         choice = self.choose(0)
@@ -35,8 +27,7 @@
             if self._kept is not None:
                 self._deliver(self._kept)
             else:
-                text = f"no upstream of {self.job.service.name} is usable"
-                self.fail(codes.ResultCode.NO_UPSTREAM, text)
+                self.fail_without_upstream()
             return
         upstream = choice.upstream
         attempt = self._attempt = exchange.Attempt(self, upstream)
@@ -54,21 +45,7 @@
 
     def release(self) -> None:
         """Cancel the present attempt."""
-        attempt, self._attempt = self._attempt, None
-        if attempt is None:
-            return
-        attempt.upstream.works.pop(self.job.head.request_id, None)
-        if attempt.call is not None and not attempt.call.is_over:
-            attempt.call.cancel()
-
-    def take_head(
-        self, attempt: exchange.Attempt, status: int, headers: upstream_calls.Headers
-    ) -> None:
-        """Take the head of an attempt's answer."""
-        if attempt is not self._attempt:
-            return
-        attempt.head = self._context.dialect.read_answer(status, headers)
-        attempt.upstream.note_load(attempt.head.load, time.monotonic())
+        self.drop_attempt()
 
     def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
         """Take a part of an attempt's answer."""
@@ -106,10 +83,7 @@
             return
         assert attempt.call is not None
         arrived = attempt.call.may_have_arrived
-        now_s = time.monotonic()
-        if attempt.upstream.note_failure(now_s, is_unreachable=not arrived):
-            fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
-            logger.warning("upstream rests", extra={"fields": fields})
+        self.note_loss(attempt, reason)
         code = codes.ResultCode.UPSTREAM_LOST if arrived else codes.ResultCode.UPSTREAM_UNREACHABLE
         self._retry(code, reason, has_run=arrived)
 
@@ -128,7 +102,7 @@
             "reason": text,
         }
         logger.info("attempt failed", extra={"fields": fields})
-        self.release()
+        self.drop_attempt()
         if self._may_try_again(arrived):
             self.start()
         elif self._kept is not None:
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -3,7 +3,6 @@
 import logging
 import random
 import time
-from collections.abc import Callable
 from http import HTTPStatus
 
 from spoolhead._internal.gateway import (
@@ -27,7 +26,7 @@
 )
 from spoolhead._internal.policy import upstream_book
 from spoolhead._internal.routing import matcher, table_checks
-from spoolhead._internal.utils import figures, logs, settings_watch
+from spoolhead._internal.utils import figures
 
 logger = logging.getLogger(__name__)
 
@@ -51,6 +50,7 @@
 
     :param config: its settings.
     :param dialect: how callers, instances and the platform's list speak.
+    :ivar loop: root of the program.
     """
 
     def __init__(self, config: settings.GatewaySettings, dialect: dialects.EntryDialect) -> None:
@@ -64,19 +64,19 @@
         self._stop_s = 0.0
         self._exchanges: set[exchange.Exchange] = set()
         self._early: list[caller_front.Caller] = []
-        self._loop = loop.Loop(self._begin_stop)
-        outgoing = links.Links(self._loop, channel="links").register(self._loop)
-        calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        self.loop = loop.Loop(self._begin_stop)
+        outgoing = links.Links(self.loop, channel="links").register(self.loop)
+        calls = upstream_calls.UpstreamCalls(self.loop, outgoing, config.upstreams)
         made = figures.Figures()
         self._figures = entry_figures.EntryFigures(made)
         self._figures.in_flight.set_function(lambda: len(self._exchanges))
         self._book = upstream_book.UpstreamBook()
-        self._sharing = load_sharing.LoadSharing(self._loop, config, self._book, self._empty)
+        self._sharing = load_sharing.LoadSharing(self.loop, config, self._book, self._empty)
         self._context = exchange.Context(
             config=config,
             dialect=dialect,
             calls=calls,
-            timers=self._loop.scheduler,
+            timers=self.loop.scheduler,
             book=self._book,
             chance=random.Random(),
             on_change=self._sharing.note_change,
@@ -84,24 +84,18 @@
             figures=self._figures,
         )
         self._front = caller_front.CallerFront(
-            self._loop, config, take=self._take, refuse=self._refuse_bytes
-        ).register(self._loop)
+            self.loop, config, take=self._take, refuse=self._refuse_bytes
+        ).register(self.loop)
         small_server.SmallServer(
             (config.ready_host, config.ready_port),
             channel="ready",
             limits=config.callers,
             answer=self._answer_probe,
-        ).register(self._loop)
-        if config.metrics_port is not None:
-            small_server.SmallServer(
-                (config.host, config.metrics_port),
-                channel="metrics",
-                limits=config.callers,
-                answer=made.answer,
-            ).register(self._loop)
-        self._feed = table_feed.TableFeed(self._loop, outgoing, calls, config, dialect, self)
+        ).register(self.loop)
+        made.serve(self.loop, config)
+        self._feed = table_feed.TableFeed(self.loop, outgoing, calls, config, dialect, self)
         self._health = health_watch.HealthWatch(
-            self._loop,
+            self.loop,
             calls,
             config,
             self._book,
@@ -110,21 +104,13 @@
             get_silent_halls=self._sharing.get_silent_halls,
             on_alarm=self._on_alarm,
         )
-        self._loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
-
-    def watch_settings(self, path: str, read: Callable[[str], settings.GatewaySettings]) -> None:
-        """Take over changed settings while it runs.
-
-        :param path: the settings file.
-        :param read: reads it.
-        """
-        settings_watch.SettingsWatch(self._loop, path, read, self._take_settings)
+        self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
 
     def run(self) -> None:
         """Serve until told to stop and all that is in flight has ended."""
         fields = {"callers": self._front.address, "hall": self._config.hall}
         logger.info("entry %s starts", self._config.name, extra={"fields": fields})
-        self._loop.run()
+        self.loop.run()
 
     def on_table(self, version: int, document: bytes) -> None:
         """Put a newer route table in force."""
@@ -159,7 +145,8 @@
         self._sharing.set_peers([str(address) for _, _, address in entries])
         self._context.entry_count = max(self._context.entry_count, len(entries))
 
-    def _take_settings(self, config: settings.GatewaySettings) -> None:
+    def take_settings(self, config: settings.GatewaySettings) -> None:
+        """Take over the keepers that changed settings name."""
         self._feed.set_seeds(config.keepers)
 
     def _on_alarm(self, upstream: upstream_book.Upstream) -> None:
@@ -281,8 +268,8 @@
         fields = {"in_flight": len(self._exchanges)}
         logger.info("entry stops", extra={"fields": fields})
         self._front.close_after_answers()
-        self._loop.scheduler.call_later(STOP_LISTEN_S, self._front.close_when_idle)
-        self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
+        self.loop.scheduler.call_later(STOP_LISTEN_S, self._front.close_when_idle)
+        self.loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
         age_s = time.monotonic() - self._stop_s
@@ -290,23 +277,4 @@
         is_empty = age_s > STOP_LISTEN_S and not self._front.connection_count
         if is_empty or is_due:
             logger.info("entry ends", extra={"fields": {"cut": len(self._exchanges)}})
-            self._loop.finish()
-
-
-def run(
-    path: str,
-    read: Callable[[str], settings.GatewaySettings],
-    make_dialect: Callable[[], dialects.EntryDialect],
-) -> None:
-    """Run an entry until it is told to stop.
-
-    :param path: its settings file.
-    :param read: reads that file.
-    :param make_dialect: makes the adapter's part.
-    :raises exceptions.SpoolheadError: if it cannot start.
-    """
-    config = read(path)
-    logs.set_up(config.log)
-    program = Gateway(config, make_dialect())
-    program.watch_settings(path, read)
-    program.run()
+            self.loop.finish()
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -5,7 +5,7 @@
 
 from spoolhead._internal.gateway import exchange, run_guard
 from spoolhead._internal.models import codes, dialects
-from spoolhead._internal.network import scheduler, upstream_calls
+from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_safety, upstream_book
 from spoolhead._internal.relay import pace_meter, splice
 
@@ -19,7 +19,6 @@
 class StreamExchange(exchange.Exchange):
     """One streamed request."""
 
-    _attempt: exchange.Attempt | None = None
     _guard: run_guard.RunGuard
     _splice: splice.Splice
     _pace: pace_meter.PaceMeter
@@ -35,14 +34,6 @@
         """Events passed on."""
         return self._splice.events
 
-    @property
-    def has_sent(self) -> bool:
-        """Whether any byte of the request may have reached an instance."""
-        attempt = self._attempt
-        if attempt is None or attempt.call is None:
-            return False
-        return attempt.is_resumed or attempt.call.may_have_arrived
-
     @property
     def need_tokens(self) -> int:
         """Memory that the run will hold, in tokens."""
@@ -89,7 +80,7 @@
     def release(self) -> None:
         """Cancel the run and give up its copy."""
         self._guard.drop()
-        self._drop_attempt()
+        self.drop_attempt()
 
     def on_instances_changed(self) -> None:
         """See whether the run or its copy must move."""
@@ -103,15 +94,6 @@
         if copy is not None:
             self._resume(copy)
 
-    def take_head(
-        self, attempt: exchange.Attempt, status: int, headers: upstream_calls.Headers
-    ) -> None:
-        """Take the head of the answer."""
-        if attempt is not self._attempt:
-            return
-        attempt.head = self._context.dialect.read_answer(status, headers)
-        attempt.upstream.note_load(attempt.head.load, time.monotonic())
-
     def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
         """Take a part of the answer."""
         if attempt is not self._attempt or attempt.head is None:
@@ -145,13 +127,11 @@
         """Take the loss of the connection."""
         if attempt is not self._attempt or attempt.call is None:
             return
-        attempt.upstream.note_failure(
-            time.monotonic(), is_unreachable=not attempt.call.may_have_arrived
-        )
+        self.note_loss(attempt, reason)
         self._log_attempt_failure(attempt, reason)
         if not attempt.call.may_have_arrived and not attempt.is_resumed:
             self._guard.drop()
-            self._drop_attempt()
+            self.drop_attempt()
             self._begin_run()
             return
         self._go_on_from_copy(reason)
@@ -160,8 +140,7 @@
         choice = self.choose(self.need_tokens)
         self.log_choice("attempt", choice)
         if choice.upstream is None:
-            text = f"no upstream of {self.job.service.name} is usable"
-            self.fail(codes.ResultCode.NO_UPSTREAM, text)
+            self.fail_without_upstream()
             return
         self._open(choice.upstream, None)
 
@@ -181,7 +160,7 @@
             return
         if head.has_not_run:
             self._guard.drop()
-            self._drop_attempt()
+            self.drop_attempt()
             allowance = self._context.get_allowance(self.job.service.name)
             may_repeat = len(self._tried) < self.job.route.attempts
             if may_repeat and allowance.take(time.monotonic()):
@@ -241,17 +220,12 @@
             work.reading_tokens = 0
             self._context.on_change()
 
-    def _drop_attempt(self) -> None:
+    def drop_attempt(self) -> None:
+        """Cancel the run's present connection and stop watching it."""
         if self._stall_timer is not None:
             self._stall_timer.cancel()
             self._stall_timer = None
-        attempt, self._attempt = self._attempt, None
-        if attempt is None:
-            return
-        attempt.upstream.works.pop(self.job.head.request_id, None)
-        self._context.on_change()
-        if attempt.call is not None and not attempt.call.is_over:
-            attempt.call.cancel()
+        super().drop_attempt()
 
     def _watch_for_stall(self) -> None:
         if self._stall_timer is not None:
@@ -287,7 +261,7 @@
         }
         logger.info("run goes on elsewhere", extra={"fields": fields})
         self._context.figures.moves.inc()
-        self._drop_attempt()
+        self.drop_attempt()
         self._tried.clear()
         self._splice.begin_connection()
         self._open(copy.upstream, point)
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -2,7 +2,6 @@
 
 import logging
 import time
-from collections.abc import Callable
 
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.entry import answers
@@ -14,12 +13,11 @@
     messages,
     peer_server,
     route_messages,
-    small_server,
     upstream_calls,
 )
 from spoolhead._internal.quorum import feed, keeper_figures, member, mesh, questions
 from spoolhead._internal.routing import table_checks
-from spoolhead._internal.utils import figures, logs, settings_watch
+from spoolhead._internal.utils import figures
 from spoolhead.coordination import consensus_messages
 
 logger = logging.getLogger(__name__)
@@ -36,6 +34,7 @@
     :param config: its settings.
     :param dialect: how operators and the instance list are read.
     :raises exceptions.DiskError: if its data folder cannot be used.
+    :ivar loop: root of the program.
     """
 
     def __init__(
@@ -43,12 +42,12 @@
     ) -> None:
         self._config = config
         self._dialect = dialect
-        self._loop = loop.Loop(self._begin_stop)
-        outgoing = links.Links(self._loop, channel="links").register(self._loop)
-        calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        self.loop = loop.Loop(self._begin_stop)
+        outgoing = links.Links(self.loop, channel="links").register(self.loop)
+        calls = upstream_calls.UpstreamCalls(self.loop, outgoing, config.upstreams)
         address = f"{config.host}:{config.peer_port}"
         self._mesh = mesh.Mesh(
-            self._loop,
+            self.loop,
             outgoing,
             name=config.name,
             shared_key=config.shared_key,
@@ -57,55 +56,37 @@
         )
         self._feed = feed.Feed(self._get_keepers, self._get_table)
         self._member = member.Member(
-            self._loop, config, address, self._mesh, self._on_table_change, self._read_instances
-        )
-        self._questions = questions.Questions(
-            self._loop.scheduler, self._mesh, self._member, config
+            self.loop, config, address, self._mesh, self._on_table_change, self._read_instances
         )
+        self._questions = questions.Questions(self.loop.scheduler, self._mesh, self._member, config)
         self._reader = list_reader.ListReader(
-            self._loop, calls, config.instance_list, dialect, self._take_instances
+            self.loop, calls, config.instance_list, dialect, self._take_instances
         )
         self._peers = peer_server.PeerServer(
-            self._loop,
+            self.loop,
             (config.host, config.peer_port),
             name=config.name,
             shared_key=config.shared_key,
             service=self,
-        ).register(self._loop)
+        ).register(self.loop)
         self._front = caller_front.CallerFront(
-            self._loop, config, take=self._take, refuse=self._refuse
-        ).register(self._loop)
+            self.loop, config, take=self._take, refuse=self._refuse
+        ).register(self.loop)
         made = figures.Figures()
         self._figures = keeper_figures.KeeperFigures(made)
         self._figures.table_version.set_function(lambda: self._member.register.version)
         self._figures.is_leader.set_function(lambda: int(self._member.is_leader))
         self._figures.term.set_function(lambda: self._member.term)
         self._figures.followers.set_function(lambda: self._feed.follower_count)
-        if config.metrics_port is not None:
-            small_server.SmallServer(
-                (config.host, config.metrics_port),
-                channel="metrics",
-                limits=config.callers,
-                answer=made.answer,
-            ).register(self._loop)
+        made.serve(self.loop, config)
         interval_s = config.instance_list.interval_ms / 1000
-        self._loop.scheduler.call_every(interval_s, self._read_instances)
-
-    def watch_settings(
-        self, path: str, read: Callable[[str], settings.QuorumKeeperSettings]
-    ) -> None:
-        """Take over changed settings while it runs.
-
-        :param path: the settings file.
-        :param read: reads it.
-        """
-        settings_watch.SettingsWatch(self._loop, path, read, self._take_settings)
+        self.loop.scheduler.call_every(interval_s, self._read_instances)
 
     def run(self) -> None:
         """Serve until told to stop."""
         fields = {"operators": self._front.address, "hall": self._config.hall}
         logger.info("keeper %s serves", self._config.name, extra={"fields": fields})
-        self._loop.run()
+        self.loop.run()
 
     def on_opened(self, session: peer_server.PeerSession) -> None:
         """Wait for what the peer asks."""
@@ -225,38 +206,20 @@
     def _take_instances(self, listed: list[instances.Instance]) -> None:
         self._feed.publish_instances(self._member.term, listed)
 
-    def _take_settings(self, config: settings.QuorumKeeperSettings) -> None:
+    def take_settings(self, config: settings.QuorumKeeperSettings) -> None:
+        """Take over the keepers that changed settings name."""
         self._config.keepers = config.keepers
 
     def _begin_stop(self) -> None:
         logger.info("keeper %s stops", self._config.name)
         self._front.close_when_idle()
-        self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
+        self.loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
         if not self._questions.open_count:
-            self._loop.finish()
+            self.loop.finish()
 
 
 def _note_stream(address: str, is_up: bool) -> None:
     text = "keeper is reachable" if is_up else "keeper is lost"
     logger.info(text, extra={"fields": {"address": address}})
-
-
-def run(
-    path: str,
-    read: Callable[[str], settings.QuorumKeeperSettings],
-    make_dialect: Callable[[], dialects.OperatorDialect],
-) -> None:
-    """Run a keeper until it is told to stop.
-
-    :param path: its settings file.
-    :param read: reads that file.
-    :param make_dialect: makes the adapter's part.
-    :raises exceptions.SpoolheadError: if it cannot start.
-    """
-    config = read(path)
-    logs.set_up(config.log)
-    program = Keeper(config, make_dialect())
-    program.watch_settings(path, read)
-    program.run()
--- a/src/spoolhead/_internal/utils/figures.py
+++ b/src/spoolhead/_internal/utils/figures.py
@@ -8,6 +8,8 @@
 import prometheus_client
 from prometheus_client import registry
 
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import request_reader, small_server
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
@@ -44,6 +46,19 @@
             name, text, labels, registry=self._registry, buckets=LATENCY_BUCKETS_MS
         )
 
+    def serve(
+        self, loop: loops.Loop, config: settings.GatewaySettings | settings.QuorumKeeperSettings
+    ) -> None:
+        """Serve the figures where a program's settings say, if they do."""
+        if config.metrics_port is None:
+            return
+        small_server.SmallServer(
+            (config.host, config.metrics_port),
+            channel="metrics",
+            limits=config.callers,
+            answer=self.answer,
+        ).register(loop)
+
     def answer(self, request: request_reader.WireRequest) -> small_server.SmallAnswer:
         """Answer a request for the figures."""
         del request
--- a/src/spoolhead/platform/starting.py
+++ b/src/spoolhead/platform/starting.py
@@ -2,8 +2,10 @@
 
 import sys
 from collections.abc import Callable
+from typing import Any
 
 from spoolhead._internal import exceptions
+from spoolhead._internal.utils import programs
 from spoolhead.platform import node_file
 
 EXIT_FAILED = 1
@@ -11,13 +13,13 @@
 CHECK_OPTION = "--check"
 
 
-def start(read: Callable[[str], object], run: Callable[[str], None]) -> None:
+def start(read: Callable[[str], Any], make: Callable[[Any], programs.Program]) -> None:
     """Run a program with the settings file that the platform names.
 
     With ``--check`` the settings are only read, and what is wrong with them is printed.
 
     :param read: reads the settings.
-    :param run: the program.
+    :param make: makes the program from its settings.
     """
     path = node_file.get_path()
     try:
@@ -25,7 +27,7 @@
             read(path)
             print(f"{path}: settings are good")
             return
-        run(path)
+        programs.run(path, read, make)
     except exceptions.SettingsError as error:
         print(error, file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
