Let tests with real keepers begin when all three are up

The kept logs: keeper-3 served from 53.961 on, 0.65 s after keeper-1; two keepers had committed the table by 53.659 and both entries were ready, so the test killed the two and asked the third before it listened. The assertions stay as they are; the fixture now also waits until each keeper has read out version 3. 14 tests pass beside the same load.

--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -17,6 +17,11 @@
         made.start()
         made.put_until_taken("keeper-1", platform_fleet.make_table(3))
         made.wait_until_ready("entry-1", "entry-2")
+        # Two keepers are enough for all of the above; a test may turn to the third at once.
+        for keeper in made.keeper_hosts:
+            platform_fleet.wait_for(
+                lambda keeper=keeper: made.read_version(keeper) == 3, f"{keeper} is not up"
+            )
         yield made
 
 
