Share loads by halls, let generations wait at the entry, begin the fault soak

Change: shares stay in the hall, up to three speakers of a hall send its sum to two entries of every other hall in turn, and sums are kept by difference (policy/load_view.py, sans I/O). Change: what does not fit waits at the entry for up to 0.6 of its objective, is refused at 0.2 without hope, with when to come back (policy/run_admission.py, gateway/run_queue.py). Cause 3, found by the soak's first run: a caller that left before its request was taken raised an exception in the library's handler for each. Change: such an event is dropped. Test fails without.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -6,10 +6,15 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from spoolhead._internal.gateway import entry_figures, refusals
+from spoolhead._internal.gateway import entry_figures, refusals, run_queue
 from spoolhead._internal.models import codes, dialects, fault, route_table, settings
 from spoolhead._internal.network import caller_front, scheduler, upstream_calls
-from spoolhead._internal.policy import retry_allowance, upstream_book, upstream_choice
+from spoolhead._internal.policy import (
+    retry_allowance,
+    run_admission,
+    upstream_book,
+    upstream_choice,
+)
 
 logger = logging.getLogger(__name__)
 
@@ -32,6 +37,7 @@
     :ivar on_change: called when what this entry holds at an instance has changed.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
     :ivar figures: counters and histograms.
+    :ivar queue: generations that wait for an engine with room.
     :ivar entry_count: entries that there are.
     """
 
@@ -46,6 +52,7 @@
         "figures",
         "get_silent_halls",
         "on_change",
+        "queue",
         "timers",
     )
 
@@ -71,6 +78,7 @@
         self.on_change = on_change
         self.get_silent_halls = get_silent_halls
         self.figures = figures
+        self.queue = run_queue.RunQueue(timers, chance)
         self.entry_count = 1
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
@@ -393,7 +401,8 @@
     def fail_without_upstream(self) -> None:
         """Refuse the request, since no instance may take it."""
         text = f"no upstream of {self.job.service.name} is usable"
-        self.fail(codes.ResultCode.NO_UPSTREAM, text)
+        come_back_ms = run_admission.get_come_back_ms(self.remaining_ms)
+        self.fail(codes.ResultCode.NO_UPSTREAM, text, retry_after_ms=come_back_ms)
 
     def _on_deadline(self) -> None:
         self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -1,58 +1,54 @@
-"""What the entries tell each other of the work that they hold at the instances.
+"""The datagrams by which entries tell each other of the work that they hold.
 
-Each sends its whole share whenever it changes and now and then besides, so a lost datagram is
-made good by the next one. A share that is not heard again expires.
+Each is whole in itself, so a lost one is made good by the next. What they come to is worked
+out in :mod:`spoolhead._internal.policy.load_view`.
 """
 
 import logging
 import socket
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
-import msgpack
-
-from spoolhead._internal.models import settings
+from spoolhead._internal.models import settings, shared_load
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import upstream_book, watch_duty
+from spoolhead._internal.policy import load_view, upstream_book, watch_duty
 
 logger = logging.getLogger(__name__)
 
 COALESCE_S = 0.01
 """Changes within this time go out together; a fraction of a prompt's reading time."""
+SUM_S_PER_ENTRY = 0.003
+"""Least time between two sums of a hall, for each entry there is: 24 ms with eight entries and a
+second with 350, so that what crosses halls does not grow with their number."""
+SUM_TARGETS = 2
+"""Entries of another hall that get one sum; the next sum goes to the next ones."""
 REPEAT_S = 1.0
-"""Time after which an unchanged share is sent again."""
-EXPIRY_S = 3.0
-"""Age at which a share no longer counts: three repetitions lost in a row."""
-SILENT_HALL_S = 1.6
-"""Silence of all entries of a hall after which it counts as cut off: a repetition was lost."""
+"""Time after which what is unchanged is sent again."""
 MAX_DATAGRAM_BYTES = 60_000
 
-_NUMBERS = 3
-
 
-class _Share:
-    """What another entry holds.
+class _Peer:
+    """Another entry.
 
-    :ivar hall: hall of that entry.
-    :ivar works: for each instance its id, tokens, requests and tokens still to be read.
+    :ivar hall: its hall.
+    :ivar address: where its datagrams go.
     """
 
-    __slots__ = ("hall", "heard_s", "sequence", "works")
+    __slots__ = ("address", "hall")
 
-    def __init__(self, hall: str, sequence: int, works: list[list[object]], heard_s: float) -> None:
+    def __init__(self, hall: str, address: tuple[str, int]) -> None:
         self.hall = hall
-        self.sequence = sequence
-        self.works = works
-        self.heard_s = heard_s
+        self.address = address
 
 
 class LoadSharing:
-    """Sends this entry's share and gathers the others'.
+    """Sends what this entry holds and gathers what the others tell.
 
     :param loop: root of the program.
     :param config: the entry's settings.
     :param book: the instances.
     :param on_alarm: called with an instance that another entry found bad.
+    :param on_news: called when what others hold has changed.
     """
 
     def __init__(
@@ -60,126 +56,160 @@
         loop: loops.Loop,
         config: settings.GatewaySettings,
         book: upstream_book.UpstreamBook,
+        *,
         on_alarm: Callable[[upstream_book.Upstream], None],
+        on_news: Callable[[], None],
     ) -> None:
         self._timers = loop.scheduler
         self._on_alarm = on_alarm
-        self._alarms: list[str] = []
+        self._on_news = on_news
         self._name = config.name
         self._hall = config.hall
         self._own = f"{config.host}:{config.peer_port}"
         self._book = book
-        self._peers: list[tuple[str, int]] = []
-        self._shares: dict[str, _Share] = {}
-        self._halls_heard_s: dict[str, float] = {}
+        self._view = load_view.LoadView(config.name, config.hall, book)
+        self._mates: list[_Peer] = []
+        self._others: dict[str, list[_Peer]] = {}
+        self._mate_addresses: frozenset[tuple[str, int]] = frozenset()
+        self._turn = 0
         # A restarted entry must not begin below the numbers of its former self.
         self._sequence = int(time.time() * 1000)
-        self._is_due = False
+        self._is_share_due = False
+        self._is_sum_due = False
+        self._sum_sent_s = 0.0
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._sock.setblocking(False)
         self._sock.bind((config.host, config.peer_port))
         loop.poller.add_direct_reader(loop, self._sock, self._on_readable)
         self._timers.call_every(REPEAT_S, self._repeat)
 
-    def set_peers(self, addresses: list[str]) -> None:
-        """Take over the addresses of the other entries."""
-        self._peers = []
-        for address in addresses:
-            host, _, port = address.rpartition(":")
-            if address != self._own and port.isdigit():
-                self._peers.append((host, int(port)))
+    def set_peers(self, entries: Iterable[list[object]]) -> None:
+        """Take over the fleet: name, hall and address of each entry."""
+        self._mates = []
+        self._others = {}
+        for _, hall, address in sorted(entries, key=str):
+            host, _, port = str(address).rpartition(":")
+            if address == self._own or not port.isdigit():
+                continue
+            peer = _Peer(str(hall), (host, int(port)))
+            if peer.hall == self._hall:
+                self._mates.append(peer)
+            else:
+                self._others.setdefault(peer.hall, []).append(peer)
+        self._mate_addresses = frozenset(peer.address for peer in self._mates)
 
     def get_watchers(self) -> list[watch_duty.Watcher]:
         """Return the entries that are alive, this one among them."""
-        self._forget_old()
-        watchers = [watch_duty.Watcher(name=self._name, hall=self._hall)]
-        for name, share in self._shares.items():
-            if name != self._name:
-                watchers.append(watch_duty.Watcher(name=name, hall=share.hall))
-        return watchers
+        return self._view.get_watchers(time.monotonic())
 
     def get_silent_halls(self) -> frozenset[str]:
         """Return the halls that were heard from and are silent, as behind a cut."""
-        oldest_s = time.monotonic() - SILENT_HALL_S
-        return frozenset(
-            hall for hall, heard_s in self._halls_heard_s.items() if heard_s < oldest_s
-        )
+        return self._view.get_silent_halls(time.monotonic())
 
     def tell_alarm(self, instance_id: str) -> None:
-        """Tell the other entries at once of an instance that was found bad."""
-        self._alarms = [instance_id]
-        self._send()
-        self._alarms = []
+        """Tell all other entries at once of an instance that was found bad."""
+        data = shared_load.encode(self._make_share(alarms=[instance_id]))
+        self._send(self._mates, data)
+        for peers in self._others.values():
+            self._send(peers, data)
 
     def note_change(self) -> None:
-        """Send this entry's share soon."""
-        if not self._is_due:
-            self._is_due = True
-            self._timers.call_later(COALESCE_S, self._send)
+        """Tell of this entry's work soon."""
+        if not self._is_share_due:
+            self._is_share_due = True
+            self._timers.call_later(COALESCE_S, self._send_share)
 
     def refresh(self) -> None:
         """Work out again what the others hold, after the list of instances has changed."""
-        self._forget_old()
-        for upstream in self._book.get_all():
-            upstream.others_tokens = 0
-            upstream.others_count = 0
-            upstream.others_reading = 0
-        for share in self._shares.values():
-            for instance_id, tokens, count, reading in share.works:
-                upstream = self._book.get(instance_id)
-                if upstream is not None:
-                    upstream.others_tokens += tokens
-                    upstream.others_count += count
-                    upstream.others_reading += reading
-
-    def _send(self) -> None:
-        self._is_due = False
+        self._view.rebuild(time.monotonic())
+
+    def _make_share(self, *, alarms: list[str]) -> shared_load.Share:
+        self._sequence += 1
+        return shared_load.Share(
+            sender=self._name,
+            hall=self._hall,
+            is_sum=False,
+            sequence=self._sequence,
+            held=self._view.get_own(),
+            members=[],
+            alarms=alarms,
+        )
+
+    def _make_sum(self, now_s: float) -> shared_load.Share:
         self._sequence += 1
-        works = [
-            [
-                upstream.instance.instance_id,
-                sum(work.tokens for work in upstream.works.values()),
-                len(upstream.works),
-                sum(work.reading_tokens for work in upstream.works.values()),
-            ]
-            for upstream in self._book.get_all()
-            if upstream.works
-        ]
-        data = msgpack.packb([self._name, self._hall, self._sequence, works, self._alarms])
-        for peer in self._peers:
+        return shared_load.Share(
+            sender=self._name,
+            hall=self._hall,
+            is_sum=True,
+            sequence=self._sequence,
+            held=self._view.get_sum(),
+            members=self._view.get_members(now_s),
+            alarms=[],
+        )
+
+    def _send_share(self) -> None:
+        self._is_share_due = False
+        self._send(self._mates, shared_load.encode(self._make_share(alarms=[])))
+        self._note_hall_change()
+
+    def _note_hall_change(self) -> None:
+        """Send the hall's sum as soon as it may go."""
+        now_s = time.monotonic()
+        if self._is_sum_due or not self._others or not self._view.is_speaker(now_s):
+            return
+        self._is_sum_due = True
+        entry_count = 1 + len(self._mates) + sum(map(len, self._others.values()))
+        due_s = self._sum_sent_s + SUM_S_PER_ENTRY * entry_count
+        self._timers.call_later(max(0.0, due_s - now_s), self._send_sum)
+
+    def _send_sum(self) -> None:
+        self._is_sum_due = False
+        self._sum_sent_s = time.monotonic()
+        data = shared_load.encode(self._make_sum(self._sum_sent_s))
+        self._turn += SUM_TARGETS
+        for peers in self._others.values():
+            count = min(SUM_TARGETS, len(peers))
+            chosen = [peers[(self._turn + offset) % len(peers)] for offset in range(count)]
+            self._send(chosen, data)
+
+    def _send(self, peers: Iterable[_Peer], data: bytes) -> None:
+        for peer in peers:
             try:
-                self._sock.sendto(data, peer)
+                self._sock.sendto(data, peer.address)
             except OSError as error:
-                logger.debug("share not sent to %s: %s", peer, error)
+                logger.debug("share not sent to %s: %s", peer.address, error)
 
     def _repeat(self) -> None:
         self.refresh()
         self.note_change()
 
     def _on_readable(self, sock: socket.socket) -> None:
+        has_news = False
         while True:
             try:
-                data = sock.recv(MAX_DATAGRAM_BYTES)
+                data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 break
-            self._take(data)
-        self.refresh()
+            has_news = self._take(data, sender) or has_news
+        if has_news:
+            self._on_news()
 
-    def _take(self, data: bytes) -> None:
+    def _take(self, data: bytes, sender: tuple[str, int]) -> bool:
         try:
-            name, hall, sequence, works, alarms = msgpack.unpackb(data)
-            for _, *numbers in works:
-                if len(numbers) != _NUMBERS or not all(isinstance(n, int) for n in numbers):
-                    raise ValueError("a share with odd numbers")
-        except (ValueError, TypeError, msgpack.UnpackException) as error:
+            share = shared_load.decode(data)
+        except ValueError as error:
             logger.warning("datagram that is no share: %s", error)
-            return
-        self._halls_heard_s[hall] = time.monotonic()
-        known = self._shares.get(name)
-        if known is None or sequence > known.sequence:
-            self._shares[name] = _Share(hall, sequence, works, time.monotonic())
-        for instance_id in alarms:
-            self._take_alarm(name, instance_id)
+            return False
+        for instance_id in share.alarms:
+            self._take_alarm(share.sender, instance_id)
+        if not self._view.take_share(share, time.monotonic()):
+            return False
+        if not share.is_sum:
+            self._note_hall_change()
+        elif sender not in self._mate_addresses:
+            # Straight from the other hall; what a mate passed on is not passed on again.
+            self._send(self._mates, data)
+        return True
 
     def _take_alarm(self, name: str, instance_id: str) -> None:
         upstream = self._book.get(instance_id)
@@ -189,9 +219,3 @@
             fields = {"upstream": instance_id, "told_by": name}
             logger.info("upstream is said not to be well", extra={"fields": fields})
             self._on_alarm(upstream)
-
-    def _forget_old(self) -> None:
-        oldest_s = time.monotonic() - EXPIRY_S
-        for name, share in list(self._shares.items()):
-            if share.heard_s < oldest_s:
-                del self._shares[name]
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -71,7 +71,9 @@
         self._figures = entry_figures.EntryFigures(made)
         self._figures.in_flight.set_function(lambda: len(self._exchanges))
         self._book = upstream_book.UpstreamBook()
-        self._sharing = load_sharing.LoadSharing(self.loop, config, self._book, self._empty)
+        self._sharing = load_sharing.LoadSharing(
+            self.loop, config, self._book, on_alarm=self._empty, on_news=self._on_news
+        )
         self._context = exchange.Context(
             config=config,
             dialect=dialect,
@@ -79,7 +81,7 @@
             timers=self.loop.scheduler,
             book=self._book,
             chance=random.Random(),
-            on_change=self._sharing.note_change,
+            on_change=self._on_own_change,
             get_silent_halls=self._sharing.get_silent_halls,
             figures=self._figures,
         )
@@ -137,18 +139,26 @@
             logger.info("upstream is gone", extra={"fields": {"upstream": instance_id}})
         self._sharing.refresh()
         self._has_instances = True
+        self._context.queue.note_change()
         for upstream in leaving:
             self._empty(upstream)
 
     def on_fleet(self, entries: list[list[object]]) -> None:
         """Take over which entries there are."""
-        self._sharing.set_peers([str(address) for _, _, address in entries])
+        self._sharing.set_peers(entries)
         self._context.entry_count = max(self._context.entry_count, len(entries))
 
     def take_settings(self, config: settings.GatewaySettings) -> None:
         """Take over the keepers that changed settings name."""
         self._feed.set_seeds(config.keepers)
 
+    def _on_news(self) -> None:
+        self._context.queue.note_change()
+
+    def _on_own_change(self) -> None:
+        self._sharing.note_change()
+        self._context.queue.note_change()
+
     def _on_alarm(self, upstream: upstream_book.Upstream) -> None:
         self._figures.alarms.inc()
         self._sharing.tell_alarm(upstream.instance.instance_id)
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/run_queue.py
@@ -0,0 +1,84 @@
+"""Generations that wait at this entry for an engine with room."""
+
+import random
+import time
+from typing import Protocol
+
+from spoolhead._internal.network import scheduler
+from spoolhead._internal.policy import run_admission
+
+LOOK_S = 0.1
+"""Longest pause between looks at what waits; a small part of the shortest objective."""
+SPREAD_S = 0.015
+"""Random delay of a look after news, so that the entries do not all rush to the same engine: a
+few times what it takes to tell the others of a start."""
+
+
+class Waiting(Protocol):
+    """A generation that waits."""
+
+    admission: run_admission.Request
+
+    def try_to_begin(self) -> bool:
+        """Begin, or be refused, if that is due; False to go on waiting."""
+
+
+class RunQueue:
+    """The queue of one entry.
+
+    :param timers: calls back.
+    :param chance: source of random numbers.
+    """
+
+    def __init__(self, timers: scheduler.Scheduler, chance: random.Random) -> None:
+        self._timers = timers
+        self._chance = chance
+        self._waiting: list[Waiting] = []
+        self._timer: scheduler.Timer | None = None
+        self._look_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, item: Waiting) -> None:
+        """Have a generation wait."""
+        self._waiting.append(item)
+        self._waiting.sort(key=lambda each: (each.admission.rank, each.admission.arrived_s))
+        self._look_within(self._get_longest_pause_s())
+
+    def remove(self, item: Waiting) -> None:
+        """Forget a generation."""
+        if item in self._waiting:
+            self._waiting.remove(item)
+
+    def note_change(self) -> None:
+        """Take note that an engine may have got room."""
+        if self._waiting:
+            self._look_within(self._chance.uniform(0.0, SPREAD_S))
+
+    def _get_longest_pause_s(self) -> float:
+        now_s = time.monotonic()
+        dues_s = [
+            due_s
+            for item in self._waiting
+            for due_s in (item.admission.refuse_s, item.admission.offer_s)
+            if due_s > now_s
+        ]
+        return min([LOOK_S, *(due_s - now_s for due_s in dues_s)])
+
+    def _look_within(self, delay_s: float) -> None:
+        due_s = time.monotonic() + delay_s
+        if self._timer is not None:
+            if self._look_s <= due_s:
+                return
+            self._timer.cancel()
+        self._look_s = due_s
+        self._timer = self._timers.call_later(delay_s, self._look)
+
+    def _look(self) -> None:
+        self._timer = None
+        for item in list(self._waiting):
+            if item in self._waiting and item.try_to_begin():
+                self.remove(item)
+        if self._waiting:
+            self._look_within(self._get_longest_pause_s())
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -6,7 +6,7 @@
 from spoolhead._internal.gateway import exchange, run_guard
 from spoolhead._internal.models import codes, dialects
 from spoolhead._internal.network import scheduler
-from spoolhead._internal.policy import run_safety, upstream_book
+from spoolhead._internal.policy import run_admission, run_safety, upstream_book, upstream_choice
 from spoolhead._internal.relay import pace_meter, splice
 
 logger = logging.getLogger(__name__)
@@ -23,6 +23,7 @@
     _splice: splice.Splice
     _pace: pace_meter.PaceMeter
     _stall_timer: scheduler.Timer | None = None
+    admission: run_admission.Request
 
     @property
     def upstream(self) -> upstream_book.Upstream | None:
@@ -77,8 +78,29 @@
         self._pace = pace_meter.PaceMeter(self._arrived_s)
         self._begin_run()
 
+    def try_to_begin(self) -> bool:
+        """Begin at an engine with room, or be refused, if that is due."""
+        engine = self.job.service.engine
+        choice = self.choose(self.need_tokens)
+        if engine is not None:
+            request = self.admission
+            choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
+            verdict = run_admission.decide(engine, choice, request, time.monotonic())
+            if verdict is run_admission.Verdict.WAIT:
+                return False
+            if verdict is run_admission.Verdict.REFUSE and choice.upstream is not None:
+                self._refuse(choice)
+                return True
+        self.log_choice("attempt", choice)
+        if choice.upstream is None:
+            self.fail_without_upstream()
+        else:
+            self._open(choice.upstream, None)
+        return True
+
     def release(self) -> None:
         """Cancel the run and give up its copy."""
+        self._context.queue.remove(self)
         self._guard.drop()
         self.drop_attempt()
 
@@ -137,12 +159,24 @@
         self._go_on_from_copy(reason)
 
     def _begin_run(self) -> None:
-        choice = self.choose(self.need_tokens)
-        self.log_choice("attempt", choice)
-        if choice.upstream is None:
-            self.fail_without_upstream()
-            return
-        self._open(choice.upstream, None)
+        generation = self.job.head.generation
+        self.admission = run_admission.Request(
+            rank=self.job.route.priority,
+            need_tokens=self.need_tokens,
+            prompt_tokens=generation.prompt_tokens if generation is not None else 0,
+            objective_ms=self.job.route.objective_ms,
+            arrived_s=self._arrived_s,
+        )
+        if not self.try_to_begin():
+            logger.info("waits for room", extra={"fields": self.get_fields()})
+            self._context.queue.add(self)
+
+    def _refuse(self, choice: upstream_choice.Choice) -> None:
+        """Refuse the request, since no engine is likely to have room in time."""
+        self.log_choice("no room", choice)
+        come_back_ms = run_admission.get_come_back_ms(self.remaining_ms)
+        code = codes.ResultCode.DEADLINE_UNREACHABLE
+        self.fail(code, "no engine is expected to have room in time", retry_after_ms=come_back_ms)
 
     def _is_good(self, head: dialects.AnswerHead) -> bool:
         own_id = self.job.head.request_id
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -361,6 +361,15 @@
         self._set_deadline(connection, restart=bool(result.ok))
         self._begin_next(connection)
 
+    @circuits.handler("read", priority=1.0)
+    def _on_library_read(self, event: circuits.Event, sock: socket.socket, _data: bytes) -> None:
+        # The caller may have left since the event was fired; the library asks the socket for
+        # its peer and would raise. The end of the connection is taken note of elsewhere.
+        try:
+            sock.getpeername()
+        except OSError:
+            event.stop()
+
     @circuits.handler("request")
     def _on_request(self, request: wrappers.Request, response: wrappers.Response) -> bool:
         connection = self._connections.get(request.sock)
--- /dev/null
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -0,0 +1,121 @@
+"""Whether a generation begins now, waits at the entry or is refused; no I/O, time passed in.
+
+An engine that is given more than its memory holds queues the rest, and what waits there cannot
+go elsewhere when another engine gets room. So what does not fit waits at the entry, for a part
+of the time within which its first token is wanted; what has little hope by then is refused
+early enough for its caller to come back in time.
+"""
+
+import enum
+
+from spoolhead._internal.models import route_table
+from spoolhead._internal.policy import upstream_book, upstream_choice
+
+FILL_LIMIT = 1.0
+"""Share of an engine's memory that generations may be foreseen to fill at their full length."""
+RANK_FILL_STEP = 0.1
+"""Memory kept free for more urgent routes, as a share, for each rank below the most urgent."""
+READ_TOKENS_PER_MS = 7.5
+"""Prompt tokens that an engine reads while others stream beside: half of its speed alone, since
+each piece of 112 tokens (8 ms) alternates with a step for the others (7 ms)."""
+READING_PART = 0.7
+"""Part of the objective that the reading of all prompts before may take."""
+REFUSE_PART = 0.2
+"""Part of the objective after which what has little hope is refused; the users count a refusal
+as early within a quarter of it."""
+OFFER_PART = 0.6
+"""Part of the objective after which the fullest engine is better than waiting on."""
+HOPELESS_FILL = 1.4
+"""Fill of the emptiest engine from which a start within the objective is not to be hoped for:
+two in five of its generations would have to end before."""
+COME_BACK_PART = 1 / 6
+"""Part of the time left after which a refused caller is asked to come back: late enough for room
+to come (a new engine takes four seconds), early enough to be served."""
+LEAST_COME_BACK_MS = 300
+
+
+class Verdict(enum.Enum):
+    """What happens to a generation."""
+
+    BEGIN = "begin"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class Request:
+    """A generation that asks for an engine.
+
+    :ivar rank: its route's rank, 0 for the most urgent.
+    :ivar need_tokens: memory that it will hold at its full length.
+    :ivar prompt_tokens: its prompt.
+    :ivar objective_ms: time within which its first token is wanted.
+    :ivar arrived_s: monotonic time of its arrival.
+    """
+
+    __slots__ = ("arrived_s", "need_tokens", "objective_ms", "prompt_tokens", "rank")
+
+    def __init__(
+        self,
+        *,
+        rank: int,
+        need_tokens: int,
+        prompt_tokens: int,
+        objective_ms: int,
+        arrived_s: float,
+    ) -> None:
+        self.rank = rank
+        self.need_tokens = need_tokens
+        self.prompt_tokens = prompt_tokens
+        self.objective_ms = objective_ms
+        self.arrived_s = arrived_s
+
+    @property
+    def refuse_s(self) -> float:
+        """Monotonic time from which it is refused if it has little hope."""
+        return self.arrived_s + self.objective_ms * REFUSE_PART / 1000
+
+    @property
+    def offer_s(self) -> float:
+        """Monotonic time from which it goes to any engine."""
+        return self.arrived_s + self.objective_ms * OFFER_PART / 1000
+
+
+def has_room(
+    engine: route_table.Engine, upstream: upstream_book.Upstream, request: Request
+) -> bool:
+    """Tell whether a generation would begin at an engine within its objective."""
+    limit = engine.memory_tokens * (FILL_LIMIT - RANK_FILL_STEP * request.rank)
+    if upstream.count and upstream.tokens + request.need_tokens > limit:
+        return False
+    reading_ms = (upstream.reading_tokens + request.prompt_tokens) / READ_TOKENS_PER_MS
+    return not upstream.reading_tokens or reading_ms <= request.objective_ms * READING_PART
+
+
+def get_least_fill(engine: route_table.Engine, choice: upstream_choice.Choice) -> float:
+    """Return the fill of the emptiest engine of a choice."""
+    return min(item.upstream.tokens / engine.memory_tokens for item in choice.candidates)
+
+
+def decide(
+    engine: route_table.Engine, choice: upstream_choice.Choice, request: Request, now_s: float
+) -> Verdict:
+    """Decide on a generation.
+
+    :param choice: the engines that it may go to; those without room have been left out where
+        any has room.
+    """
+    if choice.upstream is not None and has_room(engine, choice.upstream, request):
+        return Verdict.BEGIN
+    if now_s < request.refuse_s:
+        return Verdict.WAIT
+    if choice.upstream is None or get_least_fill(engine, choice) >= HOPELESS_FILL:
+        return Verdict.REFUSE
+    return Verdict.BEGIN if now_s >= request.offer_s else Verdict.WAIT
+
+
+def get_come_back_ms(remaining_ms: int) -> int:
+    """Return when a refused caller should come back.
+
+    :param remaining_ms: time that its caller will still wait for the answer.
+    """
+    return max(LEAST_COME_BACK_MS, int(remaining_ms * COME_BACK_PART))
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from spoolhead._internal.models import dialects, instances
+from spoolhead._internal.models import dialects, instances, shared_load
 
 FAILURES_TO_EJECT = 3
 """Attempts in a row that must fail without an answer before an instance rests; one or two
@@ -43,9 +43,7 @@
 
     :ivar instance: as listed.
     :ivar works: this entry's requests there.
-    :ivar others_tokens: memory that other entries' requests hold there, in tokens.
-    :ivar others_count: other entries' requests there.
-    :ivar others_reading: tokens of other entries' prompts that are still to be read there.
+    :ivar others: what other entries' requests hold there.
     :ivar is_leaving: it takes no new work.
     :ivar is_gone: it is no longer listed.
     """
@@ -60,18 +58,14 @@
         "instance",
         "is_gone",
         "is_leaving",
-        "others_count",
-        "others_reading",
-        "others_tokens",
+        "others",
         "works",
     )
 
     def __init__(self, instance: instances.Instance) -> None:
         self.instance = instance
         self.works: dict[str, Work] = {}
-        self.others_tokens = 0
-        self.others_count = 0
-        self.others_reading = 0
+        self.others = shared_load.Held(instance.instance_id, 0, 0, 0)
         self.is_leaving = instance.is_leaving
         self.is_gone = False
         self._load: dialects.UpstreamLoad | None = None
@@ -84,17 +78,27 @@
     @property
     def tokens(self) -> int:
         """Memory that all known requests hold or will hold, in tokens."""
-        return self.others_tokens + sum(work.tokens for work in self.works.values())
+        return self.others.tokens + self.own_tokens
 
     @property
     def reading_tokens(self) -> int:
         """Tokens of all known prompts that are still to be read."""
-        return self.others_reading + sum(work.reading_tokens for work in self.works.values())
+        return self.others.reading_tokens + self.own_reading_tokens
+
+    @property
+    def own_tokens(self) -> int:
+        """Memory that this entry's requests hold or will hold, in tokens."""
+        return sum(work.tokens for work in self.works.values())
+
+    @property
+    def own_reading_tokens(self) -> int:
+        """Tokens of this entry's prompts that are still to be read."""
+        return sum(work.reading_tokens for work in self.works.values())
 
     @property
     def count(self) -> int:
         """Known requests of all entries."""
-        return self.others_count + len(self.works)
+        return self.others.count + len(self.works)
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -1,7 +1,7 @@
 """Which instance a request goes to; no I/O, time passed in."""
 
 import random
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 
 from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import upstream_book
@@ -45,6 +45,11 @@
         self.candidates = candidates
         self.upstream = candidates[0].upstream if candidates else None
 
+    def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
+        """Return the choice with those that a test holds for before the others."""
+        ordered = sorted(self.candidates, key=lambda item: not is_preferred(item.upstream))
+        return Choice(ordered)
+
 
 class View:
     """What a choice is made from.
@@ -76,7 +81,8 @@
 ) -> Choice:
     """Choose an instance.
 
-    Where every instance rests or is said not to be well, one of them is better than none.
+    Where every instance rests or is said not to be well, one of them is better than none, but
+    not in a hall from which nothing is heard.
 
     :param service: the request's service.
     :param upstreams: its instances.
@@ -88,7 +94,11 @@
         for upstream in upstreams
         if not upstream.is_leaving and upstream.instance.instance_id not in excluded
     ]
-    usable = [upstream for upstream in allowed if upstream.is_usable(view.now_s)] or allowed
+    usable = [upstream for upstream in allowed if upstream.is_usable(view.now_s)]
+    if not usable:
+        usable = [
+            upstream for upstream in allowed if upstream.instance.hall not in view.silent_halls
+        ]
     candidates = [
         Candidate(upstream, _get_cost(service, upstream, need_tokens, view)) for upstream in usable
     ]
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -1,6 +1,8 @@
 """Real keepers and entries on the platform's settings: tables, requests, moves, stops, losses."""
 
 import signal
+import socket
+import struct
 import subprocess
 import sys
 import threading
@@ -121,6 +123,16 @@
         assert [run["instance"] for run in running.get_runs(f"l{number}")] == ["p-2"]
 
 
+def test_callers_that_leave_at_once_are_no_exception(running):
+    request = b"POST /safe/x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: g\r\nContent-Length: 0"
+    for _ in range(30):
+        with socket.create_connection((running.entry_hosts["entry-1"], running.port)) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            sock.sendall(request + b"\r\n\r\n")
+    assert running.ask("entry-1", "/safe/x", X_Request_Id="after").status == 200
+    assert [line["text"] for line in running.read_log("entry-1") if "trace" in line] == []
+
+
 def test_a_reload_ends_nothing(running):
     stream = running.open_stream("entry-1", "h1", 60)
     for name in (*running.keeper_hosts, *running.entry_hosts):
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -163,12 +163,18 @@
 class Setting:
     """One request of a kind, started."""
 
-    def __init__(self, kind, *, attempts=2, names=("i-1", "i-2"), slack=50, tokens="3000,800"):
+    def __init__(
+        self, kind, *, attempts=2, names=("i-1", "i-2"), slack=50, tokens="3000,800", fill=0
+    ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
         self.book = upstream_book.UpstreamBook()
         self.names = names
         self.list()
+        for upstream in self.book.get_all():
+            upstream.works["other"] = upstream_book.Work("other", fill, reading_tokens=0)
+            if not fill:
+                upstream.works.clear()
         self.ended = []
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
--- /dev/null
+++ b/tests/soak/checks.py
@@ -0,0 +1,118 @@
+"""The promises, checked from what callers and upstreams saw."""
+
+import collections
+
+from lib import platform_fleet
+from soak import plan
+
+PROMISES_NOT_RUN = {408, 421, 429, 503}
+APPLY_S = 3.0
+"""Time in which an accepted table must be in force everywhere."""
+SETTLE_S = 4.0
+"""Time after trouble before an entry is held to a time limit again."""
+LEAVE_S = 3.0
+"""Time after which a leaving upstream must get no new work: some readings of the list."""
+
+
+def check(records):
+    """Return every broken promise, a line each."""
+    runs = collections.defaultdict(list)
+    for run in records.runs:
+        runs[run["id"]].append(run)
+    broken = list(records.problems)
+    for asked in records.asked:
+        broken += _check_runs(asked, runs[asked.request_id])
+        broken += _check_answer(asked)
+        broken += _check_planned_stop(records, asked, runs[asked.request_id])
+    broken += _check_leaving(records)
+    broken += _check_reads(records)
+    broken += _check_entries(records)
+    return broken
+
+
+def _check_runs(asked, runs):
+    first_runs = [run for run in runs if "kv-from" not in run["headers"]]
+    if asked.kind in ("once", "talk") and len(first_runs) > 1:
+        yield f"{asked.request_id} ({asked.kind}) ran {len(first_runs)} times"
+    if asked.kind in ("once", "talk") and asked.status in PROMISES_NOT_RUN and runs:
+        yield f"{asked.request_id} ran although it was answered {asked.status}"
+
+
+def _check_answer(asked):
+    if asked.status != 200:
+        return
+    if asked.kind == "talk":
+        expected = platform_fleet.make_events(asked.events)
+        if not expected.startswith(asked.body) or (asked.is_whole and asked.body != expected):
+            yield f"{asked.request_id} got other events than its own: {asked.body[-80:]!r}"
+    elif asked.is_whole and asked.body != asked.request_id.encode():
+        yield f"{asked.request_id} got {asked.body[:80]!r}"
+
+
+def _check_planned_stop(records, asked, runs):
+    """A planned stop or reload of its entry alone cuts nothing that was passed on."""
+    if asked.is_whole or not runs:
+        return
+    from_s, to_s = asked.sent_s - SETTLE_S, asked.ended_s
+    is_planned = records.was_disturbed(asked.entry, asked.sent_s, to_s)
+    is_planned = is_planned and records.was_planned_only(asked.entry, from_s, to_s)
+    upstreams = (*plan.MODELS, *plan.PLAIN)
+    if is_planned and not any(records.was_disturbed(name, from_s, to_s) for name in upstreams):
+        yield f"{asked.request_id} was cut by a planned stop of {asked.entry}"
+
+
+def _check_leaving(records):
+    drains = [item for item in records.disturbances if item.kind == "drain"]
+    entries = {asked.request_id: asked.entry for asked in records.asked}
+    for drain in drains:
+        for run in records.runs:
+            late_s = run["at_s"] - drain.began_s
+            if run["instance"] != drain.target or late_s <= LEAVE_S:
+                continue
+            if run["at_s"] > drain.ended_s:
+                continue
+            entry = entries.get(run["id"], "")
+            if not records.was_disturbed(entry, drain.began_s - SETTLE_S, run["at_s"]):
+                yield f"{run['id']} began at {drain.target} {late_s:.1f} s after its notice"
+
+
+def _check_reads(records):
+    for read in records.reads:
+        due = [item.version for item in records.acknowledged if item.at_s < read.sent_s]
+        if read.version < max(due, default=0):
+            yield f"{read.keeper} told version {read.version} after {max(due)} was acknowledged"
+
+
+def _check_entries(records):
+    """Each entry obeys an accepted table in time, and never an older one again."""
+    obeyed = {}
+    probes = sorted(
+        (item for item in records.asked if item.kind == "version"), key=lambda item: item.sent_s
+    )
+    for probe in probes:
+        known = probe.status not in (0, 404, 503)
+        if known:
+            obeyed.setdefault((probe.entry, probe.version), probe.ended_s)
+            continue
+        if probe.status != 404:
+            continue
+        acked_s = [item.at_s for item in records.acknowledged if item.version == probe.version]
+        is_due = acked_s and probe.sent_s > acked_s[0] + APPLY_S
+        calm_from_s = probe.sent_s - SETTLE_S
+        is_calm = not records.was_disturbed(probe.entry, calm_from_s, probe.ended_s)
+        keepers_calm = not any(
+            records.was_disturbed(name, calm_from_s, probe.ended_s) for name in plan.KEEPERS
+        )
+        if is_due and is_calm and keepers_calm:
+            yield f"{probe.entry} did not obey version {probe.version} in time"
+        seen_s = obeyed.get((probe.entry, probe.version))
+        if seen_s is not None and seen_s < probe.sent_s:
+            killed = any(
+                item.kind in ("kill", "stop")
+                and item.target == probe.entry
+                and item.ended_s > seen_s
+                and item.began_s < probe.ended_s
+                for item in records.disturbances
+            )
+            if not killed:
+                yield f"{probe.entry} went back behind version {probe.version}"
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,175 @@
+"""Does the steps of a plan to a running fleet, from outside its processes."""
+
+import json
+import resource
+import signal
+import threading
+import time
+
+from lib import platform_fleet
+from soak import plan, records
+
+FIRST_VERSION = 3
+FULL_DISK_BYTES = 1
+TORN_BYTES = b"\x93\x01torn"
+_LINK_ORDERS = {
+    "delay": {"direction": "down", "delay_ms": 150},
+    "reset": {"cut": True},
+    "stall_up": {"direction": "up", "stall": True},
+    "stall_down": {"direction": "down", "stall": True},
+    "refuse": {"cut": True, "refuse": True},
+}
+_HEALED = ({"direction": "up"}, {"direction": "down"}, {"refuse": False})
+
+
+class Faults:
+    """Faults of one run.
+
+    :param fleet: the processes.
+    :param seen: takes when what was in trouble.
+    """
+
+    def __init__(self, fleet, seen):
+        self._fleet = fleet
+        self._seen = seen
+        self._lock = threading.Lock()
+        self._issued = FIRST_VERSION
+        self._acked = FIRST_VERSION
+        self._threads = []
+
+    def get_acknowledged(self):
+        """Return the newest version that was acknowledged."""
+        return self._acked
+
+    def play(self, steps):
+        """Do all steps, each at its time, overlapping as they do."""
+        began_s = time.monotonic()
+        for step in steps:
+            time.sleep(max(0.0, began_s + step.at_s - time.monotonic()))
+            thread = threading.Thread(target=self._do, args=(step,), daemon=True)
+            thread.start()
+            self._threads.append(thread)
+        for thread in self._threads:
+            thread.join()
+
+    def _do(self, step):
+        try:
+            if step.kind in ("table", "race", "bad_table"):
+                self._change_table(step)
+            else:
+                self._disturb(step)
+        except Exception as error:
+            self._seen.problems.append(f"the soak itself failed at {step}: {error!r}")
+
+    def _disturb(self, step):
+        if step.target in self._fleet.get_names() and step.target not in self._fleet.processes:
+            # An earlier fault has it down still.
+            return
+        noted = records.Disturbance(target=step.target, kind=step.kind, began_s=time.monotonic())
+        self._seen.disturbances.append(noted)
+        getattr(self, f"_{step.kind}", self._harm_link)(step)
+        noted.ended_s = time.monotonic()
+
+    def _pause(self, step):
+        self._fleet.signal(step.target, signal.SIGSTOP)
+        time.sleep(step.for_s)
+        self._fleet.signal(step.target, signal.SIGCONT)
+
+    def _kill(self, step):
+        self._fleet.kill(step.target)
+        time.sleep(step.for_s)
+        self._fleet.start_again(step.target)
+
+    def _stop(self, step):
+        self._fleet.signal(step.target, signal.SIGTERM)
+        code = self._fleet.wait_for_end(step.target)
+        if code != 0:
+            self._seen.problems.append(f"{step.target} ended with {code} after SIGTERM")
+        self._fleet.start_again(step.target)
+
+    def _reload(self, step):
+        self._fleet.signal(step.target, signal.SIGHUP)
+
+    def _wipe(self, step):
+        self._fleet.kill(step.target)
+        self._fleet.wipe(step.target)
+        time.sleep(step.for_s)
+        self._fleet.start_again(step.target)
+
+    def _tear(self, step):
+        """End a keeper in the middle of a write that was not synced."""
+        self._fleet.kill(step.target)
+        for path in self._fleet.get_data_dir(step.target).rglob("*"):
+            if path.is_file() and "log" in path.name:
+                with path.open("ab") as stream:
+                    stream.write(TORN_BYTES)
+        time.sleep(step.for_s)
+        self._fleet.start_again(step.target)
+
+    def _full_disk(self, step):
+        """No file of the process may grow for a while."""
+        pid = self._fleet.processes[step.target].pid
+        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (FULL_DISK_BYTES, hard))
+        time.sleep(step.for_s)
+        resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
+
+    def _drain(self, step):
+        self._fleet.set(step.target, state="draining")
+        time.sleep(step.for_s)
+        self._fleet.set(step.target, dead=True)
+        time.sleep(1.0)
+        self._fleet.set(step.target, state="ready", dead=False)
+
+    def _harm_link(self, step):
+        self._fleet.steer_link(step.target, _LINK_ORDERS[step.kind])
+        time.sleep(step.for_s)
+        for order in _HEALED:
+            self._fleet.steer_link(step.target, order)
+
+    def _change_table(self, step):
+        with self._lock:
+            self._issued += 2
+            versions = [self._issued - 1, self._issued]
+        if step.kind == "bad_table":
+            if self._fleet.put(step.target, b'{"version": %d, "rou' % versions[1]).status == 200:
+                self._seen.problems.append(f"{step.target} acknowledged an invalid table")
+            return
+        if step.kind == "table":
+            versions.pop()
+        orders = [
+            threading.Thread(target=self._put, args=(step.target, version), daemon=True)
+            for version in versions
+        ]
+        for order in orders:
+            order.start()
+        for order in orders:
+            order.join()
+
+    def _put(self, first_keeper, version):
+        """Send a table to one keeper after another until it is taken, as operators do."""
+        document = json.dumps(make_table(version)).encode()
+        keepers = sorted(plan.KEEPERS, key=lambda name: name != first_keeper)
+        until_s = time.monotonic() + platform_fleet.WAIT_S
+        while time.monotonic() < until_s:
+            for keeper in keepers:
+                if self._fleet.put(keeper, document).status == 200:
+                    self._note_acknowledged(version)
+                    return
+            time.sleep(0.1)
+        self._seen.problems.append(f"no keeper acknowledged version {version}")
+
+    def _note_acknowledged(self, version):
+        with self._lock:
+            self._acked = max(self._acked, version)
+        item = records.Acknowledged(version=version, at_s=time.monotonic())
+        self._seen.acknowledged.append(item)
+
+
+def make_table(version):
+    """Return a table in which each version so far has a route of its own."""
+    table = platform_fleet.make_table(version)
+    safe = table["routes"][1]
+    for number in range(FIRST_VERSION, version + 1):
+        table["routes"].append({**safe, "name": f"v{number}", "path_prefix": f"/v{number}/"})
+    return table
--- /dev/null
+++ b/tests/soak/plan.py
@@ -0,0 +1,96 @@
+"""What is done to the fleet in one run, drawn from a seed."""
+
+import dataclasses
+import random
+
+LENGTH_S = 10.0
+KEEPERS = ("keeper-1", "keeper-2", "keeper-3")
+ENTRIES = ("entry-1", "entry-2")
+MODELS = ("m-1", "m-2", "m-3")
+PLAIN = ("p-1", "p-2")
+WIPE_QUIET_S = 4.5
+"""Time around the loss of a disk without other trouble at keepers: one disk may be lost at once,
+and a keeper that lost its own counts again only after it has caught up."""
+
+PROCESS_KINDS = ("pause", "kill", "stop", "reload")
+LINK_KINDS = ("delay", "reset", "stall_up", "stall_down", "refuse")
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
+class Step:
+    """One thing that is done.
+
+    :ivar at_s: when, counted from the start of traffic.
+    :ivar kind: what.
+    :ivar target: to whom; the keeper that is sent to for tables.
+    :ivar for_s: how long.
+    """
+
+    at_s: float
+    kind: str
+    target: str
+    for_s: float
+
+    @property
+    def end_s(self) -> float:
+        return self.at_s + self.for_s
+
+
+def make_plan(seed):
+    """Draw the steps of one run, in order of time."""
+    chance = random.Random(seed)
+    steps = _draw_processes(chance) + _draw_disks(chance)
+    steps += _draw_upstreams(chance) + _draw_tables(chance)
+    return sorted(steps, key=lambda step: step.at_s)
+
+
+def _draw_processes(chance):
+    steps = []
+    for target in ENTRIES:
+        at_s = chance.uniform(0.5, 4.0)
+        while at_s < LENGTH_S - 2.0:
+            kind = chance.choice(PROCESS_KINDS)
+            for_s = chance.uniform(0.2, 2.0)
+            steps.append(Step(at_s=at_s, kind=kind, target=target, for_s=for_s))
+            at_s += for_s + chance.uniform(0.1, 5.0)
+    return steps
+
+
+def _draw_disks(chance):
+    """Trouble of keepers: in series and overlapping, but for the loss of a disk."""
+    if chance.random() < 0.4:
+        at_s = chance.uniform(1.0, LENGTH_S - WIPE_QUIET_S)
+        kind = chance.choice(("wipe", "tear"))
+        target = chance.choice(KEEPERS)
+        return [Step(at_s=at_s, kind=kind, target=target, for_s=chance.uniform(0.2, 1.0))]
+    steps = []
+    for target in chance.sample(KEEPERS, 2):
+        at_s = chance.uniform(0.5, 5.0)
+        for _ in range(chance.randint(1, 2)):
+            kind = chance.choice((*PROCESS_KINDS, "full_disk"))
+            for_s = chance.uniform(0.2, 2.0)
+            steps.append(Step(at_s=at_s, kind=kind, target=target, for_s=for_s))
+            at_s += for_s + chance.uniform(0.1, 2.0)
+    return [step for step in steps if step.at_s < LENGTH_S - 1.0]
+
+
+def _draw_upstreams(chance):
+    steps = []
+    leaving = chance.choice(MODELS)
+    at_s = chance.uniform(1.0, LENGTH_S - 4.0)
+    steps.append(Step(at_s=at_s, kind="drain", target=leaving, for_s=chance.uniform(1.5, 3.5)))
+    others = [name for name in (*MODELS, *PLAIN) if name != leaving]
+    for target in chance.sample(others, 2):
+        kind = chance.choice(LINK_KINDS)
+        at_s = chance.uniform(0.5, LENGTH_S - 2.0)
+        steps.append(Step(at_s=at_s, kind=kind, target=target, for_s=chance.uniform(0.1, 1.5)))
+    return steps
+
+
+def _draw_tables(chance):
+    steps = []
+    for _ in range(chance.randint(3, 8)):
+        at_s = chance.uniform(0.3, LENGTH_S - 0.5)
+        kind = chance.choice(("table", "table", "race", "bad_table"))
+        steps.append(Step(at_s=at_s, kind=kind, target=chance.choice(KEEPERS), for_s=0.0))
+    return steps
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -2,8 +2,8 @@
 
 One process listens for the list and for every instance. A plain instance echoes; a model
 instance streams numbered events and lets a run go on at another instance from a copy. A test
-steers it by ``POST /_set`` at the list's address (``{"instance": .., "state": .., "dead": ..}``)
-and reads ``GET /_runs``.
+steers it by ``POST /_set`` at the list's address (``{"instance": .., "state": .., "dead": ..,
+"address": ..}``) and reads ``GET /_runs``.
 """
 
 import argparse
@@ -11,6 +11,7 @@
 import json
 import signal
 import sys
+import time
 
 from standins import http_server
 
@@ -68,6 +69,7 @@
             instance = self.instances[order["instance"]]
             instance.state = order.get("state", instance.state)
             instance.is_dead = order.get("dead", instance.is_dead)
+            instance.address = order.get("address", instance.address)
             if instance.is_dead:
                 for task in list(instance.tasks):
                     task.cancel()
@@ -123,6 +125,7 @@
                 "id": request.headers.get("x-request-id"),
                 "path": request.path,
                 "headers": request.headers,
+                "at_s": time.monotonic(),
             }
         )
 
