Tell a request's story from saved log lines

Cause: spoolhead explain asked live entries only; on the platform an engineer has only logs, and took the lines about the instances involved together by hand.

--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -14,6 +14,7 @@
     diff,
     edit,
     explain,
+    explain_logs,
     history,
     keepers,
     make_key,
@@ -35,6 +36,16 @@
         "--settings", envvar="SPOOLHEAD_SETTINGS", help="Settings file, JSON with comments."
     ),
 ]
+OptionalSettingsOption = Annotated[
+    str,
+    typer.Option(
+        "--settings", envvar="SPOOLHEAD_SETTINGS", help="Settings file; not needed with --log."
+    ),
+]
+LogOption = Annotated[
+    list[str] | None,
+    typer.Option("--log", help="File with log lines, - for standard input; may be repeated."),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 AuthorOption = Annotated[str, typer.Option("--author", help="Who makes the edit.")]
 EditIdOption = Annotated[
@@ -153,11 +164,14 @@
 @app.command("explain")
 @_exit_with
 def _explain(
-    settings_file: SettingsOption,
     request_id: Annotated[str, typer.Argument(help="The request's X-Request-Id.")],
+    settings_file: OptionalSettingsOption = "",
+    log: LogOption = None,
     as_json: JsonOption = False,
 ) -> exit_codes.ExitCode:
-    """Print why a request was decided as it was."""
+    """Print why a request was decided as it was: ask the entries, or read saved log lines."""
+    if log:
+        return explain_logs.run(request_id, log, as_json=as_json)
     return explain.run(_read(settings_file), request_id, as_json=as_json)
 
 
--- /dev/null
+++ b/src/spoolhead/_internal/commands/explain_logs.py
@@ -0,0 +1,72 @@
+"""``spoolhead explain --log``: a request's story from saved log lines."""
+
+import pathlib
+import sys
+from collections.abc import Iterator
+
+from spoolhead._internal.cli import exit_codes, output
+from spoolhead._internal.models import codes
+from spoolhead._internal.utils import log_story, logs
+
+STANDARD_INPUT = "-"
+
+
+def run(request_id: str, paths: list[str], *, as_json: bool) -> exit_codes.ExitCode:
+    """Print what the lines of some files tell of a request.
+
+    :param paths: files, one a process or merged; ``-`` for standard input.
+    """
+    try:
+        story = log_story.tell(_read(paths), request_id)
+    except OSError as error:
+        output.print_error(str(error))
+        return exit_codes.ExitCode.BAD_INPUT
+    if not story.own:
+        text = codes.FACTS[codes.ResultCode.DECISION_NOT_FOUND].meaning
+        output.print_error(f"{text} [{int(codes.ResultCode.DECISION_NOT_FOUND)}]")
+        return exit_codes.ExitCode.NOT_FOUND
+    if as_json:
+        output.print_json([_as_dict(line) for line in (*story.own, *story.beliefs)])
+        return exit_codes.ExitCode.OK
+    began_s = story.own[0].time_s
+    for line in story.own:
+        _print_line(line, began_s)
+    if not story.has_end:
+        print("no line tells its end: the process ended first, or the line was dropped")
+    print("what the process believed:")
+    for line in story.beliefs:
+        _print_line(line, began_s)
+    return exit_codes.ExitCode.OK
+
+
+def _read(paths: list[str]) -> Iterator[log_story.Line]:
+    for path in paths:
+        name = "" if path == STANDARD_INPUT else pathlib.Path(path).stem
+        for text in _get_texts(path):
+            line = log_story.read_line(name, text)
+            if line is not None:
+                yield line
+
+
+def _get_texts(path: str) -> Iterator[str]:
+    if path == STANDARD_INPUT:
+        yield from sys.stdin
+        return
+    with pathlib.Path(path).open(encoding="utf-8", errors="replace") as stream:
+        yield from stream
+
+
+def _print_line(line: log_story.Line, began_s: float) -> None:
+    fields = " ".join(
+        f"{name}={logs.get_text(value)}" for name, value in line.fields.items() if name != "request"
+    )
+    print(f"{(line.time_s - began_s) * 1000:+8.0f} ms  {line.process}  {line.text}  {fields}")
+
+
+def _as_dict(line: log_story.Line) -> dict[str, object]:
+    return {
+        "process": line.process,
+        "time_s": line.time_s,
+        "text": line.text,
+        "fields": line.fields,
+    }
