--- a/src/spoolhead/_internal/entry/control.py
+++ b/src/spoolhead/_internal/entry/control.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from spoolhead._internal.entry import dispatcher as dispatchers
+from spoolhead._internal.entry import decision_book
 from spoolhead._internal.entry import neighbours as entry_neighbours
 from spoolhead._internal.network import messages, peer_server
 
@@ -12,18 +12,18 @@
 class ControlService:
     """Handles operators' messages; implements :class:`peer_server.PeerService`.
 
-    :param dispatcher: knows the decisions.
+    :param decisions: what was decided on each request.
     :param neighbours: the other entries of the hall, which connect here too.
     :param get_status: returns the entry's status.
     """
 
     def __init__(
         self,
-        dispatcher: dispatchers.Dispatcher,
+        decisions: decision_book.DecisionBook,
         neighbours: entry_neighbours.Neighbours,
         get_status: Callable[[], Status],
     ) -> None:
-        self._dispatcher = dispatcher
+        self._decisions = decisions
         self._neighbours = neighbours
         self._get_status = get_status
 
@@ -42,7 +42,7 @@
             case messages.GetStatus():
                 answer = messages.StatusAnswer(request=message.request, status=self._get_status())
             case messages.GetDecision():
-                made = self._dispatcher.get_decisions(message.request_id)
+                made = self._decisions.get(message.request_id)
                 answer = messages.DecisionAnswer(
                     request=message.request, decisions=[item.get_fields() for item in made]
                 )
--- /dev/null
+++ b/src/spoolhead/_internal/entry/decision_book.py
@@ -0,0 +1,92 @@
+"""Remembers and logs what was decided on each request."""
+
+import collections
+import logging
+from collections.abc import Callable
+
+from spoolhead._internal.models import codes, decision, fault, requests, settings
+from spoolhead._internal.policy import placement
+from spoolhead._internal.utils import metrics
+
+logger = logging.getLogger("spoolhead.decisions")
+
+
+class DecisionBook:
+    """Decisions on the newest requests, for operators who ask.
+
+    :param config: the entry's settings.
+    :param gathered: metrics.
+    :param clock: returns the monotonic time in seconds.
+    """
+
+    def __init__(
+        self,
+        config: settings.EntrySettings,
+        gathered: metrics.Metrics,
+        clock: Callable[[], float],
+    ) -> None:
+        self._config = config
+        self._gathered = gathered
+        self._clock = clock
+        self._decisions: collections.OrderedDict[str, list[decision.Decision]] = (
+            collections.OrderedDict()
+        )
+
+    def get(self, request_id: str) -> list[decision.Decision]:
+        """Return what was decided on a request, oldest first."""
+        return list(self._decisions.get(request_id, ()))
+
+    def note(
+        self,
+        request: requests.CallerRequest,
+        action: str,
+        code: codes.ResultCode,
+        *,
+        choice: placement.Choice | None = None,
+        text: str = "",
+    ) -> None:
+        """Take note of a decision.
+
+        :param choice: upstreams that it was taken among.
+        """
+        chosen = choice.replica if choice is not None else None
+        self._remember(
+            decision.Decision(
+                request_id=request.request_id,
+                workspace=request.workspace,
+                service=request.service_name,
+                action=action,
+                code=code,
+                wait_ms=self._get_age_ms(request.arrived_s),
+                upstream=chosen.name if chosen is not None else "",
+                candidates=choice.candidates if choice is not None else (),
+                text=text,
+            )
+        )
+
+    def note_refusal(
+        self, request_id: str, workspace: str, item: fault.Fault, arrived_s: float
+    ) -> None:
+        """Take note of a refusal before there was anything to choose from."""
+        self._remember(
+            decision.Decision(
+                request_id=request_id,
+                workspace=workspace,
+                service="",
+                action="refuse",
+                code=item.code,
+                wait_ms=self._get_age_ms(arrived_s),
+                text=item.text,
+            )
+        )
+
+    def _get_age_ms(self, arrived_s: float) -> int:
+        return int((self._clock() - arrived_s) * 1000)
+
+    def _remember(self, made: decision.Decision) -> None:
+        self._gathered.count(metrics.Metric.DECISIONS, kind=str(int(made.code)))
+        self._decisions.setdefault(made.request_id, []).append(made)
+        while len(self._decisions) > self._config.remembered_decisions:
+            self._decisions.popitem(last=False)
+        if logger.isEnabledFor(logging.INFO):
+            logger.info(made.action, extra={"fields": made.get_fields()})
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -1,21 +1,24 @@
 """Brings requests and upstreams together: queue, placement, running flows."""
 
-import collections
 import itertools
-import logging
 import random
 import time
-
-from spoolhead._internal.entry import answers, flow, flow_context
-from spoolhead._internal.models import codes, decision, fault, load_report, requests, rows, settings
+from collections.abc import Callable
+
+from spoolhead._internal.entry import (
+    answers,
+    decision_book,
+    flow,
+    flow_context,
+    upstream_pools,
+)
+from spoolhead._internal.models import codes, fault, load_report, requests, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import admission, placement, policy_set, replicas
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import metrics
 
-logger = logging.getLogger("spoolhead.decisions")
-
 TICK_S = 0.1
 LOOK_AHEAD = 4
 """Workspaces whose next request is tried when the one before fits nowhere."""
@@ -54,6 +57,7 @@
     :param calls: makes requests to upstreams.
     :param gathered: metrics.
     :param policies: what decides.
+    :param decisions: remembers what was decided.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         calls: upstream_calls.UpstreamCalls,
         gathered: metrics.Metrics,
         policies: policy_set.PolicySet,
+        decisions: decision_book.DecisionBook,
     ) -> None:
         self._config = config
         self._table = table
@@ -72,13 +77,10 @@
         self._admission = policies.make_admission(table.workspaces)
         self._lengths = policies.make_lengths()
         self._placement = policies.make_placement(config.hall, self._lengths, random.Random())
-        self._pools: dict[str, placement.Pool] = {}
-        self._replicas: dict[str, replicas.Replica] = {}
+        self._pools = upstream_pools.UpstreamPools(calls.forget)
         self._flows: set[flow.Flow] = set()
-        self._decisions: collections.OrderedDict[str, list[decision.Decision]] = (
-            collections.OrderedDict()
-        )
-        self._on_end: dict[str, collections.abc.Callable[[flow_context.Result], None]] = {}
+        self._decisions = decisions
+        self._on_end: dict[str, Callable[[flow_context.Result], None]] = {}
         self._available_s: dict[str, float] = {}
         self._started_s = time.monotonic()
         self._context = flow_context.Context(
@@ -107,15 +109,11 @@
     @property
     def upstreams(self) -> list[replicas.Replica]:
         """Upstreams in the table, those leaving included."""
-        return list(self._replicas.values())
+        return self._pools.get_all()
 
     def get_upstream(self, name: str) -> replicas.Replica | None:
         """Return an upstream of the table, or None."""
-        return self._replicas.get(name)
-
-    def get_decisions(self, request_id: str) -> list[decision.Decision]:
-        """Return what was decided on a request, oldest first."""
-        return list(self._decisions.get(request_id, ()))
+        return self._pools.get(name)
 
     def set_entry_count(self, count: int) -> None:
         """Say how many entries share the upstreams."""
@@ -125,26 +123,14 @@
         """Take over the table's upstreams; one that leaves is in no pool from here on."""
         now_s = time.monotonic()
         is_new = now_s - self._started_s > replicas.REPORT_STALE_S
-        for name in list(self._replicas):
-            if name not in self._table.upstreams:
-                self._remove_replica(name)
-        for name, row in self._table.upstreams.items():
-            known = self._replicas.get(name)
-            if known is not None and known.row is row:
-                continue
-            if known is not None and known.row.address != row.address:
-                self._remove_replica(name)
-                known = None
-            if known is None:
-                known = replicas.Replica(name, row, now_s, is_new=is_new)
-            self._put_replica(known, row)
+        self._pools.update(self._table.upstreams, now_s, is_new=is_new)
         self._pump()
 
     def submit(
         self,
         request: requests.CallerRequest,
         caller: caller_front.Caller,
-        on_end: collections.abc.Callable[[flow_context.Result], None] | None = None,
+        on_end: Callable[[flow_context.Result], None] | None = None,
     ) -> None:
         """Take a request: run it, let it wait, or refuse it.
 
@@ -177,7 +163,7 @@
         code: codes.ResultCode,
     ) -> None:
         """Log another attempt of a flow."""
-        self._note(running.request, action, code, choice=choice)
+        self._decisions.note(running.request, action, code, choice=choice)
 
     def wait_again(self, running: flow.Flow, code: codes.ResultCode) -> bool:
         """Put a flow whose attempt failed back to the head of its queue.
@@ -185,12 +171,12 @@
         :returns: False if no upstream is left that could make room.
         """
         request = running.request
-        pool = self._pools.get(request.service_name)
+        pool = self._pools.get_pool(request.service_name)
         if pool is None or not pool.has_available(time.monotonic()):
             return False
         self._flows.discard(running)
         self._admission.finish(request.workspace)
-        self._note(request, "wait", code, text="no upstream has room for another attempt")
+        self._decisions.note(request, "wait", code, text="no upstream has room for another attempt")
         waiting = self._make_waiting(_Job(request, running.caller, running))
         self._admission.put_back(waiting, time.monotonic())
         running.caller.on_gone = lambda: self._withdraw(waiting)
@@ -211,52 +197,16 @@
         if request.wants_stream:
             self._gathered.time(metrics.Metric.STALL_MS, running.stalled_s * 1000)
         text = f"ran: {result.ran.value}, tokens: {result.tokens}"
-        self._note(request, "end", result.code, text=text)
+        self._decisions.note(request, "end", result.code, text=text)
         self._call_on_end(request, result)
         self._pump_service(request.service_name)
 
-    def note_refusal(
-        self, request_id: str, workspace: str, item: fault.Fault, now_s: float
-    ) -> None:
-        """Log a refusal that was decided before the request came here."""
-        self._remember(
-            decision.Decision(
-                request_id=request_id,
-                workspace=workspace,
-                service="",
-                action="refuse",
-                code=item.code,
-                wait_ms=int((time.monotonic() - now_s) * 1000),
-                text=item.text,
-            )
-        )
-
-    def _put_replica(self, replica: replicas.Replica, row: rows.UpstreamRow) -> None:
-        old_pool = self._pools.get(replica.row.service)
-        if old_pool is not None:
-            old_pool.remove(replica.name)
-        replica.row = row
-        self._replicas[replica.name] = replica
-        if replica.is_leaving:
-            self._calls.forget(row.address)
-            return
-        self._pools.setdefault(row.service, placement.Pool()).put(replica)
-
-    def _remove_replica(self, name: str) -> None:
-        replica = self._replicas.pop(name)
-        (
-            self._pools[replica.row.service].remove(name)
-            if replica.row.service in self._pools
-            else None
-        )
-        self._calls.forget(replica.row.address)
-
     def _get_early_refusal(self, request: requests.CallerRequest) -> admission.Refused | None:
         if self.held_count >= self._config.max_requests:
             return _make_refusal(
                 codes.ResultCode.ENTRY_FULL, f"this entry holds {self.held_count} requests"
             )
-        pool = self._pools.get(request.service_name)
+        pool = self._pools.get_pool(request.service_name)
         if pool is None or not pool.has_available(request.arrived_s):
             text = f"no upstream of {request.service_name} is in use"
             return _make_refusal(codes.ResultCode.NO_UPSTREAM, text)
@@ -287,21 +237,23 @@
     def _withdraw(self, waiting: admission.Waiting) -> None:
         request = waiting.owner.request
         self._admission.withdraw(waiting)
-        self._note(request, "withdraw", codes.ResultCode.OK, text="the caller left")
+        self._decisions.note(request, "withdraw", codes.ResultCode.OK, text="the caller left")
         self._call_on_end(request, flow_context.Result(codes.ResultCode.OK, waiting.owner.ran, 0))
 
     def _resume(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         point = request.resume
-        replica = self._replicas.get(point.upstream)
+        replica = self._pools.get(point.upstream)
         if replica is None:
             item = fault.Fault(codes.ResultCode.GENERATION_LOST, "its upstream is gone")
-            self._note(request, "refuse", item.code, text=item.text)
+            self._decisions.note(request, "refuse", item.code, text=item.text)
             answers.send_error(caller, item, ran=codes.Ran.YES, request_id=request.request_id)
             return
         self._admission.start_unqueued(request.workspace, request.arrived_s)
         running = flow.Flow(request, caller, self._context)
         self._flows.add(running)
-        self._note(request, "resume", codes.ResultCode.OK, choice=_make_forced_choice(replica))
+        self._decisions.note(
+            request, "resume", codes.ResultCode.OK, choice=_make_forced_choice(replica)
+        )
         running.resume(replica, point.generation)
 
     def take_report(self, replica: replicas.Replica, report: load_report.LoadReport) -> None:
@@ -336,7 +288,7 @@
         self._admission.start(waiting, now_s)
         wait_ms = (now_s - request.arrived_s) * 1000
         self._gathered.time(metrics.Metric.QUEUE_WAIT_MS, wait_ms)
-        self._note(request, "run", codes.ResultCode.OK, choice=choice)
+        self._decisions.note(request, "run", codes.ResultCode.OK, choice=choice)
         running = job.tried or flow.Flow(request, job.caller, self._context)
         self._flows.add(running)
         running.start(choice)
@@ -344,7 +296,7 @@
     def _choose(
         self, request: requests.CallerRequest, excluded: frozenset[str]
     ) -> placement.Choice:
-        pool = self._pools.get(request.service_name)
+        pool = self._pools.get_pool(request.service_name)
         service = self._table.services.get(request.service_name)
         if pool is None or service is None:
             return placement.Choice(None, 0.0, ())
@@ -374,7 +326,7 @@
     def _refuse_stranded(self, now_s: float) -> None:
         """Refuse what waits for a service whose upstreams have all been gone for a while."""
         for service in self._admission.waiting_services:
-            pool = self._pools.get(service)
+            pool = self._pools.get_pool(service)
             if pool is not None and pool.has_available(now_s):
                 self._available_s[service] = now_s
                 continue
@@ -388,7 +340,7 @@
 
     def _refuse(self, job: _Job, refused: admission.Refused) -> None:
         request = job.request
-        self._note(request, "refuse", refused.fault.code, text=refused.fault.text)
+        self._decisions.note(request, "refuse", refused.fault.code, text=refused.fault.text)
         self._call_on_end(request, flow_context.Result(refused.fault.code, job.ran, 0))
         answers.send_error(
             job.caller,
@@ -403,38 +355,6 @@
         if on_end is not None:
             on_end(result)
 
-    def _note(
-        self,
-        request: requests.CallerRequest,
-        action: str,
-        code: codes.ResultCode,
-        *,
-        choice: placement.Choice | None = None,
-        text: str = "",
-    ) -> None:
-        chosen = choice.replica if choice is not None else None
-        self._remember(
-            decision.Decision(
-                request_id=request.request_id,
-                workspace=request.workspace,
-                service=request.service_name,
-                action=action,
-                code=code,
-                wait_ms=int((time.monotonic() - request.arrived_s) * 1000),
-                upstream=chosen.name if chosen is not None else "",
-                candidates=choice.candidates if choice is not None else (),
-                text=text,
-            )
-        )
-
-    def _remember(self, made: decision.Decision) -> None:
-        self._gathered.count(metrics.Metric.DECISIONS, kind=str(int(made.code)))
-        self._decisions.setdefault(made.request_id, []).append(made)
-        while len(self._decisions) > self._config.remembered_decisions:
-            self._decisions.popitem(last=False)
-        if logger.isEnabledFor(logging.INFO):
-            logger.info(made.action, extra={"fields": made.get_fields()})
-
 
 def _make_refusal(code: codes.ResultCode, text: str) -> admission.Refused:
     return admission.Refused(fault.Fault(code, text), flow.RETRY_AFTER_MS)
--- a/src/spoolhead/_internal/entry/once_requests.py
+++ b/src/spoolhead/_internal/entry/once_requests.py
@@ -8,7 +8,7 @@
 import hashlib
 import logging
 
-from spoolhead._internal.entry import answers, api, flow_context, keeper_link
+from spoolhead._internal.entry import answers, api, decision_book, flow_context, keeper_link
 from spoolhead._internal.entry import dispatcher as dispatchers
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front
@@ -30,11 +30,18 @@
     """Runs requests under claims.
 
     :param dispatcher: runs what was granted.
+    :param decisions: remembers what was refused.
     :param keeper: grants claims.
     """
 
-    def __init__(self, dispatcher: dispatchers.Dispatcher, keeper: keeper_link.KeeperLink) -> None:
+    def __init__(
+        self,
+        dispatcher: dispatchers.Dispatcher,
+        decisions: decision_book.DecisionBook,
+        keeper: keeper_link.KeeperLink,
+    ) -> None:
         self._dispatcher = dispatcher
+        self._decisions = decisions
         self._keeper = keeper
         self.claiming_count = 0
 
@@ -106,9 +113,7 @@
         if code is codes.ResultCode.ONCE_KEY_REUSED:
             ran = codes.Ran.NO
         item = fault.Fault(code, codes.FACTS[code].meaning, path=api.ONCE_KEY_HEADER)
-        self._dispatcher.note_refusal(
-            request.request_id, request.workspace, item, request.arrived_s
-        )
+        self._decisions.note_refusal(request.request_id, request.workspace, item, request.arrived_s)
         may_come_back = code in (
             codes.ResultCode.ONCE_CLAIM_UNAVAILABLE,
             codes.ResultCode.ONCE_IN_PROGRESS,
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -9,6 +9,7 @@
     answers,
     api,
     control,
+    decision_book,
     dispatcher,
     keeper_link,
     load_reports,
@@ -52,8 +53,9 @@
         self._table = view.TableView()
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
+        self._decisions = decision_book.DecisionBook(config, self._metrics, time.monotonic)
         self._dispatcher = dispatcher.Dispatcher(
-            self._loop, config, self._table, calls, self._metrics, policies
+            self._loop, config, self._table, calls, self._metrics, policies, self._decisions
         )
         self._neighbours = neighbours.Neighbours(
             self._loop, outgoing, config, lambda reports: self._reports.take_from_neighbour(reports)
@@ -72,12 +74,12 @@
             (config.control_host, config.control_port),
             name=config.name,
             shared_key=config.shared_key,
-            service=control.ControlService(self._dispatcher, self._neighbours, self.get_status),
+            service=control.ControlService(self._decisions, self._neighbours, self.get_status),
         ).register(self._loop)
         self._keeper = keeper_link.KeeperLink(
             self._loop, outgoing, config, self._table, self, self._control.address
         )
-        self._once = once_requests.OnceRequests(self._dispatcher, self._keeper)
+        self._once = once_requests.OnceRequests(self._dispatcher, self._decisions, self._keeper)
         self._dispatcher.update_upstreams()
         self._front = caller_front.CallerFront(
             self._loop, config, take=self._take, refuse=self._refuse_bytes
@@ -236,7 +238,7 @@
         now_s: float,
         retry_after_ms: int | None = None,
     ) -> None:
-        self._dispatcher.note_refusal(request_id, workspace, item, now_s)
+        self._decisions.note_refusal(request_id, workspace, item, now_s)
         answers.send_error(
             caller,
             item,
