Tell the fleet once, believe silence the second time, keep said and found alarms apart

Change: a keeper tells the fleet at most each 0.25 s, and new keepers without a new table. Change: silence counts the second time; a false 'not reachable' no longer takes belief from what an instance says itself; an answer that marks the question as not run means full. Cause 3: the list was sent whole at each reading while a new instance was slow, since its time left was in it. Change: it says whether. Sums go to one entry of each hall in turn, by two speakers.

--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -9,9 +9,9 @@
 import time
 from collections.abc import Callable
 
-from spoolhead._internal.models import settings
+from spoolhead._internal.models import dialects, settings
+from spoolhead._internal.network import links, upstream_calls
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.network import upstream_calls
 from spoolhead._internal.policy import upstream_book, watch_duty
 from spoolhead._internal.routing import matcher
 
@@ -20,13 +20,17 @@
 ANSWER_S = 0.5
 """Longest wait for an answer: many times the usual few milliseconds."""
 
+SILENCES_TO_ALARM = 2
+"""Questions in a row without any answer that raise an alarm. One comes from this entry itself
+standing still for half a second, or its link, and would have every engine emptied at once."""
+
 _OK = 200
 
 
 class _Probe:
     """One question; its answer raises an alarm if it is bad."""
 
-    __slots__ = ("began_s", "call", "owner", "status", "upstream")
+    __slots__ = ("began_s", "call", "has_not_run", "owner", "status", "upstream")
 
     def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream) -> None:
         self.owner = owner
@@ -34,10 +38,11 @@
         self.began_s = time.monotonic()
         self.call: upstream_calls.UpstreamCall | None = None
         self.status = 0
+        self.has_not_run = False
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
-        del headers
         self.status = status
+        self.has_not_run = self.owner.dialect.read_answer(status, headers).has_not_run
 
     def on_answer_body(self, data: bytes) -> None:
         pass
@@ -46,7 +51,8 @@
         self.owner.take(self, f"status {self.status}")
 
     def on_call_lost(self, reason: str) -> None:
-        self.owner.take(self, reason)
+        is_silent = reason == links.CONNECT_TIMEOUT
+        self.owner.take(self, reason, is_silent=is_silent)
 
 
 class HealthWatch:
@@ -55,12 +61,13 @@
     :param loop: root of the program.
     :param calls: makes HTTP requests.
     :param config: the entry's settings.
+    :param dialect: how instances speak.
     :param book: the instances.
     :param get_table: returns the table in force.
     :param get_watchers: returns the entries that are alive.
     :param get_silent_halls: returns the halls that look cut off; nothing is asked there, since
         no answer would say nothing of an instance.
-    :param on_alarm: called with an instance that was found bad.
+    :param on_alarm: called with an instance that was found bad and whether it said so itself.
     """
 
     def __init__(
@@ -68,36 +75,50 @@
         loop: loops.Loop,
         calls: upstream_calls.UpstreamCalls,
         config: settings.GatewaySettings,
+        dialect: dialects.EntryDialect,
         book: upstream_book.UpstreamBook,
         *,
         get_table: Callable[[], matcher.Matcher | None],
         get_watchers: Callable[[], list[watch_duty.Watcher]],
         get_silent_halls: Callable[[], frozenset[str]],
-        on_alarm: Callable[[upstream_book.Upstream], None],
+        on_alarm: Callable[[upstream_book.Upstream, bool], None],
     ) -> None:
         self._calls = calls
         self._config = config
+        self.dialect = dialect
         self._book = book
         self._get_table = get_table
         self._get_watchers = get_watchers
         self._get_silent_halls = get_silent_halls
         self._on_alarm = on_alarm
         self._probes: dict[str, _Probe] = {}
+        self._silences: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
 
-    def take(self, probe: _Probe, outcome: str) -> None:
-        """Take the answer to a question, or its loss."""
+    def take(self, probe: _Probe, outcome: str, *, is_silent: bool = False) -> None:
+        """Take the answer to a question, or its loss.
+
+        :param is_silent: nothing came at all, not even a refusal.
+        """
         instance_id = probe.upstream.instance.instance_id
         self._probes.pop(instance_id, None)
+        silences = self._silences.pop(instance_id, 0)
         if probe.status == _OK or probe.upstream.is_leaving:
             return
+        if probe.has_not_run:
+            # It is full: a question waits for a slot as a request does, and is refused as one.
+            return
         if probe.upstream.instance.hall in self._get_silent_halls():
             return
+        if is_silent and silences + 1 < SILENCES_TO_ALARM:
+            self._silences[instance_id] = silences + 1
+            return
         now_s = time.monotonic()
-        if probe.upstream.raise_alarm(now_s):
+        is_said = probe.status != 0
+        if probe.upstream.raise_alarm(now_s, is_said=is_said):
             fields = {"upstream": instance_id, "outcome": outcome}
             logger.info("upstream says that it is not well", extra={"fields": fields})
-            self._on_alarm(probe.upstream)
+            self._on_alarm(probe.upstream, is_said)
 
     def _ask_all(self) -> None:
         table = self._get_table()
@@ -107,7 +128,7 @@
         for probe in list(self._probes.values()):
             if now_s - probe.began_s > ANSWER_S and probe.call is not None:
                 probe.call.cancel()
-                self.take(probe, "no answer")
+                self.take(probe, "no answer", is_silent=True)
         watchers = self._get_watchers()
         silent_halls = self._get_silent_halls()
         for service in table.services:
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -20,8 +20,6 @@
 SUM_S_PER_ENTRY = 0.003
 """Least time between two sums of a hall, for each entry there is: 24 ms with eight entries and a
 second with 350, so that what crosses halls does not grow with their number."""
-SUM_TARGETS = 2
-"""Entries of another hall that get one sum; the next sum goes to the next ones."""
 REPEAT_S = 1.0
 """Time after which what is unchanged is sent again."""
 MAX_DATAGRAM_BYTES = 60_000
@@ -106,9 +104,9 @@
         """Return the halls that were heard from and are silent, as behind a cut."""
         return self._view.get_silent_halls(time.monotonic())
 
-    def tell_alarm(self, instance_id: str) -> None:
+    def tell_alarm(self, alarm: shared_load.Alarm) -> None:
         """Tell all other entries at once of an instance that was found bad."""
-        data = shared_load.encode(self._make_share(alarms=[instance_id]))
+        data = shared_load.encode(self._make_share(alarms=[alarm]))
         self._send(self._mates, data)
         for peers in self._others.values():
             self._send(peers, data)
@@ -123,7 +121,7 @@
         """Work out again what the others hold, after the list of instances has changed."""
         self._view.rebuild(time.monotonic())
 
-    def _make_share(self, *, alarms: list[str]) -> shared_load.Share:
+    def _make_share(self, *, alarms: list[shared_load.Alarm]) -> shared_load.Share:
         self._sequence += 1
         return shared_load.Share(
             sender=self._name,
@@ -166,11 +164,10 @@
         self._is_sum_due = False
         self._sum_sent_s = time.monotonic()
         data = shared_load.encode(self._make_sum(self._sum_sent_s))
-        self._turn += SUM_TARGETS
+        self._turn += 1
         for peers in self._others.values():
-            count = min(SUM_TARGETS, len(peers))
-            chosen = [peers[(self._turn + offset) % len(peers)] for offset in range(count)]
-            self._send(chosen, data)
+            # The next sum goes to the next entry, so one that is down loses a few only.
+            self._send([peers[self._turn % len(peers)]], data)
 
     def _send(self, peers: Iterable[_Peer], data: bytes) -> None:
         for peer in peers:
@@ -200,8 +197,8 @@
         except ValueError as error:
             logger.warning("datagram that is no share: %s", error)
             return False
-        for instance_id in share.alarms:
-            self._take_alarm(share.sender, instance_id)
+        for alarm in share.alarms:
+            self._take_alarm(share.sender, alarm)
         if not self._view.take_share(share, time.monotonic()):
             return False
         if not share.is_sum:
@@ -211,11 +208,11 @@
             self._send(self._mates, data)
         return True
 
-    def _take_alarm(self, name: str, instance_id: str) -> None:
-        upstream = self._book.get(instance_id)
+    def _take_alarm(self, name: str, alarm: shared_load.Alarm) -> None:
+        upstream = self._book.get(alarm.instance_id)
         if upstream is None or upstream.is_leaving:
             return
-        if upstream.raise_alarm(time.monotonic()):
-            fields = {"upstream": instance_id, "told_by": name}
+        if upstream.raise_alarm(time.monotonic(), is_said=alarm.is_said):
+            fields = {"upstream": alarm.instance_id, "told_by": name}
             logger.info("upstream is said not to be well", extra={"fields": fields})
             self._on_alarm(upstream)
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -15,7 +15,15 @@
     stream_exchange,
     table_feed,
 )
-from spoolhead._internal.models import codes, dialects, fault, instances, route_table, settings
+from spoolhead._internal.models import (
+    codes,
+    dialects,
+    fault,
+    instances,
+    route_table,
+    settings,
+    shared_load,
+)
 from spoolhead._internal.network import (
     caller_front,
     links,
@@ -100,6 +108,7 @@
             self.loop,
             calls,
             config,
+            dialect,
             self._book,
             get_table=lambda: self._matcher,
             get_watchers=self._sharing.get_watchers,
@@ -159,9 +168,10 @@
         self._sharing.note_change()
         self._context.queue.note_change()
 
-    def _on_alarm(self, upstream: upstream_book.Upstream) -> None:
+    def _on_alarm(self, upstream: upstream_book.Upstream, is_said: bool) -> None:
         self._figures.alarms.inc()
-        self._sharing.tell_alarm(upstream.instance.instance_id)
+        alarm = shared_load.Alarm(upstream.instance.instance_id, is_said=is_said)
+        self._sharing.tell_alarm(alarm)
         self._empty(upstream)
 
     def _empty(self, upstream: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -22,6 +22,7 @@
 
 READ_BYTES = 65_536
 CLOSED_CLEANLY = "closed by the other side"
+CONNECT_TIMEOUT = "connecting took too long"
 """Reason of a loss that is an orderly end and not a reset."""
 _TRY_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 
@@ -142,7 +143,7 @@
             self.lose_later(link, os.strerror(result))
             return link
         link.connect_timer = self._scheduler.call_later(
-            connect_ms / 1000, lambda: self.lose(link, "connecting took too long")
+            connect_ms / 1000, lambda: self.lose(link, CONNECT_TIMEOUT)
         )
         self.watch_writing(link, True)
         return link
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -15,8 +15,9 @@
 """Age at which what was told no longer counts: three repetitions lost in a row."""
 SILENT_HALL_S = 1.6
 """Silence of a hall after which it counts as cut off: a repetition was lost."""
-SPEAKERS = 3
-"""Entries of a hall that send its sum: two may die at once and the others still hear of it."""
+SPEAKERS = 2
+"""Entries of a hall that send its sum, each to the other halls' entries in turn: with one down the
+other is heard, and another speaks in its place soon."""
 SPEAKER_EXPIRY_S = 1.6
 """Silence of an entry after which another speaks in its place."""
 
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -49,12 +49,13 @@
     """
 
     __slots__ = (
-        "_alarm_s",
         "_failures",
+        "_found_s",
         "_load",
         "_load_s",
         "_rest_s",
         "_rest_until_s",
+        "_said_s",
         "instance",
         "is_gone",
         "is_leaving",
@@ -73,7 +74,8 @@
         self._failures = 0
         self._rest_s = FIRST_REST_S
         self._rest_until_s = 0.0
-        self._alarm_s = -math.inf
+        self._said_s = -math.inf
+        self._found_s = -math.inf
 
     @property
     def tokens(self) -> int:
@@ -110,16 +112,23 @@
 
     def is_alarmed(self, now_s: float) -> bool:
         """Tell whether an alarm about it counts."""
-        return now_s - self._alarm_s < ALARM_S
+        return now_s - max(self._said_s, self._found_s) < ALARM_S
 
-    def raise_alarm(self, now_s: float) -> bool:
+    def raise_alarm(self, now_s: float, *, is_said: bool) -> bool:
         """Raise an alarm.
 
-        :returns: whether it is a new one; a false one before makes this one count for nothing.
+        :param is_said: the instance said so itself; else it could not be reached, which may
+            be the fault of whoever tried and says nothing of the instance's word.
+        :returns: whether it is a new one; a false one of the same kind before makes this one
+            count for nothing.
         """
-        if now_s - self._alarm_s < ALARM_S + DISTRUST_S:
+        last_s = self._said_s if is_said else self._found_s
+        if now_s - last_s < ALARM_S + DISTRUST_S:
             return False
-        self._alarm_s = now_s
+        if is_said:
+            self._said_s = now_s
+        else:
+            self._found_s = now_s
         return True
 
     def note_load(self, load: dialects.UpstreamLoad | None, now_s: float) -> None:
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -124,6 +124,6 @@
         cost += OTHER_HALL_COST
     if instance.hall in view.silent_halls:
         cost += SILENT_HALL_COST
-    if instance.slow_ms > 0:
+    if instance.is_slow:
         cost += SLOW_START_COST
     return cost
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -4,11 +4,15 @@
 from collections.abc import Callable
 
 from spoolhead._internal.models import instances
-from spoolhead._internal.network import messages, peer_server, route_messages
+from spoolhead._internal.network import messages, peer_server, route_messages, scheduler
 from spoolhead._internal.utils import deflate
 
 logger = logging.getLogger(__name__)
 
+FLEET_S = 0.25
+"""Pause between two messages about the fleet: each grows with the entries and goes to all of them,
+so one for each that joins would grow with the cube while all start within 0.3 s."""
+
 
 class Table:
     """A committed route table.
@@ -27,12 +31,14 @@
 class Feed:
     """The entries that follow a keeper.
 
+    :param timers: calls back.
     :param get_keepers: returns the address of each keeper.
     :param get_table: returns the committed table.
     """
 
     def __init__(
         self,
+        timers: scheduler.Scheduler,
         get_keepers: Callable[[], list[str]],
         get_table: Callable[[], Table],
     ) -> None:
@@ -44,6 +50,8 @@
         self._reader_term = 0
         self._packed: list[list[object]] = []
         self._keepers: list[str] = []
+        self._is_fleet_changed = False
+        timers.call_every(FLEET_S, self._tell_fleet)
 
     @property
     def follower_count(self) -> int:
@@ -58,13 +66,14 @@
         session.send(self._make_version())
         if self._packed:
             session.send(self._make_list(is_unchanged=False))
-        self._tell_fleet()
+        session.send(self._make_fleet())
+        self._is_fleet_changed = True
 
     def remove(self, session: peer_server.PeerSession) -> None:
         """Forget a follower."""
         if self._followers.pop(session, None) is not None:
             logger.info("entry left", extra={"fields": {"entry": session.name}})
-            self._tell_fleet()
+            self._is_fleet_changed = True
 
     def send_table(self, session: peer_server.PeerSession) -> None:
         """Send the committed table to a follower."""
@@ -73,8 +82,6 @@
     def announce_version(self) -> None:
         """Tell all followers of a new version."""
         self._send_all(self._make_version())
-        if self._keepers != self._get_keepers():
-            self._tell_fleet()
 
     def publish_instances(self, term: int, listed: list[instances.Instance]) -> None:
         """Tell all followers of a reading of the list of instances."""
@@ -105,13 +112,21 @@
             is_unchanged=is_unchanged,
         )
 
-    def _tell_fleet(self) -> None:
-        self._keepers = self._get_keepers()
+    def _make_fleet(self) -> route_messages.Fleet:
         entries = [
             [session.name, subscription.hall, subscription.address]
             for session, subscription in self._followers.items()
         ]
-        self._send_all(route_messages.Fleet(keepers=self._keepers, entries=entries))
+        return route_messages.Fleet(keepers=self._get_keepers(), entries=entries)
+
+    def _tell_fleet(self) -> None:
+        """Tell all followers of the fleet if it has changed."""
+        keepers = self._get_keepers()
+        if not self._is_fleet_changed and keepers == self._keepers:
+            return
+        self._is_fleet_changed = False
+        self._keepers = keepers
+        self._send_all(self._make_fleet())
 
     def _send_all(self, message: messages.Message) -> None:
         data = messages.encode(message)
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -54,7 +54,7 @@
             take=self._take_answer,
             note=_note_stream,
         )
-        self._feed = feed.Feed(self._get_keepers, self._get_table)
+        self._feed = feed.Feed(self.loop.scheduler, self._get_keepers, self._get_table)
         self._member = member.Member(
             self.loop, config, address, self._mesh, self._on_table_change, self._read_instances
         )
--- a/src/spoolhead/platform/tables.py
+++ b/src/spoolhead/platform/tables.py
@@ -182,5 +182,5 @@
         hall=fields.get("zone", str),
         slots=fields.get("slots", int, 1),
         is_leaving=fields.get("state", str, "ready") != "ready",
-        slow_ms=int(fields.get("cold_remaining_ms", float, 0.0)),
+        is_slow=fields.get("cold_remaining_ms", float, 0.0) > 0,
     )
