--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -227,7 +227,6 @@
             self._job.service,
             self._context.book.get_service(self._job.service.name),
             running_at=running_at,
-            entry_hall=self._context.config.hall,
             need_tokens=self._run.need_tokens,
             is_urgent=running_at.is_departing(now_s),
             excluded=self._refusers,
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -33,7 +33,6 @@
     upstreams: Sequence[upstream_book.Upstream],
     *,
     running_at: upstream_book.Upstream,
-    entry_hall: str,
     need_tokens: int,
     is_urgent: bool,
     excluded: Collection[str],
@@ -41,15 +40,11 @@
 ) -> upstream_book.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
-    A copy that must be ready soon goes to the hall of the run, as that is quicker; one that is
-    made ahead of need to the hall of the entry, where it can be reached if the halls are cut.
-
     :param running_at: where the run is.
-    :param entry_hall: hall of the entry that serves the caller.
     :param need_tokens: memory that the run will hold.
     :param is_urgent: the run's instance leaves.
     :param excluded: ids of instances that have just refused.
-    :returns: the instance with most room, with those of the right hall preferred, or None.
+    :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
     if engine is None or not engine.can_back_up:
@@ -65,11 +60,9 @@
         and upstream.tokens + need_tokens <= limit
     ]
 
-    hall = running_at.instance.hall if is_urgent else entry_hall
-
     def _get_cost(upstream: upstream_book.Upstream) -> float:
         cost = upstream.tokens / engine.memory_tokens
-        if upstream.instance.hall != hall:
+        if upstream.instance.hall != running_at.instance.hall:
             cost += OTHER_HALL_COST
         return cost
 
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -154,7 +154,6 @@
             MODEL,
             book.get_service("s"),
             running_at=book.get("here"),
-            entry_hall="hall-a",
             need_tokens=4_000,
             is_urgent=is_urgent,
             excluded=(),
