Bound what is read of a refused caller

Change: 2 MiB, then its connection is closed. Figures: the test takes in under 32 MiB, kernel buffers included.

--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -29,6 +29,9 @@
 
 SWEEP_INTERVAL_S = 0.25
 LINGER_S = 1.0
+LINGER_BYTES = 2_097_152
+"""Time for which, and bytes up to which, a refused caller is still read: what was on its way when
+the refusal was sent fits many times over."""
 KERNEL_BYTES = 131_072
 """Bytes that the kernel keeps for a caller that does not read, before ours are counted."""
 
@@ -173,6 +176,7 @@
         "current",
         "deadline_s",
         "is_closing",
+        "lingered_bytes",
         "must_linger",
         "phase",
         "reader",
@@ -193,6 +197,7 @@
         self.deadline_s: float | None = None
         self.is_closing = False
         self.must_linger = False
+        self.lingered_bytes = 0
 
     def may_keep_alive(self, request: request_reader.WireRequest) -> bool:
         return request.keep_alive and not self.is_closing
@@ -341,7 +346,12 @@
     @circuits.handler("read", channel="callers")
     def _on_read(self, sock: socket.socket, data: bytes) -> None:
         connection = self._connections.get(sock)
-        if connection is None or connection.is_closing:
+        if connection is None:
+            return
+        if connection.is_closing:
+            connection.lingered_bytes += len(data)
+            if connection.lingered_bytes > LINGER_BYTES:
+                self._server.close_now(sock)
             return
         result = connection.reader.feed(data)
         if result.is_error():
--- a/tests/functional/test_bad_input.py
+++ b/tests/functional/test_bad_input.py
@@ -40,6 +40,20 @@
     assert (status, error["result_code"], error["ran"]) == (400, 1002, "no")
 
 
+def test_a_refused_caller_is_not_read_for_ever(shared):
+    """It gets its refusal, and the rest of what it sends is not taken in."""
+    host, _, port = shared.addresses["entry-1"].rpartition(":")
+    chunk = b"x" * 1_048_576
+    sent = 0
+    with socket.create_connection((host, int(port)), timeout=10) as sock:
+        sock.sendall(b"GET /livez HTTP/1.1\r\nHost: x\r\nA: ")
+        with pytest.raises(OSError):
+            while sent < 512:
+                sock.sendall(chunk)
+                sent += 1
+    assert sent < 32
+
+
 MALFORMED = {
     "no http": b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
     "unknown method": b"FETCH / HTTP/1.1\r\nHost: x\r\n\r\n",
