Tell the other entries of requests that an instance lost

Ruled out: alarms of the health question (one false alarm silences it for 30 s). Change: an entry that lost a request tells the others, at most each 0.3 s; two entries' losses within a second let the instance rest, one entry's alone do not, as it may itself be cut off. Tests: two reporters, own loss with another's, losses far apart.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -35,6 +35,7 @@
     :ivar book: the instances.
     :ivar chance: source of random numbers.
     :ivar on_change: called when what this entry holds at an instance has changed.
+    :ivar on_lost_request: called with the id of an instance that took a request and lost it.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
     :ivar figures: counters and histograms.
     :ivar queue: generations that wait for an engine with room.
@@ -52,6 +53,7 @@
         "figures",
         "get_silent_halls",
         "on_change",
+        "on_lost_request",
         "queue",
         "timers",
     )
@@ -66,6 +68,7 @@
         book: upstream_book.UpstreamBook,
         chance: random.Random,
         on_change: Callable[[], None],
+        on_lost_request: Callable[[str], None],
         get_silent_halls: Callable[[], frozenset[str]],
         figures: entry_figures.EntryFigures,
     ) -> None:
@@ -76,6 +79,7 @@
         self.book = book
         self.chance = chance
         self.on_change = on_change
+        self.on_lost_request = on_lost_request
         self.get_silent_halls = get_silent_halls
         self.figures = figures
         self.queue = run_queue.RunQueue(timers, chance)
@@ -384,6 +388,8 @@
         """Take note of an attempt whose connection was lost, or was never made."""
         assert attempt.call is not None
         is_unreachable = not attempt.call.may_have_arrived
+        if not is_unreachable and attempt.head is None:
+            self._context.on_lost_request(attempt.upstream.instance.instance_id)
         if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -9,7 +9,7 @@
 import time
 from collections.abc import Callable
 
-from spoolhead._internal.models import dialects, settings
+from spoolhead._internal.models import dialects, settings, shared_load
 from spoolhead._internal.network import links, upstream_calls
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import upstream_book, watch_duty
@@ -67,7 +67,7 @@
     :param get_watchers: returns the entries that are alive.
     :param get_silent_halls: returns the halls that look cut off; nothing is asked there, since
         no answer would say nothing of an instance.
-    :param on_alarm: called with an instance that was found bad and whether it said so itself.
+    :param on_alarm: called with an instance that was found bad, and how.
     """
 
     def __init__(
@@ -81,7 +81,7 @@
         get_table: Callable[[], matcher.Matcher | None],
         get_watchers: Callable[[], list[watch_duty.Watcher]],
         get_silent_halls: Callable[[], frozenset[str]],
-        on_alarm: Callable[[upstream_book.Upstream, bool], None],
+        on_alarm: Callable[[upstream_book.Upstream, shared_load.AlarmKind], None],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -114,11 +114,11 @@
             self._silences[instance_id] = silences + 1
             return
         now_s = time.monotonic()
-        is_said = probe.status != 0
-        if probe.upstream.raise_alarm(now_s, is_said=is_said):
+        kind = shared_load.AlarmKind.SAID if probe.status else shared_load.AlarmKind.UNREACHABLE
+        if probe.upstream.raise_alarm(now_s, kind):
             fields = {"upstream": instance_id, "outcome": outcome}
             logger.info("upstream says that it is not well", extra={"fields": fields})
-            self._on_alarm(probe.upstream, is_said)
+            self._on_alarm(probe.upstream, kind)
 
     def _ask_all(self) -> None:
         table = self._get_table()
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -20,6 +20,10 @@
 SUM_S_PER_ENTRY = 0.003
 """Least time between two sums of a hall, for each entry there is: 24 ms with eight entries and a
 second with 350, so that what crosses halls does not grow with their number."""
+TELL_AGAIN_S = 0.3
+"""Pause between two words about one instance that lost requests; a rest begins with 0.5 s."""
+TOLD_KEPT = 1_000
+"""Instances for which that pause is kept."""
 REPEAT_S = 1.0
 """Time after which what is unchanged is sent again."""
 MAX_DATAGRAM_BYTES = 60_000
@@ -70,6 +74,7 @@
         self._others: dict[str, list[_Peer]] = {}
         self._mate_addresses: frozenset[tuple[str, int]] = frozenset()
         self._turn = 0
+        self._told_s: dict[str, float] = {}
         # A restarted entry must not begin below the numbers of its former self.
         self._sequence = int(time.time() * 1000)
         self._is_share_due = False
@@ -111,6 +116,16 @@
         for peers in self._others.values():
             self._send(peers, data)
 
+    def tell_failure(self, instance_id: str) -> None:
+        """Tell all other entries of an instance that lost a request, now and then."""
+        now_s = time.monotonic()
+        if now_s - self._told_s.get(instance_id, 0.0) < TELL_AGAIN_S:
+            return
+        if len(self._told_s) > TOLD_KEPT:
+            self._told_s.clear()
+        self._told_s[instance_id] = now_s
+        self.tell_alarm(shared_load.Alarm(instance_id, shared_load.AlarmKind.LOST_REQUEST))
+
     def note_change(self) -> None:
         """Tell of this entry's work soon."""
         if not self._is_share_due:
@@ -212,7 +227,13 @@
         upstream = self._book.get(alarm.instance_id)
         if upstream is None or upstream.is_leaving:
             return
-        if upstream.raise_alarm(time.monotonic(), is_said=alarm.is_said):
+        now_s = time.monotonic()
+        if alarm.kind is shared_load.AlarmKind.LOST_REQUEST:
+            if upstream.note_told_failure(name, now_s):
+                fields = {"upstream": alarm.instance_id, "reason": f"told by {name}"}
+                logger.warning("upstream rests", extra={"fields": fields})
+            return
+        if upstream.raise_alarm(now_s, alarm.kind):
             fields = {"upstream": alarm.instance_id, "told_by": name}
             logger.info("upstream is said not to be well", extra={"fields": fields})
             self._on_alarm(upstream)
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -90,6 +90,7 @@
             book=self._book,
             chance=random.Random(),
             on_change=self._on_own_change,
+            on_lost_request=self._sharing.tell_failure,
             get_silent_halls=self._sharing.get_silent_halls,
             figures=self._figures,
         )
@@ -168,10 +169,9 @@
         self._sharing.note_change()
         self._context.queue.note_change()
 
-    def _on_alarm(self, upstream: upstream_book.Upstream, is_said: bool) -> None:
+    def _on_alarm(self, upstream: upstream_book.Upstream, kind: shared_load.AlarmKind) -> None:
         self._figures.alarms.inc()
-        alarm = shared_load.Alarm(upstream.instance.instance_id, is_said=is_said)
-        self._sharing.tell_alarm(alarm)
+        self._sharing.tell_alarm(shared_load.Alarm(upstream.instance.instance_id, kind))
         self._empty(upstream)
 
     def _empty(self, upstream: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -1,5 +1,7 @@
 """What entries tell each other of the work that they hold at the instances."""
 
+import enum
+
 import msgpack
 
 _HELD_FIELDS = 4
@@ -35,18 +37,29 @@
         self.reading_tokens = 0
 
 
+class AlarmKind(enum.IntEnum):
+    """What is wrong with an instance."""
+
+    SAID = 1
+    """It says itself that it is not well."""
+    UNREACHABLE = 2
+    """Its health could not be asked."""
+    LOST_REQUEST = 3
+    """It took a request and gave no answer."""
+
+
 class Alarm:
     """An instance that was found bad.
 
     :ivar instance_id: its id.
-    :ivar is_said: it said so itself; else it refused connections or was silent.
+    :ivar kind: what is wrong.
     """
 
-    __slots__ = ("instance_id", "is_said")
+    __slots__ = ("instance_id", "kind")
 
-    def __init__(self, instance_id: str, *, is_said: bool) -> None:
+    def __init__(self, instance_id: str, kind: AlarmKind) -> None:
         self.instance_id = instance_id
-        self.is_said = is_said
+        self.kind = kind
 
 
 class Share:
@@ -87,7 +100,7 @@
     """Write a datagram."""
     held = [[item.instance_id, item.tokens, item.count, item.reading_tokens] for item in share.held]
     fields = [share.sender, share.hall, share.is_sum, share.sequence, held]
-    alarms = [[alarm.instance_id, alarm.is_said] for alarm in share.alarms]
+    alarms = [[alarm.instance_id, int(alarm.kind)] for alarm in share.alarms]
     return msgpack.packb([*fields, share.members, alarms])
 
 
@@ -105,7 +118,7 @@
             sequence=int(sequence),
             held=[_read_held(item) for item in held],
             members=[str(name) for name in members],
-            alarms=[Alarm(str(name), is_said=bool(is_said)) for name, is_said in alarms],
+            alarms=[Alarm(str(name), AlarmKind(kind)) for name, kind in alarms],
         )
     except (TypeError, msgpack.UnpackException) as error:
         raise ValueError(str(error)) from error
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -8,6 +8,13 @@
 FAILURES_TO_EJECT = 3
 """Attempts in a row that must fail without an answer before an instance rests; one or two
 happen on a good one."""
+REPORTERS_TO_EJECT = 2
+"""Entries that must have lost a request there shortly after each other before it rests: one alone
+may itself be cut off."""
+REPORT_S = 1.0
+"""Time within which they must: two accidents in a second are no accident."""
+OWN = ""
+"""Reporter's name for this entry itself."""
 FIRST_REST_S = 0.5
 LONGEST_REST_S = 4.0
 """Rests grow from one to the other: the first outlasts a burst of resets, the last is about as
@@ -53,6 +60,7 @@
         "_found_s",
         "_load",
         "_load_s",
+        "_reporters",
         "_rest_s",
         "_rest_until_s",
         "_said_s",
@@ -74,6 +82,7 @@
         self._failures = 0
         self._rest_s = FIRST_REST_S
         self._rest_until_s = 0.0
+        self._reporters: dict[str, float] = {}
         self._said_s = -math.inf
         self._found_s = -math.inf
 
@@ -114,14 +123,15 @@
         """Tell whether an alarm about it counts."""
         return now_s - max(self._said_s, self._found_s) < ALARM_S
 
-    def raise_alarm(self, now_s: float, *, is_said: bool) -> bool:
+    def raise_alarm(self, now_s: float, kind: shared_load.AlarmKind) -> bool:
         """Raise an alarm.
 
-        :param is_said: the instance said so itself; else it could not be reached, which may
-            be the fault of whoever tried and says nothing of the instance's word.
+        :param kind: that it could not be reached may be the fault of whoever tried, and says
+            nothing of the instance's own word.
         :returns: whether it is a new one; a false one of the same kind before makes this one
             count for nothing.
         """
+        is_said = kind is shared_load.AlarmKind.SAID
         last_s = self._said_s if is_said else self._found_s
         if now_s - last_s < ALARM_S + DISTRUST_S:
             return False
@@ -154,11 +164,30 @@
         :param is_unreachable: no connection was made, which one request finds out for all.
         """
         self._failures += 1
+        self._reporters[OWN] = now_s
         if self._failures < FAILURES_TO_EJECT and not is_unreachable:
+            return self._rest_if_reported(now_s)
+        self._rest(now_s)
+        return True
+
+    def note_told_failure(self, reporter: str, now_s: float) -> bool:
+        """Take note that another entry lost a request there; True if it rests from now on."""
+        self._reporters[reporter] = now_s
+        return self._rest_if_reported(now_s)
+
+    def _rest_if_reported(self, now_s: float) -> bool:
+        for reporter, heard_s in list(self._reporters.items()):
+            if now_s - heard_s > REPORT_S:
+                del self._reporters[reporter]
+        if len(self._reporters) < REPORTERS_TO_EJECT or now_s < self._rest_until_s:
             return False
+        self._rest(now_s)
+        return True
+
+    def _rest(self, now_s: float) -> None:
+        self._reporters.clear()
         self._rest_until_s = now_s + self._rest_s
         self._rest_s = min(self._rest_s * 2, LONGEST_REST_S)
-        return True
 
 
 class UpstreamBook:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -176,6 +176,7 @@
             if not fill:
                 upstream.works.clear()
         self.ended = []
+        self.lost = []
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
         wire = make_wire(headers=headers)
@@ -209,6 +210,7 @@
             book=self.book,
             chance=random.Random(1),
             on_change=lambda: None,
+            on_lost_request=self.lost.append,
             get_silent_halls=frozenset,
             figures=entry_figures.EntryFigures(figures.Figures()),
         )
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -90,6 +90,7 @@
     setting.last.lose()
     assert len(setting.calls.attempts) == 1
     assert setting.caller.status == 502
+    assert setting.lost == [setting.last.address.removesuffix(":80")]
 
 
 def test_a_run_whose_copy_is_refused_is_never_begun_again():
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -3,7 +3,7 @@
 import random
 
 from lib import gateway_setting
-from spoolhead._internal.models import route_table
+from spoolhead._internal.models import route_table, shared_load
 from spoolhead._internal.policy import (
     retry_allowance,
     run_safety,
@@ -15,6 +15,8 @@
 MODEL = route_table.Service(
     name="s", health_path="/h", max_connections=9, engine=gateway_setting.ENGINE
 )
+SAID = shared_load.AlarmKind.SAID
+UNREACHABLE = shared_load.AlarmKind.UNREACHABLE
 PLAIN = route_table.Service(name="s", health_path="/h", max_connections=9, engine=None)
 
 
@@ -95,14 +97,12 @@
 
 def test_an_alarm_passes_and_a_false_one_costs_its_sender_belief():
     upstream = upstream_book.Upstream(gateway_setting.make_instance("a"))
-    assert upstream.raise_alarm(100.0, is_said=True)
+    assert upstream.raise_alarm(100.0, SAID)
     assert upstream.is_departing(100.1)
-    assert not upstream.raise_alarm(100.5, is_said=True)
+    assert not upstream.raise_alarm(100.5, SAID)
     assert not upstream.is_departing(100.0 + upstream_book.ALARM_S)
-    assert not upstream.raise_alarm(100.0 + upstream_book.ALARM_S + 1.0, is_said=True)
-    assert upstream.raise_alarm(
-        100.0 + upstream_book.ALARM_S + upstream_book.DISTRUST_S, is_said=True
-    )
+    assert not upstream.raise_alarm(100.0 + upstream_book.ALARM_S + 1.0, SAID)
+    assert upstream.raise_alarm(100.0 + upstream_book.ALARM_S + upstream_book.DISTRUST_S, SAID)
 
 
 def test_the_list_tells_what_leaves_and_what_is_gone_with_work():
@@ -133,14 +133,35 @@
 
 def test_an_instance_that_could_not_be_reached_is_still_believed_when_it_speaks():
     upstream = _make_book(gateway_setting.make_instance("i")).get("i")
-    assert upstream.raise_alarm(100.0, is_said=False)
+    assert upstream.raise_alarm(100.0, UNREACHABLE)
     later_s = 100.0 + upstream_book.ALARM_S + 1.0
     assert not upstream.is_alarmed(later_s)
-    assert not upstream.raise_alarm(later_s, is_said=False)
-    assert upstream.raise_alarm(later_s, is_said=True)
+    assert not upstream.raise_alarm(later_s, UNREACHABLE)
+    assert upstream.raise_alarm(later_s, SAID)
     assert upstream.is_alarmed(later_s)
 
 
+def test_two_entries_that_lost_a_request_there_are_enough_one_is_not():
+    upstream = _make_book(gateway_setting.make_instance("i")).get("i")
+    for _ in range(5):
+        assert not upstream.note_told_failure("e1", 100.0)
+    assert upstream.is_usable(100.0)
+    assert upstream.note_told_failure("e2", 100.5)
+    assert not upstream.is_usable(100.6)
+
+
+def test_the_own_loss_counts_with_another_entrys():
+    upstream = _make_book(gateway_setting.make_instance("i")).get("i")
+    assert not upstream.note_told_failure("e1", 100.0)
+    assert upstream.note_failure(100.2)
+
+
+def test_losses_far_apart_are_two_accidents():
+    upstream = _make_book(gateway_setting.make_instance("i")).get("i")
+    assert not upstream.note_told_failure("e1", 100.0)
+    assert not upstream.note_told_failure("e2", 100.0 + upstream_book.REPORT_S + 0.1)
+
+
 def test_a_copy_goes_to_the_same_hall_where_there_is_room():
     book = _make_book(
         gateway_setting.make_instance("here"),
