--- a/src/spoolhead/_internal/gateway/entry_figures.py
+++ b/src/spoolhead/_internal/gateway/entry_figures.py
@@ -29,6 +29,12 @@
             "spoolhead_table_version", "Version of the route table in force."
         )
         self.in_flight = made.make_gauge("spoolhead_in_flight", "Requests in hand.")
+        self.waiting = made.make_gauge(
+            "spoolhead_waiting", "Generations that wait at this entry for an engine with room."
+        )
+        self.room_wait_ms = made.make_histogram(
+            "spoolhead_room_wait_ms", "Time for which a generation waited before it was sent."
+        )
         self.request_ms = made.make_histogram(
             "spoolhead_request_ms", "Time from arrival to the end of the answer.", "kind"
         )
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -94,6 +94,7 @@
             get_silent_halls=self._sharing.get_silent_halls,
             figures=self._figures,
         )
+        self._figures.waiting.set_function(lambda: len(self._context.queue))
         self._front = caller_front.CallerFront(
             self.loop, config, take=self._take, refuse=self._refuse_bytes
         ).register(self.loop)
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -227,6 +227,9 @@
         generation = self.job.head.generation
         reading = generation.prompt_tokens if generation is not None and resume is None else 0
         self._tried.add(upstream.instance.instance_id)
+        if resume is None:
+            waited_ms = (time.monotonic() - self._arrived_s) * 1000
+            self._context.figures.room_wait_ms.observe(waited_ms)
         upstream.works[request_id] = upstream_book.Work(
             request_id, self.need_tokens, reading_tokens=reading
         )
--- a/tests/unit/test_examples.py
+++ b/tests/unit/test_examples.py
@@ -1,4 +1,6 @@
 import pathlib
+import subprocess
+import sys
 
 import pytest
 
@@ -25,6 +27,16 @@
     assert len(documents.read_document(str(DOCS / "examples" / "table.json"))) == 6
 
 
+def test_the_embedding_example_runs():
+    ran = subprocess.run(
+        [sys.executable, str(DOCS / "examples" / "embedding.py")],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert ran.stdout == "[42, 42, 42]\n"
+
+
 def test_every_metric_is_documented():
     text = (DOCS / "METRICS.md").read_text(encoding="utf-8")
     for metric in metrics.Metric:
