--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -1,8 +1,9 @@
 """What an entry knows of the other entries' work at the instances; no I/O, time passed in.
 
-Inside a hall every entry tells every other its own share. Between halls only sums go: a few
-speakers of each hall send what all of its entries hold to a few entries of every other hall,
-which pass it on at home. So what crosses halls grows with the halls and not with the entries.
+Inside a hall every entry tells every other its own share. Between halls only sums go: two
+speakers of each hall send what all of its entries hold to one entry of every other hall, to the
+next one the next time, which passes it on at home. So what crosses halls grows with the halls and
+not with the entries.
 """
 
 import math
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -24,7 +24,8 @@
 """Part of the objective after which what has little hope is refused; the users count a refusal
 as early within a quarter of it."""
 OFFER_PART = 0.6
-"""Part of the objective after which the fullest engine is better than waiting on."""
+"""Part of the objective after which it goes to the best engine even without room: the users count
+a request as offered only within its objective, and a prompt takes most of the rest to be read."""
 HOPELESS_FILL = 1.4
 """Fill of the emptiest engine from which a start within the objective is not to be hoped for:
 two in five of its generations would have to end before."""
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -9,10 +9,9 @@
 """Attempts in a row that must fail without an answer before an instance rests; one or two
 happen on a good one."""
 REPORTERS_TO_EJECT = 2
-"""Entries that must have lost a request there shortly after each other before it rests: one alone
-may itself be cut off."""
+"""Entries that must have lost a request there before it rests: one alone may itself be cut off."""
 REPORT_S = 1.0
-"""Time within which they must: two accidents in a second are no accident."""
+"""Time within which they must have; about what a flapping instance was seen to stay down."""
 OWN = ""
 """Reporter's name for this entry itself."""
 FIRST_REST_S = 0.5
