--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -24,6 +24,8 @@
 """Pause between two words about one instance that lost requests; a rest begins with 0.5 s."""
 TOLD_KEPT = 1_000
 """Instances for which that pause is kept."""
+HALL_CHECK_S = 0.2
+"""Pause between looks at which halls are silent; an eighth of the silence that makes one so."""
 REPEAT_S = 1.0
 """Time after which what is unchanged is sent again."""
 MAX_DATAGRAM_BYTES = 60_000
@@ -75,6 +77,7 @@
         self._mate_addresses: frozenset[tuple[str, int]] = frozenset()
         self._turn = 0
         self._told_s: dict[str, float] = {}
+        self._silent_halls: frozenset[str] = frozenset()
         # A restarted entry must not begin below the numbers of its former self.
         self._sequence = int(time.time() * 1000)
         self._is_share_due = False
@@ -85,6 +88,7 @@
         self._sock.bind((config.host, config.peer_port))
         loop.poller.add_direct_reader(loop, self._sock, self._on_readable)
         self._timers.call_every(REPEAT_S, self._repeat)
+        self._timers.call_every(HALL_CHECK_S, self._log_halls)
 
     def set_peers(self, entries: Iterable[list[object]]) -> None:
         """Take over the fleet: name, hall and address of each entry."""
@@ -195,6 +199,17 @@
         self.refresh()
         self.note_change()
 
+    def _log_halls(self) -> None:
+        """Write which halls became silent and which are heard again."""
+        now_s = time.monotonic()
+        silent = self._view.get_silent_halls(now_s)
+        for hall in sorted(silent - self._silent_halls):
+            fields = {"hall": hall, "age_ms": self._view.get_silence_ms(hall, now_s)}
+            logger.warning("hall is silent", extra={"fields": fields})
+        for hall in sorted(self._silent_halls - silent):
+            logger.info("hall is heard again", extra={"fields": {"hall": hall}})
+        self._silent_halls = silent
+
     def _on_readable(self, sock: socket.socket) -> None:
         has_news = False
         while True:
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -146,6 +146,10 @@
         oldest_s = now_s - SILENT_HALL_S
         return frozenset(hall for hall, item in self._halls.items() if item.heard_s < oldest_s)
 
+    def get_silence_ms(self, hall: str, now_s: float) -> int:
+        """Return the time since a hall that was heard from was last heard."""
+        return int((now_s - self._halls[hall].heard_s) * 1000)
+
     def _get_sources(self) -> Iterable[_Source]:
         yield from self._mates.values()
         yield from self._halls.values()
--- a/src/spoolhead/_internal/utils/log_story.py
+++ b/src/spoolhead/_internal/utils/log_story.py
@@ -12,6 +12,8 @@
 PROCESS_TEXTS = frozenset(
     {
         "entry is ready",
+        "hall is heard again",
+        "hall is silent",
         "entry stops",
         "entry ends",
         "instance list is not readable",
