Accept nothing on a listener that a planned stop has closed

Ruled out: a request cut (none was; the caller's connection was never read). Change: the task looks first.

--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -8,6 +8,7 @@
 
 import errno
 import socket
+from collections.abc import Iterator
 
 import circuits
 from circuits.net import sockets
@@ -83,6 +84,12 @@
         if self._sock is not None:
             self._close(self._sock)
 
+    def _accept(self) -> Iterator[object]:
+        # The library accepts in a task that runs after the event, when a planned stop may have
+        # closed the listener.
+        if self._sock is not None:
+            yield from super()._accept()
+
     @circuits.handler("_write", priority=1)
     def _on_write(self, sock: socket.socket) -> None:
         # An event queued before the connection was closed would make the library keep a buffer
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -5,8 +5,8 @@
 from soak import plan, run
 
 SEEDS = (101,)
-FAILED_ONCE = ()
-"""Seeds that broke a promise, with the cause, see docs/SOAK.md; none so far."""
+FAILED_ONCE = (1005,)
+"""Seeds that failed, with the cause in docs/SOAK.md."""
 
 
 @pytest.mark.parametrize("seed", SEEDS + FAILED_ONCE)
