Count from log lines what became of requests and why some were lost

Cause: the account of what binds was read by hand from one story at a time. The lines of answers now say whether they were late or had too long a pause, so that the command needs no table.

--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -17,6 +17,7 @@
     explain_logs,
     history,
     keepers,
+    losses,
     make_key,
     show,
     status,
@@ -46,6 +47,10 @@
     list[str] | None,
     typer.Option("--log", help="File with log lines, - for standard input; may be repeated."),
 ]
+RequiredLogOption = Annotated[
+    list[str],
+    typer.Option("--log", help="File with log lines, - for standard input; may be repeated."),
+]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 AuthorOption = Annotated[str, typer.Option("--author", help="Who makes the edit.")]
 EditIdOption = Annotated[
@@ -175,6 +180,13 @@
     return explain.run(_read(settings_file), request_id, as_json=as_json)
 
 
+@app.command("losses")
+@_exit_with
+def _losses(log: RequiredLogOption, as_json: JsonOption = False) -> exit_codes.ExitCode:
+    """Count what became of requests, and why some were lost or late, from saved log lines."""
+    return losses.run(log, as_json=as_json)
+
+
 @app.command("check")
 @_exit_with
 def _check(
--- a/src/spoolhead/_internal/commands/explain_logs.py
+++ b/src/spoolhead/_internal/commands/explain_logs.py
@@ -17,7 +17,7 @@
     :param paths: files, one a process or merged; ``-`` for standard input.
     """
     try:
-        story = log_story.tell(_read(paths), request_id)
+        story = log_story.tell(read(paths), request_id)
     except OSError as error:
         output.print_error(str(error))
         return exit_codes.ExitCode.BAD_INPUT
@@ -39,7 +39,12 @@
     return exit_codes.ExitCode.OK
 
 
-def _read(paths: list[str]) -> Iterator[log_story.Line]:
+def read(paths: list[str]) -> Iterator[log_story.Line]:
+    """Read the lines of some files.
+
+    :param paths: files, one a process or merged; ``-`` for standard input.
+    :raises OSError: if one cannot be read.
+    """
     for path in paths:
         name = "" if path == STANDARD_INPUT else pathlib.Path(path).stem
         for text in _get_texts(path):
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -256,6 +256,10 @@
         """Time left."""
         return max(0, int((self._deadline_s - time.monotonic()) * 1000))
 
+    def is_late(self) -> bool:
+        """Tell whether the route's objective has passed since the request came."""
+        return (time.monotonic() - self._arrived_s) * 1000 > self.job.route.objective_ms
+
     def get_fields(self) -> dict[str, object]:
         """Return the fields that each log line of the request has."""
         return {
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -131,6 +131,7 @@
             "upstream": attempt.upstream.instance.instance_id,
             "status": head.status,
             "attempts": self._attempts_made,
+            "is_late": self.is_late(),
         }
         logger.info("answered", extra={"fields": fields})
         self.end()
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -319,6 +319,7 @@
         if rest or not self.caller.is_started:
             self._pass_on(head, rest)
         self.caller.end_stream()
+        route = self.job.route
         fields = {
             **self.get_fields(),
             "status": head.status,
@@ -326,6 +327,8 @@
             "first_ms": self._pace.first_ms,
             "longest_pause_ms": self._pace.longest_pause_ms,
             "pause_after_events": self._pace.longest_after,
+            "is_late": (self._pace.first_ms or 0) > route.objective_ms,
+            "has_long_pause": self._pace.longest_pause_ms > run_safety.get_good_pause_ms(route),
         }
         logger.info("answered", extra={"fields": fields})
         self._context.figures.first_event_ms.observe(self._pace.first_ms or 0)
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -94,5 +94,9 @@
 
 def get_stall_s(route: route_table.Route) -> float:
     """Return the time after which a stream that stands still is given up, in seconds."""
-    pause_ms = route.pause_ms or DEFAULT_PAUSE_MS
-    return pause_ms * STALL_FACTOR / 1000
+    return get_good_pause_ms(route) * STALL_FACTOR / 1000
+
+
+def get_good_pause_ms(route: route_table.Route) -> int:
+    """Return the longest pause between two events that counts as good."""
+    return route.pause_ms or DEFAULT_PAUSE_MS
--- /dev/null
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -0,0 +1,152 @@
+"""What became of requests and why some were lost or late, counted from log lines; no I/O."""
+
+import collections
+import enum
+from collections.abc import Iterable, Sequence
+
+from spoolhead._internal.utils import log_story
+
+SEEN_LOSSES = 5
+"""Ids kept of each cause, for ``spoolhead explain``."""
+NEAR_S = 8.0
+"""Time after the notice of a departure within which a loss at that instance is put down to it:
+longer than any notice seen."""
+ROUTE_FIELD = "route"
+_DEPARTURE_TEXTS = frozenset(
+    {
+        "upstream is to be emptied",
+        "upstream is said not to be well",
+        "upstream says that it is not well",
+    }
+)
+_REACHED = frozenset({"copy ordered", "copy grows along"})
+
+
+class Cause(enum.Enum):
+    """What became of a request."""
+
+    IN_TIME = "answered in time"
+    LATE_AFTER_WAIT = "late: waited for room at the entry"
+    LATE_FIRST = "late: first part came late"
+    LATE_MOVED = "late: long pause, the run moved"
+    LATE_PAUSE = "late: long pause"
+    REFUSED = "refused"
+    CUT_NOT_COPIED = "departure: no copy was ordered"
+    CUT_COPY_LATE = "departure: copy not ready"
+    CUT_COPY_REFUSED = "departure: copy refused"
+    CUT_HALL = "hall cut off"
+    LOST = "failed otherwise"
+    LEFT = "caller left"
+    NO_END = "no line tells its end"
+
+
+class Count:
+    """Requests of one route with one cause.
+
+    :ivar requests: how many.
+    :ivar events: events that they had passed on.
+    :ivar examples: ids of the first.
+    """
+
+    __slots__ = ("events", "examples", "requests")
+
+    def __init__(self) -> None:
+        self.requests = 0
+        self.events = 0
+        self.examples: list[str] = []
+
+    def add(self, request_id: str, events: int) -> None:
+        """Count one request."""
+        self.requests += 1
+        self.events += events
+        if len(self.examples) < SEEN_LOSSES:
+            self.examples.append(request_id)
+
+
+class _Beliefs:
+    """When instances were first said to leave, and when halls were silent, by process."""
+
+    def __init__(self) -> None:
+        self._noticed_s: dict[str, float] = {}
+        self._silent_s: dict[str, list[tuple[float, bool]]] = {}
+
+    def note(self, line: log_story.Line) -> None:
+        if line.text in _DEPARTURE_TEXTS:
+            self._noticed_s.setdefault(str(line.fields.get("upstream")), line.time_s)
+        elif line.text in ("hall is silent", "hall is heard again"):
+            known = self._silent_s.setdefault(line.process, [])
+            known.append((line.time_s, line.text == "hall is silent"))
+
+    def is_departing(self, instance_id: str, now_s: float) -> bool:
+        noticed_s = self._noticed_s.get(instance_id)
+        return noticed_s is not None and 0 <= now_s - noticed_s <= NEAR_S
+
+    def is_any_hall_silent(self, process: str, now_s: float) -> bool:
+        is_silent = False
+        for time_s, silent in self._silent_s.get(process, []):
+            if time_s <= now_s:
+                is_silent = silent
+        return is_silent
+
+
+def count(lines: Iterable[log_story.Line]) -> dict[tuple[str, Cause], Count]:
+    """Count ended requests by route and cause.
+
+    :param lines: lines of all entries, in any order.
+    """
+    beliefs = _Beliefs()
+    requests: dict[str, list[log_story.Line]] = collections.defaultdict(list)
+    for line in sorted(lines, key=lambda item: item.time_s):
+        beliefs.note(line)
+        request_id = line.fields.get("request")
+        if request_id:
+            requests[str(request_id)].append(line)
+    counts: dict[tuple[str, Cause], Count] = collections.defaultdict(Count)
+    for request_id, story in requests.items():
+        route = next((str(x.fields[ROUTE_FIELD]) for x in story if ROUTE_FIELD in x.fields), "")
+        counts[route, _get_cause(story, beliefs)].add(request_id, _get_events(story))
+    return dict(counts)
+
+
+def _get_cause(story: Sequence[log_story.Line], beliefs: _Beliefs) -> Cause:
+    end = next((line for line in story if line.text in log_story.END_TEXTS), None)
+    if end is None:
+        return Cause.NO_END
+    if end.text == "answered":
+        return _get_answer_cause(story, end)
+    if beliefs.is_any_hall_silent(end.process, end.time_s):
+        return Cause.CUT_HALL
+    if end.text == "refused":
+        return Cause.REFUSED
+    if end.text == "caller left":
+        return Cause.LEFT
+    return _get_failure_cause(story, end, beliefs)
+
+
+def _get_answer_cause(story: Sequence[log_story.Line], end: log_story.Line) -> Cause:
+    texts = {line.text for line in story}
+    if end.fields.get("is_late"):
+        return Cause.LATE_AFTER_WAIT if "waits for room" in texts else Cause.LATE_FIRST
+    if end.fields.get("has_long_pause"):
+        return Cause.LATE_MOVED if "run goes on elsewhere" in texts else Cause.LATE_PAUSE
+    return Cause.IN_TIME
+
+
+def _get_failure_cause(
+    story: Sequence[log_story.Line], end: log_story.Line, beliefs: _Beliefs
+) -> Cause:
+    places = [line for line in story if line.text in ("attempt", "run goes on elsewhere")]
+    if not places:
+        return Cause.LOST
+    last = places[-1]
+    if not beliefs.is_departing(str(last.fields.get("upstream")), end.time_s):
+        return Cause.LOST
+    since = {line.text for line in story if line.time_s >= last.time_s}
+    if "copy failed" in since:
+        return Cause.CUT_COPY_REFUSED
+    return Cause.CUT_COPY_LATE if since & _REACHED else Cause.CUT_NOT_COPIED
+
+
+def _get_events(story: Sequence[log_story.Line]) -> int:
+    events = [line.fields["events"] for line in story if "events" in line.fields]
+    return max((item for item in events if isinstance(item, int)), default=0)
