Free a copy whose order was given up under way

Cause: a copy holds memory and a slot at the target from the first order on. When the run ended, its caller left or another place was chosen while the order was under way, the call was cancelled before its answer brought the handle, so nothing could free the copy for the five seconds that the engine keeps it.

Change: the answer to such an order is waited for and its handle freed at once.

Tests: test_a_copy_under_way_is_freed_once_its_handle_is_known failed before.

--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -68,6 +68,7 @@
         self._dialect = dialect
         self._user = user
         self._call: upstream_calls.UpstreamCall | None = None
+        self._must_free = False
         self._body: list[bytes] = []
 
     @property
@@ -87,14 +88,20 @@
     def abandon(self, *, must_free: bool) -> None:
         """Stop caring.
 
+        An order under way takes memory at the target from its beginning, and only the handle in
+        its answer can give that back. So the answer is waited for, unless the copy is used.
+
         :param must_free: the copy will not be used, so its memory is given back.
         """
-        if self._call is not None and not self._call.is_over:
-            self._call.cancel()
+        is_waiting = self._call is not None and not self._call.is_over
         self.step = Step.FAILED
-        if self.handle and must_free:
-            order = self._dialect.write_release(self.handle)
-            _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
+        if not must_free:
+            if self._call is not None and is_waiting:
+                self._call.cancel()
+        elif is_waiting:
+            self._must_free = True
+        else:
+            self._free()
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of an answer."""
@@ -109,6 +116,9 @@
         """Take the end of an answer."""
         answer = self._dialect.read_move(self.status, b"".join(self._body))
         self.handle = answer.handle or self.handle
+        if self._must_free:
+            self._free()
+            return
         if self.status != _OK:
             self._fail()
             return
@@ -119,7 +129,14 @@
         """Take the loss of the connection."""
         del reason
         self.status = UNREACHABLE
-        self._fail()
+        if not self._must_free:
+            self._fail()
+
+    def _free(self) -> None:
+        if not self.handle:
+            return
+        order = self._dialect.write_release(self.handle)
+        _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
 
     def _fail(self) -> None:
         self.step = Step.FAILED
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -130,6 +130,38 @@
     assert not any(upstream.works for upstream in setting.book.get_all())
 
 
+def _get_releases(setting):
+    return [call for call in setting.calls.made if call.target.startswith("/spoolhead/kv-handle/")]
+
+
+def test_a_copy_under_way_is_freed_once_its_handle_is_known():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    copy = setting.calls.copies[-1]
+    setting.caller.is_gone = True
+    setting.caller.on_gone()
+    assert not copy.is_over
+    assert not _get_releases(setting)
+    copy.answer(200, [], b'{"handle": "h-1", "made": 3}')
+    (release,) = _get_releases(setting)
+    assert release.target.endswith("/h-1")
+    assert release.address == copy.address
+    assert len(setting.calls.attempts) == 1
+
+
+def test_a_copy_that_came_to_nothing_after_its_run_ended_frees_nothing():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    copies = setting.calls.copies
+    setting.caller.is_gone = True
+    setting.caller.on_gone()
+    copies[-1].lose()
+    assert len(setting.calls.copies) == len(copies)
+    assert not _get_releases(setting)
+
+
 def test_a_missing_event_breaks_the_stream():
     setting = _start(tokens="3000,100")
     setting.last.answer(200, SIGNED, make_events(1, 2), make_events(4, 1), whole=False)
