Copy a run only when its instance leaves; remove copies made ahead of need

Hypothesis: standing copies are what is missing at departures. But engine reports show what the copies cost: engines with 3 or 4 runs, 0.2 to 0.45 of the memory in runs, 0.9 to 1.0 in use and 2 to 5 prompts queued behind copies. With three of five engines up, memory and not the link binds.

A copy whose instance stays after all is freed at once.

--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -1,8 +1,6 @@
-"""Keeps a copy of a run's memory at a second instance, and moves the run when it must.
+"""Moves a run to another instance when its own leaves.
 
-From the start the engine itself sends the memory on as it grows. When the instance that holds
-the copy goes, another copy is made by order and brought up to date now and then. When the
-run's own instance goes, the run goes on at the copy.
+The run's memory is copied while it goes on; once the copy is there, the run goes on from it.
 """
 
 import logging
@@ -15,9 +13,6 @@
 
 logger = logging.getLogger(__name__)
 
-REFRESH_S = 1.5
-"""Pause between updates of a copy made by order: a copy lives five seconds without one, and
-what a run makes in this time is read anew within about 15 ms."""
 TRY_AGAIN_S = 0.12
 """Pause before a failed order is tried again: a run that has not begun yet begins within some
 prompts' reading time (200 ms each), and an instance leaves within about two seconds."""
@@ -58,10 +53,6 @@
     def need_tokens(self) -> int:
         """Memory that the run will hold, in tokens."""
 
-    @property
-    def remaining_tokens(self) -> int:
-        """Tokens that the run is still expected to make."""
-
     def on_copy_ready(self) -> None:
         """The run's instance leaves and the copy is up to date; it should go on there."""
 
@@ -83,23 +74,8 @@
         self._timer: scheduler.Timer | None = None
         self._refusers: set[str] = set()
 
-    def begin(self, running_at: upstream_book.Upstream) -> str:
-        """Choose who gets the copy from the start.
-
-        :returns: address of that instance; empty for none.
-        """
-        self.drop()
-        holder = self._choose(running_at) if self._wants_standing_copy else None
-        if holder is None:
-            if self._context.config.copies_runs:
-                self._look_later(REFRESH_S)
-            return ""
-        self._hold(holder)
-        self._log("copy grows along", running_at, holder)
-        return holder.instance.address
-
     def look(self) -> None:
-        """Do what the present state asks for; called when instances leave, and now and then."""
+        """Do what the present state asks for; called when instances leave."""
         running_at = self._run.upstream
         if self._run.is_over or running_at is None:
             return
@@ -113,27 +89,18 @@
             }
             logger.info("copy lost", extra={"fields": fields})
             self.drop()
-        if self._move is not None and self._move.is_busy:
-            return
         must_move = running_at.is_departing(now_s) and self._context.config.moves_runs
-        if self._holder is None:
-            if must_move or self._wants_standing_copy:
-                self._make_copy(running_at)
-        elif self._move is not None:
-            self._move.copy()
+        if must_move and self._holder is None:
+            self._make_copy(running_at)
 
     def take(self) -> Copy | None:
         """Take the copy, if there is one, for the run to go on from it."""
         holder, move = self._holder, self._move
-        if holder is None or holder.is_gone:
-            return None
-        if move is not None and not move.handle:
+        if holder is None or holder.is_gone or move is None or not move.handle:
             return None
         self._holder = self._move = None
         self._cancel_timer()
         self._release(holder)
-        if move is None:
-            return Copy(holder, holder.instance.address, self._job.head.request_id)
         move.abandon(must_free=False)
         return Copy(holder, move.source_address, move.handle)
 
@@ -148,7 +115,7 @@
             self._release(holder)
 
     def on_copied(self, move: run_move.RunMove) -> None:
-        """Have the run go on at the copy if its instance leaves; else keep it up to date."""
+        """Have the run go on at the copy, unless its instance stays after all."""
         fields = {"request": move.request_id, "handle": move.handle}
         logger.info("copy made", extra={"fields": fields})
         self._context.figures.copies.labels("made").inc()
@@ -156,10 +123,10 @@
         if running_at is not None and running_at.is_departing(time.monotonic()):
             self._run.on_copy_ready()
         else:
-            self._look_later(REFRESH_S)
+            self.drop()
 
     def on_move_failed(self, move: run_move.RunMove) -> None:
-        """Try elsewhere, unless an older copy is the best there is."""
+        """Try elsewhere, or again a little later."""
         fields = {
             "request": self._job.head.request_id,
             "source": move.source_address,
@@ -168,9 +135,6 @@
         }
         logger.info("copy failed", extra={"fields": fields})
         self._context.figures.copies.labels("failed").inc()
-        if move.status == run_move.UNREACHABLE and move.handle:
-            # The source is gone; the copy made before is what the run goes on from.
-            return
         holder = self._holder
         self.drop()
         if move.status == NO_ROOM and holder is not None:
@@ -179,12 +143,6 @@
         else:
             self._look_later(TRY_AGAIN_S)
 
-    @property
-    def _wants_standing_copy(self) -> bool:
-        if not self._context.config.copies_runs:
-            return False
-        return run_safety.wants_standing_copy(self._run.remaining_tokens)
-
     def _make_copy(self, running_at: upstream_book.Upstream) -> None:
         engine = self._job.service.engine
         if engine is None or not engine.can_move:
@@ -193,8 +151,7 @@
         if holder is None:
             self._refusers.clear()
             # There is no run to copy yet, or no room for a copy just now.
-            is_urgent = running_at.is_departing(time.monotonic())
-            self._look_later(TRY_AGAIN_S if is_urgent else REFRESH_S)
+            self._look_later(TRY_AGAIN_S)
             return
         self._log("copy ordered", running_at, holder)
         self._hold(holder)
@@ -222,15 +179,13 @@
         logger.info(text, extra={"fields": fields})
 
     def _choose(self, running_at: upstream_book.Upstream) -> upstream_book.Upstream | None:
-        now_s = time.monotonic()
         return run_safety.choose_holder(
             self._job.service,
             self._context.book.get_service(self._job.service.name),
             running_at=running_at,
             need_tokens=self._run.need_tokens,
-            is_urgent=running_at.is_departing(now_s),
             excluded=self._refusers,
-            now_s=now_s,
+            now_s=time.monotonic(),
         )
 
     def _hold(self, holder: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -5,7 +5,6 @@
 
 from spoolhead._internal.gateway import exchange, run_guard
 from spoolhead._internal.models import codes, dialects
-from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_admission, run_safety, upstream_book, upstream_choice
 from spoolhead._internal.relay import pace_meter, splice
 
@@ -22,7 +21,6 @@
     _guard: run_guard.RunGuard
     _splice: splice.Splice
     _pace: pace_meter.PaceMeter
-    _stall_timer: scheduler.Timer | None = None
     admission: run_admission.Request
 
     @property
@@ -43,13 +41,6 @@
             return 0
         return generation.prompt_tokens + self._expected_tokens
 
-    @property
-    def remaining_tokens(self) -> int:
-        """Tokens that the run is still expected to make."""
-        engine = self.job.service.engine
-        made = self.events * engine.tokens_per_event if engine is not None else 0
-        return max(0, self._expected_tokens - made)
-
     @property
     def rank(self) -> float:
         """How much is saved by copying the run, for the time that it takes."""
@@ -132,8 +123,6 @@
             return
         if spliced.problem:
             self._break(spliced.problem)
-        else:
-            self._watch_for_stall()
 
     def take_end(self, attempt: exchange.Attempt) -> None:
         """Take the end of the answer."""
@@ -156,7 +145,7 @@
             self.drop_attempt()
             self._begin_run()
             return
-        self._go_on_from_copy(reason)
+        self._break(reason)
 
     def _begin_run(self) -> None:
         generation = self.job.head.generation
@@ -233,7 +222,6 @@
         upstream.works[request_id] = upstream_book.Work(
             request_id, self.need_tokens, reading_tokens=reading
         )
-        backup_address = self._guard.begin(upstream)
         self._context.on_change()
         orders = dialects.AttemptOrders(
             instance_id=upstream.instance.instance_id,
@@ -241,7 +229,6 @@
             workspace=self.job.workspace_name,
             urgency=self._get_urgency(),
             resume=resume,
-            backup_address=backup_address,
         )
         attempt.call = self.send_attempt(upstream, attempt, orders)
 
@@ -257,34 +244,6 @@
             work.reading_tokens = 0
             self._context.on_change()
 
-    def drop_attempt(self) -> None:
-        """Cancel the run's present connection and stop watching it."""
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-            self._stall_timer = None
-        super().drop_attempt()
-
-    def _watch_for_stall(self) -> None:
-        if self._stall_timer is not None:
-            self._stall_timer.cancel()
-        wait_s = run_safety.get_stall_s(self.job.route)
-        self._stall_timer = self._context.timers.call_later(wait_s, self._on_stall)
-
-    def _on_stall(self) -> None:
-        if self.is_over or self._attempt is None:
-            return
-        copy = self._guard.take()
-        if copy is not None:
-            self._log_attempt_failure(self._attempt, "the stream stands still")
-            self._resume(copy)
-
-    def _go_on_from_copy(self, reason: str) -> None:
-        copy = self._guard.take()
-        if copy is not None:
-            self._resume(copy)
-        else:
-            self._break(reason)
-
     def _resume(self, copy: run_guard.Copy) -> None:
         point = dialects.ResumePoint(
             address=copy.address, handle=copy.handle, last_event_id=self._splice.last_event_id
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -8,11 +8,6 @@
 COPY_FILL_LIMIT = 1.0
 """Share of an instance's memory that work and copies may be foreseen to fill before it takes no
 further copy; the rest is for runs, which a full memory would have preempted."""
-STANDING_FILL_LIMIT = 0.5
-"""The same for a copy that is made before there is need for one."""
-STANDING_COPY_TOKENS = 800
-"""Tokens still to be made from which a copy is made ahead of need: about four seconds, in which
-one of five instances was seen to leave with one chance in four."""
 OTHER_HALL_COST = 0.4
 """What another hall counts against a holder, as a share of a memory: a copy between halls takes
 twice as long, and an instance that leaves has time for a handful of copies only."""
@@ -22,8 +17,6 @@
 SOON_OVER_PART = 0.3
 """A run that is expected to make fewer tokens than this, a good second's worth, is likely to
 end by itself before its instance does, so copying it saves that part of its value only."""
-STALL_FACTOR = 2.0
-"""A stream that stands still for this many of the longest good pauses goes on at its copy."""
 DEFAULT_PAUSE_MS = 500
 """Longest good pause on a route that states none."""
 
@@ -34,7 +27,6 @@
     *,
     running_at: upstream_book.Upstream,
     need_tokens: int,
-    is_urgent: bool,
     excluded: Collection[str],
     now_s: float,
 ) -> upstream_book.Upstream | None:
@@ -42,15 +34,13 @@
 
     :param running_at: where the run is.
     :param need_tokens: memory that the run will hold.
-    :param is_urgent: the run's instance leaves.
     :param excluded: ids of instances that have just refused.
     :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
-    if engine is None or not engine.can_back_up:
+    if engine is None:
         return None
-    fill_limit = COPY_FILL_LIMIT if is_urgent else STANDING_FILL_LIMIT
-    limit = engine.memory_tokens * fill_limit
+    limit = engine.memory_tokens * COPY_FILL_LIMIT
     chosen = [
         upstream
         for upstream in upstreams
@@ -69,14 +59,6 @@
     return min(chosen, key=_get_cost, default=None)
 
 
-def wants_standing_copy(remaining_tokens: int) -> bool:
-    """Tell whether a run is likely enough to outlive its instance to be copied ahead of need.
-
-    :param remaining_tokens: tokens that it is still expected to make.
-    """
-    return remaining_tokens >= STANDING_COPY_TOKENS
-
-
 def get_rank(prompt_tokens: int, expected_tokens: int, made_tokens: int) -> float:
     """Return how much is saved by copying a run, for the time that it takes.
 
@@ -92,11 +74,6 @@
     return value / max(1, prompt_tokens + made_tokens)
 
 
-def get_stall_s(route: route_table.Route) -> float:
-    """Return the time after which a stream that stands still is given up, in seconds."""
-    return get_good_pause_ms(route) * STALL_FACTOR / 1000
-
-
 def get_good_pause_ms(route: route_table.Route) -> int:
     """Return the longest pause between two events that counts as good."""
     return route.pause_ms or DEFAULT_PAUSE_MS
--- a/src/spoolhead/_internal/utils/log_losses.py
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -19,7 +19,6 @@
         "upstream says that it is not well",
     }
 )
-_REACHED = frozenset({"copy ordered", "copy grows along"})
 
 
 class Cause(enum.Enum):
@@ -144,7 +143,7 @@
     since = {line.text for line in story if line.time_s >= last.time_s}
     if "copy failed" in since:
         return Cause.CUT_COPY_REFUSED
-    return Cause.CUT_COPY_LATE if since & _REACHED else Cause.CUT_NOT_COPIED
+    return Cause.CUT_COPY_LATE if "copy ordered" in since else Cause.CUT_NOT_COPIED
 
 
 def _get_events(story: Sequence[log_story.Line]) -> int:
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -75,8 +75,6 @@
             headers.append((names.WORKSPACE, orders.workspace))
         if orders.urgency is not None:
             headers.append((names.URGENCY, str(orders.urgency)))
-        if orders.backup_address:
-            headers.append((names.BACKUP_TO, orders.backup_address))
         if orders.resume is not None:
             point = orders.resume
             headers.append((names.RESUME_FROM, f"{point.address}/{point.handle}"))
--- a/src/spoolhead/platform/tables.py
+++ b/src/spoolhead/platform/tables.py
@@ -144,7 +144,6 @@
         token_bytes=fields.get("kv_token_bytes", int, 0),
         link_mbps=fields.get("link_mbps", float, 0.0),
         can_move=fields.get("moves", bool, False),
-        can_back_up=fields.get("backups", bool, False),
         tokens_per_event=fields.get("stride", int, 1),
     )
 
