Refuse at once what only a cut-off hall could serve, and send its callers to other halls

Change, in three parts: - a hall to which a connection timed out, and from which nothing came since, is not tried for 0.5 s, or 2 s where its entries are silent too (policy/hall_reach.py); what only such halls could serve is refused at once instead of waiting for room. - an entry that hears no other hall, or has tried a silent one in vain, and has a service with all its instances there says that it is not ready, and ends kept connections after their next answer. The balancer then sends its callers to halls that can serve them. - a hall that tells its work often is taken for silent after 8 of its usual gaps (0.6 s at the least, 1.6 s as before at the most): 1 s sooner under load.

Ruled out: waiting for the cut to end (5 to 6.5 s, the short answers' whole time).

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -8,8 +8,9 @@
 
 from spoolhead._internal.gateway import entry_figures, refusals, run_queue
 from spoolhead._internal.models import codes, dialects, fault, route_table, settings
-from spoolhead._internal.network import caller_front, scheduler, upstream_calls
+from spoolhead._internal.network import caller_front, links, scheduler, upstream_calls
 from spoolhead._internal.policy import (
+    hall_reach,
     retry_allowance,
     run_admission,
     upstream_book,
@@ -40,6 +41,7 @@
     :ivar figures: counters and histograms.
     :ivar queue: generations that wait for an engine with room.
     :ivar entry_count: entries that there are.
+    :ivar reach: which halls can be reached.
     """
 
     __slots__ = (
@@ -55,6 +57,7 @@
         "on_change",
         "on_lost_request",
         "queue",
+        "reach",
         "timers",
     )
 
@@ -84,8 +87,13 @@
         self.figures = figures
         self.queue = run_queue.RunQueue(timers, chance)
         self.entry_count = 1
+        self.reach = hall_reach.HallReach(config.hall)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
+    def get_cut_halls(self, now_s: float) -> frozenset[str]:
+        """Return the halls that cannot be reached just now."""
+        return self.reach.get_cut_halls(self.get_silent_halls(), now_s)
+
     def get_allowance(self, service: str) -> retry_allowance.RetryAllowance:
         """Return the allowance of second attempts for a service."""
         allowance = self._allowances.get(service)
@@ -273,10 +281,12 @@
     def choose(self, need_tokens: int) -> upstream_choice.Choice:
         """Choose an instance that was not tried yet."""
         context = self._context
+        now_s = time.monotonic()
         view = upstream_choice.View(
             hall=context.config.hall,
             silent_halls=context.get_silent_halls(),
-            now_s=time.monotonic(),
+            cut_halls=context.get_cut_halls(now_s),
+            now_s=now_s,
             chance=context.chance,
         )
         return upstream_choice.choose(
@@ -385,13 +395,17 @@
         """Take the head of an attempt's answer."""
         if attempt is not self._attempt:
             return
+        now_s = time.monotonic()
         attempt.head = self._context.dialect.read_answer(status, headers)
-        attempt.upstream.note_load(attempt.head.load, time.monotonic())
+        attempt.upstream.note_load(attempt.head.load, now_s)
+        self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
 
     def note_loss(self, attempt: Attempt, reason: str) -> None:
         """Take note of an attempt whose connection was lost, or was never made."""
         assert attempt.call is not None
         is_unreachable = not attempt.call.may_have_arrived
+        if reason == links.CONNECT_TIMEOUT:
+            self._context.reach.note_time_out(attempt.upstream.instance.hall, time.monotonic())
         if not is_unreachable and attempt.head is None:
             self._context.on_lost_request(attempt.upstream.instance.instance_id)
         if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -113,6 +113,10 @@
         """Return the halls that were heard from and are silent, as behind a cut."""
         return self._view.get_silent_halls(time.monotonic())
 
+    def is_alone(self) -> bool:
+        """Tell whether nothing is heard of any other hall, as in one that is cut off."""
+        return self._view.is_alone(time.monotonic())
+
     def tell_alarm(self, alarm: shared_load.Alarm) -> None:
         """Tell all other entries at once of an instance that was found bad."""
         data = shared_load.encode(self._make_share(alarms=[alarm]))
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -32,7 +32,7 @@
     small_server,
     upstream_calls,
 )
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import hall_reach, upstream_book
 from spoolhead._internal.routing import matcher, table_checks
 from spoolhead._internal.utils import figures
 
@@ -51,6 +51,9 @@
 """Longest wait at the start for a majority of keepers to name their version and for a list of
 instances; an entry that can reach only a few keepers then serves with the newest that it got."""
 READY_CHECK_S = 0.05
+REACH_CHECK_S = 0.2
+"""Pause between looks at which services can be reached; a fifth of the balancer's pause between
+two questions."""
 
 
 class Gateway:
@@ -68,6 +71,7 @@
         self._is_ready = False
         self._has_instances = False
         self._is_stopping = False
+        self._unreachable = ""
         self._began_s = time.monotonic()
         self._stop_s = 0.0
         self._exchanges: set[exchange.Exchange] = set()
@@ -118,6 +122,7 @@
             on_alarm=self._on_alarm,
         )
         self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
+        self.loop.scheduler.call_every(REACH_CHECK_S, self._check_reach)
 
     def run(self) -> None:
         """Serve until told to stop and all that is in flight has ended."""
@@ -197,7 +202,7 @@
         return small_server.SmallAnswer(status)
 
     def _get_ready(self) -> bool:
-        return self._is_ready and not self._is_stopping
+        return self._is_ready and not self._is_stopping and not self._unreachable
 
     def _check_ready(self) -> None:
         if self._is_ready:
@@ -214,6 +219,32 @@
             logger.info("entry is ready", extra={"fields": fields})
             self._take_early()
 
+    def _check_reach(self) -> None:
+        """Send callers elsewhere while this hall is cut off from all instances of a service."""
+        unreachable = self._find_unreachable()
+        if unreachable == self._unreachable or self._is_stopping:
+            return
+        self._unreachable = unreachable
+        self._front.close_after_answers(bool(unreachable))
+        if unreachable:
+            halls = sorted(self._sharing.get_silent_halls())
+            fields = {"service": unreachable, "silent_halls": halls}
+            logger.warning("entry cannot reach a service", extra={"fields": fields})
+        else:
+            logger.info("entry can reach all services again")
+
+    def _find_unreachable(self) -> str:
+        """Return the name of a service whose instances all stand in lost halls; empty for none."""
+        silent = self._sharing.get_silent_halls()
+        # All halls at once: it is this one that is cut off, and no request need find that out.
+        lost = silent if self._sharing.is_alone() else self._context.reach.get_lost_halls(silent)
+        if not lost or self._matcher is None:
+            return ""
+        for service in self._matcher.services:
+            if hall_reach.is_out_of_reach(self._book.get_service(service.name), lost):
+                return service.name
+        return ""
+
     def _take_early(self) -> None:
         early, self._early = self._early, []
         for caller in early:
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -115,6 +115,7 @@
             attempt.body.append(data)
             return
         self._note_read(attempt)
+        self._context.reach.note_answer(attempt.upstream.instance.hall, time.monotonic())
         events_before = self._splice.events
         spliced = self._splice.feed(data)
         if spliced.events:
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -277,9 +277,12 @@
             idle_ms=bounds.idle_ms or limits.idle_ms,
         )
 
-    def close_after_answers(self) -> None:
-        """End each connection after its next answer; new ones are still taken."""
-        self._is_ending = True
+    def close_after_answers(self, is_ending: bool = True) -> None:
+        """End each connection after its next answer; new ones are still taken.
+
+        :param is_ending: False to keep connections again.
+        """
+        self._is_ending = is_ending
 
     def close_when_idle(self) -> None:
         """Take no further connections, and end each open one after its present request."""
--- /dev/null
+++ b/src/spoolhead/_internal/policy/hall_reach.py
@@ -0,0 +1,86 @@
+"""Which halls this entry can reach instances in; no I/O, time passed in.
+
+A hall behind a cut shows in two ways: connections to its instances time out, and nothing is heard
+of its entries. A single dark instance shows in the first way too, but then others of its hall go on
+answering.
+"""
+
+from collections.abc import Collection, Iterable
+
+from spoolhead._internal.policy import upstream_book
+
+SUSPECT_S = 0.5
+"""Time for which a hall is not tried after a connection to it timed out and nothing came from it
+since: a hall that is well answers some entry's plain requests several times in that time."""
+SILENT_SUSPECT_S = 2.0
+"""The same for a hall whose entries are silent: one request in that time finds out whether the cut
+is over, and the others are not held up by it."""
+
+
+class _Hall:
+    """What was seen of a hall.
+
+    :ivar timed_out_s: when a connection to it last timed out.
+    :ivar answered_s: when something last came from it.
+    """
+
+    __slots__ = ("answered_s", "timed_out_s")
+
+    def __init__(self) -> None:
+        self.timed_out_s = float("-inf")
+        self.answered_s = float("-inf")
+
+
+class HallReach:
+    """What this entry has seen of the way to each other hall.
+
+    :param own_hall: hall of this entry, which is never cut off from it.
+    """
+
+    def __init__(self, own_hall: str) -> None:
+        self._own_hall = own_hall
+        self._halls: dict[str, _Hall] = {}
+
+    def note_time_out(self, hall: str, now_s: float) -> None:
+        """Take note that a connection to an instance of a hall timed out."""
+        self._get(hall).timed_out_s = now_s
+
+    def note_answer(self, hall: str, now_s: float) -> None:
+        """Take note that something came from an instance of a hall."""
+        self._get(hall).answered_s = now_s
+
+    def get_cut_halls(self, silent_halls: Collection[str], now_s: float) -> frozenset[str]:
+        """Return the halls that no request should be sent to.
+
+        :param silent_halls: halls whose entries are not heard.
+        """
+        return frozenset(
+            name
+            for name, hall in self._halls.items()
+            if name != self._own_hall
+            and hall.answered_s < hall.timed_out_s
+            and now_s - hall.timed_out_s
+            <= (SILENT_SUSPECT_S if name in silent_halls else SUSPECT_S)
+        )
+
+    def get_lost_halls(self, silent_halls: Collection[str]) -> frozenset[str]:
+        """Return the silent halls that were not reached when last tried."""
+        return frozenset(
+            name
+            for name in silent_halls
+            if name in self._halls and self._halls[name].answered_s < self._halls[name].timed_out_s
+        )
+
+    def _get(self, hall: str) -> _Hall:
+        return self._halls.setdefault(hall, _Hall())
+
+
+def is_out_of_reach(
+    upstreams: Iterable[upstream_book.Upstream], lost_halls: Collection[str]
+) -> bool:
+    """Tell whether a service has instances, and all that stay are in lost halls.
+
+    :param upstreams: instances of the service.
+    """
+    halls = {upstream.instance.hall for upstream in upstreams if not upstream.is_leaving}
+    return bool(halls) and halls <= set(lost_halls)
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -14,8 +14,16 @@
 
 EXPIRY_S = 3.0
 """Age at which what was told no longer counts: three repetitions lost in a row."""
-SILENT_HALL_S = 1.6
-"""Silence of a hall after which it counts as cut off: a repetition was lost."""
+LONGEST_SILENCE_S = 1.6
+"""Silence of a hall after which it always counts as cut off: a repetition was lost."""
+SHORTEST_SILENCE_S = 0.6
+"""Silence before which it never does: a process stands still for some tenths of a second at
+times."""
+SILENT_GAPS = 8
+"""Usual gaps between two sums of a hall in which none comes before it counts as cut off, between
+these bounds: a busy hall sends many a second, so its silence is noticed a second sooner."""
+GAP_PART = 0.1
+"""Weight of the newest gap in the usual one."""
 SPEAKERS = 2
 """Entries of a hall that send its sum, each to the other halls' entries in turn: with one down the
 other is heard, and another speaks in its place soon."""
@@ -28,18 +36,31 @@
 
     :ivar hall: the hall.
     :ivar heard_s: when it was last heard.
+    :ivar gap_s: usual time between two words of it.
     :ivar held: what it holds.
     :ivar members: entries that it stands for.
     """
 
-    __slots__ = ("hall", "heard_s", "held", "members")
+    __slots__ = ("gap_s", "hall", "heard_s", "held", "members")
 
     def __init__(self, hall: str) -> None:
         self.hall = hall
         self.heard_s = -math.inf
+        self.gap_s = LONGEST_SILENCE_S
         self.held: Sequence[shared_load.Held] = ()
         self.members: Sequence[str] = ()
 
+    def note_heard(self, now_s: float) -> None:
+        """Take note of a word of it."""
+        gap_s = min(now_s - self.heard_s, LONGEST_SILENCE_S)
+        self.gap_s += GAP_PART * (gap_s - self.gap_s)
+        self.heard_s = now_s
+
+    def is_silent(self, now_s: float) -> bool:
+        """Tell whether nothing has come for so long that something is wrong."""
+        bound_s = max(SHORTEST_SILENCE_S, min(LONGEST_SILENCE_S, SILENT_GAPS * self.gap_s))
+        return now_s - self.heard_s > bound_s
+
 
 class LoadView:
     """Adds up what others hold in the book of instances.
@@ -75,7 +96,7 @@
         self._count(source.held, -1)
         source.held = share.held
         source.members = share.members if share.is_sum else (share.sender,)
-        source.heard_s = now_s
+        source.note_heard(now_s)
         self._count(source.held, 1)
         return True
 
@@ -143,8 +164,11 @@
 
     def get_silent_halls(self, now_s: float) -> frozenset[str]:
         """Return the halls that were heard from and are silent, as behind a cut."""
-        oldest_s = now_s - SILENT_HALL_S
-        return frozenset(hall for hall, item in self._halls.items() if item.heard_s < oldest_s)
+        return frozenset(hall for hall, item in self._halls.items() if item.is_silent(now_s))
+
+    def is_alone(self, now_s: float) -> bool:
+        """Tell whether all other halls that were ever heard from are silent."""
+        return bool(self._halls) and all(item.is_silent(now_s) for item in self._halls.values())
 
     def get_silence_ms(self, hall: str, now_s: float) -> int:
         """Return the time since a hall that was heard from was last heard."""
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -107,6 +107,9 @@
     """
     if choice.upstream is not None and has_room(engine, choice.upstream, request):
         return Verdict.BEGIN
+    if choice.is_cut_off:
+        # A cut lasts for seconds; waiting would only keep the caller from asking elsewhere.
+        return Verdict.REFUSE
     if now_s < request.refuse_s:
         return Verdict.WAIT
     if choice.upstream is None or get_least_fill(engine, choice) >= HOPELESS_FILL:
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -37,18 +37,20 @@
 
     :ivar upstream: the chosen instance, or None.
     :ivar candidates: what it was chosen from.
+    :ivar is_cut_off: there are instances, but none in a hall that can be reached.
     """
 
-    __slots__ = ("candidates", "upstream")
+    __slots__ = ("candidates", "is_cut_off", "upstream")
 
-    def __init__(self, candidates: Sequence[Candidate]) -> None:
+    def __init__(self, candidates: Sequence[Candidate], *, is_cut_off: bool = False) -> None:
         self.candidates = candidates
+        self.is_cut_off = is_cut_off
         self.upstream = candidates[0].upstream if candidates else None
 
     def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
         """Return the choice with those that a test holds for before the others."""
         ordered = sorted(self.candidates, key=lambda item: not is_preferred(item.upstream))
-        return Choice(ordered)
+        return Choice(ordered, is_cut_off=self.is_cut_off)
 
 
 class View:
@@ -56,17 +58,25 @@
 
     :ivar hall: hall of the entry.
     :ivar silent_halls: halls from which nothing has been heard for a while.
+    :ivar cut_halls: halls that cannot be reached just now.
     :ivar now_s: monotonic time in seconds.
     :ivar chance: source of random numbers.
     """
 
-    __slots__ = ("chance", "hall", "now_s", "silent_halls")
+    __slots__ = ("chance", "cut_halls", "hall", "now_s", "silent_halls")
 
     def __init__(
-        self, *, hall: str, silent_halls: Collection[str], now_s: float, chance: random.Random
+        self,
+        *,
+        hall: str,
+        silent_halls: Collection[str],
+        cut_halls: Collection[str],
+        now_s: float,
+        chance: random.Random,
     ) -> None:
         self.hall = hall
         self.silent_halls = silent_halls
+        self.cut_halls = cut_halls
         self.now_s = now_s
         self.chance = chance
 
@@ -82,18 +92,17 @@
     """Choose an instance.
 
     Where every instance rests or is said not to be well, one of them is better than none, but
-    not in a hall from which nothing is heard.
+    not in a hall from which nothing is heard. In a hall that cannot be reached none is tried: the
+    request would wait for a connection that does not come.
 
     :param service: the request's service.
     :param upstreams: its instances.
     :param need_tokens: memory that the request will hold at a model engine.
     :param excluded: ids of instances that it must not go to.
     """
-    allowed = [
-        upstream
-        for upstream in upstreams
-        if not upstream.is_leaving and upstream.instance.instance_id not in excluded
-    ]
+    staying = [upstream for upstream in upstreams if not upstream.is_leaving]
+    reachable = [item for item in staying if item.instance.hall not in view.cut_halls]
+    allowed = [item for item in reachable if item.instance.instance_id not in excluded]
     usable = [upstream for upstream in allowed if upstream.is_usable(view.now_s)]
     if not usable:
         usable = [
@@ -104,7 +113,7 @@
     ]
     view.chance.shuffle(candidates)
     candidates.sort(key=lambda candidate: candidate.cost)
-    return Choice(candidates)
+    return Choice(candidates, is_cut_off=bool(staying) and not reachable)
 
 
 def _get_cost(
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -163,12 +163,21 @@
     """One request of a kind, started."""
 
     def __init__(
-        self, kind, *, attempts=2, names=("i-1", "i-2"), slack=50, tokens="3000,800", fill=0
+        self,
+        kind,
+        *,
+        attempts=2,
+        names=("i-1", "i-2"),
+        hall="hall-a",
+        slack=50,
+        tokens="3000,800",
+        fill=0,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
         self.book = upstream_book.UpstreamBook()
         self.names = names
+        self.hall = hall
         self.list()
         for upstream in self.book.get_all():
             upstream.works["other"] = upstream_book.Work("other", fill, reading_tokens=0)
@@ -222,7 +231,7 @@
     def list(self, *, leaving=(), gone=()):
         """Take over a list in which some instances leave or are gone."""
         return self.book.take_list(
-            make_instance(name, is_leaving=name in leaving)
+            make_instance(name, hall=self.hall, is_leaving=name in leaving)
             for name in self.names
             if name not in gone
         )
--- a/tests/unit/test_load_sharing.py
+++ b/tests/unit/test_load_sharing.py
@@ -108,7 +108,7 @@
     caplog.set_level(logging.INFO, logger=load_sharing.__name__)
     began_s = load_sharing.time.monotonic()
     _take(sharing, _make_share())
-    for age_s in (0.1, load_view.SILENT_HALL_S + 0.1, load_view.SILENT_HALL_S + 0.3):
+    for age_s in (0.1, load_view.LONGEST_SILENCE_S + 0.1, load_view.LONGEST_SILENCE_S + 0.3):
         monkeypatch.setattr(load_sharing.time, "monotonic", lambda age_s=age_s: began_s + age_s)
         sharing._log_halls()
     _take(sharing, _make_share(sequence=2))
@@ -118,4 +118,4 @@
         "hall is heard again",
     ]
     assert caplog.records[0].fields["hall"] == "hall-b"
-    assert caplog.records[0].fields["age_ms"] >= load_view.SILENT_HALL_S * 1000
+    assert caplog.records[0].fields["age_ms"] >= load_view.LONGEST_SILENCE_S * 1000
--- a/tests/unit/test_load_view.py
+++ b/tests/unit/test_load_view.py
@@ -99,6 +99,33 @@
     assert near.view.get_silent_halls(102.0) == {"b"}
 
 
+def _hear(view, far, gaps_s):
+    now_s = 100.0
+    for gap_s in gaps_s:
+        now_s += gap_s
+        assert view.take_share(far.make(is_sum=True), now_s)
+    return now_s
+
+
+def test_a_busy_halls_silence_is_noticed_sooner_than_an_idle_ones():
+    busy, idle = Entry("a1", "a"), Entry("a2", "a")
+    last_s = _hear(busy.view, Entry("b1", "b"), [0.03] * 60)
+    assert not busy.view.get_silent_halls(last_s + load_view.SHORTEST_SILENCE_S - 0.01)
+    assert busy.view.get_silent_halls(last_s + load_view.SHORTEST_SILENCE_S + 0.01) == {"b"}
+    last_s = _hear(idle.view, Entry("b1", "b"), [1.0] * 60)
+    assert not idle.view.get_silent_halls(last_s + load_view.LONGEST_SILENCE_S - 0.01)
+    assert idle.view.get_silent_halls(last_s + load_view.LONGEST_SILENCE_S + 0.01) == {"b"}
+
+
+def test_an_entry_is_alone_if_no_other_hall_is_heard():
+    near = Entry("a1", "a")
+    assert not near.view.is_alone(100.0)
+    near.view.take_share(Entry("b1", "b").make(is_sum=True), 100.0)
+    near.view.take_share(Entry("c1", "c").make(is_sum=True), 101.0)
+    assert not near.view.is_alone(101.7)
+    assert near.view.is_alone(102.7)
+
+
 def test_an_instance_listed_later_gets_what_was_told_before():
     first, second = Entry("a1", "a"), Entry("a2", "a")
     first.book.take_list([gateway_setting.make_instance("i-9")])
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -26,9 +26,13 @@
     return book
 
 
-def _choose(book, service=PLAIN, *, silent=(), excluded=(), now_s=100.0):
+def _choose(book, service=PLAIN, *, silent=(), cut=(), excluded=(), now_s=100.0):
     view = upstream_choice.View(
-        hall="hall-a", silent_halls=silent, now_s=now_s, chance=random.Random(1)
+        hall="hall-a",
+        silent_halls=silent,
+        cut_halls=cut,
+        now_s=now_s,
+        chance=random.Random(1),
     )
     return upstream_choice.choose(
         service, book.get_service("s"), need_tokens=1_000, excluded=excluded, view=view
@@ -76,6 +80,15 @@
     assert _name(_choose(book, silent={"hall-b"}, excluded={"near"})) == "far"
 
 
+def test_a_hall_that_cannot_be_reached_is_not_even_the_last_resort():
+    book = _make_book(
+        gateway_setting.make_instance("near"),
+        gateway_setting.make_instance("far", hall="hall-b"),
+    )
+    assert _name(_choose(book, cut={"hall-b"})) == "near"
+    assert _name(_choose(book, cut={"hall-b"}, excluded={"near"})) is None
+
+
 def test_an_instance_that_fails_rests_and_is_used_if_there_is_no_other():
     book = _make_book(gateway_setting.make_instance("a"), gateway_setting.make_instance("b"))
     for _ in range(upstream_book.FAILURES_TO_EJECT):
