Order a copy at a departure whatever the fill foreseen

Change: the bound of 1.0 of a memory goes; the emptiest engine is asked, and says 503 itself where there is no room (a millisecond or two).

--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -183,7 +183,6 @@
             self._job.service,
             self._context.book.get_service(self._job.service.name),
             running_at=running_at,
-            need_tokens=self._run.need_tokens,
             excluded=self._refusers,
             now_s=time.monotonic(),
         )
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -5,9 +5,6 @@
 from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import upstream_book
 
-COPY_FILL_LIMIT = 1.0
-"""Share of an instance's memory that work and copies may be foreseen to fill before it takes no
-further copy; the rest is for runs, which a full memory would have preempted."""
 OTHER_HALL_COST = 0.4
 """What another hall counts against a holder, as a share of a memory: a copy between halls takes
 twice as long, and an instance that leaves has time for a handful of copies only."""
@@ -26,28 +23,27 @@
     upstreams: Sequence[upstream_book.Upstream],
     *,
     running_at: upstream_book.Upstream,
-    need_tokens: int,
     excluded: Collection[str],
     now_s: float,
 ) -> upstream_book.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
+    One that is foreseen to be full is tried too: what is foreseen is more than what is held, the
+    instance itself refuses what it has no room for, and without a copy the run is lost.
+
     :param running_at: where the run is.
-    :param need_tokens: memory that the run will hold.
     :param excluded: ids of instances that have just refused.
     :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
     if engine is None:
         return None
-    limit = engine.memory_tokens * COPY_FILL_LIMIT
     chosen = [
         upstream
         for upstream in upstreams
         if upstream is not running_at
         and upstream.instance.instance_id not in excluded
         and upstream.is_usable(now_s)
-        and upstream.tokens + need_tokens <= limit
     ]
 
     def _get_cost(upstream: upstream_book.Upstream) -> float:
