Believe an answer over silence, and ask again at the next departure

Found when reading the diff: an entry that hears no other hall took all of them for lost although their instances may answer, as when the entries of a two-hall fleet's other hall restart; and an instance that had no room at one departure of a run stayed excluded at the next.

Tests: test_to_one_that_hears_no_hall_a_silent_one_is_lost_unless_it_answers and test_an_instance_that_refused_at_one_departure_is_asked_again_at_the_next, both failed before.

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -235,9 +235,9 @@
 
     def _find_unreachable(self) -> str:
         """Return the name of a service whose instances all stand in lost halls; empty for none."""
-        silent = self._sharing.get_silent_halls()
-        # All halls at once: it is this one that is cut off, and no request need find that out.
-        lost = silent if self._sharing.is_alone() else self._context.reach.get_lost_halls(silent)
+        lost = self._context.reach.get_lost_halls(
+            self._sharing.get_silent_halls(), time.monotonic(), is_alone=self._sharing.is_alone()
+        )
         if not lost or self._matcher is None:
             return ""
         for service in self._matcher.services:
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -99,6 +99,7 @@
         if holder is None or holder.is_gone or move is None or not move.handle:
             return None
         self._holder = self._move = None
+        self._refusers.clear()
         self._cancel_timer()
         self._release(holder)
         move.abandon(must_free=False)
--- a/src/spoolhead/_internal/policy/hall_reach.py
+++ b/src/spoolhead/_internal/policy/hall_reach.py
@@ -58,19 +58,32 @@
             name
             for name, hall in self._halls.items()
             if name != self._own_hall
-            and hall.answered_s < hall.timed_out_s
+            and self._was_tried_in_vain(name)
             and now_s - hall.timed_out_s
             <= (SILENT_SUSPECT_S if name in silent_halls else SUSPECT_S)
         )
 
-    def get_lost_halls(self, silent_halls: Collection[str]) -> frozenset[str]:
-        """Return the silent halls that were not reached when last tried."""
+    def get_lost_halls(
+        self, silent_halls: Collection[str], now_s: float, *, is_alone: bool
+    ) -> frozenset[str]:
+        """Return the silent halls that this one is cut off from.
+
+        :param is_alone: no other hall is heard, so it is this one that is cut off; no request
+            need find that out, but an answer from a hall still speaks against it.
+        """
         return frozenset(
             name
             for name in silent_halls
-            if name in self._halls and self._halls[name].answered_s < self._halls[name].timed_out_s
+            if self._was_tried_in_vain(name) or (is_alone and not self._answers(name, now_s))
         )
 
+    def _was_tried_in_vain(self, name: str) -> bool:
+        hall = self._get(name)
+        return hall.answered_s < hall.timed_out_s
+
+    def _answers(self, name: str, now_s: float) -> bool:
+        return now_s - self._get(name).answered_s <= SUSPECT_S
+
     def _get(self, hall: str) -> _Hall:
         return self._halls.setdefault(hall, _Hall())
 
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -141,6 +141,20 @@
     assert targets[1] not in (f"{target}:80", f"{place}:80")
 
 
+def test_an_instance_that_refused_at_one_departure_is_asked_again_at_the_next():
+    setting = _start(tokens="3000,2000")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    first = setting.last.address.removesuffix(":80")
+    setting.leave(first)
+    setting.calls.copies[-1].answer(503, [], b"")
+    refuser, target = _get_targets(setting)
+    setting.calls.copies[-1].answer(200, [], b'{"handle": "h-1", "made": 3}')
+    setting.last.answer(200, SIGNED, make_events(4, 1), whole=False)
+    setting.list(leaving=[first, target.removesuffix(":80")])
+    setting.exchange.on_instances_changed()
+    assert _get_targets(setting)[-1] == refuser
+
+
 def test_a_copy_is_freed_if_the_instance_stays_after_all(monkeypatch):
     setting = _start(tokens="3000,2000")
     first = setting.last
--- a/tests/unit/test_hall_reach.py
+++ b/tests/unit/test_hall_reach.py
@@ -48,12 +48,20 @@
 
 def test_a_silent_hall_is_lost_only_once_it_was_tried_in_vain():
     reach = _make()
-    assert not reach.get_lost_halls({"hall-b"})
+    assert not reach.get_lost_halls({"hall-b"}, 10.0, is_alone=False)
     reach.note_time_out("hall-b", 10.0)
-    assert reach.get_lost_halls({"hall-b"}) == {"hall-b"}
-    assert not reach.get_lost_halls(())
+    assert reach.get_lost_halls({"hall-b"}, 10.0, is_alone=False) == {"hall-b"}
+    assert not reach.get_lost_halls((), 10.0, is_alone=False)
     reach.note_answer("hall-b", 11.0)
-    assert not reach.get_lost_halls({"hall-b"})
+    assert not reach.get_lost_halls({"hall-b"}, 11.0, is_alone=False)
+
+
+def test_to_one_that_hears_no_hall_a_silent_one_is_lost_unless_it_answers():
+    reach = _make()
+    assert reach.get_lost_halls({"hall-b"}, 10.0, is_alone=True) == {"hall-b"}
+    reach.note_answer("hall-b", 10.0)
+    assert not reach.get_lost_halls({"hall-b"}, 10.1, is_alone=True)
+    assert reach.get_lost_halls({"hall-b", "hall-c"}, 10.1, is_alone=True) == {"hall-c"}
 
 
 def test_a_service_is_out_of_reach_if_all_its_instances_stand_in_lost_halls():
