--- /dev/null
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -0,0 +1,90 @@
+"""What all exchanges of an entry share."""
+
+import random
+from collections.abc import Callable
+
+from spoolhead._internal.gateway import entry_figures, run_queue
+from spoolhead._internal.models import dialects, settings
+from spoolhead._internal.network import scheduler, upstream_calls
+from spoolhead._internal.policy import hall_reach, retry_allowance, upstream_book
+
+
+class Context:
+    """What all exchanges of an entry share.
+
+    :ivar config: the entry's settings.
+    :ivar dialect: how callers and instances speak.
+    :ivar calls: makes HTTP requests.
+    :ivar timers: calls back.
+    :ivar book: the instances.
+    :ivar chance: source of random numbers.
+    :ivar on_change: called when what this entry holds at an instance has changed.
+    :ivar on_lost_request: called with the id of an instance that took a request and lost it.
+    :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
+    :ivar figures: counters and histograms.
+    :ivar queue: generations that wait for an engine with room.
+    :ivar entry_count: entries that there are.
+    :ivar reach: which halls can be reached.
+    """
+
+    __slots__ = (
+        "_allowances",
+        "book",
+        "calls",
+        "chance",
+        "config",
+        "dialect",
+        "entry_count",
+        "figures",
+        "get_silent_halls",
+        "on_change",
+        "on_lost_request",
+        "queue",
+        "reach",
+        "timers",
+    )
+
+    def __init__(
+        self,
+        *,
+        config: settings.GatewaySettings,
+        dialect: dialects.EntryDialect,
+        calls: upstream_calls.UpstreamCalls,
+        timers: scheduler.Scheduler,
+        book: upstream_book.UpstreamBook,
+        chance: random.Random,
+        on_change: Callable[[], None],
+        on_lost_request: Callable[[str], None],
+        get_silent_halls: Callable[[], frozenset[str]],
+        figures: entry_figures.EntryFigures,
+    ) -> None:
+        self.config = config
+        self.dialect = dialect
+        self.calls = calls
+        self.timers = timers
+        self.book = book
+        self.chance = chance
+        self.on_change = on_change
+        self.on_lost_request = on_lost_request
+        self.get_silent_halls = get_silent_halls
+        self.figures = figures
+        self.queue = run_queue.RunQueue(timers, chance)
+        self.entry_count = 1
+        self.reach = hall_reach.HallReach(config.hall)
+        self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
+
+    def get_cut_halls(self, now_s: float) -> frozenset[str]:
+        """Return the halls that cannot be reached just now."""
+        return self.reach.get_cut_halls(self.get_silent_halls(), now_s)
+
+    def get_allowance(self, service: str) -> retry_allowance.RetryAllowance:
+        """Return the allowance of second attempts for a service."""
+        allowance = self._allowances.get(service)
+        if allowance is None:
+            allowance = self._allowances[service] = retry_allowance.RetryAllowance(
+                ratio=self.config.retry_ratio,
+                slack=self.config.retry_slack,
+                window_ms=self.config.retry_window_ms,
+            )
+        allowance.entry_count = self.entry_count
+        return allowance
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -3,7 +3,7 @@
 import logging
 import time
 
-from spoolhead._internal.gateway import exchange
+from spoolhead._internal.gateway import attempts, exchange
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.policy import upstream_book
 
@@ -17,7 +17,7 @@
     """One plain request."""
 
     _attempts_made = 0
-    _kept: exchange.Attempt | None = None
+    _kept: attempts.Attempt | None = None
 
     def start(self) -> None:
         """Make an attempt at the best instance."""
@@ -30,7 +30,7 @@
                 self.fail_without_upstream()
             return
         upstream = choice.upstream
-        attempt = self._attempt = exchange.Attempt(self, upstream)
+        attempt = self._attempt = attempts.Attempt(self, upstream)
         self._attempts_made += 1
         self._tried.add(upstream.instance.instance_id)
         request_id = self.job.head.request_id
@@ -47,7 +47,7 @@
         """Cancel the present attempt."""
         self.drop_attempt()
 
-    def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
+    def take_body(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Take a part of an attempt's answer."""
         if attempt is not self._attempt:
             return
@@ -57,7 +57,7 @@
             self._ran = codes.Ran.YES
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE, "the answer is too large")
 
-    def take_end(self, attempt: exchange.Attempt) -> None:
+    def take_end(self, attempt: attempts.Attempt) -> None:
         """Take the end of an attempt's answer."""
         if attempt is not self._attempt or attempt.head is None:
             return
@@ -77,7 +77,7 @@
             attempt.upstream.note_answer()
             self._deliver(attempt)
 
-    def take_loss(self, attempt: exchange.Attempt, reason: str) -> None:
+    def take_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Take the loss of an attempt's connection."""
         if attempt is not self._attempt:
             return
@@ -121,7 +121,7 @@
         allowance = self._context.get_allowance(self.job.service.name)
         return allowance.take(time.monotonic())
 
-    def _deliver(self, attempt: exchange.Attempt) -> None:
+    def _deliver(self, attempt: attempts.Attempt) -> None:
         head = attempt.head
         assert head is not None
         self._ran = codes.Ran.YES
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -8,10 +8,12 @@
 from spoolhead._internal.gateway import (
     entry_figures,
     exchange,
+    exchange_context,
     health_watch,
     load_sharing,
     plain_exchange,
     refusals,
+    routed_job,
     stream_exchange,
     table_feed,
 )
@@ -86,7 +88,7 @@
         self._sharing = load_sharing.LoadSharing(
             self.loop, config, self._book, on_alarm=self._empty, on_news=self._on_news
         )
-        self._context = exchange.Context(
+        self._context = exchange_context.Context(
             config=config,
             dialect=dialect,
             calls=calls,
@@ -277,7 +279,7 @@
 
     def _match(
         self, head: dialects.RequestHead, caller: caller_front.Caller
-    ) -> exchange.Job | fault.Fault:
+    ) -> routed_job.Job | fault.Fault:
         table = self._matcher
         if table is None or not self._is_ready:
             return fault.Fault(codes.ResultCode.NO_TABLE, "this entry has no table yet")
@@ -291,7 +293,7 @@
             return fault.Fault(code, "the API key belongs to no workspace")
         service = table.get_service(matcher.choose_service(route, self._context.chance))
         assert service is not None
-        return exchange.Job(head, route, service, workspace, table.version)
+        return routed_job.Job(head, route, service, workspace, table.version)
 
     def _refuse(self, caller: caller_front.Caller, request_id: str, item: fault.Fault) -> None:
         status = refusals.send(
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/routed_job.py
@@ -0,0 +1,55 @@
+"""A request that was matched to a route."""
+
+from spoolhead._internal.models import dialects, route_table
+
+LEAST_URGENT = 9
+"""Lowest rank that engines know."""
+
+
+class Job:
+    """A request that was matched to a route.
+
+    :ivar head: its head.
+    :ivar route: its route.
+    :ivar service: service that it goes to.
+    :ivar workspace: whose it is; None on a route without keys.
+    :ivar version: version of the table that decided this.
+    """
+
+    __slots__ = ("head", "route", "service", "version", "workspace")
+
+    def __init__(
+        self,
+        head: dialects.RequestHead,
+        route: route_table.Route,
+        service: route_table.Service,
+        workspace: route_table.Workspace | None,
+        version: int,
+    ) -> None:
+        self.head = head
+        self.route = route
+        self.service = service
+        self.workspace = workspace
+        self.version = version
+
+    @property
+    def workspace_name(self) -> str:
+        """Name of the workspace; empty for none."""
+        return self.workspace.name if self.workspace is not None else ""
+
+    @property
+    def urgency(self) -> int:
+        """Rank of the request at a model engine, 0 for the most urgent.
+
+        An engine that is told ranks preempts what is less urgent, which wastes what that has
+        read and stops its stream. So only the routes' ranks go there; the workspaces' decide
+        among this entry's own requests.
+        """
+        return min(LEAST_URGENT, self.route.priority)
+
+    @property
+    def workspace_rank(self) -> int:
+        """Rank of the workspace, 0 for the most urgent; the route's where it has none."""
+        if self.workspace is not None and self.workspace.priority is not None:
+            return self.workspace.priority
+        return self.route.priority
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -7,7 +7,7 @@
 import time
 from typing import Protocol
 
-from spoolhead._internal.gateway import exchange, run_move
+from spoolhead._internal.gateway import exchange_context, routed_job, run_move
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_safety, upstream_book
 
@@ -65,7 +65,9 @@
     :param context: what all exchanges share.
     """
 
-    def __init__(self, run: Guarded, job: exchange.Job, context: exchange.Context) -> None:
+    def __init__(
+        self, run: Guarded, job: routed_job.Job, context: exchange_context.Context
+    ) -> None:
         self._run = run
         self._job = job
         self._context = context
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -3,7 +3,7 @@
 import logging
 import time
 
-from spoolhead._internal.gateway import exchange, run_guard
+from spoolhead._internal.gateway import attempts, exchange, run_guard
 from spoolhead._internal.models import codes, dialects
 from spoolhead._internal.policy import run_admission, run_safety, upstream_book, upstream_choice
 from spoolhead._internal.relay import pace_meter, splice
@@ -107,7 +107,7 @@
         if copy is not None:
             self._resume(copy)
 
-    def take_body(self, attempt: exchange.Attempt, data: bytes) -> None:
+    def take_body(self, attempt: attempts.Attempt, data: bytes) -> None:
         """Take a part of the answer."""
         if attempt is not self._attempt or attempt.head is None:
             return
@@ -125,7 +125,7 @@
         if spliced.problem:
             self._break(spliced.problem)
 
-    def take_end(self, attempt: exchange.Attempt) -> None:
+    def take_end(self, attempt: attempts.Attempt) -> None:
         """Take the end of the answer."""
         if attempt is not self._attempt or attempt.head is None or attempt.call is None:
             return
@@ -135,7 +135,7 @@
             attempt.upstream.note_answer()
             self._finish(attempt.head)
 
-    def take_loss(self, attempt: exchange.Attempt, reason: str) -> None:
+    def take_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Take the loss of the connection."""
         if attempt is not self._attempt or attempt.call is None:
             return
@@ -177,7 +177,7 @@
             and head.request_id in ("", own_id)
         )
 
-    def _take_refusal(self, attempt: exchange.Attempt, head: dialects.AnswerHead) -> None:
+    def _take_refusal(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         self._log_attempt_failure(attempt, f"status {head.status}")
         if attempt.is_resumed or self._splice.events:
             self._break(f"the run could not go on: status {head.status}")
@@ -202,7 +202,7 @@
         logger.info("answered", extra={"fields": fields})
         self.end()
 
-    def _log_attempt_failure(self, attempt: exchange.Attempt, reason: str) -> None:
+    def _log_attempt_failure(self, attempt: attempts.Attempt, reason: str) -> None:
         fields = {
             **self.get_fields(),
             "upstream": attempt.upstream.instance.instance_id,
@@ -212,7 +212,7 @@
         logger.info("attempt failed", extra={"fields": fields})
 
     def _open(self, upstream: upstream_book.Upstream, resume: dialects.ResumePoint | None) -> None:
-        attempt = self._attempt = exchange.Attempt(self, upstream, is_resumed=resume is not None)
+        attempt = self._attempt = attempts.Attempt(self, upstream, is_resumed=resume is not None)
         request_id = self.job.head.request_id
         generation = self.job.head.generation
         reading = generation.prompt_tokens if generation is not None and resume is None else 0
@@ -238,7 +238,7 @@
             return None
         return self.job.urgency
 
-    def _note_read(self, attempt: exchange.Attempt) -> None:
+    def _note_read(self, attempt: attempts.Attempt) -> None:
         """Take note that the prompt has been read."""
         work = attempt.upstream.works.get(self.job.head.request_id)
         if work is not None and work.reading_tokens:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -3,7 +3,13 @@
 import random
 
 from lib import fakes
-from spoolhead._internal.gateway import entry_figures, exchange, plain_exchange, stream_exchange
+from spoolhead._internal.gateway import (
+    entry_figures,
+    exchange_context,
+    plain_exchange,
+    routed_job,
+    stream_exchange,
+)
 from spoolhead._internal.models import dialects, instances, route_table, settings
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.policy import upstream_book
@@ -210,7 +216,7 @@
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
-        context = exchange.Context(
+        context = exchange_context.Context(
             config=config,
             dialect=dialect.Dialect(),
             calls=self.calls,
@@ -223,7 +229,7 @@
             figures=entry_figures.EntryFigures(figures.Figures()),
         )
         self.caller = RoutedCaller(wire)
-        job = exchange.Job(head, route, service, workspace, 7)
+        job = routed_job.Job(head, route, service, workspace, 7)
         cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         self.exchange = cls(job, self.caller, context, self.ended.append)
         self.exchange.start()
