--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -5,7 +5,6 @@
 first instance still lives or not.
 """
 
-import enum
 from typing import Protocol
 
 from spoolhead._internal.models import dialects
@@ -16,14 +15,6 @@
 """Status of an order that got no answer."""
 
 
-class Step(enum.Enum):
-    """What a move is doing."""
-
-    COPYING = "copying"
-    COPIED = "copied"
-    FAILED = "failed"
-
-
 class MoveUser(Protocol):
     """What the owner of a move is told."""
 
@@ -43,7 +34,6 @@
     :param calls: makes HTTP requests.
     :param dialect: how instances speak.
     :param user: is told of it.
-    :ivar step: what it is doing.
     :ivar status: HTTP status of the last answer; :data:`UNREACHABLE` if none came.
     :ivar handle: handle of the copy; empty for none.
     """
@@ -61,7 +51,6 @@
         self.request_id = request_id
         self.source_address = source_address
         self.target_address = target_address
-        self.step = Step.COPIED
         self.status = UNREACHABLE
         self.handle = ""
         self._calls = calls
@@ -71,14 +60,8 @@
         self._must_free = False
         self._body: list[bytes] = []
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether an order is under way."""
-        return self.step is Step.COPYING
-
     def copy(self) -> None:
         """Make the copy, or bring it up to date."""
-        self.step = Step.COPYING
         self._body = []
         order = self._dialect.write_move(
             dialects.MoveOrder(request_id=self.request_id, target_address=self.target_address)
@@ -94,7 +77,6 @@
         :param must_free: the copy will not be used, so its memory is given back.
         """
         is_waiting = self._call is not None and not self._call.is_over
-        self.step = Step.FAILED
         if not must_free:
             if self._call is not None and is_waiting:
                 self._call.cancel()
@@ -120,9 +102,8 @@
             self._free()
             return
         if self.status != _OK:
-            self._fail()
+            self._user.on_move_failed(self)
             return
-        self.step = Step.COPIED
         self._user.on_copied(self)
 
     def on_call_lost(self, reason: str) -> None:
@@ -130,7 +111,7 @@
         del reason
         self.status = UNREACHABLE
         if not self._must_free:
-            self._fail()
+            self._user.on_move_failed(self)
 
     def _free(self) -> None:
         if not self.handle:
@@ -138,10 +119,6 @@
         order = self._dialect.write_release(self.handle)
         _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
 
-    def _fail(self) -> None:
-        self.step = Step.FAILED
-        self._user.on_move_failed(self)
-
 
 def _send_order(
     calls: upstream_calls.UpstreamCalls,
