Keep connections that health is asked on; judge keeping within the parser's callback

Cause: the parser answers should_keep_alive only until it leaves on_message_complete; asked later it always says no, so no connection to an upstream was ever kept (a probe of the parser: True inside the callback, False after it, for length, empty and chunked bodies).

Change: the answer is taken within the callback. Health is asked on the kept connection, with one more question on a new one where the kept one turns out to be gone, since an instance may forget a resting connection without a word. Requests, orders and readings of the list go on new connections as they in fact did: a kept one may be dead unseen.

Tests that failed first: tests/unit/test_upstream_calls.py (used again after a whole answer), tests/unit/test_health_watch.py (a kept connection that is gone raises no alarm).

--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -101,7 +101,7 @@
         self._body = []
         address = self._config.address
         request = upstream_calls.make_request("GET", target, address, (), b"")
-        self._call = self._calls.open(address, request, self)
+        self._call = self._calls.open(address, request, self, fresh=True)
 
     def _fail(self, reason: str) -> None:
         self._call = None
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from spoolhead._internal.gateway import attempts, exchange_context, refusals, routed_job
-from spoolhead._internal.models import codes, dialects, fault, route_table
+from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import run_admission, upstream_book, upstream_choice
 
@@ -113,13 +113,13 @@
         data = upstream_calls.make_request(
             wire.method, wire.target, self.job.head.host, headers, wire.body
         )
-        kind = self.job.route.kind
-        self._context.figures.attempts.labels(kind.value).inc()
+        self._context.figures.attempts.labels(self.job.route.kind.value).inc()
         return self._context.calls.open(
             upstream.instance.address,
             data,
             user,
-            fresh=kind is not route_table.RequestKind.REPEATABLE,
+            # A kept connection may be dead unseen, which a caller would pay for with its time.
+            fresh=True,
             is_head=wire.method == "HEAD",
         )
 
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -7,9 +7,9 @@
 
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
-from spoolhead._internal.models import dialects, settings, shared_load
+from spoolhead._internal.models import dialects, fleet, settings, shared_load
 from spoolhead._internal.network import links, upstream_calls
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import upstream_book, watch_duty
@@ -30,11 +30,12 @@
 class _Probe:
     """One question; its answer raises an alarm if it is bad."""
 
-    __slots__ = ("began_s", "call", "has_not_run", "owner", "status", "upstream")
+    __slots__ = ("began_s", "call", "has_not_run", "owner", "path", "status", "upstream")
 
-    def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream) -> None:
+    def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream, path: str) -> None:
         self.owner = owner
         self.upstream = upstream
+        self.path = path
         self.began_s = time.monotonic()
         self.call: upstream_calls.UpstreamCall | None = None
         self.status = 0
@@ -51,6 +52,9 @@
         self.owner.take(self, f"status {self.status}")
 
     def on_call_lost(self, reason: str) -> None:
+        if self.call is not None and self.call.is_reused:
+            self.owner.ask_again(self)
+            return
         is_silent = reason == links.CONNECT_TIMEOUT
         self.owner.take(self, reason, is_silent=is_silent)
 
@@ -79,7 +83,7 @@
         book: upstream_book.UpstreamBook,
         *,
         get_table: Callable[[], matcher.Matcher | None],
-        get_watchers: Callable[[], list[watch_duty.Watcher]],
+        get_watchers: Callable[[], Sequence[fleet.Process]],
         get_silent_halls: Callable[[], frozenset[str]],
         on_alarm: Callable[[upstream_book.Upstream, shared_load.AlarmKind], None],
     ) -> None:
@@ -120,6 +124,10 @@
             logger.info("upstream says that it is not well", extra={"fields": fields})
             self._on_alarm(probe.upstream, kind)
 
+    def ask_again(self, probe: _Probe) -> None:
+        """Repeat on a new connection a question whose kept connection turned out to be gone."""
+        self._send(probe, fresh=True)
+
     def _ask_all(self) -> None:
         table = self._get_table()
         if table is None:
@@ -144,8 +152,11 @@
                     self._ask(upstream, service.health_path)
 
     def _ask(self, upstream: upstream_book.Upstream, path: str) -> None:
-        probe = _Probe(self, upstream)
+        probe = _Probe(self, upstream, path)
         self._probes[upstream.instance.instance_id] = probe
-        address = upstream.instance.address
-        request = upstream_calls.make_request("GET", path, address, (), b"")
-        probe.call = self._calls.open(address, request, probe)
+        self._send(probe, fresh=False)
+
+    def _send(self, probe: _Probe, *, fresh: bool) -> None:
+        address = probe.upstream.instance.address
+        request = upstream_calls.make_request("GET", probe.path, address, (), b"")
+        probe.call = self._calls.open(address, request, probe, fresh=fresh)
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -93,6 +93,7 @@
         self._is_informational = False
         self._ended = False
         self._has_extra = False
+        self._may_keep = False
         self.address = address
         self.is_over = False
         self.has_head = False
@@ -105,6 +106,14 @@
         """
         return self._link is not None and self._link.sent_bytes > self._bytes_before
 
+    @property
+    def is_reused(self) -> bool:
+        """Whether it was sent on a connection that had carried another call.
+
+        The other side may have dropped such a connection unseen, so its loss says nothing of it.
+        """
+        return self._bytes_before > 0
+
     @property
     def ended_whole(self) -> bool:
         """Whether the answer ended where its framing said, and not with the connection."""
@@ -185,11 +194,13 @@
         """Note the end of the answer; called by the parser."""
         if not self._is_informational:
             self._ended = True
+            # The parser knows the framing only until it leaves this callback.
+            self._may_keep = self._parser.should_keep_alive()
 
     def _finish(self) -> None:
         self.is_over = True
         link = self._link
-        if link is not None and self._parser.should_keep_alive() and not self._has_extra:
+        if link is not None and self._may_keep and not self._has_extra:
             self._owner.keep(link)
         elif link is not None:
             link.close()
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -65,6 +65,7 @@
         self.address = address
         self.fresh = fresh
         self.ended_whole = False
+        self.is_reused = False
 
     @property
     def is_attempt(self):
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -4,7 +4,7 @@
 
 from lib import gateway_setting
 from spoolhead._internal.gateway import health_watch
-from spoolhead._internal.models import route_table
+from spoolhead._internal.models import fleet, route_table
 from spoolhead._internal.network import links
 from spoolhead._internal.policy import upstream_book, watch_duty
 from spoolhead._internal.routing import matcher
@@ -47,7 +47,9 @@
             dialect.Dialect(),
             self.book,
             get_table=lambda: matcher.Matcher(table),
-            get_watchers=lambda: [watch_duty.Watcher(name=n, hall="hall-a") for n in watchers],
+            get_watchers=lambda: [
+                fleet.Process(name=n, hall="hall-a", address="") for n in watchers
+            ],
             get_silent_halls=lambda: self.silent,
             on_alarm=lambda upstream, is_said: self.alarms.append(upstream),
         )
@@ -115,7 +117,7 @@
     instance = gateway_setting.make_instance("i-1", hall="hall-b")
     expected = 0
     for other in names:
-        watchers = [watch_duty.Watcher(name=n, hall="hall-a") for n in ("entry-1", other)]
+        watchers = [fleet.Process(name=n, hall="hall-a", address="") for n in ("entry-1", other)]
         expected += watch_duty.is_on_duty("entry-1", watchers, instance)
     assert asked == expected
 
@@ -129,3 +131,19 @@
     watch.silent = frozenset(["hall-b"])
     watch.calls.made[0].lose()
     assert not watch.alarms
+
+
+@pytest.mark.parametrize("is_reused", [False, True])
+def test_a_kept_connection_that_is_gone_raises_no_alarm_and_the_question_is_repeated(is_reused):
+    """An instance may forget a connection that rests without a word; the next one finds out."""
+    watch = _Watch()
+    watch.ask()
+    call = watch.calls.made[0]
+    call.is_reused = is_reused
+    call.lose("Connection reset by peer")
+    assert bool(watch.alarms) != is_reused
+    if is_reused:
+        again = watch.calls.made[1]
+        assert again.fresh
+        again.lose("Connection reset by peer")
+        assert watch.alarms
--- /dev/null
+++ b/tests/unit/test_upstream_calls.py
@@ -0,0 +1,127 @@
+"""Which connections to upstreams are used again, and which never."""
+
+import pytest
+
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import links, upstream_calls
+
+ADDRESS = "10.0.0.9:80"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class _Link:
+    def __init__(self, address, user):
+        self.address = address
+        self.user = user
+        self.is_closed = False
+        self.sent_bytes = 0
+
+    def send(self, data):
+        self.sent_bytes += len(data)
+
+    def close(self):
+        self.is_closed = True
+
+
+class _Links:
+    def __init__(self):
+        self.opened = []
+
+    def open(self, address, user, *, connect_ms):
+        self.opened.append(_Link(address, user))
+        return self.opened[-1]
+
+
+class _Loop:
+    class scheduler:  # noqa: N801
+        @staticmethod
+        def call_every(interval_s, call):
+            pass
+
+
+class _User:
+    def __init__(self):
+        self.ends = 0
+        self.losses = []
+
+    def on_answer_head(self, status, headers):
+        pass
+
+    def on_answer_body(self, data):
+        pass
+
+    def on_answer_end(self):
+        self.ends += 1
+
+    def on_call_lost(self, reason):
+        self.losses.append(reason)
+
+
+@pytest.fixture
+def outgoing():
+    return _Links()
+
+
+@pytest.fixture
+def calls(outgoing):
+    return upstream_calls.UpstreamCalls(_Loop, outgoing, settings.UpstreamSettings())
+
+
+def _ask(calls, outgoing, answer=WHOLE, *, fresh=False):
+    user = _User()
+    call = calls.open(ADDRESS, b"GET / HTTP/1.1\r\n\r\n", user, fresh=fresh)
+    if answer is not None:
+        outgoing.opened[-1].user.on_data(answer)
+        assert user.ends == 1
+    return call
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        WHOLE,
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+    ],
+    ids=["length", "empty", "chunked"],
+)
+def test_a_connection_is_used_again_after_a_whole_answer(calls, outgoing, answer):
+    assert not _ask(calls, outgoing, answer).is_reused
+    assert _ask(calls, outgoing).is_reused
+    assert len(outgoing.opened) == 1
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+        b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+        WHOLE + WHOLE,
+    ],
+    ids=["close", "old version", "more than one answer"],
+)
+def test_a_connection_is_not_used_again_after_any_other(calls, outgoing, answer):
+    _ask(calls, outgoing, answer)
+    assert outgoing.opened[0].is_closed
+    assert not _ask(calls, outgoing).is_reused
+
+
+def test_a_fresh_call_uses_no_kept_connection(calls, outgoing):
+    _ask(calls, outgoing)
+    assert not _ask(calls, outgoing, fresh=True).is_reused
+    assert len(outgoing.opened) == 2
+
+
+def test_a_kept_connection_that_ends_is_not_used_again(calls, outgoing):
+    _ask(calls, outgoing)
+    link = outgoing.opened[0]
+    link.is_closed = True
+    link.user.on_lost(links.CLOSED_CLEANLY)
+    _ask(calls, outgoing)
+    assert len(outgoing.opened) == 2
+
+
+def test_bytes_on_a_connection_without_a_call_end_it(calls, outgoing):
+    _ask(calls, outgoing)
+    outgoing.opened[0].user.on_data(WHOLE)
+    assert outgoing.opened[0].is_closed
