Take a process that restarts with its clock set back for a new one

Cause, found by reading: datagrams are numbered on from the time of day.

Change: a number far behind the newest is a new life of its process (policy/datagram_order.py), and an alarm is known again by finder and number for five seconds, not by the highest number ever.

Tests that failed first: two in tests/unit/test_load_hub.py.

--- /dev/null
+++ b/src/spoolhead/_internal/policy/datagram_order.py
@@ -0,0 +1,20 @@
+"""Which of two numbered datagrams of one process is the newer; no I/O.
+
+Processes number their datagrams on from the time of day at which they started, so that a restarted
+one begins above its former self. The time of day may have been set back meanwhile.
+"""
+
+LATE_NUMBERS = 1_000
+"""Numbers by which a datagram that was overtaken may be behind: two seconds of the fastest
+reporting, far longer than any datagram is under way. One further behind is from a process that was
+restarted after its clock had been set back."""
+
+
+def is_late(sequence: int, newest: int) -> bool:
+    """Tell whether a datagram was overtaken by one that came before, or came already."""
+    return newest - LATE_NUMBERS < sequence <= newest
+
+
+def is_restart(sequence: int, newest: int) -> bool:
+    """Tell whether a datagram is from a process that has begun its numbers anew, and lower."""
+    return sequence <= newest - LATE_NUMBERS
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import changed_rows
+from spoolhead._internal.policy import changed_rows, datagram_order
 
 REPORTER_EXPIRY_S = 1.6
 """Silence of a reporter after which its work no longer counts: six of its reports lost in a row."""
@@ -20,6 +20,10 @@
 """Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
 
 
+ALARM_REMEMBERED_S = 5.0
+"""Time for which an alarm is known to have been told: ten times that for which it is repeated."""
+
+
 class Reporter:
     """An entry that reports here.
 
@@ -50,12 +54,14 @@
     """Another hub.
 
     :ivar address: where it sends from.
+    :ivar newest: highest sequence of its datagrams.
     """
 
-    __slots__ = ("address", "heard_s", "rows")
+    __slots__ = ("address", "heard_s", "newest", "rows")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
+        self.newest = 0
         self.heard_s = 0.0
         self.rows: dict[int, _Row] = {}
 
@@ -86,7 +92,7 @@
         self._halls_told_s: dict[str, float] = {}
         self._own = changed_rows.ChangedRows()
         self._all = changed_rows.ChangedRows()
-        self._alarm_sequences: dict[str, int] = {}
+        self._alarms_taken_s: dict[tuple[str, int], float] = {}
         self._own_alarms: list[_Telling] = []
         self._all_alarms: list[_Telling] = []
 
@@ -129,7 +135,7 @@
         """
         self._halls_heard_s[report.hall] = now_s
         known = self._reporters.get(report.sender)
-        if known is not None and report.sequence <= known.counted:
+        if known is not None and datagram_order.is_late(report.sequence, known.counted):
             return False
         if not report.is_reporter:
             self._forget_reporter(report.sender)
@@ -142,7 +148,7 @@
         reporter.counted = report.sequence
         self._exchange_rows(reporter.rows, report.rows)
         reporter.rows = report.rows
-        self._take_alarms(report.alarms, self._own_alarms, self._all_alarms)
+        self._take_alarms(report.alarms, now_s, self._own_alarms, self._all_alarms)
         return known is None
 
     def take_totals(
@@ -154,6 +160,10 @@
         hub = self._hubs.get(totals.hub)
         if hub is None:
             hub = self._hubs[totals.hub] = _OtherHub(address)
+        if datagram_order.is_restart(totals.sequence, hub.newest):
+            self._forget_rows(hub)
+            hub.newest = 0
+        hub.newest = max(hub.newest, totals.sequence)
         hub.address = address
         hub.heard_s = now_s
         for key, held in totals.rows.items():
@@ -161,7 +171,7 @@
         for age in totals.ages:
             heard_s = now_s - age.age_ms / 1000
             self._halls_told_s[age.hall] = max(self._halls_told_s.get(age.hall, heard_s), heard_s)
-        self._take_alarms(totals.alarms, self._all_alarms)
+        self._take_alarms(totals.alarms, now_s, self._all_alarms)
 
     def forget_silent(self, now_s: float) -> None:
         """Forget reporters and hubs that have not been heard for long."""
@@ -171,8 +181,12 @@
         for name, hub in list(self._hubs.items()):
             if now_s - hub.heard_s > HUB_EXPIRY_S:
                 del self._hubs[name]
-                for key, row in hub.rows.items():
-                    self._all.add(key, row.held, -1)
+                self._forget_rows(hub)
+        self._alarms_taken_s = {
+            alarm: taken_s
+            for alarm, taken_s in self._alarms_taken_s.items()
+            if now_s - taken_s <= ALARM_REMEMBERED_S
+        }
 
     def make_totals(self, now_s: float) -> shared_load.Totals:
         """Return what to tell the other hubs next."""
@@ -221,16 +235,24 @@
             self._own.replace(key, before, after)
             self._all.replace(key, before, after)
 
+    def _forget_rows(self, hub: _OtherHub) -> None:
+        for key, row in hub.rows.items():
+            self._all.add(key, row.held, -1)
+        hub.rows.clear()
+
     def _forget_reporter(self, name: str) -> None:
         reporter = self._reporters.pop(name, None)
         if reporter is not None:
             self._exchange_rows(reporter.rows, {})
 
-    def _take_alarms(self, alarms: Iterable[shared_load.Alarm], *tellings: list[_Telling]) -> None:
+    def _take_alarms(
+        self, alarms: Iterable[shared_load.Alarm], now_s: float, *tellings: list[_Telling]
+    ) -> None:
         for alarm in alarms:
-            if alarm.sequence <= self._alarm_sequences.get(alarm.finder, 0):
+            name = (alarm.finder, alarm.sequence)
+            if name in self._alarms_taken_s:
                 continue
-            self._alarm_sequences[alarm.finder] = alarm.sequence
+            self._alarms_taken_s[name] = now_s
             for telling in tellings:
                 telling.append(_Telling(alarm))
 
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -4,7 +4,7 @@
 import math
 
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import datagram_order, upstream_book
 
 EXPIRY_S = 3.0
 """Time without any update after which what was told no longer counts: requests of a second or two
@@ -124,7 +124,7 @@
         self, key: int, total: shared_load.Held, own: shared_load.Held | None, sequence: int
     ) -> None:
         row = self._rows.get(key)
-        if row is not None and sequence <= row.sequence:
+        if row is not None and datagram_order.is_late(sequence, row.sequence):
             return
         others = total.copy()
         if own is not None:
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -233,3 +233,15 @@
             assert not part.problem
             passed += part.data
     assert passed == whole
+
+
+def test_a_caller_that_leaves_while_its_generation_waits_reaches_no_instance():
+    setting = _start(fill=34_000)
+    assert not setting.calls.attempts
+    setting.caller.is_gone = True
+    setting.caller.on_gone()
+    for upstream in setting.book.get_all():
+        upstream.works.clear()
+    setting.timers.run_due(60.0)
+    assert not setting.calls.attempts
+    assert setting.ended
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -90,6 +90,27 @@
     assert told == [1] * load_hub.ALARM_PARTS + [0] * (5 - load_hub.ALARM_PARTS)
 
 
+def test_a_reporter_restarted_with_its_clock_set_back_is_taken_at_once():
+    hub = load_hub.LoadHub("k1", 1)
+    old = shared_load.Alarm("i-1", shared_load.AlarmKind.SAID, finder="e1", sequence=9_000_000)
+    new = shared_load.Alarm("i-1", shared_load.AlarmKind.SAID, finder="e1", sequence=5_000_001)
+    _take(hub, sequence=9_000_000, tokens=100, alarms=[old])
+    assert len(hub.make_update(0.0).alarms) == 1
+    _take(hub, sequence=5_000_000, tokens=7, alarms=[new])
+    assert _tokens(hub) == 7
+    assert new.sequence in [alarm.sequence for alarm in hub.make_update(0.0).alarms]
+
+
+def test_a_hub_restarted_with_its_clock_set_back_is_taken_at_once():
+    here = load_hub.LoadHub("k1", 1)
+    former, restarted = load_hub.LoadHub("k2", 9_000_000), load_hub.LoadHub("k2", 5_000_000)
+    _take(former, sender="e1", tokens=100)
+    _take(restarted, sender="e2", tokens=7)
+    here.take_totals(former.make_totals(0.0), ADDRESS, 0.0)
+    here.take_totals(restarted.make_totals(0.1), ADDRESS, 0.1)
+    assert _tokens(here) == 7
+
+
 def test_a_part_is_bounded_and_all_rows_are_told_in_turn():
     rows = changed_rows.ChangedRows()
     for key in range(100):
