--- /dev/null
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -0,0 +1,91 @@
+"""Alarms about instances: which of this entry's are still to be told, and what others' lead to."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from spoolhead._internal.models import shared_load
+from spoolhead._internal.policy import upstream_book
+
+logger = logging.getLogger(__name__)
+
+KEPT_S = 0.5
+"""Time for which reports carry an alarm again, so that one lost datagram or a hub that is lost at
+the same time does not lose it."""
+TELL_AGAIN_S = 0.3
+"""Pause between two words about one instance that lost requests; a rest begins with 0.5 s."""
+TOLD_KEPT = 1_000
+"""Instances for which that pause is kept."""
+
+
+class _Raised:
+    """An alarm of this entry and when it was raised."""
+
+    __slots__ = ("alarm", "raised_s")
+
+    def __init__(self, alarm: shared_load.Alarm, raised_s: float) -> None:
+        self.alarm = alarm
+        self.raised_s = raised_s
+
+
+class AlarmExchange:
+    """The alarms that one entry raises and takes.
+
+    :param name: the entry's name.
+    :param first_sequence: above every number that a former run of the entry gave out.
+    :param book: the instances.
+    :param on_alarm: called with an instance that another entry found bad.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        first_sequence: int,
+        book: upstream_book.UpstreamBook,
+        on_alarm: Callable[[upstream_book.Upstream], None],
+    ) -> None:
+        self._name = name
+        self._sequence = first_sequence
+        self._book = book
+        self._on_alarm = on_alarm
+        self._raised: list[_Raised] = []
+        self._told_s: dict[str, float] = {}
+
+    def raise_alarm(self, instance_id: str, kind: shared_load.AlarmKind, now_s: float) -> None:
+        """Have an alarm told to all other entries."""
+        self._sequence += 1
+        alarm = shared_load.Alarm(instance_id, kind, finder=self._name, sequence=self._sequence)
+        self._raised.append(_Raised(alarm, now_s))
+
+    def is_failure_due(self, instance_id: str, now_s: float) -> bool:
+        """Tell whether an instance that lost a request should be told of again."""
+        if now_s - self._told_s.get(instance_id, 0.0) < TELL_AGAIN_S:
+            return False
+        if len(self._told_s) > TOLD_KEPT:
+            self._told_s.clear()
+        self._told_s[instance_id] = now_s
+        return True
+
+    def get_raised(self, now_s: float) -> list[shared_load.Alarm]:
+        """Return the alarms that a report made now should carry."""
+        self._raised = [item for item in self._raised if now_s - item.raised_s <= KEPT_S]
+        return [item.alarm for item in self._raised]
+
+    def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
+        """Take what other entries found."""
+        for alarm in alarms:
+            upstream = self._book.get(alarm.instance_id)
+            if alarm.finder != self._name and upstream is not None and not upstream.is_leaving:
+                self._take_one(alarm, upstream, now_s)
+
+    def _take_one(
+        self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
+    ) -> None:
+        if alarm.kind is shared_load.AlarmKind.LOST_REQUEST:
+            if upstream.note_told_failure(alarm.finder, now_s):
+                fields = {"upstream": alarm.instance_id, "reason": f"told by {alarm.finder}"}
+                logger.warning("upstream rests", extra={"fields": fields})
+            return
+        if upstream.raise_alarm(now_s, alarm.kind):
+            fields = {"upstream": alarm.instance_id, "told_by": alarm.finder}
+            logger.info("upstream is said not to be well", extra={"fields": fields})
+            self._on_alarm(upstream)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -10,6 +10,7 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 
+from spoolhead._internal.gateway import alarm_exchange
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import hub_port, scheduler
 from spoolhead._internal.policy import hub_choice, load_hub, load_view, upstream_book
@@ -35,13 +36,6 @@
 """Pause between two such signs; a third of the silence that makes a hall count as cut off."""
 ENTRY_HUBS = 2
 """Entries of a hall, the first by name, that are its hub where no keeper can be reached."""
-ALARM_KEPT_S = 0.5
-"""Time for which reports carry an alarm again, so that one lost datagram or a hub that is lost at
-the same time does not lose it."""
-TELL_AGAIN_S = 0.3
-"""Pause between two words about one instance that lost requests; a rest begins with 0.5 s."""
-TOLD_KEPT = 1_000
-"""Instances for which that pause is kept."""
 HALL_CHECK_S = 0.2
 """Pause between looks at which halls are silent; a third of the silence that makes one so."""
 REBUILD_S = 1.0
@@ -52,16 +46,6 @@
 _FIRST_ENTRY = 2
 
 
-class _RaisedAlarm:
-    """An alarm of this entry and when it was raised."""
-
-    __slots__ = ("alarm", "raised_s")
-
-    def __init__(self, alarm: shared_load.Alarm, raised_s: float) -> None:
-        self.alarm = alarm
-        self.raised_s = raised_s
-
-
 class LoadSharing:
     """Reports what this entry holds and takes what the others hold.
 
@@ -87,12 +71,10 @@
     ) -> None:
         self._timers = timers
         self._send = send
-        self._on_alarm = on_alarm
         self._on_news = on_news
         self._clock = clock
         self._name = config.name
         self._hall = config.hall
-        self._book = book
         self._fleet = fleet.Fleet()
         self._view = load_view.LoadView(config.hall, book)
         self._choice = hub_choice.HubChoice(config.name)
@@ -107,9 +89,7 @@
             bytes_per_s=config.hub_bytes_per_s,
             clock=clock,
         )
-        self._alarms: list[_RaisedAlarm] = []
-        self._alarm_sequence = self._sequence
-        self._told_s: dict[str, float] = {}
+        self._alarms = alarm_exchange.AlarmExchange(config.name, self._sequence, book, on_alarm)
         self._silent_halls: frozenset[str] = frozenset()
         self._report_timer: scheduler.Timer | None = None
         self._reported_s = 0.0
@@ -161,22 +141,13 @@
 
     def tell_alarm(self, instance_id: str, kind: shared_load.AlarmKind) -> None:
         """Tell all other entries at once of an instance that was found bad."""
-        self._alarm_sequence += 1
-        alarm = shared_load.Alarm(
-            instance_id, kind, finder=self._name, sequence=self._alarm_sequence
-        )
-        self._alarms.append(_RaisedAlarm(alarm, self._clock()))
+        self._alarms.raise_alarm(instance_id, kind, self._clock())
         self._report()
 
     def tell_failure(self, instance_id: str) -> None:
         """Tell all other entries of an instance that lost a request, now and then."""
-        now_s = self._clock()
-        if now_s - self._told_s.get(instance_id, 0.0) < TELL_AGAIN_S:
-            return
-        if len(self._told_s) > TOLD_KEPT:
-            self._told_s.clear()
-        self._told_s[instance_id] = now_s
-        self.tell_alarm(instance_id, shared_load.AlarmKind.LOST_REQUEST)
+        if self._alarms.is_failure_due(instance_id, self._clock()):
+            self.tell_alarm(instance_id, shared_load.AlarmKind.LOST_REQUEST)
 
     def note_change(self) -> None:
         """Report this entry's work soon."""
@@ -199,8 +170,7 @@
 
     def _take_update(self, update: shared_load.Update, sender: Address) -> None:
         now_s = self._clock()
-        for alarm in update.alarms:
-            self._take_alarm(alarm)
+        self._alarms.take(update.alarms, now_s)
         before = self._choice.present
         heard = self._choice.note_heard(sender, now_s)
         if heard is hub_choice.Heard.OTHER:
@@ -258,7 +228,6 @@
     def _make_report(self, *, is_reporter: bool) -> bytes:
         now_s = self._clock()
         self._sequence += 1
-        self._alarms = [item for item in self._alarms if now_s - item.raised_s <= ALARM_KEPT_S]
         rows = self._view.get_own() if is_reporter else {}
         if is_reporter:
             self._view.note_report(self._sequence, rows)
@@ -268,7 +237,7 @@
             sequence=self._sequence,
             is_reporter=is_reporter,
             rows=rows,
-            alarms=[item.alarm for item in self._alarms] if is_reporter else [],
+            alarms=self._alarms.get_raised(now_s) if is_reporter else [],
         )
         return shared_load.encode_report(report)
 
@@ -302,21 +271,6 @@
             logger.info("hall is heard again", extra={"fields": {"hall": hall}})
         self._silent_halls = silent
 
-    def _take_alarm(self, alarm: shared_load.Alarm) -> None:
-        upstream = self._book.get(alarm.instance_id)
-        if alarm.finder == self._name or upstream is None or upstream.is_leaving:
-            return
-        now_s = self._clock()
-        if alarm.kind is shared_load.AlarmKind.LOST_REQUEST:
-            if upstream.note_told_failure(alarm.finder, now_s):
-                fields = {"upstream": alarm.instance_id, "reason": f"told by {alarm.finder}"}
-                logger.warning("upstream rests", extra={"fields": fields})
-            return
-        if upstream.raise_alarm(now_s, alarm.kind):
-            fields = {"upstream": alarm.instance_id, "told_by": alarm.finder}
-            logger.info("upstream is said not to be well", extra={"fields": fields})
-            self._on_alarm(upstream)
-
 
 def _format(address: Address | None) -> str:
     return f"{address[0]}:{address[1]}" if address is not None else ""
--- a/tests/unit/test_load_fleet.py
+++ b/tests/unit/test_load_fleet.py
@@ -5,6 +5,7 @@
 instances and 80 requests a second.
 """
 
+import logging
 import statistics
 
 import pytest
@@ -20,6 +21,8 @@
 CONTROL_BYTES_S = 19_000
 AGE_P99_MS = 500
 BURST_MS = 2.0
+FORGOTTEN_S = 4.0
+"""Time after which what a dead process told is forgotten and every row has been told again."""
 
 
 def _make(entries=24, halls=3, keepers=3, instances=9, **changes):
@@ -76,7 +79,7 @@
     made.run(1.0)
     made.kill("keeper-000")
     made.entries[0].hold(made.instances[5], "late", 7)
-    made.run(load_hub_forgets_s())
+    made.run(FORGOTTEN_S)
     assert made.is_agreed()
 
 
@@ -85,7 +88,7 @@
     made = _make()
     made.hubs[0].is_up = False
     made.entries[0].hold(made.instances[5], "late", 7)
-    made.run(load_hub_forgets_s())
+    made.run(FORGOTTEN_S)
     assert made.is_agreed()
     made.hubs[0].is_up = True
     made.run(hub_choice.LONGEST_REST_S + 3.0)
@@ -94,16 +97,11 @@
     assert made.is_agreed()
 
 
-def load_hub_forgets_s():
-    """Time after which what a dead hub told is forgotten and every row has been told again."""
-    return 4.0
-
-
 def test_two_hubs_that_die_together_leave_their_entries_with_the_third():
     made = _make()
     made.kill("keeper-000", "keeper-001")
     made.entries[0].hold(made.instances[5], "late", 7)
-    made.run(load_hub_forgets_s())
+    made.run(FORGOTTEN_S)
     assert made.is_agreed()
 
 
@@ -124,7 +122,7 @@
     made.run(1.0)
     assert made.entries[7].book.get(made.instances[5]).others.tokens == 700
     made.kill("entry-000")
-    made.run(load_hub_forgets_s())
+    made.run(FORGOTTEN_S)
     assert made.is_agreed()
 
 
@@ -198,3 +196,39 @@
         hub.is_up = False
     made.run(load_view.SILENCE_S + 0.1)
     assert not any(entry.sharing.get_silent_halls() for entry in made.entries)
+
+
+def test_a_lost_request_is_told_but_not_for_each_one():
+    made = _make()
+    made.forget_traffic()
+    for _ in range(5):
+        made.entries[0].sharing.tell_failure("i-00000003")
+    assert len(made.seen_by(made.entries[0])) == 1
+
+
+def test_an_instance_that_two_entries_lost_requests_at_rests_everywhere():
+    made = _make(loss=0.0)
+    far = made.entries[7].book.get("i-00000003")
+    made.entries[0].sharing.tell_failure("i-00000003")
+    made.run(0.2)
+    assert far.is_usable(made.clock.now_s)
+    made.entries[1].sharing.tell_failure("i-00000003")
+    made.run(0.2)
+    assert not far.is_usable(made.clock.now_s)
+
+
+def test_a_hall_that_falls_silent_is_written_once_by_each_entry_and_so_is_its_return(caplog):
+    caplog.set_level(logging.INFO, logger=load_sharing.__name__)
+    made = _make()
+    caplog.clear()
+    made.net.cut_halls.add("hall-2")
+    made.run(2.5)
+    made.net.cut_halls.clear()
+    made.run(1.0)
+    texts = [record.message for record in caplog.records if "hall" in record.message]
+    outside = sum(entry.process.hall != "hall-2" for entry in made.entries)
+    inside = len(made.entries) - outside
+    assert texts.count("hall is silent") == texts.count("hall is heard again")
+    assert texts.count("hall is silent") == outside + 2 * inside
+    silent = next(record for record in caplog.records if record.message == "hall is silent")
+    assert silent.fields["age_ms"] >= load_view.SILENCE_S * 1000
