Send entries what changed in the list of instances, not the whole of it

Cause: each change of the list went whole to every entry, and an entry read the whole again at each reading, changed or not: 61 KB and 17 ms at 1,600 instances, twice a second; docs/CAPACITY.md had it as what must change before the target. On the large fleet 5 of 32 engines go each 3.3 s.

Change: the keeper sends what is new, different or gone since its message before; a stream loses nothing, and who joins gets all. An entry keeps what it has read.

Ruled out: numbers for versions of the list that entries would have to ask for, as the streams already keep order.

Tests: a follower's list is the keeper's after 200 random readings; what is sent at 100 instances is under a twentieth of the whole; a lost stream's list is not changed any more.

--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -60,7 +60,7 @@
         self.address = address
         self.version = 0
         self.asked_s = 0.0
-        self.packed: list[list[object]] | None = None
+        self.listed: dict[str, instances.Instance] | None = None
         self.fleet: route_messages.Fleet | None = None
         self.client = feed.make_client(address, self)
 
@@ -151,7 +151,7 @@
     def on_keeper_lost(self, keeper: _Keeper) -> None:
         """Take note of a keeper that is lost."""
         logger.warning("keeper is lost", extra={"fields": {"address": keeper.address}})
-        keeper.packed = None
+        keeper.listed = None
         keeper.asked_s = 0.0
         keeper.fleet = None
         self._user.on_keeper_lost(keeper.address)
@@ -240,22 +240,32 @@
 
     def _take_list(self, keeper: _Keeper, message: route_messages.InstanceList) -> None:
         now_s = time.monotonic()
-        if not message.is_unchanged:
-            keeper.packed = message.instances
+        self._change_listed(keeper, message)
         is_stale = now_s - self._listed_s > self._config.instance_list.fallback_ms / 1000
-        if keeper.packed is None or (message.reader_term < self._reader_term and not is_stale):
+        if keeper.listed is None or (message.reader_term < self._reader_term and not is_stale):
             return
         self._reader_term = message.reader_term
         self._listed_s = now_s
         if self._reads_itself:
             self._reads_itself = False
             logger.info("instance list comes from a keeper again")
+        self._user.on_instances(list(keeper.listed.values()))
+
+    def _change_listed(self, keeper: _Keeper, message: route_messages.InstanceList) -> None:
+        """Change what a keeper lists; without a whole list on this stream there is nothing to."""
         try:
-            listed = instances.unpack(keeper.packed)
+            changed = instances.unpack(message.changed)
         except ValueError as error:
             logger.error("instance list of %s: %s", keeper.address, error)
             return
-        self._user.on_instances(listed)
+        if message.is_whole:
+            keeper.listed = {}
+        if keeper.listed is None:
+            return
+        for instance_id in message.gone:
+            keeper.listed.pop(instance_id, None)
+        for item in changed:
+            keeper.listed[item.instance_id] = item
 
     def _take_own_reading(self, listed: list[instances.Instance]) -> None:
         self._user.on_instances(listed)
--- a/src/spoolhead/_internal/network/route_messages.py
+++ b/src/spoolhead/_internal/network/route_messages.py
@@ -77,14 +77,17 @@
 
     :ivar reader_term: term of the keeper that read the list; a later reader's list wins.
     :ivar sequence: number of the reading.
-    :ivar instances: packed instances; empty if they are the same as in the reading before.
-    :ivar is_unchanged: the instances did not change.
+    :ivar is_whole: what changed is all that is listed; otherwise it is what changed since the
+        message before on the same stream.
+    :ivar changed: packed instances that are new or listed otherwise than before.
+    :ivar gone: ids of instances that are no longer listed.
     """
 
     reader_term: int
     sequence: int
-    instances: list
-    is_unchanged: bool
+    is_whole: bool
+    changed: list
+    gone: list
 
 
 @_message
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -74,8 +74,8 @@
         fields = {"entry": session.name, "hall": subscription.hall}
         logger.info("entry follows", extra={"fields": fields})
         session.send(self._make_version())
-        if self._packed:
-            session.send(self._make_list(is_unchanged=False))
+        if self._sequence:
+            session.send(self._make_whole_list())
         session.send(self._make_fleet())
         self._is_fleet_changed = True
 
@@ -102,11 +102,20 @@
     def publish_instances(self, term: int, listed: list[instances.Instance]) -> None:
         """Tell all followers of a reading of the list of instances."""
         packed = instances.pack(listed)
-        is_unchanged = packed == self._packed and term == self._reader_term
+        change = instances.compare(self._packed, packed)
         self._packed = packed
         self._reader_term = term
         self._sequence += 1
-        self._send_all(self._make_list(is_unchanged=is_unchanged))
+        # A follower's stream loses nothing, so it has what was sent before; before the first
+        # reading nothing was.
+        message = route_messages.InstanceList(
+            reader_term=term,
+            sequence=self._sequence,
+            is_whole=self._sequence == 1,
+            changed=change.changed,
+            gone=change.gone,
+        )
+        self._send_all(message)
 
     def _remember(self) -> None:
         """Keep the committed table's document for differences to later ones."""
@@ -135,12 +144,13 @@
     def _make_version(self) -> route_messages.RouteTableVersion:
         return route_messages.RouteTableVersion(version=self._get_table().version)
 
-    def _make_list(self, *, is_unchanged: bool) -> route_messages.InstanceList:
+    def _make_whole_list(self) -> route_messages.InstanceList:
         return route_messages.InstanceList(
             reader_term=self._reader_term,
             sequence=self._sequence,
-            instances=[] if is_unchanged else self._packed,
-            is_unchanged=is_unchanged,
+            is_whole=True,
+            changed=self._packed,
+            gone=[],
         )
 
     def _make_fleet(self) -> route_messages.Fleet:
--- a/tests/unit/test_keeper_feed.py
+++ b/tests/unit/test_keeper_feed.py
@@ -1,8 +1,11 @@
 """What a keeper sends to the entries that follow it, and how often."""
 
+import random
+
 import pytest
 
 from lib import gateway_setting
+from spoolhead._internal.models import instances
 from spoolhead._internal.network import messages, route_messages
 from spoolhead._internal.quorum import feed
 from spoolhead._internal.utils import deflate, document_delta
@@ -94,7 +97,44 @@
     for _ in range(3):
         keeper.feed.publish_instances(1, [gateway_setting.make_instance("i")])
     lists = session.get(route_messages.InstanceList)
-    assert [item.is_unchanged for item in lists] == [False, True, True]
+    assert [item.is_whole for item in lists] == [True, False, False]
+    assert [len(item.changed) for item in lists] == [1, 0, 0]
+
+
+def test_only_what_changed_in_a_list_is_sent_and_one_that_joins_gets_all(keeper):
+    """A hundred instances are 10 KB; of them a few come or go at a time."""
+    first = keeper.join("e1")
+    listed = [gateway_setting.make_instance(f"i-{number}") for number in range(100)]
+    keeper.feed.publish_instances(1, listed)
+    leaving = gateway_setting.make_instance("i-7", is_leaving=True)
+    changed = [*listed[1:7], leaving, *listed[8:], gateway_setting.make_instance("new")]
+    keeper.feed.publish_instances(1, changed)
+    sent = first.get(route_messages.InstanceList)[-1]
+    assert not sent.is_whole
+    assert {item[0] for item in sent.changed} == {"i-7", "new"}
+    assert sent.gone == ["i-0"]
+    whole = keeper.join("e2").get(route_messages.InstanceList)[-1]
+    assert whole.is_whole
+    assert instances.unpack(whole.changed) == changed
+    assert len(messages.encode(sent)) * 20 < len(messages.encode(whole))
+
+
+def test_lists_sent_as_changes_come_to_the_same_as_whole_ones(keeper):
+    """Whatever is listed in turn, a follower's list is the keeper's."""
+    session = keeper.join("e")
+    chance = random.Random(4)
+    held = {}
+    for _ in range(200):
+        names = chance.sample(range(30), chance.randrange(30))
+        listed = [
+            gateway_setting.make_instance(f"i-{n}", is_leaving=chance.random() < 0.3) for n in names
+        ]
+        keeper.feed.publish_instances(chance.randrange(1, 3), listed)
+        sent = session.get(route_messages.InstanceList)[-1]
+        for name in sent.gone:
+            del held[name]
+        held.update({item[0]: item for item in sent.changed})
+        assert set(instances.unpack(list(held.values()))) == set(listed)
 
 
 def test_one_that_has_the_table_before_gets_the_difference(keeper):
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -88,13 +88,14 @@
     return feed._keepers[address].client
 
 
-def _make_list(names, *, term, sequence=1, is_unchanged=False):
+def _make_list(names, *, term, sequence=1, is_whole=True, gone=()):
     packed = instances.pack([gateway_setting.make_instance(name) for name in names])
     return route_messages.InstanceList(
         reader_term=term,
         sequence=sequence,
-        instances=[] if is_unchanged else packed,
-        is_unchanged=is_unchanged,
+        is_whole=is_whole,
+        changed=packed,
+        gone=list(gone),
     )
 
 
@@ -128,13 +129,24 @@
 
 def test_an_unchanged_list_stands_for_that_keepers_last_one(feed):
     _tell(feed, "a:1", _make_list(["i-1"], term=4))
-    _tell(feed, "a:1", _make_list([], term=4, sequence=2, is_unchanged=True))
+    _tell(feed, "a:1", _make_list([], term=4, sequence=2, is_whole=False))
     assert feed._user.lists == [["i-1"], ["i-1"]]
     # A keeper that has not sent its list on this stream has nothing to leave unchanged.
-    _tell(feed, "b:1", _make_list([], term=4, sequence=3, is_unchanged=True))
+    _tell(feed, "b:1", _make_list([], term=4, sequence=3, is_whole=False))
     assert len(feed._user.lists) == 2
 
 
+def test_a_changed_list_is_that_keepers_last_one_with_the_change(feed):
+    _tell(feed, "a:1", _make_list(["i-1", "i-2"], term=4))
+    _tell(feed, "a:1", _make_list(["i-3"], term=4, sequence=2, is_whole=False, gone=["i-1"]))
+    assert feed._user.lists[-1] == ["i-2", "i-3"]
+    feed.on_keeper_lost(feed._keepers["a:1"])
+    _tell(feed, "a:1", _make_list(["i-4"], term=4, sequence=3, is_whole=False))
+    assert len(feed._user.lists) == 2
+    _tell(feed, "a:1", _make_list(["i-4"], term=4, sequence=3))
+    assert feed._user.lists[-1] == ["i-4"]
+
+
 def test_keepers_come_and_go_with_what_the_others_say(feed):
     _tell(
         feed,
