Tell the age of the news that a choice of instance was made on

Cause: an attempt's line named the candidates and their costs but not how old the others' work in them was, which is what a herd on one engine would have to be traced by. No decision changes.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -97,6 +97,7 @@
                 [item.upstream.instance.instance_id, round(item.cost, 2)]
                 for item in choice.candidates[:4]
             ],
+            "news_age_ms": self._context.get_news_age_ms(),
             "remaining_ms": self.remaining_ms,
         }
         logger.info(action, extra={"fields": fields})
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -21,6 +21,7 @@
     :ivar on_change: called when what this entry holds at an instance has changed.
     :ivar on_lost_request: called with the id of an instance that took a request and lost it.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
+    :ivar get_news_age_ms: returns the age of what is known of other entries' work.
     :ivar figures: counters and histograms.
     :ivar queue: generations that wait for an engine with room.
     :ivar entry_count: entries that there are.
@@ -36,6 +37,7 @@
         "dialect",
         "entry_count",
         "figures",
+        "get_news_age_ms",
         "get_silent_halls",
         "on_change",
         "on_lost_request",
@@ -56,6 +58,7 @@
         on_change: Callable[[], None],
         on_lost_request: Callable[[str], None],
         get_silent_halls: Callable[[], frozenset[str]],
+        get_news_age_ms: Callable[[], int],
         figures: entry_figures.EntryFigures,
     ) -> None:
         self.config = config
@@ -67,6 +70,7 @@
         self.on_change = on_change
         self.on_lost_request = on_lost_request
         self.get_silent_halls = get_silent_halls
+        self.get_news_age_ms = get_news_age_ms
         self.figures = figures
         self.queue = run_queue.RunQueue(timers, chance)
         self.entry_count = 1
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -108,6 +108,7 @@
             on_change=self._on_own_change,
             on_lost_request=self._sharing.tell_failure,
             get_silent_halls=self._sharing.get_silent_halls,
+            get_news_age_ms=self._sharing.get_news_age_ms,
             figures=self._figures,
         )
         self._figures.waiting.set_function(lambda: len(self._context.queue))
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -227,6 +227,7 @@
             on_change=lambda: None,
             on_lost_request=self.lost.append,
             get_silent_halls=frozenset,
+            get_news_age_ms=lambda: 20,
             figures=entry_figures.EntryFigures(figures.Figures()),
         )
         self.caller = RoutedCaller(wire)
