Let a hub without reporters forget what is over

Cause, found by reading the diff: a keeper to which no entry reports takes the totals of the other hubs and never tells anything, so alarms and rows of instances that had gone stayed for ever (some 18 instances a minute on the large fleet), and its first reporter would have got all the old alarms at once. Six keepers in three halls can leave one without reporters.

Change: without reporters a hub forgets, at each datagram, what telling would have let it forget.

Test that failed first: a hub that hears 500 totals with alarms and then gets its first reporter tells it no row and at most the last alarm.

--- a/src/spoolhead/_internal/network/hub_port.py
+++ b/src/spoolhead/_internal/network/hub_port.py
@@ -82,6 +82,8 @@
     def take(self, message: shared_load.Report | shared_load.Totals, sender: Address) -> None:
         """Take a datagram of an entry or of another hub."""
         now_s = self._clock()
+        if self._hub.is_idle:
+            self._hub.rest(now_s)
         if isinstance(message, shared_load.Totals):
             self._hub.take_totals(message, sender, now_s)
         elif self._hub.take_report(message, sender, now_s):
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -18,8 +18,6 @@
 cut between hubs would seem gone."""
 ALARM_PARTS = 3
 """Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
-
-
 ALARM_REMEMBERED_S = 5.0
 """Time for which an alarm is known to have been told: ten times that for which it is repeated."""
 
@@ -77,7 +75,7 @@
 
 
 class LoadHub:
-    """The hub of one process; without reporters it stays still.
+    """The hub of one process; without reporters it tells nothing but goes on listening.
 
     :param name: the process's name.
     :param first_sequence: above every number that a former run of the process gave out.
@@ -188,6 +186,14 @@
             if now_s - taken_s <= ALARM_REMEMBERED_S
         }
 
+    def rest(self, now_s: float) -> None:
+        """Forget what a hub without reporters need not know any more, as telling it would."""
+        self.forget_silent(now_s)
+        self._own.take_part()
+        self._all.take_part()
+        self._own_alarms.clear()
+        self._all_alarms.clear()
+
     def make_totals(self, now_s: float) -> shared_load.Totals:
         """Return what to tell the other hubs next."""
         self._sequence += 1
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -5,6 +5,7 @@
 
 from lib import gateway_setting
 from spoolhead._internal.models import shared_load
+from spoolhead._internal.network import hub_port
 from spoolhead._internal.policy import changed_rows, hub_choice, load_hub, load_view, upstream_book
 
 ADDRESS = ("10.0.0.9", 7)
@@ -81,6 +82,34 @@
     assert [(age.hall, age.age_ms) for age in here.make_update(10.5).ages] == [("b", 0)]
 
 
+def test_a_hub_without_reporters_keeps_nothing_of_what_is_over():
+    """A keeper may go without reporters for days while instances come and go elsewhere."""
+    sent = []
+    here = load_hub.LoadHub("k1", 1)
+    port = hub_port.HubPort(
+        gateway_setting.FakeTimers(),
+        here,
+        send=lambda data, address: sent.append(shared_load.decode(data)),
+        get_hubs=list,
+        bytes_per_s=1_000,
+        clock=lambda: 0.0,
+    )
+    for number in range(500):
+        held = shared_load.Held(5, 1, 0) if number < 3 else shared_load.Held()
+        alarm = shared_load.Alarm(
+            "i-1", shared_load.AlarmKind.SAID, finder="e9", sequence=number + 1
+        )
+        totals = shared_load.Totals(
+            hub="k2", sequence=number + 1, rows={number % 3: held}, ages=[], alarms=[alarm]
+        )
+        port.take(totals, ADDRESS)
+    port.take(_make_report(tokens=0), ADDRESS)
+    (update,) = sent
+    assert not update.rows
+    assert not update.alarms
+    assert len(here.make_update(0.0).alarms) <= 1
+
+
 def test_an_alarm_is_told_some_times_and_taken_once():
     hub = load_hub.LoadHub("k1", 1)
     alarm = shared_load.Alarm("i-1", shared_load.AlarmKind.SAID, finder="e1", sequence=5)
