One way to split an address; the hub's port out of network/, which knew no policy before

Found by reading the whole change again. IP:PORT was split in seven places, once by making a record of a process just for that; utils/endpoints.py serves all of them now. hub_port.py made network/ import policy/ for the first time; it and the socket of the loads stand in load_telling/, used by entries and keepers.

--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -11,14 +11,14 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from spoolhead._internal.gateway import alarm_exchange
+from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
-from spoolhead._internal.network import hub_port, scheduler
+from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import hub_choice, load_hub, load_view, upstream_book
+from spoolhead._internal.utils import endpoints
 
 logger = logging.getLogger(__name__)
 
-Address = tuple[str, int]
-
 COALESCE_S = 0.002
 """Changes within this time are reported together: what moves names two instances in one turn of the
 loop. More would let others choose the same engine meanwhile; bytes are bounded by the next line."""
@@ -64,7 +64,7 @@
         config: settings.GatewaySettings,
         book: upstream_book.UpstreamBook,
         *,
-        send: Callable[[bytes, Address], None],
+        send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_book.Upstream], None],
         on_news: Callable[[], None],
         clock: hub_port.Clock = time.monotonic,
@@ -116,8 +116,7 @@
 
     def note_keeper_lost(self, address: str) -> None:
         """Take note of a keeper whose stream ended: it is no hub for a while."""
-        host, _, port = address.rpartition(":")
-        self._choice.note_lost((host, int(port)), self._clock())
+        self._choice.note_lost(endpoints.split(address), self._clock())
         self._check_hub()
 
     def get_watchers(self) -> Sequence[fleet.Process]:
@@ -161,14 +160,14 @@
         """Count again what the others hold, after the list of instances has changed."""
         self._view.rebuild(self._clock())
 
-    def take(self, message: shared_load.Message, sender: Address) -> None:
+    def take(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
         """Take a datagram."""
         if isinstance(message, shared_load.Update):
             self._take_update(message, sender)
         else:
             self._hub_port.take(message, sender)
 
-    def _take_update(self, update: shared_load.Update, sender: Address) -> None:
+    def _take_update(self, update: shared_load.Update, sender: endpoints.Endpoint) -> None:
         now_s = self._clock()
         self._alarms.take(update.alarms, now_s)
         before = self._choice.present
@@ -192,7 +191,7 @@
             self._heralded_s = now_s
             self._show_to_hubs()
 
-    def _change_hub(self, before: Address | None, now_s: float) -> None:
+    def _change_hub(self, before: endpoints.Endpoint | None, now_s: float) -> None:
         fields = {
             "hub": _format(self._choice.present),
             "before": _format(before),
@@ -241,10 +240,10 @@
         )
         return shared_load.encode_report(report)
 
-    def _get_known_hubs(self) -> Iterable[Address]:
+    def _get_known_hubs(self) -> Iterable[endpoints.Endpoint]:
         return [keeper.endpoint for keeper in self._fleet.keepers] or self._get_far_hubs()
 
-    def _get_far_hubs(self) -> list[Address]:
+    def _get_far_hubs(self) -> list[endpoints.Endpoint]:
         """Return the entries that other halls would have for hubs."""
         halls = sorted({entry.hall for entry in self._fleet.entries} - {self._hall})
         return [entry.endpoint for hall in halls for entry in self._get_first_entries(hall)]
@@ -272,5 +271,5 @@
         self._silent_halls = silent
 
 
-def _format(address: Address | None) -> str:
+def _format(address: endpoints.Endpoint | None) -> str:
     return f"{address[0]}:{address[1]}" if address is not None else ""
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -17,6 +17,7 @@
     stream_exchange,
     table_feed,
 )
+from spoolhead._internal.load_telling import load_socket
 from spoolhead._internal.models import (
     codes,
     dialects,
@@ -29,7 +30,6 @@
 )
 from spoolhead._internal.network import (
     caller_front,
-    datagrams,
     links,
     loop,
     request_reader,
@@ -38,7 +38,7 @@
 )
 from spoolhead._internal.policy import hall_reach, upstream_book
 from spoolhead._internal.routing import matcher, table_checks
-from spoolhead._internal.utils import figures
+from spoolhead._internal.utils import endpoints, figures
 
 logger = logging.getLogger(__name__)
 
@@ -88,7 +88,7 @@
         self._figures.in_flight.set_function(lambda: len(self._exchanges))
         self._book = upstream_book.UpstreamBook()
         address = (config.host, config.peer_port)
-        sock = datagrams.LoadSocket(self.loop, address, self._take_load)
+        sock = load_socket.LoadSocket(self.loop, address, self._take_load)
         self._sharing = load_sharing.LoadSharing(
             self.loop.scheduler,
             config,
@@ -185,7 +185,7 @@
         """Take over the keepers that changed settings name."""
         self._feed.set_seeds(config.keepers)
 
-    def _take_load(self, message: shared_load.Message, sender: tuple[str, int]) -> None:
+    def _take_load(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
         self._sharing.take(message, sender)
 
     def _on_news(self) -> None:
--- a/src/spoolhead/_internal/network/hub_port.py
+++ b/src/spoolhead/_internal/load_telling/hub_port.py
@@ -10,10 +10,10 @@
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import load_hub
+from spoolhead._internal.utils import endpoints
 
 logger = logging.getLogger(__name__)
 
-Address = tuple[str, int]
 Clock = Callable[[], float]
 
 FIRST_S = 0.002
@@ -62,8 +62,8 @@
         timers: scheduler.Scheduler,
         hub: load_hub.LoadHub,
         *,
-        send: Callable[[bytes, Address], None],
-        get_hubs: Callable[[], Iterable[Address]],
+        send: Callable[[bytes, endpoints.Endpoint], None],
+        get_hubs: Callable[[], Iterable[endpoints.Endpoint]],
         bytes_per_s: int,
         clock: Clock = time.monotonic,
     ) -> None:
@@ -79,7 +79,9 @@
         self._totals_s = 0.0
         self._updates_s = 0.0
 
-    def take(self, message: shared_load.Report | shared_load.Totals, sender: Address) -> None:
+    def take(
+        self, message: shared_load.Report | shared_load.Totals, sender: endpoints.Endpoint
+    ) -> None:
         """Take a datagram of an entry or of another hub."""
         now_s = self._clock()
         if self._hub.is_idle:
--- a/src/spoolhead/_internal/network/datagrams.py
+++ b/src/spoolhead/_internal/load_telling/load_socket.py
@@ -6,10 +6,10 @@
 
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import endpoints
 
 logger = logging.getLogger(__name__)
 
-Address = tuple[str, int]
 MAX_DATAGRAM_BYTES = 60_000
 
 
@@ -24,8 +24,8 @@
     def __init__(
         self,
         loop: loops.Loop,
-        address: Address,
-        take: Callable[[shared_load.Message, Address], None],
+        address: endpoints.Endpoint,
+        take: Callable[[shared_load.Message, endpoints.Endpoint], None],
     ) -> None:
         self._take = take
         self._sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -33,7 +33,7 @@
         self._sock.bind(address)
         loop.poller.add_direct_reader(loop, self._sock, self._on_readable)
 
-    def send(self, data: bytes, address: Address) -> None:
+    def send(self, data: bytes, address: endpoints.Endpoint) -> None:
         """Send a datagram; one that cannot be sent is made good by the next."""
         try:
             self._sock.sendto(data, address)
--- a/src/spoolhead/_internal/models/fleet.py
+++ b/src/spoolhead/_internal/models/fleet.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from spoolhead._internal.utils import endpoints
+
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Process:
@@ -17,10 +19,9 @@
     address: str
 
     @property
-    def endpoint(self) -> tuple[str, int]:
+    def endpoint(self) -> endpoints.Endpoint:
         """The address as sockets take it."""
-        host, _, port = self.address.rpartition(":")
-        return host, int(port)
+        return endpoints.split(self.address)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/spoolhead/_internal/models/rows.py
+++ b/src/spoolhead/_internal/models/rows.py
@@ -17,6 +17,7 @@
 import pydantic.dataclasses
 
 from spoolhead._internal.models import codes, fault
+from spoolhead._internal.utils import endpoints
 
 _CONFIG = pydantic.ConfigDict(extra="forbid", strict=True)
 
@@ -219,9 +220,9 @@
 
 
 def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
+    host, port = endpoints.split(address)
     numbers = [int(part) for part in host.split(".")]
-    return all(number <= 255 for number in numbers) and 0 < int(port) <= 65535
+    return all(number <= 255 for number in numbers) and 0 < port <= 65535
 
 
 def _check_names(
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -17,6 +17,7 @@
 
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import scheduler
+from spoolhead._internal.utils import endpoints
 
 logger = logging.getLogger(__name__)
 
@@ -132,13 +133,12 @@
         :param user: who is told; never from within this call.
         :param connect_ms: time for the connection to be made.
         """
-        host, _, port = address.rpartition(":")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         link = Link(self, sock, address, user)
         self._links[sock] = link
-        result = sock.connect_ex((host, int(port)))
+        result = sock.connect_ex(endpoints.split(address))
         if result not in (0, errno.EINPROGRESS):
             self.lose_later(link, os.strerror(result))
             return link
--- a/src/spoolhead/_internal/network/peer_call.py
+++ b/src/spoolhead/_internal/network/peer_call.py
@@ -9,6 +9,7 @@
 from spoolhead._internal import exceptions
 from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import handshake, messages
+from spoolhead._internal.utils import endpoints
 
 ROLE = "operator"
 READ_BYTES = 65_536
@@ -29,9 +30,8 @@
         self._timeout_s = config.timeout_ms / 1000
         self._reader = messages.MessageReader()
         self._arrived: list[messages.Message] = []
-        host, _, port = address.rpartition(":")
         try:
-            self._sock = socket.create_connection((host, int(port)), self._timeout_s)
+            self._sock = socket.create_connection(endpoints.split(address), self._timeout_s)
         except OSError as error:
             raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
         self._shake_hands(config.shared_key)
--- a/src/spoolhead/_internal/policy/hub_choice.py
+++ b/src/spoolhead/_internal/policy/hub_choice.py
@@ -6,7 +6,7 @@
 
 import xxhash
 
-Address = tuple[str, int]
+from spoolhead._internal.utils import endpoints
 
 SILENCE_S = 0.35
 """Silence of the hub after which another is tried. A hub says something each tenth of a second; a
@@ -27,7 +27,7 @@
 
     __slots__ = ("address", "distance")
 
-    def __init__(self, address: Address, distance: int) -> None:
+    def __init__(self, address: endpoints.Endpoint, distance: int) -> None:
         self.address = address
         self.distance = distance
 
@@ -64,11 +64,11 @@
     def __init__(self, name: str) -> None:
         self._name = name
         self._candidates: list[Candidate] = []
-        self._states: dict[Address, _State] = {}
+        self._states: dict[endpoints.Endpoint, _State] = {}
         self._heard_s = -math.inf
         self._tried_s = -math.inf
-        self.present: Address | None = None
-        self.trying: Address | None = None
+        self.present: endpoints.Endpoint | None = None
+        self.trying: endpoints.Endpoint | None = None
 
     def set_candidates(self, candidates: Iterable[Candidate]) -> None:
         """Take over which processes can be the hub."""
@@ -78,7 +78,7 @@
         known = {item.address for item in self._candidates}
         self._states = {key: state for key, state in self._states.items() if key in known}
 
-    def note_heard(self, address: Address, now_s: float) -> Heard:
+    def note_heard(self, address: endpoints.Endpoint, now_s: float) -> Heard:
         """Take note of an update."""
         if address not in (self.present, self.trying):
             return Heard.OTHER
@@ -90,7 +90,7 @@
         self._get_state(address).rest_s = FIRST_REST_S
         return Heard.NEW if is_new else Heard.PRESENT
 
-    def note_lost(self, address: Address, now_s: float) -> None:
+    def note_lost(self, address: endpoints.Endpoint, now_s: float) -> None:
         """Take note that a process is known to be out of reach."""
         self._rest(address, now_s)
         if address == self.present:
@@ -115,7 +115,7 @@
         self._tried_s = now_s
         return True
 
-    def _find_best(self, now_s: float) -> Address | None:
+    def _find_best(self, now_s: float) -> endpoints.Endpoint | None:
         for item in self._candidates:
             if self._get_state(item.address).rest_until_s <= now_s:
                 return item.address
@@ -127,13 +127,13 @@
             default=None,
         )
 
-    def _rest(self, address: Address, now_s: float) -> None:
+    def _rest(self, address: endpoints.Endpoint, now_s: float) -> None:
         state = self._get_state(address)
         state.rest_until_s = now_s + state.rest_s
         state.rest_s = min(state.rest_s * 2, LONGEST_REST_S)
 
-    def _get_state(self, address: Address) -> _State:
+    def _get_state(self, address: endpoints.Endpoint) -> _State:
         return self._states.setdefault(address, _State())
 
-    def _get_weight(self, address: Address) -> int:
+    def _get_weight(self, address: endpoints.Endpoint) -> int:
         return xxhash.xxh3_64_intdigest(f"{self._name}\0{address[0]}:{address[1]}".encode())
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -9,6 +9,7 @@
 
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.policy import changed_rows, datagram_order
+from spoolhead._internal.utils import endpoints
 
 REPORTER_EXPIRY_S = 1.6
 """Silence of a reporter after which its work no longer counts: six of its reports lost in a row."""
@@ -31,7 +32,7 @@
 
     __slots__ = ("address", "counted", "heard_s", "rows")
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: endpoints.Endpoint) -> None:
         self.address = address
         self.counted = 0
         self.heard_s = 0.0
@@ -57,7 +58,7 @@
 
     __slots__ = ("address", "heard_s", "newest", "rows")
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(self, address: endpoints.Endpoint) -> None:
         self.address = address
         self.newest = 0
         self.heard_s = 0.0
@@ -119,12 +120,12 @@
         """Whether an alarm has not been told at all, which must not wait."""
         return any(item.left == ALARM_PARTS for item in self._all_alarms)
 
-    def get_hub_addresses(self) -> list[tuple[str, int]]:
+    def get_hub_addresses(self) -> list[endpoints.Endpoint]:
         """Return where the other hubs are that were heard lately."""
         return [hub.address for hub in self._hubs.values()]
 
     def take_report(
-        self, report: shared_load.Report, address: tuple[str, int], now_s: float
+        self, report: shared_load.Report, address: endpoints.Endpoint, now_s: float
     ) -> bool:
         """Take what an entry reports.
 
@@ -150,7 +151,7 @@
         return known is None
 
     def take_totals(
-        self, totals: shared_load.Totals, address: tuple[str, int], now_s: float
+        self, totals: shared_load.Totals, address: endpoints.Endpoint, now_s: float
     ) -> None:
         """Take what another hub tells."""
         if totals.hub == self._name:
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -5,19 +5,17 @@
 
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.entry import answers
+from spoolhead._internal.load_telling import hub_port, load_socket
 from spoolhead._internal.models import (
     codes,
     dialects,
     fault,
-    fleet,
     instances,
     settings,
     shared_load,
 )
 from spoolhead._internal.network import (
     caller_front,
-    datagrams,
-    hub_port,
     links,
     loop,
     messages,
@@ -28,7 +26,7 @@
 from spoolhead._internal.policy import load_hub
 from spoolhead._internal.quorum import feed, keeper_figures, member, mesh, questions
 from spoolhead._internal.routing import table_checks
-from spoolhead._internal.utils import figures
+from spoolhead._internal.utils import endpoints, figures
 from spoolhead.coordination import consensus_messages
 
 logger = logging.getLogger(__name__)
@@ -100,9 +98,9 @@
         logger.info("keeper %s serves", self._config.name, extra={"fields": fields})
         self.loop.run()
 
-    def _make_hub_port(self, address: tuple[str, int]) -> hub_port.HubPort:
+    def _make_hub_port(self, address: endpoints.Endpoint) -> hub_port.HubPort:
         """Return the hub by which the entries of this hall tell each other of their work."""
-        sock = datagrams.LoadSocket(self.loop, address, self._take_load)
+        sock = load_socket.LoadSocket(self.loop, address, self._take_load)
         return hub_port.HubPort(
             self.loop.scheduler,
             load_hub.LoadHub(self._config.name, int(time.time() * 1000)),
@@ -111,18 +109,16 @@
             bytes_per_s=self._config.hub_bytes_per_s,
         )
 
-    def _take_load(self, message: shared_load.Message, sender: tuple[str, int]) -> None:
+    def _take_load(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
         if isinstance(message, shared_load.Update):
             logger.warning("update of a hub that this keeper does not report to")
             return
         self._hub_port.take(message, sender)
 
-    def _get_other_hubs(self) -> list[tuple[str, int]]:
+    def _get_other_hubs(self) -> list[endpoints.Endpoint]:
         own = f"{self._config.host}:{self._config.peer_port}"
         others = [address for address in self._member.member_addresses if address != own]
-        return [
-            fleet.Process(name=address, hall="", address=address).endpoint for address in others
-        ]
+        return [endpoints.split(address) for address in others]
 
     def on_opened(self, session: peer_server.PeerSession) -> None:
         """Wait for what the peer asks."""
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -7,6 +7,7 @@
 
 from spoolhead._internal import exceptions
 from spoolhead._internal.models import codes, fault, settings
+from spoolhead._internal.utils import endpoints
 from spoolhead.platform import names
 
 SHARED_KEY = "spoolhead-on-the-platform"
@@ -62,8 +63,8 @@
 
 
 def _make_entry(fields: dict[str, Any]) -> settings.GatewaySettings:
-    host, port = _split(fields["listen"]["front"])
-    ready_host, ready_port = _split(fields["listen"]["ready"])
+    host, port = endpoints.split(fields["listen"]["front"])
+    ready_host, ready_port = endpoints.split(fields["listen"]["ready"])
     bounds = fields["bounds"]
     return settings.GatewaySettings(
         name=fields["node_name"],
@@ -88,7 +89,7 @@
 
 
 def _make_keeper(fields: dict[str, Any]) -> settings.QuorumKeeperSettings:
-    host, port = _split(fields["listen"]["control"])
+    host, port = endpoints.split(fields["listen"]["control"])
     return settings.QuorumKeeperSettings(
         name=fields["node_name"],
         hall=fields["zone"],
@@ -118,9 +119,4 @@
 def _get_keepers(fields: dict[str, Any]) -> list[str]:
     # Seeds are the operators' addresses; keepers speak to one another on the first free port.
     port = fields["internal_ports"][0]
-    return [f"{_split(seed)[0]}:{port}" for seed in fields["seeds"]]
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
+    return [f"{endpoints.split(seed)[0]}:{port}" for seed in fields["seeds"]]
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -124,10 +124,10 @@
         return dict(self.headers).get(name)
 
 
-def make_settings(**changes):
+def make_settings(*, name="entry-1", hall="hall-a", **changes):
     return settings.GatewaySettings(
-        name="entry-1",
-        hall="hall-a",
+        name=name,
+        hall=hall,
         host="10.0.0.1",
         port=1,
         ready_host="10.0.0.1",
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -7,8 +7,8 @@
 
 from lib import gateway_setting
 from spoolhead._internal.gateway import load_sharing
-from spoolhead._internal.models import fleet, settings, shared_load
-from spoolhead._internal.network import hub_port
+from spoolhead._internal.load_telling import hub_port
+from spoolhead._internal.models import fleet, shared_load
 from spoolhead._internal.policy import load_hub, upstream_book
 
 NEAR_S = 0.0005
@@ -127,18 +127,7 @@
             for number, name in enumerate(instance_names)
         )
         self.alarms = []
-        config = settings.GatewaySettings(
-            name=process.name,
-            hall=process.hall,
-            host="10.0.0.1",
-            port=1,
-            ready_host="10.0.0.1",
-            ready_port=2,
-            peer_port=3,
-            keepers=["10.0.0.2:1"],
-            shared_key="a key of sixteen",
-            instance_list=settings.InstanceListSettings(address="10.0.0.3:1"),
-        )
+        config = gateway_setting.make_settings(name=process.name, hall=process.hall)
         self.sharing = load_sharing.LoadSharing(
             fleet_.clock,
             config,
