Tell in the logs which table refused a request, who told which version, and who asks to join

Cause: the hypotheses of the refused route could not be told apart: a refusal named the table that came last and not the one that decided, and nothing said that a keeper asks to join or whether the leader hears of it. No change of logic. Unit tests pass.

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -327,7 +327,8 @@
             "code": int(item.code),
             "reason": item.text,
             "status": status,
-            "table_version": self._feed.version,
+            "table_version": self._matcher.version if self._matcher is not None else 0,
+            "taken_version": self._feed.version,
         }
         logger.info("refused", extra={"fields": fields})
 
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -80,12 +80,17 @@
 
 
 class _Keeper:
-    """One keeper that is followed."""
+    """One keeper that is followed.
+
+    :ivar version: newest version that it told.
+    :ivar has_told: it has told a version on the present stream.
+    """
 
     def __init__(self, feed: "TableFeed", address: str) -> None:
         self._feed = feed
         self.address = address
         self.version = 0
+        self.has_told = False
         self.asked_s = 0.0
         self.listed: dict[str, instances.Instance] | None = None
         self.fleet: _KnownFleet | None = None
@@ -178,6 +183,7 @@
     def on_keeper_lost(self, keeper: _Keeper) -> None:
         """Take note of a keeper that is lost."""
         logger.warning("keeper is lost", extra={"fields": {"address": keeper.address}})
+        keeper.has_told = False
         keeper.listed = None
         keeper.asked_s = 0.0
         keeper.fleet = None
@@ -187,8 +193,7 @@
         """Take a keeper's message."""
         match message:
             case route_messages.RouteTableVersion():
-                keeper.version = message.version
-                self._fetch(keeper)
+                self._take_version(keeper, message)
             case route_messages.RouteTableDocument():
                 self._take_table(keeper, message)
             case route_messages.InstanceList():
@@ -198,6 +203,18 @@
             case _:
                 logger.warning("unexpected %s of a keeper", type(message).__name__)
 
+    def _take_version(self, keeper: _Keeper, message: route_messages.RouteTableVersion) -> None:
+        if not keeper.has_told:
+            keeper.has_told = True
+            fields = {
+                "address": keeper.address,
+                "version": message.version,
+                "taken_version": self.version,
+            }
+            logger.info("keeper tells its version", extra={"fields": fields})
+        keeper.version = message.version
+        self._fetch(keeper)
+
     def _take_fleet(self, keeper: _Keeper, message: route_messages.Fleet) -> None:
         """Take what a keeper knows of the fleet; entries that any keeper knows of count.
 
@@ -256,6 +273,12 @@
             self.version = message.version
             self._document = document
             self._digest = document_delta.get_digest(document)
+            fields = {
+                "address": keeper.address,
+                "version": message.version,
+                "is_whole": not message.base_digest,
+            }
+            logger.info("table comes from a keeper", extra={"fields": fields})
             self._user.on_table(message.version, document)
         self._fetch(keeper)
 
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -72,7 +72,11 @@
     def add(self, session: peer_server.PeerSession, subscription: route_messages.Subscribe) -> None:
         """Take a follower and tell it what is known."""
         self._followers[session] = subscription
-        fields = {"entry": session.name, "hall": subscription.hall}
+        fields = {
+            "entry": session.name,
+            "hall": subscription.hall,
+            "version": self._get_table().version,
+        }
         logger.info("entry follows", extra={"fields": fields})
         session.send(self._make_version())
         if self._sequence:
@@ -99,6 +103,8 @@
     def announce_version(self) -> None:
         """Tell all followers of a new version."""
         self._remember()
+        fields = {"version": self._get_table().version, "followers": len(self._followers)}
+        logger.info("version told", extra={"fields": fields})
         self._send_all(self._make_version())
 
     def publish_instances(self, term: int, listed: list[instances.Instance]) -> None:
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -55,6 +55,8 @@
         self._leader = ""
         self._members: tuple[str, ...] = ()
         self._asked_s = 0.0
+        self._asked: set[str] = set()
+        self._askers: set[str] = set()
         self._held: list[consensus_types.Envelope] = []
         self._synced = 0
         log = self._begin(address, pathlib.Path(config.data_dir))
@@ -113,6 +115,8 @@
 
     def receive(self, message: messages.Message) -> None:
         """Take a message of another keeper."""
+        if isinstance(message, messages.JoinRequest):
+            self._note_join_request(message)
         self._consensus.receive(message, time.monotonic())
         self._carry_out()
 
@@ -168,9 +172,22 @@
             member=self.member_id, is_first_start=self._config.is_first_start
         )
         own = messages.get_address(self.member_id)
-        for address in {*self._config.keepers, *self.member_addresses} - {own}:
+        asked = {*self._config.keepers, *self.member_addresses} - {own}
+        if asked != self._asked:
+            self._asked = asked
+            fields = {"member": self.member_id, "asked": sorted(asked), "leader": self._leader}
+            logger.info("asks to join", extra={"fields": fields})
+        for address in asked:
             self._peers.send(address, request)
 
+    def _note_join_request(self, request: messages.JoinRequest) -> None:
+        """Log the first request of each process that is not a member."""
+        if request.member in self._consensus.members or request.member in self._askers:
+            return
+        self._askers.add(request.member)
+        fields = {"member": request.member, "leads": self.is_leader, "leader": self._leader}
+        logger.info("join request received", extra={"fields": fields})
+
     def _carry_out(self) -> None:
         while True:
             effects = self._consensus.take_effects()
@@ -203,6 +220,7 @@
                 self._on_leading()
         if self._members != tuple(self._consensus.members):
             self._members = tuple(self._consensus.members)
+            self._askers.difference_update(self._members)
             fields = {"members": list(self._members), "term": self.term}
             logger.info("members changed", extra={"fields": fields})
         if self._seen_version != self.register.version:
--- a/src/spoolhead/_internal/utils/log_story.py
+++ b/src/spoolhead/_internal/utils/log_story.py
@@ -20,9 +20,11 @@
         "instance list is read directly",
         "keeper is lost",
         "keeper is reachable",
+        "keeper tells its version",
         "log lines dropped",
         "process stood still",
         "settings read again",
+        "table comes from a keeper",
         "table in force",
     }
 )
