--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,6 +2,8 @@
 
 import hypothesis
 
+from lib import known_red
+
 hypothesis.settings.register_profile(
     "ci",
     derandomize=True,
@@ -16,3 +18,24 @@
     "long", deadline=None, max_examples=2_000, stateful_step_count=80
 )
 hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "ci"))
+
+RUN_KNOWN_RED = "--run-known-red"
+
+
+def pytest_addoption(parser):
+    parser.addoption(RUN_KNOWN_RED, action="store_true", help="also run what KNOWN-RED.txt lists")
+
+
+def pytest_terminal_summary(terminalreporter):
+    verb = "run" if terminalreporter.config.getoption(RUN_KNOWN_RED) else "passed over"
+    for item in known_red.read():
+        terminalreporter.write_line(f"known red, {verb}: {item.line}")
+
+
+def pytest_collection_modifyitems(config, items):
+    if config.getoption(RUN_KNOWN_RED):
+        return
+    listed = {item.test for item in known_red.read()}
+    deselected = [item for item in items if item.nodeid in listed]
+    items[:] = [item for item in items if item.nodeid not in listed]
+    config.hook.pytest_deselected(items=deselected)
--- /dev/null
+++ b/tests/functional/test_old_tables.py
@@ -0,0 +1,83 @@
+"""An entry refused a route that the table had held for ten seconds.
+
+Seen: a caller got 404 from an entry 9.8 s after a keeper had acknowledged the table with its route.
+All processes had started anew right after the acknowledgement, two keepers without their disks.
+
+How it came about: a keeper that starts takes the snapshot at the head of its file as the committed
+table. That of a keeper which had once joined anew was minutes old; the entries, which start with
+an empty memory, took it from there and were ready a second later. As long as no keeper led,
+nothing newer came. That took seconds or for ever where a keeper had silently missed in the group
+(``test_a_newcomer_that_knows_only_followers_becomes_a_member``) and two more lost their disks.
+
+What proved it: a run with the same end, in which all 76 entries put a table 38 s old in force at
+their start, and one on fewer instances, in which no keeper led any more.
+"""
+
+import time
+
+import pytest
+
+from lib import platform_fleet
+
+OLD, NEW = 3, 9
+WATCHED_S = 4.0
+"""Time for which the keeper with the old snapshot stays alone: several times the second after
+which an entry that can reach few keepers serves with what it has."""
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    with platform_fleet.PlatformFleet(tmp_path) as made:
+        made.start(entries=("entry-1",))
+        made.put_until_taken("keeper-1", platform_fleet.make_table(OLD))
+        made.wait_until_ready("entry-1")
+        yield made
+
+
+def _make_new_table():
+    table = platform_fleet.make_table(NEW)
+    table["routes"].append({**table["routes"][0], "name": "new", "path_prefix": "/new/"})
+    return table
+
+
+def _join_anew(fleet, keeper):
+    """Give a keeper a snapshot of the present table at the head of its file."""
+    others = [name for name in fleet.keeper_hosts if name != keeper]
+    fleet.kill(keeper)
+    fleet.wipe(keeper)
+    fleet.start_keeper(keeper)
+    for other in others:
+        platform_fleet.wait_for(
+            lambda other=other: fleet.counts_again(other, keeper),
+            f"{other} does not count the wiped keeper",
+        )
+    platform_fleet.wait_for(
+        lambda: fleet.read_version(keeper) == OLD, "the wiped keeper did not learn"
+    )
+
+
+def _ask_until(fleet, seconds, seen, status):
+    until_s = time.monotonic() + seconds
+    while time.monotonic() < until_s:
+        seen.append(fleet.ask("entry-1", "/new/x", X_Request_Id=f"n{len(seen)}").status)
+        if seen[-1] == status:
+            return
+        time.sleep(0.05)
+
+
+def test_a_route_is_not_refused_by_the_table_that_a_keeper_starts_with(fleet):
+    _join_anew(fleet, "keeper-1")
+    fleet.put_until_taken("keeper-2", _make_new_table())
+    seen = []
+    _ask_until(fleet, platform_fleet.WAIT_S, seen, 200)
+    assert seen[-1] == 200
+    for name in ("entry-1", *fleet.keeper_hosts):
+        fleet.kill(name)
+    fleet.start_keeper("keeper-1")
+    fleet.start_entry("entry-1")
+    seen = []
+    _ask_until(fleet, WATCHED_S, seen, 200)
+    fleet.start_keeper("keeper-2")
+    _ask_until(fleet, platform_fleet.WAIT_S, seen, 200)
+    assert 404 not in seen
+    assert seen[-1] == 200
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -87,6 +87,23 @@
     assert all(wiped.member_id in node.consensus.members for node in group.up())
 
 
+def test_a_newcomer_that_knows_only_followers_becomes_a_member():
+    """A keeper whose disk was lost was given three of six keepers, none of them the leader.
+
+    It asked them to join for the rest of the day, they passed the request over, and nobody
+    noticed that the group had one member less to lose. See ``functional/test_old_tables.py``.
+    """
+    group = consensus_group.Group(17, 6)
+    group.settle(2.0)
+    leader = next(node for node in group.up() if node.consensus.is_leader)
+    followers = [address for address in sorted(group.nodes) if address != leader.address]
+    group.wipe(followers[0])
+    wiped = group.nodes[followers[0]]
+    wiped.seeds = followers[1:4]
+    group.settle(3.0)
+    assert all(wiped.member_id in node.consensus.members for node in group.up())
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_once_a_wiped_member_is_back_another_loss_stops_nothing(seed):
     group = consensus_group.Group(seed)
--- /dev/null
+++ b/tests/unit/test_known_red.py
@@ -0,0 +1,27 @@
+"""KNOWN-RED.txt names tests that there are, three at most."""
+
+import ast
+
+import pytest
+
+from lib import known_red
+
+
+def _get_functions(path):
+    tree = ast.parse(path.read_text())
+    return {node.name for node in ast.walk(tree) if isinstance(node, ast.FunctionDef)}
+
+
+@pytest.mark.parametrize("item", known_red.read(), ids=lambda item: item.test)
+def test_a_listed_test_exists(item):
+    path, _, name = item.test.partition("::")
+    assert name.partition("[")[0] in _get_functions(known_red.PATH.parent / path)
+
+
+def test_few_are_listed():
+    assert len(known_red.read()) <= known_red.MOST
+
+
+def test_a_line_without_cause_and_issue_is_an_error():
+    with pytest.raises(ValueError):
+        known_red.KnownRed("tests/unit/test_x.py::test_y | cause only")
