Pass a request to join on to the leader

Cause: followers dropped it, and a newcomer asks only the three keepers of its settings, so with six keepers one that lost its disk stayed out whenever the leader was none of the three. Two more lost disks then left the group without a majority. Ruled out as the mend: asking the leader that the newcomer hears; a machine at a new address hears none. Change: a follower passes the request on, once.

--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -379,8 +379,16 @@
     # Membership
 
     def _take_join(self, request: messages.JoinRequest, now_s: float) -> None:
-        if self.is_leader and request.member not in self.members:
-            self._newcomers.take(request, now_s)
+        if self.is_leader:
+            if request.member not in self.members:
+                self._newcomers.take(request, now_s)
+        elif self.leader and not request.is_forwarded:
+            # A newcomer is told of a few members, and the leader need not be one of them. Left
+            # out, it is missed when others lose their disks, and the group with it.
+            forwarded = messages.JoinRequest(
+                member=request.member, is_first_start=request.is_first_start, is_forwarded=True
+            )
+            self._send(self.leader, forwarded)
 
     def _consider_membership(self, now_s: float) -> None:
         is_settled = self._log.membership_index <= self.commit_index
--- a/src/spoolhead/coordination/consensus_messages.py
+++ b/src/spoolhead/coordination/consensus_messages.py
@@ -132,10 +132,13 @@
     :ivar member: its id.
     :ivar is_first_start: the whole system starts for the first time, so this is an additional
         member and not the successor of a lost one.
+    :ivar is_forwarded: a member that does not lead passed it on; it is not passed on again, so
+        two members that take each other for the leader do not send it to and fro.
     """
 
     member: str
     is_first_start: bool
+    is_forwarded: bool = False
 
 
 Message = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotOffer | JoinRequest
--- a/tests/lib/consensus_group.py
+++ b/tests/lib/consensus_group.py
@@ -12,6 +12,8 @@
 from spoolhead.coordination import consensus_messages as messages
 
 STEP_S = 0.05
+SEEDS = 3
+"""Addresses that a process is given to find the group by, however large that is."""
 TIMING = consensus_types.Timing()
 
 
@@ -37,7 +39,7 @@
     def __init__(self, group, address, mark, founders):
         self.group = group
         self.address = address
-        self.seeds = None
+        self.seeds = group.draw_seeds()
         self.member_id = messages.make_member_id(address, mark)
         self.founders = founders
         self.disk = []
@@ -105,6 +107,7 @@
 
     def __init__(self, seed, size=3):
         self.chance = random.Random(seed)
+        self.seed_chance = random.Random(seed)
         self.now_s = 100.0
         self.in_flight = []
         self.cut = set()
@@ -116,11 +119,17 @@
         self.reads = []
         founders = [messages.make_member_id(f"10.0.0.{i}:1", "first") for i in range(1, size + 1)]
         self.nodes = {}
+        self.addresses = [messages.get_address(member_id) for member_id in founders]
         for member_id in founders:
             address = messages.get_address(member_id)
             self.nodes[address] = Node(self, address, "first", founders)
         self.marks = 0
 
+    def draw_seeds(self):
+        """Return the addresses that a process which starts now is given."""
+        known = sorted(self.nodes) or self.addresses
+        return self.seed_chance.sample(known, min(SEEDS, len(known)))
+
     def up(self):
         return [node for node in self.nodes.values() if node.is_up]
 
@@ -136,8 +145,7 @@
 
     def _ask_to_join(self, node):
         request = messages.JoinRequest(member=node.member_id, is_first_start=False)
-        seeds = self.nodes if node.seeds is None else node.seeds
-        known = {*seeds, *map(messages.get_address, node.consensus.members)}
+        known = {*node.seeds, *map(messages.get_address, node.consensus.members)}
         for address in sorted(known):
             if address != node.address:
                 self.in_flight.append((node.address, address, request))
