Hand out and serve by a table only once a leader has confirmed it

Ruled out: waiting for streams of more than half of the keepers (it did; they had told nothing yet), and a longer wait (a group without a leader outlasts any). Change: a member knows whether a leader has told it since its start what is committed (an entry of the leader's own term is committed here); versions are told with that; entries take confirmed tables, wait while most keepers can be reached, and take others only where they cannot be. What an entry cannot be sure of it refuses with 2010, 503, not run, instead of 404 or 401. A table counts as taken once it is in force, so an exception on the way no longer leaves the older one for good.

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -9,6 +9,7 @@
     entry_figures,
     exchange,
     exchange_context,
+    first_table,
     health_watch,
     load_sharing,
     plain_exchange,
@@ -51,9 +52,6 @@
 EARLY_WAIT_S = 1.5
 """Age up to which an entry without a table keeps requests for it; a start with an election takes
 less than a second."""
-FIRST_TABLE_WAIT_S = 1.0
-"""Longest wait at the start for a majority of keepers to name their version and for a list of
-instances; an entry that can reach only a few keepers then serves with the newest that it got."""
 READY_CHECK_S = 0.05
 REACH_CHECK_S = 0.2
 """Pause between looks at which services can be reached; a fifth of the balancer's pause between
@@ -143,19 +141,23 @@
         logger.info("entry %s starts", self._config.name, extra={"fields": fields})
         self.loop.run()
 
-    def on_table(self, version: int, document: bytes) -> None:
-        """Put a newer route table in force."""
+    def on_table(self, version: int, document: bytes) -> bool:
+        """Put a newer route table in force.
+
+        :returns: whether it is; one that is not usable is not.
+        """
         decoded = self._dialect.decode_table(document)
         faults = decoded.error if decoded.is_error() else table_checks.check(decoded.ok)
         if faults:
             fields = {"version": version, "faults": [str(item) for item in faults]}
             logger.error("committed table is not usable", extra={"fields": fields})
-            return
+            return False
         self._matcher = matcher.Matcher(decoded.ok)
         self._front.set_bounds(decoded.ok.bounds)
         fields = {"version": version, "routes": len(decoded.ok.routes)}
         logger.info("table in force", extra={"fields": fields})
         self._figures.table_version.set(version)
+        return True
 
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """Take over a reading of the list of instances."""
@@ -229,15 +231,27 @@
             return
         if time.monotonic() - self._began_s > EARLY_WAIT_S:
             self._take_early()
-        if self._matcher is None:
-            return
-        has_majority = self._feed.connected_count * 2 > self._feed.keeper_count
-        is_complete = has_majority and self._has_instances
-        if is_complete or time.monotonic() - self._began_s > FIRST_TABLE_WAIT_S:
-            self._is_ready = True
-            fields = {"version": self._feed.version, "keepers": self._feed.connected_count}
-            logger.info("entry is ready", extra={"fields": fields})
-            self._take_early()
+        known = first_table.Knowledge(
+            age_s=time.monotonic() - self._began_s,
+            has_table=self._matcher is not None,
+            has_instances=self._has_instances,
+            is_sure=self._feed.is_sure,
+            reaches_most=self._feed.connected_count * 2 > self._feed.keeper_count,
+        )
+        step = first_table.decide(known)
+        self._feed.take_unconfirmed(step is first_table.Step.TAKE_UNCONFIRMED)
+        if step is first_table.Step.SERVE:
+            self._begin_serving(is_sure=known.is_sure)
+
+    def _begin_serving(self, *, is_sure: bool) -> None:
+        self._is_ready = True
+        fields = {
+            "version": self._feed.version,
+            "keepers": self._feed.connected_count,
+            "is_sure": is_sure,
+        }
+        logger.info("entry is ready", extra={"fields": fields})
+        self._take_early()
 
     def _check_reach(self) -> None:
         """Send callers elsewhere while this hall is cut off from all instances of a service."""
@@ -285,7 +299,7 @@
             return
         matched = self._match(read.ok, caller)
         if isinstance(matched, fault.Fault):
-            self._refuse(caller, read.ok.request_id, matched)
+            self._refuse(caller, read.ok.request_id, self._weigh_refusal(matched))
             return
         allowance = self._context.get_allowance(matched.service.name)
         allowance.note_request(time.monotonic())
@@ -313,6 +327,16 @@
         assert service is not None
         return routed_job.Job(head, route, service, workspace, table.version)
 
+    def _weigh_refusal(self, item: fault.Fault) -> fault.Fault:
+        """Return what a caller is told whom the table lets nowhere.
+
+        Callers take it as final. An entry that cannot tell whether its table is the newest says
+        that instead, so that they come back or try another hall: the route may be new.
+        """
+        if item.code is codes.ResultCode.NO_TABLE or self._feed.is_sure:
+            return item
+        return fault.Fault(codes.ResultCode.TABLE_UNCONFIRMED, f"unconfirmed: {item.text}")
+
     def _refuse(self, caller: caller_front.Caller, request_id: str, item: fault.Fault) -> None:
         status = refusals.send(
             caller,
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -1,7 +1,9 @@
 """An entry's streams to the keepers: route table, instances and the fleet.
 
 The entry follows every keeper it hears of at once, so that one that is cut off or behind
-cannot hold it back: the newest version that any keeper names is fetched from that keeper.
+cannot hold it back: the newest version that any keeper names is fetched from that keeper. A
+keeper that has not heard of a leader since its start names what its disk held, which may be old;
+it is passed over.
 """
 
 import logging
@@ -39,8 +41,11 @@
 class FeedUser(Protocol):
     """What the owner of a feed is told."""
 
-    def on_table(self, version: int, document: bytes) -> None:
-        """A newer committed route table is here."""
+    def on_table(self, version: int, document: bytes) -> bool:
+        """A newer committed route table is here.
+
+        :returns: whether it is in force now; one that is not usable is not.
+        """
 
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """A reading of the list of instances is here."""
@@ -83,6 +88,7 @@
     """One keeper that is followed.
 
     :ivar version: newest version that it told.
+    :ivar is_confirmed: what it told on the present stream, a leader has told it.
     :ivar has_told: it has told a version on the present stream.
     """
 
@@ -90,6 +96,7 @@
         self._feed = feed
         self.address = address
         self.version = 0
+        self.is_confirmed = False
         self.has_told = False
         self.asked_s = 0.0
         self.listed: dict[str, instances.Instance] | None = None
@@ -130,6 +137,8 @@
         self.version = 0
         self._document = b""
         self._digest = 0
+        self._unusable_version = 0
+        self._takes_unconfirmed = False
         self._loop = loop
         self._outgoing = outgoing
         self._config = config
@@ -156,6 +165,32 @@
         """Keepers heard of."""
         return len(self._keepers)
 
+    @property
+    def is_sure(self) -> bool:
+        """Whether more than half of the keepers confirm the table that is in force.
+
+        Who the keepers are is taken from those that confirm; settings may name former ones.
+        """
+        confirming = [item for item in self._keepers.values() if item.is_confirmed]
+        members = {
+            address
+            for item in confirming
+            if item.fleet is not None
+            for address in item.fleet.keepers
+        }
+        agreeing = {item.address for item in confirming if item.version <= self.version}
+        return len(agreeing & members) * 2 > len(members)
+
+    def take_unconfirmed(self, wanted: bool) -> None:
+        """Say whether tables are taken of keepers that cannot tell whether they are the newest."""
+        if wanted is self._takes_unconfirmed:
+            return
+        self._takes_unconfirmed = wanted
+        if wanted:
+            fields = {"keepers": self.connected_count, "followed": self.keeper_count}
+            logger.warning("unconfirmed tables are taken", extra={"fields": fields})
+            self._fetch_elsewhere()
+
     def set_seeds(self, addresses: list[str]) -> None:
         """Take over the keepers that changed settings name."""
         self._config.keepers = addresses
@@ -184,6 +219,7 @@
         """Take note of a keeper that is lost."""
         logger.warning("keeper is lost", extra={"fields": {"address": keeper.address}})
         keeper.has_told = False
+        keeper.is_confirmed = False
         keeper.listed = None
         keeper.asked_s = 0.0
         keeper.fleet = None
@@ -204,14 +240,16 @@
                 logger.warning("unexpected %s of a keeper", type(message).__name__)
 
     def _take_version(self, keeper: _Keeper, message: route_messages.RouteTableVersion) -> None:
-        if not keeper.has_told:
-            keeper.has_told = True
+        if not keeper.has_told or keeper.is_confirmed is not message.is_confirmed:
             fields = {
                 "address": keeper.address,
                 "version": message.version,
+                "is_confirmed": message.is_confirmed,
                 "taken_version": self.version,
             }
             logger.info("keeper tells its version", extra={"fields": fields})
+        keeper.has_told = True
+        keeper.is_confirmed = message.is_confirmed
         keeper.version = message.version
         self._fetch(keeper)
 
@@ -237,8 +275,11 @@
         self._user.on_fleet(known)
 
     def _fetch(self, keeper: _Keeper) -> None:
+        if not keeper.is_confirmed and not self._takes_unconfirmed:
+            return
         now_s = time.monotonic()
-        if keeper.version <= self.version or now_s - keeper.asked_s < FETCH_AGAIN_S:
+        known_version = max(self.version, self._unusable_version)
+        if keeper.version <= known_version or now_s - keeper.asked_s < FETCH_AGAIN_S:
             return
         if self._is_coming(keeper.version, now_s):
             return
@@ -270,18 +311,27 @@
                 logger.error("table of %s: %s", keeper.address, error)
                 self._digest = 0
                 return
-            self.version = message.version
-            self._document = document
-            self._digest = document_delta.get_digest(document)
             fields = {
                 "address": keeper.address,
                 "version": message.version,
                 "is_whole": not message.base_digest,
             }
             logger.info("table comes from a keeper", extra={"fields": fields})
-            self._user.on_table(message.version, document)
+            self._put_in_force(message.version, document)
         self._fetch(keeper)
 
+    def _put_in_force(self, version: int, document: bytes) -> None:
+        """Pass a table on; it counts as taken only once it is in force.
+
+        Otherwise an exception on the way would leave the older one in force for good.
+        """
+        if not self._user.on_table(version, document):
+            self._unusable_version = version
+            return
+        self.version = version
+        self._document = document
+        self._digest = document_delta.get_digest(document)
+
     def _unpack(self, message: route_messages.RouteTableDocument) -> bytes:
         data = deflate.unpack(message.packed)
         if not message.base_digest:
--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -49,6 +49,7 @@
     DEADLINE_UNREACHABLE = 2007
     ONCE_CLAIM_UNAVAILABLE = 2008
     ENTRY_FULL = 2009
+    TABLE_UNCONFIRMED = 2010
 
     UPSTREAM_UNREACHABLE = 3001
     UPSTREAM_LOST = 3002
@@ -158,6 +159,10 @@
     ResultCode.ENTRY_FULL: CodeFacts(
         _S.SERVICE_UNAVAILABLE, "This entry holds as many requests as its settings allow."
     ),
+    ResultCode.TABLE_UNCONFIRMED: CodeFacts(
+        _S.SERVICE_UNAVAILABLE,
+        "The table lets the request nowhere, but this entry cannot tell whether it is the newest.",
+    ),
     ResultCode.UPSTREAM_UNREACHABLE: CodeFacts(
         _S.BAD_GATEWAY, "No connection to an upstream could be made."
     ),
--- a/src/spoolhead/_internal/network/route_messages.py
+++ b/src/spoolhead/_internal/network/route_messages.py
@@ -46,9 +46,12 @@
     """Version of the newest route table that a keeper knows to be committed.
 
     :ivar version: that version; 0 for none.
+    :ivar is_confirmed: a leader has told since the keeper's start that there was none newer;
+        otherwise it is what the keeper's disk held, and may be old.
     """
 
     version: int
+    is_confirmed: bool
 
 
 @_message
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -24,13 +24,15 @@
 
     :ivar version: its version.
     :ivar document: its bytes.
+    :ivar is_confirmed: a leader has told since this keeper's start that it is the newest.
     """
 
-    __slots__ = ("document", "version")
+    __slots__ = ("document", "is_confirmed", "version")
 
-    def __init__(self, version: int, document: bytes) -> None:
+    def __init__(self, version: int, document: bytes, *, is_confirmed: bool) -> None:
         self.version = version
         self.document = document
+        self.is_confirmed = is_confirmed
 
 
 class Feed:
@@ -72,10 +74,12 @@
     def add(self, session: peer_server.PeerSession, subscription: route_messages.Subscribe) -> None:
         """Take a follower and tell it what is known."""
         self._followers[session] = subscription
+        table = self._get_table()
         fields = {
             "entry": session.name,
             "hall": subscription.hall,
-            "version": self._get_table().version,
+            "version": table.version,
+            "is_confirmed": table.is_confirmed,
         }
         logger.info("entry follows", extra={"fields": fields})
         session.send(self._make_version())
@@ -103,7 +107,12 @@
     def announce_version(self) -> None:
         """Tell all followers of a new version."""
         self._remember()
-        fields = {"version": self._get_table().version, "followers": len(self._followers)}
+        table = self._get_table()
+        fields = {
+            "version": table.version,
+            "is_confirmed": table.is_confirmed,
+            "followers": len(self._followers),
+        }
         logger.info("version told", extra={"fields": fields})
         self._send_all(self._make_version())
 
@@ -150,7 +159,10 @@
         return packed
 
     def _make_version(self) -> route_messages.RouteTableVersion:
-        return route_messages.RouteTableVersion(version=self._get_table().version)
+        table = self._get_table()
+        return route_messages.RouteTableVersion(
+            version=table.version, is_confirmed=table.is_confirmed
+        )
 
     def _make_whole_list(self) -> route_messages.InstanceList:
         return route_messages.InstanceList(
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -221,7 +221,9 @@
 
     def _get_table(self) -> feed.Table:
         register = self._member.register
-        return feed.Table(register.version, register.document)
+        return feed.Table(
+            register.version, register.document, is_confirmed=self._member.has_caught_up
+        )
 
     def _take_answer(self, message: messages.Message) -> None:
         if isinstance(message, route_messages.KeeperAnswer):
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -32,7 +32,7 @@
     :param config: the keeper's settings.
     :param address: ``IP:PORT`` where other keepers reach this one.
     :param peers: streams to other keepers.
-    :param on_change: called after a new table was committed.
+    :param on_change: called after a new table was committed, and once this keeper has caught up.
     :param on_leading: called when this keeper begins to lead.
     :raises exceptions.DiskError: if the data folder cannot be used.
     :ivar register: the committed table.
@@ -75,6 +75,7 @@
         loop.poller.add_direct_reader(loop, self._wake_read, self._on_wake)
         loop.scheduler.call_every(TICK_S, self._tick)
         self._seen_version = self.register.version
+        self._seen_caught_up = False
 
     @property
     def is_leader(self) -> bool:
@@ -86,6 +87,11 @@
         """Latest term of the agreement."""
         return self._consensus.term
 
+    @property
+    def has_caught_up(self) -> bool:
+        """Whether a leader has told since the start what is committed, and it is held here."""
+        return self._consensus.has_caught_up
+
     @property
     def leader_address(self) -> str:
         """``IP:PORT`` of the leading keeper; empty for none."""
@@ -223,8 +229,18 @@
             self._askers.difference_update(self._members)
             fields = {"members": list(self._members), "term": self.term}
             logger.info("members changed", extra={"fields": fields})
-        if self._seen_version != self.register.version:
-            self._seen_version = self.register.version
-            fields = {"version": self._seen_version, "term": self.term}
+        self._note_table()
+
+    def _note_table(self) -> None:
+        """Tell of a committed table, and of having caught up: both make it one to hand out."""
+        is_newer = self._seen_version != self.register.version
+        has_just_caught_up = self.has_caught_up and not self._seen_caught_up
+        self._seen_version = self.register.version
+        self._seen_caught_up = self.has_caught_up
+        fields = {"version": self._seen_version, "term": self.term}
+        if is_newer:
             logger.info("table committed", extra={"fields": fields})
+        if has_just_caught_up:
+            logger.info("caught up with the leader", extra={"fields": fields})
+        if is_newer or has_just_caught_up:
             self._on_change()
--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -47,6 +47,8 @@
     :param now_s: monotonic time in seconds.
     :ivar leader: id of the leader as far as known; empty for none.
     :ivar commit_index: index up to which entries are known to be committed and are applied.
+    :ivar has_caught_up: a leader has told this member since its start what is committed, and it
+        is applied here. Before, the state is that of the last snapshot on its disk, however old.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         self.member_id = member_id
         self.leader = ""
         self.commit_index = log.snapshot.index
+        self.has_caught_up = False
         self._log = log
         self._machine = machine
         self._timing = timing
@@ -366,8 +369,19 @@
         # Entries of earlier terms are committed only together with one of this term.
         if index > self.commit_index and self._log.get_term(index) == self.term:
             self._commit(index)
+            self._note_committed(index)
             self._broadcast(now_s)
 
+    def _note_committed(self, leader_index: int) -> None:
+        """Take note of the index up to which the present leader knows entries to be committed.
+
+        An entry of its own term among them shows that nothing acknowledged before is missing: a
+        new leader begins with what its own disk says, which may be as old as a member's.
+        """
+        is_of_term = self._log.get_term(self.commit_index) == self.term
+        if self.commit_index >= leader_index and is_of_term:
+            self.has_caught_up = True
+
     def _commit(self, index: int) -> None:
         while self.commit_index < index:
             entry = self._log.get_entry(self.commit_index + 1)
@@ -444,6 +458,7 @@
             self._write(self._log.append(entry, index))
         if request.commit_index > self.commit_index and index > self.commit_index:
             self._commit(min(index, request.commit_index))
+        self._note_committed(request.commit_index)
         self._reply(request.leader, True, index, request.round_number)
 
     def _take_snapshot(self, offer: messages.SnapshotOffer, now_s: float) -> None:
@@ -457,6 +472,7 @@
             self._write(self._log.take_snapshot(snapshot))
             self._machine.load(offer.state)
             self.commit_index = offer.index
+        self._note_committed(offer.index)
         self._reply(offer.leader, True, offer.index, offer.round_number)
 
     def _reply(self, leader: str, accepted: bool, match_index: int, round_number: int) -> None:
--- a/tests/functional/test_old_tables.py
+++ b/tests/functional/test_old_tables.py
@@ -81,3 +81,25 @@
     _ask_until(fleet, platform_fleet.WAIT_S, seen, 200)
     assert 404 not in seen
     assert seen[-1] == 200
+
+
+def test_where_few_keepers_can_be_reached_known_routes_are_served_and_nothing_is_refused_for_good(
+    fleet,
+):
+    """A hall that is cut off serves by the table that its keeper has, old as it may be."""
+    _join_anew(fleet, "keeper-1")
+    fleet.put_until_taken("keeper-2", _make_new_table())
+    for name in ("entry-1", *fleet.keeper_hosts):
+        fleet.kill(name)
+    fleet.start_keeper("keeper-1")
+    fleet.start_entry("entry-1")
+    fleet.wait_until_ready("entry-1")
+    refused = fleet.ask("entry-1", "/new/x", X_Request_Id="n")
+    assert refused.status == 503
+    assert float(refused.headers["Retry-After"]) > 0
+    assert fleet.ask("entry-1", "/safe/x", key="unknown").status == 503
+    fleet.start_keeper("keeper-2")
+    platform_fleet.wait_for(
+        lambda: fleet.ask("entry-1", "/nowhere/x").status == 404, "the entry is not sure again"
+    )
+    assert fleet.ask("entry-1", "/new/x", X_Request_Id="m").status == 200
--- a/tests/lib/consensus_group.py
+++ b/tests/lib/consensus_group.py
@@ -47,6 +47,11 @@
         self.start()
 
     def start(self):
+        self.acknowledged_before = len(self.group.acknowledged)
+        if self.group.streams_end_with_processes:
+            self.group.in_flight = [
+                item for item in self.group.in_flight if item[1] != self.address
+            ]
         log = replicated_log.ReplicatedLog(
             replicated_log.Snapshot(0, 0, list(self.founders), len(self.founders), b"")
         )
@@ -103,15 +108,18 @@
 
     :param seed: seed of every choice.
     :param size: founding members.
+    :param streams_end_with_processes: what was sent to a process before it started is lost, as
+        it is on streams; otherwise it may still come.
     """
 
-    def __init__(self, seed, size=3):
+    def __init__(self, seed, size=3, *, streams_end_with_processes=False):
         self.chance = random.Random(seed)
         self.seed_chance = random.Random(seed)
         self.now_s = 100.0
         self.in_flight = []
         self.cut = set()
         self.ignores_syncs = False
+        self.streams_end_with_processes = streams_end_with_processes
         self.acknowledged = []
         self.longest = []
         self.leaders = {}
@@ -205,6 +213,8 @@
     def check(self):
         for node in self.up():
             changes = node.machine.changes
+            if node.consensus.has_caught_up and self.streams_end_with_processes:
+                assert len(changes) >= node.acknowledged_before, "an old state is vouched for"
             shared = min(len(changes), len(self.longest))
             assert changes[:shared] == self.longest[:shared], "two members differ"
             if len(changes) > len(self.longest):
@@ -223,9 +233,9 @@
                 self.reads.remove(read)
 
 
-def run_at_random(seed, steps=400, size=3):
+def run_at_random(seed, steps=400, size=3, **options):
     """Drive a group at random, then let it settle and check that nothing was lost."""
-    group = Group(seed, size)
+    group = Group(seed, size, **options)
     chance = group.chance
     wiped_s = -1e9
     for _ in range(steps):
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -21,6 +21,31 @@
         consensus_group.run_at_random(seed, steps=250, size=size)
 
 
+@pytest.mark.parametrize("size", [3, 5, 6])
+def test_a_member_that_starts_vouches_for_nothing_older_than_was_acknowledged(size):
+    """What it begins with is the snapshot on its disk; only a leader knows what came after."""
+    for seed in range(20):
+        consensus_group.run_at_random(seed, size=size, streams_end_with_processes=True)
+
+
+def test_a_member_without_a_leader_vouches_for_nothing():
+    group = consensus_group.Group(11)
+    group.settle(2.0)
+    group.propose(next(node for node in group.up() if node.consensus.is_leader))
+    group.settle(1.0)
+    assert all(node.consensus.has_caught_up for node in group.up())
+    alone, *others = group.up()
+    for node in (alone, *others):
+        node.crash()
+    alone.start()
+    group.settle(4.0)
+    assert not alone.consensus.has_caught_up
+    others[0].start()
+    group.settle(4.0)
+    assert alone.consensus.has_caught_up
+    assert alone.machine.changes == [b"change-1"]
+
+
 def test_a_change_is_applied_everywhere():
     group = consensus_group.Group(1)
     group.settle(2.0)
@@ -146,6 +171,13 @@
     monkeypatch.setattr(consensus.Consensus, "_is_log_current", lambda self, request: True)
 
 
+def _vouch_at_once(monkeypatch):
+    def _note(self, leader_index):
+        self.has_caught_up = True
+
+    monkeypatch.setattr(consensus.Consensus, "_note_committed", _note)
+
+
 def _is_caught(seeds=60, steps=500):
     for seed in range(seeds):
         try:
@@ -197,6 +229,12 @@
     assert _is_caught()
 
 
+def test_defect_a_member_that_vouches_for_what_it_starts_with_is_caught(monkeypatch):
+    _vouch_at_once(monkeypatch)
+    with pytest.raises(AssertionError):
+        test_a_member_that_starts_vouches_for_nothing_older_than_was_acknowledged(3)
+
+
 def test_defect_a_wiped_member_that_votes_as_its_old_self_is_caught(monkeypatch):
     """The minority that missed a change elects itself with the help of the wiped one."""
 
--- a/tests/unit/test_keeper_feed.py
+++ b/tests/unit/test_keeper_feed.py
@@ -43,7 +43,7 @@
 class _Keeper:
     def __init__(self):
         self.keepers = ["a:1"]
-        self.table = feed.Table(3, b"three")
+        self.table = feed.Table(3, b"three", is_confirmed=True)
         self.timers = _Timers()
         self.feed = feed.Feed(self.timers, "h", lambda: self.keepers, lambda: self.table)
 
@@ -103,7 +103,7 @@
     (one,) = first.get(route_messages.RouteTableDocument)
     (other,) = second.get(route_messages.RouteTableDocument)
     assert one is other
-    keeper.table = feed.Table(4, b"four")
+    keeper.table = feed.Table(4, b"four", is_confirmed=True)
     keeper.feed.send_table(first, 0)
     assert first.get(route_messages.RouteTableDocument)[-1].version == 4
 
@@ -155,10 +155,10 @@
 
 def test_one_that_has_the_table_before_gets_the_difference(keeper):
     session = keeper.join("e")
-    keeper.table = feed.Table(3, b"{a},{b},{c}")
+    keeper.table = feed.Table(3, b"{a},{b},{c}", is_confirmed=True)
     keeper.feed.announce_version()
     digest = document_delta.get_digest(keeper.table.document)
-    keeper.table = feed.Table(4, b"{a},{d},{c}")
+    keeper.table = feed.Table(4, b"{a},{d},{c}", is_confirmed=True)
     keeper.feed.announce_version()
     keeper.feed.send_table(session, digest)
     (sent,) = session.get(route_messages.RouteTableDocument)
@@ -171,6 +171,6 @@
 
 def test_documents_for_differences_are_bounded(keeper):
     for version in range(4, 40):
-        keeper.table = feed.Table(version, b"%d" % version)
+        keeper.table = feed.Table(version, b"%d" % version, is_confirmed=True)
         keeper.feed.announce_version()
     assert len(keeper.feed._documents) == feed.DOCUMENTS_KEPT
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -44,12 +44,20 @@
 class _User:
     def __init__(self):
         self.tables = []
+        self.unusable = set()
+        self.failing = set()
         self.lists = []
         self.fleets = []
         self.lost_keepers = []
 
     def on_table(self, version, document):
+        if version in self.unusable:
+            return False
+        if version in self.failing:
+            self.failing.remove(version)
+            raise RuntimeError("cannot be put in force")
         self.tables.append(version)
+        return True
 
     def on_instances(self, listed):
         self.lists.append([item.instance_id for item in listed])
@@ -108,17 +116,17 @@
 
 
 def test_the_newest_version_is_fetched_from_who_names_it(feed):
-    _tell(feed, "b:1", route_messages.RouteTableVersion(version=5))
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=5, is_confirmed=True))
     assert _client(feed, "b:1").count(route_messages.GetRouteTable) == 1
     _tell(feed, "b:1", route_messages.RouteTableDocument(version=5, packed=deflate.pack(b"five")))
-    _tell(feed, "a:1", route_messages.RouteTableVersion(version=5))
+    _tell(feed, "a:1", route_messages.RouteTableVersion(version=5, is_confirmed=True))
     assert _client(feed, "a:1").count(route_messages.GetRouteTable) == 0
     assert feed._user.tables == [5]
 
 
 def test_a_keeper_that_is_behind_never_takes_the_table_back(feed):
     _tell(feed, "a:1", route_messages.RouteTableDocument(version=9, packed=deflate.pack(b"nine")))
-    _tell(feed, "b:1", route_messages.RouteTableVersion(version=7))
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=7, is_confirmed=True))
     _tell(feed, "b:1", route_messages.RouteTableDocument(version=7, packed=deflate.pack(b"seven")))
     _tell(feed, "c:1", route_messages.RouteTableDocument(version=9, packed=deflate.pack(b"nine")))
     assert feed._user.tables == [9]
@@ -193,7 +201,7 @@
 
 @pytest.mark.parametrize("packed", [b"", b"junk", deflate.pack(b"five")[:-2]], ids=repr)
 def test_a_damaged_table_changes_nothing_and_is_asked_for_again(feed, packed):
-    _tell(feed, "b:1", route_messages.RouteTableVersion(version=5))
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=5, is_confirmed=True))
     _tell(feed, "b:1", route_messages.RouteTableDocument(version=5, packed=packed))
     assert feed.version == 0
     _tell(feed, "b:1", route_messages.RouteTableDocument(version=5, packed=deflate.pack(b"five")))
@@ -207,19 +215,19 @@
 
 def test_a_table_is_fetched_from_one_keeper_at_a_time(feed):
     for address in ("a:1", "b:1", "c:1"):
-        _tell(feed, address, route_messages.RouteTableVersion(version=5))
+        _tell(feed, address, route_messages.RouteTableVersion(version=5, is_confirmed=True))
     asked = [
         _client(feed, address).count(route_messages.GetRouteTable)
         for address in ("a:1", "b:1", "c:1")
     ]
     assert asked == [1, 0, 0]
-    _tell(feed, "b:1", route_messages.RouteTableVersion(version=6))
+    _tell(feed, "b:1", route_messages.RouteTableVersion(version=6, is_confirmed=True))
     assert _client(feed, "b:1").count(route_messages.GetRouteTable) == 1
 
 
 def test_a_keeper_that_stands_still_is_passed_over(feed, monkeypatch):
     for address in ("a:1", "b:1", "c:1"):
-        _tell(feed, address, route_messages.RouteTableVersion(version=5))
+        _tell(feed, address, route_messages.RouteTableVersion(version=5, is_confirmed=True))
     later_s = time.monotonic() + table_feed.COMING_S
     monkeypatch.setattr(table_feed.time, "monotonic", lambda: later_s)
     feed._loop.later.pop()()
@@ -245,7 +253,7 @@
 
 def test_a_difference_to_another_table_is_not_taken_and_the_whole_is_asked_for(feed):
     delta = deflate.pack(document_delta.make(b"{x},{y}", b"{x},{z}"))
-    _tell(feed, "a:1", route_messages.RouteTableVersion(version=6))
+    _tell(feed, "a:1", route_messages.RouteTableVersion(version=6, is_confirmed=True))
     _tell(feed, "a:1", route_messages.RouteTableDocument(version=6, packed=delta, base_digest=1))
     assert feed.version == 0
     feed._check()
@@ -255,6 +263,105 @@
     assert asked[-1].digest == 0
 
 
+def _tell_version(feed, address, version, *, is_confirmed=True):
+    _tell(
+        feed, address, route_messages.RouteTableVersion(version=version, is_confirmed=is_confirmed)
+    )
+
+
+def _send_table(feed, address, version):
+    message = route_messages.RouteTableDocument(
+        version=version, packed=deflate.pack(b"%d" % version)
+    )
+    _tell(feed, address, message)
+
+
+def _count_asked(feed, address):
+    return _client(feed, address).count(route_messages.GetRouteTable)
+
+
+def test_what_a_keeper_begins_with_is_not_fetched_until_a_leader_confirms_it(feed):
+    _tell_version(feed, "a:1", 5, is_confirmed=False)
+    feed._check()
+    assert _count_asked(feed, "a:1") == 0
+    _tell_version(feed, "a:1", 5)
+    assert _count_asked(feed, "a:1") == 1
+
+
+def test_a_keeper_that_starts_again_is_not_confirmed_by_its_former_stream(feed):
+    _tell_version(feed, "a:1", 5)
+    feed.on_keeper_lost(feed._keepers["a:1"])
+    _tell_version(feed, "a:1", 4, is_confirmed=False)
+    assert not feed._keepers["a:1"].is_confirmed
+
+
+def test_an_unconfirmed_table_is_fetched_only_while_that_is_wanted(feed):
+    _tell_version(feed, "a:1", 5, is_confirmed=False)
+    feed.take_unconfirmed(True)
+    assert _count_asked(feed, "a:1") == 1
+    _send_table(feed, "a:1", 5)
+    feed.take_unconfirmed(False)
+    _tell_version(feed, "a:1", 6, is_confirmed=False)
+    assert _count_asked(feed, "a:1") == 1
+    assert feed._user.tables == [5]
+
+
+def test_sure_is_who_has_what_more_than_half_of_the_keepers_confirm(feed):
+    for address in ("a:1", "b:1"):
+        _tell(feed, address, _make_fleet(hall="h", keepers=["a:1", "b:1", "c:1"], entries=[]))
+    _tell_version(feed, "a:1", 5)
+    _send_table(feed, "a:1", 5)
+    assert not feed.is_sure
+    _tell_version(feed, "b:1", 5, is_confirmed=False)
+    assert not feed.is_sure
+    _tell_version(feed, "b:1", 5)
+    assert feed.is_sure
+    _tell_version(feed, "b:1", 6)
+    assert not feed.is_sure
+    _send_table(feed, "b:1", 6)
+    assert feed.is_sure
+    feed.on_keeper_lost(feed._keepers["a:1"])
+    assert not feed.is_sure
+
+
+def test_former_keepers_that_the_settings_name_do_not_count(feed):
+    """All three seeds may be gone while the group stands at other addresses."""
+    keepers = ["c:1", "d:1", "e:1"]
+    _tell(feed, "c:1", _make_fleet(hall="h", keepers=keepers, entries=[]))
+    _tell(feed, "d:1", _make_fleet(hall="h", keepers=keepers, entries=[]))
+    _tell_version(feed, "c:1", 5)
+    _send_table(feed, "c:1", 5)
+    _tell_version(feed, "d:1", 5)
+    assert feed.keeper_count == 5
+    assert feed.is_sure
+
+
+def test_a_table_that_failed_on_its_way_into_force_is_taken_again(feed):
+    feed._user.failing = {5}
+    _tell_version(feed, "a:1", 5)
+    with pytest.raises(RuntimeError):
+        _send_table(feed, "a:1", 5)
+    assert feed.version == 0
+    feed._check()
+    assert _count_asked(feed, "a:1") == 2
+    _send_table(feed, "a:1", 5)
+    assert feed._user.tables == [5]
+
+
+def test_an_unusable_table_leaves_the_former_and_is_not_asked_for_again(feed):
+    _tell_version(feed, "a:1", 4)
+    _send_table(feed, "a:1", 4)
+    feed._user.unusable = {5}
+    _tell_version(feed, "a:1", 5)
+    _send_table(feed, "a:1", 5)
+    feed._check()
+    assert feed.version == 4
+    assert _count_asked(feed, "a:1") == 2
+    _tell_version(feed, "a:1", 6)
+    _send_table(feed, "a:1", 6)
+    assert feed._user.tables == [4, 6]
+
+
 @pytest.mark.parametrize(("entries", "reads"), [(8, 3), (350, 1)])
 def test_own_readings_of_the_list_are_spread_over_the_fleet(feed, monkeypatch, entries, reads):
     """Without news of a keeper an entry reads itself, but the fleet together not too often."""
