Refuse nothing for good by a saved table that no keeper confirms

The same cause elsewhere: an entry of the product's own interface that starts from its saved copy answered 401 and 404 by it, however old. It answers 2010 (503, not run, come back in a second) until a keeper confirms the table; what the copy allows is served as before. Test with real processes, red before.

--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -31,6 +31,9 @@
 logger = logging.getLogger(__name__)
 
 STOP_RETRY_AFTER_MS = 1_000
+UNCONFIRMED_RETRY_AFTER_MS = 1_000
+"""When a caller should come back to an entry that no keeper confirms: a keeper that runs is found
+within the longest pause between two tries, two seconds."""
 STOP_CHECK_S = 0.05
 STOP_CONFIRM_S = 2.0
 """Longest wait, once all requests have ended, for a keeper to confirm their ends."""
@@ -166,7 +169,7 @@
             return
         owner = api.get_workspace(caller.request, self._table)
         if owner.is_error():
-            self._refuse(caller, request_id, "", owner.error, now_s)
+            self._refuse(caller, request_id, "", self._weigh_refusal(owner.error), now_s)
         elif path == api.MODELS_PATH or path.startswith(f"{api.MODELS_PATH}/"):
             self._answer_models(caller, owner.ok, path, request_id)
         else:
@@ -180,12 +183,22 @@
         )
         parsed = api.parse(caller.request, workspace, self._table, arrival)
         if parsed.is_error():
-            self._refuse(caller, request_id, workspace, parsed.error, now_s)
+            self._refuse(caller, request_id, workspace, self._weigh_refusal(parsed.error), now_s)
         elif parsed.ok.once_key:
             self._once.submit(parsed.ok, caller)
         else:
             self._dispatcher.submit(parsed.ok, caller)
 
+    def _weigh_refusal(self, item: fault.Fault) -> fault.Fault:
+        """Return what a caller is told whom the table refuses.
+
+        Callers take it as final. While no keeper confirms the table, as after a start from the
+        saved copy, the key or the model may be new, and they are told to come back instead.
+        """
+        if item.code not in codes.BY_THE_TABLE or not self._keeper.unconfirmed_ms:
+            return item
+        return fault.make_unconfirmed(item)
+
     def _get_obstacle(self) -> fault.Fault | None:
         if self._is_stopping:
             return fault.Fault(codes.ResultCode.STOPPING, "this entry is stopping")
@@ -238,6 +251,8 @@
         now_s: float,
         retry_after_ms: int | None = None,
     ) -> None:
+        if item.code is codes.ResultCode.TABLE_UNCONFIRMED:
+            retry_after_ms = UNCONFIRMED_RETRY_AFTER_MS
         self._decisions.note_refusal(request_id, workspace, item, now_s)
         answers.send_error(
             caller,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -335,7 +335,7 @@
         """
         if item.code is codes.ResultCode.NO_TABLE or self._feed.is_sure:
             return item
-        return fault.Fault(codes.ResultCode.TABLE_UNCONFIRMED, f"unconfirmed: {item.text}")
+        return fault.make_unconfirmed(item)
 
     def _refuse(self, caller: caller_front.Caller, request_id: str, item: fault.Fault) -> None:
         status = refusals.send(
--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -81,6 +81,17 @@
     INTERNAL = 6999
 
 
+BY_THE_TABLE = frozenset(
+    {
+        ResultCode.KEY_UNKNOWN,
+        ResultCode.NOT_PERMITTED,
+        ResultCode.UNKNOWN_MODEL,
+        ResultCode.UNKNOWN_SERVICE,
+    }
+)
+"""Refusals that hold only as long as the table does."""
+
+
 class CodeFacts:
     """What a result code stands for.
 
--- a/src/spoolhead/_internal/models/fault.py
+++ b/src/spoolhead/_internal/models/fault.py
@@ -31,3 +31,8 @@
         return (self.code, self.path, self.text) == (other.code, other.path, other.text)
 
     __hash__ = None  # type: ignore[assignment]
+
+
+def make_unconfirmed(item: Fault) -> Fault:
+    """Return what stands for a refusal by a table that may not be the newest."""
+    return Fault(codes.ResultCode.TABLE_UNCONFIRMED, f"unconfirmed: {item.text}", path=item.path)
--- a/tests/functional/test_table.py
+++ b/tests/functional/test_table.py
@@ -108,6 +108,37 @@
     assert stream.read_all() == [0, 1]
 
 
+def test_entry_that_no_keeper_confirms_refuses_nothing_for_good(running):
+    """Its saved copy may be old: a key or model that it lacks may have come since."""
+    changes = {"data_dir": str(running.folder / "entry-1.data")}
+    fleets.start_fleet(running, entries=("entry-1",), entry_changes=changes)
+    address = running.addresses["entry-1"]
+    keeper_port = int(running.addresses["keeper-1"].rpartition(":")[2])
+    path = "/v1/chat/completions"
+    unknown_model = {**calls.make_chat(1), "model": "new"}
+    assert calls.send(address, "POST", path, calls.make_chat(1), api_key="new").status == 401
+    running.processes["keeper-1"].kill()
+    running.processes["entry-1"].kill()
+    running.start_entry("entry-1", changes=changes)
+    address = running.addresses["entry-1"]
+    for answer in (
+        calls.send(address, "POST", path, calls.make_chat(1), api_key="new"),
+        calls.send(address, "POST", path, unknown_model),
+    ):
+        assert (answer.status, answer.error["result_code"], answer.error["ran"]) == (
+            503,
+            2010,
+            "no",
+        )
+        assert float(answer.headers["Retry-After"]) > 0
+    running.start_keeper(port=keeper_port)
+    fleet.wait_for(
+        lambda: calls.send(address, "POST", path, unknown_model).status == 404,
+        "the entry to be confirmed",
+    )
+    assert calls.send(address, "POST", path, calls.make_chat(1), api_key="new").status == 401
+
+
 def test_entry_without_a_table_is_not_ready(running):
     running.start_keeper()
     running.start_entry("entry-1")
