End a stream whose message could not be handled

An exception in one handler dropped the messages behind it in the same bytes while the stream lived on, and a keeper that failed to take a follower in told it nothing for ever, heartbeats aside. Versions, lists and fleets are told as changes, so nothing but a new stream sets that right. Tests red before.

--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -158,6 +158,12 @@
                     self._take(message)
         except messages.MessageError as error:
             self.reconnect(str(error))
+        except Exception:
+            # What follows on this stream builds on the message; a new one begins with all that
+            # is known. The longest pause keeps one that always fails from being asked for often.
+            self._retry_s = self._timing.longest_retry_ms / 1000
+            self.reconnect("a message could not be handled")
+            raise
 
     def on_lost(self, reason: str) -> None:
         """Plan the next try, a little later each time."""
--- a/src/spoolhead/_internal/network/peer_server.py
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -127,6 +127,10 @@
         except messages.MessageError as error:
             logger.warning("peer %s: %s; its connection is closed", session.name or "?", error)
             self._server.close_now(sock)
+        except Exception:
+            # A follower that could not be taken in would live on and be told nothing.
+            self._server.close_now(sock)
+            raise
 
     def _take(self, session: PeerSession, message: messages.Message) -> None:
         if session.role:
--- /dev/null
+++ b/tests/unit/test_peer_streams.py
@@ -0,0 +1,131 @@
+"""Streams between the fleet's processes when a handler of their messages fails."""
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.network import handshake, messages, peer_client, peer_server
+
+KEY = "a-shared-key-for-tests"
+
+
+class _Link:
+    def __init__(self, user):
+        self.user = user
+        self.address = "a:1"
+        self.is_connected = True
+        self.is_closed = False
+        self.sent = []
+
+    def send(self, data):
+        self.sent.append(data)
+
+    def close(self):
+        self.is_closed = True
+
+
+class _Links:
+    def __init__(self):
+        self.opened = []
+
+    def open(self, address, user, *, connect_ms):
+        self.opened.append(_Link(user))
+        return self.opened[-1]
+
+    def lose(self, link, reason):
+        link.is_closed = True
+        link.user.on_lost(reason)
+
+
+class _Timers(gateway_setting.FakeTimers):
+    def call_every(self, interval_s, call):
+        return gateway_setting.FakeTimer(interval_s, call)
+
+
+class _Loop:
+    def __init__(self):
+        self.scheduler = _Timers()
+
+
+class _User:
+    def __init__(self):
+        self.taken = []
+        self.lost = 0
+
+    def on_peer_ready(self):
+        pass
+
+    def on_peer_message(self, message):
+        if isinstance(message, messages.Current) and message.version == 13:
+            raise RuntimeError("cannot be handled")
+        self.taken.append(message)
+
+    def on_peer_lost(self):
+        self.lost += 1
+
+
+def _begin(client, links):
+    link = links.opened[-1]
+    challenge = messages.Challenge(protocol=messages.PROTOCOL_VERSION, nonce=b"n" * 16)
+    client.on_data(messages.encode(challenge))
+    (hello,) = messages.MessageReader().feed(link.sent[-1])
+    client.on_data(messages.encode(handshake.make_welcome(KEY, hello, "keeper")))
+    return link
+
+
+@pytest.fixture
+def setting():
+    links, user = _Links(), _User()
+    client = peer_client.PeerClient(
+        _Loop(), links, ["a:1"], role="entry", name="e", shared_key=KEY, user=user
+    )
+    return client, links, user
+
+
+def test_a_message_that_cannot_be_handled_ends_the_stream(setting):
+    """What follows builds on it; a new stream begins with all that is known."""
+    client, links, user = setting
+    link = _begin(client, links)
+    data = b"".join(messages.encode(messages.Current(version=version)) for version in (12, 13, 14))
+    with pytest.raises(RuntimeError):
+        client.on_data(data)
+    assert link.is_closed
+    assert (user.lost, client.is_ready) == (1, False)
+    assert [message.version for message in user.taken] == [12]
+    (again,) = client._scheduler.timers
+    assert again.delay_s >= peer_client.DEFAULT_TIMING.longest_retry_ms / 2_000
+
+
+class _Service:
+    def on_opened(self, session):
+        pass
+
+    def on_message(self, session, message):
+        raise RuntimeError("cannot be handled")
+
+    def on_closed(self, session):
+        pass
+
+
+class _Server:
+    def __init__(self):
+        self.closed = []
+
+    def send_now(self, sock, data):
+        return 0
+
+    def close_now(self, sock):
+        self.closed.append(sock)
+
+
+def test_a_session_whose_message_cannot_be_handled_is_closed():
+    """A follower that could not be taken in would live on and be told nothing."""
+    server = object.__new__(peer_server.PeerServer)
+    server._server, server._service = _Server(), _Service()
+    server._sessions = {}
+    server._shared_key, server._name = KEY, "keeper"
+    session = peer_server.PeerSession(server, "sock")
+    session.role = "entry"
+    server._sessions["sock"] = session
+    with pytest.raises(RuntimeError):
+        server._on_read("sock", messages.encode(messages.Current(version=1)))
+    assert server._server.closed == ["sock"]
