--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -317,20 +317,31 @@
                 "is_whole": not message.base_digest,
             }
             logger.info("table comes from a keeper", extra={"fields": fields})
-            self._put_in_force(message.version, document)
+            if not self._put_in_force(message.version, document):
+                return
         self._fetch(keeper)
 
-    def _put_in_force(self, version: int, document: bytes) -> None:
+    def _put_in_force(self, version: int, document: bytes) -> bool:
         """Pass a table on; it counts as taken only once it is in force.
 
-        Otherwise an exception on the way would leave the older one in force for good.
+        Otherwise an exception on the way would leave the older one in force until the next
+        change. It is asked for again at the next look.
+
+        :returns: whether it is in force.
         """
-        if not self._user.on_table(version, document):
+        try:
+            is_in_force = self._user.on_table(version, document)
+        except Exception:
+            fields = {"version": version}
+            logger.exception("table could not be put in force", extra={"fields": fields})
+            return False
+        if not is_in_force:
             self._unusable_version = version
-            return
+            return False
         self.version = version
         self._document = document
         self._digest = document_delta.get_digest(document)
+        return True
 
     def _unpack(self, message: route_messages.RouteTableDocument) -> bytes:
         data = deflate.unpack(message.packed)
