Machine test: keepers and entries together, at random

Looks at once for what was suspected beside the cause found: a version that is told once a stream and lost, a table that fails on its way into force, what a keeper begins with taken for the newest, members that change. Invariants: no entry goes back, holds a table that never was, or is sure of one older than was acknowledged before it started; two seconds after all can be reached, the newest is in force everywhere. Two defects put in on purpose are caught.

--- /dev/null
+++ b/tests/lib/table_fleet.py
@@ -0,0 +1,312 @@
+"""Keepers that agree and entries that follow them, in one process, driven by hand.
+
+The keepers are a :class:`consensus_group.Group` whose table is the list of changes; what they
+tell the entries and how entries take it are the programs' own feeds. Streams keep their order
+and are lost as a whole.
+"""
+
+from lib import consensus_group, gateway_setting
+from spoolhead._internal.gateway import table_feed
+from spoolhead._internal.network import messages, route_messages
+from spoolhead._internal.quorum import feed
+from spoolhead.coordination import consensus_messages
+
+
+def make_document(changes):
+    return b",".join(b"{%s}" % change for change in changes)
+
+
+class Timers:
+    """Timers on the group's clock."""
+
+    def __init__(self, group):
+        self._group = group
+        self._due = []
+
+    def call_later(self, delay_s, call):
+        self._due.append((self._group.now_s + delay_s, call))
+
+    def call_every(self, interval_s, call):
+        def _run():
+            call()
+            self.call_later(interval_s, _run)
+
+        self.call_later(interval_s, _run)
+
+    def run_due(self):
+        now_s = self._group.now_s
+        due = [call for due_s, call in self._due if due_s <= now_s]
+        self._due = [item for item in self._due if item[0] > now_s]
+        for call in due:
+            call()
+
+
+class KeeperSide:
+    """What one life of a keeper tells its followers."""
+
+    def __init__(self, group, node):
+        self.node = node
+        self.consensus = node.consensus
+        self.timers = Timers(group)
+        self.feed = feed.Feed(self.timers, "h", self._get_keepers, self._get_table)
+        self._told = self._get_state()
+
+    def _get_keepers(self):
+        return [consensus_messages.get_address(item) for item in self.consensus.members]
+
+    def _get_table(self):
+        changes = self.node.machine.changes
+        return feed.Table(
+            len(changes), make_document(changes), is_confirmed=self.consensus.has_caught_up
+        )
+
+    def _get_state(self):
+        return (len(self.node.machine.changes), self.consensus.has_caught_up)
+
+    def note_changes(self):
+        if self._told != self._get_state():
+            self._told = self._get_state()
+            self.feed.announce_version()
+
+    def take(self, session, message):
+        match message:
+            case route_messages.Subscribe():
+                self.feed.add(session, message)
+            case route_messages.GetRouteTable():
+                self.feed.send_table(session, message.digest)
+
+
+class Stream:
+    """A stream of an entry to one life of a keeper, and both its ends."""
+
+    def __init__(self, entry, followed, side):
+        self.name = entry.name
+        self.entry = entry
+        self.followed = followed
+        self.side = side
+        self.to_keeper = []
+        self.to_entry = []
+
+    def send(self, message):
+        self.to_entry.append(message)
+
+    def send_encoded(self, data):
+        self.to_entry.extend(messages.MessageReader().feed(data))
+
+    def deliver(self):
+        """Hand on the oldest message of each direction."""
+        if self.to_keeper:
+            self.side.take(self, self.to_keeper.pop(0))
+        if self.to_entry:
+            self.entry.feed.on_keeper_message(self.followed, self.to_entry.pop(0))
+
+
+class Client:
+    """The entry's end of a stream."""
+
+    def __init__(self):
+        self.stream = None
+        self.is_closed = False
+
+    @property
+    def is_ready(self):
+        return self.stream is not None
+
+    def send(self, message):
+        if self.stream is None:
+            return False
+        self.stream.to_keeper.append(message)
+        return True
+
+    def close(self):
+        self.is_closed = True
+        self.end()
+
+    def end(self):
+        """Lose the stream, and with it what is on its way."""
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.side.feed.remove(stream)
+
+
+class _Feed(table_feed.TableFeed):
+    def make_client(self, address, keeper):
+        return Client()
+
+
+class _Loop:
+    def __init__(self, scheduler):
+        self.scheduler = scheduler
+
+
+class _Dialect:
+    list_target = "/list"
+
+
+class Entry:
+    """One life of an entry.
+
+    :ivar acknowledged_before: changes acknowledged before its start.
+    :ivar failures: tables that fail on their way into force from now on.
+    """
+
+    def __init__(self, fleet, name):
+        self.name = name
+        self.fleet = fleet
+        self.acknowledged_before = len(fleet.group.acknowledged)
+        self.failures = 0
+        self.version = 0
+        self.timers = Timers(fleet.group)
+        config = gateway_setting.make_settings()
+        config.keepers = fleet.draw_seeds()
+        calls = gateway_setting.GatewayCalls()
+        self.feed = _Feed(_Loop(self.timers), None, calls, config, _Dialect(), self)
+
+    def on_table(self, version, document):
+        if self.failures:
+            self.failures -= 1
+            raise RuntimeError("cannot be put in force")
+        assert version > self.version, "an entry went back"
+        assert document == make_document(self.fleet.group.longest[:version]), "another table"
+        self.version = version
+        return True
+
+    def on_instances(self, listed):
+        pass
+
+    def on_fleet(self, known):
+        pass
+
+    def on_keeper_lost(self, address):
+        pass
+
+    def get_streams(self):
+        clients = [item.client for item in self.feed._keepers.values()]
+        return [client.stream for client in clients if client.stream is not None]
+
+    def stop(self):
+        for stream in self.get_streams():
+            stream.followed.client.end()
+
+
+class _Group(consensus_group.Group):
+    """Tells the fleet when time passes."""
+
+    def __init__(self, fleet, seed, size):
+        self.on_advance = fleet.on_advance
+        super().__init__(seed, size, streams_end_with_processes=True)
+
+    def advance(self, steps=1):
+        for _ in range(steps):
+            super().advance()
+            self.on_advance()
+
+
+class Fleet:
+    """Keepers and entries.
+
+    :param seed: seed of every choice.
+    :param size: founding keepers.
+    :ivar closed: pairs of an entry's name and a keeper's address between which nothing passes.
+    """
+
+    def __init__(self, seed, size):
+        self.group = _Group(self, seed, size)
+        self.closed = set()
+        self.sides = {}
+        self.entries = {}
+        self._note_lives()
+        for name in ("entry-1", "entry-2"):
+            self.start_entry(name)
+
+    def monotonic(self):
+        """Stand for the clock of the modules under test."""
+        return self.group.now_s
+
+    def draw_seeds(self):
+        return self.group.draw_seeds()
+
+    def start_entry(self, name):
+        """Start an entry, or start it again with an empty memory."""
+        if name in self.entries:
+            self.entries[name].stop()
+        self.entries[name] = Entry(self, name)
+
+    def crash_keeper(self, address):
+        self.group.nodes[address].crash()
+        self._note_lives()
+
+    def on_advance(self):
+        self._note_lives()
+        for entry in self.entries.values():
+            self._connect(entry)
+            entry.timers.run_due()
+        for side in self.sides.values():
+            side.timers.run_due()
+        if not self.closed:
+            self.deliver_all()
+
+    def _note_lives(self):
+        """End the streams of keepers that died, and begin the lives of those that started."""
+        up = {node.address: node for node in self.group.up()}
+        for address, side in list(self.sides.items()):
+            node = up.get(address)
+            if node is None or node.consensus is not side.consensus:
+                del self.sides[address]
+                self._end_streams(lambda stream, side=side: stream.side is side)
+        for address, node in up.items():
+            if address not in self.sides:
+                self.sides[address] = KeeperSide(self.group, node)
+        for side in self.sides.values():
+            side.note_changes()
+
+    def _end_streams(self, is_meant):
+        for entry in self.entries.values():
+            for stream in entry.get_streams():
+                if is_meant(stream):
+                    stream.followed.client.end()
+                    stream.followed.on_peer_lost()
+
+    def close(self, name, address):
+        """Cut an entry off from a keeper."""
+        self.closed.add((name, address))
+        self._end_streams(lambda stream: stream.name == name and stream.followed.address == address)
+
+    def _connect(self, entry):
+        for address, followed in list(entry.feed._keepers.items()):
+            is_closed = (entry.name, address) in self.closed
+            if followed.client.is_ready or is_closed or address not in self.sides:
+                continue
+            followed.client.stream = Stream(entry, followed, self.sides[address])
+            followed.on_peer_ready()
+
+    def deliver(self, entry):
+        """Hand on one message of each of an entry's streams."""
+        for stream in entry.get_streams():
+            stream.deliver()
+
+    def deliver_all(self):
+        for _ in range(50):
+            busy = [
+                stream
+                for entry in self.entries.values()
+                for stream in entry.get_streams()
+                if stream.to_entry or stream.to_keeper
+            ]
+            for stream in busy:
+                stream.deliver()
+            if not busy:
+                return
+
+    def check(self):
+        self._note_lives()
+        for entry in self.entries.values():
+            assert entry.version == entry.feed.version
+            if entry.feed.is_sure:
+                assert entry.version >= entry.acknowledged_before, "sure of an old table"
+
+    def settle(self, seconds):
+        """Let everything be reached and time pass."""
+        self.closed.clear()
+        self.group.settle(seconds)
+        self.check()
--- /dev/null
+++ b/tests/unit/test_table_fleet.py
@@ -0,0 +1,184 @@
+"""Keepers and entries together, at random: what is acknowledged is in force everywhere in time.
+
+Entries are cut off, restarted and fail to put a table in force; keepers crash, lose their disks
+and lose power together; changes go on. No entry may go back, hold a table that never was, or be
+sure of one that is older than what was acknowledged before it started.
+"""
+
+import random
+
+import pytest
+from hypothesis import stateful, strategies
+
+from lib import table_fleet
+from spoolhead._internal.gateway import table_feed
+from spoolhead.coordination import consensus
+
+IN_FORCE_S = 2.0
+"""Time within which an accepted change is in force, once a leader is there."""
+WIPES_APART_S = 6.0
+
+
+class TableFleetMachine(stateful.RuleBasedStateMachine):
+    def __init__(self):
+        super().__init__()
+        self.fleet = None
+        self._time = table_feed.time
+
+    @stateful.initialize(
+        seed=strategies.integers(min_value=0, max_value=10_000),
+        size=strategies.sampled_from((3, 5, 6)),
+    )
+    def begin(self, seed, size):
+        self.fleet = table_fleet.Fleet(seed, size)
+        table_feed.time = self.fleet
+        self.wiped_s = self.fleet.group.now_s
+        self.fleet.settle(2.0)
+
+    def teardown(self):
+        table_feed.time = self._time
+
+    def _get_chance(self):
+        return self.fleet.group.chance
+
+    @stateful.rule(steps=strategies.integers(min_value=1, max_value=12))
+    def advance(self, steps):
+        group = self.fleet.group
+        for _ in range(steps):
+            group.advance()
+            for _ in range(len(group.in_flight)):
+                if group.in_flight:
+                    group.deliver(0)
+            for node in group.up():
+                node.sync()
+
+    @stateful.rule()
+    def propose(self):
+        leaders = [node for node in self.fleet.group.up() if node.consensus.is_leader]
+        if leaders:
+            self.fleet.group.propose(self._get_chance().choice(leaders))
+
+    @stateful.rule(name=strategies.sampled_from(("entry-1", "entry-2")))
+    def deliver(self, name):
+        self.fleet.deliver(self.fleet.entries[name])
+
+    @stateful.rule(name=strategies.sampled_from(("entry-1", "entry-2")))
+    def close(self, name):
+        address = self._get_chance().choice(sorted(self.fleet.group.nodes))
+        self.fleet.close(name, address)
+
+    @stateful.rule()
+    def open(self):
+        self.fleet.closed.clear()
+
+    @stateful.rule(name=strategies.sampled_from(("entry-1", "entry-2")))
+    def restart_entry(self, name):
+        self.fleet.start_entry(name)
+
+    @stateful.rule(name=strategies.sampled_from(("entry-1", "entry-2")))
+    def fail_next(self, name):
+        self.fleet.entries[name].failures = 1
+
+    @stateful.rule()
+    def crash_keeper(self):
+        self.fleet.crash_keeper(self._get_chance().choice(sorted(self.fleet.group.nodes)))
+
+    @stateful.rule()
+    def start_keepers(self):
+        for node in self.fleet.group.nodes.values():
+            if not node.is_up:
+                node.start()
+
+    @stateful.rule()
+    def lose_all_power(self):
+        """Everything starts again, entries with an empty memory."""
+        for address in sorted(self.fleet.group.nodes):
+            self.fleet.crash_keeper(address)
+        for name in sorted(self.fleet.entries):
+            self.fleet.start_entry(name)
+        self.start_keepers()
+
+    @stateful.rule(is_replaced=strategies.booleans())
+    def lose_a_disk(self, is_replaced):
+        """No more than one at a time; the group must have had time to take the last one in."""
+        group = self.fleet.group
+        if group.now_s - self.wiped_s < WIPES_APART_S:
+            return
+        self.heal()
+        self.wiped_s = group.now_s
+        address = self._get_chance().choice(sorted(group.nodes))
+        (group.replace if is_replaced else group.wipe)(address)
+
+    @stateful.rule()
+    def heal(self):
+        self.start_keepers()
+        for entry in self.fleet.entries.values():
+            entry.failures = 0
+        self.fleet.settle(6.0)
+        group = self.fleet.group
+        (leader,) = [node for node in group.up() if node.consensus.is_leader]
+        group.propose(leader)
+        self.fleet.settle(IN_FORCE_S)
+        newest = len(group.acknowledged)
+        assert leader.machine.changes
+        for entry in self.fleet.entries.values():
+            assert entry.version == newest, "a change is not in force in time"
+            assert entry.feed.is_sure
+
+    @stateful.invariant()
+    def nothing_old(self):
+        if self.fleet is not None:
+            self.fleet.check()
+
+
+TestTableFleet = TableFleetMachine.TestCase
+
+
+def _play(seed, steps=120):
+    """Play the machine's rules by a plain random generator."""
+    chance = random.Random(seed)
+    machine = TableFleetMachine()
+    rules = (
+        lambda: machine.advance(chance.randrange(1, 12)),
+        machine.propose,
+        lambda: machine.restart_entry(chance.choice(("entry-1", "entry-2"))),
+        machine.crash_keeper,
+        machine.start_keepers,
+        machine.lose_all_power,
+        machine.open,
+        machine.heal,
+    )
+    try:
+        machine.begin(seed, chance.choice((3, 5, 6)))
+        for _ in range(steps):
+            chance.choice(rules)()
+            machine.nothing_old()
+    finally:
+        machine.teardown()
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_a_long_walk(seed):
+    _play(seed)
+
+
+def test_defect_a_keeper_that_confirms_what_it_starts_with_is_caught(monkeypatch):
+    init = consensus.Consensus.__init__
+
+    def _init(self, *arguments):
+        init(self, *arguments)
+        self.has_caught_up = True
+
+    monkeypatch.setattr(consensus.Consensus, "__init__", _init)
+    monkeypatch.setattr(consensus.Consensus, "_note_committed", lambda self, index: None)
+    with pytest.raises(AssertionError):
+        for seed in range(30):
+            _play(seed)
+
+
+def test_defect_an_announcement_that_is_lost_is_caught(monkeypatch):
+    """A version is told once a stream."""
+    monkeypatch.setattr(table_fleet.KeeperSide, "note_changes", lambda self: None)
+    with pytest.raises(AssertionError):
+        for seed in range(10):
+            _play(seed)
