Test: what the group can bear it can bear again and again

Disks lost up to what is borne, some on machines that come back elsewhere, with all power, six times over.

--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -129,6 +129,37 @@
     assert all(wiped.member_id in node.consensus.members for node in group.up())
 
 
+def _lose_disks_and_all_power(group, count):
+    """Lose some disks, and what was not synced everywhere else."""
+    nodes = sorted(group.nodes)
+    lost = group.chance.sample(nodes, count)
+    for address in nodes:
+        group.nodes[address].crash()
+    group.in_flight.clear()
+    for address in lost:
+        (group.replace if group.chance.random() < 0.3 else group.wipe)(address)
+    for node in group.nodes.values():
+        if not node.is_up:
+            node.start()
+
+
+@pytest.mark.parametrize(("size", "count"), [(3, 1), (4, 1), (5, 2), (6, 2)])
+@pytest.mark.parametrize("seed", range(8))
+def test_what_the_group_can_bear_it_can_bear_again_and_again(size, count, seed):
+    """Each time all have come back, as many disks may be lost as before, beside all power."""
+    group = consensus_group.Group(seed, size, streams_end_with_processes=True)
+    for _ in range(6):
+        group.settle(6.0)
+        (leader,) = [node for node in group.up() if node.consensus.is_leader]
+        assert len(leader.consensus.members) == size
+        group.propose(leader)
+        group.settle(0.5)
+        _lose_disks_and_all_power(group, count)
+        group.settle(group.chance.uniform(3.0, 6.0))
+        assert all(node.machine.changes == group.acknowledged for node in group.up())
+    assert len(group.acknowledged) == 6
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_once_a_wiped_member_is_back_another_loss_stops_nothing(seed):
     group = consensus_group.Group(seed)
