A newcomer asks the leader that it hears, too

Found by the test before on wider seeds (7 members, seed 114): a keeper that lost its disk was given itself and two keepers that were replaced at the same time, so nobody alive heard its request, though the leader sent to its address all the while. Whom to ask is now decided in one place, without I/O, for program and tests; that the tests' group decided it otherwise is what had hidden the first fault.

--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -178,7 +178,7 @@
             member=self.member_id, is_first_start=self._config.is_first_start
         )
         own = messages.get_address(self.member_id)
-        asked = {*self._config.keepers, *self.member_addresses} - {own}
+        asked = {*self._config.keepers, *self._consensus.get_known_addresses()} - {own}
         if asked != self._asked:
             self._asked = asked
             fields = {"member": self.member_id, "asked": sorted(asked), "leader": self._leader}
--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -109,6 +109,15 @@
         """Whether this process is a member."""
         return self.member_id in self._log.membership.members
 
+    def get_known_addresses(self) -> set[str]:
+        """Return where other members may be found: those of the log and the leader that is heard.
+
+        The log of a newcomer names nobody, and its settings may name none that is left; where its
+        address had a former life, the leader still sends to it.
+        """
+        known = {*self.members, self.leader} - {"", self.member_id}
+        return {messages.get_address(member) for member in known}
+
     def take_effects(self) -> consensus_types.Effects:
         """Return what is to be done since the last call."""
         effects, self._effects = self._effects, consensus_types.Effects()
--- a/tests/lib/consensus_group.py
+++ b/tests/lib/consensus_group.py
@@ -153,7 +153,7 @@
 
     def _ask_to_join(self, node):
         request = messages.JoinRequest(member=node.member_id, is_first_start=False)
-        known = {*node.seeds, *map(messages.get_address, node.consensus.members)}
+        known = {*node.seeds, *node.consensus.get_known_addresses()}
         for address in sorted(known):
             if address != node.address:
                 self.in_flight.append((node.address, address, request))
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -143,8 +143,35 @@
             node.start()
 
 
-@pytest.mark.parametrize(("size", "count"), [(3, 1), (4, 1), (5, 2), (6, 2)])
-@pytest.mark.parametrize("seed", range(8))
+def test_a_newcomer_that_knows_nobody_alive_asks_the_leader_that_it_hears():
+    """Its settings name itself and two that were replaced when it lost its disk.
+
+    The leader goes on sending to its address, where its former life was.
+    """
+    group = consensus_group.Group(19, 6)
+    group.settle(2.0)
+    address, *others = [node.address for node in group.up() if not node.consensus.is_leader]
+    for gone in others[:2]:
+        group.replace(gone)
+    group.wipe(address)
+    wiped = group.nodes[address]
+    wiped.seeds = [address, *others[:2]]
+    group.settle(5.0)
+    assert wiped.consensus.is_member
+
+
+@pytest.mark.parametrize(
+    ("size", "count", "seed"),
+    [
+        *(
+            (size, count, seed)
+            for size, count in ((3, 1), (4, 1), (5, 2), (6, 2))
+            for seed in range(8)
+        ),
+        # A newcomer whose seeds were itself and two that were replaced at the same time.
+        (7, 3, 114),
+    ],
+)
 def test_what_the_group_can_bear_it_can_bear_again_and_again(size, count, seed):
     """Each time all have come back, as many disks may be lost as before, beside all power."""
     group = consensus_group.Group(seed, size, streams_end_with_processes=True)
