--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -12,6 +12,7 @@
 from typing import Protocol
 
 from spoolhead._internal.discovery import list_reader
+from spoolhead._internal.gateway import followed_keeper
 from spoolhead._internal.models import dialects, fleet, instances, settings
 from spoolhead._internal.network import links, messages, peer_client, route_messages, upstream_calls
 from spoolhead._internal.network import loop as loops
@@ -57,62 +58,6 @@
         """The stream to a keeper ended."""
 
 
-class _KnownFleet:
-    """What one keeper knows of the fleet.
-
-    :ivar hall: hall of the keeper.
-    :ivar keepers: addresses of the keepers.
-    :ivar entries: the entries connected with it, by name.
-    """
-
-    __slots__ = ("entries", "hall", "keepers")
-
-    def __init__(self) -> None:
-        self.hall = ""
-        self.keepers: list[str] = []
-        self.entries: dict[str, fleet.Process] = {}
-
-    def take(self, message: route_messages.Fleet) -> None:
-        """Take over what has changed."""
-        self.hall = message.hall
-        self.keepers = message.keepers
-        for name in message.gone:
-            self.entries.pop(str(name), None)
-        for name, hall, address in message.entries:
-            self.entries[str(name)] = fleet.Process(
-                name=str(name), hall=str(hall), address=str(address)
-            )
-
-
-class _Keeper:
-    """One keeper that is followed.
-
-    :ivar version: newest version that it told.
-    :ivar is_confirmed: what it told on the present stream, a leader has told it.
-    :ivar has_told: it has told a version on the present stream.
-    """
-
-    def __init__(self, feed: "TableFeed", address: str) -> None:
-        self._feed = feed
-        self.address = address
-        self.version = 0
-        self.is_confirmed = False
-        self.has_told = False
-        self.asked_s = 0.0
-        self.listed: dict[str, instances.Instance] | None = None
-        self.fleet: _KnownFleet | None = None
-        self.client = feed.make_client(address, self)
-
-    def on_peer_ready(self) -> None:
-        self._feed.on_keeper_ready(self)
-
-    def on_peer_message(self, message: messages.Message) -> None:
-        self._feed.on_keeper_message(self, message)
-
-    def on_peer_lost(self) -> None:
-        self._feed.on_keeper_lost(self)
-
-
 class TableFeed:
     """Follows the keepers.
 
@@ -143,7 +88,7 @@
         self._outgoing = outgoing
         self._config = config
         self._user = user
-        self._keepers: dict[str, _Keeper] = {}
+        self._keepers: dict[str, followed_keeper.FollowedKeeper] = {}
         self._listed_s = time.monotonic()
         self._reader_term = 0
         self._reads_itself = False
@@ -196,7 +141,9 @@
         self._config.keepers = addresses
         self._follow()
 
-    def make_client(self, address: str, keeper: _Keeper) -> peer_client.PeerClient:
+    def make_client(
+        self, address: str, keeper: followed_keeper.FollowedKeeper
+    ) -> peer_client.PeerClient:
         """Return a new stream to a keeper."""
         return peer_client.PeerClient(
             self._loop,
@@ -209,27 +156,25 @@
             timing=TIMING,
         )
 
-    def on_keeper_ready(self, keeper: _Keeper) -> None:
+    def on_keeper_ready(self, keeper: followed_keeper.FollowedKeeper) -> None:
         """Subscribe at a keeper whose stream stands."""
         logger.info("keeper is reachable", extra={"fields": {"address": keeper.address}})
         address = f"{self._config.host}:{self._config.peer_port}"
         keeper.client.send(route_messages.Subscribe(hall=self._config.hall, address=address))
 
-    def on_keeper_lost(self, keeper: _Keeper) -> None:
+    def on_keeper_lost(self, keeper: followed_keeper.FollowedKeeper) -> None:
         """Take note of a keeper that is lost."""
         logger.warning("keeper is lost", extra={"fields": {"address": keeper.address}})
-        keeper.has_told = False
-        keeper.is_confirmed = False
-        keeper.listed = None
-        keeper.asked_s = 0.0
-        keeper.fleet = None
         self._user.on_keeper_lost(keeper.address)
 
-    def on_keeper_message(self, keeper: _Keeper, message: messages.Message) -> None:
+    def on_keeper_message(
+        self, keeper: followed_keeper.FollowedKeeper, message: messages.Message
+    ) -> None:
         """Take a keeper's message."""
         match message:
             case route_messages.RouteTableVersion():
-                self._take_version(keeper, message)
+                keeper.take_version(message, self.version)
+                self._fetch(keeper)
             case route_messages.RouteTableDocument():
                 self._take_table(keeper, message)
             case route_messages.InstanceList():
@@ -239,28 +184,14 @@
             case _:
                 logger.warning("unexpected %s of a keeper", type(message).__name__)
 
-    def _take_version(self, keeper: _Keeper, message: route_messages.RouteTableVersion) -> None:
-        if not keeper.has_told or keeper.is_confirmed is not message.is_confirmed:
-            fields = {
-                "address": keeper.address,
-                "version": message.version,
-                "is_confirmed": message.is_confirmed,
-                "taken_version": self.version,
-            }
-            logger.info("keeper tells its version", extra={"fields": fields})
-        keeper.has_told = True
-        keeper.is_confirmed = message.is_confirmed
-        keeper.version = message.version
-        self._fetch(keeper)
-
-    def _take_fleet(self, keeper: _Keeper, message: route_messages.Fleet) -> None:
+    def _take_fleet(
+        self, keeper: followed_keeper.FollowedKeeper, message: route_messages.Fleet
+    ) -> None:
         """Take what a keeper knows of the fleet; entries that any keeper knows of count.
 
         A keeper that has just started or is cut off knows of few.
         """
-        if message.is_whole or keeper.fleet is None:
-            keeper.fleet = _KnownFleet()
-        keeper.fleet.take(message)
+        keeper.take_fleet(message)
         self._entry_count = max(self._entry_count, len(keeper.fleet.entries))
         self._follow()
         told = {item.address: item.fleet for item in self._keepers.values() if item.fleet}
@@ -274,7 +205,7 @@
         known = fleet.Fleet(keepers=tuple(keepers), entries=tuple(entries.values()))
         self._user.on_fleet(known)
 
-    def _fetch(self, keeper: _Keeper) -> None:
+    def _fetch(self, keeper: followed_keeper.FollowedKeeper) -> None:
         if not keeper.is_confirmed and not self._takes_unconfirmed:
             return
         now_s = time.monotonic()
@@ -301,7 +232,9 @@
             if keeper.client.is_ready
         )
 
-    def _take_table(self, keeper: _Keeper, message: route_messages.RouteTableDocument) -> None:
+    def _take_table(
+        self, keeper: followed_keeper.FollowedKeeper, message: route_messages.RouteTableDocument
+    ) -> None:
         keeper.asked_s = 0.0
         if message.version > self.version:
             try:
@@ -349,9 +282,11 @@
             return data
         return document_delta.apply(self._document, data)
 
-    def _take_list(self, keeper: _Keeper, message: route_messages.InstanceList) -> None:
+    def _take_list(
+        self, keeper: followed_keeper.FollowedKeeper, message: route_messages.InstanceList
+    ) -> None:
         now_s = time.monotonic()
-        self._change_listed(keeper, message)
+        keeper.take_list(message)
         is_stale = now_s - self._listed_s > self._config.instance_list.fallback_ms / 1000
         if keeper.listed is None or (message.reader_term < self._reader_term and not is_stale):
             return
@@ -362,22 +297,6 @@
             logger.info("instance list comes from a keeper again")
         self._user.on_instances(list(keeper.listed.values()))
 
-    def _change_listed(self, keeper: _Keeper, message: route_messages.InstanceList) -> None:
-        """Change what a keeper lists; without a whole list on this stream there is nothing to."""
-        try:
-            changed = instances.unpack(message.changed)
-        except ValueError as error:
-            logger.error("instance list of %s: %s", keeper.address, error)
-            return
-        if message.is_whole:
-            keeper.listed = {}
-        if keeper.listed is None:
-            return
-        for instance_id in message.gone:
-            keeper.listed.pop(instance_id, None)
-        for item in changed:
-            keeper.listed[item.instance_id] = item
-
     def _take_own_reading(self, listed: list[instances.Instance]) -> None:
         self._user.on_instances(listed)
 
@@ -387,7 +306,7 @@
             if keeper.fleet is not None and keeper.client.is_ready:
                 wanted.update(keeper.fleet.keepers)
         for address in wanted - set(self._keepers):
-            self._keepers[address] = _Keeper(self, address)
+            self._keepers[address] = followed_keeper.FollowedKeeper(self, address)
         for address in set(self._keepers) - wanted:
             keeper = self._keepers.pop(address)
             keeper.client.close()
--- a/src/spoolhead/_internal/network/peer_server.py
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -99,7 +99,14 @@
         """Send bytes on a session; a peer that does not read is dropped."""
         if session.sock not in self._sessions:
             return
-        if self._server.send_now(session.sock, data) > UNSENT_LIMIT_BYTES:
+        try:
+            unsent_bytes = self._server.send_now(session.sock, data)
+        except Exception:
+            # One peer must not keep those behind it from being told; it comes back and asks.
+            logger.exception("peer %s cannot be sent to; its connection is closed", session.name)
+            self._server.close_now(session.sock)
+            return
+        if unsent_bytes > UNSENT_LIMIT_BYTES:
             logger.warning("peer %s does not read; its connection is closed", session.name)
             self._server.close_now(session.sock)
 
--- a/tests/unit/test_peer_streams.py
+++ b/tests/unit/test_peer_streams.py
@@ -3,7 +3,14 @@
 import pytest
 
 from lib import gateway_setting
-from spoolhead._internal.network import handshake, messages, peer_client, peer_server
+from spoolhead._internal.network import (
+    handshake,
+    messages,
+    peer_client,
+    peer_server,
+    route_messages,
+)
+from spoolhead._internal.quorum import feed
 
 KEY = "a-shared-key-for-tests"
 
@@ -109,23 +116,43 @@
 class _Server:
     def __init__(self):
         self.closed = []
+        self.sent = []
+        self.failing = ""
 
     def send_now(self, sock, data):
+        if sock == self.failing:
+            raise ValueError("not a socket any more")
+        self.sent.append(sock)
         return 0
 
     def close_now(self, sock):
         self.closed.append(sock)
 
 
-def test_a_session_whose_message_cannot_be_handled_is_closed():
-    """A follower that could not be taken in would live on and be told nothing."""
+def _make_server(*socks):
     server = object.__new__(peer_server.PeerServer)
     server._server, server._service = _Server(), _Service()
-    server._sessions = {}
     server._shared_key, server._name = KEY, "keeper"
-    session = peer_server.PeerSession(server, "sock")
-    session.role = "entry"
-    server._sessions["sock"] = session
+    server._sessions = {sock: peer_server.PeerSession(server, sock) for sock in socks}
+    for session in server._sessions.values():
+        session.role = "entry"
+    return server
+
+
+def test_a_session_whose_message_cannot_be_handled_is_closed():
+    """A follower that could not be taken in would live on and be told nothing."""
+    server = _make_server("a")
     with pytest.raises(RuntimeError):
-        server._on_read("sock", messages.encode(messages.Current(version=1)))
-    assert server._server.closed == ["sock"]
+        server._on_read("a", messages.encode(messages.Current(version=1)))
+    assert server._server.closed == ["a"]
+
+
+def test_a_follower_that_cannot_be_sent_to_does_not_keep_the_others_from_being_told():
+    server = _make_server("a", "b", "c")
+    server._server.failing = "b"
+    told = feed.Feed(_Timers(), "h", list, lambda: feed.Table(3, b"t", is_confirmed=True))
+    for session in server._sessions.values():
+        told._followers[session] = route_messages.Subscribe(hall="h", address="x:1")
+    told.announce_version()
+    assert server._server.sent == ["a", "c"]
+    assert server._server.closed == ["b"]
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -152,7 +152,7 @@
     _tell(feed, "a:1", _make_list(["i-1", "i-2"], term=4))
     _tell(feed, "a:1", _make_list(["i-3"], term=4, sequence=2, is_whole=False, gone=["i-1"]))
     assert feed._user.lists[-1] == ["i-2", "i-3"]
-    feed.on_keeper_lost(feed._keepers["a:1"])
+    feed._keepers["a:1"].on_peer_lost()
     _tell(feed, "a:1", _make_list(["i-4"], term=4, sequence=3, is_whole=False))
     assert len(feed._user.lists) == 2
     _tell(feed, "a:1", _make_list(["i-4"], term=4, sequence=3))
@@ -183,7 +183,7 @@
     _tell(feed, "b:1", _make_fleet(hall="g", keepers=keepers, entries=many[:1]))
     assert len(feed._user.fleets[-1].entries) == 3
     assert {item.hall for item in feed._user.fleets[-1].keepers} == {"g", "h"}
-    feed.on_keeper_lost(feed._keepers["a:1"])
+    feed._keepers["a:1"].on_peer_lost()
     assert feed._user.lost_keepers == ["a:1"]
     _tell(feed, "b:1", _make_fleet(hall="g", keepers=keepers, entries=many[:1]))
     assert len(feed._user.fleets[-1].entries) == 1
@@ -290,7 +290,7 @@
 
 def test_a_keeper_that_starts_again_is_not_confirmed_by_its_former_stream(feed):
     _tell_version(feed, "a:1", 5)
-    feed.on_keeper_lost(feed._keepers["a:1"])
+    feed._keepers["a:1"].on_peer_lost()
     _tell_version(feed, "a:1", 4, is_confirmed=False)
     assert not feed._keepers["a:1"].is_confirmed
 
@@ -320,7 +320,7 @@
     assert not feed.is_sure
     _send_table(feed, "b:1", 6)
     assert feed.is_sure
-    feed.on_keeper_lost(feed._keepers["a:1"])
+    feed._keepers["a:1"].on_peer_lost()
     assert not feed.is_sure
 
 
