--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -13,29 +13,22 @@
 import random
 from collections.abc import Sequence
 
+from spoolhead.coordination import (
+    ballot,
+    consensus_types,
+    joining,
+    log_transfer,
+    peer_progress,
+    sync_progress,
+)
 from spoolhead.coordination import consensus_messages as messages
-from spoolhead.coordination import consensus_types, joining
 from spoolhead.coordination import replicated_log as logs
 
-APPEND_LIMIT_BYTES = 262_144
-"""Entries sent in one message; a few of the largest tables seen (100 KiB)."""
 FIRST_ELECTION_PART = 0.4
 """Part of the usual wait after which a member that has just started stands: long enough for the
 others to have started too and for a heartbeat of a leader that there may be."""
 
 
-class _Peer:
-    """What a leader knows of another member."""
-
-    __slots__ = ("acked_round", "heard_s", "match_index", "next_index")
-
-    def __init__(self, next_index: int, now_s: float) -> None:
-        self.next_index = next_index
-        self.match_index = 0
-        self.acked_round = 0
-        self.heard_s = now_s
-
-
 class Consensus:
     """One member of the group.
 
@@ -69,15 +62,9 @@
         self._timing = timing
         self._chance = chance
         self._effects = consensus_types.Effects()
-        self._written = 0
-        self._synced = 0
-        self._pending_syncs: list[tuple[int, int]] = []
-        self._durable_index = log.last_index
-        self._votes: set[str] = set()
-        self._is_trial = False
-        self._is_candidate = False
-        self._vote_record = 0
-        self._peers: dict[str, _Peer] = {}
+        self._disk = sync_progress.SyncProgress(log.last_index)
+        self._ballot = ballot.Ballot()
+        self._peers = peer_progress.PeerProgress()
         self._newcomers = joining.Newcomers(timing.newcomer_ms)
         self._round_number = 0
         self._term_start_index = 0
@@ -155,17 +142,15 @@
         """Tell whether a majority has answered a broadcast or a later one."""
         if not self.is_leader or self.commit_index < self._term_start_index:
             return False
-        acked = sum(peer.acked_round >= round_number for peer in self._get_member_peers())
+        acked = self._peers.count_acked(self._get_others(), round_number)
         return acked + self.is_member >= self._log.membership.quorum_size
 
     def note_synced(self, record_number: int, now_s: float) -> None:
         """Take note that records up to a number are on the disk."""
-        self._synced = max(self._synced, record_number)
-        while self._pending_syncs and self._pending_syncs[0][0] <= self._synced:
-            self._durable_index = self._pending_syncs.pop(0)[1]
+        self._disk.note_synced(record_number)
         if self.is_leader:
             self._advance_commit(now_s)
-        elif self._is_candidate:
+        elif self._ballot.is_open:
             self._count_votes(now_s)
 
     def receive(self, message: messages.Message, now_s: float) -> None:
@@ -191,14 +176,12 @@
 
     def _begin_election(self, now_s: float, *, is_trial: bool) -> None:
         self.leader = ""
-        self._is_trial = is_trial
-        self._is_candidate = True
-        self._votes = {self.member_id}
+        self._ballot.begin(self.member_id, is_trial=is_trial)
         self._elect_s = now_s + self._draw_election_s()
         term = self.term + 1
         if not is_trial:
             self._write(self._log.set_vote(term, self.member_id))
-            self._vote_record = self._written
+            self._ballot.record_number = self._disk.written
         request = messages.VoteRequest(
             term=term,
             candidate=self.member_id,
@@ -207,7 +190,7 @@
             is_trial=is_trial,
         )
         for member in self._get_others():
-            self._send(member, request, after_record=0 if is_trial else self._written)
+            self._send(member, request, after_record=0 if is_trial else self._disk.written)
         self._count_votes(now_s)
 
     def _take_vote_request(self, request: messages.VoteRequest, now_s: float) -> None:
@@ -234,7 +217,7 @@
         if granted:
             self._elect_s = now_s + self._draw_election_s()
         reply = self._make_vote_reply(self.term, granted, False)
-        self._send(request.candidate, reply, after_record=self._written)
+        self._send(request.candidate, reply, after_record=self._disk.written)
 
     def _make_vote_reply(self, term: int, granted: bool, is_trial: bool) -> messages.VoteReply:
         return messages.VoteReply(
@@ -258,27 +241,26 @@
             self._step_down(reply.term, now_s)
             return
         wanted_term = self.term + 1 if reply.is_trial else self.term
-        if not self._is_candidate or reply.is_trial is not self._is_trial:
+        if not self._ballot.is_open or reply.is_trial is not self._ballot.is_trial:
             return
         if reply.granted and reply.term == wanted_term:
-            self._votes.add(reply.voter)
+            self._ballot.add(reply.voter)
             self._count_votes(now_s)
 
     def _count_votes(self, now_s: float) -> None:
-        votes = len(self._votes.intersection(self.members))
-        if not self._is_candidate or votes < self._log.membership.quorum_size:
+        votes = self._ballot.count(self.members)
+        if not self._ballot.is_open or votes < self._log.membership.quorum_size:
             return
-        if self._is_trial:
+        if self._ballot.is_trial:
             self._begin_election(now_s, is_trial=False)
-        elif self._synced >= self._vote_record:
+        elif self._disk.synced >= self._ballot.record_number:
             self._begin_leading(now_s)
 
     def _begin_leading(self, now_s: float) -> None:
         self.leader = self.member_id
-        self._is_candidate = False
+        self._ballot.close()
         self._newcomers.clear()
-        next_index = self._log.last_index + 1
-        self._peers = {member: _Peer(next_index, now_s) for member in self._get_others()}
+        self._peers.begin(self._get_others(), self._log.last_index + 1, now_s)
         self._append(logs.EntryKind.NOTHING, b"")
         self._term_start_index = self._log.last_index
         self._broadcast(now_s)
@@ -287,14 +269,14 @@
         if term > self.term:
             self._write(self._log.set_vote(term, ""))
         self.leader = ""
-        self._is_candidate = False
+        self._ballot.close()
         self._elect_s = now_s + self._draw_election_s()
 
     # Leading
 
     def _tick_leader(self, now_s: float) -> None:
-        limit_s = self._timing.election_ms * 2 / 1000
-        answering = sum(now_s - peer.heard_s < limit_s for peer in self._get_member_peers())
+        since_s = now_s - self._timing.election_ms * 2 / 1000
+        answering = self._peers.count_heard(self._get_others(), since_s)
         if answering + self.is_member < self._log.membership.quorum_size:
             self._step_down(self.term, now_s)
             return
@@ -315,39 +297,23 @@
         peer = self._peers.get(member)
         if peer is None:
             return
-        previous_term = self._log.get_term(peer.next_index - 1)
-        if previous_term is None:
-            self._send_snapshot(member, peer)
-            return
-        entries: list[logs.Entry] = []
-        if peer.next_index <= self._log.last_index:
-            entries = self._log.get_entries(peer.next_index, APPEND_LIMIT_BYTES)
-        request = messages.AppendRequest(
-            term=self.term,
-            leader=self.member_id,
-            previous_index=peer.next_index - 1,
-            previous_term=previous_term,
-            entries=[[entry.term, int(entry.kind), entry.data] for entry in entries],
+        request = log_transfer.make_append(
+            self._log,
+            self.member_id,
+            peer.next_index,
             commit_index=self.commit_index,
             round_number=self._round_number,
         )
+        if request is None:
+            self._send_snapshot(member, peer)
+            return
         # What was sent is taken as received; a refusal of a later message sets this right.
-        peer.next_index += len(entries)
+        peer.next_index += len(request.entries)
         self._send(member, request)
 
-    def _send_snapshot(self, member: str, peer: _Peer) -> None:
-        snapshot = self._log.snapshot
-        peer.next_index = snapshot.index + 1
-        offer = messages.SnapshotOffer(
-            term=self.term,
-            leader=self.member_id,
-            index=snapshot.index,
-            entry_term=snapshot.term,
-            members=list(snapshot.members),
-            target_size=snapshot.target_size,
-            state=snapshot.state,
-            round_number=self._round_number,
-        )
+    def _send_snapshot(self, member: str, peer: peer_progress.Peer) -> None:
+        peer.next_index = self._log.snapshot.index + 1
+        offer = log_transfer.make_offer(self._log, self.member_id, round_number=self._round_number)
         self._send(member, offer)
 
     def _take_append_reply(self, reply: messages.AppendReply, now_s: float) -> None:
@@ -367,9 +333,9 @@
             self._send_entries(reply.follower)
 
     def _advance_commit(self, now_s: float) -> None:
-        indexes = [peer.match_index for peer in self._get_member_peers()]
+        indexes = self._peers.get_match_indexes(self._get_others())
         if self.is_member:
-            indexes.append(self._durable_index)
+            indexes.append(self._disk.durable_index)
         indexes.sort(reverse=True)
         quorum_size = self._log.membership.quorum_size
         if len(indexes) < quorum_size:
@@ -417,23 +383,14 @@
         is_settled = self._log.membership_index <= self.commit_index
         if not is_settled or self.commit_index < self._term_start_index:
             return
-        lost = self._get_lost(now_s)
+        lost = self._peers.find_lost(self._get_others(), now_s - self._timing.lost_ms / 1000)
         membership = self._newcomers.get_next(self._log.membership, lost, now_s)
         if membership is None:
             return
         self._append(logs.EntryKind.MEMBERS, membership.pack())
-        for member in self._get_others():
-            self._peers.setdefault(member, _Peer(self._log.first_index - 1, now_s))
+        self._peers.add(self._get_others(), self._log.first_index - 1, now_s)
         self._broadcast(now_s)
 
-    def _get_lost(self, now_s: float) -> str | None:
-        """Return the member that has been silent longest, if for long enough."""
-        heard = [(self._peers[m].heard_s, m) for m in self._get_others() if m in self._peers]
-        if not heard:
-            return None
-        heard_s, member = min(heard)
-        return member if now_s - heard_s > self._timing.lost_ms / 1000 else None
-
     # Following
 
     def _accept_leader(self, term: int, leader: str, now_s: float) -> bool:
@@ -458,12 +415,11 @@
             hint = min(self._log.last_index, index - 1)
             self._reply(request.leader, False, max(hint, self.commit_index), request.round_number)
             return
-        for term, kind, data in request.entries:
+        for entry in log_transfer.read_entries(request):
             index += 1
-            if index <= self.commit_index or self._log.get_term(index) == term:
+            if index <= self.commit_index or self._log.get_term(index) == entry.term:
                 continue
-            entry = logs.Entry(term, logs.EntryKind(kind), data)
-            self._forget_syncs(index)
+            self._disk.note_void(index)
             self._write(self._log.append(entry, index))
         if request.commit_index > self.commit_index and index > self.commit_index:
             self._commit(min(index, request.commit_index))
@@ -475,10 +431,7 @@
             self._reply(offer.leader, False, self._log.last_index, offer.round_number)
             return
         if offer.index > self.commit_index:
-            snapshot = logs.Snapshot(
-                offer.index, offer.entry_term, offer.members, offer.target_size, offer.state
-            )
-            self._write(self._log.take_snapshot(snapshot))
+            self._write(self._log.take_snapshot(log_transfer.read_snapshot(offer)))
             self._machine.load(offer.state)
             self.commit_index = offer.index
         self._note_committed(offer.index)
@@ -492,27 +445,16 @@
             match_index=match_index,
             round_number=round_number,
         )
-        self._send(leader, reply, after_record=self._written)
+        self._send(leader, reply, after_record=self._disk.written)
 
     # Output
 
     def _get_others(self) -> list[str]:
         return [member for member in self.members if member != self.member_id]
 
-    def _get_member_peers(self) -> list[_Peer]:
-        return [self._peers[member] for member in self._get_others() if member in self._peers]
-
     def _write(self, record: logs.Record) -> None:
         self._effects.records.append(record)
-        self._written += 1
-        self._pending_syncs.append((self._written, self._log.last_index))
-
-    def _forget_syncs(self, index: int) -> None:
-        """Take note that what stood at an index and behind it is void."""
-        self._durable_index = min(self._durable_index, index - 1)
-        self._pending_syncs = [
-            (number, min(last_index, index - 1)) for number, last_index in self._pending_syncs
-        ]
+        self._disk.note_written(self._log.last_index)
 
     def _send(self, member: str, message: messages.Message, *, after_record: int = 0) -> None:
         address = messages.get_address(member)
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -315,9 +315,9 @@
     member = leader.consensus
     member._log.append(replicated_log.Entry(member.term - 1, replicated_log.EntryKind.CHANGE, b"x"))
     index = member._log.last_index
-    member._durable_index = index
-    for peer in member._peers.values():
-        peer.match_index = index
+    member._disk.durable_index = index
+    for other in member._get_others():
+        member._peers.get(other).match_index = index
     member._advance_commit(group.now_s)
     assert member.commit_index < index
 
