One look at the committed table for a message about it; what is refused by the table in one place

Read again: the keeper's feed asked for the table two or three times a message, a starting entry read the clock twice a look, and the refusal by an unconfirmed table set its Retry-After in the way of every refusal. No change of what is answered.

--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -169,7 +169,7 @@
             return
         owner = api.get_workspace(caller.request, self._table)
         if owner.is_error():
-            self._refuse(caller, request_id, "", self._weigh_refusal(owner.error), now_s)
+            self._refuse_by_table(caller, request_id, "", owner.error, now_s)
         elif path == api.MODELS_PATH or path.startswith(f"{api.MODELS_PATH}/"):
             self._answer_models(caller, owner.ok, path, request_id)
         else:
@@ -183,22 +183,12 @@
         )
         parsed = api.parse(caller.request, workspace, self._table, arrival)
         if parsed.is_error():
-            self._refuse(caller, request_id, workspace, self._weigh_refusal(parsed.error), now_s)
+            self._refuse_by_table(caller, request_id, workspace, parsed.error, now_s)
         elif parsed.ok.once_key:
             self._once.submit(parsed.ok, caller)
         else:
             self._dispatcher.submit(parsed.ok, caller)
 
-    def _weigh_refusal(self, item: fault.Fault) -> fault.Fault:
-        """Return what a caller is told whom the table refuses.
-
-        Callers take it as final. While no keeper confirms the table, as after a start from the
-        saved copy, the key or the model may be new, and they are told to come back instead.
-        """
-        if item.code not in codes.BY_THE_TABLE or not self._keeper.unconfirmed_ms:
-            return item
-        return fault.make_unconfirmed(item)
-
     def _get_obstacle(self) -> fault.Fault | None:
         if self._is_stopping:
             return fault.Fault(codes.ResultCode.STOPPING, "this entry is stopping")
@@ -242,6 +232,26 @@
             item = fault.Fault(codes.ResultCode.UNKNOWN_MODEL, f"no model is named {wanted}")
             answers.send_error(caller, item, ran=codes.Ran.NO, request_id=request_id)
 
+    def _refuse_by_table(
+        self,
+        caller: caller_front.Caller,
+        request_id: str,
+        workspace: str,
+        item: fault.Fault,
+        now_s: float,
+    ) -> None:
+        """Refuse what is wrong with a request, some of it by the table.
+
+        Callers take that as final. While no keeper confirms the table, as after a start from the
+        saved copy, the key or the model may be new, and they are told to come back instead.
+        """
+        if item.code in codes.BY_THE_TABLE and self._keeper.unconfirmed_ms:
+            unconfirmed = fault.make_unconfirmed(item)
+            after_ms = UNCONFIRMED_RETRY_AFTER_MS
+            self._refuse(caller, request_id, workspace, unconfirmed, now_s, after_ms)
+        else:
+            self._refuse(caller, request_id, workspace, item, now_s)
+
     def _refuse(
         self,
         caller: caller_front.Caller,
@@ -251,8 +261,6 @@
         now_s: float,
         retry_after_ms: int | None = None,
     ) -> None:
-        if item.code is codes.ResultCode.TABLE_UNCONFIRMED:
-            retry_after_ms = UNCONFIRMED_RETRY_AFTER_MS
         self._decisions.note_refusal(request_id, workspace, item, now_s)
         answers.send_error(
             caller,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -229,10 +229,11 @@
     def _check_ready(self) -> None:
         if self._is_ready:
             return
-        if time.monotonic() - self._began_s > EARLY_WAIT_S:
+        age_s = time.monotonic() - self._began_s
+        if age_s > EARLY_WAIT_S:
             self._take_early()
         known = first_table.Knowledge(
-            age_s=time.monotonic() - self._began_s,
+            age_s=age_s,
             has_table=self._matcher is not None,
             has_instances=self._has_instances,
             is_sure=self._feed.is_sure,
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -82,7 +82,7 @@
             "is_confirmed": table.is_confirmed,
         }
         logger.info("entry follows", extra={"fields": fields})
-        session.send(self._make_version())
+        session.send(_make_version(table))
         if self._sequence:
             session.send(self._make_whole_list())
         # What all others were told last, so that the next change fits it too.
@@ -101,20 +101,19 @@
         :param digest: digest of the document that it has; only what differs is sent where that
             one is known here.
         """
-        self._remember()
-        session.send(self._pack_table(digest if digest in self._documents else 0))
+        table = self._remember()
+        session.send(self._pack_table(table, digest if digest in self._documents else 0))
 
     def announce_version(self) -> None:
         """Tell all followers of a new version."""
-        self._remember()
-        table = self._get_table()
+        table = self._remember()
         fields = {
             "version": table.version,
             "is_confirmed": table.is_confirmed,
             "followers": len(self._followers),
         }
         logger.info("version told", extra={"fields": fields})
-        self._send_all(self._make_version())
+        self._send_all(_make_version(table))
 
     def publish_instances(self, term: int, listed: list[instances.Instance]) -> None:
         """Tell all followers of a reading of the list of instances."""
@@ -134,22 +133,22 @@
         )
         self._send_all(message)
 
-    def _remember(self) -> None:
-        """Keep the committed table's document for differences to later ones."""
+    def _remember(self) -> Table:
+        """Return the committed table, its document kept for differences to later ones."""
         table = self._get_table()
         if table.version == self._remembered_version:
-            return
+            return table
         self._remembered_version = table.version
         self._packed_tables.clear()
         self._documents[document_delta.get_digest(table.document)] = table.document
         while len(self._documents) > DOCUMENTS_KEPT:
             self._documents.popitem(last=False)
+        return table
 
-    def _pack_table(self, digest: int) -> route_messages.RouteTableDocument:
+    def _pack_table(self, table: Table, digest: int) -> route_messages.RouteTableDocument:
         """Return the committed table as it is sent; all entries fetch it within moments."""
         packed = self._packed_tables.get(digest)
         if packed is None:
-            table = self._get_table()
             data = table.document
             if digest:
                 data = document_delta.make(self._documents[digest], table.document)
@@ -158,12 +157,6 @@
             )
         return packed
 
-    def _make_version(self) -> route_messages.RouteTableVersion:
-        table = self._get_table()
-        return route_messages.RouteTableVersion(
-            version=table.version, is_confirmed=table.is_confirmed
-        )
-
     def _make_whole_list(self) -> route_messages.InstanceList:
         return route_messages.InstanceList(
             reader_term=self._reader_term,
@@ -203,3 +196,7 @@
         data = messages.encode(message)
         for session in list(self._followers):
             session.send_encoded(data)
+
+
+def _make_version(table: Table) -> route_messages.RouteTableVersion:
+    return route_messages.RouteTableVersion(version=table.version, is_confirmed=table.is_confirmed)
