--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -171,7 +171,7 @@
         if owner.is_error():
             self._refuse_by_table(caller, request_id, "", owner.error, now_s)
         elif path == api.MODELS_PATH or path.startswith(f"{api.MODELS_PATH}/"):
-            self._answer_models(caller, owner.ok, path, request_id)
+            self._answer_models(caller, owner.ok, path, request_id, now_s)
         else:
             self._take_work(caller, owner.ok, request_id, now_s)
 
@@ -213,7 +213,12 @@
             answers.send_json(caller, 200 if self._is_ready else 503, detail)
 
     def _answer_models(
-        self, caller: caller_front.Caller, workspace: str, path: str, request_id: str
+        self,
+        caller: caller_front.Caller,
+        workspace: str,
+        path: str,
+        request_id: str,
+        now_s: float,
     ) -> None:
         if caller.request.method not in ("GET", "HEAD"):
             item = fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET")
@@ -230,7 +235,7 @@
             answers.send_json(caller, 200, models[names.index(wanted)])
         else:
             item = fault.Fault(codes.ResultCode.UNKNOWN_MODEL, f"no model is named {wanted}")
-            answers.send_error(caller, item, ran=codes.Ran.NO, request_id=request_id)
+            self._refuse_by_table(caller, request_id, workspace, item, now_s)
 
     def _refuse_by_table(
         self,
--- a/tests/functional/test_table.py
+++ b/tests/functional/test_table.py
@@ -124,6 +124,7 @@
     for answer in (
         calls.send(address, "POST", path, calls.make_chat(1), api_key="new"),
         calls.send(address, "POST", path, unknown_model),
+        calls.send(address, "GET", "/v1/models/new"),
     ):
         assert (answer.status, answer.error["result_code"], answer.error["ran"]) == (
             503,
