Tests: one simulated clock, one fake of links, one of timers

Each stood twice or three times: the clock of the load fleet and that of the table fleet, the links of two tests of connections, call_every of two fakes of timers.

--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -184,3 +184,39 @@
     @property
     def ran(self):
         return self.result.ran if self.result else codes.Ran.UNKNOWN
+
+
+class FakeLink:
+    """An outgoing connection that stands at once."""
+
+    def __init__(self, address, user):
+        self.address = address
+        self.user = user
+        self.is_connected = True
+        self.is_closed = False
+        self.sent = []
+
+    @property
+    def sent_bytes(self):
+        return sum(map(len, self.sent))
+
+    def send(self, data):
+        self.sent.append(data)
+
+    def close(self):
+        self.is_closed = True
+
+
+class FakeLinks:
+    """Remembers every outgoing connection."""
+
+    def __init__(self):
+        self.opened = []
+
+    def open(self, address, user, *, connect_ms):
+        self.opened.append(FakeLink(address, user))
+        return self.opened[-1]
+
+    def lose(self, link, reason):
+        link.close()
+        link.user.on_lost(reason)
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -43,12 +43,22 @@
 
     def __init__(self):
         self.timers = []
+        self.repeated = []
 
     def call_later(self, delay_s, call):
         timer = FakeTimer(delay_s, call)
         self.timers.append(timer)
         return timer
 
+    def call_every(self, interval_s, call):
+        self.repeated.append(FakeTimer(interval_s, call))
+        return self.repeated[-1]
+
+    def pass_interval(self):
+        """Make each repeated call once."""
+        for timer in self.repeated:
+            timer.call()
+
     def run_due(self, within_s):
         """Run what is due within a time, once."""
         due = [t for t in self.timers if not t.is_cancelled and t.delay_s <= within_s]
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -1,11 +1,10 @@
 """A fleet's load datagrams in one process: the real classes, simulated time, lossy delivery."""
 
 import collections
-import heapq
 import itertools
 import random
 
-from lib import gateway_setting
+from lib import gateway_setting, simulated_clock
 from spoolhead._internal.gateway import load_sharing
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, shared_load
@@ -19,49 +18,6 @@
 """What a datagram takes besides its payload."""
 
 
-class _Timer:
-    def __init__(self, call):
-        self.call = call
-
-    def cancel(self):
-        self.call = None
-
-
-class Clock:
-    """Simulated time; the timers of every process of the fleet."""
-
-    def __init__(self):
-        self.now_s = 1_000.0
-        self._due = []
-        self._numbers = itertools.count()
-
-    def __call__(self):
-        return self.now_s
-
-    def call_at(self, due_s, call):
-        timer = _Timer(call)
-        heapq.heappush(self._due, (due_s, next(self._numbers), timer))
-        return timer
-
-    def call_later(self, delay_s, call):
-        return self.call_at(self.now_s + delay_s, call)
-
-    def call_every(self, interval_s, call):
-        def _run():
-            call()
-            self.call_later(interval_s, _run)
-
-        self.call_later(interval_s * (0.5 + next(self._numbers) % 7 / 14), _run)
-
-    def run(self, for_s):
-        until_s = self.now_s + for_s
-        while self._due and self._due[0][0] <= until_s:
-            self.now_s, _, timer = heapq.heappop(self._due)
-            if timer.call is not None:
-                timer.call()
-        self.now_s = until_s
-
-
 class Process:
     """A process's place in the network.
 
@@ -161,7 +117,7 @@
     """
 
     def __init__(self, *, entries, halls, keepers, instances, loss=0.01, seed=1):
-        self.clock = Clock()
+        self.clock = simulated_clock.Clock()
         self.chance = random.Random(seed)
         self.net = Net(self.clock, self.chance, loss)
         self.halls = [f"hall-{number}" for number in range(halls)]
--- a/tests/lib/table_fleet.py
+++ b/tests/lib/table_fleet.py
@@ -5,7 +5,7 @@
 and are lost as a whole.
 """
 
-from lib import consensus_group, gateway_setting
+from lib import consensus_group, gateway_setting, simulated_clock
 from spoolhead._internal.gateway import table_feed
 from spoolhead._internal.network import messages, route_messages
 from spoolhead._internal.quorum import feed
@@ -16,38 +16,13 @@
     return b",".join(b"{%s}" % change for change in changes)
 
 
-class Timers:
-    """Timers on the group's clock."""
-
-    def __init__(self, group):
-        self._group = group
-        self._due = []
-
-    def call_later(self, delay_s, call):
-        self._due.append((self._group.now_s + delay_s, call))
-
-    def call_every(self, interval_s, call):
-        def _run():
-            call()
-            self.call_later(interval_s, _run)
-
-        self.call_later(interval_s, _run)
-
-    def run_due(self):
-        now_s = self._group.now_s
-        due = [call for due_s, call in self._due if due_s <= now_s]
-        self._due = [item for item in self._due if item[0] > now_s]
-        for call in due:
-            call()
-
-
 class KeeperSide:
     """What one life of a keeper tells its followers."""
 
     def __init__(self, group, node):
         self.node = node
         self.consensus = node.consensus
-        self.timers = Timers(group)
+        self.timers = simulated_clock.Clock()
         self.feed = feed.Feed(self.timers, "h", self._get_keepers, self._get_table)
         self._told = self._get_state()
 
@@ -156,7 +131,7 @@
         self.acknowledged_before = len(fleet.group.acknowledged)
         self.failures = 0
         self.version = 0
-        self.timers = Timers(fleet.group)
+        self.timers = simulated_clock.Clock()
         config = gateway_setting.make_settings()
         config.keepers = fleet.draw_seeds()
         calls = gateway_setting.GatewayCalls()
@@ -240,9 +215,9 @@
         self._note_lives()
         for entry in self.entries.values():
             self._connect(entry)
-            entry.timers.run_due()
+            entry.timers.run(consensus_group.STEP_S)
         for side in self.sides.values():
-            side.timers.run_due()
+            side.timers.run(consensus_group.STEP_S)
         if not self.closed:
             self.deliver_all()
 
--- a/tests/unit/test_keeper_feed.py
+++ b/tests/unit/test_keeper_feed.py
@@ -27,24 +27,11 @@
         return [message for message in self.sent if isinstance(message, kind)]
 
 
-class _Timers(gateway_setting.FakeTimers):
-    def __init__(self):
-        super().__init__()
-        self.repeated = []
-
-    def call_every(self, interval_s, call):
-        self.repeated.append(call)
-
-    def pass_interval(self):
-        for call in self.repeated:
-            call()
-
-
 class _Keeper:
     def __init__(self):
         self.keepers = ["a:1"]
         self.table = feed.Table(3, b"three", is_confirmed=True)
-        self.timers = _Timers()
+        self.timers = gateway_setting.FakeTimers()
         self.feed = feed.Feed(self.timers, "h", lambda: self.keepers, lambda: self.table)
 
     def join(self, name):
--- a/tests/unit/test_peer_streams.py
+++ b/tests/unit/test_peer_streams.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lib import gateway_setting
+from lib import fakes, gateway_setting
 from spoolhead._internal.network import (
     handshake,
     messages,
@@ -15,42 +15,9 @@
 KEY = "a-shared-key-for-tests"
 
 
-class _Link:
-    def __init__(self, user):
-        self.user = user
-        self.address = "a:1"
-        self.is_connected = True
-        self.is_closed = False
-        self.sent = []
-
-    def send(self, data):
-        self.sent.append(data)
-
-    def close(self):
-        self.is_closed = True
-
-
-class _Links:
-    def __init__(self):
-        self.opened = []
-
-    def open(self, address, user, *, connect_ms):
-        self.opened.append(_Link(user))
-        return self.opened[-1]
-
-    def lose(self, link, reason):
-        link.is_closed = True
-        link.user.on_lost(reason)
-
-
-class _Timers(gateway_setting.FakeTimers):
-    def call_every(self, interval_s, call):
-        return gateway_setting.FakeTimer(interval_s, call)
-
-
 class _Loop:
     def __init__(self):
-        self.scheduler = _Timers()
+        self.scheduler = gateway_setting.FakeTimers()
 
 
 class _User:
@@ -81,7 +48,7 @@
 
 @pytest.fixture
 def setting():
-    links, user = _Links(), _User()
+    links, user = fakes.FakeLinks(), _User()
     client = peer_client.PeerClient(
         _Loop(), links, ["a:1"], role="entry", name="e", shared_key=KEY, user=user
     )
@@ -150,7 +117,9 @@
 def test_a_follower_that_cannot_be_sent_to_does_not_keep_the_others_from_being_told():
     server = _make_server("a", "b", "c")
     server._server.failing = "b"
-    told = feed.Feed(_Timers(), "h", list, lambda: feed.Table(3, b"t", is_confirmed=True))
+    told = feed.Feed(
+        gateway_setting.FakeTimers(), "h", list, lambda: feed.Table(3, b"t", is_confirmed=True)
+    )
     for session in server._sessions.values():
         told._followers[session] = route_messages.Subscribe(hall="h", address="x:1")
     told.announce_version()
--- a/tests/unit/test_upstream_calls.py
+++ b/tests/unit/test_upstream_calls.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from lib import fakes
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import links, upstream_calls
 
@@ -9,29 +10,6 @@
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 
 
-class _Link:
-    def __init__(self, address, user):
-        self.address = address
-        self.user = user
-        self.is_closed = False
-        self.sent_bytes = 0
-
-    def send(self, data):
-        self.sent_bytes += len(data)
-
-    def close(self):
-        self.is_closed = True
-
-
-class _Links:
-    def __init__(self):
-        self.opened = []
-
-    def open(self, address, user, *, connect_ms):
-        self.opened.append(_Link(address, user))
-        return self.opened[-1]
-
-
 class _Loop:
     class scheduler:  # noqa: N801
         @staticmethod
@@ -59,7 +37,7 @@
 
 @pytest.fixture
 def outgoing():
-    return _Links()
+    return fakes.FakeLinks()
 
 
 @pytest.fixture
