--- a/tests/functional/test_old_tables.py
+++ b/tests/functional/test_old_tables.py
@@ -18,6 +18,7 @@
 import pytest
 
 from lib import platform_fleet
+from spoolhead._internal.gateway import first_table
 
 OLD, NEW = 3, 9
 WATCHED_S = 4.0
@@ -40,6 +41,12 @@
     return table
 
 
+def _make_table_without_key():
+    return platform_fleet.make_table(
+        NEW, tenants=[{"name": "w1", "api_keys": ["another-key"], "priority": 1}]
+    )
+
+
 def _join_anew(fleet, keeper):
     """Give a keeper a snapshot of the present table at the head of its file."""
     others = [name for name in fleet.keeper_hosts if name != keeper]
@@ -83,6 +90,30 @@
     assert seen[-1] == 200
 
 
+def test_a_key_taken_away_is_not_served_by_the_table_that_a_keeper_starts_with(fleet):
+    """The other side of the same: what an old table allows may not run any more."""
+    _join_anew(fleet, "keeper-1")
+    fleet.put_until_taken("keeper-2", _make_table_without_key())
+    platform_fleet.wait_for(
+        lambda: fleet.ask("entry-1", "/safe/x").status == 401, "the key is still in force"
+    )
+    for name in ("entry-1", *fleet.keeper_hosts):
+        fleet.kill(name)
+    fleet.start_keeper("keeper-1")
+    fleet.start_entry("entry-1")
+    seen = []
+    until_s = time.monotonic() + first_table.UNCONFIRMED_WAIT_S - 1.0
+    while time.monotonic() < until_s:
+        seen.append(fleet.ask("entry-1", "/safe/x", X_Request_Id="s").status)
+        time.sleep(0.05)
+    fleet.start_keeper("keeper-2")
+    platform_fleet.wait_for(
+        lambda: seen.append(fleet.ask("entry-1", "/safe/x").status) or seen[-1] == 401,
+        "the entry does not know the newest table",
+    )
+    assert 200 not in seen
+
+
 def test_where_few_keepers_can_be_reached_known_routes_are_served_and_nothing_is_refused_for_good(
     fleet,
 ):
