--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from spoolhead._internal.models import dialects, instances, settings
+from spoolhead._internal.models import dialects, fault, instances, settings
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import upstream_calls
 
@@ -48,6 +48,9 @@
         self._status = 0
         self._body: list[bytes] = []
         self._has_failed = False
+        self._before: dict[str, instances.Instance] = {}
+        self._faults: list[fault.Fault] = []
+        self._last_fault = ""
 
     def read(self) -> None:
         """Begin a reading, unless one is under way."""
@@ -60,6 +63,7 @@
         self._began_s = now_s
         self._page_count = 0
         self._found = []
+        self._faults = []
         self._ask(self._dialect.list_target)
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
@@ -81,6 +85,7 @@
         if page.is_error():
             self._fail(str(page.error))
             return
+        self._faults.extend(page.ok.faults)
         self._found.extend(page.ok.instances)
         if page.ok.next_target and self._page_count < MAX_PAGES:
             self._ask(page.ok.next_target)
@@ -88,13 +93,27 @@
         if self._has_failed:
             self._has_failed = False
             logger.info("instance list is readable again")
-        self._take(self._found)
+        self._note_faults()
+        listed = instances.keep_one_each(self._found, self._before)
+        if len(listed) < len(self._found):
+            fields = {"entries": len(self._found), "ids": len(listed)}
+            logger.warning("instance list names ids more than once", extra={"fields": fields})
+        self._before = {item.instance_id: item for item in listed}
+        self._take(listed)
 
     def on_call_lost(self, reason: str) -> None:
         """Take the loss of a page."""
         self._call = None
         self._fail(reason)
 
+    def _note_faults(self) -> None:
+        """Write which entry could not be read first, once as long as it is the same."""
+        first = self._faults[0].text if self._faults else ""
+        if first and first != self._last_fault:
+            fields = {"entries": len(self._faults), "first": first}
+            logger.warning("entries of the instance list are passed over", extra={"fields": fields})
+        self._last_fault = first
+
     def _ask(self, target: str) -> None:
         self._page_count += 1
         self._status = 0
--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -50,19 +50,23 @@
         self._raised: list[_Raised] = []
         self._told_s: dict[str, float] = {}
 
-    def raise_alarm(self, instance_id: str, kind: shared_load.AlarmKind, now_s: float) -> None:
+    def raise_alarm(
+        self, life_id: str, kind: shared_load.AlarmKind, now_s: float, *, for_ms: int = 0
+    ) -> None:
         """Have an alarm told to all other entries."""
         self._sequence += 1
-        alarm = shared_load.Alarm(instance_id, kind, finder=self._name, sequence=self._sequence)
+        alarm = shared_load.Alarm(
+            life_id, kind, finder=self._name, sequence=self._sequence, for_ms=for_ms
+        )
         self._raised.append(_Raised(alarm, now_s))
 
-    def is_failure_due(self, instance_id: str, now_s: float) -> bool:
+    def is_failure_due(self, life_id: str, now_s: float) -> bool:
         """Tell whether an instance that lost a request should be told of again."""
-        if now_s - self._told_s.get(instance_id, 0.0) < TELL_AGAIN_S:
+        if now_s - self._told_s.get(life_id, 0.0) < TELL_AGAIN_S:
             return False
         if len(self._told_s) > TOLD_KEPT:
             self._told_s.clear()
-        self._told_s[instance_id] = now_s
+        self._told_s[life_id] = now_s
         return True
 
     def get_raised(self, now_s: float) -> list[shared_load.Alarm]:
@@ -73,19 +77,28 @@
     def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
         """Take what other entries found."""
         for alarm in alarms:
-            upstream = self._book.get(alarm.instance_id)
+            upstream = self._book.get(alarm.life_id)
             if alarm.finder != self._name and upstream is not None and not upstream.is_leaving:
                 self._take_one(alarm, upstream, now_s)
 
     def _take_one(
         self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
     ) -> None:
+        if alarm.kind is shared_load.AlarmKind.COLD:
+            if upstream.note_cold(alarm.for_ms, now_s):
+                fields = {
+                    "upstream": alarm.life_id,
+                    "told_by": alarm.finder,
+                    "for_ms": alarm.for_ms,
+                }
+                logger.info("upstream is cold", extra={"fields": fields})
+            return
         if alarm.kind is shared_load.AlarmKind.LOST_REQUEST:
             if upstream.note_told_failure(alarm.finder, now_s):
-                fields = {"upstream": alarm.instance_id, "reason": f"told by {alarm.finder}"}
+                fields = {"upstream": alarm.life_id, "reason": f"told by {alarm.finder}"}
                 logger.warning("upstream rests", extra={"fields": fields})
             return
         if upstream.raise_alarm(now_s, alarm.kind):
-            fields = {"upstream": alarm.instance_id, "told_by": alarm.finder}
+            fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
             logger.info("upstream is said not to be well", extra={"fields": fields})
             self._on_alarm(upstream)
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -77,6 +77,7 @@
             silent_halls=context.get_silent_halls(),
             cut_halls=context.get_cut_halls(now_s),
             now_s=now_s,
+            cold_starts=context.cold_starts,
             chance=context.chance,
         )
         return upstream_choice.choose(
@@ -100,6 +101,10 @@
             "news_age_ms": self._context.get_news_age_ms(),
             "remaining_ms": self.remaining_ms,
         }
+        if choice.cold_full:
+            fields["cold_full"] = choice.cold_full
+        if choice.evacuated:
+            fields["evacuated"] = choice.evacuated
         logger.info(action, extra={"fields": fields})
 
     def send_attempt(
@@ -115,6 +120,7 @@
             wire.method, wire.target, self.job.head.host, headers, wire.body
         )
         self._context.figures.attempts.labels(self.job.route.kind.value).inc()
+        upstream.note_sent(time.monotonic())
         return self._context.calls.open(
             upstream.instance.address,
             data,
@@ -200,11 +206,23 @@
         if reason == links.CONNECT_TIMEOUT:
             self._context.reach.note_time_out(attempt.upstream.instance.hall, time.monotonic())
         if not is_unreachable and attempt.head is None:
-            self._context.on_lost_request(attempt.upstream.instance.instance_id)
+            self._context.on_lost_request(attempt.upstream.instance.life_id)
         if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
 
+    def on_upstream_ended(self) -> None:
+        """End the present attempt if the run of the instance that it went to is over.
+
+        Its connection may not tell, as behind a cut.
+        """
+        attempt = self._attempt
+        if attempt is None or attempt.call is None or attempt.has_ended:
+            return
+        if attempt.upstream.has_started_again:
+            attempt.call.cancel()
+            attempt.on_call_lost("the upstream has started again")
+
     def drop_attempt(self) -> None:
         """Cancel the present attempt and give back what it holds."""
         attempt, self._attempt = self._attempt, None
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -6,7 +6,7 @@
 from spoolhead._internal.gateway import entry_figures, run_queue
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
-from spoolhead._internal.policy import hall_reach, retry_allowance, upstream_book
+from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
 
 
 class Context:
@@ -26,6 +26,7 @@
     :ivar queue: generations that wait for an engine with room.
     :ivar entry_count: entries that there are.
     :ivar reach: which halls can be reached.
+    :ivar cold_starts: what this entry may send to instances that are cold.
     """
 
     __slots__ = (
@@ -33,6 +34,7 @@
         "book",
         "calls",
         "chance",
+        "cold_starts",
         "config",
         "dialect",
         "entry_count",
@@ -75,6 +77,7 @@
         self.queue = run_queue.RunQueue(timers, chance)
         self.entry_count = 1
         self.reach = hall_reach.HallReach(config.hall)
+        self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
     def get_cut_halls(self, now_s: float) -> frozenset[str]:
--- a/src/spoolhead/_internal/gateway/followed_keeper.py
+++ b/src/spoolhead/_internal/gateway/followed_keeper.py
@@ -61,6 +61,7 @@
     :ivar version: newest version that it told.
     :ivar is_confirmed: what it told on the present stream, a leader has told it.
     :ivar asked_s: monotonic time at which a table was asked for that has not come; 0 for none.
+    :ivar evacuated: the halls that it told to be evacuated; None before it told any on this stream.
     :ivar listed: the instances that it lists, by id; None before a whole list on this stream.
     :ivar fleet: what it knows of the fleet; None before it told that on this stream.
     """
@@ -72,6 +73,7 @@
         self.version = 0
         self.is_confirmed = False
         self.asked_s = 0.0
+        self.evacuated: route_messages.EvacuatedHalls | None = None
         self.listed: dict[str, instances.Instance] | None = None
         self.fleet: KnownFleet | None = None
         self.client = follower.make_client(address, self)
@@ -89,6 +91,7 @@
         self._has_told = False
         self.is_confirmed = False
         self.asked_s = 0.0
+        self.evacuated = None
         self.listed = None
         self.fleet = None
         self._follower.on_keeper_lost(self)
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -30,7 +30,7 @@
 class _Probe:
     """One question; its answer raises an alarm if it is bad."""
 
-    __slots__ = ("began_s", "call", "has_not_run", "owner", "path", "status", "upstream")
+    __slots__ = ("began_s", "call", "cold_ms", "has_not_run", "owner", "path", "status", "upstream")
 
     def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream, path: str) -> None:
         self.owner = owner
@@ -40,10 +40,13 @@
         self.call: upstream_calls.UpstreamCall | None = None
         self.status = 0
         self.has_not_run = False
+        self.cold_ms = 0
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         self.status = status
-        self.has_not_run = self.owner.dialect.read_answer(status, headers).has_not_run
+        head = self.owner.dialect.read_answer(status, headers)
+        self.has_not_run = head.has_not_run
+        self.cold_ms = head.cold_ms or 0
 
     def on_answer_body(self, data: bytes) -> None:
         pass
@@ -72,6 +75,8 @@
     :param get_silent_halls: returns the halls that look cut off; nothing is asked there, since
         no answer would say nothing of an instance.
     :param on_alarm: called with an instance that was found bad, and how.
+    :param on_cold: called with an instance that has just said to be cold, and for how many
+        milliseconds more.
     """
 
     def __init__(
@@ -86,6 +91,7 @@
         get_watchers: Callable[[], Sequence[fleet.Process]],
         get_silent_halls: Callable[[], frozenset[str]],
         on_alarm: Callable[[upstream_book.Upstream, shared_load.AlarmKind], None],
+        on_cold: Callable[[upstream_book.Upstream, int], None],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -95,6 +101,7 @@
         self._get_watchers = get_watchers
         self._get_silent_halls = get_silent_halls
         self._on_alarm = on_alarm
+        self._on_cold = on_cold
         self._probes: dict[str, _Probe] = {}
         self._silences: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
@@ -104,9 +111,11 @@
 
         :param is_silent: nothing came at all, not even a refusal.
         """
-        instance_id = probe.upstream.instance.instance_id
-        self._probes.pop(instance_id, None)
-        silences = self._silences.pop(instance_id, 0)
+        life_id = probe.upstream.instance.life_id
+        self._probes.pop(life_id, None)
+        silences = self._silences.pop(life_id, 0)
+        if probe.status == _OK and probe.cold_ms:
+            self._take_cold(probe.upstream, probe.cold_ms)
         if probe.status == _OK or probe.upstream.is_leaving:
             return
         if probe.has_not_run:
@@ -115,15 +124,23 @@
         if probe.upstream.instance.hall in self._get_silent_halls():
             return
         if is_silent and silences + 1 < SILENCES_TO_ALARM:
-            self._silences[instance_id] = silences + 1
+            self._silences[life_id] = silences + 1
             return
         now_s = time.monotonic()
         kind = shared_load.AlarmKind.SAID if probe.status else shared_load.AlarmKind.UNREACHABLE
         if probe.upstream.raise_alarm(now_s, kind):
-            fields = {"upstream": instance_id, "outcome": outcome}
+            fields = {"upstream": life_id, "outcome": outcome}
             logger.info("upstream says that it is not well", extra={"fields": fields})
             self._on_alarm(probe.upstream, kind)
 
+    def _take_cold(self, upstream: upstream_book.Upstream, cold_ms: int) -> None:
+        """Take an instance's word that it is cold, and pass on what is news."""
+        if not upstream.note_cold(cold_ms, time.monotonic()):
+            return
+        fields = {"upstream": upstream.instance.life_id, "for_ms": cold_ms}
+        logger.info("upstream says that it is cold", extra={"fields": fields})
+        self._on_cold(upstream, cold_ms)
+
     def ask_again(self, probe: _Probe) -> None:
         """Repeat on a new connection a question whose kept connection turned out to be gone."""
         self._send(probe, fresh=True)
@@ -144,7 +161,7 @@
                 continue
             for upstream in self._book.get_service(service.name):
                 instance = upstream.instance
-                if upstream.is_leaving or instance.instance_id in self._probes:
+                if upstream.is_leaving or instance.life_id in self._probes:
                     continue
                 if instance.hall in silent_halls:
                     continue
@@ -153,7 +170,7 @@
 
     def _ask(self, upstream: upstream_book.Upstream, path: str) -> None:
         probe = _Probe(self, upstream, path)
-        self._probes[upstream.instance.instance_id] = probe
+        self._probes[upstream.instance.life_id] = probe
         self._send(probe, fresh=False)
 
     def _send(self, probe: _Probe, *, fresh: bool) -> None:
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -138,15 +138,15 @@
         """Return the age of what is known of the others; -1 if nothing is."""
         return self._view.get_age_ms(self._clock())
 
-    def tell_alarm(self, instance_id: str, kind: shared_load.AlarmKind) -> None:
-        """Tell all other entries at once of an instance that was found bad."""
-        self._alarms.raise_alarm(instance_id, kind, self._clock())
+    def tell_alarm(self, life_id: str, kind: shared_load.AlarmKind, *, for_ms: int = 0) -> None:
+        """Tell all other entries at once of an instance that was found bad, or cold."""
+        self._alarms.raise_alarm(life_id, kind, self._clock(), for_ms=for_ms)
         self._report()
 
-    def tell_failure(self, instance_id: str) -> None:
+    def tell_failure(self, life_id: str) -> None:
         """Tell all other entries of an instance that lost a request, now and then."""
-        if self._alarms.is_failure_due(instance_id, self._clock()):
-            self.tell_alarm(instance_id, shared_load.AlarmKind.LOST_REQUEST)
+        if self._alarms.is_failure_due(life_id, self._clock()):
+            self.tell_alarm(life_id, shared_load.AlarmKind.LOST_REQUEST)
 
     def note_change(self) -> None:
         """Report this entry's work soon."""
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -32,7 +32,7 @@
         upstream = choice.upstream
         attempt = self._attempt = attempts.Attempt(self, upstream)
         self._attempts_made += 1
-        self._tried.add(upstream.instance.instance_id)
+        self._tried.add(upstream.instance.life_id)
         request_id = self.job.head.request_id
         upstream.works[request_id] = upstream_book.Work(request_id, 0, reading_tokens=0)
         self._context.on_change()
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -83,11 +83,12 @@
             return
         now_s = time.monotonic()
         holder = self._holder
-        if holder is not None and holder.is_departing(now_s):
+        if holder is not None and (holder.is_departing(now_s) or holder.is_evacuated):
             fields = {
                 "request": self._job.head.request_id,
                 "holder": holder.instance.instance_id,
                 "is_gone": holder.is_gone,
+                "is_evacuated": holder.is_evacuated,
             }
             logger.info("copy lost", extra={"fields": fields})
             self.drop()
@@ -98,7 +99,9 @@
     def take(self) -> Copy | None:
         """Take the copy, if there is one, for the run to go on from it."""
         holder, move = self._holder, self._move
-        if holder is None or holder.is_gone or move is None or not move.handle:
+        if holder is None or holder.is_gone or holder.is_evacuated:
+            return None
+        if move is None or not move.handle:
             return None
         self._holder = self._move = None
         self._refusers.clear()
@@ -141,7 +144,7 @@
         holder = self._holder
         self.drop()
         if move.status == NO_ROOM and holder is not None:
-            self._refusers.add(holder.instance.instance_id)
+            self._refusers.add(holder.instance.life_id)
             self.look()
         else:
             self._look_later(TRY_AGAIN_S)
@@ -160,7 +163,7 @@
         self._hold(holder)
         self._move = run_move.RunMove(
             request_id=self._job.head.request_id,
-            source_address=running_at.instance.address,
+            source=running_at,
             target_address=holder.instance.address,
             calls=self._context.calls,
             dialect=self._context.dialect,
@@ -188,13 +191,14 @@
             running_at=running_at,
             excluded=self._refusers,
             now_s=time.monotonic(),
+            cold_starts=self._context.cold_starts,
         )
 
     def _hold(self, holder: upstream_book.Upstream) -> None:
         request_id = self._job.head.request_id
         self._holder = holder
         holder.works[request_id] = upstream_book.Work(
-            request_id, self._run.need_tokens, reading_tokens=0
+            request_id, self._run.need_tokens, reading_tokens=0, is_expected=True
         )
         self._context.on_change()
 
--- a/src/spoolhead/_internal/gateway/run_move.py
+++ b/src/spoolhead/_internal/gateway/run_move.py
@@ -9,6 +9,7 @@
 
 from spoolhead._internal.models import dialects
 from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.policy import upstream_book
 
 _OK = 200
 UNREACHABLE = 0
@@ -29,7 +30,7 @@
     """One move.
 
     :param request_id: id of the request that runs.
-    :param source_address: ``IP:PORT`` where it runs.
+    :param source: instance where it runs.
     :param target_address: ``IP:PORT`` of the other instance.
     :param calls: makes HTTP requests.
     :param dialect: how instances speak.
@@ -42,14 +43,15 @@
         self,
         *,
         request_id: str,
-        source_address: str,
+        source: upstream_book.Upstream,
         target_address: str,
         calls: upstream_calls.UpstreamCalls,
         dialect: dialects.EntryDialect,
         user: MoveUser,
     ) -> None:
         self.request_id = request_id
-        self.source_address = source_address
+        self.source_address = source.instance.address
+        self._source = source
         self.target_address = target_address
         self.status = UNREACHABLE
         self.handle = ""
@@ -114,7 +116,8 @@
             self._user.on_move_failed(self)
 
     def _free(self) -> None:
-        if not self.handle:
+        if not self.handle or self._source.has_started_again:
+            # What is at its address now knows nothing of the handle, or has given it to another.
             return
         order = self._dialect.write_release(self.handle)
         _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -216,7 +216,7 @@
         request_id = self.job.head.request_id
         generation = self.job.head.generation
         reading = generation.prompt_tokens if generation is not None and resume is None else 0
-        self._tried.add(upstream.instance.instance_id)
+        self._tried.add(upstream.instance.life_id)
         if resume is None:
             waited_ms = (time.monotonic() - self._arrived_s) * 1000
             self._context.figures.room_wait_ms.observe(waited_ms)
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -48,6 +48,9 @@
         :returns: whether it is in force now; one that is not usable is not.
         """
 
+    def on_evacuations(self, halls: frozenset[str]) -> None:
+        """These halls, and no others, are evacuated now."""
+
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """A reading of the list of instances is here."""
 
@@ -68,6 +71,7 @@
     :param dialect: how the list is written.
     :param user: gets what comes.
     :ivar version: version of the table passed on.
+    :ivar evacuation_revision: revision of the evacuated halls passed on; 0 for none.
     """
 
     def __init__(
@@ -80,6 +84,7 @@
         user: FeedUser,
     ) -> None:
         self.version = 0
+        self.evacuation_revision = 0
         self._document = b""
         self._digest = 0
         self._unusable_version = 0
@@ -134,6 +139,8 @@
         if wanted:
             fields = {"keepers": self.connected_count, "followed": self.keeper_count}
             logger.warning("unconfirmed tables are taken", extra={"fields": fields})
+            for keeper in self._keepers.values():
+                self._take_evacuated(keeper)
             self._fetch_elsewhere()
 
     def set_seeds(self, addresses: list[str]) -> None:
@@ -175,6 +182,9 @@
             case route_messages.RouteTableVersion():
                 keeper.take_version(message, self.version)
                 self._fetch(keeper)
+            case route_messages.EvacuatedHalls():
+                keeper.evacuated = message
+                self._take_evacuated(keeper)
             case route_messages.RouteTableDocument():
                 self._take_table(keeper, message)
             case route_messages.InstanceList():
@@ -205,6 +215,24 @@
         known = fleet.Fleet(keepers=tuple(keepers), entries=tuple(entries.values()))
         self._user.on_fleet(known)
 
+    def _take_evacuated(self, keeper: followed_keeper.FollowedKeeper) -> None:
+        """Put in force which halls are evacuated, if the keeper knows of more orders on them."""
+        told = keeper.evacuated
+        if told is None or told.revision <= self.evacuation_revision:
+            return
+        if not told.is_confirmed and not self._takes_unconfirmed:
+            return
+        fields = {
+            "address": keeper.address,
+            "revision": told.revision,
+            "before": self.evacuation_revision,
+            "is_confirmed": told.is_confirmed,
+            "halls": told.halls,
+        }
+        logger.info("evacuated halls are known", extra={"fields": fields})
+        self.evacuation_revision = told.revision
+        self._user.on_evacuations(frozenset(told.halls))
+
     def _fetch(self, keeper: followed_keeper.FollowedKeeper) -> None:
         if not keeper.is_confirmed and not self._takes_unconfirmed:
             return
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -33,18 +33,37 @@
     __slots__ = ()
 
 
+class SetEvacuation:
+    """An operator has a hall evacuated, or takes that back.
+
+    :ivar hall: the hall.
+    :ivar is_evacuated: nothing more is to be sent to its instances.
+    """
+
+    __slots__ = ("hall", "is_evacuated")
+
+    def __init__(self, hall: str, *, is_evacuated: bool) -> None:
+        self.hall = hall
+        self.is_evacuated = is_evacuated
+
+
+OperatorOrder = PutTable | ReadTable | SetEvacuation
+
+
 class InstancePage:
     """A page of the platform's list of instances.
 
     :ivar instances: instances on the page.
     :ivar next_target: path and query of the next page; empty on the last.
+    :ivar faults: one for each entry that could not be read.
     """
 
-    __slots__ = ("instances", "next_target")
+    __slots__ = ("faults", "instances", "next_target")
 
     def __init__(self, listed: list[instances.Instance], next_target: str) -> None:
         self.instances = listed
         self.next_target = next_target
+        self.faults: list[fault.Fault] = []
 
 
 class TableDialect(Protocol):
@@ -66,7 +85,7 @@
 
     def read_order(
         self, wire: request_reader.WireRequest
-    ) -> expression.Result[PutTable | ReadTable, fault.Fault]:
+    ) -> expression.Result[OperatorOrder, fault.Fault]:
         """Read an operator's request."""
 
 
@@ -180,6 +199,7 @@
     :ivar is_encoded: the body carries an encoding that nobody asked for.
     :ivar is_closing: the instance closes the connection.
     :ivar load: its load; None where it tells none.
+    :ivar cold_ms: how much longer the instance is cold; None where it does not say.
     """
 
     status: int
@@ -190,6 +210,7 @@
     is_encoded: bool
     is_closing: bool
     load: UpstreamLoad | None
+    cold_ms: int | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/spoolhead/_internal/models/instances.py
+++ b/src/spoolhead/_internal/models/instances.py
@@ -5,7 +5,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
 class Instance:
-    """One run of one upstream; a restarted upstream is another instance.
+    """One run of one upstream.
+
+    An upstream that is started again may keep its id. What was known of it then is void, so all
+    that is remembered of an instance is remembered by :attr:`life_id`.
 
     :ivar instance_id: its id.
     :ivar service: service that it belongs to.
@@ -13,7 +16,9 @@
     :ivar hall: hall it stands in.
     :ivar slots: requests that it works on at once.
     :ivar is_leaving: it is being emptied and takes no new work.
-    :ivar is_slow: it has started not long ago and is still slow.
+    :ivar cold_ms: how much longer it is cold, counted from the reading of the list; 0 if it is
+        not.
+    :ivar born_ms: Unix time of its start; 0 where that is not told.
     """
 
     instance_id: str
@@ -22,7 +27,13 @@
     hall: str
     slots: int
     is_leaving: bool
-    is_slow: bool
+    cold_ms: int = 0
+    born_ms: int = 0
+
+    @property
+    def life_id(self) -> str:
+        """Name of this run; the id alone where its start is not told."""
+        return f"{self.instance_id}@{self.born_ms}" if self.born_ms else self.instance_id
 
 
 _FIELDS = tuple(field.name for field in dataclasses.fields(Instance))
@@ -49,3 +60,29 @@
         if not isinstance(item, kind):
             raise ValueError(f"{name} is a {type(item).__name__}")
     return Instance(**dict(zip(_FIELDS, value, strict=True)))
+
+
+def keep_one_each(listed: list[Instance], before: dict[str, Instance]) -> list[Instance]:
+    """Return one instance for each id.
+
+    Where an id is listed more than once, its latest start holds; with the same start, what the
+    reading before said of its address and service; otherwise the first.
+
+    :param before: the reading before, by id.
+    """
+    kept: dict[str, Instance] = {}
+    for item in listed:
+        other = kept.get(item.instance_id)
+        if other is None or _holds_before(item, other, before.get(item.instance_id)):
+            kept[item.instance_id] = item
+    return list(kept.values())
+
+
+def _holds_before(item: Instance, other: Instance, known: Instance | None) -> bool:
+    if item.born_ms != other.born_ms:
+        return item.born_ms > other.born_ms
+    return known is not None and _is_same(item, known) and not _is_same(other, known)
+
+
+def _is_same(one: Instance, other: Instance) -> bool:
+    return (one.service, one.address) == (other.service, other.address)
--- a/src/spoolhead/_internal/models/route_table.py
+++ b/src/spoolhead/_internal/models/route_table.py
@@ -91,12 +91,17 @@
     :ivar health_path: path of its health check.
     :ivar max_connections: connections that an instance accepts from all entries together.
     :ivar engine: its model engine; None for a plain service.
+    :ivar cold_start_ms: how long an instance is cold after a start.
+    :ivar cold_per_s: requests a second that a cold instance bears from all entries together; 0
+        where none is stated.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: Engine | None
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/spoolhead/_internal/models/rows.py
+++ b/src/spoolhead/_internal/models/rows.py
@@ -209,7 +209,7 @@
 
 def _check_row(sheet: Sheet, name: str, row: Row) -> list[fault.Fault]:
     place = f"{sheet}.{name}"
-    if isinstance(row, UpstreamRow) and not _is_address(row.address):
+    if isinstance(row, UpstreamRow) and not endpoints.is_address(row.address):
         return [_make_fault(f"{place}.address", "not an IP number and a port")]
     if isinstance(row, ServiceRow) and row.kind is ServiceKind.PLAIN:
         if not SERVICE_PATTERN.match(name):
@@ -219,12 +219,6 @@
     return []
 
 
-def _is_address(address: str) -> bool:
-    host, port = endpoints.split(address)
-    numbers = [int(part) for part in host.split(".")]
-    return all(number <= 255 for number in numbers) and 0 < port <= 65535
-
-
 def _check_names(
     place: str, names: list[str], services: Mapping[str, Row], kind: ServiceKind
 ) -> list[fault.Fault]:
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -17,14 +17,14 @@
 _UPDATE = 3
 
 
-def get_key(instance_id: str) -> int:
-    """Return the number by which datagrams name an instance.
+def get_key(life_id: str) -> int:
+    """Return the number by which datagrams name a run of an instance.
 
-    Four bytes of its id's hash: half the size of the ids in use, and nobody has to agree on it.
+    Four bytes of its name's hash: half the size of the ids in use, and nobody has to agree on it.
     Among 1,600 instances two share a number with a chance of 3 in 10,000; they then seem to hold
     each other's work.
     """
-    return xxhash.xxh32_intdigest(instance_id.encode())
+    return xxhash.xxh32_intdigest(life_id.encode())
 
 
 class Held:
@@ -80,24 +80,30 @@
     """Its health could not be asked."""
     LOST_REQUEST = 3
     """It took a request and gave no answer."""
+    COLD = 4
+    """It says that it is cold."""
 
 
 class Alarm:
     """An instance that was found bad.
 
-    :ivar instance_id: its id.
+    :ivar life_id: which run of which instance.
     :ivar kind: what is wrong.
     :ivar finder: name of the entry that found it.
     :ivar sequence: rises with each alarm of that entry, across its restarts.
+    :ivar for_ms: how much longer it is cold, where that is what is told.
     """
 
-    __slots__ = ("finder", "instance_id", "kind", "sequence")
+    __slots__ = ("finder", "for_ms", "kind", "life_id", "sequence")
 
-    def __init__(self, instance_id: str, kind: AlarmKind, *, finder: str, sequence: int) -> None:
-        self.instance_id = instance_id
+    def __init__(
+        self, life_id: str, kind: AlarmKind, *, finder: str, sequence: int, for_ms: int = 0
+    ) -> None:
+        self.life_id = life_id
         self.kind = kind
         self.finder = finder
         self.sequence = sequence
+        self.for_ms = for_ms
 
 
 class HallAge:
@@ -315,11 +321,19 @@
 
 
 def _list_alarms(alarms: Iterable[Alarm]) -> list[list[object]]:
-    return [[item.instance_id, int(item.kind), item.finder, item.sequence] for item in alarms]
+    return [
+        [item.life_id, int(item.kind), item.finder, item.sequence, item.for_ms] for item in alarms
+    ]
 
 
 def _read_alarms(values: list) -> list[Alarm]:
     return [
-        Alarm(str(instance_id), AlarmKind(kind), finder=str(finder), sequence=int(sequence))
-        for instance_id, kind, finder, sequence in values
+        Alarm(
+            str(life_id),
+            AlarmKind(kind),
+            finder=str(finder),
+            sequence=int(sequence),
+            for_ms=int(for_ms),
+        )
+        for life_id, kind, finder, sequence, for_ms in values
     ]
--- a/src/spoolhead/_internal/network/route_messages.py
+++ b/src/spoolhead/_internal/network/route_messages.py
@@ -54,6 +54,21 @@
     is_confirmed: bool
 
 
+@_message
+class EvacuatedHalls:
+    """Which halls operators have evacuated, as far as a keeper knows; sent before the version of
+    the table.
+
+    :ivar revision: number of orders that led there.
+    :ivar halls: the halls.
+    :ivar is_confirmed: as for the version of the route table.
+    """
+
+    revision: int
+    halls: list
+    is_confirmed: bool
+
+
 @_message
 class GetRouteTable:
     """An entry asks for the newest committed route table.
@@ -110,6 +125,16 @@
     document: bytes
 
 
+@_message
+class ForwardHallOrder:
+    """A keeper passes an operator's order on a hall on to the leading keeper.
+
+    :ivar order: the order as the log holds it.
+    """
+
+    order: bytes
+
+
 @_message
 class ConfirmRead:
     """A keeper asks the leading keeper which version must be shown by a read that begins now.
@@ -144,5 +169,7 @@
     56: ForwardTable,
     57: ConfirmRead,
     58: KeeperAnswer,
+    59: EvacuatedHalls,
+    60: ForwardHallOrder,
 }
 """Tags of the messages on the wire."""
--- a/src/spoolhead/_internal/policy/hall_reach.py
+++ b/src/spoolhead/_internal/policy/hall_reach.py
@@ -91,9 +91,11 @@
 def is_out_of_reach(
     upstreams: Iterable[upstream_book.Upstream], lost_halls: Collection[str]
 ) -> bool:
-    """Tell whether a service has instances, and all that stay are in lost halls.
+    """Tell whether a service has instances, and all that stay are in lost or evacuated halls.
 
     :param upstreams: instances of the service.
     """
-    halls = {upstream.instance.hall for upstream in upstreams if not upstream.is_leaving}
-    return bool(halls) and halls <= set(lost_halls)
+    staying = [upstream for upstream in upstreams if not upstream.is_leaving]
+    return bool(staying) and all(
+        upstream.instance.hall in lost_halls or upstream.is_evacuated for upstream in staying
+    )
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -1,5 +1,7 @@
 """What an entry knows of the instances of each service; no I/O, time passed in."""
 
+import collections
+import dataclasses
 import math
 from collections.abc import Iterable
 
@@ -23,6 +25,12 @@
 ALARM_S = 2.5
 """Time for which an alarm counts unless the list confirms it: the list runs up to 0.8 s behind
 and is read each half second."""
+SENT_KEPT = 64
+"""Requests to one instance whose times are remembered: more than an entry may send to a cold one
+in a second."""
+FORMER_KEPT = 1_000
+"""Ids whose latest start is remembered after they are no longer listed: news of a former run comes
+a second or two late, and a deployment has some hundred departures in an hour."""
 DISTRUST_S = 30.0
 """Time for which an instance that raised a false alarm is not believed again: some times what
 an ordinary disturbance lasts."""
@@ -34,18 +42,22 @@
     :ivar request_id: its id.
     :ivar tokens: memory that it holds or will hold, in tokens; 0 for a plain request.
     :ivar reading_tokens: tokens of its prompt that are still to be read.
+    :ivar is_expected: it is a copy of a run that may go on there.
     """
 
-    __slots__ = ("reading_tokens", "request_id", "tokens")
+    __slots__ = ("is_expected", "reading_tokens", "request_id", "tokens")
 
-    def __init__(self, request_id: str, tokens: int, *, reading_tokens: int) -> None:
+    def __init__(
+        self, request_id: str, tokens: int, *, reading_tokens: int, is_expected: bool = False
+    ) -> None:
         self.request_id = request_id
         self.tokens = tokens
         self.reading_tokens = reading_tokens
+        self.is_expected = is_expected
 
 
 class Upstream:
-    """One instance.
+    """One run of one instance.
 
     :ivar instance: as listed.
     :ivar key: number by which datagrams name it.
@@ -53,9 +65,13 @@
     :ivar others: what other entries' requests hold there.
     :ivar is_leaving: it takes no new work.
     :ivar is_gone: it is no longer listed.
+    :ivar is_evacuated: its hall is, so nothing more is sent to it.
+    :ivar listed_cold: reading by which it was last taken for cold.
+    :ivar has_started_again: its instance has, so this run of it is over.
     """
 
     __slots__ = (
+        "_cold_until_s",
         "_failures",
         "_found_s",
         "_load",
@@ -64,21 +80,30 @@
         "_rest_s",
         "_rest_until_s",
         "_said_s",
+        "_sent_s",
+        "has_started_again",
         "instance",
+        "is_evacuated",
         "is_gone",
         "is_leaving",
         "key",
+        "listed_cold",
         "others",
         "works",
     )
 
     def __init__(self, instance: instances.Instance) -> None:
         self.instance = instance
-        self.key = shared_load.get_key(instance.instance_id)
+        self.key = shared_load.get_key(instance.life_id)
         self.works: dict[str, Work] = {}
         self.others = shared_load.Held()
         self.is_leaving = instance.is_leaving
         self.is_gone = False
+        self.is_evacuated = False
+        self.has_started_again = False
+        self.listed_cold: instances.Instance | None = None
+        self._cold_until_s = -math.inf
+        self._sent_s: collections.deque[float] = collections.deque(maxlen=SENT_KEPT)
         self._load: dialects.UpstreamLoad | None = None
         self._load_s = 0.0
         self._failures = 0
@@ -115,7 +140,38 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
-        return not self.is_departing(now_s) and now_s >= self._rest_until_s
+        is_open = not self.is_evacuated and not self.is_departing(now_s)
+        return is_open and now_s >= self._rest_until_s
+
+    @property
+    def expected_count(self) -> int:
+        """This entry's runs that may go on there from a copy."""
+        return sum(work.is_expected for work in self.works.values())
+
+    def is_cold(self, now_s: float) -> bool:
+        """Tell whether it has started a moment ago."""
+        return now_s < self._cold_until_s
+
+    def note_cold(self, cold_ms: int, now_s: float) -> bool:
+        """Take note of how much longer it is cold, by its own word or the list's.
+
+        :returns: whether it was not known to be.
+        """
+        is_news = cold_ms > 0 and not self.is_cold(now_s)
+        self._cold_until_s = now_s + cold_ms / 1000
+        return is_news
+
+    def assume_cold(self, cold_ms: int, now_s: float) -> None:
+        """Take it for cold for a time, unless it is known to be so for longer."""
+        self._cold_until_s = max(self._cold_until_s, now_s + cold_ms / 1000)
+
+    def note_sent(self, now_s: float) -> None:
+        """Take note of a request that is sent to it."""
+        self._sent_s.append(now_s)
+
+    def count_sent(self, since_s: float) -> int:
+        """Return how many requests this entry has sent to it after a moment."""
+        return sum(sent_s > since_s for sent_s in self._sent_s)
 
     def is_departing(self, now_s: float) -> bool:
         """Tell whether it leaves, or says something that may mean so."""
@@ -196,12 +252,14 @@
     """All listed instances."""
 
     def __init__(self) -> None:
+        self._evacuated_halls: frozenset[str] = frozenset()
+        self._latest_born_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
         self._upstreams: dict[str, Upstream] = {}
         self._by_key: dict[int, Upstream] = {}
 
-    def get(self, instance_id: str) -> Upstream | None:
-        """Return an instance, or None if it is not listed."""
-        return self._upstreams.get(instance_id)
+    def get(self, life_id: str) -> Upstream | None:
+        """Return a run of an instance, or None if it is not listed."""
+        return self._upstreams.get(life_id)
 
     def get_by_key(self, key: int) -> Upstream | None:
         """Return the instance that datagrams name by a number, or None if it is not listed."""
@@ -215,25 +273,91 @@
         """Return all instances."""
         return list(self._upstreams.values())
 
-    def take_list(self, listed: Iterable[instances.Instance]) -> list[Upstream]:
+    def take_list(self, listed: Iterable[instances.Instance], now_s: float) -> list[Upstream]:
         """Take over a reading of the platform's list.
 
-        :returns: instances that began to leave or are gone with work on them.
+        A former run of an instance that was started again is passed over: such a reading is
+        older than one before, and the run that is known stays.
+
+        :returns: instances that began to leave, are gone or started again with work on them.
         """
         before = self._upstreams
         self._upstreams = {}
         leaving: list[Upstream] = []
         for instance in listed:
-            upstream = before.pop(instance.instance_id, None) or Upstream(instance)
-            upstream.instance = instance
-            if instance.is_leaving and not upstream.is_leaving:
-                upstream.is_leaving = True
-                leaving.append(upstream)
-            self._upstreams[instance.instance_id] = upstream
+            if self._note_born(instance):
+                self._take_listed(instance, before, leaving, now_s)
+            else:
+                self._keep_present(instance, before)
         self._by_key = {item.key: item for item in self._upstreams.values()}
         for upstream in before.values():
             upstream.is_leaving = True
             upstream.is_gone = True
+            latest_born_ms = self._latest_born_ms.get(upstream.instance.instance_id, 0)
+            if upstream.instance.born_ms < latest_born_ms:
+                upstream.has_started_again = True
             if upstream.works:
                 leaving.append(upstream)
         return leaving
+
+    def set_evacuated(self, halls: frozenset[str]) -> list[Upstream]:
+        """Take over which halls are evacuated.
+
+        :returns: instances of the halls that were until now.
+        """
+        reopened = self._evacuated_halls - halls
+        self._evacuated_halls = halls
+        for upstream in self._upstreams.values():
+            upstream.is_evacuated = upstream.instance.hall in halls
+        return [item for item in self._upstreams.values() if item.instance.hall in reopened]
+
+    def _note_born(self, instance: instances.Instance) -> bool:
+        """Take note of an instance's start; False if a later one is known."""
+        latest_born_ms = self._latest_born_ms.get(instance.instance_id, 0)
+        if not instance.born_ms:
+            return not latest_born_ms
+        if instance.born_ms < latest_born_ms:
+            return False
+        self._latest_born_ms[instance.instance_id] = instance.born_ms
+        self._latest_born_ms.move_to_end(instance.instance_id)
+        while len(self._latest_born_ms) > max(FORMER_KEPT, 2 * len(self._upstreams)):
+            self._latest_born_ms.popitem(last=False)
+        return True
+
+    def _take_listed(
+        self,
+        instance: instances.Instance,
+        before: dict[str, Upstream],
+        leaving: list[Upstream],
+        now_s: float,
+    ) -> None:
+        known = before.pop(instance.life_id, None)
+        upstream = known if known is not None and _is_same_place(known, instance) else None
+        if upstream is None:
+            upstream = Upstream(instance)
+            if known is not None:
+                # It was started elsewhere, which an id alone does not tell.
+                known.has_started_again = True
+                before[instance.life_id] = known
+        if instance.cold_ms and upstream.listed_cold is not instance:
+            # The same reading comes again with each one in which the instance has not changed.
+            upstream.listed_cold = instance
+            upstream.assume_cold(instance.cold_ms, now_s)
+        upstream.instance = instance
+        upstream.is_evacuated = instance.hall in self._evacuated_halls
+        if instance.is_leaving and not upstream.is_leaving:
+            upstream.is_leaving = True
+            leaving.append(upstream)
+        self._upstreams[instance.life_id] = upstream
+
+    def _keep_present(self, former: instances.Instance, before: dict[str, Upstream]) -> None:
+        latest_born_ms = self._latest_born_ms[former.instance_id]
+        present = dataclasses.replace(former, born_ms=latest_born_ms)
+        upstream = before.pop(present.life_id, None)
+        if upstream is not None:
+            self._upstreams[present.life_id] = upstream
+
+
+def _is_same_place(upstream: Upstream, instance: instances.Instance) -> bool:
+    known = upstream.instance
+    return (known.address, known.service) == (instance.address, instance.service)
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Collection, Sequence
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import cold_start, upstream_book
 
 OTHER_HALL_COST = 0.1
 """What another hall counts against an instance, as a share of its capacity: a tenth more work
@@ -44,20 +44,37 @@
 
     :ivar upstream: the chosen instance, or None.
     :ivar candidates: what it was chosen from.
-    :ivar is_cut_off: there are instances, but none in a hall that can be reached.
+    :ivar is_cut_off: there are instances, but none in a hall that can be reached and is not
+        evacuated.
+    :ivar cold_full: instances that are cold and get no more of this entry just now.
+    :ivar evacuated: instances that would take it but stand in evacuated halls.
     """
 
-    __slots__ = ("candidates", "is_cut_off", "upstream")
+    __slots__ = ("candidates", "cold_full", "evacuated", "is_cut_off", "upstream")
 
-    def __init__(self, candidates: Sequence[Candidate], *, is_cut_off: bool = False) -> None:
+    def __init__(
+        self,
+        candidates: Sequence[Candidate],
+        *,
+        is_cut_off: bool = False,
+        cold_full: int = 0,
+        evacuated: int = 0,
+    ) -> None:
         self.candidates = candidates
         self.is_cut_off = is_cut_off
+        self.cold_full = cold_full
+        self.evacuated = evacuated
         self.upstream = candidates[0].upstream if candidates else None
 
     def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
         """Return the choice with those that a test holds for before the others."""
         ordered = sorted(self.candidates, key=lambda item: not is_preferred(item.upstream))
-        return Choice(ordered, is_cut_off=self.is_cut_off)
+        return Choice(
+            ordered,
+            is_cut_off=self.is_cut_off,
+            cold_full=self.cold_full,
+            evacuated=self.evacuated,
+        )
 
 
 class View:
@@ -67,10 +84,11 @@
     :ivar silent_halls: halls from which nothing has been heard for a while.
     :ivar cut_halls: halls that cannot be reached just now.
     :ivar now_s: monotonic time in seconds.
+    :ivar cold_starts: what this entry may send to instances that are cold.
     :ivar chance: source of random numbers.
     """
 
-    __slots__ = ("chance", "cut_halls", "hall", "now_s", "silent_halls")
+    __slots__ = ("chance", "cold_starts", "cut_halls", "hall", "now_s", "silent_halls")
 
     def __init__(
         self,
@@ -79,12 +97,14 @@
         silent_halls: Collection[str],
         cut_halls: Collection[str],
         now_s: float,
+        cold_starts: cold_start.ColdStarts,
         chance: random.Random,
     ) -> None:
         self.hall = hall
         self.silent_halls = silent_halls
         self.cut_halls = cut_halls
         self.now_s = now_s
+        self.cold_starts = cold_starts
         self.chance = chance
 
 
@@ -100,16 +120,22 @@
 
     Where every instance rests or is said not to be well, one of them is better than none, but
     not in a hall from which nothing is heard. In a hall that cannot be reached none is tried: the
-    request would wait for a connection that does not come.
+    request would wait for a connection that does not come. Nothing goes to an evacuated hall, and
+    no more to a cold instance than it bears.
 
     :param service: the request's service.
     :param upstreams: its instances.
     :param need_tokens: memory that the request will hold at a model engine.
-    :param excluded: ids of instances that it must not go to.
+    :param excluded: runs of instances that it must not go to.
     """
     staying = [upstream for upstream in upstreams if not upstream.is_leaving]
-    reachable = [item for item in staying if item.instance.hall not in view.cut_halls]
-    allowed = [item for item in reachable if item.instance.instance_id not in excluded]
+    reachable = [
+        item
+        for item in staying
+        if item.instance.hall not in view.cut_halls and not item.is_evacuated
+    ]
+    untried = [item for item in reachable if item.instance.life_id not in excluded]
+    allowed = [item for item in untried if view.cold_starts.may_send(service, item, view.now_s)]
     usable = [upstream for upstream in allowed if upstream.is_usable(view.now_s)]
     if not usable:
         usable = [
@@ -122,7 +148,12 @@
     ]
     view.chance.shuffle(candidates)
     candidates.sort(key=lambda candidate: candidate.cost)
-    return Choice(candidates, is_cut_off=bool(staying) and not reachable)
+    return Choice(
+        candidates,
+        is_cut_off=bool(staying) and not reachable,
+        cold_full=len(untried) - len(allowed),
+        evacuated=sum(item.is_evacuated for item in staying),
+    )
 
 
 def _get_other_hall_cost(usable: Sequence[upstream_book.Upstream], hall: str) -> float:
@@ -148,6 +179,6 @@
         cost += other_hall_cost
     if instance.hall in view.silent_halls:
         cost += SILENT_HALL_COST
-    if instance.is_slow:
+    if upstream.is_cold(view.now_s):
         cost += SLOW_START_COST
     return cost
--- a/src/spoolhead/_internal/policy/watch_duty.py
+++ b/src/spoolhead/_internal/policy/watch_duty.py
@@ -26,5 +26,5 @@
 
 
 def _get_weight(watcher: fleet.Process, instance: instances.Instance) -> int:
-    key = f"{watcher.name}/{instance.instance_id}"
+    key = f"{watcher.name}/{instance.life_id}"
     return xxhash.xxh3_64(key.encode()).intdigest()
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -1,10 +1,10 @@
-"""What a keeper tells the entries: the table's version, the instances, the fleet."""
+"""What a keeper tells the entries: the table's version, evacuated halls, instances, the fleet."""
 
 import collections
 import logging
 from collections.abc import Callable
 
-from spoolhead._internal.models import instances
+from spoolhead._internal.models import evacuations, instances
 from spoolhead._internal.network import messages, peer_server, route_messages, scheduler
 from spoolhead._internal.utils import deflate, document_delta, row_changes
 
@@ -42,6 +42,7 @@
     :param hall: hall of the keeper.
     :param get_keepers: returns the address of each keeper.
     :param get_table: returns the committed table.
+    :param get_evacuations: returns what holds for halls.
     """
 
     def __init__(
@@ -50,10 +51,13 @@
         hall: str,
         get_keepers: Callable[[], list[str]],
         get_table: Callable[[], Table],
+        get_evacuations: Callable[[], evacuations.Evacuations],
     ) -> None:
         self._hall = hall
         self._get_keepers = get_keepers
         self._get_table = get_table
+        self._get_evacuations = get_evacuations
+        self._told_evacuations: route_messages.EvacuatedHalls | None = None
         self._followers: dict[peer_server.PeerSession, route_messages.Subscribe] = {}
         self._documents: collections.OrderedDict[int, bytes] = collections.OrderedDict()
         self._packed_tables: dict[int, route_messages.RouteTableDocument] = {}
@@ -82,6 +86,8 @@
             "is_confirmed": table.is_confirmed,
         }
         logger.info("entry follows", extra={"fields": fields})
+        # An entry that takes a table must know which halls are evacuated by then.
+        session.send(self._make_evacuated(table))
         session.send(_make_version(table))
         if self._sequence:
             session.send(self._make_whole_list())
@@ -105,8 +111,12 @@
         session.send(self._pack_table(table, digest if digest in self._documents else 0))
 
     def announce_version(self) -> None:
-        """Tell all followers of a new version."""
+        """Tell all followers of a new version, and of evacuated halls where these have changed."""
         table = self._remember()
+        evacuated = self._make_evacuated(table)
+        if evacuated.revision and evacuated != self._told_evacuations:
+            self._told_evacuations = evacuated
+            self._send_all(evacuated)
         fields = {
             "version": table.version,
             "is_confirmed": table.is_confirmed,
@@ -157,6 +167,14 @@
             )
         return packed
 
+    def _make_evacuated(self, table: Table) -> route_messages.EvacuatedHalls:
+        known = self._get_evacuations()
+        return route_messages.EvacuatedHalls(
+            revision=known.revision,
+            halls=sorted(known.evacuated_halls),
+            is_confirmed=table.is_confirmed,
+        )
+
     def _make_whole_list(self) -> route_messages.InstanceList:
         return route_messages.InstanceList(
             reader_term=self._reader_term,
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -9,6 +9,7 @@
 from spoolhead._internal.models import (
     codes,
     dialects,
+    evacuations,
     fault,
     instances,
     settings,
@@ -63,10 +64,16 @@
             take=self._take_answer,
             note=_note_stream,
         )
-        self._feed = feed.Feed(self.loop.scheduler, config.hall, self._get_keepers, self._get_table)
+        self._feed = feed.Feed(
+            self.loop.scheduler,
+            config.hall,
+            self._get_keepers,
+            self._get_table,
+            self._get_evacuations,
+        )
         self._hub_port = self._make_hub_port((config.host, config.peer_port))
         self._member = member.Member(
-            self.loop, config, address, self._mesh, self._on_table_change, self._read_instances
+            self.loop, config, address, self._mesh, self._on_change, self._read_instances
         )
         self._questions = questions.Questions(self.loop.scheduler, self._mesh, self._member, config)
         self._reader = list_reader.ListReader(
@@ -136,6 +143,8 @@
                 self._feed.send_table(session, message.digest)
             case route_messages.ForwardTable():
                 self._questions.answer_forwarded(session, message)
+            case route_messages.ForwardHallOrder():
+                self._questions.answer_forwarded_order(message)
             case route_messages.ConfirmRead():
                 self._questions.answer_confirmation(session, message)
             case _ if isinstance(message, tuple(consensus_messages.CLASSES.values())):
@@ -147,10 +156,37 @@
         order = self._dialect.read_order(caller.request)
         if order.is_error():
             self._refuse(caller, order.error)
-        elif isinstance(order.ok, dialects.PutTable):
-            self._put_table(caller, order.ok.document)
-        else:
-            self._read_table(caller)
+            return
+        match order.ok:
+            case dialects.PutTable():
+                self._put_table(caller, order.ok.document)
+            case dialects.SetEvacuation():
+                self._set_evacuation(caller, order.ok)
+            case dialects.ReadTable():
+                self._read_table(caller)
+
+    def _set_evacuation(self, caller: caller_front.Caller, wanted: dialects.SetEvacuation) -> None:
+        began_s = time.monotonic()
+
+        def _answer(is_sure: bool) -> None:
+            took_ms = int((time.monotonic() - began_s) * 1000)
+            fields = {
+                "hall": wanted.hall,
+                "is_evacuated": wanted.is_evacuated,
+                "revision": self._member.state.evacuations.revision,
+                "acknowledged": is_sure,
+                "took_ms": took_ms,
+            }
+            logger.info("order on a hall answered", extra={"fields": fields})
+            self._figures.orders.labels("acknowledged" if is_sure else "unsure").inc()
+            self._figures.order_ms.observe(took_ms)
+            if is_sure:
+                state = {"hall": wanted.hall, "is_evacuated": wanted.is_evacuated}
+                answers.send_json(caller, 200, state)
+            else:
+                self._send_unsure(caller)
+
+        self._questions.order(wanted.hall, wanted.is_evacuated, _answer)
 
     def _put_table(self, caller: caller_front.Caller, document: bytes) -> None:
         decoded = self._dialect.decode_table(document)
@@ -212,9 +248,9 @@
     def _refuse(self, caller: caller_front.Caller, item: fault.Fault) -> None:
         answers.send_error(caller, item, ran=codes.Ran.NO, request_id="")
 
-    def _on_table_change(self) -> None:
+    def _on_change(self) -> None:
         self._feed.announce_version()
-        self._questions.on_table_change()
+        self._questions.on_change()
 
     def _get_keepers(self) -> list[str]:
         return self._member.member_addresses
@@ -225,6 +261,9 @@
             register.version, register.document, is_confirmed=self._member.has_caught_up
         )
 
+    def _get_evacuations(self) -> evacuations.Evacuations:
+        return self._member.state.evacuations
+
     def _take_answer(self, message: messages.Message) -> None:
         if isinstance(message, route_messages.KeeperAnswer):
             self._questions.take_answer(message)
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -10,7 +10,7 @@
 
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.quorum import mesh, storage, table_register
+from spoolhead._internal.quorum import mesh, replicated_state, storage, table_register
 from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
 
@@ -32,9 +32,11 @@
     :param config: the keeper's settings.
     :param address: ``IP:PORT`` where other keepers reach this one.
     :param peers: streams to other keepers.
-    :param on_change: called after a new table was committed, and once this keeper has caught up.
+    :param on_change: called after a new table or an order on a hall was committed, and once this
+        keeper has caught up.
     :param on_leading: called when this keeper begins to lead.
     :raises exceptions.DiskError: if the data folder cannot be used.
+    :ivar state: what was committed.
     :ivar register: the committed table.
     """
 
@@ -47,7 +49,8 @@
         on_change: Callable[[], None],
         on_leading: Callable[[], None],
     ) -> None:
-        self.register = table_register.TableRegister()
+        self.state = replicated_state.ReplicatedState()
+        self.register = self.state.table
         self._config = config
         self._peers = peers
         self._on_change = on_change
@@ -64,7 +67,7 @@
         self._consensus = consensus.Consensus(
             self.member_id,
             log,
-            self.register,
+            self.state,
             consensus_types.Timing(),
             random.Random(),
             time.monotonic(),
@@ -75,6 +78,7 @@
         loop.poller.add_direct_reader(loop, self._wake_read, self._on_wake)
         loop.scheduler.call_every(TICK_S, self._tick)
         self._seen_version = self.register.version
+        self._seen_revision = self.state.evacuations.revision
         self._seen_caught_up = False
 
     @property
@@ -104,7 +108,13 @@
 
     def propose(self, version: int, document: bytes) -> bool:
         """Propose a table; False if this keeper does not lead."""
-        change = table_register.pack_change(version, document)
+        return self._propose(table_register.pack_change(version, document))
+
+    def propose_order(self, order: bytes) -> bool:
+        """Propose an order on a hall, in the log's form; False if this keeper does not lead."""
+        return self._propose(order)
+
+    def _propose(self, change: bytes) -> bool:
         taken = self._consensus.propose(change, time.monotonic())
         self._carry_out()
         return taken
@@ -229,18 +239,24 @@
             self._askers.difference_update(self._members)
             fields = {"members": list(self._members), "term": self.term}
             logger.info("members changed", extra={"fields": fields})
-        self._note_table()
+        self._note_state()
 
-    def _note_table(self) -> None:
-        """Tell of a committed table, and of having caught up: both make it one to hand out."""
+    def _note_state(self) -> None:
+        """Tell of what was committed, and of having caught up: both make it one to hand out."""
         is_newer = self._seen_version != self.register.version
+        is_ordered = self._seen_revision != self.state.evacuations.revision
         has_just_caught_up = self.has_caught_up and not self._seen_caught_up
         self._seen_version = self.register.version
+        self._seen_revision = self.state.evacuations.revision
         self._seen_caught_up = self.has_caught_up
         fields = {"version": self._seen_version, "term": self.term}
         if is_newer:
             logger.info("table committed", extra={"fields": fields})
+        if is_ordered:
+            halls = sorted(self.state.evacuations.evacuated_halls)
+            order_fields = {"revision": self._seen_revision, "halls": halls, "term": self.term}
+            logger.info("evacuated halls changed", extra={"fields": order_fields})
         if has_just_caught_up:
             logger.info("caught up with the leader", extra={"fields": fields})
-        if is_newer or has_just_caught_up:
+        if is_newer or is_ordered or has_just_caught_up:
             self._on_change()
--- a/src/spoolhead/_internal/quorum/questions.py
+++ b/src/spoolhead/_internal/quorum/questions.py
@@ -2,10 +2,11 @@
 
 import itertools
 import logging
+import secrets
 import time
 from collections.abc import Callable
 
-from spoolhead._internal.models import settings
+from spoolhead._internal.models import evacuations, settings
 from spoolhead._internal.network import peer_server, route_messages, scheduler
 from spoolhead._internal.quorum import member, mesh
 
@@ -16,6 +17,13 @@
 ASK_AGAIN_S = 0.3
 """Pause before a question is put to the leader again: a few times the longest round."""
 
+ORDER_ID_BYTES = 8
+"""Random bytes in an order's id; two of them are alike once in 10^19 pairs."""
+HALL_ORDER_S = 0.9
+"""Longest time for which an order on a hall is put to leaders: below the second after which an
+operator turns to another keeper, so that what operators have given up does not come to hold later.
+A calm group answers within some 10 ms, an election takes half a second to a second."""
+
 Answer = Callable[[bool], None]
 
 
@@ -32,6 +40,18 @@
         self.asked_s = 0.0
 
 
+class _HallOrder:
+    """An order on a hall that waits to be carried out."""
+
+    __slots__ = ("answer", "asked_s", "order", "until_s")
+
+    def __init__(self, order: evacuations.HallOrder, answer: Answer, until_s: float) -> None:
+        self.order = order
+        self.answer = answer
+        self.until_s = until_s
+        self.asked_s = 0.0
+
+
 class _Read:
     """A read that waits for the confirmation of the newest version.
 
@@ -74,13 +94,14 @@
         self._answer_s = config.answer_ms / 1000
         self._numbers = itertools.count(1)
         self._orders: list[_Order] = []
+        self._hall_orders: list[_HallOrder] = []
         self._reads: list[_Read] = []
         timers.call_every(CHECK_S, self._check)
 
     @property
     def open_count(self) -> int:
         """Orders and reads without an answer."""
-        return len(self._orders) + len(self._reads)
+        return len(self._orders) + len(self._hall_orders) + len(self._reads)
 
     def put(self, version: int, document: bytes, answer: Answer) -> None:
         """Have a table committed.
@@ -91,6 +112,21 @@
         self._orders.append(order)
         self._check()
 
+    def order(self, hall: str, is_evacuated: bool, answer: Answer) -> None:
+        """Have an order on a hall carried out.
+
+        :param answer: called with whether what it wants held once it was committed.
+        """
+        order = evacuations.HallOrder(
+            hall=hall,
+            is_evacuated=is_evacuated,
+            base_revision=self._group.state.evacuations.get_revision(hall),
+            order_id=secrets.token_hex(ORDER_ID_BYTES),
+        )
+        item = _HallOrder(order, answer, time.monotonic() + HALL_ORDER_S)
+        self._hall_orders.append(item)
+        self._check()
+
     def confirm(self, answer: Answer) -> None:
         """Make sure that this keeper holds the newest committed version.
 
@@ -100,8 +136,8 @@
         self._reads.append(read)
         self._check()
 
-    def on_table_change(self) -> None:
-        """Answer what waited for a version that is now committed."""
+    def on_change(self) -> None:
+        """Answer what waited for a version or an order that is now committed."""
         self._check()
 
     def answer_forwarded(
@@ -111,6 +147,11 @@
         if self._group.is_leader and message.version > self._group.register.version:
             self._group.propose(message.version, message.document)
 
+    def answer_forwarded_order(self, message: route_messages.ForwardHallOrder) -> None:
+        """Take an order on a hall that another keeper passed on."""
+        if self._group.is_leader:
+            self._group.propose_order(message.order)
+
     def answer_confirmation(
         self, session: peer_server.PeerSession, message: route_messages.ConfirmRead
     ) -> None:
@@ -139,6 +180,8 @@
         now_s = time.monotonic()
         for order in list(self._orders):
             self._check_order(order, now_s)
+        for item in list(self._hall_orders):
+            self._check_hall_order(item, now_s)
         for read in list(self._reads):
             self._check_read(read, now_s)
 
@@ -163,6 +206,26 @@
             if self._peers.send(self._group.leader_address, message):
                 order.asked_s = now_s
 
+    def _check_hall_order(self, item: _HallOrder, now_s: float) -> None:
+        if item not in self._hall_orders:
+            return
+        outcome = self._group.state.get_outcome(item.order.order_id)
+        if outcome is not None or now_s >= item.until_s:
+            self._hall_orders.remove(item)
+            item.answer(bool(outcome))
+        elif now_s - item.asked_s >= ASK_AGAIN_S:
+            self._propose_hall_order(item, now_s)
+
+    def _propose_hall_order(self, item: _HallOrder, now_s: float) -> None:
+        data = evacuations.pack_order(item.order)
+        if self._group.is_leader:
+            item.asked_s = now_s
+            self._group.propose_order(data)
+        elif self._group.leader_address:
+            message = route_messages.ForwardHallOrder(order=data)
+            if self._peers.send(self._group.leader_address, message):
+                item.asked_s = now_s
+
     def _check_read(self, read: _Read, now_s: float) -> None:
         if read not in self._reads:
             return
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -1,14 +1,19 @@
 """The platform's messages, read into and written from the product's types."""
 
 import json
+import urllib.parse
 
 import expression
 
-from spoolhead._internal.models import codes, dialects, fault, route_table
+from spoolhead._internal.models import codes, dialects, evacuations, fault, route_table
 from spoolhead._internal.network import request_reader
 from spoolhead.platform import names, tables
 
 _NOT_RUN_STATUSES = frozenset({421})
+_LONGEST_COLD = 9
+"""Digits up to which the rest of a cold start is read: eleven days in milliseconds."""
+_EVACUATES = {"POST": True, "DELETE": False}
+"""Methods of an order on a hall, and whether it is evacuated from then on."""
 
 
 class Dialect:
@@ -30,9 +35,12 @@
 
     def read_order(
         self, wire: request_reader.WireRequest
-    ) -> expression.Result[dialects.PutTable | dialects.ReadTable, fault.Fault]:
+    ) -> expression.Result[dialects.OperatorOrder, fault.Fault]:
         """Read an operator's request."""
-        if wire.target.partition("?")[0] != names.TABLE_PATH:
+        path = wire.target.partition("?")[0]
+        if path.startswith(names.EVACUATION_PATH):
+            return _read_evacuation(wire.method, path.removeprefix(names.EVACUATION_PATH))
+        if path != names.TABLE_PATH:
             return expression.Error(fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no such path"))
         if wire.method == "PUT":
             return expression.Ok(dialects.PutTable(wire.body))
@@ -86,7 +94,7 @@
     def read_answer(self, status: int, headers: dialects.Headers) -> dialects.AnswerHead:
         """Read the head of an instance's answer."""
         found = dict(headers)
-        hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, "date", "server"}
+        hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, "date", "server"}
         hidden |= names.ONE_CONNECTION
         return dialects.AnswerHead(
             status=status,
@@ -97,6 +105,7 @@
             is_encoded=found.get("content-encoding", "identity") != "identity",
             is_closing=found.get("connection", "").lower() == "close",
             load=_read_load(found.get(names.LOAD, "")),
+            cold_ms=_read_cold(found.get(names.COLD)),
         )
 
     def write_refusal(self, request_id: str, retry_after_ms: int | None) -> dialects.Headers:
@@ -131,6 +140,18 @@
         )
 
 
+def _read_evacuation(
+    method: str, name: str
+) -> expression.Result[dialects.OperatorOrder, fault.Fault]:
+    hall = urllib.parse.unquote(name)
+    if not evacuations.is_hall_name(hall):
+        return expression.Error(fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no hall is named"))
+    if method not in _EVACUATES:
+        text = f"{names.EVACUATION_PATH}HALL takes POST and DELETE"
+        return expression.Error(fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, text))
+    return expression.Ok(dialects.SetEvacuation(hall, is_evacuated=_EVACUATES[method]))
+
+
 def _get_key(header: str | None) -> str:
     scheme, _, api_key = (header or "").partition(" ")
     return api_key.strip() if scheme.lower() == "bearer" else ""
@@ -170,3 +191,9 @@
         return None
     running, waiting, slots = (int(value) for value in values)
     return dialects.UpstreamLoad(running=running, waiting=waiting, slots=slots)
+
+
+def _read_cold(text: str | None) -> int | None:
+    if text is None or not (text.isascii() and text.isdecimal()):
+        return None
+    return int(text) if len(text) <= _LONGEST_COLD else None
--- a/src/spoolhead/platform/tables.py
+++ b/src/spoolhead/platform/tables.py
@@ -1,14 +1,24 @@
 """Reads the platform's route tables and its list of instances."""
 
 import json
+import math
 import urllib.parse
 from typing import Any
 
 import expression
 
 from spoolhead._internal.models import codes, dialects, fault, instances, route_table
-from spoolhead.platform import names
-
+from spoolhead._internal.utils import endpoints
+from spoolhead.platform import names, pages
+
+LARGEST_AMOUNT = 1e14
+"""Bound on numbers of the list: Unix times in milliseconds of the next thousand years fit, and no
+infinity."""
+LONGEST_TEXT = 256
+"""Bound on names of the list, in characters; those in use have a dozen."""
+MS_PER_S = 1_000
+_STATES = {"ready": False, "draining": True}
+"""States of an instance, and whether it leaves."""
 _KINDS = {
     "safe": route_table.RequestKind.REPEATABLE,
     "unsafe": route_table.RequestKind.ONCE,
@@ -43,6 +53,30 @@
             raise _FieldError(f"{self._path}{name} is missing or of a wrong type")
         return value
 
+    def get_text(self, name: str) -> str:
+        text = self.get(name, str)
+        if not 0 < len(text) <= LONGEST_TEXT or not text.isprintable():
+            raise _FieldError(f"{self._path}{name} is empty, too long or not printable")
+        return text
+
+    def get_address(self, name: str) -> str:
+        address = self.get(name, str)
+        if not endpoints.is_address(address):
+            raise _FieldError(f"{self._path}{name} is not an IP number and a port")
+        return address
+
+    def get_natural(self, name: str) -> int:
+        number = self.get(name, int)
+        if not 0 < number <= LARGEST_AMOUNT:
+            raise _FieldError(f"{self._path}{name} is out of range")
+        return number
+
+    def get_amount(self, name: str) -> float:
+        number = self.get(name, float)
+        if not 0.0 <= number <= LARGEST_AMOUNT:
+            raise _FieldError(f"{self._path}{name} is out of range")
+        return number
+
     def get_object(self, name: str) -> "_Fields":
         return _Fields(self.get(name, dict), f"{self._path}{name}.")
 
@@ -134,6 +168,8 @@
         health_path=fields.get("health_path", str, ""),
         max_connections=fields.get("max_connections", int, 0),
         engine=engine,
+        cold_start_ms=int(fields.get("cold_start_s", float, 0.0) * MS_PER_S),
+        cold_per_s=fields.get("cold_per_s", float, 0.0),
     )
 
 
@@ -162,24 +198,47 @@
 def decode_instances(document: bytes) -> expression.Result[dialects.InstancePage, fault.Fault]:
     """Read a page of the list of instances."""
     try:
-        fields = _Fields(json.loads(document), "")
-        listed = [_read_instance(item) for item in fields.get_objects("instances")]
+        fields = _Fields(pages.take_apart(document), "")
+        found = _read_entries(fields.get("instances", list))
         next_target = ""
         if fields.has("next_token"):
             token = urllib.parse.quote(fields.get("next_token", str))
             next_target = f"{names.LIST_PATH}?page_token={token}"
-        return expression.Ok(dialects.InstancePage(listed, next_target))
+        found.next_target = next_target
+        return expression.Ok(found)
     except (_FieldError, ValueError, RecursionError) as error:
         return expression.Error(fault.Fault(codes.ResultCode.PEER_PROTOCOL, str(error)))
 
 
+def _read_entries(entries: list[object]) -> dialects.InstancePage:
+    """Read the entries of a page; one that makes no sense costs none of the others."""
+    page = dialects.InstancePage([], "")
+    for number, entry in enumerate(entries):
+        try:
+            page.instances.append(_read_instance(_Fields(entry, f"instances.{number}.")))
+        except _FieldError as error:
+            page.faults.append(_make_fault(str(error)))
+    if page.faults and not page.instances:
+        raise _FieldError(f"none of {len(entries)} entries can be read: {page.faults[0].text}")
+    return page
+
+
 def _read_instance(fields: _Fields) -> instances.Instance:
     return instances.Instance(
-        instance_id=fields.get("id", str),
-        service=fields.get("service", str),
-        address=fields.get("address", str),
-        hall=fields.get("zone", str),
-        slots=fields.get("slots", int, 1),
-        is_leaving=fields.get("state", str, "ready") != "ready",
-        is_slow=fields.get("cold_remaining_ms", float, 0.0) > 0,
+        instance_id=fields.get_text("id"),
+        service=fields.get_text("service"),
+        address=fields.get_address("address"),
+        hall=fields.get_text("zone"),
+        slots=fields.get_natural("slots"),
+        is_leaving=_read_state(fields),
+        cold_ms=math.ceil(fields.get_amount("cold_remaining_ms")),
+        born_ms=fields.get_natural("born") if fields.has("born") else 0,
     )
+
+
+def _read_state(fields: _Fields) -> bool:
+    """Tell whether an instance leaves; a state that is not known names none to use."""
+    is_leaving = _STATES.get(fields.get("state", str))
+    if is_leaving is None:
+        raise _FieldError("an instance is in an unknown state")
+    return is_leaving
--- a/tests/lib/consensus_group.py
+++ b/tests/lib/consensus_group.py
@@ -8,6 +8,7 @@
 
 import msgpack
 
+from spoolhead._internal.models import evacuations
 from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
 
@@ -18,19 +19,25 @@
 
 
 class ListMachine:
-    """State machine that remembers every change in order."""
+    """State machine that remembers every change in order, and carries out orders on halls."""
 
     def __init__(self):
         self.changes = []
+        self.evacuations = evacuations.Evacuations()
 
     def apply(self, data):
         self.changes.append(data)
+        if not data.startswith(b"change-"):
+            order = evacuations.unpack_order(msgpack.unpackb(data))
+            self.evacuations.carry_out(order)
 
     def dump(self):
         return msgpack.packb(self.changes)
 
     def load(self, state):
-        self.changes = msgpack.unpackb(state)
+        self.__init__()
+        for data in msgpack.unpackb(state):
+            self.apply(data)
 
 
 class Node:
@@ -190,6 +197,19 @@
             node.carry_out()
         self.check()
 
+    def order_hall(self, node, hall, is_evacuated):
+        """Have a leader put an order on a hall into the log."""
+        self.proposed += 1
+        order = evacuations.HallOrder(
+            hall=hall,
+            is_evacuated=is_evacuated,
+            base_revision=node.machine.evacuations.get_revision(hall),
+            order_id=f"order-{self.proposed}",
+        )
+        if node.consensus.propose(evacuations.pack_order(order), self.now_s):
+            node.carry_out()
+        self.check()
+
     def begin_read(self, node):
         round_number = node.consensus.begin_read(self.now_s)
         if round_number is not None:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -150,15 +150,18 @@
     )
 
 
-def make_instance(name, *, hall="hall-a", service="s", is_leaving=False):
+def make_instance(
+    name, *, hall="hall-a", service="s", is_leaving=False, cold_ms=0, born_ms=0, address=""
+):
     return instances.Instance(
         instance_id=name,
         service=service,
-        address=f"{name}:80",
+        address=address or f"{name}:80",
         hall=hall,
         slots=6,
         is_leaving=is_leaving,
-        is_slow=False,
+        cold_ms=cold_ms,
+        born_ms=born_ms,
     )
 
 
@@ -248,11 +251,12 @@
 
     def list(self, *, leaving=(), gone=()):
         """Take over a list in which some instances leave or are gone."""
-        return self.book.take_list(
+        listed = [
             make_instance(name, hall=self.hall, is_leaving=name in leaving)
             for name in self.names
             if name not in gone
-        )
+        ]
+        return self.book.take_list(listed, 0.0)
 
     def leave(self, name):
         self.list(leaving=[name])
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -78,10 +78,11 @@
         self.process = process
         self.book = upstream_book.UpstreamBook()
         halls = fleet_.halls
-        self.book.take_list(
+        listed = [
             gateway_setting.make_instance(name, hall=halls[number % len(halls)])
             for number, name in enumerate(instance_names)
-        )
+        ]
+        self.book.take_list(listed, 0.0)
         self.alarms = []
         config = gateway_setting.make_settings(name=process.name, hall=process.hall)
         self.sharing = load_sharing.LoadSharing(
--- a/tests/lib/placement_load.py
+++ b/tests/lib/placement_load.py
@@ -10,7 +10,7 @@
 
 from lib import gateway_setting
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import run_admission, upstream_book, upstream_choice
+from spoolhead._internal.policy import cold_start, run_admission, upstream_book, upstream_choice
 
 
 class Kind:
@@ -58,10 +58,11 @@
         self.kinds = kinds
         self.now_s = 0.0
         self.book = upstream_book.UpstreamBook()
-        self.book.take_list(
+        listed = [
             gateway_setting.make_instance(f"i-{number}", hall=self.halls[number % halls])
             for number in range(engines)
-        )
+        ]
+        self.book.take_list(listed, 0.0)
         self.service = route_table.Service(
             name="s", health_path="/h", max_connections=1_000, engine=gateway_setting.ENGINE
         )
@@ -98,7 +99,12 @@
             arrived_s=self.now_s,
         )
         view = upstream_choice.View(
-            hall=hall, silent_halls=(), cut_halls=(), now_s=self.now_s, chance=self.chance
+            hall=hall,
+            silent_halls=(),
+            cut_halls=(),
+            now_s=self.now_s,
+            cold_starts=cold_start.ColdStarts("entry-1", hall),
+            chance=self.chance,
         )
         engine = self.service.engine
         choice = upstream_choice.choose(
--- a/tests/lib/table_fleet.py
+++ b/tests/lib/table_fleet.py
@@ -16,6 +16,14 @@
     return b",".join(b"{%s}" % change for change in changes)
 
 
+def get_evacuations(changes):
+    """Return what holds for halls after some changes."""
+    machine = consensus_group.ListMachine()
+    for data in changes:
+        machine.apply(data)
+    return machine.evacuations
+
+
 class KeeperSide:
     """What one life of a keeper tells its followers."""
 
@@ -23,7 +31,9 @@
         self.node = node
         self.consensus = node.consensus
         self.timers = simulated_clock.Clock()
-        self.feed = feed.Feed(self.timers, "h", self._get_keepers, self._get_table)
+        self.feed = feed.Feed(
+            self.timers, "h", self._get_keepers, self._get_table, self._get_evacuations
+        )
         self._told = self._get_state()
 
     def _get_keepers(self):
@@ -35,6 +45,9 @@
             len(changes), make_document(changes), is_confirmed=self.consensus.has_caught_up
         )
 
+    def _get_evacuations(self):
+        return self.node.machine.evacuations
+
     def _get_state(self):
         return (len(self.node.machine.changes), self.consensus.has_caught_up)
 
@@ -131,6 +144,8 @@
         self.acknowledged_before = len(fleet.group.acknowledged)
         self.failures = 0
         self.version = 0
+        self.evacuated_halls = frozenset()
+        self.orders_before = get_evacuations(fleet.group.acknowledged).revision
         self.timers = simulated_clock.Clock()
         config = gateway_setting.make_settings()
         config.keepers = fleet.draw_seeds()
@@ -146,6 +161,9 @@
         self.version = version
         return True
 
+    def on_evacuations(self, halls):
+        self.evacuated_halls = halls
+
     def on_instances(self, listed):
         pass
 
@@ -279,6 +297,8 @@
             assert entry.version == entry.feed.version
             if entry.feed.is_sure:
                 assert entry.version >= entry.acknowledged_before, "sure of an old table"
+                known = entry.feed.evacuation_revision
+                assert known >= entry.orders_before, "sure without an order on a hall"
 
     def settle(self, seconds):
         """Let everything be reached and time pass."""
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -28,8 +28,9 @@
     def __init__(self, *, silent=(), watchers=("entry-1",)):
         self.calls = gateway_setting.GatewayCalls()
         self.book = upstream_book.UpstreamBook()
-        self.book.take_list([gateway_setting.make_instance("i-1", hall="hall-b")])
+        self.book.take_list([gateway_setting.make_instance("i-1", hall="hall-b")], 0.0)
         self.alarms = []
+        self.colds = []
         self.silent = frozenset(silent)
         table = route_table.RouteTable(
             version=1,
@@ -52,6 +53,7 @@
             ],
             get_silent_halls=lambda: self.silent,
             on_alarm=lambda upstream, is_said: self.alarms.append(upstream),
+            on_cold=lambda upstream, cold_ms: self.colds.append(cold_ms),
         )
 
     def ask(self):
--- a/tests/unit/test_keeper_feed.py
+++ b/tests/unit/test_keeper_feed.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lib import gateway_setting
-from spoolhead._internal.models import instances
+from spoolhead._internal.models import evacuations, instances
 from spoolhead._internal.network import messages, route_messages
 from spoolhead._internal.quorum import feed
 from spoolhead._internal.utils import deflate, document_delta
@@ -31,8 +31,11 @@
     def __init__(self):
         self.keepers = ["a:1"]
         self.table = feed.Table(3, b"three", is_confirmed=True)
+        self.evacuations = evacuations.Evacuations()
         self.timers = gateway_setting.FakeTimers()
-        self.feed = feed.Feed(self.timers, "h", lambda: self.keepers, lambda: self.table)
+        self.feed = feed.Feed(
+            self.timers, "h", lambda: self.keepers, lambda: self.table, lambda: self.evacuations
+        )
 
     def join(self, name):
         session = _Session(name)
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -173,7 +173,7 @@
 
     def __init__(self):
         self.book = upstream_book.UpstreamBook()
-        self.book.take_list([gateway_setting.make_instance("i-1")])
+        self.book.take_list([gateway_setting.make_instance("i-1")], 0.0)
         self.view = load_view.LoadView("a", self.book)
         self.hub = load_hub.LoadHub("k1", 1)
         self.sequence = 0
@@ -229,7 +229,7 @@
     report.rows = {key: shared_load.Held(70, 1, 0)}
     side.hub.take_report(report, ADDRESS, 0.0)
     side.view.take_update(side.update(), 0.0)
-    side.book.take_list([gateway_setting.make_instance("i-9")])
+    side.book.take_list([gateway_setting.make_instance("i-9")], 0.0)
     side.view.rebuild(0.1)
     assert side.book.get("i-9").tokens == 70
 
--- a/tests/unit/test_peer_streams.py
+++ b/tests/unit/test_peer_streams.py
@@ -3,6 +3,7 @@
 import pytest
 
 from lib import fakes, gateway_setting
+from spoolhead._internal.models import evacuations
 from spoolhead._internal.network import (
     handshake,
     messages,
@@ -118,7 +119,11 @@
     server = _make_server("a", "b", "c")
     server._server.failing = "b"
     told = feed.Feed(
-        gateway_setting.FakeTimers(), "h", list, lambda: feed.Table(3, b"t", is_confirmed=True)
+        gateway_setting.FakeTimers(),
+        "h",
+        list,
+        lambda: feed.Table(3, b"t", is_confirmed=True),
+        evacuations.Evacuations,
     )
     for session in server._sessions.values():
         told._followers[session] = route_messages.Subscribe(hall="h", address="x:1")
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -47,6 +47,7 @@
         self.unusable = set()
         self.failing = set()
         self.lists = []
+        self.evacuations = []
         self.fleets = []
         self.lost_keepers = []
 
@@ -59,6 +60,9 @@
         self.tables.append(version)
         return True
 
+    def on_evacuations(self, halls):
+        self.evacuations.append(set(halls))
+
     def on_instances(self, listed):
         self.lists.append([item.instance_id for item in listed])
 
--- a/tests/unit/test_table_fleet.py
+++ b/tests/unit/test_table_fleet.py
@@ -10,8 +10,9 @@
 import pytest
 from hypothesis import stateful, strategies
 
-from lib import table_fleet
+from lib import consensus_group, table_fleet
 from spoolhead._internal.gateway import table_feed
+from spoolhead._internal.models import evacuations
 from spoolhead.coordination import consensus
 
 IN_FORCE_S = 2.0
@@ -58,6 +59,15 @@
         if leaders:
             self.fleet.group.propose(self._get_chance().choice(leaders))
 
+    @stateful.rule(
+        hall=strategies.sampled_from(("hall-a", "hall-b")), is_evacuated=strategies.booleans()
+    )
+    def order_hall(self, hall, is_evacuated):
+        leaders = [node for node in self.fleet.group.up() if node.consensus.is_leader]
+        if leaders:
+            leader = self._get_chance().choice(leaders)
+            self.fleet.group.order_hall(leader, hall, is_evacuated)
+
     @stateful.rule(name=strategies.sampled_from(("entry-1", "entry-2")))
     def deliver(self, name):
         self.fleet.deliver(self.fleet.entries[name])
@@ -121,9 +131,13 @@
         self.fleet.settle(IN_FORCE_S)
         newest = len(group.acknowledged)
         assert leader.machine.changes
+        wanted = table_fleet.get_evacuations(group.acknowledged)
+        for node in group.up():
+            assert node.machine.evacuations.pack() == wanted.pack(), "an order was lost"
         for entry in self.fleet.entries.values():
             assert entry.version == newest, "a change is not in force in time"
             assert entry.feed.is_sure
+            assert entry.evacuated_halls == wanted.evacuated_halls, "a hall's state is not known"
 
     @stateful.invariant()
     def nothing_old(self):
@@ -162,6 +176,43 @@
     _play(seed)
 
 
+def _play_orders(seed, steps=60, orders_before=0):
+    """Play mostly orders on halls, keepers that lose their disks and are replaced."""
+    chance = random.Random(seed)
+    machine = TableFleetMachine()
+
+    def _order():
+        machine.order_hall(chance.choice(("hall-a", "hall-b")), chance.random() < 0.5)
+
+    rules = (
+        lambda: machine.advance(chance.randrange(1, 12)),
+        _order,
+        _order,
+        machine.propose,
+        lambda: machine.restart_entry(chance.choice(("entry-1", "entry-2"))),
+        machine.crash_keeper,
+        machine.start_keepers,
+        machine.lose_all_power,
+        lambda: machine.lose_a_disk(chance.random() < 0.5),
+    )
+    try:
+        machine.begin(seed, chance.choice((3, 5, 6)))
+        for _ in range(orders_before):
+            _order()
+            machine.advance(4)
+        for _ in range(steps):
+            chance.choice(rules)()
+            machine.nothing_old()
+        machine.heal()
+    finally:
+        machine.teardown()
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_orders_on_halls_are_never_lost(seed):
+    _play_orders(seed, orders_before=40 * (seed % 2))
+
+
 def test_defect_a_keeper_that_confirms_what_it_starts_with_is_caught(monkeypatch):
     init = consensus.Consensus.__init__
 
@@ -182,3 +233,17 @@
     with pytest.raises(AssertionError):
         for seed in range(10):
             _play(seed)
+
+
+def test_defect_a_snapshot_without_evacuated_halls_is_caught(monkeypatch):
+    """Who joins anew learns of orders from a snapshot only."""
+    load = consensus_group.ListMachine.load
+
+    def _load(self, state):
+        load(self, state)
+        self.evacuations = evacuations.Evacuations()
+
+    monkeypatch.setattr(consensus_group.ListMachine, "load", _load)
+    with pytest.raises(AssertionError):
+        for seed in range(40):
+            _play_orders(seed, orders_before=40)
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -5,6 +5,7 @@
 from lib import gateway_setting
 from spoolhead._internal.models import fleet, route_table, shared_load
 from spoolhead._internal.policy import (
+    cold_start,
     retry_allowance,
     run_safety,
     upstream_book,
@@ -22,7 +23,7 @@
 
 def _make_book(*items):
     book = upstream_book.UpstreamBook()
-    book.take_list(items)
+    book.take_list(items, 0.0)
     return book
 
 
@@ -32,6 +33,7 @@
         silent_halls=silent,
         cut_halls=cut,
         now_s=now_s,
+        cold_starts=cold_start.ColdStarts("entry-1", "hall-a"),
         chance=random.Random(1),
     )
     return upstream_choice.choose(
@@ -122,10 +124,10 @@
     book = _make_book(gateway_setting.make_instance("a"), gateway_setting.make_instance("b"))
     b = book.get("b")
     _work(b, 10)
-    leaving = book.take_list([gateway_setting.make_instance("a", is_leaving=True)])
+    leaving = book.take_list([gateway_setting.make_instance("a", is_leaving=True)], 0.0)
     assert [item.instance.instance_id for item in leaving] == ["a", "b"]
     assert b.is_gone
-    assert book.take_list([gateway_setting.make_instance("a", is_leaving=True)]) == []
+    assert book.take_list([gateway_setting.make_instance("a", is_leaving=True)], 0.0) == []
 
 
 def test_each_instance_is_watched_by_exactly_one_entry_of_its_hall():
@@ -192,6 +194,7 @@
             running_at=book.get("here"),
             excluded=(),
             now_s=100.0,
+            cold_starts=cold_start.ColdStarts("entry-1", "hall-a"),
         )
 
     assert _choose_holder().instance.instance_id == "mate"
