--- a/src/spoolhead/_internal/network/route_messages.py
+++ b/src/spoolhead/_internal/network/route_messages.py
@@ -169,7 +169,7 @@
     56: ForwardTable,
     57: ConfirmRead,
     58: KeeperAnswer,
-    59: EvacuatedHalls,
-    60: ForwardHallOrder,
+    70: EvacuatedHalls,
+    71: ForwardHallOrder,
 }
 """Tags of the messages on the wire."""
--- a/src/spoolhead/_internal/policy/cold_start.py
+++ b/src/spoolhead/_internal/policy/cold_start.py
@@ -57,7 +57,13 @@
 def get_senders(
     entries: Sequence[fleet.Process], instance: instances.Instance, cold_per_s: float
 ) -> list[fleet.Process]:
-    """Return the entries that send to a cold instance."""
+    """Return the entries that send to a cold instance.
+
+    Who knows of no entry in the instance's hall does not know the fleet, as after a start behind
+    a cut, and sends nothing there.
+    """
+    if all(entry.hall != instance.hall for entry in entries):
+        return []
 
     def _get_order(entry: fleet.Process) -> tuple[bool, int]:
         weight = xxhash.xxh3_64_intdigest(f"{entry.name}/{instance.life_id}".encode())
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -223,3 +223,53 @@
             seen.add(line["text"])
     assert {"attempt", "answered", "refused", "run goes on elsewhere", "entry ends"} <= seen
     assert {"leader changed", "table committed", "table refused", "table read"} <= seen
+
+
+def _order_hall(running, keeper, method, hall="hall-a"):
+    host = f"{running.keeper_hosts[keeper]}:{running.port}"
+    return platform_fleet.send(host, method, f"/spoolhead/evacuations/{hall}").status
+
+
+def test_an_evacuated_hall_gets_nothing_until_it_is_taken_back(running):
+    """Orders at each keeper in turn, whoever leads, in force within a second."""
+    for keeper in running.keeper_hosts:
+        began_s = time.monotonic()
+        assert _order_hall(running, keeper, "POST") == 200
+        assert time.monotonic() - began_s < 1.0
+        platform_fleet.wait_for(
+            lambda: running.ask("entry-1", "/once/x", X_Request_Id="e").status == 503,
+            "the order is not in force",
+        )
+        until_s = time.monotonic() + 1.0
+        while running.ask("entry-2", "/once/x", X_Request_Id="e2").status != 503:
+            assert time.monotonic() < until_s
+        runs = len(running.get_runs("e3"))
+        assert running.ask("entry-2", "/once/x", X_Request_Id="e3").status == 503
+        assert len(running.get_runs("e3")) == runs
+        assert _order_hall(running, keeper, "DELETE") == 200
+        platform_fleet.wait_for(
+            lambda: running.ask("entry-2", "/once/x", X_Request_Id="e4").status == 200,
+            "the withdrawal is not in force",
+        )
+
+
+def test_an_evacuation_outlives_all_processes_and_a_lost_disk(running):
+    assert _order_hall(running, "keeper-2", "POST") == 200
+    for name in (*running.keeper_hosts, *running.entry_hosts):
+        running.kill(name)
+    running.wipe("keeper-2")
+    for name in running.keeper_hosts:
+        running.start_keeper(name)
+    for name in running.entry_hosts:
+        running.start_entry(name)
+    for entry in running.entry_hosts:
+        platform_fleet.wait_for(lambda entry=entry: running.is_ready(entry), f"{entry} not ready")
+        assert running.ask(entry, "/once/x", X_Request_Id="v").status == 503
+    assert running.get_runs("v") == []
+
+
+def test_a_keeper_without_a_majority_acknowledges_no_order_on_a_hall(running):
+    running.kill("keeper-1")
+    running.kill("keeper-2")
+    assert _order_hall(running, "keeper-3", "POST") == 503
+    assert running.ask("entry-1", "/once/x", X_Request_Id="n").status == 200
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -1,6 +1,7 @@
 """A routed request among fakes: calls to instances, the caller, timers and the book."""
 
 import random
+import time
 
 from lib import fakes
 from spoolhead._internal.gateway import (
@@ -192,13 +193,20 @@
         slack=50,
         tokens="3000,800",
         fill=0,
+        evacuated_halls=(),
+        cold_per_s=0.0,
+        cold_ms=0,
+        born_ms=0,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
         self.book = upstream_book.UpstreamBook()
         self.names = names
         self.hall = hall
+        self.cold_ms = cold_ms
+        self.born_ms = born_ms
         self.list()
+        self.book.set_evacuated(frozenset(evacuated_halls))
         for upstream in self.book.get_all():
             upstream.works["other"] = upstream_book.Work("other", fill, reading_tokens=0)
             if not fill:
@@ -227,6 +235,7 @@
             health_path="/healthz",
             max_connections=100,
             engine=ENGINE if is_stream else None,
+            cold_per_s=cold_per_s,
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
@@ -252,11 +261,17 @@
     def list(self, *, leaving=(), gone=()):
         """Take over a list in which some instances leave or are gone."""
         listed = [
-            make_instance(name, hall=self.hall, is_leaving=name in leaving)
+            make_instance(
+                name,
+                hall=self.hall,
+                is_leaving=name in leaving,
+                cold_ms=self.cold_ms,
+                born_ms=self.born_ms,
+            )
             for name in self.names
             if name not in gone
         ]
-        return self.book.take_list(listed, 0.0)
+        return self.book.take_list(listed, time.monotonic())
 
     def leave(self, name):
         self.list(leaving=[name])
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -149,3 +149,13 @@
         assert again.fresh
         again.lose("Connection reset by peer")
         assert watch.alarms
+
+
+def test_an_instance_that_says_to_be_cold_is_told_of_once():
+    watch = _Watch()
+    watch.ask()
+    watch.calls.made[0].answer(200, [("x-cold-remaining", "900")])
+    watch.ask()
+    watch.calls.made[1].answer(200, [("x-cold-remaining", "700")])
+    assert watch.colds == [900]
+    assert not watch.alarms
--- a/tests/unit/test_messages.py
+++ b/tests/unit/test_messages.py
@@ -6,7 +6,8 @@
 from hypothesis import strategies
 
 from spoolhead._internal.entry import stream_token
-from spoolhead._internal.network import handshake, messages
+from spoolhead._internal.network import handshake, messages, route_messages
+from spoolhead.coordination import consensus_messages
 
 KEY = "0123456789abcdef"
 SENT = [
@@ -73,3 +74,13 @@
 def test_fields_are_of_plain_types():
     for cls in messages.CLASSES.values():
         assert all(type(kind) is type for kind in typing.get_type_hints(cls).values())
+
+
+def test_no_two_messages_share_a_tag():
+    groups = (messages.CLASSES, route_messages.CLASSES, consensus_messages.CLASSES)
+    every = {**groups[0], **groups[1], **groups[2]}
+    own = set(groups[0]) - set(groups[1]) - set(groups[2])
+    assert len(every) == len(own) + len(groups[1]) + len(groups[2])
+    assert len(set(every.values())) == len(every)
+    for tag, cls in every.items():
+        assert messages.CLASSES[tag] is cls
