--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -13,6 +13,7 @@
     check,
     diff,
     edit,
+    evacuate,
     explain,
     explain_logs,
     history,
@@ -148,6 +149,22 @@
     return edit.run(_read(settings_file), change, options)
 
 
+@app.command("evacuate")
+@_exit_with
+def _evacuate(
+    settings_file: SettingsOption,
+    hall: Annotated[str, typer.Argument(help="Name of the hall.")],
+    withdraw: Annotated[bool, typer.Option("--withdraw", help="Take an order back.")] = False,
+    author: AuthorOption = "",
+    edit_id: EditIdOption = "",
+    wait_ms: WaitOption = 5_000,
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Send nothing new to the upstreams of a hall; what runs there ends undisturbed."""
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
+    return evacuate.run(_read(settings_file), hall, withdraws=withdraw, options=options)
+
+
 @app.command("history")
 @_exit_with
 def _history(
--- a/src/spoolhead/_internal/commands/show.py
+++ b/src/spoolhead/_internal/commands/show.py
@@ -19,6 +19,7 @@
     ),
     rows.Sheet.SERVICES: ("kind", "once_methods", "max_running_per_upstream", "silence_ms"),
     rows.Sheet.UPSTREAMS: ("service", "hall", "address", "state"),
+    rows.Sheet.HALLS: ("evacuated",),
 }
 _KEYS_TITLE = "keys"
 
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -123,7 +123,7 @@
         """Take over the table's upstreams; one that leaves is in no pool from here on."""
         now_s = time.monotonic()
         is_new = now_s - self._started_s > replicas.REPORT_STALE_S
-        self._pools.update(self._table.upstreams, now_s, is_new=is_new)
+        self._pools.update(self._table.upstreams, self._table.halls, now_s, is_new=is_new)
         self._pump()
 
     def submit(
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -117,7 +117,7 @@
                 "name": replica.name,
                 "hall": replica.row.hall,
                 "service": replica.row.service,
-                "state": str(replica.row.state),
+                "state": "evacuated" if replica.is_evacuated else str(replica.row.state),
                 "ejected": replica.health.is_ejected(now_s),
                 "running_here": len(replica.running),
                 "running": replica.report.running if replica.report else None,
--- a/src/spoolhead/_internal/entry/upstream_pools.py
+++ b/src/spoolhead/_internal/entry/upstream_pools.py
@@ -30,10 +30,18 @@
         return self._pools.get(service)
 
     def update(
-        self, table_rows: Mapping[str, rows.UpstreamRow], now_s: float, *, is_new: bool
+        self,
+        table_rows: Mapping[str, rows.UpstreamRow],
+        halls: Mapping[str, rows.HallRow],
+        now_s: float,
+        *,
+        is_new: bool,
     ) -> None:
-        """Take over the table's upstreams; one that leaves is in no pool from here on.
+        """Take over the table's upstreams.
 
+        One that leaves or whose hall is evacuated is in no pool from here on.
+
+        :param halls: the table's halls.
         :param is_new: an upstream that is not known yet has just come, so it starts slowly.
         """
         for name in list(self._replicas):
@@ -41,13 +49,15 @@
                 self._remove(name)
         for name, row in table_rows.items():
             known = self._replicas.get(name)
-            if known is not None and known.row is row:
+            is_evacuated = row.hall in halls and halls[row.hall].evacuated
+            if known is not None and known.row is row and known.is_evacuated is is_evacuated:
                 continue
             if known is not None and known.row.address != row.address:
                 self._remove(name)
                 known = None
             if known is None:
                 known = replicas.Replica(name, row, now_s, is_new=is_new)
+            known.is_evacuated = is_evacuated
             self._put(known, row)
 
     def _put(self, replica: replicas.Replica, row: rows.UpstreamRow) -> None:
@@ -56,7 +66,7 @@
             old_pool.remove(replica.name)
         replica.row = row
         self._replicas[replica.name] = replica
-        if replica.is_leaving:
+        if replica.is_leaving or replica.is_evacuated:
             self._forget(row.address)
             return
         self._pools.setdefault(row.service, placement.Pool()).put(replica)
--- a/src/spoolhead/_internal/gateway/entry_figures.py
+++ b/src/spoolhead/_internal/gateway/entry_figures.py
@@ -28,6 +28,9 @@
         self.table_version = made.make_gauge(
             "spoolhead_table_version", "Version of the route table in force."
         )
+        self.evacuated_halls = made.make_gauge(
+            "spoolhead_evacuated_halls", "Halls to which nothing more is sent."
+        )
         self.in_flight = made.make_gauge("spoolhead_in_flight", "Requests in hand.")
         self.waiting = made.make_gauge(
             "spoolhead_waiting", "Generations that wait at this entry for an engine with room."
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -186,6 +186,7 @@
         Runs there end where they are. What has come back may have just been started.
         """
         now_s = time.monotonic()
+        self._figures.evacuated_halls.set(len(halls))
         for upstream in self._book.set_evacuated(halls):
             service = self._get_service(upstream)
             if service is not None:
--- a/src/spoolhead/_internal/models/rows.py
+++ b/src/spoolhead/_internal/models/rows.py
@@ -1,9 +1,9 @@
 """Rows of the table: the columns of each sheet and how a row is checked.
 
-The table has three sheets. ``workspaces`` says who may send what and how much; ``services``
+The table has four sheets. ``workspaces`` says who may send what and how much; ``services``
 names what is served, model pools and plain services alike; ``upstreams`` lists the replicas
-of the services. Values arrive as parsed JSON and are checked by pydantic; unknown columns are
-refused.
+of the services; ``halls`` says which halls are evacuated. Values arrive as parsed JSON and are
+checked by pydantic; unknown columns are refused.
 """
 
 import enum
@@ -38,6 +38,7 @@
     WORKSPACES = "workspaces"
     SERVICES = "services"
     UPSTREAMS = "upstreams"
+    HALLS = "halls"
 
 
 class ServiceKind(enum.StrEnum):
@@ -114,12 +115,23 @@
     state: UpstreamState = UpstreamState.LIVE
 
 
-Row = WorkspaceRow | ServiceRow | UpstreamRow
+@pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
+class HallRow:
+    """One hall; one without a row is not evacuated.
+
+    :ivar evacuated: nothing new is sent to its upstreams, whatever their own state.
+    """
+
+    evacuated: bool = False
+
+
+Row = WorkspaceRow | ServiceRow | UpstreamRow | HallRow
 
 _ADAPTERS: dict[Sheet, pydantic.TypeAdapter[Any]] = {
     Sheet.WORKSPACES: pydantic.TypeAdapter(WorkspaceRow),
     Sheet.SERVICES: pydantic.TypeAdapter(ServiceRow),
     Sheet.UPSTREAMS: pydantic.TypeAdapter(UpstreamRow),
+    Sheet.HALLS: pydantic.TypeAdapter(HallRow),
 }
 
 
--- a/src/spoolhead/_internal/policy/replicas.py
+++ b/src/spoolhead/_internal/policy/replicas.py
@@ -53,6 +53,7 @@
         "_profile_at_s",
         "health",
         "held_back",
+        "is_evacuated",
         "name",
         "operating_point",
         "own_at_report_tokens",
@@ -76,6 +77,7 @@
         self.sent_before_report = 0
         self.sent_since_report = 0
         self.held_back = False
+        self.is_evacuated = False
         self.own_at_report_tokens = 0
         self.own_running_at_report = 0
         self._profile: lengths.Profile = ()
--- a/src/spoolhead/_internal/table/documents.py
+++ b/src/spoolhead/_internal/table/documents.py
@@ -99,9 +99,14 @@
 
 
 def get_differences(table_rows: packing.Rows, document: Document) -> list[Difference]:
-    """Return what applying a document to a table would change, in order of the rows' names."""
+    """Return what applying a document to a table would change, in order of the rows' names.
+
+    A hall that the document does not name stays as it is: a file that was written before a hall was
+    evacuated must not take that back.
+    """
     differences = []
-    for key in sorted({*table_rows, *document}, key=str):
+    named = [key for key in table_rows if key.sheet != rows.Sheet.HALLS]
+    for key in sorted({*named, *document}, key=str):
         old = table_rows[key].value if key in table_rows else None
         new = document.get(key)
         if old != new:
--- a/src/spoolhead/_internal/table/view.py
+++ b/src/spoolhead/_internal/table/view.py
@@ -28,6 +28,7 @@
     :ivar workspaces: rows by name.
     :ivar services: rows by name.
     :ivar upstreams: rows by name.
+    :ivar halls: rows by name.
     """
 
     def __init__(self) -> None:
@@ -35,11 +36,13 @@
         self.workspaces: dict[str, rows.WorkspaceRow] = {}
         self.services: dict[str, rows.ServiceRow] = {}
         self.upstreams: dict[str, rows.UpstreamRow] = {}
+        self.halls: dict[str, rows.HallRow] = {}
         self._owners: dict[str, str] = {}
         self._sheets = {
             rows.Sheet.WORKSPACES: self.workspaces,
             rows.Sheet.SERVICES: self.services,
             rows.Sheet.UPSTREAMS: self.upstreams,
+            rows.Sheet.HALLS: self.halls,
         }
 
     def set_row(self, key: versioned_table.RowKey, value: object | None) -> None:
--- a/tests/functional/test_table.py
+++ b/tests/functional/test_table.py
@@ -276,3 +276,28 @@
     running.start_keeper(port=port)
     shown = _report(running.run_operator("show", "workspaces", "trial", "--json"))
     assert shown["table"]["workspaces"]["trial"]["weight"] == 3.0
+
+
+def test_an_evacuated_hall_gets_nothing_new_and_a_table_file_does_not_take_that_back(running):
+    fleets.start_fleet(running)
+    stream = calls.ChatStream(running.addresses["entry-1"], calls.make_chat(60))
+    table = fleets.make_table(running, ("engine-1", "engine-2"), ("countdesk-1",))
+    (hall,) = {row["hall"] for row in table["upstreams"].values()}
+    for _ in range(2):
+        done = running.run_operator("evacuate", hall, "--json")
+        assert done.returncode == 0
+        assert all(item["is_in_force"] for item in _report(done)["entries"])
+    path = running.folder / "again.json"
+    path.write_text(json.dumps(table))
+    assert running.run_operator("apply", str(path)).returncode == 0
+    for entry in ("entry-1", "entry-2"):
+        answer = calls.send(
+            running.addresses[entry], "POST", "/v1/chat/completions", calls.make_chat(1)
+        )
+        assert (answer.status, answer.error["ran"]) == (503, "no")
+    states = running.run_operator("status").stdout
+    assert "evacuated" in states
+    assert stream.read_all() == list(range(60)), "what ran there ends undisturbed"
+    assert running.run_operator("evacuate", hall, "--withdraw").returncode == 0
+    stream = calls.ChatStream(running.addresses["entry-2"], calls.make_chat(3))
+    assert stream.read_all() == [0, 1, 2]
