Soak: halls evacuated and taken back, instances started again under their ids, entries of another writer

Seeds from 20,000 on; earlier seeds keep their plans. What came after an order was in force must not run in the hall; each check is shown to fail.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,7 +4,7 @@
 
 from soak import plan, run
 
-SEEDS = (101, 10_101)
+SEEDS = (101, 10_101, 20_101)
 """One of each kind of plan."""
 FAILED_ONCE = (1005, 3005)
 """Seeds that failed, with the cause in docs/SOAK.md."""
@@ -18,12 +18,13 @@
 
 
 def test_a_plan_is_the_same_each_time_and_disks_are_lost_one_at_a_time():
-    for seed in range(200):
+    for seed in (*range(200), *range(plan.HALLS_FROM_SEED, plan.HALLS_FROM_SEED + 200)):
         steps = plan.make_plan(seed)
         assert steps == plan.make_plan(seed)
         lost = [step for step in steps if step.kind in ("wipe", "tear")]
         others = [step for step in steps if step.target in plan.KEEPERS and step not in lost]
-        others = [step for step in others if step.kind not in ("table", "race", "bad_table")]
+        orders = ("table", "race", "bad_table", "evacuate")
+        others = [step for step in others if step.kind not in orders]
         assert len(lost) <= 1
         assert not (lost and others)
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -25,6 +25,7 @@
         broken += _check_answer(asked)
         broken += _check_planned_stop(records, asked, runs[asked.request_id])
     broken += _check_leaving(records)
+    broken += _check_evacuated(records)
     broken += _check_reads(records)
     broken += _check_entries(records)
     broken += _check_refusals(records)
@@ -77,6 +78,18 @@
                 yield f"{run['id']} began at {drain.target} {late_s:.1f} s after its notice"
 
 
+def _check_evacuated(records):
+    """What came to an entry after an evacuation was in force goes elsewhere, whatever befell it."""
+    sent_s = {asked.request_id: asked.sent_s for asked in records.asked}
+    for item in records.evacuations:
+        for run in records.runs:
+            if run["instance"] not in plan.FAR or run["at_s"] >= item.withdrawn_s:
+                continue
+            late_s = sent_s.get(run["id"], 0.0) - item.acknowledged_s
+            if late_s > APPLY_S:
+                yield f"{run['id']} ran in the evacuated hall {late_s:.1f} s after the order"
+
+
 def _check_reads(records):
     for read in records.reads:
         due = [item.version for item in records.acknowledged if item.at_s < read.sent_s]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,21 @@
 FIRST_VERSION = 3
 FULL_DISK_BYTES = 1
 TORN_BYTES = b"\x93\x01torn"
+FOREIGN_ENTRIES = [
+    4,
+    {},
+    {"id": 7, "service": "model", "address": "10.9.9.9:1", "zone": "hall-a", "state": "ready"},
+    {"id": "m-9", "service": "model", "address": "nowhere", "zone": "hall-a", "slots": 8},
+    {
+        "id": "p-9",
+        "service": "plain",
+        "address": "127.0.0.1:9",
+        "zone": "hall-a",
+        "slots": 8,
+        "state": "odd",
+        "cold_remaining_ms": 0,
+    },
+]
 _LINK_ORDERS = {
     "delay": {"direction": "down", "delay_ms": 150},
     "reset": {"cut": True},
@@ -56,6 +71,8 @@
         try:
             if step.kind in ("table", "race", "bad_table"):
                 self._change_table(step)
+            elif step.kind == "evacuate":
+                self._evacuate(step)
             else:
                 self._disturb(step)
         except Exception as error:
@@ -142,6 +159,41 @@
         time.sleep(1.0)
         self._fleet.set(step.target, state="ready", dead=False)
 
+    def _reborn(self, step):
+        """Have an instance start again under its id."""
+        self._fleet.set(step.target, born=int(time.time() * 1000))
+        time.sleep(step.for_s)
+
+    def _foreign(self, step):
+        """Put entries that make no sense among the others of the list."""
+        self._fleet.set(step.target, foreign=FOREIGN_ENTRIES)
+        time.sleep(step.for_s)
+        self._fleet.set(step.target, foreign=[])
+
+    def _evacuate(self, step):
+        """Have the other hall evacuated, and taken back after a time."""
+        if not self._order_hall(step.target, "POST"):
+            return
+        noted = records.Evacuation(acknowledged_s=time.monotonic())
+        self._seen.evacuations.append(noted)
+        time.sleep(step.for_s)
+        noted.withdrawn_s = time.monotonic()
+        self._order_hall(step.target, "DELETE")
+
+    def _order_hall(self, first_keeper, method):
+        """Send an order to one keeper after another until it is taken, as operators do."""
+        keepers = sorted(plan.KEEPERS, key=lambda name: name != first_keeper)
+        until_s = time.monotonic() + platform_fleet.WAIT_S
+        while time.monotonic() < until_s:
+            for keeper in keepers:
+                host = f"{self._fleet.keeper_hosts[keeper]}:{self._fleet.port}"
+                target = f"/spoolhead/evacuations/{plan.FAR_HALL}"
+                if platform_fleet.send(host, method, target).status == 200:
+                    return True
+            time.sleep(0.1)
+        self._seen.problems.append(f"no keeper acknowledged {method} of the hall")
+        return False
+
     def _harm_link(self, step):
         self._fleet.steer_link(step.target, _LINK_ORDERS[step.kind])
         time.sleep(step.for_s)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,13 @@
 """Seeds from here on lose all power in the middle, after the loss of one disk; earlier ones keep
 their plans."""
 
+HALLS_FROM_SEED = 20_000
+"""Seeds from here on put some instances into another hall, which is evacuated and taken back, start
+instances again under their ids, and have another writer's entries in the list."""
+FAR = ("m-3", "p-2")
+"""Instances in the other hall then."""
+FAR_HALL = "hall-b"
+
 PROCESS_KINDS = ("pause", "kill", "stop", "reload")
 LINK_KINDS = ("delay", "reset", "stall_up", "stall_down", "refuse")
 
@@ -43,7 +50,9 @@
 def make_plan(seed):
     """Draw the steps of one run, in order of time."""
     chance = random.Random(seed)
-    if seed >= POWER_FROM_SEED:
+    if seed >= HALLS_FROM_SEED:
+        steps = _draw_processes(chance) + _draw_disks(chance) + _draw_halls(chance)
+    elif seed >= POWER_FROM_SEED:
         steps = _draw_power(chance)
     else:
         steps = _draw_processes(chance) + _draw_disks(chance)
@@ -91,6 +100,24 @@
     return [wipe, Step(at_s=lost_s, kind="power", target=target, for_s=alone_s)]
 
 
+def _draw_halls(chance):
+    """The hall is evacuated once or twice, whoever is in trouble then."""
+    steps = []
+    at_s = chance.uniform(0.3, 2.0)
+    while at_s < LENGTH_S - 2.0:
+        for_s = chance.uniform(0.5, 4.0)
+        target = chance.choice(KEEPERS)
+        steps.append(Step(at_s=at_s, kind="evacuate", target=target, for_s=for_s))
+        at_s += for_s + chance.uniform(1.0, 3.0)
+    for _ in range(2):
+        at_s = chance.uniform(0.5, LENGTH_S - 2.0)
+        target = chance.choice((*MODELS, *PLAIN))
+        steps.append(Step(at_s=at_s, kind="reborn", target=target, for_s=0.5))
+    at_s = chance.uniform(0.5, 4.0)
+    steps.append(Step(at_s=at_s, kind="foreign", target=MODELS[0], for_s=chance.uniform(1.0, 5.0)))
+    return steps
+
+
 def _draw_upstreams(chance):
     steps = []
     leaving = chance.choice(MODELS)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -64,6 +64,18 @@
     ended_s: float = float("inf")
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Evacuation:
+    """A time for which a hall was to get nothing.
+
+    :ivar acknowledged_s: when the order was acknowledged.
+    :ivar withdrawn_s: when it was first taken back; infinite while it lasts.
+    """
+
+    acknowledged_s: float
+    withdrawn_s: float = float("inf")
+
+
 class Records:
     """All of one run."""
 
@@ -72,6 +84,7 @@
         self.acknowledged = []
         self.reads = []
         self.disturbances = []
+        self.evacuations = []
         self.runs = []
         self.problems = []
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -117,6 +117,9 @@
         fleet.start_with_links()
         fleet.put_until_taken("keeper-1", faults.make_table(faults.FIRST_VERSION))
         fleet.wait_until_ready(*plan.ENTRIES)
+        if seed >= plan.HALLS_FROM_SEED:
+            for name in plan.FAR:
+                fleet.set(name, zone=plan.FAR_HALL)
         doing = faults.Faults(fleet, seen)
         threads = [
             callers.Caller(number, fleet, seen, doing.get_acknowledged)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -56,6 +56,11 @@
     "leaving gets work": _seen(
         _asked(), runs=[_run()], disturbances=[_trouble("p-1", "drain", 46.0, 60.0)]
     ),
+    "evacuated hall gets work": _seen(
+        _asked(),
+        runs=[_run(instance="p-2")],
+        evacuations=[records.Evacuation(acknowledged_s=45.0, withdrawn_s=60.0)],
+    ),
     "older table read": _seen(
         reads=[records.Read(keeper="keeper-1", version=5, sent_s=10.0)],
         acknowledged=[_acked(6, 9.0)],
@@ -88,6 +93,19 @@
         runs=[_run()],
         disturbances=[_trouble("entry-1", "kill", 50.2, 51.0)],
     ),
+    "just evacuated": _seen(
+        _asked(),
+        runs=[_run(instance="p-2")],
+        evacuations=[records.Evacuation(acknowledged_s=49.0, withdrawn_s=60.0)],
+    ),
+    "taken back": _seen(
+        _asked(),
+        runs=[_run(instance="p-2")],
+        evacuations=[records.Evacuation(acknowledged_s=40.0, withdrawn_s=50.2)],
+    ),
+    "another hall": _seen(
+        _asked(), runs=[_run()], evacuations=[records.Evacuation(acknowledged_s=40.0)]
+    ),
     "just left": _seen(
         _asked(), runs=[_run()], disturbances=[_trouble("p-1", "drain", 49.0, 60.0)]
     ),
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -31,12 +31,13 @@
         self.zone = zone
         self.state = "ready"
         self.is_dead = False
+        self.born_ms = 0
         self.copies: set[str] = set()
         self.tasks: set[asyncio.Task] = set()
 
     def describe(self) -> dict:
         """Return its entry in the list."""
-        return {
+        entry = {
             "id": self.name,
             "service": self.service,
             "address": self.address,
@@ -46,6 +47,16 @@
             "state": self.state,
             "cold_remaining_ms": 0,
         }
+        if self.born_ms:
+            entry["born"] = self.born_ms
+        return entry
+
+    def start_again(self, born_ms: int) -> None:
+        """Forget all that ran here and take another start."""
+        self.born_ms = born_ms
+        self.copies.clear()
+        for task in list(self.tasks):
+            task.cancel()
 
 
 class Platform:
@@ -56,20 +67,26 @@
         self._runs: list[dict] = []
         self._handles = 0
         self.instances: dict[str, Instance] = {}
+        self.foreign: list[object] = []
 
     async def handle_list(self, request: http_server.Request, answer: http_server.Answer) -> None:
         """Answer at the list's address."""
         if request.path == "/replicas":
             listed = [item.describe() for item in self.instances.values() if not item.is_dead]
+            listed[1:1] = self.foreign
             answer.send_json(200, {"instances": listed, "next_token": None})
         elif request.path == "/_runs":
             answer.send_json(200, self._runs)
         else:
             order = json.loads(request.body)
+            self.foreign = order.get("foreign", self.foreign)
             instance = self.instances[order["instance"]]
             instance.state = order.get("state", instance.state)
             instance.is_dead = order.get("dead", instance.is_dead)
             instance.address = order.get("address", instance.address)
+            instance.zone = order.get("zone", instance.zone)
+            if "born" in order:
+                instance.start_again(order["born"])
             if instance.is_dead:
                 for task in list(instance.tasks):
                     task.cancel()
