--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -17,6 +17,7 @@
     routed_job,
     stream_exchange,
     table_feed,
+    upstream_news,
 )
 from spoolhead._internal.load_telling import load_socket
 from spoolhead._internal.models import (
@@ -92,7 +93,7 @@
             config,
             self._book,
             send=sock.send,
-            on_alarm=self._empty,
+            on_alarm=lambda upstream: self._news.empty(upstream),
             on_news=self._on_news,
         )
         self._figures.news_age_ms.set_function(self._sharing.get_news_age_ms)
@@ -109,6 +110,12 @@
             get_news_age_ms=self._sharing.get_news_age_ms,
             figures=self._figures,
         )
+        self._news = upstream_news.UpstreamNews(
+            self._context,
+            self._sharing,
+            self._exchanges,
+            get_table=lambda: self._matcher,
+        )
         self._figures.waiting.set_function(lambda: len(self._context.queue))
         self._front = caller_front.CallerFront(
             self.loop, config, take=self._take, refuse=self._refuse_bytes
@@ -130,8 +137,8 @@
             get_table=lambda: self._matcher,
             get_watchers=self._sharing.get_watchers,
             get_silent_halls=self._sharing.get_silent_halls,
-            on_alarm=self._on_alarm,
-            on_cold=self._on_cold,
+            on_alarm=self._news.take_alarm,
+            on_cold=self._news.take_cold,
         )
         self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
         self.loop.scheduler.call_every(REACH_CHECK_S, self._check_reach)
@@ -163,37 +170,12 @@
 
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """Take over a reading of the list of instances."""
-        known = {upstream.instance.life_id for upstream in self._book.get_all()}
-        leaving = self._book.take_list(listed, time.monotonic())
-        now_known = {upstream.instance.life_id for upstream in self._book.get_all()}
-        for life_id in sorted(now_known - known):
-            logger.info("upstream came", extra={"fields": {"upstream": life_id}})
-        for life_id in sorted(known - now_known):
-            logger.info("upstream is gone", extra={"fields": {"upstream": life_id}})
-        self._sharing.refresh()
+        self._news.take_list(listed)
         self._has_instances = True
-        self._context.cold_starts.forget_quotas()
-        self._context.queue.note_change()
-        for upstream in leaving:
-            if upstream.has_started_again:
-                self._end_at(upstream)
-            else:
-                self._empty(upstream)
 
     def on_evacuations(self, halls: frozenset[str]) -> None:
-        """Send nothing more to instances of these halls, and to all others again.
-
-        Runs there end where they are. What has come back may have just been started.
-        """
-        now_s = time.monotonic()
-        self._figures.evacuated_halls.set(len(halls))
-        for upstream in self._book.set_evacuated(halls):
-            service = self._get_service(upstream)
-            if service is not None:
-                upstream.assume_cold(service.cold_start_ms, now_s)
-        for item in self._get_runs():
-            item.on_instances_changed()
-        self._context.queue.note_change()
+        """Send nothing more to instances of these halls, and to all others again."""
+        self._news.take_evacuations(halls)
 
     def on_fleet(self, known: fleet.Fleet) -> None:
         """Take over which processes there are."""
@@ -219,49 +201,6 @@
         self._sharing.note_change()
         self._context.queue.note_change()
 
-    def _on_alarm(self, upstream: upstream_book.Upstream, kind: shared_load.AlarmKind) -> None:
-        self._figures.alarms.inc()
-        self._sharing.tell_alarm(upstream.instance.life_id, kind)
-        self._empty(upstream)
-
-    def _on_cold(self, upstream: upstream_book.Upstream, cold_ms: int) -> None:
-        self._sharing.tell_alarm(
-            upstream.instance.life_id, shared_load.AlarmKind.COLD, for_ms=cold_ms
-        )
-
-    def _get_service(self, upstream: upstream_book.Upstream) -> route_table.Service | None:
-        table = self._matcher
-        return table.get_service(upstream.instance.service) if table is not None else None
-
-    def _end_at(self, upstream: upstream_book.Upstream) -> None:
-        """End what ran at an instance before it was started again."""
-        fields = {"upstream": upstream.instance.life_id, "requests_here": len(upstream.works)}
-        logger.warning("upstream has started again", extra={"fields": fields})
-        for item in list(self._exchanges):
-            item.on_upstream_ended()
-        for item in self._get_runs():
-            # A copy that it held is lost, too.
-            item.on_instances_changed()
-
-    def _empty(self, upstream: upstream_book.Upstream) -> None:
-        fields = {
-            "upstream": upstream.instance.life_id,
-            "is_listed_leaving": upstream.instance.is_leaving,
-            "is_gone": upstream.is_gone,
-            "requests_here": len(upstream.works),
-        }
-        logger.info("upstream is to be emptied", extra={"fields": fields})
-        runs = self._get_runs()
-        # The first orders are carried out first, and not all may be in time.
-        runs.sort(key=lambda item: (item.job.workspace_rank, -item.rank))
-        for item in runs:
-            item.on_instances_changed()
-
-    def _get_runs(self) -> list[stream_exchange.StreamExchange]:
-        return [
-            item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
-        ]
-
     def _answer_probe(self, request: request_reader.WireRequest) -> small_server.SmallAnswer:
         del request
         status = HTTPStatus.OK if self._get_ready() else HTTPStatus.SERVICE_UNAVAILABLE
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -0,0 +1,110 @@
+"""What an entry does when it hears something new of the instances."""
+
+import logging
+import time
+from collections.abc import Callable, Set
+
+from spoolhead._internal.gateway import exchange, exchange_context, load_sharing, stream_exchange
+from spoolhead._internal.models import instances, shared_load
+from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.routing import matcher
+
+logger = logging.getLogger(__name__)
+
+
+class UpstreamNews:
+    """Passes news of instances on to the requests in hand, to those that wait and to other entries.
+
+    :param context: what all exchanges share.
+    :param sharing: tells other entries.
+    :param exchanges: the requests in hand.
+    :param get_table: returns the table in force.
+    """
+
+    def __init__(
+        self,
+        context: exchange_context.Context,
+        sharing: load_sharing.LoadSharing,
+        exchanges: Set[exchange.Exchange],
+        *,
+        get_table: Callable[[], matcher.Matcher | None],
+    ) -> None:
+        self._context = context
+        self._sharing = sharing
+        self._exchanges = exchanges
+        self._get_table = get_table
+
+    def take_list(self, listed: list[instances.Instance]) -> None:
+        """Take over a reading of the list of instances."""
+        book = self._context.book
+        known = {upstream.instance.life_id for upstream in book.get_all()}
+        leaving = book.take_list(listed, time.monotonic())
+        now_known = {upstream.instance.life_id for upstream in book.get_all()}
+        for life_id in sorted(now_known - known):
+            logger.info("upstream came", extra={"fields": {"upstream": life_id}})
+        for life_id in sorted(known - now_known):
+            logger.info("upstream is gone", extra={"fields": {"upstream": life_id}})
+        self._sharing.refresh()
+        self._context.cold_starts.forget_quotas()
+        self._context.queue.note_change()
+        for upstream in leaving:
+            if upstream.has_started_again:
+                self._end_at(upstream)
+            else:
+                self.empty(upstream)
+
+    def take_evacuations(self, halls: frozenset[str]) -> None:
+        """Send nothing more to instances of these halls, and to all others again.
+
+        Runs there end where they are. What has come back may have just been started.
+        """
+        self._context.figures.evacuated_halls.set(len(halls))
+        now_s = time.monotonic()
+        for upstream in self._context.book.set_evacuated(halls):
+            table = self._get_table()
+            service = table.get_service(upstream.instance.service) if table else None
+            if service is not None:
+                upstream.assume_cold(service.cold_start_ms, now_s)
+        self._have_runs_look()
+        self._context.queue.note_change()
+
+    def take_alarm(self, upstream: upstream_book.Upstream, kind: shared_load.AlarmKind) -> None:
+        """Take what this entry found bad, and tell the others."""
+        self._context.figures.alarms.inc()
+        self._sharing.tell_alarm(upstream.instance.life_id, kind)
+        self.empty(upstream)
+
+    def take_cold(self, upstream: upstream_book.Upstream, cold_ms: int) -> None:
+        """Tell the others of an instance that has said to be cold."""
+        kind = shared_load.AlarmKind.COLD
+        self._sharing.tell_alarm(upstream.instance.life_id, kind, for_ms=cold_ms)
+
+    def empty(self, upstream: upstream_book.Upstream) -> None:
+        """Have runs leave an instance that leaves or may do so."""
+        fields = {
+            "upstream": upstream.instance.life_id,
+            "is_listed_leaving": upstream.instance.is_leaving,
+            "is_gone": upstream.is_gone,
+            "requests_here": len(upstream.works),
+        }
+        logger.info("upstream is to be emptied", extra={"fields": fields})
+        self._have_runs_look()
+
+    def _end_at(self, upstream: upstream_book.Upstream) -> None:
+        """End what ran at an instance before it was started again."""
+        fields = {"upstream": upstream.instance.life_id, "requests_here": len(upstream.works)}
+        logger.warning("upstream has started again", extra={"fields": fields})
+        for item in list(self._exchanges):
+            item.on_upstream_ended()
+        # A copy that it held is lost, too.
+        self._have_runs_look()
+
+    def _have_runs_look(self) -> None:
+        """Let each run see whether it or its copy must move."""
+        runs = [
+            item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
+        ]
+        # The first orders are carried out first, and not all may be in time.
+        runs.sort(key=lambda item: (item.job.workspace_rank, -item.rank))
+        for item in runs:
+            item.on_instances_changed()
