A keeper that starts on a full disk waits for it

Change: the first write is tried for 5 s, each 250 ms, as later ones are; nothing is promised meanwhile.

--- a/src/spoolhead/_internal/quorum/storage.py
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -28,6 +28,9 @@
 of the largest tables seen (100 KiB)."""
 RETRY_S = 0.25
 """Pause before a refused write is tried again; a few times a second is cheap and soon."""
+START_WAIT_S = 5.0
+"""Time for which a start waits for a disk that refuses writes, before the process ends: some times
+what a disk was seen to stay full. Nothing may be promised before the identity is on the disk."""
 
 _IDENTITY = "identity"
 _TAGS: dict[type, str] = {
@@ -112,7 +115,7 @@
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as error:
             raise exceptions.DiskError(f"{folder}: {error.strerror}") from error
-        self._replace(self._join(records))
+        self._begin(self._join(records))
         self._thread = threading.Thread(target=self._run, name="storage", daemon=True)
         self._thread.start()
 
@@ -136,6 +139,23 @@
             self._waiting.clear()
             self._condition.notify()
 
+    def _begin(self, data: bytes) -> None:
+        """Write the file that everything else is added to.
+
+        :raises exceptions.DiskError: if the disk refuses that for too long.
+        """
+        began_s = time.monotonic()
+        while True:
+            try:
+                self._replace(data)
+                return
+            except exceptions.DiskError as error:
+                if time.monotonic() - began_s > START_WAIT_S:
+                    raise
+                fields = {"path": str(self._path), "reason": str(error)}
+                logger.error("disk refuses writes", extra={"fields": fields})
+                time.sleep(RETRY_S)
+
     def _join(self, records: Sequence[replicated_log.Record]) -> bytes:
         return self._identity + b"".join(_pack(record) for record in records)
 
--- a/tests/unit/test_quorum_storage.py
+++ b/tests/unit/test_quorum_storage.py
@@ -5,8 +5,10 @@
 import threading
 
 import hypothesis
+import pytest
 from hypothesis import strategies
 
+from spoolhead._internal import exceptions
 from spoolhead._internal.quorum import storage
 from spoolhead.coordination import changelog, replicated_log
 
@@ -109,3 +111,32 @@
     log = _Counting(changelog.make_record(payload) * 300)
     assert len(changelog.scan(log).payloads) == 300
     assert _Counting.copied <= 2 * len(log)
+
+
+def test_a_start_waits_for_a_disk_that_is_full_for_a_while(tmp_path, monkeypatch):
+    """A keeper that ends instead is one less to lose until somebody starts it again."""
+    storage.Storage(tmp_path, "a#first", RECORDS, _Synced())
+    replace_file = storage.files.replace_file
+    refusals = [None, None]
+
+    def _replace(path, data):
+        if refusals:
+            refusals.pop()
+            raise exceptions.DiskError(f"{path}: no space")
+        replace_file(path, data)
+
+    monkeypatch.setattr(storage.files, "replace_file", _replace)
+    monkeypatch.setattr(storage, "RETRY_S", 0.01)
+    storage.Storage(tmp_path, "a#first", RECORDS, _Synced())
+    assert storage.read(tmp_path).records == RECORDS
+
+
+def test_a_start_on_a_disk_that_stays_full_ends(tmp_path, monkeypatch):
+    def _replace(path, data):
+        raise exceptions.DiskError(f"{path}: no space")
+
+    monkeypatch.setattr(storage.files, "replace_file", _replace)
+    monkeypatch.setattr(storage, "START_WAIT_S", 0.05)
+    monkeypatch.setattr(storage, "RETRY_S", 0.01)
+    with pytest.raises(exceptions.DiskError):
+        storage.Storage(tmp_path, "a#first", RECORDS, _Synced())
