Starts of instances in a module of their own, bounded by what is listed; log lines name runs alike

Cause, found by reading: the bound on remembered starts was applied while a list was taken in, so that above 1,000 instances starts of listed ones were forgotten and a former run could come back. Lines about requests named an instance by its id alone and lines about beliefs by id and start, so 'losses' could not have matched them. Change: the oldest are forgotten after a list, beyond those listed; all lines name the run. Figures: test with 1,600 instances listed, red before (in the former form the present runs were replaced).

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -90,12 +90,12 @@
 
     def log_choice(self, action: str, choice: upstream_choice.Choice) -> None:
         """Log where the request goes and what it was chosen from."""
-        chosen = choice.upstream.instance.instance_id if choice.upstream is not None else ""
+        chosen = choice.upstream.instance.life_id if choice.upstream is not None else ""
         fields = {
             **self.get_fields(),
             "upstream": chosen,
             "candidates": [
-                [item.upstream.instance.instance_id, round(item.cost, 2)]
+                [item.upstream.instance.life_id, round(item.cost, 2)]
                 for item in choice.candidates[:4]
             ],
             "news_age_ms": self._context.get_news_age_ms(),
@@ -208,7 +208,7 @@
         if not is_unreachable and attempt.head is None:
             self._context.on_lost_request(attempt.upstream.instance.life_id)
         if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
-            fields = {"upstream": attempt.upstream.instance.instance_id, "reason": reason}
+            fields = {"upstream": attempt.upstream.instance.life_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
 
     def on_upstream_ended(self) -> None:
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -97,7 +97,7 @@
             self._attempts_made -= 1
         fields = {
             **self.get_fields(),
-            "upstream": attempt.upstream.instance.instance_id,
+            "upstream": attempt.upstream.instance.life_id,
             "code": int(code),
             "reason": text,
         }
@@ -128,7 +128,7 @@
         self.caller.send_whole(head.status, head.headers, b"".join(attempt.body))
         fields = {
             **self.get_fields(),
-            "upstream": attempt.upstream.instance.instance_id,
+            "upstream": attempt.upstream.instance.life_id,
             "status": head.status,
             "attempts": self._attempts_made,
             "is_late": self.is_late(),
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -86,7 +86,7 @@
         if holder is not None and (holder.is_departing(now_s) or holder.is_evacuated):
             fields = {
                 "request": self._job.head.request_id,
-                "holder": holder.instance.instance_id,
+                "holder": holder.instance.life_id,
                 "is_gone": holder.is_gone,
                 "is_evacuated": holder.is_evacuated,
             }
@@ -176,8 +176,8 @@
     ) -> None:
         fields = {
             "request": self._job.head.request_id,
-            "source": running_at.instance.instance_id,
-            "target": holder.instance.instance_id,
+            "source": running_at.instance.life_id,
+            "target": holder.instance.life_id,
             "target_tokens": holder.tokens,
             "is_leaving": running_at.is_leaving,
             "events": self._run.events,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -205,7 +205,7 @@
     def _log_attempt_failure(self, attempt: attempts.Attempt, reason: str) -> None:
         fields = {
             **self.get_fields(),
-            "upstream": attempt.upstream.instance.instance_id,
+            "upstream": attempt.upstream.instance.life_id,
             "events": self.events,
             "reason": reason,
         }
@@ -251,7 +251,7 @@
         )
         fields = {
             **self.get_fields(),
-            "upstream": copy.upstream.instance.instance_id,
+            "upstream": copy.upstream.instance.life_id,
             "copy_of": copy.address,
             "events": self.events,
             "last_event_id": point.last_event_id,
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -1,11 +1,11 @@
 """What an entry knows of the instances of each service; no I/O, time passed in."""
 
 import collections
-import dataclasses
 import math
 from collections.abc import Iterable
 
 from spoolhead._internal.models import dialects, instances, shared_load
+from spoolhead._internal.policy import latest_starts
 
 FAILURES_TO_EJECT = 3
 """Attempts in a row that must fail without an answer before an instance rests; one or two
@@ -28,9 +28,6 @@
 SENT_KEPT = 64
 """Requests to one instance whose times are remembered: more than an entry may send to a cold one
 in a second."""
-FORMER_KEPT = 1_000
-"""Ids whose latest start is remembered after they are no longer listed: news of a former run comes
-a second or two late, and a deployment has some hundred departures in an hour."""
 DISTRUST_S = 30.0
 """Time for which an instance that raised a false alarm is not believed again: some times what
 an ordinary disturbance lasts."""
@@ -253,7 +250,7 @@
 
     def __init__(self) -> None:
         self._evacuated_halls: frozenset[str] = frozenset()
-        self._latest_born_ms: collections.OrderedDict[str, int] = collections.OrderedDict()
+        self._starts = latest_starts.LatestStarts()
         self._upstreams: dict[str, Upstream] = {}
         self._by_key: dict[int, Upstream] = {}
 
@@ -285,16 +282,16 @@
         self._upstreams = {}
         leaving: list[Upstream] = []
         for instance in listed:
-            if self._note_born(instance):
+            if self._starts.note(instance):
                 self._take_listed(instance, before, leaving, now_s)
             else:
                 self._keep_present(instance, before)
         self._by_key = {item.key: item for item in self._upstreams.values()}
+        self._starts.forget_oldest(len(self._upstreams))
         for upstream in before.values():
             upstream.is_leaving = True
             upstream.is_gone = True
-            latest_born_ms = self._latest_born_ms.get(upstream.instance.instance_id, 0)
-            if upstream.instance.born_ms < latest_born_ms:
+            if self._starts.is_former(upstream.instance):
                 upstream.has_started_again = True
             if upstream.works:
                 leaving.append(upstream)
@@ -311,19 +308,6 @@
             upstream.is_evacuated = upstream.instance.hall in halls
         return [item for item in self._upstreams.values() if item.instance.hall in reopened]
 
-    def _note_born(self, instance: instances.Instance) -> bool:
-        """Take note of an instance's start; False if a later one is known."""
-        latest_born_ms = self._latest_born_ms.get(instance.instance_id, 0)
-        if not instance.born_ms:
-            return not latest_born_ms
-        if instance.born_ms < latest_born_ms:
-            return False
-        self._latest_born_ms[instance.instance_id] = instance.born_ms
-        self._latest_born_ms.move_to_end(instance.instance_id)
-        while len(self._latest_born_ms) > max(FORMER_KEPT, 2 * len(self._upstreams)):
-            self._latest_born_ms.popitem(last=False)
-        return True
-
     def _take_listed(
         self,
         instance: instances.Instance,
@@ -351,11 +335,10 @@
         self._upstreams[instance.life_id] = upstream
 
     def _keep_present(self, former: instances.Instance, before: dict[str, Upstream]) -> None:
-        latest_born_ms = self._latest_born_ms[former.instance_id]
-        present = dataclasses.replace(former, born_ms=latest_born_ms)
-        upstream = before.pop(present.life_id, None)
+        life_id = self._starts.get_present_life_id(former)
+        upstream = before.pop(life_id, None)
         if upstream is not None:
-            self._upstreams[present.life_id] = upstream
+            self._upstreams[life_id] = upstream
 
 
 def _is_same_place(upstream: Upstream, instance: instances.Instance) -> bool:
--- a/tests/unit/test_reborn_instances.py
+++ b/tests/unit/test_reborn_instances.py
@@ -8,7 +8,7 @@
 
 from lib import gateway_setting, load_fleet
 from spoolhead._internal.models import instances, route_table, shared_load
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import latest_starts, upstream_book
 
 STREAM = route_table.RequestKind.STREAM
 ONCE = route_table.RequestKind.ONCE
@@ -248,3 +248,16 @@
     assert instances.keep_one_each([other, known], {"i-1": known}) == [known]
     assert instances.keep_one_each([known, other], {"i-1": known}) == [known]
     assert instances.keep_one_each([other, known], {}) == [other]
+
+
+def test_starts_of_all_that_is_listed_are_remembered_and_of_former_ones_a_bounded_number():
+    book = upstream_book.UpstreamBook()
+    many = latest_starts.FORMER_KEPT + 600
+    for born_ms in (2_000, 2_000):
+        _take(book, *(_make(born_ms, f"i-{number}") for number in range(many)))
+    _take(book, *(_make(1_000, f"i-{number}") for number in range(many)))
+    assert len(book.get_all()) == many
+    assert all(upstream.instance.born_ms == 2_000 for upstream in book.get_all())
+    for number in range(3 * latest_starts.FORMER_KEPT):
+        _take(book, _make(2_000, f"once-{number}"))
+    assert len(book._starts._born_ms) <= latest_starts.FORMER_KEPT + 1
