explain tells the evacuation that still holds, however old

Cause: a request refused a minute after an order showed no line that says why. Change: the last word on evacuated halls of each process belongs to a request's story.

--- a/src/spoolhead/_internal/utils/log_story.py
+++ b/src/spoolhead/_internal/utils/log_story.py
@@ -16,6 +16,7 @@
         "hall is silent",
         "entry stops",
         "entry ends",
+        "evacuated halls are known",
         "instance list is not readable",
         "instance list is read directly",
         "keeper is lost",
@@ -28,6 +29,8 @@
         "table in force",
     }
 )
+STANDING_TEXT = "evacuated halls are known"
+"""What a process wrote of this last holds for any time after."""
 _INSTANCE_FIELDS = ("upstream", "holder", "source", "target")
 _COMMON = frozenset({"time", "level", "logger", "text"})
 
@@ -101,7 +104,13 @@
     }
     from_s = own[0].time_s - BEFORE_S
     to_s = own[-1].time_s + AFTER_S
-    beliefs = [
+    standing = {
+        line.process: line
+        for line in known
+        if line.text == STANDING_TEXT and line.process in processes and line.time_s < from_s
+    }
+    beliefs = list(standing.values())
+    beliefs += [
         line
         for line in known
         if line.process in processes
--- a/tests/unit/test_log_story.py
+++ b/tests/unit/test_log_story.py
@@ -83,3 +83,14 @@
         check=True,
     )
     assert "upstream=i-9" in ran.stdout
+
+
+def test_an_evacuation_that_still_holds_is_told_however_old_it_is():
+    lines = (
+        _line(1.0, "evacuated halls are known", revision=1, halls=["hall-a"]),
+        _line(2.0, "evacuated halls are known", revision=2, halls=["hall-a", "hall-b"]),
+        _line(30.0, "attempt", request="r1", upstream="", evacuated=4),
+        _line(30.0, "refused", request="r1", code=2005),
+    )
+    story = _tell(lines, "r1")
+    assert [line.fields["revision"] for line in story.beliefs] == [2]
