A request that another instance turned away goes on, and all entries hear that the one meant is gone

Ruled out: engines without room, which answer otherwise. Change: 421 is no attempt and marks the instance as replaced for 4 s, told to all entries at once; so does a health answer that names another instance. The allowance of second attempts still bounds it.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -84,6 +84,11 @@
     def _take_one(
         self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
     ) -> None:
+        if alarm.kind is shared_load.AlarmKind.REPLACED:
+            if upstream.note_replaced(now_s):
+                fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
+                logger.info("upstream is said to be replaced", extra={"fields": fields})
+            return
         if alarm.kind is shared_load.AlarmKind.COLD:
             if upstream.note_cold(alarm.for_ms, now_s):
                 fields = {
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -45,6 +45,7 @@
         self._deadline_s = self._arrived_s + wait_ms / 1000
         self._timer = context.timers.call_later(wait_ms / 1000, self._on_deadline)
         self._tried: set[str] = set()
+        self._misdirected = 0
         self._ran = codes.Ran.NO
         self._attempt: attempts.Attempt | None = None
         caller.on_gone = self._on_caller_gone
@@ -198,6 +199,13 @@
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, now_s)
         self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
+        if attempt.head.is_misdirected and attempt.upstream.note_replaced(now_s):
+            fields = {
+                "upstream": attempt.upstream.instance.life_id,
+                "answers": attempt.head.instance_id,
+            }
+            logger.info("upstream is replaced", extra={"fields": fields})
+            self._context.on_replaced(attempt.upstream)
 
     def note_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Take note of an attempt whose connection was lost, or was never made."""
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -20,6 +20,7 @@
     :ivar chance: source of random numbers.
     :ivar on_change: called when what this entry holds at an instance has changed.
     :ivar on_lost_request: called with the id of an instance that took a request and lost it.
+    :ivar on_replaced: called with an instance at whose address another one was found to answer.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
     :ivar get_news_age_ms: returns the age of what is known of other entries' work.
     :ivar figures: counters and histograms.
@@ -43,6 +44,7 @@
         "get_silent_halls",
         "on_change",
         "on_lost_request",
+        "on_replaced",
         "queue",
         "reach",
         "timers",
@@ -59,6 +61,7 @@
         chance: random.Random,
         on_change: Callable[[], None],
         on_lost_request: Callable[[str], None],
+        on_replaced: Callable[[upstream_book.Upstream], None],
         get_silent_halls: Callable[[], frozenset[str]],
         get_news_age_ms: Callable[[], int],
         figures: entry_figures.EntryFigures,
@@ -71,6 +74,7 @@
         self.chance = chance
         self.on_change = on_change
         self.on_lost_request = on_lost_request
+        self.on_replaced = on_replaced
         self.get_silent_halls = get_silent_halls
         self.get_news_age_ms = get_news_age_ms
         self.figures = figures
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -30,7 +30,17 @@
 class _Probe:
     """One question; its answer raises an alarm if it is bad."""
 
-    __slots__ = ("began_s", "call", "cold_ms", "has_not_run", "owner", "path", "status", "upstream")
+    __slots__ = (
+        "began_s",
+        "call",
+        "cold_ms",
+        "has_not_run",
+        "instance_id",
+        "owner",
+        "path",
+        "status",
+        "upstream",
+    )
 
     def __init__(self, owner: "HealthWatch", upstream: upstream_book.Upstream, path: str) -> None:
         self.owner = owner
@@ -41,12 +51,14 @@
         self.status = 0
         self.has_not_run = False
         self.cold_ms = 0
+        self.instance_id = ""
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         self.status = status
         head = self.owner.dialect.read_answer(status, headers)
         self.has_not_run = head.has_not_run
         self.cold_ms = head.cold_ms or 0
+        self.instance_id = head.instance_id
 
     def on_answer_body(self, data: bytes) -> None:
         pass
@@ -77,6 +89,7 @@
     :param on_alarm: called with an instance that was found bad, and how.
     :param on_cold: called with an instance that has just said to be cold, and for how many
         milliseconds more.
+    :param on_replaced: called with an instance at whose address another one was found to answer.
     """
 
     def __init__(
@@ -92,6 +105,7 @@
         get_silent_halls: Callable[[], frozenset[str]],
         on_alarm: Callable[[upstream_book.Upstream, shared_load.AlarmKind], None],
         on_cold: Callable[[upstream_book.Upstream, int], None],
+        on_replaced: Callable[[upstream_book.Upstream], None],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -102,6 +116,7 @@
         self._get_silent_halls = get_silent_halls
         self._on_alarm = on_alarm
         self._on_cold = on_cold
+        self._on_replaced = on_replaced
         self._probes: dict[str, _Probe] = {}
         self._silences: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
@@ -114,6 +129,9 @@
         life_id = probe.upstream.instance.life_id
         self._probes.pop(life_id, None)
         silences = self._silences.pop(life_id, 0)
+        if probe.instance_id not in ("", probe.upstream.instance.instance_id):
+            self._take_other(probe.upstream, probe.instance_id)
+            return
         if probe.status == _OK and probe.cold_ms:
             self._take_cold(probe.upstream, probe.cold_ms)
         if probe.status == _OK or probe.upstream.is_leaving:
@@ -133,6 +151,14 @@
             logger.info("upstream says that it is not well", extra={"fields": fields})
             self._on_alarm(probe.upstream, kind)
 
+    def _take_other(self, upstream: upstream_book.Upstream, instance_id: str) -> None:
+        """Take note that another instance answers where this one was."""
+        if not upstream.note_replaced(time.monotonic()):
+            return
+        fields = {"upstream": upstream.instance.life_id, "answers": instance_id}
+        logger.info("upstream is replaced", extra={"fields": fields})
+        self._on_replaced(upstream)
+
     def _take_cold(self, upstream: upstream_book.Upstream, cold_ms: int) -> None:
         """Take an instance's word that it is cold, and pass on what is news."""
         if not upstream.note_cold(cold_ms, time.monotonic()):
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -66,6 +66,9 @@
             self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request")
         elif head.has_not_run:
             attempt.upstream.note_answer()
+            if head.is_misdirected:
+                # It never reached the instance that it was meant for.
+                self._attempts_made -= 1
             self._retry(codes.ResultCode.UPSTREAM_REFUSED, "not run", has_run=False)
         elif head.status in _SUCCESS and (not head.is_signed or head.is_encoded):
             self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer is not the upstream's own")
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -106,6 +106,7 @@
             chance=random.Random(),
             on_change=self._on_own_change,
             on_lost_request=self._sharing.tell_failure,
+            on_replaced=lambda upstream: self._news.take_replaced(upstream),
             get_silent_halls=self._sharing.get_silent_halls,
             get_news_age_ms=self._sharing.get_news_age_ms,
             figures=self._figures,
@@ -139,6 +140,7 @@
             get_silent_halls=self._sharing.get_silent_halls,
             on_alarm=self._news.take_alarm,
             on_cold=self._news.take_cold,
+            on_replaced=self._news.take_replaced,
         )
         self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
         self.loop.scheduler.call_every(REACH_CHECK_S, self._check_reach)
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -186,7 +186,9 @@
             self._guard.drop()
             self.drop_attempt()
             allowance = self._context.get_allowance(self.job.service.name)
-            may_repeat = len(self._tried) < self.job.route.attempts
+            # One that never reached the instance it was meant for is no attempt.
+            self._misdirected += head.is_misdirected
+            may_repeat = len(self._tried) - self._misdirected < self.job.route.attempts
             if may_repeat and allowance.take(time.monotonic()):
                 self._begin_run()
             else:
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -79,6 +79,12 @@
         kind = shared_load.AlarmKind.COLD
         self._sharing.tell_alarm(upstream.instance.life_id, kind, for_ms=cold_ms)
 
+    def take_replaced(self, upstream: upstream_book.Upstream) -> None:
+        """Tell the others of an instance at whose address another one answers."""
+        kind = shared_load.AlarmKind.REPLACED
+        self._sharing.tell_alarm(upstream.instance.life_id, kind)
+        self._context.queue.note_change()
+
     def empty(self, upstream: upstream_book.Upstream) -> None:
         """Have runs leave an instance that leaves or may do so."""
         fields = {
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -199,6 +199,8 @@
     :ivar is_encoded: the body carries an encoding that nobody asked for.
     :ivar is_closing: the instance closes the connection.
     :ivar load: its load; None where it tells none.
+    :ivar is_misdirected: another instance than the one meant answers at its address.
+    :ivar instance_id: id of the instance that answers; empty where it does not say.
     :ivar cold_ms: how much longer the instance is cold; None where it does not say.
     """
 
@@ -211,6 +213,8 @@
     is_closing: bool
     load: UpstreamLoad | None
     cold_ms: int | None = None
+    is_misdirected: bool = False
+    instance_id: str = ""
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -82,6 +82,8 @@
     """It took a request and gave no answer."""
     COLD = 4
     """It says that it is cold."""
+    REPLACED = 5
+    """Another instance answers at its address."""
 
 
 class Alarm:
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -28,6 +28,9 @@
 SENT_KEPT = 64
 """Requests to one instance whose times are remembered: more than an entry may send to a cold one
 in a second."""
+REPLACED_S = 4.0
+"""Time for which an instance gets nothing after another one has answered at its address: about as
+long as the platform lists an instance that is gone."""
 DISTRUST_S = 30.0
 """Time for which an instance that raised a false alarm is not believed again: some times what
 an ordinary disturbance lasts."""
@@ -73,6 +76,7 @@
         "_found_s",
         "_load",
         "_load_s",
+        "_replaced_until_s",
         "_reporters",
         "_rest_s",
         "_rest_until_s",
@@ -100,6 +104,7 @@
         self.has_started_again = False
         self.listed_cold: instances.Instance | None = None
         self._cold_until_s = -math.inf
+        self._replaced_until_s = -math.inf
         self._sent_s: collections.deque[float] = collections.deque(maxlen=SENT_KEPT)
         self._load: dialects.UpstreamLoad | None = None
         self._load_s = 0.0
@@ -138,7 +143,7 @@
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
         is_open = not self.is_evacuated and not self.is_departing(now_s)
-        return is_open and now_s >= self._rest_until_s
+        return is_open and not self.is_replaced(now_s) and now_s >= self._rest_until_s
 
     @property
     def expected_count(self) -> int:
@@ -149,6 +154,19 @@
         """Tell whether it has started a moment ago."""
         return now_s < self._cold_until_s
 
+    def is_replaced(self, now_s: float) -> bool:
+        """Tell whether another instance answers at its address, though it is still listed."""
+        return now_s < self._replaced_until_s
+
+    def note_replaced(self, now_s: float) -> bool:
+        """Take note that another instance answers at its address.
+
+        :returns: whether that is news.
+        """
+        is_news = not self.is_replaced(now_s)
+        self._replaced_until_s = now_s + REPLACED_S
+        return is_news
+
     def note_cold(self, cold_ms: int, now_s: float) -> bool:
         """Take note of how much longer it is cold, by its own word or the list's.
 
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -128,7 +128,11 @@
     :param need_tokens: memory that the request will hold at a model engine.
     :param excluded: runs of instances that it must not go to.
     """
-    staying = [upstream for upstream in upstreams if not upstream.is_leaving]
+    staying = [
+        upstream
+        for upstream in upstreams
+        if not upstream.is_leaving and not upstream.is_replaced(view.now_s)
+    ]
     reachable = [
         item
         for item in staying
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -9,7 +9,7 @@
 from spoolhead._internal.network import request_reader
 from spoolhead.platform import names, tables
 
-_NOT_RUN_STATUSES = frozenset({421})
+_MISDIRECTED_STATUS = 421
 _LONGEST_COLD = 9
 """Digits up to which the rest of a cold start is read: eleven days in milliseconds."""
 _EVACUATES = {"POST": True, "DELETE": False}
@@ -101,7 +101,9 @@
             headers=[item for item in headers if item[0] not in hidden],
             request_id=found.get(names.REQUEST_ID, ""),
             is_signed=bool(found.get(names.SIGNATURE)),
-            has_not_run=names.NOT_RUN in found or status in _NOT_RUN_STATUSES,
+            has_not_run=names.NOT_RUN in found or status == _MISDIRECTED_STATUS,
+            is_misdirected=status == _MISDIRECTED_STATUS,
+            instance_id=found.get(names.INSTANCE, ""),
             is_encoded=found.get("content-encoding", "identity") != "identity",
             is_closing=found.get("connection", "").lower() == "close",
             load=_read_load(found.get(names.LOAD, "")),
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -213,6 +213,7 @@
                 upstream.works.clear()
         self.ended = []
         self.lost = []
+        self.replaced = []
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
         wire = make_wire(headers=headers)
@@ -248,6 +249,7 @@
             chance=random.Random(1),
             on_change=lambda: None,
             on_lost_request=self.lost.append,
+            on_replaced=self.replaced.append,
             get_silent_halls=frozenset,
             get_news_age_ms=lambda: 20,
             figures=entry_figures.EntryFigures(figures.Figures()),
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -31,6 +31,7 @@
         self.book.take_list([gateway_setting.make_instance("i-1", hall="hall-b")], 0.0)
         self.alarms = []
         self.colds = []
+        self.replaced_ids = []
         self.silent = frozenset(silent)
         table = route_table.RouteTable(
             version=1,
@@ -54,6 +55,7 @@
             get_silent_halls=lambda: self.silent,
             on_alarm=lambda upstream, is_said: self.alarms.append(upstream),
             on_cold=lambda upstream, cold_ms: self.colds.append(cold_ms),
+            on_replaced=self.replaced_ids.append,
         )
 
     def ask(self):
@@ -159,3 +161,12 @@
     watch.calls.made[1].answer(200, [("x-cold-remaining", "700")])
     assert watch.colds == [900]
     assert not watch.alarms
+
+
+def test_another_instance_that_answers_is_no_word_of_the_one_asked():
+    watch = _Watch()
+    for _ in range(2):
+        watch.ask()
+        watch.calls.made[-1].answer(503, [("x-replica-id", "i-9")])
+    assert [item.instance.instance_id for item in watch.replaced_ids] == ["i-1"]
+    assert not watch.alarms
--- a/tests/unit/test_reborn_instances.py
+++ b/tests/unit/test_reborn_instances.py
@@ -261,3 +261,40 @@
     for number in range(3 * latest_starts.FORMER_KEPT):
         _take(book, _make(2_000, f"once-{number}"))
     assert len(book._starts._born_ms) <= latest_starts.FORMER_KEPT + 1
+
+
+MISDIRECTED = [("x-replica-id", "i-9")]
+
+
+@pytest.mark.parametrize("kind", [ONCE, STREAM, REPEATABLE])
+def test_what_another_instance_turns_away_goes_on_at_once_and_is_no_attempt(kind):
+    """Instances that crashed are listed for seconds, and their addresses answer for others."""
+    setting = gateway_setting.Setting(kind, attempts=1, names=("i-1", "i-2", "i-3"))
+    first = setting.last.address
+    setting.last.answer(421, MISDIRECTED)
+    assert setting.caller.status == 0
+    assert len(setting.calls.attempts) == 2
+    assert setting.last.address != first
+    (replaced,) = setting.replaced
+    assert replaced.instance.address == first
+
+
+def test_an_instance_whose_address_answers_for_another_gets_nothing_for_a_while():
+    book = upstream_book.UpstreamBook()
+    _take(book, _make(0))
+    (upstream,) = book.get_all()
+    assert upstream.note_replaced(100.0)
+    assert not upstream.note_replaced(100.5), "no news"
+    assert not upstream.is_usable(104.4)
+    assert upstream.is_usable(104.6)
+
+
+def test_one_entry_finds_out_for_all_that_an_instance_is_replaced():
+    made = load_fleet.LoadFleet(entries=24, halls=3, keepers=3, instances=3, loss=0.1)
+    made.run(1.0)
+    name = made.instances[0]
+    made.entries[0].sharing.tell_alarm(name, shared_load.AlarmKind.REPLACED)
+    made.run(0.1)
+    for entry in made.entries[1:]:
+        assert entry.book.get(name).is_replaced(made.clock())
+        assert entry.alarms == [], "its runs are not moved: there are none any more"
