Alarms: one match over their kinds

What each kind of alarm leads to stood in a row of early returns; behaviour and log lines are unchanged.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -84,26 +84,20 @@
     def _take_one(
         self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
     ) -> None:
-        if alarm.kind is shared_load.AlarmKind.REPLACED:
-            if upstream.note_replaced(now_s):
-                fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
-                logger.info("upstream is said to be replaced", extra={"fields": fields})
-            return
-        if alarm.kind is shared_load.AlarmKind.COLD:
-            if upstream.note_cold(alarm.for_ms, now_s):
-                fields = {
-                    "upstream": alarm.life_id,
-                    "told_by": alarm.finder,
-                    "for_ms": alarm.for_ms,
-                }
-                logger.info("upstream is cold", extra={"fields": fields})
-            return
-        if alarm.kind is shared_load.AlarmKind.LOST_REQUEST:
-            if upstream.note_told_failure(alarm.finder, now_s):
-                fields = {"upstream": alarm.life_id, "reason": f"told by {alarm.finder}"}
-                logger.warning("upstream rests", extra={"fields": fields})
-            return
-        if upstream.raise_alarm(now_s, alarm.kind):
-            fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
-            logger.info("upstream is said not to be well", extra={"fields": fields})
-            self._on_alarm(upstream)
+        fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
+        match alarm.kind:
+            case shared_load.AlarmKind.LOST_REQUEST:
+                if upstream.note_told_failure(alarm.finder, now_s):
+                    fields = {"upstream": alarm.life_id, "reason": f"told by {alarm.finder}"}
+                    logger.warning("upstream rests", extra={"fields": fields})
+            case shared_load.AlarmKind.COLD:
+                if upstream.note_cold(alarm.for_ms, now_s):
+                    cold_fields = {**fields, "for_ms": alarm.for_ms}
+                    logger.info("upstream is cold", extra={"fields": cold_fields})
+            case shared_load.AlarmKind.REPLACED:
+                if upstream.note_replaced(now_s):
+                    logger.info("upstream is said to be replaced", extra={"fields": fields})
+            case _:
+                if upstream.raise_alarm(now_s, alarm.kind):
+                    logger.info("upstream is said not to be well", extra={"fields": fields})
+                    self._on_alarm(upstream)
