Log lines name a request's content, so that repeats under other ids are seen

The incident's logs could not tell whether the requests lost at a series of ends were one request again and again, or what happened to be there.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -63,6 +63,7 @@
         """Return the fields that each log line of the request has."""
         return {
             "request": self.job.head.request_id,
+            "content": self.job.content_id.hex(),
             "route": self.job.route.name,
             "service": self.job.service.name,
             "table_version": self.job.version,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -38,7 +38,7 @@
     small_server,
     upstream_calls,
 )
-from spoolhead._internal.policy import hall_reach, upstream_book
+from spoolhead._internal.policy import hall_reach, request_content, upstream_book
 from spoolhead._internal.routing import matcher, table_checks
 from spoolhead._internal.utils import endpoints, figures
 
@@ -311,7 +311,9 @@
             return fault.Fault(code, "the API key belongs to no workspace")
         service = table.get_service(matcher.choose_service(route, self._context.chance))
         assert service is not None
-        return routed_job.Job(head, route, service, workspace, table.version)
+        owner = workspace.name if workspace is not None else ""
+        content_id = request_content.get_content_id(caller.request, head.host, owner)
+        return routed_job.Job(head, route, service, workspace, table.version, content_id)
 
     def _weigh_refusal(self, item: fault.Fault) -> fault.Fault:
         """Return what a caller is told whom the table lets nowhere.
--- a/src/spoolhead/_internal/gateway/routed_job.py
+++ b/src/spoolhead/_internal/gateway/routed_job.py
@@ -14,9 +14,10 @@
     :ivar service: service that it goes to.
     :ivar workspace: whose it is; None on a route without keys.
     :ivar version: version of the table that decided this.
+    :ivar content_id: name of what it asks, the same for each repeat of it.
     """
 
-    __slots__ = ("head", "route", "service", "version", "workspace")
+    __slots__ = ("content_id", "head", "route", "service", "version", "workspace")
 
     def __init__(
         self,
@@ -25,12 +26,14 @@
         service: route_table.Service,
         workspace: route_table.Workspace | None,
         version: int,
+        content_id: bytes,
     ) -> None:
         self.head = head
         self.route = route
         self.service = service
         self.workspace = workspace
         self.version = version
+        self.content_id = content_id
 
     @property
     def workspace_name(self) -> str:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -13,7 +13,7 @@
 )
 from spoolhead._internal.models import dialects, instances, route_table, settings
 from spoolhead._internal.network import request_reader
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import request_content, upstream_book
 from spoolhead._internal.utils import figures
 from spoolhead.platform import dialect
 
@@ -255,7 +255,8 @@
             figures=entry_figures.EntryFigures(figures.Figures()),
         )
         self.caller = RoutedCaller(wire)
-        job = routed_job.Job(head, route, service, workspace, 7)
+        content_id = request_content.get_content_id(wire, head.host, workspace.name)
+        job = routed_job.Job(head, route, service, workspace, 7, content_id)
         cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         self.exchange = cls(job, self.caller, context, self.ended.append)
         self.exchange.start()
