--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -17,6 +17,9 @@
 """Instances for which that pause is kept."""
 
 
+_ENDS = (shared_load.AlarmKind.ENDED, shared_load.AlarmKind.REPLACED)
+
+
 class _Raised:
     """An alarm of this entry and when it was raised."""
 
@@ -34,6 +37,8 @@
     :param first_sequence: above every number that a former run of the entry gave out.
     :param book: the instances.
     :param on_alarm: called with an instance that another entry found bad.
+    :param on_ended: called with the run of an instance that another entry found to have ended, and
+        with what shows it.
     """
 
     def __init__(
@@ -42,11 +47,13 @@
         first_sequence: int,
         book: upstream_book.UpstreamBook,
         on_alarm: Callable[[upstream_book.Upstream], None],
+        on_ended: Callable[[str, str], None],
     ) -> None:
         self._name = name
         self._sequence = first_sequence
         self._book = book
         self._on_alarm = on_alarm
+        self._on_ended = on_ended
         self._raised: list[_Raised] = []
         self._told_s: dict[str, float] = {}
 
@@ -77,6 +84,10 @@
     def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
         """Take what other entries found."""
         for alarm in alarms:
+            if alarm.kind in _ENDS and alarm.finder != self._name:
+                self._on_ended(alarm.life_id, f"told by {alarm.finder}")
+            if alarm.kind is shared_load.AlarmKind.ENDED:
+                continue
             upstream = self._book.get(alarm.life_id)
             if alarm.finder != self._name and upstream is not None and not upstream.is_leaving:
                 self._take_one(alarm, upstream, now_s)
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -1,5 +1,6 @@
 """One attempt at an instance, and what its owner is told of it."""
 
+import time
 from typing import Protocol
 
 from spoolhead._internal.models import dialects
@@ -28,6 +29,7 @@
 
     :ivar upstream: the instance.
     :ivar is_resumed: a run goes on there from a copy.
+    :ivar sent_s: when it was sent.
     :ivar call: the call; None until it is made.
     :ivar head: head of the answer; None before it.
     :ivar body: parts of the body that were not passed on.
@@ -43,6 +45,7 @@
         "has_ended",
         "head",
         "is_resumed",
+        "sent_s",
         "upstream",
     )
 
@@ -52,6 +55,7 @@
         self._owner = owner
         self.upstream = upstream
         self.is_resumed = is_resumed
+        self.sent_s = time.monotonic()
         self.call: upstream_calls.UpstreamCall | None = None
         self.head: dialects.AnswerHead | None = None
         self.body: list[bytes] = []
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/content_watch.py
@@ -0,0 +1,142 @@
+"""What an entry finds out about requests that end the instances which run them, and hears of them.
+
+What is decided from it is worked out in :mod:`spoolhead._internal.policy.quarantine`.
+"""
+
+import logging
+from collections.abc import Callable
+
+from spoolhead._internal.load_telling import hub_port
+from spoolhead._internal.models import content_record, shared_load
+from spoolhead._internal.policy import content_book, lost_runs, quarantine
+
+logger = logging.getLogger(__name__)
+
+
+class ContentWatch:
+    """Keeps what one entry knows of contents that may end instances.
+
+    :param name: the entry's name.
+    :param clock: monotonic time in seconds.
+    :param tell: called when something is to be told at once.
+    :param on_held: called with the name of a content that is held from now on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        *,
+        clock: hub_port.Clock,
+        tell: Callable[[], None],
+        on_held: Callable[[bytes], None],
+    ) -> None:
+        self._clock = clock
+        self._tell = tell
+        self._on_held = on_held
+        self._quarantine = quarantine.Quarantine(name)
+        self._telling = content_book.ContentTelling(self._quarantine.book)
+        self._runs = lost_runs.LostRuns()
+
+    @property
+    def held_count(self) -> int:
+        """Contents that are held."""
+        return self._quarantine.held_count
+
+    @property
+    def has_more_to_tell(self) -> bool:
+        """Whether something is left to tell."""
+        return self._telling.has_more
+
+    def judge(self, content_id: bytes) -> quarantine.Verdict:
+        """Decide on a request that has just come."""
+        return self._quarantine.judge(content_id, self._clock())
+
+    def is_held(self, content_id: bytes) -> bool:
+        """Tell whether a content is held."""
+        return self._quarantine.is_held(content_id)
+
+    def is_suspect(self, content_id: bytes) -> bool:
+        """Tell whether a content was at an instance that ended, and has not ended well since."""
+        return self._quarantine.is_suspect(content_id)
+
+    def claim(self, content_id: bytes) -> None:
+        """Claim the one run that a held content is given."""
+        self._note(self._quarantine.claim(content_id, self._clock()), "claimed here")
+
+    def may_try(self, content_id: bytes) -> bool:
+        """Tell whether this entry's claim still stands, once."""
+        return self._quarantine.may_try(content_id)
+
+    def note_lost(self, life_id: str, content_id: bytes, sent_s: float) -> None:
+        """Take note of a request that an instance took and lost."""
+        now_s = self._clock()
+        run = lost_runs.LostRun(content_id, sent_s=sent_s, lost_s=now_s)
+        if self._runs.note_lost(life_id, run):
+            self._count(life_id, run, "lost after that")
+
+    def note_ended(self, life_id: str, evidence: str) -> None:
+        """Take note that a run of an instance has ended, and of what shows it."""
+        for run in self._runs.note_ended(life_id, self._clock()):
+            self._count(life_id, run, evidence)
+
+    def note_alive(self, life_id: str) -> None:
+        """Take note that a run of an instance lives."""
+        self._runs.note_alive(life_id)
+
+    def note_sound(self, content_id: bytes) -> None:
+        """Take note of a request that has ended well."""
+        record = self._quarantine.note_sound(content_id, self._clock())
+        if record is not None:
+            self._note(record, "it ended well here")
+
+    def take(self, hub: str, news: shared_load.ContentNews) -> None:
+        """Take what a hub tells."""
+        now_s = self._clock()
+        for record in self._quarantine.take(list(news.records), now_s):
+            self._log(record, f"told by {hub}")
+            self._tell_if_held(record)
+        self._telling.note_digest(hub, news.digest, now_s)
+
+    def make_news(self) -> shared_load.ContentNews:
+        """Return what a report made now should carry."""
+        part = self._telling.take_part(self._clock())
+        return shared_load.ContentNews(part, self._quarantine.book.digest)
+
+    def make_sign(self) -> shared_load.ContentNews:
+        """Return what a report carries that tells nothing."""
+        return shared_load.ContentNews(digest=self._quarantine.book.digest)
+
+    def begin_hub(self) -> None:
+        """Tell all to a hub that is new to this entry, and may be new to all."""
+        self._telling.tell_all(self._clock())
+
+    def _count(self, life_id: str, run: lost_runs.LostRun, evidence: str) -> None:
+        key = shared_load.get_key(life_id)
+        record = self._quarantine.note_end(run.content_id, key, run.sent_s, run.lost_s)
+        if record is not None:
+            self._note(record, f"{life_id} ended: {evidence}")
+
+    def _note(self, record: content_record.ContentRecord, reason: str) -> None:
+        """Pass on what this entry has found out itself."""
+        self._log(record, reason)
+        self._telling.note_changed(record.content_id)
+        self._tell()
+        self._tell_if_held(record)
+
+    def _tell_if_held(self, record: content_record.ContentRecord) -> None:
+        if quarantine.is_held(record):
+            self._on_held(record.content_id)
+
+    def _log(self, record: content_record.ContentRecord, reason: str) -> None:
+        fields = {
+            "content": record.content_id.hex(),
+            "epoch": record.epoch,
+            "ends": len(record.ends),
+            "waves": record.waves,
+            "trials": record.trials,
+            "trier": record.trier,
+            "is_held": quarantine.is_held(record),
+            "is_by_hand": record.is_by_hand,
+            "reason": reason,
+        }
+        logger.info("content is judged anew", extra={"fields": fields})
--- a/src/spoolhead/_internal/gateway/entry_figures.py
+++ b/src/spoolhead/_internal/gateway/entry_figures.py
@@ -31,6 +31,10 @@
         self.evacuated_halls = made.make_gauge(
             "spoolhead_evacuated_halls", "Halls to which nothing more is sent."
         )
+        self.held_contents = made.make_gauge(
+            "spoolhead_held_contents",
+            "Contents of requests that are held since instances ended under them.",
+        )
         self.in_flight = made.make_gauge("spoolhead_in_flight", "Requests in hand.")
         self.waiting = made.make_gauge(
             "spoolhead_waiting", "Generations that wait at this entry for an engine with room."
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -7,7 +7,7 @@
 from spoolhead._internal.gateway import attempts, exchange_context, refusals, routed_job
 from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import caller_front, links, upstream_calls
-from spoolhead._internal.policy import run_admission, upstream_book, upstream_choice
+from spoolhead._internal.policy import quarantine, run_admission, upstream_book, upstream_choice
 
 logger = logging.getLogger(__name__)
 
@@ -48,6 +48,8 @@
         self._misdirected = 0
         self._ran = codes.Ran.NO
         self._attempt: attempts.Attempt | None = None
+        self._runs_apart = False
+        self._is_trial = False
         caller.on_gone = self._on_caller_gone
 
     @property
@@ -70,6 +72,31 @@
             "age_ms": int((time.monotonic() - self._arrived_s) * 1000),
         }
 
+    def begin(self) -> None:
+        """Make the first attempt, unless the request is held since it ends what runs it."""
+        content_id = self.job.content_id
+        match self._context.contents.judge(content_id):
+            case quarantine.Verdict.REFUSE:
+                self.hold_back()
+            case quarantine.Verdict.CLAIM:
+                logger.info("trial of a held request", extra={"fields": self.get_fields()})
+                self._is_trial = True
+                self._context.contents.claim(content_id)
+                self._context.timers.call_later(quarantine.CLAIM_S, self._try_claimed)
+            case verdict:
+                self._runs_apart = verdict is quarantine.Verdict.RUN_APART
+                self.start()
+
+    def hold_back(self) -> None:
+        """Refuse the request, or give it up where it runs and nothing was passed on yet.
+
+        When to come back is not said: its next run would end another instance.
+        """
+        if self._is_trial or self.caller.is_started:
+            return
+        text = "upstreams have ended each time that this request ran"
+        self.fail(codes.ResultCode.REQUEST_HELD, text, retry_after_ms=None)
+
     def choose(self, need_tokens: int) -> upstream_choice.Choice:
         """Choose an instance that was not tried yet."""
         context = self._context
@@ -82,13 +109,15 @@
             cold_starts=context.cold_starts,
             chance=context.chance,
         )
-        return upstream_choice.choose(
+        choice = upstream_choice.choose(
             self.job.service,
             context.book.get_service(self.job.service.name),
             need_tokens=need_tokens,
             excluded=self._tried,
             view=view,
         )
+        # What may end its instance should take few others with it.
+        return choice.prefer_least_shared() if self._runs_apart else choice
 
     def log_choice(self, action: str, choice: upstream_choice.Choice) -> None:
         """Log where the request goes and what it was chosen from."""
@@ -133,9 +162,16 @@
         )
 
     def fail(
-        self, code: codes.ResultCode, text: str, *, retry_after_ms: int = RETRY_AFTER_MS
+        self,
+        code: codes.ResultCode,
+        text: str,
+        *,
+        retry_after_ms: int | None = RETRY_AFTER_MS,
     ) -> None:
-        """Give the request its final answer at once."""
+        """Give the request its final answer at once.
+
+        :param retry_after_ms: when to come back if it has not run; None to say nothing of it.
+        """
         if self.is_over:
             return
         if self._ran is codes.Ran.NO and self.has_sent:
@@ -216,10 +252,25 @@
             self._context.reach.note_time_out(attempt.upstream.instance.hall, time.monotonic())
         if not is_unreachable and attempt.head is None:
             self._context.on_lost_request(attempt.upstream.instance.life_id)
+        if not is_unreachable:
+            self._note_lost_run(attempt)
         if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.life_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
 
+    def _note_lost_run(self, attempt: attempts.Attempt) -> None:
+        """Take note that the request was at an instance which may have ended under it."""
+        upstream = attempt.upstream
+        if upstream.is_ending_as_planned(time.monotonic()):
+            return
+        life_id = upstream.instance.life_id
+        self._context.contents.note_lost(life_id, self.job.content_id, attempt.sent_s)
+        self._context.ask_lost(upstream)
+
+    def note_sound(self) -> None:
+        """Take note that an instance has run the request and lives."""
+        self._context.contents.note_sound(self.job.content_id)
+
     def on_upstream_ended(self) -> None:
         """End the present attempt if the run of the instance that it went to is over.
 
@@ -251,6 +302,17 @@
     def _on_deadline(self) -> None:
         self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
 
+    def _try_claimed(self) -> None:
+        """Run a held request by itself, if no other entry does."""
+        if self.is_over:
+            return
+        if not self._context.contents.may_try(self.job.content_id):
+            self._is_trial = False
+            self.hold_back()
+            return
+        self._runs_apart = True
+        self.start()
+
     def _on_caller_gone(self) -> None:
         if self.is_over:
             return
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import entry_figures, run_queue
+from spoolhead._internal.gateway import content_watch, entry_figures, run_queue
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
@@ -28,15 +28,20 @@
     :ivar entry_count: entries that there are.
     :ivar reach: which halls can be reached.
     :ivar cold_starts: what this entry may send to instances that are cold.
+    :ivar contents: what is known of requests that may end instances.
+    :ivar ask_lost: called with an instance that took a request and lost it, to find out whether it
+        has ended.
     """
 
     __slots__ = (
         "_allowances",
+        "ask_lost",
         "book",
         "calls",
         "chance",
         "cold_starts",
         "config",
+        "contents",
         "dialect",
         "entry_count",
         "figures",
@@ -62,6 +67,8 @@
         on_change: Callable[[], None],
         on_lost_request: Callable[[str], None],
         on_replaced: Callable[[upstream_book.Upstream], None],
+        contents: content_watch.ContentWatch,
+        ask_lost: Callable[[upstream_book.Upstream], None],
         get_silent_halls: Callable[[], frozenset[str]],
         get_news_age_ms: Callable[[], int],
         figures: entry_figures.EntryFigures,
@@ -75,6 +82,8 @@
         self.on_change = on_change
         self.on_lost_request = on_lost_request
         self.on_replaced = on_replaced
+        self.contents = contents
+        self.ask_lost = ask_lost
         self.get_silent_halls = get_silent_halls
         self.get_news_age_ms = get_news_age_ms
         self.figures = figures
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -10,7 +10,7 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 
-from spoolhead._internal.gateway import alarm_exchange
+from spoolhead._internal.gateway import alarm_exchange, content_watch
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
@@ -52,6 +52,7 @@
     :param timers: calls back.
     :param config: the entry's settings.
     :param book: the instances.
+    :param contents: what is known of requests that may end instances; told along.
     :param send: sends a datagram.
     :param on_alarm: called with an instance that another entry found bad.
     :param on_news: called when what others hold has changed.
@@ -63,6 +64,7 @@
         timers: scheduler.Scheduler,
         config: settings.GatewaySettings,
         book: upstream_book.UpstreamBook,
+        contents: content_watch.ContentWatch,
         *,
         send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_book.Upstream], None],
@@ -89,7 +91,10 @@
             bytes_per_s=config.hub_bytes_per_s,
             clock=clock,
         )
-        self._alarms = alarm_exchange.AlarmExchange(config.name, self._sequence, book, on_alarm)
+        self._contents = contents
+        self._alarms = alarm_exchange.AlarmExchange(
+            config.name, self._sequence, book, on_alarm, contents.note_ended
+        )
         self._silent_halls: frozenset[str] = frozenset()
         self._report_timer: scheduler.Timer | None = None
         self._reported_s = 0.0
@@ -148,6 +153,10 @@
         if self._alarms.is_failure_due(life_id, self._clock()):
             self.tell_alarm(life_id, shared_load.AlarmKind.LOST_REQUEST)
 
+    def tell_contents(self) -> None:
+        """Tell soon what is new of contents that may end instances."""
+        self.note_change()
+
     def note_change(self) -> None:
         """Report this entry's work soon."""
         if self._report_timer is not None:
@@ -170,6 +179,7 @@
     def _take_update(self, update: shared_load.Update, sender: endpoints.Endpoint) -> None:
         now_s = self._clock()
         self._alarms.take(update.alarms, now_s)
+        self._contents.take(update.hub, update.contents)
         before = self._choice.present
         heard = self._choice.note_heard(sender, now_s)
         if heard is hub_choice.Heard.OTHER:
@@ -201,6 +211,7 @@
         if before is not None:
             self._send(self._make_report(is_reporter=False), before)
         self._view.begin_hub()
+        self._contents.begin_hub()
 
     def _show_to_hubs(self) -> None:
         """Show other hubs than the own one that entries of this hall are alive."""
@@ -223,6 +234,8 @@
         data = self._make_report(is_reporter=True)
         self._report_bytes = len(data)
         self._send(data, hub)
+        if self._contents.has_more_to_tell:
+            self.note_change()
 
     def _make_report(self, *, is_reporter: bool) -> bytes:
         now_s = self._clock()
@@ -237,6 +250,7 @@
             is_reporter=is_reporter,
             rows=rows,
             alarms=self._alarms.get_raised(now_s) if is_reporter else [],
+            contents=self._contents.make_news() if is_reporter else self._contents.make_sign(),
         )
         return shared_load.encode_report(report)
 
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -119,6 +119,9 @@
             return False
         if not arrived:
             return True
+        if self._context.contents.is_suspect(self.job.content_id):
+            # The next instance may end as well.
+            return False
         if self._attempts_made >= self.job.route.attempts:
             return False
         allowance = self._context.get_allowance(self.job.service.name)
@@ -128,6 +131,7 @@
         head = attempt.head
         assert head is not None
         self._ran = codes.Ran.YES
+        self.note_sound()
         self.caller.send_whole(head.status, head.headers, b"".join(attempt.body))
         fields = {
             **self.get_fields(),
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -6,6 +6,8 @@
 from http import HTTPStatus
 
 from spoolhead._internal.gateway import (
+    content_watch,
+    end_watch,
     entry_figures,
     exchange,
     exchange_context,
@@ -86,17 +88,33 @@
         self._figures = entry_figures.EntryFigures(made)
         self._figures.in_flight.set_function(lambda: len(self._exchanges))
         self._book = upstream_book.UpstreamBook()
+        self._contents = content_watch.ContentWatch(
+            config.name,
+            clock=time.monotonic,
+            tell=lambda: self._sharing.tell_contents(),
+            on_held=self._hold_back,
+        )
+        self._figures.held_contents.set_function(lambda: self._contents.held_count)
         address = (config.host, config.peer_port)
         sock = load_socket.LoadSocket(self.loop, address, self._take_load)
         self._sharing = load_sharing.LoadSharing(
             self.loop.scheduler,
             config,
             self._book,
+            self._contents,
             send=sock.send,
             on_alarm=lambda upstream: self._news.empty(upstream),
             on_news=self._on_news,
         )
         self._figures.news_age_ms.set_function(self._sharing.get_news_age_ms)
+        self._end_watch = end_watch.EndWatch(
+            calls,
+            self.loop.scheduler,
+            dialect,
+            self._contents,
+            tell_alarm=self._sharing.tell_alarm,
+            get_table=lambda: self._matcher,
+        )
         self._context = exchange_context.Context(
             config=config,
             dialect=dialect,
@@ -107,6 +125,8 @@
             on_change=self._on_own_change,
             on_lost_request=self._sharing.tell_failure,
             on_replaced=lambda upstream: self._news.take_replaced(upstream),
+            contents=self._contents,
+            ask_lost=self._end_watch.ask,
             get_silent_halls=self._sharing.get_silent_halls,
             get_news_age_ms=self._sharing.get_news_age_ms,
             figures=self._figures,
@@ -293,7 +313,13 @@
         cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         item = cls(matched, caller, self._context, self._exchanges.discard)
         self._exchanges.add(item)
-        item.start()
+        item.begin()
+
+    def _hold_back(self, content_id: bytes) -> None:
+        """Refuse what waits of a content that is held from now on, and end what runs of it."""
+        for item in list(self._exchanges):
+            if item.job.content_id == content_id:
+                item.hold_back()
 
     def _match(
         self, head: dialects.RequestHead, caller: caller_front.Caller
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -2,9 +2,17 @@
 
 import logging
 import time
-
-from spoolhead._internal.gateway import attempts, exchange, run_guard
+from collections.abc import Callable
+
+from spoolhead._internal.gateway import (
+    attempts,
+    exchange,
+    exchange_context,
+    routed_job,
+    run_guard,
+)
 from spoolhead._internal.models import codes, dialects
+from spoolhead._internal.network import caller_front
 from spoolhead._internal.policy import run_admission, run_safety, upstream_book, upstream_choice
 from spoolhead._internal.relay import pace_meter, splice
 
@@ -18,11 +26,20 @@
 class StreamExchange(exchange.Exchange):
     """One streamed request."""
 
-    _guard: run_guard.RunGuard
-    _splice: splice.Splice
-    _pace: pace_meter.PaceMeter
     admission: run_admission.Request
 
+    def __init__(
+        self,
+        job: routed_job.Job,
+        caller: caller_front.Caller,
+        context: exchange_context.Context,
+        on_end: Callable[[exchange.Exchange], None],
+    ) -> None:
+        super().__init__(job, caller, context, on_end)
+        self._splice = splice.Splice(job.head.last_event_id)
+        self._guard = run_guard.RunGuard(self, job, context)
+        self._pace = pace_meter.PaceMeter(self._arrived_s)
+
     @property
     def upstream(self) -> upstream_book.Upstream | None:
         """Where the run is."""
@@ -64,9 +81,6 @@
 
     def start(self) -> None:
         """Begin the run at the best instance."""
-        self._splice = splice.Splice(self.job.head.last_event_id)
-        self._guard = run_guard.RunGuard(self, self.job, self._context)
-        self._pace = pace_meter.PaceMeter(self._arrived_s)
         self._begin_run()
 
     def try_to_begin(self) -> bool:
@@ -103,6 +117,9 @@
         """Go on at the copy, before the instance that leaves is gone."""
         if self.is_over or self._attempt is None or self._attempt.has_ended:
             return
+        if self._context.contents.is_held(self.job.content_id):
+            # It would end the instance that has the copy, too.
+            return
         copy = self._guard.take()
         if copy is not None:
             self._resume(copy)
@@ -199,6 +216,7 @@
             self._break("the answer is not the upstream's own")
             return
         self._ran = codes.Ran.YES
+        self.note_sound()
         self.caller.send_whole(head.status, head.headers, b"".join(attempt.body))
         fields = {**self.get_fields(), "status": head.status}
         logger.info("answered", extra={"fields": fields})
@@ -277,6 +295,7 @@
         return not self.is_over
 
     def _finish(self, head: dialects.AnswerHead) -> None:
+        self.note_sound()
         rest = self._splice.finish()
         if rest or not self.caller.is_started:
             self._pass_on(head, rest)
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -37,13 +37,15 @@
     def take_list(self, listed: list[instances.Instance]) -> None:
         """Take over a reading of the list of instances."""
         book = self._context.book
-        known = {upstream.instance.life_id for upstream in book.get_all()}
+        before = book.get_all()
+        known = {upstream.instance.life_id for upstream in before}
         leaving = book.take_list(listed, time.monotonic())
         now_known = {upstream.instance.life_id for upstream in book.get_all()}
         for life_id in sorted(now_known - known):
             logger.info("upstream came", extra={"fields": {"upstream": life_id}})
         for life_id in sorted(known - now_known):
             logger.info("upstream is gone", extra={"fields": {"upstream": life_id}})
+        self._note_ended(before)
         self._sharing.refresh()
         self._context.cold_starts.forget_quotas()
         self._context.queue.note_change()
@@ -53,6 +55,12 @@
             else:
                 self.empty(upstream)
 
+    def _note_ended(self, before: list[upstream_book.Upstream]) -> None:
+        """Take note of instances that are gone without a word: they have ended."""
+        for upstream in before:
+            if upstream.is_gone and not upstream.instance.is_leaving:
+                self._context.contents.note_ended(upstream.instance.life_id, "no longer listed")
+
     def take_evacuations(self, halls: frozenset[str]) -> None:
         """Send nothing more to instances of these halls, and to all others again.
 
@@ -81,6 +89,7 @@
 
     def take_replaced(self, upstream: upstream_book.Upstream) -> None:
         """Tell the others of an instance at whose address another one answers."""
+        self._context.contents.note_ended(upstream.instance.life_id, "another answers")
         kind = shared_load.AlarmKind.REPLACED
         self._sharing.tell_alarm(upstream.instance.life_id, kind)
         self._context.queue.note_change()
--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -50,6 +50,7 @@
     ONCE_CLAIM_UNAVAILABLE = 2008
     ENTRY_FULL = 2009
     TABLE_UNCONFIRMED = 2010
+    REQUEST_HELD = 2011
 
     UPSTREAM_UNREACHABLE = 3001
     UPSTREAM_LOST = 3002
@@ -174,6 +175,10 @@
         _S.SERVICE_UNAVAILABLE,
         "The table lets the request nowhere, but this entry cannot tell whether it is the newest.",
     ),
+    ResultCode.REQUEST_HELD: CodeFacts(
+        _S.SERVICE_UNAVAILABLE,
+        "Instances ended each time that this request ran, so it is held back; see CALLERS.md.",
+    ),
     ResultCode.UPSTREAM_UNREACHABLE: CodeFacts(
         _S.BAD_GATEWAY, "No connection to an upstream could be made."
     ),
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -2,7 +2,8 @@
 
 An entry reports to one hub what it holds, hubs tell each other the totals of their reporters, and
 each hub updates its reporters with the totals of all. Every datagram holds absolute values, so a
-lost one is made good by a later one.
+lost one is made good by a later one. Records of contents that may end instances go along; see
+:mod:`spoolhead._internal.policy.content_book`.
 """
 
 import enum
@@ -11,6 +12,8 @@
 import msgpack
 import xxhash
 
+from spoolhead._internal.models import content_record
+
 _ROW_FIELDS = 4
 _REPORT = 1
 _TOTALS = 2
@@ -84,6 +87,8 @@
     """It says that it is cold."""
     REPLACED = 5
     """Another instance answers at its address."""
+    ENDED = 6
+    """It lost a request and refuses connections: its process has ended."""
 
 
 class Alarm:
@@ -108,6 +113,20 @@
         self.for_ms = for_ms
 
 
+class ContentNews:
+    """What a process tells of contents that may end instances.
+
+    :ivar records: some of its records.
+    :ivar digest: number that stands for all of them.
+    """
+
+    __slots__ = ("digest", "records")
+
+    def __init__(self, records: Sequence[content_record.AgedRecord] = (), digest: int = 0) -> None:
+        self.records = list(records)
+        self.digest = digest
+
+
 class HallAge:
     """How long ago a hall's entries were last heard.
 
@@ -132,9 +151,10 @@
         shows that the entry is alive, and a hub that counted it before forgets it.
     :ivar rows: all its work.
     :ivar alarms: instances that it has found bad lately.
+    :ivar contents: what it tells of contents.
     """
 
-    __slots__ = ("alarms", "hall", "is_reporter", "rows", "sender", "sequence")
+    __slots__ = ("alarms", "contents", "hall", "is_reporter", "rows", "sender", "sequence")
 
     def __init__(
         self,
@@ -145,7 +165,9 @@
         is_reporter: bool,
         rows: Rows,
         alarms: Sequence[Alarm],
+        contents: ContentNews | None = None,
     ) -> None:
+        self.contents = contents or ContentNews()
         self.sender = sender
         self.hall = hall
         self.sequence = sequence
@@ -162,9 +184,10 @@
     :ivar rows: a part of the totals, with those that changed.
     :ivar ages: halls that this hub hears directly.
     :ivar alarms: alarms that its reporters raised.
+    :ivar contents: what it tells of contents.
     """
 
-    __slots__ = ("ages", "alarms", "hub", "rows", "sequence")
+    __slots__ = ("ages", "alarms", "contents", "hub", "rows", "sequence")
 
     def __init__(
         self,
@@ -174,7 +197,9 @@
         rows: Rows,
         ages: Sequence[HallAge],
         alarms: Sequence[Alarm],
+        contents: ContentNews | None = None,
     ) -> None:
+        self.contents = contents or ContentNews()
         self.hub = hub
         self.sequence = sequence
         self.rows = rows
@@ -185,14 +210,16 @@
 class Update:
     """What all entries hold, told by a hub to its reporters in parts.
 
+    :ivar hub: name of the hub.
     :ivar sequence: rises with each, across restarts.
     :ivar rows: a part of the totals, with those that changed.
     :ivar ages: halls that were heard of.
     :ivar alarms: alarms that any entry raised.
     :ivar counted: sequence of the receiver's report that the totals contain.
+    :ivar contents: what it tells of contents.
     """
 
-    __slots__ = ("ages", "alarms", "counted", "rows", "sequence")
+    __slots__ = ("ages", "alarms", "contents", "counted", "hub", "rows", "sequence")
 
     def __init__(
         self,
@@ -202,7 +229,11 @@
         ages: Sequence[HallAge],
         alarms: Sequence[Alarm],
         counted: int = 0,
+        contents: ContentNews | None = None,
+        hub: str = "",
     ) -> None:
+        self.contents = contents or ContentNews()
+        self.hub = hub
         self.sequence = sequence
         self.rows = rows
         self.ages = ages
@@ -217,21 +248,23 @@
     """Write an entry's report."""
     fields = [report.sender, report.hall, report.sequence, report.is_reporter]
     rows, alarms = _list_rows(report.rows), _list_alarms(report.alarms)
-    return msgpack.packb([_REPORT, *fields, rows, alarms])
+    return msgpack.packb([_REPORT, *fields, rows, alarms, _list_contents(report.contents)])
 
 
 def encode_totals(totals: Totals) -> bytes:
     """Write a hub's totals."""
     rows, alarms = _list_rows(totals.rows), _list_alarms(totals.alarms)
-    return msgpack.packb(
-        [_TOTALS, totals.hub, totals.sequence, rows, _list_ages(totals.ages), alarms]
-    )
+    contents = _list_contents(totals.contents)
+    fields = [totals.hub, totals.sequence, rows, _list_ages(totals.ages), alarms, contents]
+    return msgpack.packb([_TOTALS, *fields])
 
 
 def encode_update(update: Update) -> bytes:
     """Write the part of an update that is the same for all reporters."""
     rows, alarms = _list_rows(update.rows), _list_alarms(update.alarms)
-    return msgpack.packb([_UPDATE, update.sequence, rows, _list_ages(update.ages), alarms])
+    contents = _list_contents(update.contents)
+    fields = [update.hub, update.sequence, rows, _list_ages(update.ages), alarms, contents]
+    return msgpack.packb([_UPDATE, *fields])
 
 
 def address_update(encoded: bytes, counted: int) -> bytes:
@@ -265,7 +298,13 @@
 
 
 def _read_report(
-    sender: object, hall: object, sequence: int, is_reporter: object, rows: list, alarms: list
+    sender: object,
+    hall: object,
+    sequence: int,
+    is_reporter: object,
+    rows: list,
+    alarms: list,
+    contents: list,
 ) -> Report:
     return Report(
         sender=str(sender),
@@ -274,21 +313,29 @@
         is_reporter=bool(is_reporter),
         rows=_read_rows(rows),
         alarms=_read_alarms(alarms),
+        contents=_read_contents(contents),
     )
 
 
-def _read_totals(hub: object, sequence: int, rows: list, ages: list, alarms: list) -> Totals:
+def _read_totals(
+    hub: object, sequence: int, rows: list, ages: list, alarms: list, contents: list
+) -> Totals:
     return Totals(
         hub=str(hub),
         sequence=int(sequence),
         rows=_read_rows(rows),
         ages=_read_ages(ages),
         alarms=_read_alarms(alarms),
+        contents=_read_contents(contents),
     )
 
 
-def _read_update(sequence: int, rows: list, ages: list, alarms: list, counted: int) -> Update:
+def _read_update(
+    hub: object, sequence: int, rows: list, ages: list, alarms: list, contents: list, counted: int
+) -> Update:
     return Update(
+        hub=str(hub),
+        contents=_read_contents(contents),
         sequence=int(sequence),
         rows=_read_rows(rows),
         ages=_read_ages(ages),
@@ -322,6 +369,15 @@
     return [HallAge(str(hall), int(age_ms)) for hall, age_ms in values]
 
 
+def _list_contents(contents: ContentNews) -> list[object]:
+    return [content_record.pack(contents.records), contents.digest]
+
+
+def _read_contents(values: list) -> ContentNews:
+    records, digest = values
+    return ContentNews(content_record.unpack(records), int(digest))
+
+
 def _list_alarms(alarms: Iterable[Alarm]) -> list[list[object]]:
     return [
         [item.life_id, int(item.kind), item.finder, item.sequence, item.for_ms] for item in alarms
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -23,8 +23,10 @@
 
 READ_BYTES = 65_536
 CLOSED_CLEANLY = "closed by the other side"
-CONNECT_TIMEOUT = "connecting took too long"
 """Reason of a loss that is an orderly end and not a reset."""
+CONNECT_TIMEOUT = "connecting took too long"
+REFUSED = os.strerror(errno.ECONNREFUSED)
+"""Reason of a loss where a machine answers and no process listens at the port."""
 _TRY_AGAIN = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 
 
--- /dev/null
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -0,0 +1,218 @@
+"""Records of contents that may end instances, as one process knows them, and what it tells of them.
+
+A record is told at once when it has changed. Besides, processes tell each other one number that
+stands for all their records; where it differs, each tells the other its records in turn until it no
+longer does. So a lost datagram, a restart or a cut needs no message of its own; no I/O, time passed
+in.
+"""
+
+import math
+from collections.abc import Iterable
+
+from spoolhead._internal.models import content_record
+
+KEPT_S = 86_400.0
+"""Time for which a record is kept after its last change: such a request does not become sound by
+time, and clients were seen to repeat what failed for hours."""
+MARGIN_S = 60.0
+"""A record this close to its end is not taken any more: otherwise processes whose clocks differ a
+little would give it back to each other for ever."""
+MOST_RECORDS = 1_000
+"""Records kept. One takes some 500 bytes, so all take half a megabyte. An instance that ends leaves
+some twenty, and on an ordinary day 38 end."""
+
+RECORDS_AT_ONCE = 8
+"""Records in one datagram: some 400 bytes."""
+TELL_TIMES = 3
+"""Datagrams in a row that carry a changed record: at one lost in ten, one in a thousand is left to
+the comparison of all."""
+DIFFERS_S = 0.6
+"""Time for which another process must name another number before it is told all records: news takes
+some 0.2 s to reach all, and each names its number four times a second."""
+TURN_AGAIN_S = 0.5
+TURN_AGAIN_S_PER_RECORD = 0.01
+"""Least time between the beginnings of two rounds of telling all records. A round takes 50 bytes a
+record, so rounds in vain cost 5 KB/s at most, however many records there are."""
+
+
+class _Known:
+    """A record and when it last changed."""
+
+    __slots__ = ("changed_s", "record")
+
+    def __init__(self, record: content_record.ContentRecord, changed_s: float) -> None:
+        self.record = record
+        self.changed_s = changed_s
+
+
+class ContentBook:
+    """The records that one process knows.
+
+    :ivar digest: number that stands for all of them.
+    """
+
+    def __init__(self) -> None:
+        self.digest = 0
+        self._known: dict[bytes, _Known] = {}
+        self._oldest_s = math.inf
+
+    def __len__(self) -> int:
+        return len(self._known)
+
+    def get(self, content_id: bytes) -> content_record.ContentRecord | None:
+        """Return the record of a content; None if nothing is known of it."""
+        known = self._known.get(content_id)
+        return known.record if known is not None else None
+
+    def get_changed_s(self, content_id: bytes) -> float:
+        """Return when the record of a content last changed; minus infinity without one."""
+        known = self._known.get(content_id)
+        return known.changed_s if known is not None else -math.inf
+
+    def get_aged(self, content_id: bytes, now_s: float) -> content_record.AgedRecord | None:
+        """Return a record as it is told."""
+        known = self._known.get(content_id)
+        if known is None:
+            return None
+        return content_record.AgedRecord(known.record, int((now_s - known.changed_s) * 1000))
+
+    def get_all(self) -> list[content_record.ContentRecord]:
+        """Return all records."""
+        return [known.record for known in self._known.values()]
+
+    def get_ids(self) -> list[bytes]:
+        """Return the names of all contents known, those known longest first."""
+        return list(self._known)
+
+    def set(self, record: content_record.ContentRecord, now_s: float) -> bool:
+        """Take a record that this process has found or changed.
+
+        :returns: whether that changed what is known.
+        """
+        return self._merge(record, now_s, now_s)
+
+    def take(
+        self, items: Iterable[content_record.AgedRecord], now_s: float
+    ) -> list[content_record.ContentRecord]:
+        """Take what another process tells.
+
+        :returns: the records that this changed, as they stand now.
+        """
+        changed = []
+        for item in items:
+            age_s = max(0.0, item.age_ms / 1000)
+            if age_s > KEPT_S - MARGIN_S:
+                continue
+            if self._merge(item.record, now_s - age_s, now_s):
+                changed.append(self._known[item.record.content_id].record)
+        return [record for record in changed if record.content_id in self._known]
+
+    def forget_old(self, now_s: float) -> None:
+        """Forget what has not changed for long."""
+        if now_s - self._oldest_s <= KEPT_S:
+            return
+        for content_id, known in list(self._known.items()):
+            if now_s - known.changed_s > KEPT_S:
+                self._drop(content_id)
+        self._oldest_s = min((item.changed_s for item in self._known.values()), default=math.inf)
+
+    def _merge(self, record: content_record.ContentRecord, changed_s: float, now_s: float) -> bool:
+        content_id = record.content_id
+        known = self._known.get(content_id)
+        merged = record if known is None else content_record.merge(known.record, record)
+        if known is not None and merged == known.record:
+            return False
+        if known is not None:
+            self.digest ^= known.record.digest
+        self.digest ^= merged.digest
+        # What comes late must not end sooner than what it was merged into.
+        last_s = changed_s if known is None else max(changed_s, known.changed_s)
+        self._known[content_id] = _Known(merged, last_s)
+        self._oldest_s = min(self._oldest_s, last_s)
+        self.forget_old(now_s)
+        self._make_room()
+        return True
+
+    def _make_room(self) -> None:
+        """Forget those that matter least: what is not held, and of that the oldest."""
+        while len(self._known) > MOST_RECORDS:
+            least = min(self._known.items(), key=lambda item: _get_weight(item[1]))
+            self._drop(least[0])
+
+    def _drop(self, content_id: bytes) -> None:
+        self.digest ^= self._known.pop(content_id).record.digest
+
+
+def _get_weight(known: _Known) -> tuple[bool, int, float]:
+    record = known.record
+    return record.is_by_hand, record.waves, known.changed_s
+
+
+class ContentTelling:
+    """What a process still has to tell one side of the records in its book.
+
+    :param book: the records.
+    """
+
+    def __init__(self, book: ContentBook) -> None:
+        self._book = book
+        self._left: dict[bytes, int] = {}
+        self._turn: list[bytes] = []
+        self._turned_s = -math.inf
+        self._differs_s: dict[str, float] = {}
+
+    @property
+    def has_news(self) -> bool:
+        """Whether a record has changed that was not told at all."""
+        return any(left == TELL_TIMES for left in self._left.values())
+
+    @property
+    def has_more(self) -> bool:
+        """Whether anything is left to tell."""
+        return bool(self._left or self._turn)
+
+    def note_changed(self, content_id: bytes) -> None:
+        """Tell a record soon."""
+        self._left.pop(content_id, None)
+        self._left[content_id] = TELL_TIMES
+
+    def note_digest(self, teller: str, digest: int, now_s: float) -> None:
+        """Take the number that stands for another process's records.
+
+        :param teller: name of that process.
+        """
+        if digest == self._book.digest:
+            self._differs_s.pop(teller, None)
+            return
+        since_s = self._differs_s.setdefault(teller, now_s)
+        if now_s - since_s < DIFFERS_S or self.has_more:
+            return
+        pause_s = max(TURN_AGAIN_S, TURN_AGAIN_S_PER_RECORD * len(self._book))
+        if now_s - self._turned_s >= pause_s:
+            self.tell_all(now_s)
+
+    def forget_teller(self, teller: str) -> None:
+        """Forget a process that is no longer heard."""
+        self._differs_s.pop(teller, None)
+
+    def tell_all(self, now_s: float) -> None:
+        """Tell all records in turn."""
+        self._turned_s = now_s
+        self._turn = self._book.get_ids()
+
+    def take_part(self, now_s: float) -> list[content_record.AgedRecord]:
+        """Return what is told next, and count it as told."""
+        part = []
+        for content_id in list(self._left)[:RECORDS_AT_ONCE]:
+            self._left[content_id] -= 1
+            if not self._left[content_id]:
+                del self._left[content_id]
+            part.append(self._book.get_aged(content_id, now_s))
+        while self._turn and len(part) < RECORDS_AT_ONCE:
+            part.append(self._book.get_aged(self._turn.pop(), now_s))
+        return [item for item in part if item is not None]
+
+    def clear(self) -> None:
+        """Forget what was to be told: nobody is there to hear it."""
+        self._left.clear()
+        self._turn.clear()
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import changed_rows, datagram_order
+from spoolhead._internal.policy import changed_rows, content_book, datagram_order
 from spoolhead._internal.utils import endpoints
 
 REPORTER_EXPIRY_S = 1.6
@@ -94,6 +94,9 @@
         self._alarms_taken_s: dict[tuple[str, int], float] = {}
         self._own_alarms: list[_Telling] = []
         self._all_alarms: list[_Telling] = []
+        self._contents = content_book.ContentBook()
+        self._to_hubs = content_book.ContentTelling(self._contents)
+        self._to_reporters = content_book.ContentTelling(self._contents)
 
     @property
     def reporters(self) -> Iterable[Reporter]:
@@ -108,17 +111,20 @@
     @property
     def has_totals_to_tell(self) -> bool:
         """Whether other hubs wait for something new."""
-        return self._own.has_changes or bool(self._own_alarms)
+        has_rows = self._own.has_changes or bool(self._own_alarms)
+        return has_rows or self._to_hubs.has_more
 
     @property
     def has_updates_to_tell(self) -> bool:
         """Whether reporters wait for something new."""
-        return self._all.has_changes or bool(self._all_alarms)
+        has_rows = self._all.has_changes or bool(self._all_alarms)
+        return has_rows or self._to_reporters.has_more
 
     @property
     def has_new_alarms(self) -> bool:
-        """Whether an alarm has not been told at all, which must not wait."""
-        return any(item.left == ALARM_PARTS for item in self._all_alarms)
+        """Whether an alarm or a content has not been told at all, which must not wait."""
+        has_alarms = any(item.left == ALARM_PARTS for item in self._all_alarms)
+        return has_alarms or self._to_reporters.has_news
 
     def get_hub_addresses(self) -> list[endpoints.Endpoint]:
         """Return where the other hubs are that were heard lately."""
@@ -148,6 +154,11 @@
         self._exchange_rows(reporter.rows, report.rows)
         reporter.rows = report.rows
         self._take_alarms(report.alarms, now_s, self._own_alarms, self._all_alarms)
+        for content_id in self._take_contents(report.contents, now_s):
+            self._to_hubs.note_changed(content_id)
+        self._to_reporters.note_digest(report.sender, report.contents.digest, now_s)
+        if known is None:
+            self._to_reporters.tell_all(now_s)
         return known is None
 
     def take_totals(
@@ -171,6 +182,8 @@
             heard_s = now_s - age.age_ms / 1000
             self._halls_told_s[age.hall] = max(self._halls_told_s.get(age.hall, heard_s), heard_s)
         self._take_alarms(totals.alarms, now_s, self._all_alarms)
+        self._take_contents(totals.contents, now_s)
+        self._to_hubs.note_digest(totals.hub, totals.contents.digest, now_s)
 
     def forget_silent(self, now_s: float) -> None:
         """Forget reporters and hubs that have not been heard for long."""
@@ -180,6 +193,7 @@
         for name, hub in list(self._hubs.items()):
             if now_s - hub.heard_s > HUB_EXPIRY_S:
                 del self._hubs[name]
+                self._to_hubs.forget_teller(name)
                 self._forget_rows(hub)
         self._alarms_taken_s = {
             alarm: taken_s
@@ -194,6 +208,8 @@
         self._all.take_part()
         self._own_alarms.clear()
         self._all_alarms.clear()
+        self._to_hubs.clear()
+        self._to_reporters.clear()
 
     def make_totals(self, now_s: float) -> shared_load.Totals:
         """Return what to tell the other hubs next."""
@@ -204,27 +220,53 @@
             rows=self._own.take_part(),
             ages=_get_ages(self._halls_heard_s, now_s),
             alarms=_take_tellings(self._own_alarms),
+            contents=self._make_contents(self._to_hubs, now_s),
         )
 
     def make_update(self, now_s: float) -> shared_load.Update:
         """Return what to tell the reporters next."""
-        return self._make_update(self._all.take_part(), _take_tellings(self._all_alarms), now_s)
+        rows = self._all.take_part()
+        contents = self._make_contents(self._to_reporters, now_s)
+        return self._make_update(rows, _take_tellings(self._all_alarms), contents, now_s)
 
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all that is known, for a new reporter."""
-        return self._make_update(self._all.get_all(), [], now_s)
+        """Return all that is known, for a new reporter; records of contents follow in parts."""
+        contents = shared_load.ContentNews(digest=self._contents.digest)
+        return self._make_update(self._all.get_all(), [], contents, now_s)
 
     def _make_update(
-        self, rows: shared_load.Rows, alarms: list[shared_load.Alarm], now_s: float
+        self,
+        rows: shared_load.Rows,
+        alarms: list[shared_load.Alarm],
+        contents: shared_load.ContentNews,
+        now_s: float,
     ) -> shared_load.Update:
         self._sequence += 1
         heard_s = dict(self._halls_told_s)
         for hall, direct_s in self._halls_heard_s.items():
             heard_s[hall] = max(direct_s, heard_s.get(hall, direct_s))
         return shared_load.Update(
-            sequence=self._sequence, rows=rows, ages=_get_ages(heard_s, now_s), alarms=alarms
+            hub=self._name,
+            sequence=self._sequence,
+            rows=rows,
+            ages=_get_ages(heard_s, now_s),
+            alarms=alarms,
+            contents=contents,
         )
 
+    def _make_contents(
+        self, telling: content_book.ContentTelling, now_s: float
+    ) -> shared_load.ContentNews:
+        return shared_load.ContentNews(telling.take_part(now_s), self._contents.digest)
+
+    def _take_contents(self, contents: shared_load.ContentNews, now_s: float) -> list[bytes]:
+        """Take what a process tells of contents; returns those that this changed."""
+        changed = self._contents.take(contents.records, now_s)
+        changed_ids = [record.content_id for record in changed]
+        for content_id in changed_ids:
+            self._to_reporters.note_changed(content_id)
+        return changed_ids
+
     def _take_row(self, hub: _OtherHub, key: int, held: shared_load.Held, sequence: int) -> None:
         row = hub.rows.get(key)
         if row is not None and sequence <= row.sequence:
@@ -249,6 +291,7 @@
 
     def _forget_reporter(self, name: str) -> None:
         reporter = self._reporters.pop(name, None)
+        self._to_reporters.forget_teller(name)
         if reporter is not None:
             self._exchange_rows(reporter.rows, {})
 
--- /dev/null
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -0,0 +1,61 @@
+"""Requests that were lost at instances, until it is known whether those have ended; no I/O."""
+
+KEPT_S = 10.0
+"""Time for which a lost request waits for word of its instance, and for which an end is remembered:
+about twice what the platform lists an instance that is gone."""
+MOST_INSTANCES = 1_000
+"""Instances for which either is kept."""
+
+
+class LostRun:
+    """A request that an instance took and lost.
+
+    :ivar content_id: name of its content.
+    :ivar sent_s: when it was sent there.
+    :ivar lost_s: when it was lost.
+    """
+
+    __slots__ = ("content_id", "lost_s", "sent_s")
+
+    def __init__(self, content_id: bytes, *, sent_s: float, lost_s: float) -> None:
+        self.content_id = content_id
+        self.sent_s = sent_s
+        self.lost_s = lost_s
+
+
+class LostRuns:
+    """The requests that this entry has lost lately, by the run of the instance that had them."""
+
+    def __init__(self) -> None:
+        self._lost: dict[str, list[LostRun]] = {}
+        self._ended_s: dict[str, float] = {}
+
+    def note_lost(self, life_id: str, run: LostRun) -> bool:
+        """Take note of a lost request.
+
+        :returns: whether its instance is known to have ended; otherwise the request waits for that.
+        """
+        self._forget_old(run.lost_s)
+        if life_id in self._ended_s:
+            return True
+        self._lost.setdefault(life_id, []).append(run)
+        return False
+
+    def note_ended(self, life_id: str, now_s: float) -> list[LostRun]:
+        """Take note that an instance has ended; returns what it had of this entry's."""
+        self._forget_old(now_s)
+        self._ended_s.setdefault(life_id, now_s)
+        return self._lost.pop(life_id, [])
+
+    def note_alive(self, life_id: str) -> None:
+        """Take note that an instance lives: what it lost, it lost by something else."""
+        self._lost.pop(life_id, None)
+
+    def _forget_old(self, now_s: float) -> None:
+        oldest_s = now_s - KEPT_S
+        if len(self._ended_s) + len(self._lost) > MOST_INSTANCES:
+            oldest_s = now_s
+        self._ended_s = {name: at_s for name, at_s in self._ended_s.items() if at_s >= oldest_s}
+        self._lost = {
+            name: runs for name, runs in self._lost.items() if runs[-1].lost_s >= oldest_s
+        }
--- /dev/null
+++ b/src/spoolhead/_internal/policy/quarantine.py
@@ -0,0 +1,198 @@
+"""Decides which requests are held back because they end the instances that run them; no I/O.
+
+Some requests end every engine that begins to run them, and callers send them again. An entry sees a
+part of that at best, so entries tell each other which contents were at an instance when it ended.
+All of those are suspects: the ones beside the culprit as well. What tells them apart is that the
+culprit is there each time, and that it never ends well.
+"""
+
+import dataclasses
+import enum
+import math
+
+from spoolhead._internal.models import content_record
+from spoolhead._internal.policy import content_book
+
+WAVES_TO_HOLD = 2
+"""Ends, one after the other, after which a content is held. One end shows nothing: some twenty
+requests are at an engine. That the same one is there by chance the next time is rare, and the run
+after :data:`TRIAL_AFTER_S` puts it right. Held at the third, each ends one engine more."""
+ENDS_TO_HOLD = 3
+"""Instances after whose end a content is held in any case. Several may end at the same time, by one
+fault or since callers sent it to several at once, and that alone counts as one wave."""
+TRIAL_AFTER_S = 20.0
+"""Time after the last end at which a content that is held may be run once more. It is long enough
+for the engines that it has ended to be back (four seconds, then a second or so until they are used)
+and for most callers of a request that was held by mistake to still want it a second time."""
+MOST_TRIALS = 2
+"""Such runs that a content is given: a second one only if the first showed nothing, as when its
+caller left."""
+PROVED_WAVES = WAVES_TO_HOLD + 1
+"""Waves counted once an instance has ended under a content that was run by itself; there is no
+further trial."""
+CLAIM_S = 0.5
+"""Time for which the entry that wants to run a held content once more waits for others which want
+the same: news takes 0.2 s to reach all entries, at one datagram lost in ten 0.4 s."""
+
+
+class Verdict(enum.Enum):
+    """What may be done with a request."""
+
+    RUN = "run"
+    RUN_APART = "run apart"
+    """It is suspected; where it runs, as few others as possible should."""
+    CLAIM = "claim"
+    """It is held, and this entry may run it once more if no other entry does."""
+    REFUSE = "refuse"
+
+
+class Quarantine:
+    """What one entry knows of contents that may end instances, and its decisions.
+
+    :param name: the entry's name.
+    :ivar book: the records.
+    """
+
+    def __init__(self, name: str) -> None:
+        self.book = content_book.ContentBook()
+        self._name = name
+        self._learnt_s: dict[bytes, float] = {}
+        self._tried: set[bytes] = set()
+
+    @property
+    def held_count(self) -> int:
+        """Contents that are held."""
+        return sum(is_held(record) for record in self.book.get_all())
+
+    def is_suspect(self, content_id: bytes) -> bool:
+        """Tell whether a content was at an instance that ended, and has not ended well since."""
+        record = self.book.get(content_id)
+        return record is not None and bool(record.ends or record.is_by_hand)
+
+    def is_held(self, content_id: bytes) -> bool:
+        """Tell whether a content is held."""
+        record = self.book.get(content_id)
+        return record is not None and is_held(record)
+
+    def judge(self, content_id: bytes, now_s: float) -> Verdict:
+        """Decide on a request that has just come."""
+        record = self.book.get(content_id)
+        if record is None or not (record.ends or record.is_by_hand):
+            return Verdict.RUN
+        if not is_held(record):
+            return Verdict.RUN_APART
+        if record.is_by_hand or record.trials >= MOST_TRIALS or record.waves >= PROVED_WAVES:
+            return Verdict.REFUSE
+        if now_s - self.book.get_changed_s(content_id) < TRIAL_AFTER_S:
+            return Verdict.REFUSE
+        return Verdict.CLAIM
+
+    def claim(self, content_id: bytes, now_s: float) -> content_record.ContentRecord:
+        """Claim the one run that a held content is given; :meth:`may_try` tells who got it."""
+        record = self.book.get(content_id)
+        assert record is not None
+        self._tried.discard(content_id)
+        claimed = dataclasses.replace(record, trials=record.trials + 1, trier=self._name)
+        return self._change(claimed, now_s)
+
+    def may_try(self, content_id: bytes) -> bool:
+        """Tell whether a claim of this entry still stands, once, after :data:`CLAIM_S`."""
+        record = self.book.get(content_id)
+        if record is None or record.trier != self._name or content_id in self._tried:
+            return False
+        self._tried.add(content_id)
+        return True
+
+    def note_end(
+        self, content_id: bytes, instance_key: int, sent_s: float, now_s: float
+    ) -> content_record.ContentRecord | None:
+        """Take note that an instance has ended while it had a request of this entry.
+
+        :param instance_key: number of the run of the instance that ended.
+        :param sent_s: when the request was sent there.
+        :returns: the record of its content, if that changed.
+        """
+        record = self.book.get(content_id) or content_record.ContentRecord(content_id=content_id)
+        if instance_key in record.ends:
+            return None
+        is_later = record.waves and sent_s > self._learnt_s.get(content_id, math.inf)
+        waves = record.waves + 1 if is_later else max(record.waves, 1)
+        if content_id in self._tried:
+            waves = max(waves, PROVED_WAVES)
+        self._learnt_s[content_id] = now_s
+        ends = tuple(sorted({*record.ends, instance_key}))
+        return self._change(dataclasses.replace(record, ends=ends, waves=waves), now_s)
+
+    def note_sound(self, content_id: bytes, now_s: float) -> content_record.ContentRecord | None:
+        """Take note that a request has ended well.
+
+        :returns: the record of its content, if it was suspected.
+        """
+        record = self.book.get(content_id)
+        if record is None or not record.ends or record.is_by_hand:
+            return None
+        return self._begin_epoch(record, now_s)
+
+    def hold(self, content_id: bytes, now_s: float) -> content_record.ContentRecord:
+        """Hold a content by an operator's order."""
+        record = self.book.get(content_id) or content_record.ContentRecord(content_id=content_id)
+        return self._begin_epoch(record, now_s, is_by_hand=True)
+
+    def release(self, content_id: bytes, now_s: float) -> content_record.ContentRecord | None:
+        """Let a content go by an operator's order; None if nothing is known of it."""
+        record = self.book.get(content_id)
+        return self._begin_epoch(record, now_s) if record is not None else None
+
+    def take(
+        self, items: list[content_record.AgedRecord], now_s: float
+    ) -> list[content_record.ContentRecord]:
+        """Take what other processes tell.
+
+        :returns: the records that this changed.
+        """
+        changed = self.book.take(items, now_s)
+        for record in changed:
+            if record.ends:
+                self._learnt_s[record.content_id] = now_s
+            else:
+                self._learnt_s.pop(record.content_id, None)
+        self._forget(now_s)
+        return changed
+
+    def _begin_epoch(
+        self,
+        record: content_record.ContentRecord,
+        now_s: float,
+        *,
+        is_by_hand: bool = False,
+    ) -> content_record.ContentRecord:
+        self._tried.discard(record.content_id)
+        self._learnt_s.pop(record.content_id, None)
+        made = content_record.ContentRecord(
+            content_id=record.content_id,
+            epoch=record.epoch + 1,
+            is_by_hand=is_by_hand,
+        )
+        return self._change(made, now_s)
+
+    def _change(
+        self, record: content_record.ContentRecord, now_s: float
+    ) -> content_record.ContentRecord:
+        self.book.set(record, now_s)
+        self._forget(now_s)
+        return self.book.get(record.content_id) or record
+
+    def _forget(self, now_s: float) -> None:
+        """Forget what is kept beside the records of contents that are no longer known."""
+        self.book.forget_old(now_s)
+        if len(self._learnt_s) <= 2 * len(self.book) + 1:
+            return
+        known = set(self.book.get_ids())
+        self._learnt_s = {key: at_s for key, at_s in self._learnt_s.items() if key in known}
+        self._tried &= known
+
+
+def is_held(record: content_record.ContentRecord) -> bool:
+    """Tell whether a record has its content held."""
+    is_proved = record.waves >= WAVES_TO_HOLD or len(record.ends) >= ENDS_TO_HOLD
+    return record.is_by_hand or is_proved
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -192,6 +192,10 @@
         """Tell whether it leaves, or says something that may mean so."""
         return self.is_leaving or self.is_alarmed(now_s)
 
+    def is_ending_as_planned(self, now_s: float) -> bool:
+        """Tell whether it has announced that it leaves, so that its end shows nothing."""
+        return self.instance.is_leaving or now_s - self._said_s < ALARM_S
+
     def is_alarmed(self, now_s: float) -> bool:
         """Tell whether an alarm about it counts."""
         return now_s - max(self._said_s, self._found_s) < ALARM_S
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -76,6 +76,16 @@
             evacuated=self.evacuated,
         )
 
+    def prefer_least_shared(self) -> "Choice":
+        """Return the choice with those before the others that run the fewest requests."""
+        ordered = sorted(self.candidates, key=lambda item: item.upstream.count)
+        return Choice(
+            ordered,
+            is_cut_off=self.is_cut_off,
+            cold_full=self.cold_full,
+            evacuated=self.evacuated,
+        )
+
 
 class View:
     """What a choice is made from.
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -84,11 +84,19 @@
         ]
         self.book.take_list(listed, 0.0)
         self.alarms = []
+        self.held = []
+        self.contents = gateway_setting.make_contents(
+            process.name,
+            clock=fleet_.clock,
+            tell=lambda: self.sharing.tell_contents(),
+            on_held=self.held.append,
+        )
         config = gateway_setting.make_settings(name=process.name, hall=process.hall)
         self.sharing = load_sharing.LoadSharing(
             fleet_.clock,
             config,
             self.book,
+            self.contents,
             send=process.send,
             on_alarm=lambda upstream: self.alarms.append(upstream.instance.instance_id),
             on_news=lambda: None,
