--- a/src/spoolhead/_internal/commands/keepers.py
+++ b/src/spoolhead/_internal/commands/keepers.py
@@ -10,6 +10,7 @@
 from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import messages, peer_call
 from spoolhead._internal.table import packing
+from spoolhead._internal.utils import clocks
 from spoolhead.coordination import versioned_table
 
 SEND_ATTEMPTS = 3
@@ -104,7 +105,7 @@
 def _wait_in_force(
     config: settings.OperatorSettings, version: int, wait_ms: int
 ) -> list[dict[str, object]]:
-    deadline_s = time.monotonic() + wait_ms / 1000
+    deadline_s = clocks.get_s() + wait_ms / 1000
     while True:
         entries = [
             {**entry, "is_in_force": entry["version_in_force"] >= version}
@@ -112,7 +113,7 @@
         ]
         if all(entry["is_in_force"] for entry in entries):
             return entries
-        if time.monotonic() >= deadline_s:
+        if clocks.get_s() >= deadline_s:
             return entries
         time.sleep(POLL_S)
 
--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -1,12 +1,12 @@
 """Reads the platform's list of upstream instances, page by page."""
 
 import logging
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.models import dialects, fault, instances, settings
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -54,7 +54,7 @@
 
     def read(self) -> None:
         """Begin a reading, unless one is under way."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         if self._call is not None:
             if now_s - self._began_s < LONGEST_READING_S:
                 return
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -2,7 +2,6 @@
 
 import itertools
 import random
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.entry import (
@@ -17,7 +16,7 @@
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import admission, placement, policy_set, replicas
 from spoolhead._internal.table import view
-from spoolhead._internal.utils import metrics
+from spoolhead._internal.utils import clocks, metrics
 
 TICK_S = 0.1
 LOOK_AHEAD = 4
@@ -82,12 +81,12 @@
         self._decisions = decisions
         self._on_end: dict[str, Callable[[flow_context.Result], None]] = {}
         self._available_s: dict[str, float] = {}
-        self._started_s = time.monotonic()
+        self._started_s = clocks.get_s()
         self._context = flow_context.Context(
             calls=calls,
             host=self,
             gathered=gathered,
-            clock=time.monotonic,
+            clock=clocks.get_s,
             shared_key=config.shared_key,
             attempts=config.upstreams.attempts,
             answer_bytes=config.upstreams.answer_bytes,
@@ -121,7 +120,7 @@
 
     def update_upstreams(self) -> None:
         """Take over the table's upstreams; one that leaves is in no pool from here on."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         is_new = now_s - self._started_s > replicas.REPORT_STALE_S
         self._pools.update(self._table.upstreams, self._table.halls, now_s, is_new=is_new)
         self._pump()
@@ -172,20 +171,20 @@
         """
         request = running.request
         pool = self._pools.get_pool(request.service_name)
-        if pool is None or not pool.has_available(time.monotonic()):
+        if pool is None or not pool.has_available(clocks.get_s()):
             return False
         self._flows.discard(running)
         self._admission.finish(request.workspace)
         self._decisions.note(request, "wait", code, text="no upstream has room for another attempt")
         waiting = self._make_waiting(_Job(request, running.caller, running))
-        self._admission.put_back(waiting, time.monotonic())
+        self._admission.put_back(waiting, clocks.get_s())
         running.caller.on_gone = lambda: self._withdraw(waiting)
         return True
 
     def charge(self, running: flow.Flow, tokens: int) -> None:
         """Charge tokens to a flow's workspace."""
         self._gathered.count(metrics.Metric.TOKENS, tokens)
-        self._admission.charge(running.request.workspace, tokens, time.monotonic())
+        self._admission.charge(running.request.workspace, tokens, clocks.get_s())
 
     def end(self, running: flow.Flow, result: flow_context.Result) -> None:
         """Take a flow that is over out of the books."""
@@ -272,7 +271,7 @@
 
     def _start_one(self, service: str) -> bool:
         """Start the next request of a service; False where none can start."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for waiting in itertools.islice(self._admission.iterate(service, now_s), LOOK_AHEAD):
             choice = self._choose(waiting.owner.request, frozenset())
             if choice.replica is not None:
@@ -300,7 +299,7 @@
         service = self._table.services.get(request.service_name)
         if pool is None or service is None:
             return placement.Choice(None, 0.0, ())
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         need = placement.Need(
             workspace=request.workspace,
             service=request.service_name,
@@ -313,7 +312,7 @@
     def _tick(self) -> None:
         for running in list(self._flows):
             running.tick()
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for waiting in self._admission.take_overdue(now_s):
             job: _Job = waiting.owner
             text = "the deadline passed while the request was waiting"
--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -3,7 +3,6 @@
 import itertools
 import logging
 import pathlib
-import time
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
@@ -12,7 +11,7 @@
 from spoolhead._internal.network import links, messages, peer_client
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.table import packing, saved_copy, view
-from spoolhead._internal.utils import files
+from spoolhead._internal.utils import clocks, files
 from spoolhead.coordination import following, once_journal, versioned_table
 
 logger = logging.getLogger(__name__)
@@ -91,7 +90,7 @@
         self._numbers = itertools.count(1)
         self._claims: dict[int, _PendingClaim] = {}
         self._unconfirmed: dict[str, messages.FinishOnce] = {}
-        self._lost_s: float | None = time.monotonic()
+        self._lost_s: float | None = clocks.get_s()
         self._save_planned = False
         if config.data_dir is not None:
             self._open_copy(pathlib.Path(config.data_dir))
@@ -120,7 +119,7 @@
         """Time since a keeper last confirmed the table; 0 while one does."""
         if self._lost_s is None:
             return 0
-        return int((time.monotonic() - self._lost_s) * 1000)
+        return int((clocks.get_s() - self._lost_s) * 1000)
 
     @property
     def unconfirmed_count(self) -> int:
@@ -167,7 +166,7 @@
 
     def on_peer_lost(self) -> None:
         """Go on with the table as it is."""
-        self._lost_s = time.monotonic()
+        self._lost_s = clocks.get_s()
         logger.warning(
             "no keeper confirms the table", extra={"fields": {"version": self._table.version}}
         )
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -5,7 +5,6 @@
 """
 
 import logging
-import time
 from collections.abc import Sequence
 
 from prometheus_client import parser
@@ -16,7 +15,7 @@
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.network import upstream_calls
 from spoolhead._internal.policy import replicas, reporting
-from spoolhead._internal.utils import metrics
+from spoolhead._internal.utils import clocks, metrics
 
 logger = logging.getLogger(__name__)
 
@@ -132,7 +131,7 @@
         """Take a report that has come."""
         self._fetches.pop(replica.name, None)
         try:
-            report = parse_report(body.decode("utf-8"), time.monotonic())
+            report = parse_report(body.decode("utf-8"), clocks.get_s())
         except (ValueError, OverflowError) as error:
             logger.warning("report of %s cannot be read: %s", replica.name, error)
             return
@@ -160,7 +159,7 @@
         logger.debug("report of %s not fetched: %s", replica.name, reason)
 
     def _fetch_all(self) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         self._drop_overdue(now_s)
         self._neighbours.publish(self._fetched)
         self._fetched = []
--- a/src/spoolhead/_internal/entry/neighbours.py
+++ b/src/spoolhead/_internal/entry/neighbours.py
@@ -1,11 +1,11 @@
 """The other entries of the hall: load reports are sent to them and taken from them."""
 
-import time
 from collections.abc import Callable, Sequence
 
 from spoolhead._internal.models import load_report, settings
 from spoolhead._internal.network import links, messages, peer_client, peer_server
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 ROLE = "entry"
 HEARD_WITHIN_S = 2.0
@@ -132,7 +132,7 @@
         """Send reports that this entry has fetched to its neighbours."""
         if not reports or not self._sessions:
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         data = messages.encode(
             messages.Reports(items=[pack(item, now_s=now_s) for item in reports])
         )
@@ -141,7 +141,7 @@
 
     def take(self, message: messages.Reports) -> None:
         """Take reports that a neighbour has fetched."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         self._take_reports([unpack(item, now_s=now_s) for item in message.items])
 
 
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -2,7 +2,6 @@
 
 import logging
 import secrets
-import time
 from collections.abc import Sequence
 
 from spoolhead._internal.entry import (
@@ -26,7 +25,7 @@
 )
 from spoolhead._internal.policy import policy_set
 from spoolhead._internal.table import view
-from spoolhead._internal.utils import metrics
+from spoolhead._internal.utils import clocks, metrics
 
 logger = logging.getLogger(__name__)
 
@@ -49,14 +48,14 @@
     def __init__(self, config: settings.EntrySettings, policies: policy_set.PolicySet) -> None:
         self._config = config
         self._is_stopping = False
-        self._started_s = time.monotonic()
+        self._started_s = clocks.get_s()
         self._drained_s = self._started_s
         self._loop = loop.Loop(self._begin_stop)
         self._metrics = metrics.Metrics()
         self._table = view.TableView()
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
-        self._decisions = decision_book.DecisionBook(config, self._metrics, time.monotonic)
+        self._decisions = decision_book.DecisionBook(config, self._metrics, clocks.get_s)
         self._dispatcher = dispatcher.Dispatcher(
             self._loop, config, self._table, calls, self._metrics, policies, self._decisions
         )
@@ -111,7 +110,7 @@
 
     def get_status(self) -> control.Status:
         """Return the entry's status, for operators and readiness."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         upstreams = [
             {
                 "name": replica.name,
@@ -156,7 +155,7 @@
         return self._table.version > 0 and not self._is_stopping
 
     def _take(self, caller: caller_front.Caller) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         request_id = f"{self._config.name}-{secrets.token_hex(8)}"
         path = api.get_path(caller.request)
         if path in (api.LIVE_PATH, api.READY_PATH):
@@ -277,19 +276,19 @@
 
     def _refuse_bytes(self, caller: caller_front.Caller, item: fault.Fault) -> None:
         request_id = f"{self._config.name}-{secrets.token_hex(8)}"
-        self._refuse(caller, request_id, "", item, time.monotonic())
+        self._refuse(caller, request_id, "", item, clocks.get_s())
 
     def _begin_stop(self) -> None:
         self._is_stopping = True
-        self._drained_s = time.monotonic()
+        self._drained_s = clocks.get_s()
         logger.info("stopping; %d requests are in flight", self._dispatcher.held_count)
         self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
         if self._dispatcher.held_count or self._once.claiming_count:
-            self._drained_s = time.monotonic()
+            self._drained_s = clocks.get_s()
             return
-        waited_s = time.monotonic() - self._drained_s
+        waited_s = clocks.get_s() - self._drained_s
         if self._keeper.unconfirmed_count and waited_s < STOP_CONFIRM_S:
             return
         self._front.close_when_idle()
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -1,11 +1,11 @@
 """One attempt at an instance, and what its owner is told of it."""
 
-import time
 from typing import Protocol
 
 from spoolhead._internal.models import dialects
 from spoolhead._internal.network import upstream_calls
 from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.utils import clocks
 
 
 class AttemptUser(Protocol):
@@ -55,7 +55,7 @@
         self._owner = owner
         self.upstream = upstream
         self.is_resumed = is_resumed
-        self.sent_s = time.monotonic()
+        self.sent_s = clocks.get_s()
         self.call: upstream_calls.UpstreamCall | None = None
         self.head: dialects.AnswerHead | None = None
         self.body: list[bytes] = []
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -1,13 +1,13 @@
 """One routed request from its arrival to the end of its answer: what all kinds share."""
 
 import logging
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.gateway import attempts, exchange_context, refusals, routed_job
 from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import quarantine, run_admission, upstream_book, upstream_choice
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -38,7 +38,7 @@
         self.is_over = False
         self._context = context
         self._on_end = on_end
-        self._arrived_s = time.monotonic()
+        self._arrived_s = clocks.get_s()
         wait_ms = job.route.timeout_ms
         if job.head.wait_ms is not None:
             wait_ms = min(wait_ms, job.head.wait_ms)
@@ -55,11 +55,11 @@
     @property
     def remaining_ms(self) -> int:
         """Time left."""
-        return max(0, int((self._deadline_s - time.monotonic()) * 1000))
+        return max(0, int((self._deadline_s - clocks.get_s()) * 1000))
 
     def is_late(self) -> bool:
         """Tell whether the route's objective has passed since the request came."""
-        return (time.monotonic() - self._arrived_s) * 1000 > self.job.route.objective_ms
+        return (clocks.get_s() - self._arrived_s) * 1000 > self.job.route.objective_ms
 
     def get_fields(self) -> dict[str, object]:
         """Return the fields that each log line of the request has."""
@@ -69,7 +69,7 @@
             "route": self.job.route.name,
             "service": self.job.service.name,
             "table_version": self.job.version,
-            "age_ms": int((time.monotonic() - self._arrived_s) * 1000),
+            "age_ms": int((clocks.get_s() - self._arrived_s) * 1000),
         }
 
     def begin(self) -> None:
@@ -100,7 +100,7 @@
     def choose(self, need_tokens: int) -> upstream_choice.Choice:
         """Choose an instance that was not tried yet."""
         context = self._context
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         view = upstream_choice.View(
             hall=context.config.hall,
             silent_halls=context.get_silent_halls(),
@@ -151,7 +151,7 @@
             wire.method, wire.target, self.job.head.host, headers, wire.body
         )
         self._context.figures.attempts.labels(self.job.route.kind.value).inc()
-        upstream.note_sent(time.monotonic())
+        upstream.note_sent(clocks.get_s())
         return self._context.calls.open(
             upstream.instance.address,
             data,
@@ -203,7 +203,7 @@
         if self.is_over:
             return
         self.is_over = True
-        age_ms = (time.monotonic() - self._arrived_s) * 1000
+        age_ms = (clocks.get_s() - self._arrived_s) * 1000
         self._context.figures.note_end(self.job.route.kind, outcome, age_ms)
         self._timer.cancel()
         self.release()
@@ -232,7 +232,7 @@
         """Take the head of an attempt's answer."""
         if attempt is not self._attempt:
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, now_s)
         self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
@@ -249,19 +249,19 @@
         assert attempt.call is not None
         is_unreachable = not attempt.call.may_have_arrived
         if reason == links.CONNECT_TIMEOUT:
-            self._context.reach.note_time_out(attempt.upstream.instance.hall, time.monotonic())
+            self._context.reach.note_time_out(attempt.upstream.instance.hall, clocks.get_s())
         if not is_unreachable and attempt.head is None:
             self._context.on_lost_request(attempt.upstream.instance.life_id)
         if not is_unreachable:
             self._note_lost_run(attempt)
-        if attempt.upstream.note_failure(time.monotonic(), is_unreachable=is_unreachable):
+        if attempt.upstream.note_failure(clocks.get_s(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.life_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
 
     def _note_lost_run(self, attempt: attempts.Attempt) -> None:
         """Take note that the request was at an instance which may have ended under it."""
         upstream = attempt.upstream
-        if upstream.is_ending_as_planned(time.monotonic()):
+        if upstream.is_ending_as_planned(clocks.get_s()):
             return
         life_id = upstream.instance.life_id
         self._context.contents.note_lost(life_id, self.job.content_id, attempt.sent_s)
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -6,7 +6,6 @@
 """
 
 import logging
-import time
 from collections.abc import Callable, Sequence
 
 from spoolhead._internal.models import dialects, fleet, settings, shared_load
@@ -14,6 +13,7 @@
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.policy import upstream_book, watch_duty
 from spoolhead._internal.routing import matcher
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
         self.owner = owner
         self.upstream = upstream
         self.path = path
-        self.began_s = time.monotonic()
+        self.began_s = clocks.get_s()
         self.call: upstream_calls.UpstreamCall | None = None
         self.status = 0
         self.has_not_run = False
@@ -144,7 +144,7 @@
         if is_silent and silences + 1 < SILENCES_TO_ALARM:
             self._silences[life_id] = silences + 1
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         kind = shared_load.AlarmKind.SAID if probe.status else shared_load.AlarmKind.UNREACHABLE
         if probe.upstream.raise_alarm(now_s, kind):
             fields = {"upstream": life_id, "outcome": outcome}
@@ -153,7 +153,7 @@
 
     def _take_other(self, upstream: upstream_book.Upstream, instance_id: str) -> None:
         """Take note that another instance answers where this one was."""
-        if not upstream.note_replaced(time.monotonic()):
+        if not upstream.note_replaced(clocks.get_s()):
             return
         fields = {"upstream": upstream.instance.life_id, "answers": instance_id}
         logger.info("upstream is replaced", extra={"fields": fields})
@@ -161,7 +161,7 @@
 
     def _take_cold(self, upstream: upstream_book.Upstream, cold_ms: int) -> None:
         """Take an instance's word that it is cold, and pass on what is news."""
-        if not upstream.note_cold(cold_ms, time.monotonic()):
+        if not upstream.note_cold(cold_ms, clocks.get_s()):
             return
         fields = {"upstream": upstream.instance.life_id, "for_ms": cold_ms}
         logger.info("upstream says that it is cold", extra={"fields": fields})
@@ -175,7 +175,7 @@
         table = self._get_table()
         if table is None:
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for probe in list(self._probes.values()):
             if now_s - probe.began_s > ANSWER_S and probe.call is not None:
                 probe.call.cancel()
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -15,7 +15,7 @@
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import hub_choice, load_hub, load_view, upstream_book
-from spoolhead._internal.utils import endpoints
+from spoolhead._internal.utils import clocks, endpoints
 
 logger = logging.getLogger(__name__)
 
@@ -69,7 +69,7 @@
         send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_book.Upstream], None],
         on_news: Callable[[], None],
-        clock: hub_port.Clock = time.monotonic,
+        clock: hub_port.Clock = clocks.get_s,
     ) -> None:
         self._timers = timers
         self._send = send
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -1,11 +1,11 @@
 """A request whose answer is held until it is whole: safe to repeat, or to run at most once."""
 
 import logging
-import time
 
 from spoolhead._internal.gateway import attempts, exchange
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -125,7 +125,7 @@
         if self._attempts_made >= self.job.route.attempts:
             return False
         allowance = self._context.get_allowance(self.job.service.name)
-        return allowance.take(time.monotonic())
+        return allowance.take(clocks.get_s())
 
     def _deliver(self, attempt: attempts.Attempt) -> None:
         head = attempt.head
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import time
 from http import HTTPStatus
 
 from spoolhead._internal.gateway import (
@@ -42,7 +41,7 @@
 )
 from spoolhead._internal.policy import hall_reach, request_content, upstream_book
 from spoolhead._internal.routing import matcher, table_checks
-from spoolhead._internal.utils import endpoints, figures
+from spoolhead._internal.utils import clocks, endpoints, figures
 
 logger = logging.getLogger(__name__)
 
@@ -77,7 +76,7 @@
         self._has_instances = False
         self._is_stopping = False
         self._unreachable = ""
-        self._began_s = time.monotonic()
+        self._began_s = clocks.get_s()
         self._stop_s = 0.0
         self._exchanges: set[exchange.Exchange] = set()
         self._early: list[caller_front.Caller] = []
@@ -90,7 +89,7 @@
         self._book = upstream_book.UpstreamBook()
         self._contents = content_watch.ContentWatch(
             config.name,
-            clock=time.monotonic,
+            clock=clocks.get_s,
             tell=lambda: self._sharing.tell_contents(),
             on_held=self._hold_back,
         )
@@ -234,7 +233,7 @@
     def _check_ready(self) -> None:
         if self._is_ready:
             return
-        age_s = time.monotonic() - self._began_s
+        age_s = clocks.get_s() - self._began_s
         if age_s > EARLY_WAIT_S:
             self._take_early()
         known = first_table.Knowledge(
@@ -276,7 +275,7 @@
     def _find_unreachable(self) -> str:
         """Return the name of a service whose instances all stand in lost halls; empty for none."""
         lost = self._context.reach.get_lost_halls(
-            self._sharing.get_silent_halls(), time.monotonic(), is_alone=self._sharing.is_alone()
+            self._sharing.get_silent_halls(), clocks.get_s(), is_alone=self._sharing.is_alone()
         )
         if not lost or self._matcher is None:
             return ""
@@ -295,7 +294,7 @@
         if self._dialect.is_ready_probe(caller.request):
             caller.send_whole(200 if self._get_ready() else 503, [], b"")
             return
-        age_s = time.monotonic() - self._began_s
+        age_s = clocks.get_s() - self._began_s
         if not self._is_ready and age_s < EARLY_WAIT_S and not self._is_stopping:
             self._early.append(caller)
             return
@@ -308,7 +307,7 @@
             self._refuse(caller, read.ok.request_id, self._weigh_refusal(matched))
             return
         allowance = self._context.get_allowance(matched.service.name)
-        allowance.note_request(time.monotonic())
+        allowance.note_request(clocks.get_s())
         is_stream = matched.route.kind is route_table.RequestKind.STREAM
         cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         item = cls(matched, caller, self._context, self._exchanges.discard)
@@ -375,7 +374,7 @@
 
     def _begin_stop(self) -> None:
         self._is_stopping = True
-        self._stop_s = time.monotonic()
+        self._stop_s = clocks.get_s()
         fields = {"in_flight": len(self._exchanges)}
         logger.info("entry stops", extra={"fields": fields})
         self._front.close_after_answers()
@@ -383,7 +382,7 @@
         self.loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
-        age_s = time.monotonic() - self._stop_s
+        age_s = clocks.get_s() - self._stop_s
         is_due = age_s > self._config.stop_ms / 1000 - STOP_MARGIN_S
         is_empty = age_s > STOP_LISTEN_S and not self._front.connection_count
         if is_empty or is_due:
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -4,12 +4,12 @@
 """
 
 import logging
-import time
 from typing import Protocol
 
 from spoolhead._internal.gateway import exchange_context, routed_job, run_move
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_safety, upstream_book
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -81,7 +81,7 @@
         running_at = self._run.upstream
         if self._run.is_over or running_at is None:
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         holder = self._holder
         if holder is not None and (holder.is_departing(now_s) or holder.is_evacuated):
             fields = {
@@ -126,7 +126,7 @@
         logger.info("copy made", extra={"fields": fields})
         self._context.figures.copies.labels("made").inc()
         running_at = self._run.upstream
-        if running_at is not None and running_at.is_departing(time.monotonic()):
+        if running_at is not None and running_at.is_departing(clocks.get_s()):
             self._run.on_copy_ready()
         else:
             self.drop()
@@ -190,7 +190,7 @@
             self._context.book.get_service(self._job.service.name),
             running_at=running_at,
             excluded=self._refusers,
-            now_s=time.monotonic(),
+            now_s=clocks.get_s(),
             cold_starts=self._context.cold_starts,
         )
 
--- a/src/spoolhead/_internal/gateway/run_queue.py
+++ b/src/spoolhead/_internal/gateway/run_queue.py
@@ -1,11 +1,11 @@
 """Generations that wait at this entry for an engine with room."""
 
 import random
-import time
 from typing import Protocol
 
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_admission
+from spoolhead._internal.utils import clocks
 
 LOOK_S = 0.1
 """Longest pause between looks at what waits; a small part of the shortest objective."""
@@ -57,7 +57,7 @@
             self._look_within(self._chance.uniform(0.0, SPREAD_S))
 
     def _get_longest_pause_s(self) -> float:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         dues_s = [
             due_s
             for item in self._waiting
@@ -67,7 +67,7 @@
         return min([LOOK_S, *(due_s - now_s for due_s in dues_s)])
 
     def _look_within(self, delay_s: float) -> None:
-        due_s = time.monotonic() + delay_s
+        due_s = clocks.get_s() + delay_s
         if self._timer is not None:
             if self._look_s <= due_s:
                 return
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -1,7 +1,6 @@
 """A request whose answer is a stream of events from one run, which may move on the way."""
 
 import logging
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.gateway import (
@@ -15,6 +14,7 @@
 from spoolhead._internal.network import caller_front
 from spoolhead._internal.policy import run_admission, run_safety, upstream_book, upstream_choice
 from spoolhead._internal.relay import pace_meter, splice
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -90,7 +90,7 @@
         if engine is not None:
             request = self.admission
             choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
-            verdict = run_admission.decide(engine, choice, request, time.monotonic())
+            verdict = run_admission.decide(engine, choice, request, clocks.get_s())
             if verdict is run_admission.Verdict.WAIT:
                 return False
             if verdict is run_admission.Verdict.REFUSE and choice.upstream is not None:
@@ -132,11 +132,11 @@
             attempt.body.append(data)
             return
         self._note_read(attempt)
-        self._context.reach.note_answer(attempt.upstream.instance.hall, time.monotonic())
+        self._context.reach.note_answer(attempt.upstream.instance.hall, clocks.get_s())
         events_before = self._splice.events
         spliced = self._splice.feed(data)
         if spliced.events:
-            self._pace.note_events(events_before, time.monotonic())
+            self._pace.note_events(events_before, clocks.get_s())
         if spliced.data and not self._pass_on(attempt.head, spliced.data):
             return
         if spliced.problem:
@@ -206,7 +206,7 @@
             # One that never reached the instance it was meant for is no attempt.
             self._misdirected += head.is_misdirected
             may_repeat = len(self._tried) - self._misdirected < self.job.route.attempts
-            if may_repeat and allowance.take(time.monotonic()):
+            if may_repeat and allowance.take(clocks.get_s()):
                 self._begin_run()
             else:
                 self.fail(codes.ResultCode.UPSTREAM_REFUSED, "the upstream has no room")
@@ -238,7 +238,7 @@
         reading = generation.prompt_tokens if generation is not None and resume is None else 0
         self._tried.add(upstream.instance.life_id)
         if resume is None:
-            waited_ms = (time.monotonic() - self._arrived_s) * 1000
+            waited_ms = (clocks.get_s() - self._arrived_s) * 1000
             self._context.figures.room_wait_ms.observe(waited_ms)
         upstream.works[request_id] = upstream_book.Work(
             request_id, self.need_tokens, reading_tokens=reading
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -8,7 +8,6 @@
 
 import logging
 import math
-import time
 from typing import Protocol
 
 from spoolhead._internal.discovery import list_reader
@@ -16,7 +15,7 @@
 from spoolhead._internal.models import dialects, fleet, instances, settings
 from spoolhead._internal.network import links, messages, peer_client, route_messages, upstream_calls
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.utils import deflate, document_delta
+from spoolhead._internal.utils import clocks, deflate, document_delta
 
 logger = logging.getLogger(__name__)
 
@@ -94,7 +93,7 @@
         self._config = config
         self._user = user
         self._keepers: dict[str, followed_keeper.FollowedKeeper] = {}
-        self._listed_s = time.monotonic()
+        self._listed_s = clocks.get_s()
         self._reader_term = 0
         self._reads_itself = False
         self._read_s = -math.inf
@@ -236,7 +235,7 @@
     def _fetch(self, keeper: followed_keeper.FollowedKeeper) -> None:
         if not keeper.is_confirmed and not self._takes_unconfirmed:
             return
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         known_version = max(self.version, self._unusable_version)
         if keeper.version <= known_version or now_s - keeper.asked_s < FETCH_AGAIN_S:
             return
@@ -313,7 +312,7 @@
     def _take_list(
         self, keeper: followed_keeper.FollowedKeeper, message: route_messages.InstanceList
     ) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         keeper.take_list(message)
         is_stale = now_s - self._listed_s > self._config.instance_list.fallback_ms / 1000
         if keeper.listed is None or (message.reader_term < self._reader_term and not is_stale):
@@ -341,13 +340,13 @@
 
     def _check(self) -> None:
         self._fetch_elsewhere()
-        age_s = time.monotonic() - self._listed_s
+        age_s = clocks.get_s() - self._listed_s
         if age_s < self._config.instance_list.fallback_ms / 1000:
             return
         if not self._reads_itself:
             self._reads_itself = True
             fields = {"age_ms": int(age_s * 1000)}
             logger.warning("instance list is read directly", extra={"fields": fields})
-        if time.monotonic() - self._read_s >= READ_S_PER_ENTRY * self._entry_count:
-            self._read_s = time.monotonic()
+        if clocks.get_s() - self._read_s >= READ_S_PER_ENTRY * self._entry_count:
+            self._read_s = clocks.get_s()
             self._reader.read()
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -1,13 +1,13 @@
 """What an entry does when it hears something new of the instances."""
 
 import logging
-import time
 from collections.abc import Callable, Set
 
 from spoolhead._internal.gateway import exchange, exchange_context, load_sharing, stream_exchange
 from spoolhead._internal.models import instances, shared_load
 from spoolhead._internal.policy import upstream_book
 from spoolhead._internal.routing import matcher
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,7 @@
         book = self._context.book
         before = book.get_all()
         known = {upstream.instance.life_id for upstream in before}
-        leaving = book.take_list(listed, time.monotonic())
+        leaving = book.take_list(listed, clocks.get_s())
         now_known = {upstream.instance.life_id for upstream in book.get_all()}
         for life_id in sorted(now_known - known):
             logger.info("upstream came", extra={"fields": {"upstream": life_id}})
@@ -67,7 +67,7 @@
         Runs there end where they are. What has come back may have just been started.
         """
         self._context.figures.evacuated_halls.set(len(halls))
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for upstream in self._context.book.set_evacuated(halls):
             table = self._get_table()
             service = table.get_service(upstream.instance.service) if table else None
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -11,6 +11,7 @@
 from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import messages, peer_server
 from spoolhead._internal.table import packing
+from spoolhead._internal.utils import clocks
 from spoolhead.coordination import once_journal, versioned_table
 
 logger = logging.getLogger(__name__)
@@ -55,7 +56,7 @@
         self._log = log
         self._state = state.KeeperState(kept_changes=config.kept_changes)
         self._followers: dict[str, Follower] = {}
-        self._started_s = time.monotonic()
+        self._started_s = clocks.get_s()
         self._replay()
 
     @property
@@ -70,7 +71,7 @@
             follower = self._followers.setdefault(session.name, Follower())
             follower.session = session
             follower.is_following = False
-            follower.seen_s = time.monotonic()
+            follower.seen_s = clocks.get_s()
 
     def on_closed(self, session: peer_server.PeerSession) -> None:
         """Note that a peer is away."""
@@ -78,7 +79,7 @@
         follower = self._followers.get(session.name)
         if follower is not None and follower.session is session:
             follower.session = None
-            follower.seen_s = time.monotonic()
+            follower.seen_s = clocks.get_s()
             self._tell_members()
 
     def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
@@ -119,7 +120,7 @@
         follower = self._followers.get(session.name)
         if follower is not None:
             follower.version = message.version
-            follower.seen_s = time.monotonic()
+            follower.seen_s = clocks.get_s()
 
     def propose(self, session: peer_server.PeerSession, message: messages.Propose) -> None:
         """Accept an edit, or refuse it whole."""
@@ -157,7 +158,7 @@
 
     def send_status(self, session: peer_server.PeerSession, message: messages.GetStatus) -> None:
         """Tell an operator how the keeper and its followers are."""
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         entries = [
             {
                 "name": name,
@@ -327,7 +328,7 @@
 
     def _is_gone(self, owner: str) -> bool:
         follower = self._followers.get(owner)
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         if follower is None:
             return now_s - self._started_s > OWNER_GONE_AFTER_S
         if follower.session is not None:
--- a/src/spoolhead/_internal/load_telling/hub_port.py
+++ b/src/spoolhead/_internal/load_telling/hub_port.py
@@ -4,13 +4,12 @@
 """
 
 import logging
-import time
 from collections.abc import Callable, Iterable
 
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import load_hub
-from spoolhead._internal.utils import endpoints
+from spoolhead._internal.utils import clocks, endpoints
 
 logger = logging.getLogger(__name__)
 
@@ -65,7 +64,7 @@
         send: Callable[[bytes, endpoints.Endpoint], None],
         get_hubs: Callable[[], Iterable[endpoints.Endpoint]],
         bytes_per_s: int,
-        clock: Clock = time.monotonic,
+        clock: Clock = clocks.get_s,
     ) -> None:
         self._timers = timers
         self._hub = hub
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -11,7 +11,6 @@
 import dataclasses
 import logging
 import socket
-import time
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
@@ -22,6 +21,7 @@
 from spoolhead._internal.models import codes, fault, route_table, settings
 from spoolhead._internal.network import direct_server, request_reader
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -320,7 +320,7 @@
         if not connection.must_linger or self._server.get_unsent_bytes(connection.sock):
             self._server.close_after_send(connection.sock)
             return
-        connection.deadline_s = time.monotonic() + LINGER_S
+        connection.deadline_s = clocks.get_s() + LINGER_S
         with contextlib.suppress(OSError):
             connection.sock.shutdown(socket.SHUT_WR)
 
@@ -447,10 +447,10 @@
         if phase is connection.phase and connection.deadline_s is not None and not restart:
             return
         connection.phase = phase
-        connection.deadline_s = time.monotonic() + _get_wait_ms(self._limits, phase) / 1000
+        connection.deadline_s = clocks.get_s() + _get_wait_ms(self._limits, phase) / 1000
 
     def _sweep(self) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for connection in list(self._connections.values()):
             if connection.deadline_s is None or now_s < connection.deadline_s:
                 continue
--- a/src/spoolhead/_internal/network/direct_poller.py
+++ b/src/spoolhead/_internal/network/direct_poller.py
@@ -15,10 +15,14 @@
 
 
 class DirectPoller(pollers.EPoll):
-    """EPoll with direct readers."""
+    """EPoll with direct readers.
 
-    def __init__(self) -> None:
+    :param before: called before anything that has arrived is handled.
+    """
+
+    def __init__(self, before: Callable[[], None] = lambda: None) -> None:
         super().__init__()
+        self._before = before
         self._direct: dict[socket.socket, Reader] = {}
 
     def add_direct_reader(self, source: object, sock: socket.socket, reader: Reader) -> None:
@@ -36,6 +40,7 @@
         super().discard(fd)
 
     def _process(self, fileno: int, event: int) -> None:
+        self._before()
         reader = self._direct.get(self._map.get(fileno)) if event == select.EPOLLIN else None
         if reader is None:
             super()._process(fileno, event)
--- a/src/spoolhead/_internal/network/loop.py
+++ b/src/spoolhead/_internal/network/loop.py
@@ -28,8 +28,9 @@
 
     def __init__(self, on_stop: Callable[[], None]) -> None:
         super().__init__()
-        self.poller = direct_poller.DirectPoller().register(self)
-        self.scheduler = scheduler.Scheduler().register(self)
+        made = scheduler.Scheduler()
+        self.poller = direct_poller.DirectPoller(made.catch_up).register(self)
+        self.scheduler = made.register(self)
         self.exceptions = 0
         self.on_reload: Callable[[], None] | None = None
         self._on_stop = on_stop
--- a/src/spoolhead/_internal/network/peer_call.py
+++ b/src/spoolhead/_internal/network/peer_call.py
@@ -2,14 +2,13 @@
 
 import secrets
 import socket
-import time
 from collections.abc import Sequence
 from typing import TypeVar
 
 from spoolhead._internal import exceptions
 from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import handshake, messages
-from spoolhead._internal.utils import endpoints
+from spoolhead._internal.utils import clocks, endpoints
 
 ROLE = "operator"
 READ_BYTES = 65_536
@@ -73,7 +72,7 @@
             raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
 
     def _receive(self, kind: type[_MessageT]) -> _MessageT:
-        deadline_s = time.monotonic() + self._timeout_s
+        deadline_s = clocks.get_s() + self._timeout_s
         while True:
             while self._arrived:
                 message = self._arrived.pop(0)
@@ -86,7 +85,7 @@
 
     def _read(self, deadline_s: float) -> None:
         try:
-            self._sock.settimeout(max(0.001, deadline_s - time.monotonic()))
+            self._sock.settimeout(max(0.001, deadline_s - clocks.get_s()))
             data = self._sock.recv(READ_BYTES)
         except OSError as error:
             raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -3,12 +3,12 @@
 import logging
 import random
 import secrets
-import time
 from collections.abc import Sequence
 from typing import Protocol
 
 from spoolhead._internal.network import handshake, links, messages
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -105,7 +105,7 @@
         self._link: links.Link | None = None
         self._reader = messages.MessageReader()
         self._nonce = b""
-        self._heard_s = time.monotonic()
+        self._heard_s = clocks.get_s()
         self.is_ready = False
         self._is_closed = False
         self._beats = self._scheduler.call_every(timing.heartbeat_ms / 1000, self._keep_alive)
@@ -147,11 +147,11 @@
 
     def on_connected(self) -> None:
         """Wait for the challenge."""
-        self._heard_s = time.monotonic()
+        self._heard_s = clocks.get_s()
 
     def on_data(self, data: bytes) -> None:
         """Take bytes of the other side."""
-        self._heard_s = time.monotonic()
+        self._heard_s = clocks.get_s()
         try:
             for message in self._reader.feed(data):
                 if not self._is_closed:
@@ -182,7 +182,7 @@
             return
         self._reader = messages.MessageReader()
         address = self._addresses[self._next % len(self._addresses)]
-        self._heard_s = time.monotonic()
+        self._heard_s = clocks.get_s()
         self._link = self._outgoing.open(address, self, connect_ms=self._timing.connect_ms)
 
     def _take(self, message: messages.Message) -> None:
@@ -216,7 +216,7 @@
     def _keep_alive(self) -> None:
         if self._link is None or not self._link.is_connected:
             return
-        if time.monotonic() - self._heard_s > self._timing.silence_ms / 1000:
+        if clocks.get_s() - self._heard_s > self._timing.silence_ms / 1000:
             self.reconnect("silent for too long")
         else:
             self.send(messages.Heartbeat())
--- a/src/spoolhead/_internal/network/peer_server.py
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -3,13 +3,13 @@
 import logging
 import secrets
 import socket
-import time
 from typing import Protocol
 
 import circuits
 
 from spoolhead._internal.network import direct_server, handshake, messages
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -36,7 +36,7 @@
         self.nonce = secrets.token_bytes(handshake.NONCE_BYTES)
         self.role = ""
         self.name = ""
-        self.heard_s = time.monotonic()
+        self.heard_s = clocks.get_s()
 
     def send(self, message: messages.Message) -> None:
         """Send a message; dropped if the connection is gone."""
@@ -127,7 +127,7 @@
         session = self._sessions.get(sock)
         if session is None:
             return
-        session.heard_s = time.monotonic()
+        session.heard_s = clocks.get_s()
         try:
             for message in session.reader.feed(data):
                 self._take(session, message)
@@ -154,7 +154,7 @@
         self._service.on_opened(session)
 
     def _keep_alive(self) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         beat = messages.encode(messages.Heartbeat())
         for session in list(self._sessions.values()):
             limit_s = SILENCE_LIMIT_S if session.role else HELLO_TIMEOUT_S
--- a/src/spoolhead/_internal/network/scheduler.py
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -1,18 +1,19 @@
-"""Timers on the monotonic clock.
+"""Timers on the programs' clock.
 
 The event library's own timer counts on the wall clock, which can be set back; a deadline or a
-lease must not move with it.
+lease must not move with it. A suspension of the machine counts: what came due in it runs first.
 """
 
 import heapq
 import itertools
 import logging
-import time
 from collections.abc import Callable
 
 import circuits
 from circuits.core import events
 
+from spoolhead._internal.utils import clocks
+
 logger = logging.getLogger(__name__)
 
 STANDSTILL_S = 0.5
@@ -20,6 +21,10 @@
 upset whoever counts on this process."""
 
 
+SUSPENDED_S = 0.05
+"""Difference between two looks at the clocks that is worth a line; both run alike otherwise."""
+
+
 class Timer:
     """A pending call.
 
@@ -82,6 +87,7 @@
         super().__init__()
         self._heap: list[tuple[float, int, Timer]] = []
         self._counter = itertools.count()
+        self._suspended_s = clocks.get_s() - clocks.get_running_s()
 
     def call_later(self, delay_s: float, call: Callable[[], None]) -> Timer:
         """Make a call after a delay.
@@ -89,7 +95,7 @@
         :param delay_s: seconds from now; 0 for the next turn of the loop.
         :param call: what to call; an exception in it is reported by the loop.
         """
-        timer = Timer(time.monotonic() + delay_s, call)
+        timer = Timer(clocks.get_s() + delay_s, call)
         heapq.heappush(self._heap, (timer.due_s, next(self._counter), timer))
         return timer
 
@@ -100,9 +106,35 @@
         """
         return Repetition(self, interval_s, call)
 
+    def catch_up(self) -> None:
+        """Run what came due while the process stood still, before what has arrived is handled.
+
+        What was known may be long over by then: streams that would have been given up, instances
+        that are gone, deadlines.
+        """
+        if self._heap and clocks.get_s() - self._heap[0][0] > STANDSTILL_S:
+            self._run_due(None)
+
     @circuits.handler("generate_events", channel="*")
     def _on_generate_events(self, event: circuits.Event) -> None:
-        now_s = time.monotonic()
+        self._note_suspension()
+        if self._run_due(event):
+            # What the calls fired is already queued, so the poller must not wait this turn.
+            event.reduce_time_left(0)
+        elif self._heap:
+            event.reduce_time_left(max(0.0, self._heap[0][0] - clocks.get_s()))
+
+    def _note_suspension(self) -> None:
+        suspended_s = clocks.get_s() - clocks.get_running_s()
+        for_s = suspended_s - self._suspended_s
+        if for_s > SUSPENDED_S:
+            fields = {"for_ms": int(for_s * 1000)}
+            logger.warning("machine was suspended", extra={"fields": fields})
+        self._suspended_s = suspended_s
+
+    def _run_due(self, event: circuits.Event | None) -> bool:
+        """Run what is due; tells whether anything was."""
+        now_s = clocks.get_s()
         late_s = now_s - self._heap[0][0] if self._heap else 0.0
         if late_s > STANDSTILL_S:
             fields = {"late_ms": int(late_s * 1000)}
@@ -112,13 +144,9 @@
             timer = heapq.heappop(self._heap)[2]
             ran = ran or not timer.is_cancelled
             self._run(timer, event)
-        if ran:
-            # What the calls fired is already queued, so the poller must not wait this turn.
-            event.reduce_time_left(0)
-        elif self._heap:
-            event.reduce_time_left(max(0.0, self._heap[0][0] - now_s))
+        return ran
 
-    def _run(self, timer: Timer, event: circuits.Event) -> None:
+    def _run(self, timer: Timer, event: circuits.Event | None) -> None:
         # An exception that left the handler would leave the poller without the time of the
         # next timer, and the program would sleep on until a byte came.
         try:
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import time
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -16,6 +15,7 @@
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import links
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 Headers = Sequence[tuple[str, str]]
 
@@ -305,7 +305,7 @@
             link.close()
             return
         link.user = _IdleUser(link)
-        idle.append(_IdleLink(link, time.monotonic()))
+        idle.append(_IdleLink(link, clocks.get_s()))
 
     def let_end(self, call: UpstreamCall) -> None:
         """Let a call end whose answer is no longer needed, so that its link may be kept.
@@ -313,7 +313,7 @@
         One that does not end within the time that idle connections are kept is cancelled.
         """
         if not call.is_over:
-            self._ending.append(_EndingCall(call, time.monotonic()))
+            self._ending.append(_EndingCall(call, clocks.get_s()))
 
     def forget(self, address: str) -> None:
         """Close the idle connections to an upstream that is no longer used."""
@@ -329,7 +329,7 @@
         return None
 
     def _close_idle(self) -> None:
-        oldest_s = time.monotonic() - self._config.idle_ms / 1000
+        oldest_s = clocks.get_s() - self._config.idle_ms / 1000
         while self._ending and (self._ending[0].call.is_over or self._ending[0].since_s < oldest_s):
             ending = self._ending.popleft()
             if not ending.call.is_over:
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -27,7 +27,7 @@
 from spoolhead._internal.policy import load_hub
 from spoolhead._internal.quorum import feed, keeper_figures, member, mesh, questions
 from spoolhead._internal.routing import table_checks
-from spoolhead._internal.utils import endpoints, figures
+from spoolhead._internal.utils import clocks, endpoints, figures
 from spoolhead.coordination import consensus_messages
 
 logger = logging.getLogger(__name__)
@@ -166,10 +166,10 @@
                 self._read_table(caller)
 
     def _set_evacuation(self, caller: caller_front.Caller, wanted: dialects.SetEvacuation) -> None:
-        began_s = time.monotonic()
+        began_s = clocks.get_s()
 
         def _answer(is_sure: bool) -> None:
-            took_ms = int((time.monotonic() - began_s) * 1000)
+            took_ms = int((clocks.get_s() - began_s) * 1000)
             fields = {
                 "hall": wanted.hall,
                 "is_evacuated": wanted.is_evacuated,
@@ -198,18 +198,18 @@
             self._refuse(caller, faults[0])
             return
         version = decoded.ok.version
-        began_s = time.monotonic()
+        began_s = clocks.get_s()
 
         def _answer(is_sure: bool) -> None:
             fields = {
                 "version": version,
                 "held_version": self._member.register.version,
                 "acknowledged": is_sure,
-                "took_ms": int((time.monotonic() - began_s) * 1000),
+                "took_ms": int((clocks.get_s() - began_s) * 1000),
             }
             logger.info("table order answered", extra={"fields": fields})
             self._figures.orders.labels("acknowledged" if is_sure else "unsure").inc()
-            self._figures.order_ms.observe((time.monotonic() - began_s) * 1000)
+            self._figures.order_ms.observe((clocks.get_s() - began_s) * 1000)
             if is_sure:
                 answers.send_json(caller, 200, {"version": version})
             else:
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -5,12 +5,12 @@
 import random
 import secrets
 import socket
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.quorum import mesh, replicated_state, storage, table_register
+from spoolhead._internal.utils import clocks
 from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
 
@@ -70,7 +70,7 @@
             self.state,
             consensus_types.Timing(),
             random.Random(),
-            time.monotonic(),
+            clocks.get_s(),
         )
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
@@ -115,13 +115,13 @@
         return self._propose(order)
 
     def _propose(self, change: bytes) -> bool:
-        taken = self._consensus.propose(change, time.monotonic())
+        taken = self._consensus.propose(change, clocks.get_s())
         self._carry_out()
         return taken
 
     def begin_read(self) -> int | None:
         """Begin to confirm that this keeper leads; see :meth:`is_confirmed`."""
-        number = self._consensus.begin_read(time.monotonic())
+        number = self._consensus.begin_read(clocks.get_s())
         self._carry_out()
         return number
 
@@ -133,7 +133,7 @@
         """Take a message of another keeper."""
         if isinstance(message, messages.JoinRequest):
             self._note_join_request(message)
-        self._consensus.receive(message, time.monotonic())
+        self._consensus.receive(message, clocks.get_s())
         self._carry_out()
 
     def _begin(self, address: str, folder: pathlib.Path) -> replicated_log.ReplicatedLog:
@@ -170,11 +170,11 @@
 
     def _on_wake(self, sock: socket.socket) -> None:
         sock.recv(4_096)
-        self._consensus.note_synced(self._synced, time.monotonic())
+        self._consensus.note_synced(self._synced, clocks.get_s())
         self._carry_out()
 
     def _tick(self) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         self._consensus.tick(now_s)
         if not self._consensus.leader or not self._consensus.is_member:
             self._ask_to_join(now_s)
--- a/src/spoolhead/_internal/quorum/mesh.py
+++ b/src/spoolhead/_internal/quorum/mesh.py
@@ -1,10 +1,10 @@
 """Streams from one keeper to the others, opened when first needed."""
 
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.network import links, messages, peer_client
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.utils import clocks
 
 ROLE = "keeper"
 TIMING = peer_client.PeerTiming(
@@ -22,7 +22,7 @@
     def __init__(self, mesh: "Mesh", address: str) -> None:
         self._mesh = mesh
         self.address = address
-        self.used_s = time.monotonic()
+        self.used_s = clocks.get_s()
         self.client = mesh.make_client(address, self)
 
     def on_peer_ready(self) -> None:
@@ -74,7 +74,7 @@
         peer = self._peers.get(address)
         if peer is None:
             peer = self._peers[address] = _Peer(self, address)
-        peer.used_s = time.monotonic()
+        peer.used_s = clocks.get_s()
         return peer.client.send(message)
 
     def make_client(self, address: str, peer: _Peer) -> peer_client.PeerClient:
@@ -103,7 +103,7 @@
         self._take(message)
 
     def _close_unused(self) -> None:
-        oldest_s = time.monotonic() - UNUSED_S
+        oldest_s = clocks.get_s() - UNUSED_S
         for address, peer in list(self._peers.items()):
             if peer.used_s < oldest_s:
                 peer.client.close()
--- a/src/spoolhead/_internal/quorum/questions.py
+++ b/src/spoolhead/_internal/quorum/questions.py
@@ -3,12 +3,12 @@
 import itertools
 import logging
 import secrets
-import time
 from collections.abc import Callable
 
 from spoolhead._internal.models import evacuations, settings
 from spoolhead._internal.network import peer_server, route_messages, scheduler
 from spoolhead._internal.quorum import member, mesh
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -108,7 +108,7 @@
 
         :param answer: called with whether it is, or a higher version.
         """
-        order = _Order(version, document, answer, time.monotonic() + self._answer_s)
+        order = _Order(version, document, answer, clocks.get_s() + self._answer_s)
         self._orders.append(order)
         self._check()
 
@@ -123,7 +123,7 @@
             base_revision=self._group.state.evacuations.get_revision(hall),
             order_id=secrets.token_hex(ORDER_ID_BYTES),
         )
-        item = _HallOrder(order, answer, time.monotonic() + HALL_ORDER_S)
+        item = _HallOrder(order, answer, clocks.get_s() + HALL_ORDER_S)
         self._hall_orders.append(item)
         self._check()
 
@@ -132,7 +132,7 @@
 
         :param answer: called with whether it does.
         """
-        read = _Read(next(self._numbers), answer, time.monotonic() + self._answer_s)
+        read = _Read(next(self._numbers), answer, clocks.get_s() + self._answer_s)
         self._reads.append(read)
         self._check()
 
@@ -177,7 +177,7 @@
         self._check()
 
     def _check(self) -> None:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         for order in list(self._orders):
             self._check_order(order, now_s)
         for item in list(self._hall_orders):
--- a/src/spoolhead/_internal/quorum/storage.py
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -17,7 +17,7 @@
 import msgpack
 
 from spoolhead._internal import exceptions
-from spoolhead._internal.utils import files
+from spoolhead._internal.utils import clocks, files
 from spoolhead.coordination import changelog, replicated_log
 
 logger = logging.getLogger(__name__)
@@ -144,13 +144,13 @@
 
         :raises exceptions.DiskError: if the disk refuses that for too long.
         """
-        began_s = time.monotonic()
+        began_s = clocks.get_s()
         while True:
             try:
                 self._replace(data)
                 return
             except exceptions.DiskError as error:
-                if time.monotonic() - began_s > START_WAIT_S:
+                if clocks.get_s() - began_s > START_WAIT_S:
                     raise
                 fields = {"path": str(self._path), "reason": str(error)}
                 logger.error("disk refuses writes", extra={"fields": fields})
@@ -182,12 +182,12 @@
                 break
             except (OSError, exceptions.DiskError) as error:
                 if not refused_s:
-                    refused_s = time.monotonic()
+                    refused_s = clocks.get_s()
                     fields = {"path": str(self._path), "reason": str(error)}
                     logger.error("disk refuses writes", extra={"fields": fields})
                 time.sleep(RETRY_S)
         if refused_s:
-            fields = {"lost_ms": int((time.monotonic() - refused_s) * 1000)}
+            fields = {"lost_ms": int((clocks.get_s() - refused_s) * 1000)}
             logger.warning("disk takes writes again", extra={"fields": fields})
 
     def _append(self, data: bytes) -> None:
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -9,10 +9,10 @@
 import os
 import select
 import sys
-import time
 from typing import IO
 
 from spoolhead._internal.models import settings
+from spoolhead._internal.utils import clocks
 
 LINES_PER_S = 400
 """Lines a second in the long run: some ten for each of the 13 requests a second that an entry
@@ -67,7 +67,7 @@
         self._poll = select.poll()
         self._poll.register(self._descriptor, select.POLLOUT)
         self._credit = float(BURST_LINES)
-        self._credit_s = time.monotonic()
+        self._credit_s = clocks.get_s()
         self._dropped = 0
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -90,7 +90,7 @@
         return True
 
     def _take_credit(self, record: logging.LogRecord) -> bool:
-        now_s = time.monotonic()
+        now_s = clocks.get_s()
         earned = (now_s - self._credit_s) * LINES_PER_S
         self._credit = min(float(BURST_LINES), self._credit + earned)
         self._credit_s = now_s
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -1,7 +1,6 @@
 """A routed request among fakes: calls to instances, the caller, timers and the book."""
 
 import random
-import time
 
 from lib import fakes
 from spoolhead._internal.gateway import (
@@ -15,7 +14,7 @@
 from spoolhead._internal.models import dialects, instances, route_table, settings
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.policy import request_content, upstream_book
-from spoolhead._internal.utils import figures
+from spoolhead._internal.utils import clocks, figures
 from spoolhead.platform import dialect
 
 REQUEST_ID = "9c41d07be2a35f68"
@@ -181,7 +180,7 @@
     return wire
 
 
-def make_contents(name="entry-1", *, clock=time.monotonic, tell=lambda: None, on_held=None):
+def make_contents(name="entry-1", *, clock=clocks.get_s, tell=lambda: None, on_held=None):
     return content_watch.ContentWatch(
         name, clock=clock, tell=tell, on_held=on_held or (lambda content_id: None)
     )
@@ -285,7 +284,7 @@
             for name in self.names
             if name not in gone
         ]
-        return self.book.take_list(listed, time.monotonic())
+        return self.book.take_list(listed, clocks.get_s())
 
     def leave(self, name):
         self.list(leaving=[name])
--- a/tests/lib/table_fleet.py
+++ b/tests/lib/table_fleet.py
@@ -212,7 +212,7 @@
         for name in ("entry-1", "entry-2"):
             self.start_entry(name)
 
-    def monotonic(self):
+    def get_s(self):
         """Stand for the clock of the modules under test."""
         return self.group.now_s
 
--- /dev/null
+++ b/tests/unit/test_clocks.py
@@ -0,0 +1,117 @@
+"""A machine that is suspended and goes on: ages, deadlines and timers count that time."""
+
+import logging
+import pathlib
+import re
+import socket
+import time
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.models import route_table
+from spoolhead._internal.network import loop as loops
+
+SOURCES = pathlib.Path(__file__).parents[2] / "src"
+SUSPENDED_S = 1.5
+
+
+class Machine:
+    """A machine that can be suspended."""
+
+    def __init__(self, monkeypatch):
+        self._suspended_s = 0.0
+        real = time.clock_gettime
+        boot = getattr(time, "CLOCK_BOOTTIME", None)
+        monkeypatch.setattr(
+            time,
+            "clock_gettime",
+            lambda clock: real(clock) + (self._suspended_s if clock == boot else 0.0),
+        )
+
+    def suspend(self, for_s):
+        self._suspended_s += for_s
+
+
+@pytest.fixture
+def machine(monkeypatch):
+    return Machine(monkeypatch)
+
+
+def _make_loop():
+    """Return a loop that ends after its first turn in which a timer is due."""
+    made = loops.Loop(lambda: None)
+    made.scheduler.call_later(0.05, made.finish)
+    return made
+
+
+def test_no_program_counts_by_a_clock_that_leaves_suspension_out():
+    users = [
+        path.name
+        for path in SOURCES.rglob("*.py")
+        if re.search(r"time\.(monotonic|perf_counter)\b", path.read_text())
+    ]
+    assert users == ["clocks.py"]
+
+
+@pytest.mark.parametrize(
+    "kind", [route_table.RequestKind.STREAM, route_table.RequestKind.REPEATABLE]
+)
+def test_a_callers_deadline_does_not_wait_for_the_machine(machine, kind):
+    setting = gateway_setting.Setting(kind)
+    before_ms = setting.exchange.remaining_ms
+    machine.suspend(SUSPENDED_S)
+    assert setting.exchange.remaining_ms <= before_ms - SUSPENDED_S * 1000
+
+
+def test_what_is_passed_on_after_a_suspension_ends_with_the_callers_deadline(machine):
+    setting = gateway_setting.Setting(route_table.RequestKind.REPEATABLE)
+    machine.suspend(SUSPENDED_S)
+    setting.last.send()
+    setting.last.lose()
+    assert len(setting.calls.attempts) == 2
+    assert int(setting.last.get_header("x-request-deadline")) <= 2_000 - SUSPENDED_S * 1000
+
+
+def test_timers_that_came_due_meanwhile_run_at_once_and_the_log_tells(machine, caplog):
+    ran = []
+    loop = _make_loop()
+    loop.scheduler.call_later(60.0, lambda: ran.append("timer"))
+    machine.suspend(61.0)
+    with caplog.at_level(logging.WARNING):
+        loop.run()
+    assert ran == ["timer"]
+    (line,) = [item for item in caplog.records if item.message == "machine was suspended"]
+    assert 60_000 < line.fields["for_ms"] < 62_000
+
+
+def test_what_came_due_goes_before_what_has_arrived(machine):
+    """What was known is looked at anew before anything is served by it."""
+    ran = []
+    loop = _make_loop()
+    here, there = socket.socketpair()
+    here.setblocking(False)
+
+    def _read(sock):
+        ran.append("bytes")
+        sock.recv(10)
+
+    loop.poller.add_direct_reader(loop, here, _read)
+    loop.scheduler.call_later(0.4, lambda: ran.append("timer"))
+
+    poller = loop.poller._poller
+
+    class _Poller:
+        def poll(self, *arguments):
+            machine.suspend(5.0)
+            there.send(b"x")
+            return poller.poll(*arguments)
+
+        def __getattr__(self, name):
+            return getattr(poller, name)
+
+    loop.poller._poller = _Poller()
+    loop.run()
+    here.close()
+    there.close()
+    assert ran[:2] == ["timer", "bytes"]
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -1,7 +1,6 @@
 """Streams: each event once and in order, from one run, also when the run changes instances."""
 
 import json
-import time
 
 import hypothesis
 from hypothesis import strategies
@@ -10,6 +9,7 @@
 from spoolhead._internal.models import route_table, shared_load
 from spoolhead._internal.policy import upstream_book
 from spoolhead._internal.relay import splice
+from spoolhead._internal.utils import clocks
 
 STREAM = route_table.RequestKind.STREAM
 SIGNED = gateway_setting.SIGNED
@@ -160,7 +160,7 @@
     first = setting.last
     first.answer(200, SIGNED, make_events(1, 3), whole=False)
     kind = shared_load.AlarmKind.SAID
-    assert setting.exchange.upstream.raise_alarm(time.monotonic(), kind)
+    assert setting.exchange.upstream.raise_alarm(clocks.get_s(), kind)
     setting.exchange.on_instances_changed()
     monkeypatch.setattr(upstream_book, "ALARM_S", 0.0)
     setting.calls.copies[-1].answer(200, [], b'{"handle": "h-1", "made": 3}')
--- a/tests/unit/test_scheduler.py
+++ b/tests/unit/test_scheduler.py
@@ -12,7 +12,8 @@
 
 def test_a_standstill_is_logged_with_its_length(monkeypatch, caplog):
     now = [100.0]
-    monkeypatch.setattr(scheduler.time, "monotonic", lambda: now[0])
+    monkeypatch.setattr(scheduler.clocks, "get_s", lambda: now[0])
+    monkeypatch.setattr(scheduler.clocks, "get_running_s", lambda: now[0])
     timers = scheduler.Scheduler()
     ran = []
     timers.call_later(0.1, lambda: ran.append(now[0]))
--- a/tests/unit/test_table_feed.py
+++ b/tests/unit/test_table_feed.py
@@ -1,14 +1,12 @@
 """What an entry takes from several keepers: the newest table, never an older one."""
 
-import time
-
 import pytest
 
 from lib import gateway_setting
 from spoolhead._internal.gateway import table_feed
 from spoolhead._internal.models import fleet, instances
 from spoolhead._internal.network import route_messages
-from spoolhead._internal.utils import deflate, document_delta
+from spoolhead._internal.utils import clocks, deflate, document_delta
 
 
 class _Client:
@@ -232,8 +230,8 @@
 def test_a_keeper_that_stands_still_is_passed_over(feed, monkeypatch):
     for address in ("a:1", "b:1", "c:1"):
         _tell(feed, address, route_messages.RouteTableVersion(version=5, is_confirmed=True))
-    later_s = time.monotonic() + table_feed.COMING_S
-    monkeypatch.setattr(table_feed.time, "monotonic", lambda: later_s)
+    later_s = clocks.get_s() + table_feed.COMING_S
+    monkeypatch.setattr(table_feed.clocks, "get_s", lambda: later_s)
     feed._loop.later.pop()()
     asked = [
         _client(feed, address).count(route_messages.GetRouteTable)
@@ -371,11 +369,11 @@
     """Without news of a keeper an entry reads itself, but the fleet together not too often."""
     told = [[f"e{number}", "h", "x:1"] for number in range(entries)]
     _tell(feed, "a:1", _make_fleet(hall="h", keepers=["a:1", "b:1", "c:1"], entries=told))
-    began_s = time.monotonic()
+    began_s = clocks.get_s()
     made = []
     monkeypatch.setattr(feed._reader, "read", lambda: made.append(1))
     for step in range(3):
         now_s = began_s + 10.0 + step * table_feed.CHECK_S
-        monkeypatch.setattr(table_feed.time, "monotonic", lambda now_s=now_s: now_s)
+        monkeypatch.setattr(table_feed.clocks, "get_s", lambda now_s=now_s: now_s)
         feed._check()
     assert len(made) == reads
--- a/tests/unit/test_table_fleet.py
+++ b/tests/unit/test_table_fleet.py
@@ -24,7 +24,7 @@
     def __init__(self):
         super().__init__()
         self.fleet = None
-        self._time = table_feed.time
+        self._time = table_feed.clocks
 
     @stateful.initialize(
         seed=strategies.integers(min_value=0, max_value=10_000),
@@ -32,12 +32,12 @@
     )
     def begin(self, seed, size):
         self.fleet = table_fleet.Fleet(seed, size)
-        table_feed.time = self.fleet
+        table_feed.clocks = self.fleet
         self.wiped_s = self.fleet.group.now_s
         self.fleet.settle(2.0)
 
     def teardown(self):
-        table_feed.time = self._time
+        table_feed.clocks = self._time
 
     def _get_chance(self):
         return self.fleet.group.chance
