--- a/src/spoolhead/_internal/policy/quarantine.py
+++ b/src/spoolhead/_internal/policy/quarantine.py
@@ -15,10 +15,10 @@
 
 WAVES_TO_HOLD = 2
 """Ends, one after the other, after which a content is held. One end shows nothing: some twenty
-requests are at an engine. In a series, with three runs at each of nine engines, 3.6 answers beside it
-were cut off (mean of 30 simulated ones); held at the third end 5.2, never held nor run apart 33; at
-the first 2.5, but then 2.5 sound requests that came again were refused in each, as after any other
-end of an engine."""
+requests are at an engine. In a series, with three runs at each of nine engines, 3.6 answers beside
+it were cut off (mean of 30 simulated ones); held at the third end 5.2, never held nor run apart 33.
+Held at the first 2.5, but 2.5 sound requests that came again were refused in each series, as they
+would be after any other end of an engine."""
 ENDS_TO_HOLD = 3
 """Instances after whose end a content is held in any case. Several may end at the same time, by one
 fault or since callers sent it to several at once, and that alone counts as one wave."""
