--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,7 +4,7 @@
 
 from soak import plan, run
 
-SEEDS = (101, 10_101, 20_101)
+SEEDS = (101, 10_101, 20_101, 30_101)
 """One of each kind of plan."""
 FAILED_ONCE = (1005, 3005, 20_017, 20_019)
 """Seeds that failed, with the cause in docs/SOAK.md."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -4,12 +4,17 @@
 
 from lib import platform_fleet
 from soak import plan
+from soak import records as soak_records
 
 PROMISES_NOT_RUN = {408, 421, 429, 503}
 APPLY_S = 3.0
 """Time in which an accepted table must be in force everywhere."""
 SETTLE_S = 4.0
 """Time after trouble before an entry is held to a time limit again."""
+KNOWN_S = 3.0
+"""Time after which what ends instances must be held everywhere."""
+ENDS_TO_KNOW = 3
+RUNS_BORNE = 3
 LEAVE_S = 3.0
 """Time after which a leaving upstream must get no new work: some readings of the list."""
 
@@ -29,6 +34,7 @@
     broken += _check_reads(records)
     broken += _check_entries(records)
     broken += _check_refusals(records)
+    broken += _check_deadly(records)
     return broken
 
 
@@ -78,6 +84,21 @@
                 yield f"{run['id']} began at {drain.target} {late_s:.1f} s after its notice"
 
 
+def _check_deadly(records):
+    """Whatever befell the processes, what ended three instances is held from then on."""
+    ends_s = sorted(end["at_s"] for end in records.ends)
+    if len(ends_s) < ENDS_TO_KNOW:
+        return
+    known_s = ends_s[ENDS_TO_KNOW - 1] + KNOWN_S
+    late = [
+        run
+        for run in records.runs
+        if run["id"].startswith(soak_records.DEADLY) and run["at_s"] > known_s
+    ]
+    if len(late) > RUNS_BORNE:
+        yield f"a deadly request ran {len(late)} times more after {len(ends_s)} ends"
+
+
 def _check_evacuated(records):
     """What came to an entry after an evacuation was in force goes elsewhere, whatever befell it."""
     sent_s = {asked.request_id: asked.sent_s for asked in records.asked}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,9 +8,11 @@
 
 from lib import platform_fleet
 from soak import plan, records
+from standins import platform
 
 FIRST_VERSION = 3
 FULL_DISK_BYTES = 1
+DEADLY_PAUSE_S = 0.3
 TORN_BYTES = b"\x93\x01torn"
 FOREIGN_ENTRIES = [
     4,
@@ -73,6 +75,8 @@
                 self._change_table(step)
             elif step.kind == "evacuate":
                 self._evacuate(step)
+            elif step.kind == "deadly":
+                self._repeat_deadly(step)
             else:
                 self._disturb(step)
         except Exception as error:
@@ -170,6 +174,22 @@
         time.sleep(step.for_s)
         self._fleet.set(step.target, foreign=[])
 
+    def _repeat_deadly(self, step):
+        """Have a request come at both entries in turn that ends the instances which run it."""
+        headers = {"X_Model": "m", "X_Token_Usage": "100,20"} if step.target == "talk" else {}
+        until_s = time.monotonic() + step.for_s
+        number = 0
+        while time.monotonic() < until_s:
+            number += 1
+            self._fleet.ask(
+                plan.ENTRIES[number % 2],
+                f"/{step.target}/x",
+                body=platform.CRASH_BODY,
+                X_Request_Id=f"{records.DEADLY}-{number}",
+                **headers,
+            )
+            time.sleep(DEADLY_PAUSE_S)
+
     def _evacuate(self, step):
         """Have the other hall evacuated, and taken back after a time."""
         if not self._order_hall(step.target, "POST"):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -19,6 +19,8 @@
 HALLS_FROM_SEED = 20_000
 """Seeds from here on put some instances into another hall, which is evacuated and taken back, start
 instances again under their ids, and have another writer's entries in the list."""
+DEADLY_FROM_SEED = 30_000
+"""Seeds from here on have, besides, a request come again and again that ends what runs it."""
 FAR = ("m-3", "p-2")
 """Instances in the other hall then."""
 FAR_HALL = "hall-b"
@@ -56,6 +58,8 @@
         steps = _draw_power(chance)
     else:
         steps = _draw_processes(chance) + _draw_disks(chance)
+    if seed >= DEADLY_FROM_SEED:
+        steps.append(_draw_deadly(chance))
     steps += _draw_upstreams(chance) + _draw_tables(chance)
     return sorted(steps, key=lambda step: step.at_s)
 
@@ -118,6 +122,12 @@
     return steps
 
 
+def _draw_deadly(chance):
+    path = chance.choice(("talk", "safe"))
+    at_s = chance.uniform(0.5, 2.0)
+    return Step(at_s=at_s, kind="deadly", target=path, for_s=LENGTH_S - 1.0 - at_s)
+
+
 def _draw_upstreams(chance):
     steps = []
     leaving = chance.choice(MODELS)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+DEADLY = "deadly"
+"""How the ids of requests begin that end what runs them."""
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Asked:
@@ -86,6 +89,7 @@
         self.disturbances = []
         self.evacuations = []
         self.runs = []
+        self.ends = []
         self.problems = []
 
     def was_disturbed(self, target, from_s, to_s):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 
 from lib import platform_fleet
 from soak import callers, checks, faults, plan, records
+from standins import platform
 
 QUIET_S = 3.0
 """Time after the last fault in which all must serve again, before the last questions."""
@@ -136,11 +137,23 @@
         for thread in threads:
             thread.join(platform_fleet.WAIT_S)
         seen.runs = json.loads(platform_fleet.send(fleet.list_address, "GET", "/_runs").body)
+        seen.ends = fleet.get_ends()
+        seen.disturbances += [_describe_end(end) for end in seen.ends]
         seen.problems += [f"{name} ended by itself" for name in fleet.get_ended()]
         seen.problems += _check_logs(fleet)
     return checks.check(seen), len(seen.asked)
 
 
+def _describe_end(end):
+    """Return the trouble of an instance that a deadly request ended."""
+    return records.Disturbance(
+        target=end["instance"].partition(".")[0],
+        kind="kill",
+        began_s=end["at_s"],
+        ended_s=end["at_s"] + platform.DOWN_S,
+    )
+
+
 def _check_recovery(fleet, seen, doing):
     try:
         fleet.wait_until_ready(*plan.ENTRIES)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -33,6 +33,10 @@
     return {"id": "r", "instance": instance, "headers": headers, "at_s": at_s}
 
 
+def _deadly(at_s):
+    return {"id": f"{records.DEADLY}-1", "instance": "m-1", "headers": {}, "at_s": at_s}
+
+
 def _trouble(target, kind, began_s, ended_s):
     return records.Disturbance(target=target, kind=kind, began_s=began_s, ended_s=ended_s)
 
@@ -56,6 +60,10 @@
     "leaving gets work": _seen(
         _asked(), runs=[_run()], disturbances=[_trouble("p-1", "drain", 46.0, 60.0)]
     ),
+    "deadly request runs on": _seen(
+        runs=[_deadly(at_s) for at_s in (50.0, 51.0, 52.0, 55.5, 56.0, 57.0, 58.0)],
+        ends=[{"at_s": at_s} for at_s in (50.1, 51.1, 52.1)],
+    ),
     "evacuated hall gets work": _seen(
         _asked(),
         runs=[_run(instance="p-2")],
@@ -82,6 +90,10 @@
     ),
 }
 ALLOWED = {
+    "deadly request held in time": _seen(
+        runs=[_deadly(at_s) for at_s in (50.0, 51.0, 52.0, 54.0, 55.0, 56.0, 57.0)],
+        ends=[{"at_s": at_s} for at_s in (50.1, 51.1, 52.1)],
+    ),
     "moved": _seen(
         _asked(kind="talk", events=3, body=EVENTS), runs=[_run(), _run(**{"kv-from": "x"})]
     ),
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -45,6 +45,11 @@
         self.server: asyncio.Server | None = None
         self.starts = 1
 
+    @property
+    def place(self) -> str:
+        """Name of the first process that served at the address."""
+        return self.name.partition(".")[0]
+
     def describe(self) -> dict:
         """Return its entry in the list."""
         entry = {
@@ -71,7 +76,7 @@
         await asyncio.sleep(DOWN_S)
         self.copies.clear()
         self.starts += 1
-        self.name = f"{self.name.partition('.')[0]}.{self.starts}"
+        self.name = f"{self.place}.{self.starts}"
         self.is_dead = False
         await platform.listen(self)
 
@@ -177,7 +182,7 @@
     def _note(self, instance: Instance, request: http_server.Request) -> None:
         self._runs.append(
             {
-                "instance": instance.name,
+                "instance": instance.place,
                 "id": request.headers.get("x-request-id"),
                 "path": request.path,
                 "headers": request.headers,
