Tests of held requests and of asking instances that lost one; the stand-in keeps the port of an ended instance

An ended instance's port went to another socket's outgoing connection in the soak (30001: not recovered): the stand-in's fault. It is bound and not listening now while the instance is down.

--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -11,7 +11,7 @@
     routed_job,
     stream_exchange,
 )
-from spoolhead._internal.models import dialects, instances, route_table, settings
+from spoolhead._internal.models import dialects, instances, route_table, settings, shared_load
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.policy import request_content, upstream_book
 from spoolhead._internal.utils import clocks, figures
@@ -203,6 +203,8 @@
         cold_per_s=0.0,
         cold_ms=0,
         born_ms=0,
+        contents=None,
+        busy=None,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -217,11 +219,13 @@
             upstream.works["other"] = upstream_book.Work("other", fill, reading_tokens=0)
             if not fill:
                 upstream.works.clear()
+        for name, count in (busy or {}).items():
+            self.book.get(name).others = shared_load.Held(count=count)
         self.ended = []
         self.lost = []
         self.replaced = []
         self.asked = []
-        self.contents = make_contents()
+        self.contents = contents or make_contents()
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
         wire = make_wire(headers=headers)
--- /dev/null
+++ b/tests/unit/test_held_requests.py
@@ -0,0 +1,291 @@
+"""What becomes of one request whose content may end instances, and how their ends are found out."""
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.gateway import end_watch, stream_exchange
+from spoolhead._internal.models import codes, route_table, shared_load
+from spoolhead._internal.network import links
+from spoolhead._internal.policy import quarantine, request_content
+from spoolhead.platform import dialect
+
+STREAM = route_table.RequestKind.STREAM
+REPEATABLE = route_table.RequestKind.REPEATABLE
+ONCE = route_table.RequestKind.ONCE
+SIGNED = gateway_setting.SIGNED
+KINDS = pytest.mark.parametrize("kind", [STREAM, REPEATABLE, ONCE])
+
+
+class Clock:
+    def __init__(self):
+        self.now_s = 1_000.0
+
+    def __call__(self):
+        return self.now_s
+
+
+def _make_contents(clock):
+    return gateway_setting.make_contents(clock=clock)
+
+
+def _end(contents, clock, content_id, *numbers):
+    """Have instances end under a content, one after the other."""
+    for number in numbers:
+        clock.now_s += 1.0
+        contents.note_lost(f"former-{number}", content_id, clock.now_s - 0.1)
+        contents.note_ended(f"former-{number}", "Connection refused")
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+def _get_content_id():
+    setting = gateway_setting.Setting(REPEATABLE)
+    return setting.exchange.job.content_id
+
+
+def _start_held(kind, clock, *ends):
+    contents = _make_contents(clock)
+    _end(contents, clock, _get_content_id(), *ends)
+    return gateway_setting.Setting(kind, contents=contents, names=("i-1", "i-2", "i-3"))
+
+
+@KINDS
+def test_a_held_request_is_refused_at_once_as_not_run(kind, clock):
+    setting = _start_held(kind, clock, 1, 2)
+    assert not setting.calls.attempts
+    assert setting.caller.status == 503
+    assert setting.caller.get_header("Retry-After") is None
+    assert b'"result_code": %d' % codes.ResultCode.REQUEST_HELD in setting.caller.data
+    assert b'"ran": "no"' in setting.caller.data
+    assert setting.exchange.is_over
+
+
+@KINDS
+def test_a_suspect_runs_where_the_fewest_others_do(kind, clock):
+    contents = _make_contents(clock)
+    _end(contents, clock, _get_content_id(), 1)
+    setting = gateway_setting.Setting(
+        kind, contents=contents, names=("i-1", "i-2", "i-3"), busy={"i-1": 3, "i-2": 1, "i-3": 2}
+    )
+    assert setting.last.address == "i-2:80"
+
+
+def test_a_suspect_has_no_second_attempt(clock):
+    setting = _start_held(REPEATABLE, clock, 1)
+    setting.last.send()
+    setting.last.lose()
+    assert len(setting.calls.attempts) == 1
+    assert setting.caller.status == 502
+
+
+def test_another_caller_of_it_is_told_what_was_found_meanwhile(clock):
+    """What runs, or waits, of a content that is held from now on ends; nothing was passed on."""
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents)
+    setting.last.send()
+    _end(contents, clock, setting.exchange.job.content_id, 1, 2)
+    setting.exchange.hold_back()
+    assert setting.last.is_over
+    assert setting.caller.status == 502
+    assert b'"ran": "unknown"' in setting.caller.data
+
+
+def test_a_stream_that_has_begun_may_show_that_it_is_sound(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents)
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 2), whole=False)
+    content_id = setting.exchange.job.content_id
+    _end(contents, clock, content_id, 1, 2)
+    setting.exchange.hold_back()
+    assert not setting.last.is_over
+    setting.last.end()
+    assert not contents.is_suspect(content_id)
+
+
+@KINDS
+def test_an_answer_of_the_instances_own_clears_it(kind, clock):
+    setting = _start_held(kind, clock, 1)
+    assert setting.contents.is_suspect(setting.exchange.job.content_id)
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
+    assert not setting.contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_an_answer_that_is_not_its_own_shows_nothing(clock):
+    setting = _start_held(ONCE, clock, 1)
+    setting.last.answer(200, [("x-request-id", "other")], b"x")
+    assert setting.contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_a_held_request_that_still_comes_after_a_minute_runs_once_by_itself(clock):
+    contents = _make_contents(clock)
+    _end(contents, clock, _get_content_id(), 1, 2)
+    clock.now_s += quarantine.TRIAL_AFTER_S
+    setting = gateway_setting.Setting(STREAM, contents=contents)
+    assert not setting.calls.attempts
+    setting.timers.run_due(quarantine.CLAIM_S)
+    assert len(setting.calls.attempts) == 1
+    again = gateway_setting.Setting(STREAM, contents=contents)
+    assert again.caller.status == 503
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
+    assert setting.caller.is_finished
+    after = gateway_setting.Setting(STREAM, contents=contents)
+    assert len(after.calls.attempts) == 1
+
+
+def test_a_caller_that_leaves_before_its_trial_has_it_not_run(clock):
+    contents = _make_contents(clock)
+    _end(contents, clock, _get_content_id(), 1, 2)
+    clock.now_s += quarantine.TRIAL_AFTER_S
+    setting = gateway_setting.Setting(STREAM, contents=contents)
+    setting.caller.on_gone()
+    setting.timers.run_due(quarantine.CLAIM_S)
+    assert not setting.calls.attempts
+
+
+def test_a_loss_at_an_instance_that_leaves_as_announced_is_not_counted(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.leave("i-1")
+    setting.last.send()
+    setting.last.lose()
+    contents.note_ended("i-1", "no longer listed")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+    assert not setting.asked
+
+
+def test_a_loss_is_asked_about_and_counts_once_the_instance_is_known_to_have_ended(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.send()
+    setting.last.lose()
+    (upstream,) = setting.asked
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+    contents.note_ended(upstream.instance.life_id, "Connection refused")
+    assert contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_a_connection_that_was_never_made_shows_nothing(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.lose(links.REFUSED)
+    assert not setting.asked
+    contents.note_ended("i-1", "Connection refused")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+
+
+class Table:
+    def get_service(self, name):
+        return route_table.Service(
+            name=name, health_path="/healthz", max_connections=9, engine=None
+        )
+
+
+class Asking:
+    """An entry that asks an instance which has lost a request."""
+
+    def __init__(self, clock):
+        self.contents = _make_contents(clock)
+        self.calls = gateway_setting.GatewayCalls()
+        self.timers = gateway_setting.FakeTimers()
+        self.told = []
+        setting = gateway_setting.Setting(STREAM, contents=self.contents, names=("i-1",))
+        self.content_id = setting.exchange.job.content_id
+        setting.last.send()
+        setting.last.lose()
+        (self.upstream,) = setting.asked
+        self.watch = end_watch.EndWatch(
+            self.calls,
+            self.timers,
+            dialect.Dialect(),
+            self.contents,
+            tell_alarm=lambda *told: self.told.append(told),
+            get_table=Table,
+        )
+        self.watch.ask(self.upstream)
+
+    @property
+    def is_suspect(self):
+        return self.contents.is_suspect(self.content_id)
+
+
+def test_an_instance_that_refuses_connections_has_ended(clock):
+    asking = Asking(clock)
+    (question,) = asking.calls.made
+    assert question.fresh and question.target == "/healthz"
+    question.lose(links.REFUSED)
+    assert asking.is_suspect
+    assert asking.told == [("i-1", shared_load.AlarmKind.ENDED)]
+
+
+def test_an_instance_at_whose_address_another_answers_has_ended(clock):
+    asking = Asking(clock)
+    asking.calls.made[0].answer(200, [("x-replica-id", "i-9")])
+    assert asking.is_suspect
+
+
+def test_an_instance_that_answers_lost_the_request_by_something_else(clock):
+    asking = Asking(clock)
+    asking.calls.made[0].answer(503, [("x-replica-id", "i-1")])
+    asking.contents.note_ended("i-1", "no longer listed")
+    assert not asking.is_suspect
+    assert not asking.told
+
+
+@pytest.mark.parametrize("reason", ["Connection reset by peer", links.CONNECT_TIMEOUT])
+def test_what_a_link_may_have_done_leaves_it_open(clock, reason):
+    asking = Asking(clock)
+    asking.calls.made[0].lose(reason)
+    assert not asking.is_suspect
+    asking.contents.note_ended("i-1", "no longer listed")
+    assert asking.is_suspect
+
+
+def test_silence_leaves_it_open_and_it_may_be_asked_again(clock):
+    asking = Asking(clock)
+    asking.timers.run_due(end_watch.ANSWER_S)
+    assert asking.calls.made[0].is_over
+    assert not asking.is_suspect
+    asking.watch.ask(asking.upstream)
+    asking.watch.ask(asking.upstream)
+    assert len(asking.calls.made) == 2
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"method": "PUT"},
+        {"body": b"other"},
+        {"host": "other.example"},
+        {"workspace": "other"},
+    ],
+    ids=str,
+)
+def test_another_content_has_another_name(changes):
+    def _name(*, method="POST", body=b"{}", host="h.example", workspace="w"):
+        wire = gateway_setting.make_wire(method=method, body=body)
+        return request_content.get_content_id(wire, host, workspace)
+
+    assert _name(**changes) != _name()
+
+
+def test_ids_and_deadlines_are_no_part_of_the_content():
+    wire = gateway_setting.make_wire()
+    other = gateway_setting.make_wire(headers=[("x-request-deadline", "1"), ("x-b", "c")])
+    name = request_content.get_content_id
+    assert name(wire, "h", "w") == name(other, "h", "w")
+
+
+def test_no_run_goes_on_from_a_copy_of_what_is_held(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(
+        STREAM, contents=contents, names=("i-1", "i-2"), tokens="3000,2000"
+    )
+    assert isinstance(setting.exchange, stream_exchange.StreamExchange)
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3), whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    _end(contents, clock, setting.exchange.job.content_id, 1, 2)
+    setting.calls.copies[-1].answer(200, [], b'{"handle": "h-1", "made": 3}')
+    assert len(setting.calls.attempts) == 1
--- a/tools/standins/http_server.py
+++ b/tools/standins/http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 from collections.abc import Awaitable, Callable
 
 READ_LIMIT_BYTES = 16 * 1024 * 1024
@@ -91,6 +92,19 @@
 
 async def serve(host: str, port: int, handler: Handler) -> asyncio.Server:
     """Listen; each connection serves one request after another."""
+    return await asyncio.get_running_loop().create_server(
+        _get_protocol_maker(handler), host, port, backlog=BACKLOG
+    )
+
+
+async def serve_at(sock: socket.socket, handler: Handler) -> asyncio.Server:
+    """Listen at a bound socket."""
+    return await asyncio.get_running_loop().create_server(
+        _get_protocol_maker(handler), sock=sock, backlog=BACKLOG
+    )
+
+
+def _get_protocol_maker(handler: Handler) -> Callable[[], asyncio.StreamReaderProtocol]:
 
     async def _serve_connection(reader: _Reader, writer: asyncio.StreamWriter) -> None:
         try:
@@ -105,9 +119,7 @@
     def _make_protocol() -> asyncio.StreamReaderProtocol:
         return asyncio.StreamReaderProtocol(_Reader(READ_LIMIT_BYTES), _serve_connection)
 
-    return await asyncio.get_running_loop().create_server(
-        _make_protocol, host, port, backlog=BACKLOG
-    )
+    return _make_protocol
 
 
 async def _serve_until_gone(serving: Awaitable[None], reader: _Reader) -> None:
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -11,6 +11,7 @@
 import asyncio
 import json
 import signal
+import socket
 import sys
 import time
 
@@ -71,6 +72,9 @@
         platform.ends.append({"instance": self.name, "at_s": time.monotonic()})
         self.is_dead = True
         self.server.close()
+        # Bound and not listening: it refuses connections, and nobody else gets the port.
+        host, _, port = self.address.rpartition(":")
+        sock = _bind(host, int(port))
         for task in list(self.tasks):
             task.cancel()
         await asyncio.sleep(DOWN_S)
@@ -78,7 +82,7 @@
         self.starts += 1
         self.name = f"{self.place}.{self.starts}"
         self.is_dead = False
-        await platform.listen(self)
+        await platform.listen(self, sock)
 
     def start_again(self, born_ms: int) -> None:
         """Forget all that ran here and take another start."""
@@ -100,16 +104,15 @@
         self.instances: dict[str, Instance] = {}
         self.foreign: list[object] = []
 
-    async def listen(self, instance: Instance) -> None:
-        """Have an instance listen at its address, or at a free one if it has none."""
+    async def listen(self, instance: Instance, sock: socket.socket) -> None:
+        """Have an instance listen at a bound socket."""
 
         def _handle(request, answer):
             return self.handle(instance, request, answer)
 
-        host, _, port = instance.address.rpartition(":")
-        instance.server = await http_server.serve(host, int(port), _handle)
-        port = instance.server.sockets[0].getsockname()[1]
+        host, port = sock.getsockname()
         instance.address = f"{host}:{port}"
+        instance.server = await http_server.serve_at(sock, _handle)
 
     async def handle_list(self, request: http_server.Request, answer: http_server.Answer) -> None:
         """Answer at the list's address."""
@@ -234,6 +237,14 @@
         answer.end_events()
 
 
+def _bind(host: str, port: int) -> socket.socket:
+    """Return a socket bound to an address, also while connections of a former one are open."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
 async def run(options: argparse.Namespace) -> None:
     """Serve until SIGTERM."""
     platform = Platform(options.step_ms)
@@ -241,8 +252,8 @@
     ports = [server.sockets[0].getsockname()[1]]
     for item in options.instance:
         name, service, zone = item.split(":")
-        instance = Instance(name, service, f"{options.host}:0", zone)
-        await platform.listen(instance)
+        instance = Instance(name, service, "", zone)
+        await platform.listen(instance, _bind(options.host, 0))
         platform.instances[name] = instance
     print(f"ready port={ports[0]}", flush=True)
     stop = asyncio.Event()
