--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -31,6 +31,7 @@
     :ivar tasks: requests in hand, so that a dead instance cuts them off.
     :ivar server: what listens at its address.
     :ivar starts: processes that have served there.
+    :ivar is_down: the last one has ended under a request, and the next has not started.
     """
 
     def __init__(self, name: str, service: str, address: str, zone: str) -> None:
@@ -45,6 +46,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.server: asyncio.Server | None = None
         self.starts = 1
+        self.is_down = False
 
     @property
     def place(self) -> str:
@@ -70,7 +72,7 @@
     async def crash(self, platform: "Platform") -> None:
         """End, and have another instance start at the address."""
         platform.ends.append({"instance": self.name, "at_s": time.monotonic()})
-        self.is_dead = True
+        self.is_down = True
         self.server.close()
         # Bound and not listening: it refuses connections, and nobody else gets the port.
         host, _, port = self.address.rpartition(":")
@@ -81,7 +83,7 @@
         self.copies.clear()
         self.starts += 1
         self.name = f"{self.place}.{self.starts}"
-        self.is_dead = False
+        self.is_down = False
         await platform.listen(self, sock)
 
     def start_again(self, born_ms: int) -> None:
@@ -117,7 +119,11 @@
     async def handle_list(self, request: http_server.Request, answer: http_server.Answer) -> None:
         """Answer at the list's address."""
         if request.path == "/replicas":
-            listed = [item.describe() for item in self.instances.values() if not item.is_dead]
+            listed = [
+                item.describe()
+                for item in self.instances.values()
+                if not (item.is_dead or item.is_down)
+            ]
             listed[1:1] = self.foreign
             answer.send_json(200, {"instances": listed, "next_token": None})
         elif request.path == "/_runs":
@@ -143,7 +149,7 @@
         self, instance: Instance, request: http_server.Request, answer: http_server.Answer
     ) -> None:
         """Answer at an instance."""
-        if instance.is_dead:
+        if instance.is_dead or instance.is_down:
             raise ConnectionResetError
         task = asyncio.ensure_future(self._answer(instance, request, answer))
         instance.tasks.add(task)
@@ -199,7 +205,7 @@
 
     async def _crash(self, instance: Instance) -> None:
         await asyncio.sleep(CRASH_AFTER_S)
-        if not instance.is_dead:
+        if not instance.is_down:
             await instance.crash(self)
 
     async def _echo(
