The product's own interface holds deadly requests as the routed one does

One policy, one watch (contents/), two ways of telling: an entry's records go to the keeper, which passes them on to all and tells all it knows to each that connects; an entry tells all to each keeper it meets. An upstream that lost a request is asked on a new connection. A suspect has no further attempt; what waits or runs of a held one is given up, what was delivered in part goes on.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -91,11 +91,24 @@
 
     def take(self, hub: str, news: shared_load.ContentNews) -> None:
         """Take what a hub tells."""
-        now_s = self._clock()
-        for record in self._quarantine.take(list(news.records), now_s):
-            self._log(record, f"told by {hub}")
+        self.take_records(hub, news.records)
+        self._telling.note_digest(hub, news.digest, self._clock())
+
+    def take_changed(self) -> list[content_record.AgedRecord]:
+        """Return the records that were not told since they changed, to be told without loss."""
+        return self._telling.take_changed(self._clock())
+
+    def get_all(self) -> list[content_record.AgedRecord]:
+        """Return all records."""
+        book, now_s = self._quarantine.book, self._clock()
+        aged = [book.get_aged(content_id, now_s) for content_id in book.get_ids()]
+        return [item for item in aged if item is not None]
+
+    def take_records(self, teller: str, items: list[content_record.AgedRecord]) -> None:
+        """Take records that another process tells."""
+        for record in self._quarantine.take(items, self._clock()):
+            self._log(record, f"told by {teller}")
             self._tell_if_held(record)
-        self._telling.note_digest(hub, news.digest, now_s)
 
     def make_news(self) -> shared_load.ContentNews:
         """Return what a report made now should carry."""
--- a/src/spoolhead/_internal/contents/end_watch.py
+++ b/src/spoolhead/_internal/contents/end_watch.py
@@ -7,11 +7,8 @@
 import logging
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import content_watch
-from spoolhead._internal.models import dialects, shared_load
+from spoolhead._internal.contents import content_watch
 from spoolhead._internal.network import links, scheduler, upstream_calls
-from spoolhead._internal.policy import upstream_book
-from spoolhead._internal.routing import matcher
 
 logger = logging.getLogger(__name__)
 
@@ -20,20 +17,38 @@
 instances, or another entry, has to tell."""
 
 
+class Asked:
+    """An instance to be asked.
+
+    :ivar life_id: which run of which instance lost the request.
+    :ivar instance_id: id by which the instance names itself; empty if it does not.
+    :ivar address: ``IP:PORT``.
+    :ivar path: what to ask for.
+    """
+
+    __slots__ = ("address", "instance_id", "life_id", "path")
+
+    def __init__(self, life_id: str, *, instance_id: str, address: str, path: str) -> None:
+        self.life_id = life_id
+        self.instance_id = instance_id
+        self.address = address
+        self.path = path
+
+
 class _Question:
     """One question."""
 
-    __slots__ = ("call", "instance_id", "owner", "timer", "upstream")
+    __slots__ = ("asked", "call", "instance_id", "owner", "timer")
 
-    def __init__(self, owner: "EndWatch", upstream: upstream_book.Upstream) -> None:
+    def __init__(self, owner: "EndWatch", asked: Asked) -> None:
         self.owner = owner
-        self.upstream = upstream
+        self.asked = asked
         self.call: upstream_calls.UpstreamCall | None = None
         self.timer: scheduler.Timer | None = None
         self.instance_id = ""
 
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
-        self.instance_id = self.owner.dialect.read_answer(status, headers).instance_id
+        self.instance_id = self.owner.read_instance_id(status, headers)
 
     def on_answer_body(self, data: bytes) -> None:
         pass
@@ -55,53 +70,47 @@
 
     :param calls: makes HTTP requests.
     :param timers: calls back.
-    :param dialect: how instances speak.
     :param contents: is told what is found.
-    :param tell_alarm: tells all other entries.
-    :param get_table: returns the table in force.
+    :param read_instance_id: returns the id by which an answer names its instance, or nothing.
+    :param on_ended: called with the run of an instance that was found to have ended.
     """
 
     def __init__(
         self,
         calls: upstream_calls.UpstreamCalls,
         timers: scheduler.Scheduler,
-        dialect: dialects.EntryDialect,
         contents: content_watch.ContentWatch,
         *,
-        tell_alarm: Callable[[str, shared_load.AlarmKind], None],
-        get_table: Callable[[], matcher.Matcher | None],
+        read_instance_id: Callable[[int, upstream_calls.Headers], str],
+        on_ended: Callable[[str], None],
     ) -> None:
-        self.dialect = dialect
+        self.read_instance_id = read_instance_id
         self._calls = calls
         self._timers = timers
         self._contents = contents
-        self._tell_alarm = tell_alarm
-        self._get_table = get_table
+        self._on_ended = on_ended
         self._questions: dict[str, _Question] = {}
 
-    def ask(self, upstream: upstream_book.Upstream) -> None:
+    def ask(self, asked: Asked) -> None:
         """Ask an instance that has just lost a request, unless it is being asked."""
-        path = self._get_health_path(upstream)
-        life_id = upstream.instance.life_id
-        if not path or life_id in self._questions:
+        if not asked.path or asked.life_id in self._questions:
             return
-        question = self._questions[life_id] = _Question(self, upstream)
+        question = self._questions[asked.life_id] = _Question(self, asked)
         question.timer = self._timers.call_later(ANSWER_S, question.give_up)
-        address = upstream.instance.address
-        request = upstream_calls.make_request("GET", path, address, (), b"")
-        question.call = self._calls.open(address, request, question, fresh=True)
+        request = upstream_calls.make_request("GET", asked.path, asked.address, (), b"")
+        question.call = self._calls.open(asked.address, request, question, fresh=True)
 
     def take_answer(self, question: _Question) -> None:
         """Take an answer: the instance lives, or another one stands in its place."""
         self._drop(question)
-        instance = question.upstream.instance
-        if not question.instance_id:
-            self._log(question, "it does not say which instance answers")
-        elif question.instance_id == instance.instance_id:
+        asked = question.asked
+        if question.instance_id and question.instance_id != asked.instance_id:
+            self._take_end(question, f"{question.instance_id} answers")
+        elif question.instance_id or not asked.instance_id:
             self._log(question, "it answers")
-            self._contents.note_alive(instance.life_id)
+            self._contents.note_alive(asked.life_id)
         else:
-            self._take_end(question, f"{question.instance_id} answers")
+            self._log(question, "it does not say which instance answers")
 
     def take_loss(self, question: _Question, reason: str) -> None:
         """Take the loss of a question; refused, the instance has ended."""
@@ -113,23 +122,18 @@
 
     def _take_end(self, question: _Question, evidence: str) -> None:
         self._log(question, evidence, has_ended=True)
-        life_id = question.upstream.instance.life_id
-        self._tell_alarm(life_id, shared_load.AlarmKind.ENDED)
+        life_id = question.asked.life_id
+        self._on_ended(life_id)
         self._contents.note_ended(life_id, evidence)
 
     def _drop(self, question: _Question) -> None:
-        self._questions.pop(question.upstream.instance.life_id, None)
+        self._questions.pop(question.asked.life_id, None)
         if question.timer is not None:
             question.timer.cancel()
 
-    def _get_health_path(self, upstream: upstream_book.Upstream) -> str:
-        table = self._get_table()
-        service = table.get_service(upstream.instance.service) if table is not None else None
-        return service.health_path if service is not None else ""
-
     def _log(self, question: _Question, outcome: str, *, has_ended: bool = False) -> None:
         fields = {
-            "upstream": question.upstream.instance.life_id,
+            "upstream": question.asked.life_id,
             "outcome": outcome,
             "has_ended": has_ended,
         }
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -9,12 +9,13 @@
     decision_book,
     flow,
     flow_context,
+    held_contents,
     upstream_pools,
 )
 from spoolhead._internal.models import codes, fault, load_report, requests, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import admission, placement, policy_set, replicas
+from spoolhead._internal.policy import admission, placement, policy_set, quarantine, replicas
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import clocks, metrics
 
@@ -22,6 +23,8 @@
 LOOK_AHEAD = 4
 """Workspaces whose next request is tried when the one before fits nowhere."""
 
+PROBE_PATH = "/metrics"
+"""What an upstream that lost a request is asked for; any answer will do."""
 STRANDED_S = 3.0
 """Time without any upstream after which what waits for one is refused."""
 
@@ -57,6 +60,7 @@
     :param gathered: metrics.
     :param policies: what decides.
     :param decisions: remembers what was decided.
+    :param tell_contents: has the keeper pass on records of contents that may end upstreams.
     """
 
     def __init__(
@@ -68,7 +72,17 @@
         gathered: metrics.Metrics,
         policies: policy_set.PolicySet,
         decisions: decision_book.DecisionBook,
+        tell_contents: Callable[[held_contents.Records], None],
     ) -> None:
+        self._trials: set[str] = set()
+        self.contents = held_contents.HeldContents(
+            config.name,
+            calls,
+            loop.scheduler,
+            probe_path=PROBE_PATH,
+            tell=tell_contents,
+            on_held=self._hold_back,
+        )
         self._config = config
         self._table = table
         self._gathered = gathered
@@ -85,6 +99,7 @@
         self._context = flow_context.Context(
             calls=calls,
             host=self,
+            contents=self.contents,
             gathered=gathered,
             clock=clocks.get_s,
             shared_key=config.shared_key,
@@ -142,6 +157,36 @@
         if request.resume is not None:
             self._resume(request, caller)
             return
+        match self.contents.judge(request):
+            case quarantine.Verdict.REFUSE:
+                self._refuse(_Job(request, caller), _make_held_refusal())
+            case quarantine.Verdict.CLAIM:
+                self._claim(request, caller)
+            case _:
+                self._take(request, caller, now_s)
+
+    def _claim(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
+        """Run a held request once more, by itself, if no other entry does."""
+
+        def _on_settled(is_own: bool) -> None:
+            if is_own and not caller.is_gone:
+                self._trials.add(request.request_id)
+                self._take(request, caller, clocks.get_s())
+            else:
+                self._refuse(_Job(request, caller), _make_held_refusal())
+
+        self.contents.claim(request.content_id, _on_settled)
+
+    def _hold_back(self, content_id: bytes) -> None:
+        """End what runs of a content that is held from now on."""
+        for running in list(self._flows):
+            request = running.request
+            if request.content_id == content_id and request.request_id not in self._trials:
+                running.hold_back()
+
+    def _take(
+        self, request: requests.CallerRequest, caller: caller_front.Caller, now_s: float
+    ) -> None:
         refusal = self._get_early_refusal(request)
         if refusal is None:
             refusal = self._offer(request, caller, now_s)
@@ -197,6 +242,7 @@
             self._gathered.time(metrics.Metric.STALL_MS, running.stalled_s * 1000)
         text = f"ran: {result.ran.value}, tokens: {result.tokens}"
         self._decisions.note(request, "end", result.code, text=text)
+        self._trials.discard(request.request_id)
         self._call_on_end(request, result)
         self._pump_service(request.service_name)
 
@@ -273,6 +319,10 @@
         """Start the next request of a service; False where none can start."""
         now_s = clocks.get_s()
         for waiting in itertools.islice(self._admission.iterate(service, now_s), LOOK_AHEAD):
+            if self._is_held(waiting.owner.request):
+                self._admission.withdraw(waiting)
+                self._refuse(waiting.owner, _make_held_refusal())
+                return True
             choice = self._choose(waiting.owner.request, frozenset())
             if choice.replica is not None:
                 self._start(waiting, choice, now_s)
@@ -281,6 +331,9 @@
                 return False
         return False
 
+    def _is_held(self, request: requests.CallerRequest) -> bool:
+        return request.request_id not in self._trials and self.contents.is_held(request.content_id)
+
     def _start(self, waiting: admission.Waiting, choice: placement.Choice, now_s: float) -> None:
         job: _Job = waiting.owner
         request = job.request
@@ -359,5 +412,11 @@
     return admission.Refused(fault.Fault(code, text), flow.RETRY_AFTER_MS)
 
 
+def _make_held_refusal() -> admission.Refused:
+    """Return a refusal that does not say when to come back: the next run would end an upstream."""
+    text = "upstreams have ended each time that this request ran"
+    return admission.Refused(fault.Fault(codes.ResultCode.REQUEST_HELD, text), None)
+
+
 def _make_forced_choice(replica: replicas.Replica) -> placement.Choice:
     return placement.Choice(replica, 0.0, [placement.Candidate(replica.name, 0.0, "")])
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -46,9 +46,28 @@
 class _Attempt:
     """One call to one upstream; its answer counts only while it is the flow's present one."""
 
-    __slots__ = ("call", "flow", "generation", "headers", "replica", "status")
+    __slots__ = (
+        "call",
+        "flow",
+        "generation",
+        "headers",
+        "life_id",
+        "replica",
+        "sent_s",
+        "status",
+    )
 
-    def __init__(self, flow: "Flow", replica: replicas.Replica, generation: str) -> None:
+    def __init__(
+        self,
+        flow: "Flow",
+        replica: replicas.Replica,
+        generation: str,
+        *,
+        life_id: str,
+        sent_s: float,
+    ) -> None:
+        self.life_id = life_id
+        self.sent_s = sent_s
         self.flow = flow
         self.replica = replica
         self.generation = generation
@@ -151,6 +170,13 @@
         elif self._has_stalled(now_s):
             self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the stream has stalled")
 
+    def hold_back(self) -> None:
+        """Give the request up, since it ends what runs it, unless a part was delivered."""
+        if self.is_over or self._relay.order.has_delivered or self.request.resume is not None:
+            return
+        text = "upstreams have ended each time that this request ran"
+        self._give_up(codes.ResultCode.REQUEST_HELD, text, self._get_ran_now(), comes_back=False)
+
     def get_ran_before(self) -> codes.Ran:
         """Tell whether the request ran, while no attempt is being made."""
         return codes.Ran.UNKNOWN if self._may_have_run else codes.Ran.NO
@@ -204,10 +230,23 @@
         code = codes.ResultCode.UPSTREAM_LOST
         if attempt.call is not None and not attempt.call.may_have_arrived:
             code = codes.ResultCode.UPSTREAM_UNREACHABLE
+        else:
+            self._context.contents.note_lost(
+                attempt.replica, attempt.life_id, self.request.content_id, attempt.sent_s
+            )
+        if attempt is not self._attempt:
+            # The loss was what has its content held.
+            return
         self._fail_attempt(code, f"upstream {attempt.replica.name}: {reason}")
 
     def _begin(self, replica: replicas.Replica, generation: str, planned: float) -> _Attempt:
-        attempt = _Attempt(self, replica, generation)
+        attempt = _Attempt(
+            self,
+            replica,
+            generation,
+            life_id=self._context.contents.get_life_id(replica.name),
+            sent_s=self._context.clock(),
+        )
         self._attempt = attempt
         self._body = []
         self._body_bytes = 0
@@ -298,6 +337,7 @@
         )
 
     def _finish_stream(self, attempt: _Attempt) -> None:
+        self._context.contents.note_sound(self.request.content_id)
         self.caller.end_stream()
         # The done mark comes a little before the end of the message; a connection closed in
         # between could not be used again.
@@ -310,6 +350,7 @@
         self._end(result)
 
     def _finish_whole(self, attempt: _Attempt) -> None:
+        self._context.contents.note_sound(self.request.content_id)
         body = b"".join(self._body)
         if self.request.is_model:
             self.work.generated_tokens = _get_usage_tokens(body)
@@ -354,7 +395,7 @@
             has_delivered=has_begun,
             can_resume=order.can_resume or self.request.resume is not None,
             is_once=self.request.is_once,
-            attempts_left=0 if is_final else self._context.attempts - self._attempts_made,
+            attempts_left=0 if is_final else self._get_attempts_left(),
         )
         step = self._context.policies.decide_retry(failed, self._context.budget)
         ran = retry.get_ran(failed)
@@ -364,6 +405,12 @@
         elif step is not retry.NextStep.RETRY or not self._try_again(attempt, code):
             self._give_up(_get_final_code(code, has_begun), text, ran)
 
+    def _get_attempts_left(self) -> int:
+        if self._context.contents.is_suspect(self.request.content_id):
+            # The next upstream may end as well.
+            return 0
+        return self._context.attempts - self._attempts_made
+
     def _resume_again(self, attempt: _Attempt, code: codes.ResultCode) -> None:
         choice = placement.Choice(attempt.replica, 0.0, ())
         self._context.host.note_attempt(self, "resume", choice, code)
@@ -393,7 +440,9 @@
         arrived = call is not None and call.may_have_arrived
         return codes.Ran.UNKNOWN if arrived or self._may_have_run else codes.Ran.NO
 
-    def _give_up(self, code: codes.ResultCode, text: str, ran: codes.Ran) -> None:
+    def _give_up(
+        self, code: codes.ResultCode, text: str, ran: codes.Ran, *, comes_back: bool = True
+    ) -> None:
         self._drop_attempt(cancel=True)
         item = fault.Fault(code, text)
         answers.send_error(
@@ -401,7 +450,7 @@
             item,
             ran=ran,
             request_id=self.request.request_id,
-            retry_after_ms=RETRY_AFTER_MS if ran is codes.Ran.NO else None,
+            retry_after_ms=RETRY_AFTER_MS if ran is codes.Ran.NO and comes_back else None,
         )
         self._end(flow_context.Result(code, ran, self.work.generated_tokens))
 
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -5,7 +5,7 @@
 
 from spoolhead._internal.models import codes
 from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import placement, policy_set, retry
+from spoolhead._internal.policy import placement, policy_set, replicas, retry
 from spoolhead._internal.utils import metrics
 
 if TYPE_CHECKING:
@@ -54,6 +54,24 @@
         """Let a call end whose answer is no longer needed."""
 
 
+class Contents(Protocol):
+    """What a flow needs of :class:`spoolhead._internal.entry.held_contents.HeldContents`."""
+
+    def is_suspect(self, content_id: bytes) -> bool:
+        """Tell whether a content was at an upstream that ended, and has not ended well since."""
+
+    def get_life_id(self, upstream: str) -> str:
+        """Name the present run of an upstream."""
+
+    def note_lost(
+        self, replica: replicas.Replica, life_id: str, content_id: bytes, sent_s: float
+    ) -> None:
+        """Take note of a request that an upstream took and lost."""
+
+    def note_sound(self, content_id: bytes) -> None:
+        """Take note of a request that has ended well."""
+
+
 class Host(Protocol):
     """What a flow asks of the dispatcher that owns it."""
 
@@ -83,6 +101,7 @@
 
     :ivar calls: makes requests to upstreams.
     :ivar host: the dispatcher.
+    :ivar contents: what is known of requests that may end upstreams.
     :ivar budget: bounds retries.
     :ivar gathered: metrics.
     :ivar clock: returns the monotonic time in seconds.
@@ -99,6 +118,7 @@
         "budget",
         "calls",
         "clock",
+        "contents",
         "gathered",
         "host",
         "policies",
@@ -111,6 +131,7 @@
         *,
         calls: Calls,
         host: Host,
+        contents: Contents,
         gathered: metrics.Metrics,
         clock: Callable[[], float],
         shared_key: str,
@@ -121,6 +142,7 @@
     ) -> None:
         self.calls = calls
         self.host = host
+        self.contents = contents
         self.budget = retry.RetryBudget()
         self.gathered = gathered
         self.clock = clock
--- /dev/null
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -0,0 +1,118 @@
+"""Requests that end the upstreams which run them, for the product's own interface.
+
+The decisions are those of :mod:`spoolhead._internal.policy.quarantine`. What an entry finds goes to
+the keeper, which passes it on to all others and tells all it knows to each that connects.
+"""
+
+from collections.abc import Callable
+
+from spoolhead._internal.contents import content_watch, end_watch
+from spoolhead._internal.models import content_record, requests, rows
+from spoolhead._internal.network import scheduler, upstream_calls
+from spoolhead._internal.policy import quarantine, replicas, request_content
+from spoolhead._internal.utils import clocks
+
+Records = list[content_record.AgedRecord]
+
+
+class HeldContents:
+    """What one entry knows of contents that may end upstreams.
+
+    :param name: the entry's name.
+    :param calls: makes requests to upstreams.
+    :param timers: calls back.
+    :param probe_path: what an upstream that lost a request is asked for.
+    :param tell: called with records that the keeper is to pass on.
+    :param on_held: called with the name of a content that is held from now on.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        calls: upstream_calls.UpstreamCalls,
+        timers: scheduler.Scheduler,
+        *,
+        probe_path: str,
+        tell: Callable[[Records], None],
+        on_held: Callable[[bytes], None],
+    ) -> None:
+        self._name = name
+        self._timers = timers
+        self._probe_path = probe_path
+        self._starts: dict[str, int] = {}
+        self._watch = content_watch.ContentWatch(
+            name,
+            clock=clocks.get_s,
+            tell=lambda: tell(self._watch.take_changed()),
+            on_held=on_held,
+        )
+        self._end_watch = end_watch.EndWatch(
+            calls,
+            timers,
+            self._watch,
+            read_instance_id=lambda status, headers: "",
+            on_ended=self._note_restart,
+        )
+
+    @property
+    def held_count(self) -> int:
+        """Contents that are held."""
+        return self._watch.held_count
+
+    def get_all(self) -> Records:
+        """Return all records."""
+        return self._watch.get_all()
+
+    def take(self, teller: str, records: Records) -> None:
+        """Take records that another process tells."""
+        self._watch.take_records(teller, records)
+
+    def judge(self, request: requests.CallerRequest) -> quarantine.Verdict:
+        """Decide on a request that has just come."""
+        request.content_id = request_content.get_content_id(request, "", request.workspace)
+        return self._watch.judge(request.content_id)
+
+    def is_held(self, content_id: bytes) -> bool:
+        """Tell whether a content is held."""
+        return self._watch.is_held(content_id)
+
+    def is_suspect(self, content_id: bytes) -> bool:
+        """Tell whether a content was at an upstream that ended, and has not ended well since."""
+        return self._watch.is_suspect(content_id)
+
+    def claim(self, content_id: bytes, on_settled: Callable[[bool], None]) -> None:
+        """Claim the one run that a held content is given.
+
+        :param on_settled: called with whether this entry got it.
+        """
+        self._watch.claim(content_id)
+        self._timers.call_later(
+            quarantine.CLAIM_S, lambda: on_settled(self._watch.may_try(content_id))
+        )
+
+    def get_life_id(self, upstream: str) -> str:
+        """Name the present run of an upstream, as far as this entry tells its runs apart."""
+        return f"{upstream}@{self._name}.{self._starts.get(upstream, 0)}"
+
+    def note_lost(
+        self, replica: replicas.Replica, life_id: str, content_id: bytes, sent_s: float
+    ) -> None:
+        """Take note of a request that an upstream took and lost, and ask the upstream."""
+        if replica.row.state is rows.UpstreamState.LEAVING:
+            return
+        self._watch.note_lost(life_id, content_id, sent_s)
+        asked = end_watch.Asked(
+            life_id,
+            instance_id="",
+            address=replica.row.address,
+            path=self._probe_path,
+        )
+        self._end_watch.ask(asked)
+
+    def note_sound(self, content_id: bytes) -> None:
+        """Take note of a request that has ended well."""
+        self._watch.note_sound(content_id)
+
+    def _note_restart(self, life_id: str) -> None:
+        upstream = life_id.rpartition("@")[0]
+        self._starts[upstream] = self._starts.get(upstream, 0) + 1
--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -6,8 +6,8 @@
 from collections.abc import Callable, Sequence
 from typing import Protocol
 
-from spoolhead._internal.entry import neighbours
-from spoolhead._internal.models import codes, settings
+from spoolhead._internal.entry import held_contents, neighbours
+from spoolhead._internal.models import codes, content_record, settings
 from spoolhead._internal.network import links, messages, peer_client
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.table import packing, saved_copy, view
@@ -46,6 +46,12 @@
     def on_table(self) -> None:
         """Another version is in force."""
 
+    def on_keeper(self) -> None:
+        """A keeper can be told things."""
+
+    def on_contents(self, records: held_contents.Records) -> None:
+        """A keeper passes on records of contents that may end upstreams."""
+
     def on_members(self, members: Sequence[neighbours.Member]) -> None:
         """Other entries follow the table than before."""
 
@@ -154,6 +160,11 @@
         self._unconfirmed[key] = message
         self._client.send(message)
 
+    def tell_contents(self, records: held_contents.Records) -> None:
+        """Have the keeper pass records of contents on; a keeper that is met later is told all."""
+        if records:
+            self._client.send(messages.Contents(items=content_record.pack(records)))
+
     def on_peer_ready(self) -> None:
         """Ask for what was missed, and report what was not confirmed."""
         logger.info("keeper at %s follows", self._client.address)
@@ -163,6 +174,7 @@
         )
         for message in self._unconfirmed.values():
             self._client.send(message)
+        self._user.on_keeper()
 
     def on_peer_lost(self) -> None:
         """Go on with the table as it is."""
@@ -182,6 +194,8 @@
                 self._confirm()
             case messages.Members():
                 self._user.on_members([neighbours.Member(*entry) for entry in message.entries])
+            case messages.Contents():
+                self._take_contents(message)
             case messages.ClaimAnswer():
                 self._take_claim_answer(message)
             case messages.FinishNoted():
@@ -189,6 +203,14 @@
             case _:
                 self._client.reconnect(f"unexpected {type(message).__name__}")
 
+    def _take_contents(self, message: messages.Contents) -> None:
+        try:
+            records = content_record.unpack(message.items)
+        except (TypeError, ValueError) as error:
+            self._client.reconnect(f"records of contents: {error}")
+            return
+        self._user.on_contents(records)
+
     def _open_copy(self, folder: pathlib.Path) -> None:
         self._folder_lock = files.FolderLock(folder)
         self._copy = saved_copy.SavedCopy(folder)
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -10,6 +10,7 @@
     control,
     decision_book,
     dispatcher,
+    held_contents,
     keeper_link,
     load_reports,
     neighbours,
@@ -57,7 +58,14 @@
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
         self._decisions = decision_book.DecisionBook(config, self._metrics, clocks.get_s)
         self._dispatcher = dispatcher.Dispatcher(
-            self._loop, config, self._table, calls, self._metrics, policies, self._decisions
+            self._loop,
+            config,
+            self._table,
+            calls,
+            self._metrics,
+            policies,
+            self._decisions,
+            tell_contents=lambda records: self._keeper.tell_contents(records),
         )
         self._neighbours = neighbours.Neighbours(
             self._loop, outgoing, config, lambda reports: self._reports.take_from_neighbour(reports)
@@ -108,6 +116,14 @@
         self._dispatcher.set_entry_count(len(members))
         self._neighbours.set_members(members)
 
+    def on_keeper(self) -> None:
+        """Tell a keeper what is known of contents that may end upstreams; it may be new."""
+        self._keeper.tell_contents(self._dispatcher.contents.get_all())
+
+    def on_contents(self, records: held_contents.Records) -> None:
+        """Take over what a keeper passes on of contents that may end upstreams."""
+        self._dispatcher.contents.take(self._keeper.keeper_address, records)
+
     def get_status(self) -> control.Status:
         """Return the entry's status, for operators and readiness."""
         now_s = clocks.get_s()
@@ -145,6 +161,7 @@
             "running": self._dispatcher.running_count,
             "waiting": self._dispatcher.held_count - self._dispatcher.running_count,
             "connections": self._front.connection_count,
+            "held_contents": self._dispatcher.contents.held_count,
             "exceptions": self._loop.exceptions,
             "uptime_ms": int((now_s - self._started_s) * 1000),
             "upstreams": upstreams,
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -3,7 +3,8 @@
 import random
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import content_watch, entry_figures, run_queue
+from spoolhead._internal.contents import content_watch
+from spoolhead._internal.gateway import entry_figures, run_queue
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -10,7 +10,8 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 
-from spoolhead._internal.gateway import alarm_exchange, content_watch
+from spoolhead._internal.contents import content_watch
+from spoolhead._internal.gateway import alarm_exchange
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -4,9 +4,8 @@
 import random
 from http import HTTPStatus
 
+from spoolhead._internal.contents import content_watch, end_watch
 from spoolhead._internal.gateway import (
-    content_watch,
-    end_watch,
     entry_figures,
     exchange,
     exchange_context,
@@ -109,10 +108,9 @@
         self._end_watch = end_watch.EndWatch(
             calls,
             self.loop.scheduler,
-            dialect,
             self._contents,
-            tell_alarm=self._sharing.tell_alarm,
-            get_table=lambda: self._matcher,
+            read_instance_id=lambda status, head: dialect.read_answer(status, head).instance_id,
+            on_ended=lambda life_id: self._sharing.tell_alarm(life_id, shared_load.AlarmKind.ENDED),
         )
         self._context = exchange_context.Context(
             config=config,
@@ -125,7 +123,7 @@
             on_lost_request=self._sharing.tell_failure,
             on_replaced=lambda upstream: self._news.take_replaced(upstream),
             contents=self._contents,
-            ask_lost=self._end_watch.ask,
+            ask_lost=self._ask_lost,
             get_silent_halls=self._sharing.get_silent_halls,
             get_news_age_ms=self._sharing.get_news_age_ms,
             figures=self._figures,
@@ -314,6 +312,17 @@
         self._exchanges.add(item)
         item.begin()
 
+    def _ask_lost(self, upstream: upstream_book.Upstream) -> None:
+        """Find out whether an instance that lost a request has ended."""
+        service = self._matcher.get_service(upstream.instance.service) if self._matcher else None
+        asked = end_watch.Asked(
+            upstream.instance.life_id,
+            instance_id=upstream.instance.instance_id,
+            address=upstream.instance.address,
+            path=service.health_path if service is not None else "",
+        )
+        self._end_watch.ask(asked)
+
     def _hold_back(self, content_id: bytes) -> None:
         """Refuse what waits of a content that is held from now on, and end what runs of it."""
         for item in list(self._exchanges):
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -8,8 +8,9 @@
 
 from spoolhead._internal import exceptions
 from spoolhead._internal.keeper import log_file, records, state
-from spoolhead._internal.models import codes, settings
+from spoolhead._internal.models import codes, content_record, settings
 from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.policy import content_book
 from spoolhead._internal.table import packing
 from spoolhead._internal.utils import clocks
 from spoolhead.coordination import once_journal, versioned_table
@@ -56,6 +57,7 @@
         self._log = log
         self._state = state.KeeperState(kept_changes=config.kept_changes)
         self._followers: dict[str, Follower] = {}
+        self._contents = content_book.ContentBook()
         self._started_s = clocks.get_s()
         self._replay()
 
@@ -94,6 +96,9 @@
         follower.hall = message.hall
         follower.address = message.address
         self._tell_members()
+        known = self._pack_contents(self._contents.get_ids())
+        if known:
+            session.send(messages.Contents(items=known))
 
     def follow(self, session: peer_server.PeerSession, message: messages.Follow) -> None:
         """Send a follower what it has missed, or the whole table."""
@@ -203,6 +208,39 @@
             )
         )
 
+    def take_contents(self, session: peer_server.PeerSession, message: messages.Contents) -> None:
+        """Pass on what an entry found out of contents that may end upstreams."""
+        try:
+            records = content_record.unpack(message.items)
+        except (TypeError, ValueError) as error:
+            raise messages.MessageError(f"records of contents: {error}") from error
+        now_s = clocks.get_s()
+        changed = self._contents.take(records, now_s)
+        self._tell_contents([record.content_id for record in changed], except_to=session)
+
+    def hold_content(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
+        """Have a content held, or let it go, by an operator's order."""
+        now_s = clocks.get_s()
+        known = self._contents.get(message.content_id)
+        record = content_record.ContentRecord(
+            content_id=message.content_id,
+            epoch=known.epoch + 1 if known is not None else 1,
+            is_by_hand=message.is_held,
+        )
+        self._contents.set(record, now_s)
+        fields = {"content": message.content_id.hex(), "is_held": message.is_held}
+        logger.info("order on a content", extra={"fields": {**fields, "operator": session.name}})
+        self._tell_contents([message.content_id])
+        items = self._pack_contents([message.content_id])
+        session.send(messages.ContentsAnswer(request=message.request, items=items))
+
+    def send_contents(
+        self, session: peer_server.PeerSession, message: messages.GetContents
+    ) -> None:
+        """Send the records of contents to an operator."""
+        items = self._pack_contents(self._contents.get_ids())
+        session.send(messages.ContentsAnswer(request=message.request, items=items))
+
     def finish_once(self, session: peer_server.PeerSession, message: messages.FinishOnce) -> None:
         """Record the end of a claimed request; not confirmed unless it is durable."""
         claim = self._state.once.claims.get(message.key)
@@ -292,6 +330,21 @@
             if follower.session is not None and follower.is_following:
                 follower.session.send_encoded(data)
 
+    def _pack_contents(self, content_ids: list[bytes]) -> list:
+        now_s = clocks.get_s()
+        aged = [self._contents.get_aged(content_id, now_s) for content_id in content_ids]
+        return content_record.pack([item for item in aged if item is not None])
+
+    def _tell_contents(
+        self, content_ids: list[bytes], *, except_to: peer_server.PeerSession | None = None
+    ) -> None:
+        if not content_ids:
+            return
+        data = messages.encode(messages.Contents(items=self._pack_contents(content_ids)))
+        for follower in self._followers.values():
+            if follower.session is not None and follower.session is not except_to:
+                follower.session.send_encoded(data)
+
     def _tell_members(self) -> None:
         present = {
             name: item
@@ -368,5 +421,8 @@
 _register(messages.GetTable, KeeperService.send_table)
 _register(messages.GetHistory, KeeperService.send_history)
 _register(messages.GetStatus, KeeperService.send_status)
+_register(messages.Contents, KeeperService.take_contents)
+_register(messages.HoldContent, KeeperService.hold_content)
+_register(messages.GetContents, KeeperService.send_contents)
 _register(messages.ClaimOnce, KeeperService.claim_once)
 _register(messages.FinishOnce, KeeperService.finish_once)
--- a/src/spoolhead/_internal/models/requests.py
+++ b/src/spoolhead/_internal/models/requests.py
@@ -25,12 +25,14 @@
     :ivar limit_tokens: longest that the answer may become; 0 for a plain service.
     :ivar arrived_s: monotonic time of arrival, in seconds.
     :ivar deadline_s: monotonic time by which the answer must be complete.
+    :ivar content_id: name of what it asks, the same for each repeat of it.
     :ivar resume: where to go on with a generation that runs already, or None.
     """
 
     __slots__ = (
         "arrived_s",
         "body",
+        "content_id",
         "deadline_s",
         "headers",
         "is_once",
@@ -76,6 +78,7 @@
         self.once_key = ""
         self.prompt_tokens = 0
         self.limit_tokens = 0
+        self.content_id = b""
         self.resume: ResumePoint | None = None
 
     @property
--- a/src/spoolhead/_internal/network/messages.py
+++ b/src/spoolhead/_internal/network/messages.py
@@ -161,6 +161,52 @@
     items: list
 
 
+@_message
+class Contents:
+    """Records of contents that may end upstreams; between an entry and a keeper, either way.
+
+    :ivar items: the records, packed by :mod:`spoolhead._internal.models.content_record`.
+    """
+
+    items: list
+
+
+@_message
+class HoldContent:
+    """An operator has a content held, or lets it go.
+
+    :ivar request: number that the answer repeats.
+    :ivar content_id: name of the content.
+    :ivar is_held: it is to be held.
+    """
+
+    request: int
+    content_id: bytes
+    is_held: bool
+
+
+@_message
+class GetContents:
+    """An operator asks for the records of contents that may end upstreams.
+
+    :ivar request: number that the answer repeats.
+    """
+
+    request: int
+
+
+@_message
+class ContentsAnswer:
+    """The records that a keeper knows.
+
+    :ivar request: number of the question.
+    :ivar items: the records, as in :class:`Contents`.
+    """
+
+    request: int
+    items: list
+
+
 @_message
 class Propose:
     """An operator's edit.
@@ -369,12 +415,16 @@
     15: Members,
     16: Introduce,
     17: Reports,
+    18: Contents,
     20: Propose,
     21: ProposeAnswer,
     22: GetTable,
     23: TableAnswer,
     24: GetHistory,
     25: HistoryAnswer,
+    26: HoldContent,
+    27: GetContents,
+    28: ContentsAnswer,
     30: GetStatus,
     31: StatusAnswer,
     32: GetDecision,
--- a/src/spoolhead/_internal/policy/admission.py
+++ b/src/spoolhead/_internal/policy/admission.py
@@ -88,12 +88,12 @@
     """A refusal.
 
     :ivar fault: why.
-    :ivar retry_after_ms: when to come back.
+    :ivar retry_after_ms: when to come back; None to say nothing of it.
     """
 
     __slots__ = ("fault", "retry_after_ms")
 
-    def __init__(self, item: fault.Fault, retry_after_ms: int) -> None:
+    def __init__(self, item: fault.Fault, retry_after_ms: int | None) -> None:
         self.fault = item
         self.retry_after_ms = retry_after_ms
 
--- a/src/spoolhead/_internal/policy/content_book.py
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -212,6 +212,12 @@
             part.append(self._book.get_aged(self._turn.pop(), now_s))
         return [item for item in part if item is not None]
 
+    def take_changed(self, now_s: float) -> list[content_record.AgedRecord]:
+        """Return all records that have changed, and count them as told."""
+        changed, self._left = self._left, {}
+        aged = [self._book.get_aged(content_id, now_s) for content_id in changed]
+        return [item for item in aged if item is not None]
+
     def clear(self) -> None:
         """Forget what was to be told: nobody is there to hear it."""
         self._left.clear()
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -131,6 +131,27 @@
         self.results.append(result)
 
 
+class FakeContents:
+    """Takes no request for a suspect until a test says so."""
+
+    def __init__(self):
+        self.lost = []
+        self.sound = []
+        self.suspects = set()
+
+    def is_suspect(self, content_id):
+        return content_id in self.suspects
+
+    def get_life_id(self, upstream):
+        return f"{upstream}@entry.0"
+
+    def note_lost(self, replica, life_id, content_id, sent_s):
+        self.lost.append(life_id)
+
+    def note_sound(self, content_id):
+        self.sound.append(content_id)
+
+
 def make_replica(name):
     row = rows.UpstreamRow(address="10.0.0.1:80", hall="h", service="m")
     return replicas.Replica(name, row, 0.0, is_new=False)
@@ -163,9 +184,11 @@
         self.calls = FakeCalls()
         self.caller = FakeCaller()
         self.host = FakeHost()
+        self.contents = FakeContents()
         context = flow_context.Context(
             calls=self.calls,
             host=self.host,
+            contents=self.contents,
             gathered=metrics.Metrics(),
             clock=lambda: self.now_s,
             shared_key=SHARED_KEY,
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -3,8 +3,8 @@
 import random
 
 from lib import fakes
+from spoolhead._internal.contents import content_watch
 from spoolhead._internal.gateway import (
-    content_watch,
     entry_figures,
     exchange_context,
     plain_exchange,
--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -3,8 +3,9 @@
 import pytest
 
 from lib import gateway_setting
-from spoolhead._internal.gateway import end_watch, stream_exchange
-from spoolhead._internal.models import codes, route_table, shared_load
+from spoolhead._internal.contents import end_watch
+from spoolhead._internal.gateway import stream_exchange
+from spoolhead._internal.models import codes, route_table
 from spoolhead._internal.network import links
 from spoolhead._internal.policy import quarantine, request_content
 from spoolhead.platform import dialect
@@ -176,13 +177,6 @@
     assert not contents.is_suspect(setting.exchange.job.content_id)
 
 
-class Table:
-    def get_service(self, name):
-        return route_table.Service(
-            name=name, health_path="/healthz", max_connections=9, engine=None
-        )
-
-
 class Asking:
     """An entry that asks an instance which has lost a request."""
 
@@ -199,12 +193,17 @@
         self.watch = end_watch.EndWatch(
             self.calls,
             self.timers,
-            dialect.Dialect(),
             self.contents,
-            tell_alarm=lambda *told: self.told.append(told),
-            get_table=Table,
+            read_instance_id=lambda status, headers: dialect.Dialect()
+            .read_answer(status, headers)
+            .instance_id,
+            on_ended=self.told.append,
         )
-        self.watch.ask(self.upstream)
+        self.ask()
+
+    def ask(self):
+        asked = end_watch.Asked("i-1", instance_id="i-1", address="i-1:80", path="/healthz")
+        self.watch.ask(asked)
 
     @property
     def is_suspect(self):
@@ -217,7 +216,7 @@
     assert question.fresh and question.target == "/healthz"
     question.lose(links.REFUSED)
     assert asking.is_suspect
-    assert asking.told == [("i-1", shared_load.AlarmKind.ENDED)]
+    assert asking.told == ["i-1"]
 
 
 def test_an_instance_at_whose_address_another_answers_has_ended(clock):
@@ -248,8 +247,8 @@
     asking.timers.run_due(end_watch.ANSWER_S)
     assert asking.calls.made[0].is_over
     assert not asking.is_suspect
-    asking.watch.ask(asking.upstream)
-    asking.watch.ask(asking.upstream)
+    asking.ask()
+    asking.ask()
     assert len(asking.calls.made) == 2
 
 
@@ -289,3 +288,22 @@
     _end(contents, clock, setting.exchange.job.content_id, 1, 2)
     setting.calls.copies[-1].answer(200, [], b'{"handle": "h-1", "made": 3}')
     assert len(setting.calls.attempts) == 1
+
+
+@KINDS
+def test_a_loss_by_which_it_is_held_ends_it_once(kind, clock):
+    """Its instance was known to have ended before its connection told."""
+    contents = gateway_setting.make_contents(
+        clock=clock, on_held=lambda content_id: setting.exchange.hold_back()
+    )
+    _end(contents, clock, _get_content_id(), 1)
+    setting = gateway_setting.Setting(kind, contents=contents, names=("i-1", "i-2"))
+    clock.now_s += 1.0
+    setting.exchange._attempt.sent_s = clock.now_s
+    contents.note_ended(setting.last.address.removesuffix(":80"), "told")
+    clock.now_s += 1.0
+    setting.last.send()
+    setting.last.lose()
+    assert setting.caller.status == 502
+    assert len(setting.calls.attempts) == 1
+    assert setting.ended == [setting.exchange]
