--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -16,6 +16,7 @@
     evacuate,
     explain,
     explain_logs,
+    held,
     history,
     keepers,
     losses,
@@ -165,6 +166,22 @@
     return evacuate.run(_read(settings_file), hall, withdraws=withdraw, options=options)
 
 
+@app.command("held")
+@_exit_with
+def _held(
+    settings_file: SettingsOption,
+    hold: Annotated[str, typer.Option("--hold", help="Have a content held, by its name.")] = "",
+    release: Annotated[str, typer.Option("--release", help="Let a content go.")] = "",
+    as_json: JsonOption = False,
+) -> exit_codes.ExitCode:
+    """Print which requests are held since upstreams ended under them, or order it by hand."""
+    config = _read(settings_file)
+    if hold or release:
+        content = hold or release
+        return held.order(config, content, is_held=bool(hold), as_json=as_json)
+    return held.run(config, as_json=as_json)
+
+
 @app.command("history")
 @_exit_with
 def _history(
--- /dev/null
+++ b/src/spoolhead/_internal/commands/held.py
@@ -0,0 +1,55 @@
+"""``spoolhead held``: requests that are held since upstreams ended under them."""
+
+from spoolhead._internal.cli import exit_codes, output
+from spoolhead._internal.models import content_record, settings
+from spoolhead._internal.network import messages, peer_call
+from spoolhead._internal.policy import quarantine
+
+
+def run(config: settings.OperatorSettings, *, as_json: bool) -> exit_codes.ExitCode:
+    """Print what a keeper knows of contents that may end upstreams."""
+    with peer_call.open_first(config.keepers, config) as call:
+        answer = call.ask(messages.GetContents(request=1), messages.ContentsAnswer)
+    _print(answer, as_json=as_json)
+    return exit_codes.ExitCode.OK
+
+
+def order(
+    config: settings.OperatorSettings, content: str, *, is_held: bool, as_json: bool
+) -> exit_codes.ExitCode:
+    """Have a content held, or let it go.
+
+    :param content: its name in hexadecimal digits, as logs and ``spoolhead held`` tell it.
+    """
+    try:
+        content_id = bytes.fromhex(content)
+    except ValueError:
+        output.print_error(f"{content} is no content's name")
+        return exit_codes.ExitCode.BAD_INPUT
+    message = messages.HoldContent(request=1, content_id=content_id, is_held=is_held)
+    with peer_call.open_first(config.keepers, config) as call:
+        answer = call.ask(message, messages.ContentsAnswer)
+    _print(answer, as_json=as_json)
+    return exit_codes.ExitCode.OK
+
+
+def _print(answer: messages.ContentsAnswer, *, as_json: bool) -> None:
+    items = content_record.unpack(answer.items)
+    lines = [
+        {
+            "content": item.record.content_id.hex(),
+            "held": quarantine.is_held(item.record),
+            "by_hand": item.record.is_by_hand,
+            "ends": len(item.record.ends),
+            "trials": item.record.trials,
+            "changed_ms_ago": item.age_ms,
+        }
+        for item in items
+    ]
+    if as_json:
+        output.print_json(lines)
+        return
+    titles = ["content", "held", "by hand", "ends", "trials", "changed ms ago"]
+    output.print_table(
+        titles, [[output.get_cell(cell) for cell in item.values()] for item in lines]
+    )
--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -9,13 +9,15 @@
 
 import contextlib
 import http.client
+import json
 import threading
 import time
 
 import pytest
 
-from lib import platform_fleet
-from standins import platform
+import fleet
+from lib import calls, fleets, platform_fleet
+from standins import engine, platform
 
 CONTACT_S = 3.0
 """Time within which what ends instances is to be known at all entries."""
@@ -107,3 +109,82 @@
     later = [is_whole for ended_s, is_whole in whole if ended_s > known_s]
     assert later
     assert all(later)
+
+
+class Engines(threading.Thread):
+    """Starts engines again that have ended, and counts how often."""
+
+    def __init__(self, fleet_, names):
+        super().__init__(daemon=True)
+        self._fleet = fleet_
+        self._ports = {name: fleet_.addresses[name].rpartition(":")[2] for name in names}
+        self.ends = 0
+        self.is_told_to_stop = threading.Event()
+
+    def run(self):
+        while not self.is_told_to_stop.wait(0.05):
+            for name, port in self._ports.items():
+                code = self._fleet.processes[name].exit_code
+                if code is not None:
+                    self.ends += code == engine.CRASH_CODE
+                    self.is_told_to_stop.wait(0.5)
+                    self._fleet.start_engine(name, "--model", calls.MODEL, "--port", port)
+
+
+@pytest.fixture
+def own(tmp_path):
+    """A fleet of the product's own interface whose engines are started again."""
+    names = ("engine-1", "engine-2", "engine-3")
+    with fleet.Fleet(tmp_path) as made:
+        fleets.start_fleet(made, engines=names, services=())
+        engines = Engines(made, names)
+        engines.start()
+        yield made, engines
+        engines.is_told_to_stop.set()
+        engines.join()
+
+
+def _make_deadly_chat():
+    chat = calls.make_chat(5, stream=False)
+    chat["messages"][0]["content"] += " [crash]"
+    return chat
+
+
+def _send_chat(made, entry, chat):
+    return calls.send(made.addresses[entry], "POST", "/v1/chat/completions", chat)
+
+
+def _is_ready(made, entry):
+    return calls.send(made.addresses[entry], "GET", "/readyz").status == 200
+
+
+def _find_held(made):
+    done = made.run_operator("held", "--json")
+    return [item for item in json.loads(done.stdout) if item["held"]]
+
+
+def test_the_own_interface_holds_it_too_and_operators_let_it_go(own):
+    made, engines = own
+    codes = []
+    for number in range(12):
+        answer = _send_chat(made, f"entry-{1 + number % 2}", _make_deadly_chat())
+        codes.append(answer.error["result_code"])
+        time.sleep(PAUSE_S)
+    assert engines.ends <= ENDS_TO_KNOW
+    assert codes[-1] == codes[-2] == 2011
+    assert answer.headers["Retry-After"] is None
+    assert _send_chat(made, "entry-1", calls.make_chat(3, stream=False)).status == 200
+    (item,) = _find_held(made)
+    # An entry that has just started is told by the keeper.
+    made.processes["entry-2"].kill()
+    made.start_entry("entry-2")
+    fleet.wait_for(lambda: _is_ready(made, "entry-2"), "the entry to have a table")
+    assert _send_chat(made, "entry-2", _make_deadly_chat()).error["result_code"] == 2011
+    before = engines.ends
+    assert made.run_operator("held", "--release", item["content"]).returncode == 0
+    fleet.wait_for(lambda: not _find_held(made), "the order to be carried out")
+    assert _send_chat(made, "entry-1", _make_deadly_chat()).error["result_code"] != 2011
+    assert engines.ends + 1 > before
+    assert made.run_operator("held", "--hold", item["content"]).returncode == 0
+    answer = _send_chat(made, "entry-1", _make_deadly_chat())
+    assert answer.error["result_code"] == 2011
--- a/tools/standins/engine.py
+++ b/tools/standins/engine.py
@@ -14,6 +14,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import re
 import signal
@@ -22,6 +23,11 @@
 
 from standins import http_server
 
+CRASH_MARK = "[crash]"
+"""A prompt with this ends the engine that begins to run it."""
+CRASH_AFTER_S = 0.05
+CRASH_CODE = 3
+"""Exit code of an engine that ended so."""
 LENGTH_MARK = re.compile(r"\[len=(\d+)\]")
 BLOCK_TOKENS = 16
 BYTES_PER_TOKEN = 4
@@ -223,6 +229,8 @@
             answer.send_json(404, {"error": {"message": f"no model {body['model']}"}})
             return
         prompt = json.dumps(body["messages"]) if is_chat else str(body["prompt"])
+        if CRASH_MARK in prompt:
+            asyncio.get_running_loop().call_later(CRASH_AFTER_S, os._exit, CRASH_CODE)
         marks = LENGTH_MARK.findall(prompt)
         drawn = int(self._random.lognormvariate(4.5, 1.0)) + 1
         length = int(marks[-1]) if marks else drawn
