Several ends at one moment hold a content and let what runs of it show otherwise; an entry that starts is told at once

Read in the diff: a request that many send, held after a rack's failure, had its last runs cut off, which alone could have cleared it.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -19,7 +19,7 @@
     :param name: the entry's name.
     :param clock: monotonic time in seconds.
     :param tell: called when something is to be told at once.
-    :param on_held: called with the name of a content that is held from now on.
+    :param on_held: called with the name of a content of which nothing may go on running.
     """
 
     def __init__(
@@ -137,7 +137,7 @@
         self._tell_if_held(record)
 
     def _tell_if_held(self, record: content_record.ContentRecord) -> None:
-        if quarantine.is_held(record):
+        if quarantine.ends_what_runs(record):
             self._on_held(record.content_id)
 
     def _log(self, record: content_record.ContentRecord, reason: str) -> None:
--- a/src/spoolhead/_internal/policy/content_book.py
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -179,13 +179,16 @@
     def note_digest(self, teller: str, digest: int, now_s: float) -> None:
         """Take the number that stands for another process's records.
 
+        One that knows nothing has just started, and is told all at once.
+
         :param teller: name of that process.
         """
         if digest == self._book.digest:
             self._differs_s.pop(teller, None)
             return
         since_s = self._differs_s.setdefault(teller, now_s)
-        if now_s - since_s < DIFFERS_S or self.has_more:
+        is_new = not digest
+        if self.has_more or (now_s - since_s < DIFFERS_S and not is_new):
             return
         pause_s = max(TURN_AGAIN_S, TURN_AGAIN_S_PER_RECORD * len(self._book))
         if now_s - self._turned_s >= pause_s:
--- a/src/spoolhead/_internal/policy/quarantine.py
+++ b/src/spoolhead/_internal/policy/quarantine.py
@@ -195,6 +195,15 @@
         self._tried &= known
 
 
+def ends_what_runs(record: content_record.ContentRecord) -> bool:
+    """Tell whether what runs of a held content is to be ended, too.
+
+    Not where several instances ended at one moment and nothing more is known: a run that is under
+    way elsewhere may show that it is sound, and most of what would end has ended by then.
+    """
+    return record.is_by_hand or record.waves >= WAVES_TO_HOLD
+
+
 def is_held(record: content_record.ContentRecord) -> bool:
     """Tell whether a record has its content held."""
     is_proved = record.waves >= WAVES_TO_HOLD or len(record.ends) >= ENDS_TO_HOLD
--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -307,3 +307,20 @@
     assert setting.caller.status == 502
     assert len(setting.calls.attempts) == 1
     assert setting.ended == [setting.exchange]
+
+
+def test_what_runs_may_show_that_several_ends_at_once_were_not_its_doing(clock):
+    """As with a request that many send, when a rack fails."""
+    contents = gateway_setting.make_contents(
+        clock=clock, on_held=lambda content_id: setting.exchange.hold_back()
+    )
+    setting = gateway_setting.Setting(STREAM, contents=contents)
+    content_id = setting.exchange.job.content_id
+    for name in ("x-1", "x-2", "x-3"):
+        contents.note_lost(name, content_id, clock.now_s - 1.0)
+    for name in ("x-1", "x-2", "x-3"):
+        contents.note_ended(name, "Connection refused")
+    assert contents.is_held(content_id)
+    assert not setting.last.is_over
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
+    assert not contents.is_held(content_id)
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -227,6 +227,9 @@
     assert len(told) == 20
     telling.note_digest("hub", 1, NOW_S + content_book.DIFFERS_S + 0.1)
     assert not telling.has_more, "not again at once"
+    telling.note_digest("hub", 0, NOW_S + 8.0)
+    assert telling.has_more, "it has just started"
+    telling.clear()
     telling.note_digest("hub", made.book.digest, NOW_S + 9.0)
     telling.note_digest("hub", 1, NOW_S + 9.1)
     assert not telling.has_more
