--- a/tests/unit/test_clocks.py
+++ b/tests/unit/test_clocks.py
@@ -8,9 +8,11 @@
 
 import pytest
 
-from lib import gateway_setting
-from spoolhead._internal.models import route_table
+from lib import consensus_group, gateway_setting
+from spoolhead._internal.models import route_table, shared_load
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.policy import load_view, upstream_book
+from spoolhead._internal.utils import clocks
 
 SOURCES = pathlib.Path(__file__).parents[2] / "src"
 SUSPENDED_S = 1.5
@@ -73,6 +75,40 @@
     assert int(setting.last.get_header("x-request-deadline")) <= 2_000 - SUSPENDED_S * 1000
 
 
+def test_a_leader_that_was_suspended_leads_no_more_before_it_is_asked_anything():
+    """Its timer is due first; by the steady clock it would think that it was heard just now."""
+    group = consensus_group.Group(1)
+    group.settle(2.0)
+    (leader,) = [node for node in group.up() if node.consensus.is_leader]
+    leader.consensus.tick(group.now_s + 5.0)
+    assert not leader.consensus.is_leader
+    assert leader.consensus.begin_read(group.now_s + 5.0) is None
+
+
+def test_a_copy_under_way_ends_with_the_callers_deadline(machine):
+    setting = gateway_setting.Setting(
+        route_table.RequestKind.STREAM, names=("i-1", "i-2"), tokens="3000,2000"
+    )
+    events = gateway_setting.make_events(1, 3)
+    setting.last.answer(200, gateway_setting.SIGNED, events, whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    machine.suspend(SUSPENDED_S)
+    setting.calls.copies[-1].answer(200, [], b'{"handle": "h-1", "made": 3}')
+    assert len(setting.calls.attempts) == 2
+    assert int(setting.last.get_header("x-request-deadline")) <= 2_000 - SUSPENDED_S * 1000
+
+
+def test_news_of_a_hall_grows_old_while_the_machine_is_suspended(machine):
+    book = upstream_book.UpstreamBook()
+    view = load_view.LoadView("hall-a", book)
+    view.note_report(1, {})
+    ages = [shared_load.HallAge("hall-b", 0)]
+    update = shared_load.Update(sequence=1, rows={}, ages=ages, alarms=[], counted=1)
+    view.take_update(update, clocks.get_s())
+    machine.suspend(SUSPENDED_S)
+    assert view.get_age_ms(clocks.get_s()) >= SUSPENDED_S * 1000
+
+
 def test_timers_that_came_due_meanwhile_run_at_once_and_the_log_tells(machine, caplog):
     ran = []
     loop = _make_loop()
