A held request that may have run is not called not run on the own interface either; one text, one order of choices

Another: the id of a trial that was refused before it began stayed in a set for good. Written twice or more: the reason of a held request (three places), the reordering of a choice, the type of a clock, which made contents/ lean on load_telling/.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -6,9 +6,9 @@
 import logging
 from collections.abc import Callable
 
-from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import content_record, shared_load
 from spoolhead._internal.policy import content_book, lost_runs, quarantine
+from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
@@ -26,7 +26,7 @@
         self,
         name: str,
         *,
-        clock: hub_port.Clock,
+        clock: clocks.Clock,
         tell: Callable[[], None],
         on_held: Callable[[bytes], None],
     ) -> None:
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -242,7 +242,6 @@
             self._gathered.time(metrics.Metric.STALL_MS, running.stalled_s * 1000)
         text = f"ran: {result.ran.value}, tokens: {result.tokens}"
         self._decisions.note(request, "end", result.code, text=text)
-        self._trials.discard(request.request_id)
         self._call_on_end(request, result)
         self._pump_service(request.service_name)
 
@@ -403,6 +402,7 @@
         )
 
     def _call_on_end(self, request: requests.CallerRequest, result: flow_context.Result) -> None:
+        self._trials.discard(request.request_id)
         on_end = self._on_end.pop(request.request_id, None)
         if on_end is not None:
             on_end(result)
@@ -414,8 +414,7 @@
 
 def _make_held_refusal() -> admission.Refused:
     """Return a refusal that does not say when to come back: the next run would end an upstream."""
-    text = "upstreams have ended each time that this request ran"
-    return admission.Refused(fault.Fault(codes.ResultCode.REQUEST_HELD, text), None)
+    return admission.Refused(fault.make_held(), None)
 
 
 def _make_forced_choice(replica: replicas.Replica) -> placement.Choice:
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -174,8 +174,10 @@
         """Give the request up, since it ends what runs it, unless a part was delivered."""
         if self.is_over or self._relay.order.has_delivered or self.request.resume is not None:
             return
-        text = "upstreams have ended each time that this request ran"
-        self._give_up(codes.ResultCode.REQUEST_HELD, text, self._get_ran_now(), comes_back=False)
+        held, ran = fault.make_held(), self._get_ran_now()
+        # Only what has not run may be told so by the status of a held request.
+        code = held.code if ran is codes.Ran.NO else codes.ResultCode.UPSTREAM_LOST
+        self._give_up(code, held.text, ran, comes_back=False)
 
     def get_ran_before(self) -> codes.Ran:
         """Tell whether the request ran, while no attempt is being made."""
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -94,8 +94,8 @@
         """
         if self._is_trial or self.caller.is_started:
             return
-        text = "upstreams have ended each time that this request ran"
-        self.fail(codes.ResultCode.REQUEST_HELD, text, retry_after_ms=None)
+        held = fault.make_held()
+        self.fail(held.code, held.text, retry_after_ms=None)
 
     def choose(self, need_tokens: int) -> upstream_choice.Choice:
         """Choose an instance that was not tried yet."""
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -70,7 +70,7 @@
         send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_book.Upstream], None],
         on_news: Callable[[], None],
-        clock: hub_port.Clock = clocks.get_s,
+        clock: clocks.Clock = clocks.get_s,
     ) -> None:
         self._timers = timers
         self._send = send
--- a/src/spoolhead/_internal/load_telling/hub_port.py
+++ b/src/spoolhead/_internal/load_telling/hub_port.py
@@ -13,8 +13,6 @@
 
 logger = logging.getLogger(__name__)
 
-Clock = Callable[[], float]
-
 FIRST_S = 0.002
 """Pause before a change is told after a quiet time, so that what changes with it goes along."""
 PART_S = 0.02
@@ -64,7 +62,7 @@
         send: Callable[[bytes, endpoints.Endpoint], None],
         get_hubs: Callable[[], Iterable[endpoints.Endpoint]],
         bytes_per_s: int,
-        clock: Clock = clocks.get_s,
+        clock: clocks.Clock = clocks.get_s,
     ) -> None:
         self._timers = timers
         self._hub = hub
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -68,17 +68,14 @@
 
     def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
         """Return the choice with those that a test holds for before the others."""
-        ordered = sorted(self.candidates, key=lambda item: not is_preferred(item.upstream))
-        return Choice(
-            ordered,
-            is_cut_off=self.is_cut_off,
-            cold_full=self.cold_full,
-            evacuated=self.evacuated,
-        )
+        return self._order(lambda upstream: not is_preferred(upstream))
 
     def prefer_least_shared(self) -> "Choice":
         """Return the choice with those before the others that run the fewest requests."""
-        ordered = sorted(self.candidates, key=lambda item: item.upstream.count)
+        return self._order(lambda upstream: upstream.count)
+
+    def _order(self, get_rank: Callable[[upstream_book.Upstream], int]) -> "Choice":
+        ordered = sorted(self.candidates, key=lambda item: get_rank(item.upstream))
         return Choice(
             ordered,
             is_cut_off=self.is_cut_off,
--- a/src/spoolhead/_internal/utils/clocks.py
+++ b/src/spoolhead/_internal/utils/clocks.py
@@ -1,6 +1,10 @@
 """The one clock of all programs, by which ages, deadlines and timers are counted."""
 
 import time
+from collections.abc import Callable
+
+Clock = Callable[[], float]
+"""Returns a time in seconds, as :func:`get_s` does."""
 
 _CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
 """A machine may be suspended and go on later. The steady clock leaves that time out, so a belief
--- a/tests/unit/test_flow.py
+++ b/tests/unit/test_flow.py
@@ -312,3 +312,32 @@
     call.user.on_call_lost("reset")
     assert b"half" not in setting.caller.data
     assert (setting.result.code, setting.ran) == (codes.ResultCode.UPSTREAM_LOST, codes.Ran.UNKNOWN)
+
+
+def test_a_held_request_that_may_run_is_not_called_not_run():
+    setting = fakes.Setting(fakes.make_request())
+    setting.calls.made[-1].may_have_arrived = True
+    setting.flow.hold_back()
+    assert setting.ran is codes.Ran.UNKNOWN
+    assert setting.result.code is codes.ResultCode.UPSTREAM_LOST
+    assert setting.caller.status == 502
+
+
+def test_a_held_request_that_has_not_run_is_refused_without_when_to_come_back():
+    setting = fakes.Setting(fakes.make_request())
+    setting.flow.hold_back()
+    assert setting.ran is codes.Ran.NO
+    assert setting.result.code is codes.ResultCode.REQUEST_HELD
+    assert setting.caller.status == 503
+
+
+def test_a_suspect_has_no_further_attempt():
+    setting = fakes.Setting(fakes.make_request())
+    setting.contents.suspects.add(b"")
+    call = setting.calls.made[-1]
+    call.may_have_arrived = True
+    call.is_over = True
+    call.user.on_call_lost("Connection reset by peer")
+    assert setting.contents.lost == ["u1@entry.0"]
+    assert [item for item in setting.calls.made if not item.is_cancel_order] == [call]
+    assert setting.result.code is codes.ResultCode.UPSTREAM_LOST
