--- /dev/null
+++ b/benchmarks/deadly_requests.py
@@ -0,0 +1,125 @@
+"""What each way of holding a deadly request costs the others, and how soon all entries know.
+
+Runs real news over a simulated network (tests/lib/content_fleet.py), so the figures repeat exactly.
+Usage: .venv/bin/python benchmarks/deadly_requests.py
+"""
+
+import pathlib
+import statistics
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tools")]
+
+from lib import content_fleet  # noqa: E402
+from spoolhead._internal.policy import quarantine  # noqa: E402
+
+DEADLY = content_fleet.make_id("deadly")
+NEVER = 99
+SERIES = 30
+PAUSES_S = (1.5, 0.3)
+SIZES = (24, 67, 195, 350)
+
+
+class Way:
+    """One way to hold a request.
+
+    :ivar waves: ends, one after the other, after which it is held.
+    :ivar ends: ends in all after which it is held.
+    :ivar is_apart: it runs where the fewest others do before it is held.
+    :ivar is_told: entries tell each other.
+    """
+
+    def __init__(self, name, waves, ends, *, is_apart=True, is_told=True):
+        self.name = name
+        self.waves = waves
+        self.ends = ends
+        self.is_apart = is_apart
+        self.is_told = is_told
+
+
+WAYS = (
+    Way("never, placed by chance", NEVER, NEVER, is_apart=False),
+    Way("never, run apart", NEVER, NEVER),
+    Way("first", 1, 1, is_apart=False),
+    Way("second", 2, 3, is_apart=False),
+    Way("second, run apart (kept)", 2, 3),
+    Way("the same, ends at one moment counted singly", 2, 2),
+    Way("the same, entries tell nothing", 2, 3, is_told=False),
+    Way("third", 3, 3, is_apart=False),
+    Way("third, run apart", 3, 3),
+)
+
+
+class Fleet(content_fleet.ContentFleet):
+    """A fleet that holds in one of the ways."""
+
+    def __init__(self, way, seed):
+        super().__init__(entries=8, places=9, seed=seed)
+        self._way = way
+        if not way.is_told:
+            for entry in self.entries:
+                entry.contents.take = lambda hub, news: None
+
+    def _run(self, number, content_id, lasting_s, *, is_apart):
+        super()._run(number, content_id, lasting_s, is_apart=is_apart and self._way.is_apart)
+
+
+def play(way, seed, pause_s):
+    """Play one series; returns engines ended, answers cut off, sound requests refused and held."""
+    quarantine.WAVES_TO_HOLD = way.waves
+    quarantine.ENDS_TO_HOLD = way.ends
+    quarantine.PROVED_WAVES = way.waves + 1
+    fleet = Fleet(way, seed)
+    fleet.deadly.add(DEADLY)
+    fleet.run(2.0)
+    fleet.begin_traffic(6.0, lasting_s=4.0)
+    fleet.run(8.0)
+    fleet.send_lost_again(0.5, lasting_s=4.0)
+    fleet.repeat(DEADLY, pause_s=pause_s, for_s=15.0)
+    fleet.run(16.0)
+    cut = sum(run.content_id != DEADLY for run in fleet.lost)
+    refused = sum(content_id != DEADLY for content_id, _, _ in fleet.refused)
+    return len(fleet.ends), cut, refused
+
+
+def measure_spread(entries, seed):
+    """Return in how many ms all entries know, and one that starts afterwards."""
+    fleet = content_fleet.ContentFleet(entries=entries, halls=5, keepers=5, places=20, seed=seed)
+    fleet.deadly.add(DEADLY)
+    fleet.run(2.0)
+    fleet.repeat(DEADLY, pause_s=1.0, for_s=3.0)
+    while len(fleet.ends) < quarantine.WAVES_TO_HOLD:
+        fleet.run(0.01)
+    found_s = fleet.ends[-1][1]
+    while len(fleet.get_holders(DEADLY)) < entries:
+        fleet.run(0.005)
+    known_ms = (fleet.clock.now_s - found_s) * 1000
+    fleet.run(0.5)
+    fleet.restart_entry(3)
+    started_s = fleet.clock.now_s
+    while 3 not in fleet.get_holders(DEADLY):
+        fleet.run(0.005)
+    return round(known_ms), round((fleet.clock.now_s - started_s) * 1000)
+
+
+def main() -> None:
+    """Print a row for each size, and for each way and pause."""
+    print("entries | all know after ms, an entry that starts after ms")
+    for entries in SIZES:
+        print(f"{entries} | {[measure_spread(entries, seed) for seed in range(2)]}", flush=True)
+    print("pause s | way | engines ended, answers cut off (standard error), sound ones refused")
+    for pause_s in PAUSES_S:
+        for way in WAYS:
+            rows = [play(way, seed, pause_s) for seed in range(SERIES)]
+            ends, cut, refused = zip(*rows, strict=True)
+            error = statistics.stdev(cut) / SERIES**0.5
+            print(
+                f"{pause_s} | {way.name} | {statistics.mean(ends):.2f}, "
+                f"{statistics.mean(cut):.2f} ({error:.2f}), {statistics.mean(refused):.2f}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    main()
