Records of contents are told to who lacks them, not to all whenever anybody joins

Work done twice: a hub told all its records to all reporters when one joined, and an entry all of its own to each hub that it changed to, beside the comparison of numbers, which tells one that knows nothing at once.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -118,10 +118,6 @@
         """Return what a report carries that tells nothing."""
         return shared_load.ContentNews(digest=self._quarantine.book.digest)
 
-    def begin_hub(self) -> None:
-        """Tell all to a hub that is new to this entry, and may be new to all."""
-        self._telling.tell_all(self._clock())
-
     def _count(self, life_id: str, run: lost_runs.LostRun, evidence: str) -> None:
         key = shared_load.get_key(life_id)
         record = self._quarantine.note_end(run.content_id, key, run.sent_s, run.lost_s)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -212,7 +212,6 @@
         if before is not None:
             self._send(self._make_report(is_reporter=False), before)
         self._view.begin_hub()
-        self._contents.begin_hub()
 
     def _show_to_hubs(self) -> None:
         """Show other hubs than the own one that entries of this hall are alive."""
--- a/src/spoolhead/_internal/policy/content_book.py
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -201,17 +201,13 @@
             return
         pause_s = max(TURN_AGAIN_S, TURN_AGAIN_S_PER_RECORD * len(self._book))
         if now_s - self._turned_s >= pause_s:
-            self.tell_all(now_s)
+            self._turned_s = now_s
+            self._turn = self._book.get_ids()
 
     def forget_teller(self, teller: str) -> None:
         """Forget a process that is no longer heard."""
         self._differs_s.pop(teller, None)
 
-    def tell_all(self, now_s: float) -> None:
-        """Tell all records in turn."""
-        self._turned_s = now_s
-        self._turn = self._book.get_ids()
-
     def take_part(self, now_s: float) -> list[content_record.AgedRecord]:
         """Return what is told next, and count it as told."""
         part = list(self._left)[:RECORDS_AT_ONCE]
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -157,8 +157,6 @@
         for content_id in self._take_contents(report.contents, now_s):
             self._to_hubs.note_changed(content_id)
         self._to_reporters.note_digest(report.sender, report.contents.digest, now_s)
-        if known is None:
-            self._to_reporters.tell_all(now_s)
         return known is None
 
     def take_totals(
@@ -230,7 +228,7 @@
         return self._make_update(rows, _take_tellings(self._all_alarms), contents, now_s)
 
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all that is known, for a new reporter; records of contents follow in parts."""
+        """Return all work that is known, for a new reporter; records of contents follow."""
         contents = shared_load.ContentNews(digest=self._contents.digest)
         return self._make_update(self._all.get_all(), [], contents, now_s)
 
