Keeper: what is passed on of contents has a module of its own

No behaviour. Passed: the own interface's test of deadly requests, test_table, test_programs, test_log_page (61).

--- /dev/null
+++ b/src/spoolhead/_internal/keeper/content_relay.py
@@ -0,0 +1,77 @@
+"""Passes on between entries what they find out of contents that may end upstreams."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from spoolhead._internal.models import content_record
+from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.policy import content_book
+from spoolhead._internal.utils import clocks
+
+logger = logging.getLogger(__name__)
+
+
+class ContentRelay:
+    """A keeper's records of contents, and what it does with messages about them.
+
+    :param get_entries: returns the streams of all entries that are connected.
+    """
+
+    def __init__(self, get_entries: Callable[[], Iterable[peer_server.PeerSession]]) -> None:
+        self._get_entries = get_entries
+        self._book = content_book.ContentBook()
+
+    def welcome(self, session: peer_server.PeerSession) -> None:
+        """Tell all that is known to an entry that has just connected."""
+        known = self._pack(self._book.get_ids())
+        if known:
+            session.send(messages.Contents(items=known))
+
+    def take(self, session: peer_server.PeerSession, message: messages.Contents) -> None:
+        """Pass on what an entry found out."""
+        try:
+            records = content_record.unpack(message.items)
+        except (TypeError, ValueError) as error:
+            raise messages.MessageError(f"records of contents: {error}") from error
+        changed = self._book.take(records, clocks.get_s())
+        self._tell([record.content_id for record in changed], except_to=session)
+
+    def order(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
+        """Have a content held, or let it go, by an operator's order."""
+        record = content_record.begin_epoch(
+            message.content_id,
+            self._book.get(message.content_id),
+            is_by_hand=message.is_held,
+        )
+        self._book.set(record, clocks.get_s())
+        fields = {
+            "content": message.content_id.hex(),
+            "is_held": message.is_held,
+            "operator": session.name,
+        }
+        logger.info("order on a content", extra={"fields": fields})
+        self._tell([message.content_id])
+        self._answer(session, message.request, [message.content_id])
+
+    def send_all(self, session: peer_server.PeerSession, message: messages.GetContents) -> None:
+        """Send all records to an operator."""
+        self._answer(session, message.request, self._book.get_ids())
+
+    def _answer(
+        self, session: peer_server.PeerSession, request: int, content_ids: list[bytes]
+    ) -> None:
+        items = self._pack(content_ids)
+        session.send(messages.ContentsAnswer(request=request, items=items))
+
+    def _tell(
+        self, content_ids: list[bytes], *, except_to: peer_server.PeerSession | None = None
+    ) -> None:
+        if not content_ids:
+            return
+        data = messages.encode(messages.Contents(items=self._pack(content_ids)))
+        for session in self._get_entries():
+            if session is not except_to:
+                session.send_encoded(data)
+
+    def _pack(self, content_ids: list[bytes]) -> list[list[object]]:
+        return content_record.pack(self._book.get_all_aged(content_ids, clocks.get_s()))
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -7,10 +7,9 @@
 import typing
 
 from spoolhead._internal import exceptions
-from spoolhead._internal.keeper import log_file, records, state
-from spoolhead._internal.models import codes, content_record, settings
+from spoolhead._internal.keeper import content_relay, log_file, records, state
+from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import messages, peer_server
-from spoolhead._internal.policy import content_book
 from spoolhead._internal.table import packing
 from spoolhead._internal.utils import clocks
 from spoolhead.coordination import once_journal, versioned_table
@@ -50,6 +49,7 @@
     :param config: the keeper's settings.
     :param log: the log on the disk, already opened.
     :raises exceptions.LogDamagedError: if the log's records do not fit each other.
+    :ivar contents: passes on what entries find out of contents that may end upstreams.
     """
 
     def __init__(self, config: settings.KeeperSettings, log: log_file.LogFile) -> None:
@@ -57,7 +57,7 @@
         self._log = log
         self._state = state.KeeperState(kept_changes=config.kept_changes)
         self._followers: dict[str, Follower] = {}
-        self._contents = content_book.ContentBook()
+        self.contents = content_relay.ContentRelay(self._get_entries)
         self._started_s = clocks.get_s()
         self._replay()
 
@@ -96,9 +96,7 @@
         follower.hall = message.hall
         follower.address = message.address
         self._tell_members()
-        known = self._pack_contents(self._contents.get_ids())
-        if known:
-            session.send(messages.Contents(items=known))
+        self.contents.welcome(session)
 
     def follow(self, session: peer_server.PeerSession, message: messages.Follow) -> None:
         """Send a follower what it has missed, or the whole table."""
@@ -208,36 +206,6 @@
             )
         )
 
-    def take_contents(self, session: peer_server.PeerSession, message: messages.Contents) -> None:
-        """Pass on what an entry found out of contents that may end upstreams."""
-        try:
-            records = content_record.unpack(message.items)
-        except (TypeError, ValueError) as error:
-            raise messages.MessageError(f"records of contents: {error}") from error
-        changed = self._contents.take(records, clocks.get_s())
-        self._tell_contents([record.content_id for record in changed], except_to=session)
-
-    def hold_content(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
-        """Have a content held, or let it go, by an operator's order."""
-        record = content_record.begin_epoch(
-            message.content_id,
-            self._contents.get(message.content_id),
-            is_by_hand=message.is_held,
-        )
-        self._contents.set(record, clocks.get_s())
-        fields = {"content": message.content_id.hex(), "is_held": message.is_held}
-        logger.info("order on a content", extra={"fields": {**fields, "operator": session.name}})
-        self._tell_contents([message.content_id])
-        items = self._pack_contents([message.content_id])
-        session.send(messages.ContentsAnswer(request=message.request, items=items))
-
-    def send_contents(
-        self, session: peer_server.PeerSession, message: messages.GetContents
-    ) -> None:
-        """Send the records of contents to an operator."""
-        items = self._pack_contents(self._contents.get_ids())
-        session.send(messages.ContentsAnswer(request=message.request, items=items))
-
     def finish_once(self, session: peer_server.PeerSession, message: messages.FinishOnce) -> None:
         """Record the end of a claimed request; not confirmed unless it is durable."""
         claim = self._state.once.claims.get(message.key)
@@ -327,18 +295,9 @@
             if follower.session is not None and follower.is_following:
                 follower.session.send_encoded(data)
 
-    def _pack_contents(self, content_ids: list[bytes]) -> list:
-        return content_record.pack(self._contents.get_all_aged(content_ids, clocks.get_s()))
-
-    def _tell_contents(
-        self, content_ids: list[bytes], *, except_to: peer_server.PeerSession | None = None
-    ) -> None:
-        if not content_ids:
-            return
-        data = messages.encode(messages.Contents(items=self._pack_contents(content_ids)))
-        for follower in self._followers.values():
-            if follower.session is not None and follower.session is not except_to:
-                follower.session.send_encoded(data)
+    def _get_entries(self) -> list[peer_server.PeerSession]:
+        sessions = [follower.session for follower in self._followers.values()]
+        return [session for session in sessions if session is not None]
 
     def _tell_members(self) -> None:
         present = {
@@ -416,8 +375,8 @@
 _register(messages.GetTable, KeeperService.send_table)
 _register(messages.GetHistory, KeeperService.send_history)
 _register(messages.GetStatus, KeeperService.send_status)
-_register(messages.Contents, KeeperService.take_contents)
-_register(messages.HoldContent, KeeperService.hold_content)
-_register(messages.GetContents, KeeperService.send_contents)
+_register(messages.Contents, lambda service, *asked: service.contents.take(*asked))
+_register(messages.HoldContent, lambda service, *asked: service.contents.order(*asked))
+_register(messages.GetContents, lambda service, *asked: service.contents.send_all(*asked))
 _register(messages.ClaimOnce, KeeperService.claim_once)
 _register(messages.FinishOnce, KeeperService.finish_once)
