--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -5,11 +5,9 @@
 behind what it is given, so tests drive it with fakes.
 """
 
-import json
 import logging
-from collections.abc import Sequence
 
-from spoolhead._internal.entry import answers, api, flow_context, stream_token
+from spoolhead._internal.entry import answers, api, flow_attempt, flow_context, passed_answers
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.policy import placement, replicas, retry
@@ -18,74 +16,12 @@
 
 logger = logging.getLogger(__name__)
 
-Headers = Sequence[tuple[str, str]]
-
 RETRY_AFTER_MS = 1_000
 """When to come back after upstreams failed before they could act."""
 
 _OK = 200
 _SERVER_ERRORS = range(500, 600)
 _REFUSALS = frozenset({429, 503})
-_EVENT_STREAM = "text/event-stream"
-_DROPPED_ANSWER_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "proxy-authenticate",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        api.REQUEST_ID_HEADER,
-    }
-)
-
-
-class _Attempt:
-    """One call to one upstream; its answer counts only while it is the flow's present one."""
-
-    __slots__ = (
-        "call",
-        "flow",
-        "generation",
-        "headers",
-        "life_id",
-        "replica",
-        "sent_s",
-        "status",
-    )
-
-    def __init__(
-        self,
-        flow: "Flow",
-        replica: replicas.Replica,
-        generation: str,
-        *,
-        life_id: str,
-        sent_s: float,
-    ) -> None:
-        self.life_id = life_id
-        self.sent_s = sent_s
-        self.flow = flow
-        self.replica = replica
-        self.generation = generation
-        self.call: upstream_calls.UpstreamCall | None = None
-        self.status = 0
-        self.headers: Headers = ()
-
-    def on_answer_head(self, status: int, headers: Headers) -> None:
-        self.flow.take_head(self, status, headers)
-
-    def on_answer_body(self, data: bytes) -> None:
-        self.flow.take_body(self, data)
-
-    def on_answer_end(self) -> None:
-        self.flow.take_end(self)
-
-    def on_call_lost(self, reason: str) -> None:
-        self.flow.take_loss(self, reason)
 
 
 class Flow:
@@ -113,7 +49,7 @@
         self.is_over = False
         self._context = context
         self._relay = stream_relay.StreamRelay(_make_order(request))
-        self._attempt: _Attempt | None = None
+        self._attempt: flow_attempt.Attempt | None = None
         self._attempts_made = 0
         self._generations_made = 0
         self._failed_upstreams: set[str] = set()
@@ -151,7 +87,7 @@
         self._attempts_made += 1
         attempt = self._begin(replica, generation, 0.0)
         self._relay.begin_connection()
-        headers = [("accept", _EVENT_STREAM)]
+        headers = [("accept", passed_answers.EVENT_STREAM)]
         if self._relay.order.next_index:
             last = f"{generation}:{self._relay.order.next_index - 1}"
             headers.append((api.LAST_EVENT_HEADER, last))
@@ -183,7 +119,9 @@
         """Tell whether the request ran, while no attempt is being made."""
         return codes.Ran.UNKNOWN if self._may_have_run else codes.Ran.NO
 
-    def take_head(self, attempt: _Attempt, status: int, headers: Headers) -> None:
+    def take_head(
+        self, attempt: flow_attempt.Attempt, status: int, headers: flow_attempt.Headers
+    ) -> None:
         """Take the head of an attempt's answer."""
         if attempt is not self._attempt:
             return
@@ -202,7 +140,7 @@
             text = f"the upstream failed with status {status}"
             self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, text)
 
-    def take_body(self, attempt: _Attempt, data: bytes) -> None:
+    def take_body(self, attempt: flow_attempt.Attempt, data: bytes) -> None:
         """Take a part of an attempt's answer."""
         if attempt is not self._attempt:
             return
@@ -216,7 +154,7 @@
             text = f"the answer exceeds {self._context.answer_bytes} bytes"
             self._give_up(codes.ResultCode.ANSWER_TOO_LARGE, text, codes.Ran.YES)
 
-    def take_end(self, attempt: _Attempt) -> None:
+    def take_end(self, attempt: flow_attempt.Attempt) -> None:
         """Take the end of an attempt's answer."""
         if attempt is not self._attempt:
             return
@@ -225,7 +163,7 @@
             return
         self._finish_whole(attempt)
 
-    def take_loss(self, attempt: _Attempt, reason: str) -> None:
+    def take_loss(self, attempt: flow_attempt.Attempt, reason: str) -> None:
         """Take the loss of an attempt's connection."""
         if attempt is not self._attempt:
             return
@@ -241,8 +179,10 @@
             return
         self._fail_attempt(code, f"upstream {attempt.replica.name}: {reason}")
 
-    def _begin(self, replica: replicas.Replica, generation: str, planned: float) -> _Attempt:
-        attempt = _Attempt(
+    def _begin(
+        self, replica: replicas.Replica, generation: str, planned: float
+    ) -> flow_attempt.Attempt:
+        attempt = flow_attempt.Attempt(
             self,
             replica,
             generation,
@@ -257,7 +197,12 @@
         return attempt
 
     def _open(
-        self, attempt: _Attempt, method: str, target: str, headers: Headers, body: bytes
+        self,
+        attempt: flow_attempt.Attempt,
+        method: str,
+        target: str,
+        headers: flow_attempt.Headers,
+        body: bytes,
     ) -> None:
         address = attempt.replica.row.address
         attempt.call = self._context.calls.open(
@@ -268,7 +213,7 @@
             is_head=method == "HEAD",
         )
 
-    def _relay_data(self, attempt: _Attempt, data: bytes) -> None:
+    def _relay_data(self, attempt: flow_attempt.Attempt, data: bytes) -> None:
         relayed = self._relay.feed(data)
         if relayed.tokens:
             self._note_tokens(relayed.tokens)
@@ -280,10 +225,16 @@
         elif relayed.is_done:
             self._finish_stream(attempt)
 
-    def _send(self, attempt: _Attempt, data: bytes) -> bool:
+    def _send(self, attempt: flow_attempt.Attempt, data: bytes) -> bool:
         """Send bytes to the caller; False where that ended the flow."""
         if not self.caller.is_started:
-            self.caller.start_stream(_OK, self._make_stream_headers(attempt), data)
+            headers = passed_answers.make_stream_headers(
+                self.request,
+                self._context.shared_key,
+                upstream=attempt.replica.name,
+                generation=attempt.generation,
+            )
+            self.caller.start_stream(_OK, headers, data)
             return not self.is_over
         unsent = self.caller.send_part(data)
         if unsent <= self._context.unread_bytes:
@@ -293,23 +244,6 @@
         self._give_up(codes.ResultCode.CALLER_TOO_SLOW, text, codes.Ran.YES)
         return False
 
-    def _make_stream_headers(self, attempt: _Attempt) -> Headers:
-        token = stream_token.make_token(
-            self._context.shared_key,
-            stream_token.StreamToken(
-                workspace=self.request.workspace,
-                service=self.request.service_name,
-                upstream=attempt.replica.name,
-                generation=attempt.generation,
-            ),
-        )
-        return [
-            ("Content-Type", _EVENT_STREAM),
-            ("Cache-Control", "no-cache"),
-            (api.STREAM_HEADER, token),
-            (api.REQUEST_ID_HEADER, self.request.request_id),
-        ]
-
     def _note_tokens(self, count: int) -> None:
         now_s = self._context.clock()
         gap_s = self._pace.note_tokens(count, now_s)
@@ -338,7 +272,7 @@
             and self._pace.is_stalled(now_s)
         )
 
-    def _finish_stream(self, attempt: _Attempt) -> None:
+    def _finish_stream(self, attempt: flow_attempt.Attempt) -> None:
         self._context.contents.note_sound(self.request.content_id)
         self.caller.end_stream()
         # The done mark comes a little before the end of the message; a connection closed in
@@ -351,14 +285,13 @@
         result.is_natural_end = self.request.resume is None
         self._end(result)
 
-    def _finish_whole(self, attempt: _Attempt) -> None:
+    def _finish_whole(self, attempt: flow_attempt.Attempt) -> None:
         self._context.contents.note_sound(self.request.content_id)
         body = b"".join(self._body)
         if self.request.is_model:
-            self.work.generated_tokens = _get_usage_tokens(body)
+            self.work.generated_tokens = passed_answers.get_usage_tokens(body)
             self._context.host.charge(self, self.work.generated_tokens)
-        headers = [item for item in attempt.headers if item[0] not in _DROPPED_ANSWER_HEADERS]
-        headers.append((api.REQUEST_ID_HEADER, self.request.request_id))
+        headers = passed_answers.make_whole_headers(attempt.headers, self.request.request_id)
         self.caller.send_whole(attempt.status, headers, body)
         attempt.replica.health.note_success(self._context.clock())
         self._drop_attempt(cancel=False)
@@ -413,14 +346,14 @@
             return 0
         return self._context.attempts - self._attempts_made
 
-    def _resume_again(self, attempt: _Attempt, code: codes.ResultCode) -> None:
+    def _resume_again(self, attempt: flow_attempt.Attempt, code: codes.ResultCode) -> None:
         choice = placement.Choice(attempt.replica, 0.0, ())
         self._context.host.note_attempt(self, "resume", choice, code)
         self._context.gathered.count(metrics.Metric.RESUMES)
         self._pace.note_resume(self._context.clock())
         self.resume(attempt.replica, attempt.generation)
 
-    def _try_again(self, attempt: _Attempt, code: codes.ResultCode) -> bool:
+    def _try_again(self, attempt: flow_attempt.Attempt, code: codes.ResultCode) -> bool:
         self._failed_upstreams.add(attempt.replica.name)
         self._relay = stream_relay.StreamRelay()
         self._context.gathered.count(metrics.Metric.RETRIES)
@@ -480,7 +413,7 @@
         if cancel and arrived and self.request.is_model:
             self._cancel_generation(attempt)
 
-    def _cancel_generation(self, attempt: _Attempt) -> None:
+    def _cancel_generation(self, attempt: flow_attempt.Attempt) -> None:
         # Closing the connection is not enough: an engine that can resume keeps a generation
         # for a while after that, and a generation nobody reads takes memory from others.
         address = attempt.replica.row.address
@@ -505,11 +438,3 @@
     if has_begun and code is not codes.ResultCode.STREAM_OUT_OF_ORDER:
         return codes.ResultCode.GENERATION_LOST
     return code
-
-
-def _get_usage_tokens(body: bytes) -> int:
-    try:
-        tokens = json.loads(body)["usage"]["completion_tokens"]
-    except (ValueError, KeyError, TypeError):
-        return 0
-    return tokens if isinstance(tokens, int) else 0
--- /dev/null
+++ b/src/spoolhead/_internal/entry/flow_attempt.py
@@ -0,0 +1,84 @@
+"""One attempt of a flow at one upstream."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from spoolhead._internal.network import upstream_calls
+from spoolhead._internal.policy import replicas
+
+Headers = Sequence[tuple[str, str]]
+
+
+class AttemptUser(Protocol):
+    """The flow that made an attempt."""
+
+    def take_head(self, attempt: "Attempt", status: int, headers: Headers) -> None:
+        """Take the head of its answer."""
+
+    def take_body(self, attempt: "Attempt", data: bytes) -> None:
+        """Take a part of its answer."""
+
+    def take_end(self, attempt: "Attempt") -> None:
+        """Take the end of its answer."""
+
+    def take_loss(self, attempt: "Attempt", reason: str) -> None:
+        """Take the loss of its connection."""
+
+
+class Attempt:
+    """One call to one upstream; its answer counts only while it is the flow's present one.
+
+    :ivar flow: the flow that made it.
+    :ivar replica: the upstream.
+    :ivar generation: id of the generation there.
+    :ivar life_id: which run of the upstream it went to.
+    :ivar sent_s: when it was sent.
+    :ivar call: the call; None until it is made.
+    :ivar status: status of its answer; 0 before it.
+    :ivar headers: headers of its answer.
+    """
+
+    __slots__ = (
+        "call",
+        "flow",
+        "generation",
+        "headers",
+        "life_id",
+        "replica",
+        "sent_s",
+        "status",
+    )
+
+    def __init__(
+        self,
+        flow: AttemptUser,
+        replica: replicas.Replica,
+        generation: str,
+        *,
+        life_id: str,
+        sent_s: float,
+    ) -> None:
+        self.life_id = life_id
+        self.sent_s = sent_s
+        self.flow = flow
+        self.replica = replica
+        self.generation = generation
+        self.call: upstream_calls.UpstreamCall | None = None
+        self.status = 0
+        self.headers: Headers = ()
+
+    def on_answer_head(self, status: int, headers: Headers) -> None:
+        """Pass on the head."""
+        self.flow.take_head(self, status, headers)
+
+    def on_answer_body(self, data: bytes) -> None:
+        """Pass on a part of the body."""
+        self.flow.take_body(self, data)
+
+    def on_answer_end(self) -> None:
+        """Pass on the end."""
+        self.flow.take_end(self)
+
+    def on_call_lost(self, reason: str) -> None:
+        """Pass on the loss."""
+        self.flow.take_loss(self, reason)
