Own interface: who names a content, and what an upstream is asked for, stand in one place each

judge() named the content as a side effect, and the path of load reports was written a second time to get round a cycle of imports. The program makes HeldContents now and gives it to the dispatcher. No behaviour. Passed: test_flow, test_deadly_requests, test_programs, 25 tests.

--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -15,7 +15,14 @@
 from spoolhead._internal.models import codes, fault, load_report, requests, settings
 from spoolhead._internal.network import caller_front, upstream_calls
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import admission, placement, policy_set, quarantine, replicas
+from spoolhead._internal.policy import (
+    admission,
+    placement,
+    policy_set,
+    quarantine,
+    replicas,
+    request_content,
+)
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import clocks, metrics
 
@@ -23,8 +30,6 @@
 LOOK_AHEAD = 4
 """Workspaces whose next request is tried when the one before fits nowhere."""
 
-PROBE_PATH = "/metrics"
-"""What an upstream that lost a request is asked for; any answer will do."""
 STRANDED_S = 3.0
 """Time without any upstream after which what waits for one is refused."""
 
@@ -60,7 +65,7 @@
     :param gathered: metrics.
     :param policies: what decides.
     :param decisions: remembers what was decided.
-    :param tell_contents: has the keeper pass on records of contents that may end upstreams.
+    :param contents: what is known of requests that may end upstreams.
     """
 
     def __init__(
@@ -72,17 +77,10 @@
         gathered: metrics.Metrics,
         policies: policy_set.PolicySet,
         decisions: decision_book.DecisionBook,
-        tell_contents: Callable[[held_contents.Records], None],
+        contents: held_contents.HeldContents,
     ) -> None:
         self._trials: set[str] = set()
-        self.contents = held_contents.HeldContents(
-            config.name,
-            calls,
-            loop.scheduler,
-            probe_path=PROBE_PATH,
-            tell=tell_contents,
-            on_held=self._hold_back,
-        )
+        self._contents = contents
         self._config = config
         self._table = table
         self._gathered = gathered
@@ -99,7 +97,7 @@
         self._context = flow_context.Context(
             calls=calls,
             host=self,
-            contents=self.contents,
+            contents=contents,
             gathered=gathered,
             clock=clocks.get_s,
             shared_key=config.shared_key,
@@ -157,7 +155,8 @@
         if request.resume is not None:
             self._resume(request, caller)
             return
-        match self.contents.judge(request):
+        request.content_id = request_content.get_content_id(request, "", request.workspace)
+        match self._contents.judge(request.content_id):
             case quarantine.Verdict.REFUSE:
                 self._refuse(_Job(request, caller), _make_held_refusal())
             case quarantine.Verdict.CLAIM:
@@ -175,9 +174,9 @@
             else:
                 self._refuse(_Job(request, caller), _make_held_refusal())
 
-        self.contents.claim(request.content_id, _on_settled)
+        self._contents.claim(request.content_id, _on_settled)
 
-    def _hold_back(self, content_id: bytes) -> None:
+    def hold_back(self, content_id: bytes) -> None:
         """End what runs of a content that is held from now on."""
         for running in list(self._flows):
             request = running.request
@@ -331,7 +330,7 @@
         return False
 
     def _is_held(self, request: requests.CallerRequest) -> bool:
-        return request.request_id not in self._trials and self.contents.is_held(request.content_id)
+        return request.request_id not in self._trials and self._contents.is_held(request.content_id)
 
     def _start(self, waiting: admission.Waiting, choice: placement.Choice, now_s: float) -> None:
         job: _Job = waiting.owner
--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -7,9 +7,9 @@
 from collections.abc import Callable
 
 from spoolhead._internal.contents import content_watch, end_watch
-from spoolhead._internal.models import content_record, requests, rows
+from spoolhead._internal.models import content_record, rows
 from spoolhead._internal.network import scheduler, upstream_calls
-from spoolhead._internal.policy import quarantine, replicas, request_content
+from spoolhead._internal.policy import quarantine, replicas
 from spoolhead._internal.utils import clocks
 
 Records = list[content_record.AgedRecord]
@@ -67,10 +67,9 @@
         """Take records that another process tells."""
         self._watch.take_records(teller, records)
 
-    def judge(self, request: requests.CallerRequest) -> quarantine.Verdict:
+    def judge(self, content_id: bytes) -> quarantine.Verdict:
         """Decide on a request that has just come."""
-        request.content_id = request_content.get_content_id(request, "", request.workspace)
-        return self._watch.judge(request.content_id)
+        return self._watch.judge(content_id)
 
     def is_held(self, content_id: bytes) -> bool:
         """Tell whether a content is held."""
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -57,6 +57,14 @@
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
         self._decisions = decision_book.DecisionBook(config, self._metrics, clocks.get_s)
+        self._contents = held_contents.HeldContents(
+            config.name,
+            calls,
+            self._loop.scheduler,
+            probe_path=load_reports.REPORT_PATH,
+            tell=lambda records: self._keeper.tell_contents(records),
+            on_held=lambda content_id: self._dispatcher.hold_back(content_id),
+        )
         self._dispatcher = dispatcher.Dispatcher(
             self._loop,
             config,
@@ -65,7 +73,7 @@
             self._metrics,
             policies,
             self._decisions,
-            tell_contents=lambda records: self._keeper.tell_contents(records),
+            self._contents,
         )
         self._neighbours = neighbours.Neighbours(
             self._loop, outgoing, config, lambda reports: self._reports.take_from_neighbour(reports)
@@ -118,11 +126,11 @@
 
     def on_keeper(self) -> None:
         """Tell a keeper what is known of contents that may end upstreams; it may be new."""
-        self._keeper.tell_contents(self._dispatcher.contents.get_all())
+        self._keeper.tell_contents(self._contents.get_all())
 
     def on_contents(self, records: held_contents.Records) -> None:
         """Take over what a keeper passes on of contents that may end upstreams."""
-        self._dispatcher.contents.take(self._keeper.keeper_address, records)
+        self._contents.take(self._keeper.keeper_address, records)
 
     def get_status(self) -> control.Status:
         """Return the entry's status, for operators and readiness."""
@@ -161,7 +169,7 @@
             "running": self._dispatcher.running_count,
             "waiting": self._dispatcher.held_count - self._dispatcher.running_count,
             "connections": self._front.connection_count,
-            "held_contents": self._dispatcher.contents.held_count,
+            "held_contents": self._contents.held_count,
             "exceptions": self._loop.exceptions,
             "uptime_ms": int((now_s - self._started_s) * 1000),
             "upstreams": upstreams,
