--- a/src/spoolhead/_internal/policy/quarantine.py
+++ b/src/spoolhead/_internal/policy/quarantine.py
@@ -21,8 +21,8 @@
 would be after any other end of an engine."""
 ENDS_TO_HOLD = 3
 """Instances after whose end a content is held in any case. Several may end at the same time, by one
-fault or since callers sent it to several at once, and that alone counts as one wave: counted singly,
-1.1 sound requests of one that many send were refused when two instances ended together, else 0."""
+fault or since callers sent it to several at once, and that alone counts as one wave: counted
+singly, 1.1 sound requests of one that many send were refused when two ended together, else 0."""
 TRIAL_AFTER_S = 60.0
 """Time after the last end at which a content that is held may be run once more. It outlasts a
 series (15 s were seen) and the deadlines of most callers, so that the run costs an engine only
