--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -32,9 +32,7 @@
 @pytest.fixture
 def running(tmp_path):
     with platform_fleet.PlatformFleet(tmp_path) as made:
-        made.start()
-        made.put_until_taken("keeper-1", platform_fleet.make_table(3))
-        made.wait_until_ready("entry-1", "entry-2")
+        made.start_serving()
         yield made
 
 
--- a/tests/functional/test_platform_programs.py
+++ b/tests/functional/test_platform_programs.py
@@ -16,9 +16,7 @@
 @pytest.fixture
 def running(tmp_path):
     with platform_fleet.PlatformFleet(tmp_path) as made:
-        made.start()
-        made.put_until_taken("keeper-1", platform_fleet.make_table(3))
-        made.wait_until_ready("entry-1", "entry-2")
+        made.start_serving()
         # Two keepers are enough for all of the above; a test may turn to the third at once.
         for keeper in made.keeper_hosts:
             platform_fleet.wait_for(
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -107,6 +107,12 @@
         for name in entries:
             self.start_entry(name)
 
+    def start_serving(self):
+        """Start all, put a first table in force and wait until both entries serve by it."""
+        self.start()
+        self.put_until_taken("keeper-1", make_table(3))
+        self.wait_until_ready(*self.entry_hosts)
+
     def start_keeper(self, name, *, is_first_start=False):
         host = self.keeper_hosts[name]
         listen = f'control = "{host}:{self.port}"'
