--- a/src/spoolhead/_internal/contents/end_watch.py
+++ b/src/spoolhead/_internal/contents/end_watch.py
@@ -16,13 +16,12 @@
 """Longest wait for an answer: many times the usual few milliseconds. Without one the list of
 instances, or another entry, has to tell."""
 
-
 ASK_AGAIN_S = 0.1
 """Pause before a question is put again whose connection was made and lost: a process that is just
 ending still takes connections for a moment, and by then refuses them."""
 MOST_QUESTIONS = 4
-"""Questions about one loss, within 0.3 s. A connection was seen to be taken 3 ms after a loss, beside
-six busy processes; where an end stays unseen, its requests are not suspected."""
+"""Questions about one loss, within 0.3 s. A connection was seen to be taken 3 ms after a loss,
+beside six busy processes; where an end stays unseen, its requests are not suspected."""
 
 
 class Asked:
