A request that was let go of counts if its instance ends right after

Cause: only a request whose connection was lost was remembered. One that the entry had cancelled, since its caller left or its time was over, may have begun to run; its instance then ends with nobody to see a connection lost, and a series of such requests was never suspected. Ruled out: that the list tells it, since it counts only what was lost. Changed: requests let go of wait 2 s for word of their instance's end, on both interfaces; an instance that refuses connections or has an alarm meanwhile is asked, where nobody else may have lost anything. Tests: eight of the new ones red before.

--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -9,7 +9,7 @@
 
 from spoolhead._internal.entry import answers, api, flow_attempt, flow_context, passed_answers
 from spoolhead._internal.models import codes, fault, requests
-from spoolhead._internal.network import caller_front, upstream_calls
+from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import placement, replicas, retry
 from spoolhead._internal.relay import sequencer, stream_relay
 from spoolhead._internal.utils import metrics
@@ -170,6 +170,8 @@
         code = codes.ResultCode.UPSTREAM_LOST
         if attempt.call is not None and not attempt.call.may_have_arrived:
             code = codes.ResultCode.UPSTREAM_UNREACHABLE
+            if reason == links.REFUSED:
+                self._context.contents.note_unreachable(attempt.replica)
         else:
             self._context.contents.note_lost(
                 attempt.replica, attempt.life_id, self.request.content_id, attempt.sent_s
@@ -408,6 +410,10 @@
         if call is None:
             return
         arrived = call.may_have_arrived
+        if cancel and arrived and not call.is_over:
+            self._context.contents.note_left(
+                attempt.replica, attempt.life_id, self.request.content_id, attempt.sent_s
+            )
         if not call.is_over:
             call.cancel()
         if cancel and arrived and self.request.is_model:
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -68,6 +68,14 @@
     ) -> None:
         """Take note of a request that an upstream took and lost."""
 
+    def note_left(
+        self, replica: replicas.Replica, life_id: str, content_id: bytes, sent_s: float
+    ) -> None:
+        """Take note of a request that an upstream took and this entry has let go of."""
+
+    def note_unreachable(self, replica: replicas.Replica) -> None:
+        """Ask an upstream that refuses connections, if a request was let go of there just now."""
+
     def note_sound(self, content_id: bytes) -> None:
         """Take note of a request that has ended well."""
 
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -8,6 +8,7 @@
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
+from spoolhead._internal.utils import clocks
 
 
 class Context:
@@ -98,6 +99,16 @@
         """Return the halls that cannot be reached just now."""
         return self.reach.get_cut_halls(self.get_silent_halls(), now_s)
 
+    def ask_if_left(self, upstream: upstream_book.Upstream) -> None:
+        """Find out whether an instance that is not well has ended, where nothing else would tell.
+
+        It may have ended under a request that this entry let go of.
+        """
+        if upstream.is_ending_as_planned(clocks.get_s()):
+            return
+        if self.contents.has_left(upstream.instance.life_id):
+            self.ask_lost(upstream)
+
     def get_allowance(self, service: str) -> retry_allowance.RetryAllowance:
         """Return the allowance of second attempts for a service."""
         allowance = self._allowances.get(service)
--- a/src/spoolhead/_internal/policy/lost_runs.py
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -1,8 +1,16 @@
-"""Requests that were lost at instances, until it is known whether those have ended; no I/O."""
+"""Requests that were lost at instances, until it is known whether those have ended; no I/O.
+
+Those that an entry let go of itself count, too: the instance may have begun to run them, and ends a
+moment later with nobody left to see a connection lost.
+"""
 
 KEPT_S = 10.0
 """Time for which a lost request waits for word of its instance, and for which an end is remembered:
 about twice what the platform lists an instance that is gone."""
+LEFT_S = 2.0
+"""Time after which a request that was let go of has nothing to do with the end of its instance.
+Runs began 0.2 s after their request arrived where others were read first, one that may not be
+repeated is worked on to its end, and an end is noticed within 0.3 s."""
 MOST_INSTANCES = 1_000
 """Instances for which either is kept."""
 
@@ -28,6 +36,7 @@
 
     def __init__(self) -> None:
         self._lost: dict[str, list[LostRun]] = {}
+        self._left: dict[str, list[LostRun]] = {}
         self._ended_s: dict[str, float] = {}
 
     def note_lost(self, life_id: str, run: LostRun) -> bool:
@@ -41,14 +50,38 @@
         self._lost.setdefault(life_id, []).append(run)
         return False
 
+    def note_left(self, life_id: str, run: LostRun) -> bool:
+        """Take note of a request that this entry has let go of.
+
+        :returns: whether its instance is known to have ended; otherwise the request waits for that.
+        """
+        self._forget_old(run.lost_s)
+        if life_id in self._ended_s:
+            return True
+        self._left.setdefault(life_id, []).append(run)
+        return False
+
+    def has_left(self, life_id: str, now_s: float) -> bool:
+        """Tell whether this entry let go of a request at an instance just now."""
+        return any(now_s - run.lost_s <= LEFT_S for run in self._left.get(life_id, []))
+
     def note_ended(self, life_id: str, now_s: float) -> list[LostRun]:
         """Take note that an instance has ended; returns what it had of this entry's."""
         self._forget_old(now_s)
         self._ended_s.setdefault(life_id, now_s)
-        return self._lost.pop(life_id, [])
+        left = [
+            # What became of it is known only now.
+            LostRun(run.content_id, sent_s=run.sent_s, lost_s=now_s)
+            for run in self._left.pop(life_id, [])
+            if now_s - run.lost_s <= LEFT_S
+        ]
+        return self._lost.pop(life_id, []) + left
 
     def note_alive(self, life_id: str) -> None:
-        """Take note that an instance lives: what it lost, it lost by something else."""
+        """Take note that an instance lives: what it lost, it lost by something else.
+
+        What it was let go of may still wait there to be run.
+        """
         self._lost.pop(life_id, None)
 
     def _forget_old(self, now_s: float) -> None:
@@ -59,3 +92,9 @@
         self._lost = {
             name: runs for name, runs in self._lost.items() if runs[-1].lost_s >= oldest_s
         }
+        left_s = max(oldest_s, now_s - LEFT_S)
+        self._left = {
+            name: [run for run in runs if run.lost_s >= left_s]
+            for name, runs in self._left.items()
+            if runs[-1].lost_s >= left_s
+        }
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -136,6 +136,8 @@
 
     def __init__(self):
         self.lost = []
+        self.left = []
+        self.unreachable = []
         self.sound = []
         self.suspects = set()
 
@@ -148,6 +150,12 @@
     def note_lost(self, replica, life_id, content_id, sent_s):
         self.lost.append(life_id)
 
+    def note_left(self, replica, life_id, content_id, sent_s):
+        self.left.append(life_id)
+
+    def note_unreachable(self, replica):
+        self.unreachable.append(replica.name)
+
     def note_sound(self, content_id):
         self.sound.append(content_id)
 
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -252,7 +252,7 @@
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
-        context = exchange_context.Context(
+        context = self.context = exchange_context.Context(
             config=config,
             dialect=dialect.Dialect(),
             calls=self.calls,
--- a/tests/unit/test_flow.py
+++ b/tests/unit/test_flow.py
@@ -7,6 +7,7 @@
 
 from lib import fakes
 from spoolhead._internal.models import codes
+from spoolhead._internal.network import links
 
 EVENT_STREAM = [("content-type", "text/event-stream")]
 LENGTH = 12
@@ -341,3 +342,24 @@
     assert setting.contents.lost == ["u1@entry.0"]
     assert [item for item in setting.calls.made if not item.is_cancel_order] == [call]
     assert setting.result.code is codes.ResultCode.UPSTREAM_LOST
+
+
+def test_a_request_let_go_of_is_remembered_where_it_may_run():
+    setting = fakes.Setting(fakes.make_request())
+    setting.calls.made[-1].may_have_arrived = True
+    setting.caller.on_gone()
+    assert setting.contents.left == ["u1@entry.0"]
+
+
+def test_a_request_let_go_of_before_it_arrived_is_not_remembered():
+    setting = fakes.Setting(fakes.make_request())
+    setting.caller.on_gone()
+    assert not setting.contents.left
+
+
+def test_an_upstream_that_refuses_connections_is_told_of():
+    setting = fakes.Setting(fakes.make_request())
+    call = setting.calls.made[-1]
+    call.is_over = True
+    call.user.on_call_lost(links.REFUSED)
+    assert setting.contents.unreachable == ["u1"]
--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -4,10 +4,10 @@
 
 from lib import gateway_setting
 from spoolhead._internal.contents import end_watch
-from spoolhead._internal.gateway import stream_exchange
+from spoolhead._internal.gateway import stream_exchange, upstream_news
 from spoolhead._internal.models import codes, route_table
 from spoolhead._internal.network import links
-from spoolhead._internal.policy import quarantine, request_content
+from spoolhead._internal.policy import lost_runs, quarantine, request_content
 from spoolhead.platform import dialect
 
 STREAM = route_table.RequestKind.STREAM
@@ -345,3 +345,121 @@
     assert not setting.last.is_over
     setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
     assert not contents.is_held(content_id)
+
+
+@KINDS
+@pytest.mark.parametrize("let_go", ["caller left", "deadline"])
+def test_a_request_let_go_of_counts_if_its_instance_ends_right_after(kind, let_go, clock):
+    """The instance may have begun to run it; nobody was left to see the connection lost."""
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(kind, contents=contents, names=("i-1",))
+    setting.last.send()
+    if let_go == "deadline":
+        setting.exchange._on_deadline()
+    else:
+        setting.caller.on_gone()
+    assert setting.last.is_over
+    clock.now_s += 0.2
+    contents.note_ended("i-1", "told by another entry")
+    assert contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_a_request_let_go_of_long_before_does_not_count(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.send()
+    setting.caller.on_gone()
+    clock.now_s += lost_runs.LEFT_S + 0.1
+    contents.note_ended("i-1", "Connection refused")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_a_request_that_never_arrived_does_not_count_when_it_is_let_go_of(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.caller.on_gone()
+    contents.note_ended("i-1", "Connection refused")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_a_request_let_go_of_at_an_instance_that_leaves_does_not_count(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.send()
+    setting.leave("i-1")
+    setting.caller.on_gone()
+    contents.note_ended("i-1", "no longer listed")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+
+
+@KINDS
+def test_a_good_answer_is_not_taken_for_a_request_let_go_of(kind, clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(kind, contents=contents, names=("i-1",))
+    setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
+    contents.note_ended("i-1", "Connection refused")
+    assert not contents.is_suspect(setting.exchange.job.content_id)
+
+
+def test_an_instance_that_lives_after_a_loss_may_still_end_under_what_was_let_go_of(clock):
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.send()
+    setting.caller.on_gone()
+    contents.note_alive("i-1")
+    contents.note_ended("i-1", "Connection refused")
+    assert contents.is_suspect(setting.exchange.job.content_id)
+
+
+def _let_go(contents, *, leave=()):
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    setting.last.send()
+    setting.caller.on_gone()
+    setting.list(leaving=leave)
+    return setting
+
+
+def _make_news(setting):
+    return upstream_news.UpstreamNews(setting.context, None, set(), get_table=lambda: None)
+
+
+def test_an_instance_that_refuses_others_is_asked_where_a_request_was_let_go_of(clock):
+    contents = _make_contents(clock)
+    _let_go(contents)
+    other = gateway_setting.Setting(ONCE, contents=contents, names=("i-1",))
+    other.last.lose(links.REFUSED)
+    assert [upstream.instance.life_id for upstream in other.asked] == ["i-1"]
+
+
+def test_an_instance_with_an_alarm_is_asked_where_a_request_was_let_go_of(clock):
+    """Nobody else may have lost anything there, and its health alone shows no end."""
+    setting = _let_go(_make_contents(clock))
+    upstream = setting.book.get("i-1")
+    _make_news(setting).empty(upstream)
+    assert setting.asked == [upstream]
+
+
+def test_an_instance_is_not_asked_long_after_or_when_it_leaves(clock):
+    leaving = _let_go(_make_contents(clock), leave=["i-1"])
+    _make_news(leaving).empty(leaving.book.get("i-1"))
+    assert not leaving.asked
+    former = _let_go(_make_contents(clock))
+    clock.now_s += lost_runs.LEFT_S + 0.1
+    _make_news(former).empty(former.book.get("i-1"))
+    assert not former.asked
+
+
+def test_what_is_let_go_of_is_known_to_have_gone_when_the_end_is_known(clock):
+    """A run that was sent before anybody knew of the end is no second wave."""
+    contents = _make_contents(clock)
+    setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
+    content_id = setting.exchange.job.content_id
+    setting.last.send()
+    setting.caller.on_gone()
+    sent_s = clock.now_s + 0.1
+    clock.now_s += 0.2
+    contents.note_ended("i-1", "Connection refused")
+    clock.now_s += 0.2
+    contents.note_lost("i-2", content_id, sent_s)
+    contents.note_ended("i-2", "Connection refused")
+    assert not contents.is_held(content_id)
