Keepers keep the records of contents on their disks

Cause: what was known of deadly requests lived in memory alone, so a loss of all power began each series anew, and an operator's order to hold a content was lost with its keeper. A thread of its own writes when records have changed, at most each 0.25 s; a file that cannot be read keeps no keeper from starting.

--- a/benchmarks/deadly_requests.py
+++ b/benchmarks/deadly_requests.py
@@ -51,6 +51,10 @@
     Way("third, run apart", 3, 3),
 )
 
+KEPT = WAYS[4]
+KEEPERS_DISKS = ((0, 1, 2), (), (0, 1))
+"""Keepers that lose their disk with the power; all of them is as if nothing were saved."""
+
 
 class Fleet(content_fleet.ContentFleet):
     """A fleet that holds in one of the ways."""
@@ -126,6 +130,34 @@
     return round(known_ms), round((fleet.clock.now_s - started_s) * 1000)
 
 
+def play_power_loss(seed, pause_s, lost_disks):
+    """Return the engines ended after all power was lost, and the answers cut off then."""
+    fleet = content_fleet.ContentFleet(entries=8, places=9, seed=seed)
+    fleet.deadly.add(DEADLY)
+    fleet.run(2.0)
+    fleet.begin_traffic(6.0, lasting_s=4.0)
+    fleet.repeat(DEADLY, pause_s=pause_s, for_s=6.0)
+    fleet.run(6.0)
+    fleet.lose_all_power(down_s=3.0, lost_disks=lost_disks)
+    fleet.run(5.0)
+    ends, lost = len(fleet.ends), len(fleet.lost)
+    fleet.repeat(DEADLY, pause_s=pause_s, for_s=15.0)
+    fleet.run(16.0)
+    cut = sum(run.content_id != DEADLY for run in fleet.lost[lost:])
+    return len(fleet.ends) - ends, cut
+
+
+def print_power_losses():
+    """Print a row for each way to outlast the loss of all power."""
+    print("pause s | disks that are left | engines ended after all power was lost, answers cut off")
+    for pause_s in PAUSES_S:
+        for lost_disks in KEEPERS_DISKS:
+            rows = [play_power_loss(seed, pause_s, lost_disks) for seed in range(SERIES)]
+            ends, cut = zip(*rows, strict=True)
+            left = 3 - len(lost_disks)
+            print(f"{pause_s} | {left} | {statistics.mean(ends):.2f}, {statistics.mean(cut):.2f}")
+
+
 def main() -> None:
     """Print a row for each size, and for each way and pause."""
     print("entries | all know after ms, an entry that starts after ms")
@@ -147,6 +179,8 @@
                 f"{statistics.mean(cut):.2f} ({error:.2f}), {statistics.mean(refused):.2f}",
                 flush=True,
             )
+    _set(KEPT)
+    print_power_losses()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/spoolhead/_internal/contents/saved_contents.py
@@ -0,0 +1,174 @@
+"""Keeps a keeper's records of contents on its disk.
+
+Entries have no disk, so without this all would be forgotten if they and the keepers lost power at
+once, and each deadly request would end instances anew. One keeper whose disk is left is enough,
+since processes tell each other what they know. A thread of its own writes, so that a slow disk
+delays nobody.
+"""
+
+import logging
+import pathlib
+import threading
+import time
+from collections.abc import Callable
+
+import msgpack
+
+from spoolhead._internal import exceptions
+from spoolhead._internal.models import content_record
+from spoolhead._internal.network import scheduler
+from spoolhead._internal.policy import content_book
+from spoolhead._internal.utils import clocks, files
+from spoolhead.coordination import changelog
+
+logger = logging.getLogger(__name__)
+
+FILE_NAME = "contents"
+FORMAT = 1
+"""Form of the file. One of another form is left unread: that costs two instances, no promise."""
+SAVE_PAUSE_S = 0.25
+"""Least time between two writings. A thousand records, the most that are kept, take some 60 KB, so
+a flood costs the disk 240 KB/s at most; what is lost with the power is no older than this."""
+RETRY_S = 0.25
+"""Pause before a refused write is tried again; a few times a second is cheap and soon."""
+
+
+def encode(items: list[content_record.AgedRecord], wall_s: float) -> bytes:
+    """Return the content of the file.
+
+    :param wall_s: the time of day, in seconds.
+    """
+    payload = msgpack.packb([FORMAT, int(wall_s * 1000), content_record.pack(items)])
+    return changelog.make_record(payload)
+
+
+def decode(data: bytes, wall_s: float) -> list[content_record.AgedRecord]:
+    """Read the content of the file.
+
+    The time since it was written counts by the time of day, the only clock that outlasts a start.
+
+    :param wall_s: the time of day, in seconds.
+    :raises ValueError: if it cannot be read.
+    :raises TypeError: if it cannot be read.
+    """
+    payloads = changelog.scan(data).payloads
+    if not payloads:
+        raise ValueError("no whole record")
+    form, wall_ms, values = msgpack.unpackb(payloads[0])
+    if form != FORMAT:
+        raise ValueError(f"form {form!r}")
+    since_ms = max(0, int(wall_s * 1000) - wall_ms)
+    items = content_record.unpack(values)
+    return [content_record.AgedRecord(item.record, item.age_ms + since_ms) for item in items]
+
+
+class SavedContents:
+    """Fills a book from the disk, and keeps the disk up to date with it.
+
+    :param folder: the keeper's data folder.
+    :param book: the records.
+    :param timers: calls back.
+    :param clock: monotonic time in seconds, by which the book counts.
+    :param wall_clock: the time of day in seconds.
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        book: content_book.ContentBook,
+        timers: scheduler.Scheduler,
+        *,
+        clock: clocks.Clock = clocks.get_s,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._path = folder / FILE_NAME
+        self._book = book
+        self._timers = timers
+        self._clock = clock
+        self._wall_clock = wall_clock
+        self._read()
+        self._digest = book.digest
+        self._earliest_s = clock()
+        self._timer: scheduler.Timer | None = None
+        self._condition = threading.Condition()
+        self._waiting: bytes | None = None
+        self._is_synced = True
+        threading.Thread(target=self._run, name="saved-contents", daemon=True).start()
+
+    def note(self) -> None:
+        """Have the records saved soon, if they have changed."""
+        if self._book.digest == self._digest or self._timer is not None:
+            return
+        delay_s = self._earliest_s - self._clock()
+        if delay_s > 0:
+            self._timer = self._timers.call_later(delay_s, self._save)
+        else:
+            self._save()
+
+    def wait_until_synced(self, timeout_s: float) -> bool:
+        """Wait until all that was to be saved is on the disk; False if that took too long."""
+        if self._timer is not None:
+            self._save()
+        with self._condition:
+            return self._condition.wait_for(lambda: self._is_synced, timeout_s)
+
+    def _save(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now_s = self._clock()
+        self._earliest_s = now_s + SAVE_PAUSE_S
+        self._digest = self._book.digest
+        items = self._book.get_all_aged(self._book.get_ids(), now_s)
+        data = encode(items, self._wall_clock())
+        with self._condition:
+            self._waiting = data
+            self._is_synced = False
+            self._condition.notify_all()
+
+    def _read(self) -> None:
+        if not self._path.exists():
+            return
+        fields: dict[str, object] = {"path": str(self._path)}
+        try:
+            items = decode(self._path.read_bytes(), self._wall_clock())
+        except (OSError, TypeError, ValueError) as error:
+            fields["reason"] = str(error)
+            logger.warning("saved contents are left unread", extra={"fields": fields})
+            return
+        fields["contents"] = len(self._book.take(items, self._clock()))
+        logger.info("saved contents are known again", extra={"fields": fields})
+
+    def _run(self) -> None:
+        refused_s = 0.0
+        while True:
+            with self._condition:
+                self._condition.wait_for(lambda: self._waiting is not None)
+                data, self._waiting = self._waiting, None
+            assert data is not None
+            refused_s = self._write(data, refused_s)
+            with self._condition:
+                if refused_s and self._waiting is None:
+                    self._waiting = data
+                self._is_synced = self._waiting is None
+                self._condition.notify_all()
+            if refused_s:
+                time.sleep(RETRY_S)
+
+    def _write(self, data: bytes, refused_s: float) -> float:
+        """Write the file.
+
+        :param refused_s: since when the disk has refused this; 0 if it has not.
+        :returns: the same afterwards.
+        """
+        try:
+            files.replace_file(self._path, data)
+        except exceptions.DiskError as error:
+            if not refused_s:
+                fields = {"path": str(self._path), "reason": str(error)}
+                logger.error("disk refuses writes", extra={"fields": fields})
+            return refused_s or clocks.get_s()
+        if refused_s:
+            fields = {"lost_ms": int((clocks.get_s() - refused_s) * 1000)}
+            logger.warning("disk takes writes again", extra={"fields": fields})
+        return 0.0
--- a/src/spoolhead/_internal/keeper/content_relay.py
+++ b/src/spoolhead/_internal/keeper/content_relay.py
@@ -1,10 +1,12 @@
 """Passes on between entries what they find out of contents that may end upstreams."""
 
 import logging
+import pathlib
 from collections.abc import Callable, Iterable
 
+from spoolhead._internal.contents import saved_contents
 from spoolhead._internal.models import content_record
-from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.network import messages, peer_server, scheduler
 from spoolhead._internal.policy import content_book
 from spoolhead._internal.utils import clocks
 
@@ -15,11 +17,19 @@
     """A keeper's records of contents, and what it does with messages about them.
 
     :param get_entries: returns the streams of all entries that are connected.
+    :param folder: the keeper's data folder, where they outlast it.
+    :param timers: calls back.
     """
 
-    def __init__(self, get_entries: Callable[[], Iterable[peer_server.PeerSession]]) -> None:
+    def __init__(
+        self,
+        get_entries: Callable[[], Iterable[peer_server.PeerSession]],
+        folder: pathlib.Path,
+        timers: scheduler.Scheduler,
+    ) -> None:
         self._get_entries = get_entries
         self._book = content_book.ContentBook()
+        self._saved = saved_contents.SavedContents(folder, self._book, timers)
 
     def welcome(self, session: peer_server.PeerSession) -> None:
         """Tell all that is known to an entry that has just connected."""
@@ -34,6 +44,7 @@
         except (TypeError, ValueError) as error:
             raise messages.MessageError(f"records of contents: {error}") from error
         changed = self._book.take(records, clocks.get_s())
+        self._saved.note()
         self._tell([record.content_id for record in changed], except_to=session)
 
     def order(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
@@ -44,6 +55,7 @@
             is_by_hand=message.is_held,
         )
         self._book.set(record, clocks.get_s())
+        self._saved.note()
         fields = {
             "content": message.content_id.hex(),
             "is_held": message.is_held,
--- a/src/spoolhead/_internal/keeper/program.py
+++ b/src/spoolhead/_internal/keeper/program.py
@@ -19,8 +19,8 @@
     """
     folder = pathlib.Path(config.data_dir)
     lock = files.FolderLock(folder)
-    keeper = service.KeeperService(config, log_file.LogFile(folder))
     root = loop.Loop(lambda: root.finish())
+    keeper = service.KeeperService(config, log_file.LogFile(folder), root.scheduler)
     server = peer_server.PeerServer(
         root,
         (config.host, config.port),
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -2,6 +2,7 @@
 
 import functools
 import logging
+import pathlib
 import secrets
 import time
 import typing
@@ -9,7 +10,7 @@
 from spoolhead._internal import exceptions
 from spoolhead._internal.keeper import content_relay, log_file, records, state
 from spoolhead._internal.models import codes, settings
-from spoolhead._internal.network import messages, peer_server
+from spoolhead._internal.network import messages, peer_server, scheduler
 from spoolhead._internal.table import packing
 from spoolhead._internal.utils import clocks
 from spoolhead.coordination import once_journal, versioned_table
@@ -48,16 +49,24 @@
 
     :param config: the keeper's settings.
     :param log: the log on the disk, already opened.
+    :param timers: calls back.
     :raises exceptions.LogDamagedError: if the log's records do not fit each other.
     :ivar contents: passes on what entries find out of contents that may end upstreams.
     """
 
-    def __init__(self, config: settings.KeeperSettings, log: log_file.LogFile) -> None:
+    def __init__(
+        self,
+        config: settings.KeeperSettings,
+        log: log_file.LogFile,
+        timers: scheduler.Scheduler,
+    ) -> None:
         self._config = config
         self._log = log
         self._state = state.KeeperState(kept_changes=config.kept_changes)
         self._followers: dict[str, Follower] = {}
-        self.contents = content_relay.ContentRelay(self._get_entries)
+        self.contents = content_relay.ContentRelay(
+            self._get_entries, pathlib.Path(config.data_dir), timers
+        )
         self._started_s = clocks.get_s()
         self._replay()
 
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -80,9 +80,15 @@
 
     :param name: the process's name.
     :param first_sequence: above every number that a former run of the process gave out.
+    :param contents: records of contents that are known already.
     """
 
-    def __init__(self, name: str, first_sequence: int) -> None:
+    def __init__(
+        self,
+        name: str,
+        first_sequence: int,
+        contents: content_book.ContentBook | None = None,
+    ) -> None:
         self._name = name
         self._sequence = first_sequence
         self._reporters: dict[str, Reporter] = {}
@@ -94,7 +100,7 @@
         self._alarms_taken_s: dict[tuple[str, int], float] = {}
         self._own_alarms: list[_Telling] = []
         self._all_alarms: list[_Telling] = []
-        self._contents = content_book.ContentBook()
+        self._contents = contents if contents is not None else content_book.ContentBook()
         self._to_hubs = content_book.ContentTelling(self._contents)
         self._to_reporters = content_book.ContentTelling(self._contents)
 
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -1,8 +1,10 @@
 """The keeper program that agrees with others on the route table."""
 
 import logging
+import pathlib
 import time
 
+from spoolhead._internal.contents import saved_contents
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.entry import answers
 from spoolhead._internal.load_telling import hub_port, load_socket
@@ -24,7 +26,7 @@
     route_messages,
     upstream_calls,
 )
-from spoolhead._internal.policy import load_hub
+from spoolhead._internal.policy import content_book, load_hub
 from spoolhead._internal.quorum import feed, keeper_figures, member, mesh, questions
 from spoolhead._internal.routing import table_checks
 from spoolhead._internal.utils import clocks, endpoints, figures
@@ -36,6 +38,9 @@
 """When an operator should come back to a keeper that is not sure: about an election."""
 STOP_CHECK_S = 0.05
 """Pause between looks at whether the last operator has been answered."""
+STOP_SYNC_S = 0.5
+"""Longest wait at the end for records of contents to be on the disk: many times a sync. Without it
+what was found in the last quarter of a second would be left to other keepers."""
 
 
 class Keeper:
@@ -64,6 +69,7 @@
             take=self._take_answer,
             note=_note_stream,
         )
+        self._contents = content_book.ContentBook()
         self._feed = feed.Feed(
             self.loop.scheduler,
             config.hall,
@@ -75,6 +81,9 @@
         self._member = member.Member(
             self.loop, config, address, self._mesh, self._on_change, self._read_instances
         )
+        self._saved_contents = saved_contents.SavedContents(
+            pathlib.Path(config.data_dir), self._contents, self.loop.scheduler
+        )
         self._questions = questions.Questions(self.loop.scheduler, self._mesh, self._member, config)
         self._reader = list_reader.ListReader(
             self.loop, calls, config.instance_list, dialect, self._take_instances
@@ -110,7 +119,7 @@
         sock = load_socket.LoadSocket(self.loop, address, self._take_load)
         return hub_port.HubPort(
             self.loop.scheduler,
-            load_hub.LoadHub(self._config.name, int(time.time() * 1000)),
+            load_hub.LoadHub(self._config.name, int(time.time() * 1000), self._contents),
             send=sock.send,
             get_hubs=self._get_other_hubs,
             bytes_per_s=self._config.hub_bytes_per_s,
@@ -121,6 +130,7 @@
             logger.warning("update of a hub that this keeper does not report to")
             return
         self._hub_port.take(message, sender)
+        self._saved_contents.note()
 
     def _get_other_hubs(self) -> list[endpoints.Endpoint]:
         own = f"{self._config.host}:{self._config.peer_port}"
@@ -288,6 +298,7 @@
 
     def _finish_stop(self) -> None:
         if not self._questions.open_count:
+            self._saved_contents.wait_until_synced(STOP_SYNC_S)
             self.loop.finish()
 
 
--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -109,6 +109,24 @@
     assert all(later)
 
 
+def test_it_is_still_held_after_all_processes_were_killed(running):
+    """Entries have no disk: the keepers tell them what they knew."""
+    _repeat(running, "/safe/x", for_s=4.0)
+    ends = len(running.get_ends())
+    assert ends
+    names = [*running.entry_hosts, *running.keeper_hosts]
+    for name in names:
+        running.kill(name)
+    for name in running.keeper_hosts:
+        running.start_keeper(name)
+    for name in running.entry_hosts:
+        running.start_entry(name)
+    running.wait_until_ready(*running.entry_hosts)
+    answers = _repeat(running, "/safe/x", for_s=3.0)
+    assert {answer.status for answer in answers} == {503}
+    assert len(running.get_ends()) == ends
+
+
 class Engines(threading.Thread):
     """Starts engines again that have ended, and counts how often."""
 
@@ -186,3 +204,14 @@
     assert made.run_operator("held", "--hold", item["content"]).returncode == 0
     answer = _send_chat(made, "entry-1", _make_deadly_chat())
     assert answer.error["result_code"] == 2011
+    # What an operator has held outlasts every process.
+    for name in ("entry-1", "entry-2", "keeper-1"):
+        made.processes[name].kill()
+    made.start_keeper("keeper-1", port=int(made.addresses["keeper-1"].rpartition(":")[2]))
+    for name in ("entry-1", "entry-2"):
+        made.start_entry(name)
+        fleet.wait_for(lambda name=name: _is_ready(made, name), "the entry to have a table")
+    (again,) = _find_held(made)
+    assert (again["content"], again["by_hand"]) == (item["content"], True)
+    answer = _send_chat(made, "entry-2", _make_deadly_chat())
+    assert answer.error["result_code"] == 2011
--- a/tests/lib/content_fleet.py
+++ b/tests/lib/content_fleet.py
@@ -4,8 +4,9 @@
 import itertools
 
 from lib import load_fleet
+from spoolhead._internal.contents import saved_contents
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import quarantine
+from spoolhead._internal.policy import content_book, quarantine
 
 DOWN_S = 4.0
 """Time after which another process stands where one has ended."""
@@ -156,12 +157,37 @@
         self.net.processes[process.address] = process
         self.entries[number] = load_fleet.Entry(self, process, self.known, self.instances)
 
-    def restart_hub(self, number):
-        """Have a keeper end and start anew, knowing nothing."""
+    def restart_hub(self, number, *, disk=None):
+        """Have a keeper end and start anew, knowing what is on its disk.
+
+        :param disk: content of its file; without one it knows nothing.
+        """
         process = self.hubs[number]
         self.kill(process.name)
         process.is_up = True
-        self.hub_ports[number] = self._make_hub(process)
+        self.hub_books[number] = content_book.ContentBook()
+        if disk is not None:
+            items = saved_contents.decode(disk, self.clock())
+            self.hub_books[number].take(items, self.clock())
+        self.hub_ports[number] = self._make_hub(number)
+
+    def lose_all_power(self, *, down_s, lost_disks=()):
+        """Have all entries and keepers lose power at once, and start anew.
+
+        :param lost_disks: numbers of keepers that lose their disk as well.
+        """
+        disks = []
+        for book in self.hub_books:
+            items = book.get_all_aged(book.get_ids(), self.clock())
+            disks.append(saved_contents.encode(items, self.clock()))
+        for process in self.net.processes.values():
+            process.is_up = False
+        self.run(down_s)
+        for number in range(len(self.hubs)):
+            disk = None if number in lost_disks else disks[number]
+            self.restart_hub(number, disk=disk)
+        for number in range(len(self.entries)):
+            self.restart_entry(number)
 
     def repeat(self, content_id, *, pause_s, for_s, entries=None):
         """Have a request come again and again at entries drawn by lot."""
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -8,7 +8,7 @@
 from spoolhead._internal.gateway import load_sharing
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, shared_load
-from spoolhead._internal.policy import load_hub, upstream_book
+from spoolhead._internal.policy import content_book, load_hub, upstream_book
 
 NEAR_S = 0.0005
 FAR_S = 0.0014
@@ -137,7 +137,8 @@
             keepers=tuple(_describe(item) for item in self.hubs),
             entries=tuple(_describe(item) for item in processes),
         )
-        self.hub_ports = [self._make_hub(item) for item in self.hubs]
+        self.hub_books = [content_book.ContentBook() for _ in self.hubs]
+        self.hub_ports = [self._make_hub(number) for number in range(keepers)]
         self.entries = [Entry(self, item, self.known, self.instances) for item in processes]
         self.ages_ms = []
 
@@ -148,11 +149,12 @@
         self.net.processes[address] = process
         return process
 
-    def _make_hub(self, process):
+    def _make_hub(self, number):
+        process = self.hubs[number]
         others = [item.address for item in self.hubs if item is not process]
         port = hub_port.HubPort(
             self.clock,
-            load_hub.LoadHub(process.name, 1),
+            load_hub.LoadHub(process.name, 1, self.hub_books[number]),
             send=process.send,
             get_hubs=lambda: others,
             bytes_per_s=2_000_000,
--- a/tests/unit/test_content_fleet.py
+++ b/tests/unit/test_content_fleet.py
@@ -146,6 +146,10 @@
     def restart_hub(self, number):
         self.fleet.restart_hub(number)
 
+    @stateful.rule(lost_disks=strategies.sampled_from([(), (0,), (1, 2)]))
+    def lose_all_power(self, lost_disks):
+        self.fleet.lose_all_power(down_s=0.5, lost_disks=lost_disks)
+
     @stateful.rule(hall=strategies.sampled_from(["hall-0", "hall-1", "hall-2"]))
     def cut(self, hall):
         self.fleet.net.cut_halls = {hall}
@@ -205,3 +209,18 @@
     (record,) = fleet.entries[0].contents._quarantine.book.get_all()
     assert set(record.ends) <= set(fleet.ended_lives)
     assert shared_load.get_key(fleet.places[0].life_id) not in record.ends
+
+
+@pytest.mark.parametrize("lost_disks", [(), (0, 1)], ids=["none", "two"])
+def test_what_is_known_outlasts_the_loss_of_all_power(lost_disks):
+    """Entries have no disk; one keeper that knew is enough."""
+    fleet = _make()
+    fleet.repeat(DEADLY, pause_s=0.5, for_s=3.0)
+    fleet.run(4.0)
+    ended = len(fleet.ends)
+    fleet.lose_all_power(down_s=2.0, lost_disks=lost_disks)
+    fleet.run(3.0 + content_fleet.CONTACT_S)
+    fleet.repeat(DEADLY, pause_s=0.2, for_s=10.0)
+    fleet.run(12.0)
+    assert len(fleet.ends) == ended
+    assert fleet.get_holders(DEADLY) == list(range(8))
