--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,7 +4,7 @@
 
 from soak import plan, run
 
-SEEDS = (101, 10_101, 20_101, 30_101)
+SEEDS = (101, 10_101, 20_101, 30_101, 40_101, 40_102)
 """One of each kind of plan."""
 FAILED_ONCE = (1005, 3005, 20_017, 20_019, 30_003)
 """Seeds that failed, with the cause in docs/SOAK.md."""
@@ -30,7 +30,8 @@
 
 
 def test_all_power_is_lost_only_after_a_disk_lost_before_had_time_to_come_back():
-    for seed in range(plan.POWER_FROM_SEED, plan.POWER_FROM_SEED + 200):
+    hasty = range(plan.HASTY_FROM_SEED, plan.HASTY_FROM_SEED + 100, 2)
+    for seed in (*range(plan.POWER_FROM_SEED, plan.POWER_FROM_SEED + 200), *hasty):
         steps = plan.make_plan(seed)
         (wipe,) = [step for step in steps if step.kind == "wipe"]
         (power,) = [step for step in steps if step.kind == "power"]
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -222,10 +222,20 @@
                 f"{entry} does not serve",
             )
 
-    def ask(self, entry, path, *, method="POST", body=b"hello", key=API_KEY, **headers):
+    def ask(
+        self,
+        entry,
+        path,
+        *,
+        method="POST",
+        body=b"hello",
+        key=API_KEY,
+        timeout_s=WAIT_S,
+        **headers,
+    ):
         names = {name.replace("_", "-"): value for name, value in headers.items()}
         address = f"{self.entry_hosts[entry]}:{self.port}"
-        return send(address, method, path, body, key=key, headers=names)
+        return send(address, method, path, body, key=key, headers=names, timeout_s=timeout_s)
 
     def open_stream(self, entry, request_id, tokens):
         connection = http.client.HTTPConnection(
@@ -256,11 +266,11 @@
         return [run for run in self.get_all_runs() if run["id"] == request_id]
 
 
-def send(address, method, path, body=None, *, key="", headers=None):
+def send(address, method, path, body=None, *, key="", headers=None, timeout_s=WAIT_S):
     all_headers = {"Host": "a.example", **(headers or {})}
     if key:
         all_headers["Authorization"] = f"Bearer {key}"
-    connection = http.client.HTTPConnection(address, timeout=WAIT_S)
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
     try:
         connection.request(method, path, body, all_headers)
         return Answer(connection.getresponse())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 FIRST_VERSION = 3
 FULL_DISK_BYTES = 1
 DEADLY_PAUSE_S = 0.3
+HASTY_S = 0.06
+"""Time after which a hasty caller leaves: some way before the instance ends."""
 TORN_BYTES = b"\x93\x01torn"
 FOREIGN_ENTRIES = [
     4,
@@ -75,7 +77,7 @@
                 self._change_table(step)
             elif step.kind == "evacuate":
                 self._evacuate(step)
-            elif step.kind == "deadly":
+            elif step.kind in ("deadly", "hasty"):
                 self._repeat_deadly(step)
             else:
                 self._disturb(step)
@@ -177,6 +179,7 @@
     def _repeat_deadly(self, step):
         """Have a request come at both entries in turn that ends the instances which run it."""
         headers = {"X_Model": "m", "X_Token_Usage": "100,20"} if step.target == "talk" else {}
+        patience_s = HASTY_S if step.kind == "hasty" else platform_fleet.WAIT_S
         until_s = time.monotonic() + step.for_s
         number = 0
         while time.monotonic() < until_s:
@@ -185,6 +188,7 @@
                 plan.ENTRIES[number % 2],
                 f"/{step.target}/x",
                 body=platform.CRASH_BODY,
+                timeout_s=patience_s,
                 X_Request_Id=f"{records.DEADLY}-{number}",
                 **headers,
             )
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -21,6 +21,9 @@
 instances again under their ids, and have another writer's entries in the list."""
 DEADLY_FROM_SEED = 30_000
 """Seeds from here on have, besides, a request come again and again that ends what runs it."""
+HASTY_FROM_SEED = 40_000
+"""From here on callers of such a request leave before it ends what runs it where the seed is odd;
+where it is even, all power is lost in the middle, as from 10,000 on, while it comes."""
 FAR = ("m-3", "p-2")
 """Instances in the other hall then."""
 FAR_HALL = "hall-b"
@@ -52,14 +55,17 @@
 def make_plan(seed):
     """Draw the steps of one run, in order of time."""
     chance = random.Random(seed)
-    if seed >= HALLS_FROM_SEED:
+    is_hasty = seed >= HASTY_FROM_SEED and seed % 2 == 1
+    if seed >= HASTY_FROM_SEED and not is_hasty:
+        steps = _draw_power(chance)
+    elif seed >= HALLS_FROM_SEED:
         steps = _draw_processes(chance) + _draw_disks(chance) + _draw_halls(chance)
     elif seed >= POWER_FROM_SEED:
         steps = _draw_power(chance)
     else:
         steps = _draw_processes(chance) + _draw_disks(chance)
     if seed >= DEADLY_FROM_SEED:
-        steps.append(_draw_deadly(chance))
+        steps.append(_draw_deadly(chance, "hasty" if is_hasty else "deadly"))
     steps += _draw_upstreams(chance) + _draw_tables(chance)
     return sorted(steps, key=lambda step: step.at_s)
 
@@ -122,10 +128,10 @@
     return steps
 
 
-def _draw_deadly(chance):
+def _draw_deadly(chance, kind):
     path = chance.choice(("talk", "safe"))
     at_s = chance.uniform(0.5, 2.0)
-    return Step(at_s=at_s, kind="deadly", target=path, for_s=LENGTH_S - 1.0 - at_s)
+    return Step(at_s=at_s, kind=kind, target=path, for_s=LENGTH_S - 1.0 - at_s)
 
 
 def _draw_upstreams(chance):
