--- a/src/spoolhead/_internal/policy/lost_runs.py
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -44,8 +44,7 @@
 
         :returns: whether its instance is known to have ended; otherwise the request waits for that.
         """
-        self._forget_old(run.lost_s)
-        if life_id in self._ended_s:
+        if self._has_ended(life_id, run.lost_s):
             return True
         self._lost.setdefault(life_id, []).append(run)
         return False
@@ -53,10 +52,9 @@
     def note_left(self, life_id: str, run: LostRun) -> bool:
         """Take note of a request that this entry has let go of.
 
-        :returns: whether its instance is known to have ended; otherwise the request waits for that.
+        :returns: as :meth:`note_lost` does.
         """
-        self._forget_old(run.lost_s)
-        if life_id in self._ended_s:
+        if self._has_ended(life_id, run.lost_s):
             return True
         self._left.setdefault(life_id, []).append(run)
         return False
@@ -80,10 +78,14 @@
     def note_alive(self, life_id: str) -> None:
         """Take note that an instance lives: what it lost, it lost by something else.
 
-        What it was let go of may still wait there to be run.
+        What was let go of there may still wait to be run.
         """
         self._lost.pop(life_id, None)
 
+    def _has_ended(self, life_id: str, now_s: float) -> bool:
+        self._forget_old(now_s)
+        return life_id in self._ended_s
+
     def _forget_old(self, now_s: float) -> None:
         oldest_s = now_s - KEPT_S
         if len(self._ended_s) + len(self._lost) > MOST_INSTANCES:
