Requests that their entry cancelled are called abandoned

Read as a newcomer: 'let go of' stood for a cancelled request and for an operator's release of a content, and 'left' for both callers and requests.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -74,16 +74,16 @@
         if self._runs.note_lost(life_id, run):
             self._count(life_id, run, "lost after that")
 
-    def note_left(self, life_id: str, content_id: bytes, sent_s: float) -> None:
-        """Take note of a request that an instance took and this entry has let go of."""
+    def note_abandoned(self, life_id: str, content_id: bytes, sent_s: float) -> None:
+        """Take note of a request that an instance took and this entry has abandoned."""
         now_s = self._clock()
         run = lost_runs.LostRun(content_id, sent_s=sent_s, lost_s=now_s)
-        if self._runs.note_left(life_id, run):
-            self._count(life_id, run, "let go of after that")
+        if self._runs.note_abandoned(life_id, run):
+            self._count(life_id, run, "abandoned after that")
 
-    def has_left(self, life_id: str) -> bool:
-        """Tell whether this entry let go of a request at an instance just now."""
-        return self._runs.has_left(life_id, self._clock())
+    def has_abandoned(self, life_id: str) -> bool:
+        """Tell whether this entry abandoned a request at an instance just now."""
+        return self._runs.has_abandoned(life_id, self._clock())
 
     def note_ended(self, life_id: str, evidence: str) -> None:
         """Take note that a run of an instance has ended, and of what shows it."""
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -416,7 +416,7 @@
             return
         arrived = call.may_have_arrived
         if cancel and arrived and not call.is_over:
-            self._context.contents.note_left(
+            self._context.contents.note_abandoned(
                 attempt.replica, attempt.life_id, self.request.content_id, attempt.sent_s
             )
         if not call.is_over:
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -68,13 +68,13 @@
     ) -> None:
         """Take note of a request that an upstream took and lost."""
 
-    def note_left(
+    def note_abandoned(
         self, replica: replicas.Replica, life_id: str, content_id: bytes, sent_s: float
     ) -> None:
-        """Take note of a request that an upstream took and this entry has let go of."""
+        """Take note of a request that an upstream took and this entry has abandoned."""
 
     def note_unreachable(self, replica: replicas.Replica) -> None:
-        """Ask an upstream that refuses connections, if a request was let go of there just now."""
+        """Ask an upstream that refuses connections, if a request was abandoned there just now."""
 
     def note_sound(self, content_id: bytes) -> None:
         """Take note of a request that has ended well."""
--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -93,17 +93,19 @@
         """Name the present run of an upstream, as far as this entry tells its runs apart."""
         return f"{upstream}@{self._name}.{self._starts.get(upstream, 0)}"
 
-    def note_left(
+    def note_abandoned(
         self, replica: replicas.Replica, life_id: str, content_id: bytes, sent_s: float
     ) -> None:
-        """Take note of a request that an upstream took and this entry has let go of."""
+        """Take note of a request that an upstream took and this entry has abandoned."""
         if replica.row.state is not rows.UpstreamState.LEAVING:
-            self._watch.note_left(life_id, content_id, sent_s)
+            self._watch.note_abandoned(life_id, content_id, sent_s)
 
     def note_unreachable(self, replica: replicas.Replica) -> None:
-        """Ask an upstream that refuses connections, if a request was let go of there just now."""
+        """Ask an upstream that refuses connections, if a request was abandoned there just now."""
         life_id = self.get_life_id(replica.name)
-        if replica.row.state is rows.UpstreamState.LEAVING or not self._watch.has_left(life_id):
+        if replica.row.state is rows.UpstreamState.LEAVING or not self._watch.has_abandoned(
+            life_id
+        ):
             return
         self._ask(replica, life_id)
 
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -255,7 +255,7 @@
         if not is_unreachable:
             self._note_lost_run(attempt)
         elif reason == links.REFUSED:
-            self._context.ask_if_left(attempt.upstream)
+            self._context.ask_if_abandoned(attempt.upstream)
         if attempt.upstream.note_failure(clocks.get_s(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.life_id, "reason": reason}
             logger.warning("upstream rests", extra={"fields": fields})
@@ -269,14 +269,14 @@
         self._context.contents.note_lost(life_id, self.job.content_id, attempt.sent_s)
         self._context.ask_lost(upstream)
 
-    def _note_left_run(self, attempt: attempts.Attempt) -> None:
-        """Take note that the request is let go of at an instance which may yet end under it."""
+    def _note_abandoned_run(self, attempt: attempts.Attempt) -> None:
+        """Take note that the request is abandoned at an instance which may yet end under it."""
         assert attempt.call is not None
         upstream = attempt.upstream
         if attempt.has_ended or not attempt.call.may_have_arrived:
             return
         if not upstream.is_ending_as_planned(clocks.get_s()):
-            self._context.contents.note_left(
+            self._context.contents.note_abandoned(
                 upstream.instance.life_id, self.job.content_id, attempt.sent_s
             )
 
@@ -305,7 +305,7 @@
         attempt.upstream.works.pop(self.job.head.request_id, None)
         self._context.on_change()
         if attempt.call is not None and not attempt.call.is_over:
-            self._note_left_run(attempt)
+            self._note_abandoned_run(attempt)
             attempt.call.cancel()
 
     def fail_without_upstream(self) -> None:
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -99,14 +99,14 @@
         """Return the halls that cannot be reached just now."""
         return self.reach.get_cut_halls(self.get_silent_halls(), now_s)
 
-    def ask_if_left(self, upstream: upstream_book.Upstream) -> None:
+    def ask_if_abandoned(self, upstream: upstream_book.Upstream) -> None:
         """Find out whether an instance that is not well has ended, where nothing else would tell.
 
-        It may have ended under a request that this entry let go of.
+        It may have ended under a request that this entry abandoned.
         """
         if upstream.is_ending_as_planned(clocks.get_s()):
             return
-        if self.contents.has_left(upstream.instance.life_id):
+        if self.contents.has_abandoned(upstream.instance.life_id):
             self.ask_lost(upstream)
 
     def get_allowance(self, service: str) -> retry_allowance.RetryAllowance:
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -103,7 +103,7 @@
             "requests_here": len(upstream.works),
         }
         logger.info("upstream is to be emptied", extra={"fields": fields})
-        self._context.ask_if_left(upstream)
+        self._context.ask_if_abandoned(upstream)
         self._have_runs_look()
 
     def _end_at(self, upstream: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/policy/lost_runs.py
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -1,14 +1,14 @@
 """Requests that were lost at instances, until it is known whether those have ended; no I/O.
 
-Those that an entry let go of itself count, too: the instance may have begun to run them, and ends a
+Those that an entry abandoned itself count, too: the instance may have begun to run them, and ends a
 moment later with nobody left to see a connection lost.
 """
 
 KEPT_S = 10.0
 """Time for which a lost request waits for word of its instance, and for which an end is remembered:
 about twice what the platform lists an instance that is gone."""
-LEFT_S = 2.0
-"""Time after which a request that was let go of has nothing to do with the end of its instance.
+ABANDONED_S = 2.0
+"""Time after which an abandoned request has nothing to do with the end of its instance.
 Runs began 0.2 s after their request arrived where others were read first, one that may not be
 repeated is worked on to its end, and an end is noticed within 0.3 s."""
 MOST_INSTANCES = 1_000
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self._lost: dict[str, list[LostRun]] = {}
-        self._left: dict[str, list[LostRun]] = {}
+        self._abandoned: dict[str, list[LostRun]] = {}
         self._ended_s: dict[str, float] = {}
 
     def note_lost(self, life_id: str, run: LostRun) -> bool:
@@ -49,36 +49,36 @@
         self._lost.setdefault(life_id, []).append(run)
         return False
 
-    def note_left(self, life_id: str, run: LostRun) -> bool:
-        """Take note of a request that this entry has let go of.
+    def note_abandoned(self, life_id: str, run: LostRun) -> bool:
+        """Take note of a request that this entry has abandoned.
 
         :returns: as :meth:`note_lost` does.
         """
         if self._has_ended(life_id, run.lost_s):
             return True
-        self._left.setdefault(life_id, []).append(run)
+        self._abandoned.setdefault(life_id, []).append(run)
         return False
 
-    def has_left(self, life_id: str, now_s: float) -> bool:
-        """Tell whether this entry let go of a request at an instance just now."""
-        return any(now_s - run.lost_s <= LEFT_S for run in self._left.get(life_id, []))
+    def has_abandoned(self, life_id: str, now_s: float) -> bool:
+        """Tell whether this entry abandoned a request at an instance just now."""
+        return any(now_s - run.lost_s <= ABANDONED_S for run in self._abandoned.get(life_id, []))
 
     def note_ended(self, life_id: str, now_s: float) -> list[LostRun]:
         """Take note that an instance has ended; returns what it had of this entry's."""
         self._forget_old(now_s)
         self._ended_s.setdefault(life_id, now_s)
-        left = [
+        abandoned = [
             # What became of it is known only now.
             LostRun(run.content_id, sent_s=run.sent_s, lost_s=now_s)
-            for run in self._left.pop(life_id, [])
-            if now_s - run.lost_s <= LEFT_S
+            for run in self._abandoned.pop(life_id, [])
+            if now_s - run.lost_s <= ABANDONED_S
         ]
-        return self._lost.pop(life_id, []) + left
+        return self._lost.pop(life_id, []) + abandoned
 
     def note_alive(self, life_id: str) -> None:
         """Take note that an instance lives: what it lost, it lost by something else.
 
-        What was let go of there may still wait to be run.
+        What was abandoned there may still wait to be run.
         """
         self._lost.pop(life_id, None)
 
@@ -94,9 +94,9 @@
         self._lost = {
             name: runs for name, runs in self._lost.items() if runs[-1].lost_s >= oldest_s
         }
-        left_s = max(oldest_s, now_s - LEFT_S)
-        self._left = {
-            name: [run for run in runs if run.lost_s >= left_s]
-            for name, runs in self._left.items()
-            if runs[-1].lost_s >= left_s
+        abandoned_s = max(oldest_s, now_s - ABANDONED_S)
+        self._abandoned = {
+            name: [run for run in runs if run.lost_s >= abandoned_s]
+            for name, runs in self._abandoned.items()
+            if runs[-1].lost_s >= abandoned_s
         }
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -136,7 +136,7 @@
 
     def __init__(self):
         self.lost = []
-        self.left = []
+        self.abandoned = []
         self.unreachable = []
         self.sound = []
         self.suspects = set()
@@ -150,8 +150,8 @@
     def note_lost(self, replica, life_id, content_id, sent_s):
         self.lost.append(life_id)
 
-    def note_left(self, replica, life_id, content_id, sent_s):
-        self.left.append(life_id)
+    def note_abandoned(self, replica, life_id, content_id, sent_s):
+        self.abandoned.append(life_id)
 
     def note_unreachable(self, replica):
         self.unreachable.append(replica.name)
--- a/tests/unit/test_flow.py
+++ b/tests/unit/test_flow.py
@@ -345,17 +345,17 @@
     assert setting.result.code is codes.ResultCode.UPSTREAM_LOST
 
 
-def test_a_request_let_go_of_is_remembered_where_it_may_run():
+def test_a_request_abandoned_is_remembered_where_it_may_run():
     setting = fakes.Setting(fakes.make_request())
     setting.calls.made[-1].may_have_arrived = True
     setting.caller.on_gone()
-    assert setting.contents.left == ["u1@entry.0"]
+    assert setting.contents.abandoned == ["u1@entry.0"]
 
 
-def test_a_request_let_go_of_before_it_arrived_is_not_remembered():
+def test_a_request_abandoned_before_it_arrived_is_not_remembered():
     setting = fakes.Setting(fakes.make_request())
     setting.caller.on_gone()
-    assert not setting.contents.left
+    assert not setting.contents.abandoned
 
 
 def test_an_upstream_that_refuses_connections_is_told_of():
--- a/tests/unit/test_held_contents.py
+++ b/tests/unit/test_held_contents.py
@@ -11,7 +11,7 @@
 
 
 class Setting:
-    """An entry that has let go of a request at an upstream."""
+    """An entry that has abandoned a request at an upstream."""
 
     def __init__(self):
         self.calls = gateway_setting.GatewayCalls()
@@ -25,14 +25,14 @@
             on_held=lambda content_id: None,
         )
 
-    def let_go(self):
+    def abandon(self):
         life_id = self.contents.get_life_id("u1")
-        self.contents.note_left(self.replica, life_id, CONTENT, 0.0)
+        self.contents.note_abandoned(self.replica, life_id, CONTENT, 0.0)
 
 
-def test_an_upstream_that_refuses_is_asked_where_a_request_was_let_go_of():
+def test_an_upstream_that_refuses_is_asked_where_a_request_was_abandoned():
     setting = Setting()
-    setting.let_go()
+    setting.abandon()
     setting.contents.note_unreachable(setting.replica)
     (question,) = setting.calls.made
     assert question.target == "/load"
@@ -42,7 +42,7 @@
 
 def test_an_upstream_that_answers_has_not_ended():
     setting = Setting()
-    setting.let_go()
+    setting.abandon()
     setting.contents.note_unreachable(setting.replica)
     setting.calls.made[0].answer(200, [])
     assert not setting.contents.is_suspect(CONTENT)
@@ -54,13 +54,13 @@
     assert not setting.calls.made
 
 
-@pytest.mark.parametrize("leaves", ["before it is let go of", "after that"])
+@pytest.mark.parametrize("leaves", ["before it is abandoned", "after that"])
 def test_an_upstream_that_leaves_is_not_asked(leaves):
     setting = Setting()
     if leaves == "after that":
-        setting.let_go()
+        setting.abandon()
     setting.replica.row.state = rows.UpstreamState.LEAVING
     if leaves != "after that":
-        setting.let_go()
+        setting.abandon()
     setting.contents.note_unreachable(setting.replica)
     assert not setting.calls.made
--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -371,13 +371,13 @@
 
 
 @KINDS
-@pytest.mark.parametrize("let_go", ["caller left", "deadline"])
-def test_a_request_let_go_of_counts_if_its_instance_ends_right_after(kind, let_go, clock):
+@pytest.mark.parametrize("abandon", ["caller left", "deadline"])
+def test_a_request_abandoned_counts_if_its_instance_ends_right_after(kind, abandon, clock):
     """The instance may have begun to run it; nobody was left to see the connection lost."""
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(kind, contents=contents, names=("i-1",))
     setting.last.send()
-    if let_go == "deadline":
+    if abandon == "deadline":
         setting.exchange._on_deadline()
     else:
         setting.caller.on_gone()
@@ -387,17 +387,17 @@
     assert contents.is_suspect(setting.exchange.job.content_id)
 
 
-def test_a_request_let_go_of_long_before_does_not_count(clock):
+def test_a_request_abandoned_long_before_does_not_count(clock):
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
     setting.last.send()
     setting.caller.on_gone()
-    clock.now_s += lost_runs.LEFT_S + 0.1
+    clock.now_s += lost_runs.ABANDONED_S + 0.1
     contents.note_ended("i-1", "Connection refused")
     assert not contents.is_suspect(setting.exchange.job.content_id)
 
 
-def test_a_request_that_never_arrived_does_not_count_when_it_is_let_go_of(clock):
+def test_a_request_that_never_arrived_does_not_count_when_it_is_abandoned(clock):
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
     setting.caller.on_gone()
@@ -405,7 +405,7 @@
     assert not contents.is_suspect(setting.exchange.job.content_id)
 
 
-def test_a_request_let_go_of_at_an_instance_that_leaves_does_not_count(clock):
+def test_a_request_abandoned_at_an_instance_that_leaves_does_not_count(clock):
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
     setting.last.send()
@@ -416,7 +416,7 @@
 
 
 @KINDS
-def test_a_good_answer_is_not_taken_for_a_request_let_go_of(kind, clock):
+def test_a_good_answer_is_not_taken_for_a_request_abandoned(kind, clock):
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(kind, contents=contents, names=("i-1",))
     setting.last.answer(200, SIGNED, gateway_setting.make_events(1, 3))
@@ -424,7 +424,7 @@
     assert not contents.is_suspect(setting.exchange.job.content_id)
 
 
-def test_an_instance_that_lives_after_a_loss_may_still_end_under_what_was_let_go_of(clock):
+def test_an_instance_that_lives_after_a_loss_may_still_end_under_what_was_abandoned(clock):
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
     setting.last.send()
@@ -434,7 +434,7 @@
     assert contents.is_suspect(setting.exchange.job.content_id)
 
 
-def _let_go(contents, *, leave=()):
+def _abandon(contents, *, leave=()):
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
     setting.last.send()
     setting.caller.on_gone()
@@ -446,33 +446,33 @@
     return upstream_news.UpstreamNews(setting.context, None, set(), get_table=lambda: None)
 
 
-def test_an_instance_that_refuses_others_is_asked_where_a_request_was_let_go_of(clock):
+def test_an_instance_that_refuses_others_is_asked_where_a_request_was_abandoned(clock):
     contents = _make_contents(clock)
-    _let_go(contents)
+    _abandon(contents)
     other = gateway_setting.Setting(ONCE, contents=contents, names=("i-1",))
     other.last.lose(links.REFUSED)
     assert [upstream.instance.life_id for upstream in other.asked] == ["i-1"]
 
 
-def test_an_instance_with_an_alarm_is_asked_where_a_request_was_let_go_of(clock):
+def test_an_instance_with_an_alarm_is_asked_where_a_request_was_abandoned(clock):
     """Nobody else may have lost anything there, and its health alone shows no end."""
-    setting = _let_go(_make_contents(clock))
+    setting = _abandon(_make_contents(clock))
     upstream = setting.book.get("i-1")
     _make_news(setting).empty(upstream)
     assert setting.asked == [upstream]
 
 
 def test_an_instance_is_not_asked_long_after_or_when_it_leaves(clock):
-    leaving = _let_go(_make_contents(clock), leave=["i-1"])
+    leaving = _abandon(_make_contents(clock), leave=["i-1"])
     _make_news(leaving).empty(leaving.book.get("i-1"))
     assert not leaving.asked
-    former = _let_go(_make_contents(clock))
-    clock.now_s += lost_runs.LEFT_S + 0.1
+    former = _abandon(_make_contents(clock))
+    clock.now_s += lost_runs.ABANDONED_S + 0.1
     _make_news(former).empty(former.book.get("i-1"))
     assert not former.asked
 
 
-def test_what_is_let_go_of_is_known_to_have_gone_when_the_end_is_known(clock):
+def test_what_is_abandoned_is_known_to_have_gone_when_the_end_is_known(clock):
     """A run that was sent before anybody knew of the end is no second wave."""
     contents = _make_contents(clock)
     setting = gateway_setting.Setting(STREAM, contents=contents, names=("i-1",))
