Mutations of the new code: two needless conditions out, two tests that could not fail

Of the four that lived two were conditions that nothing needs (abandoned runs are pruned before an end is counted; a call that has ended is over) and are gone; the flood's test counted writes, which the writer's thread merges, and counts what is handed to it now; a trial on the own interface had no test without waiting a minute, and has one with the real dispatcher. No behaviour.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -273,12 +273,10 @@
         """Take note that the request is abandoned at an instance which may yet end under it."""
         assert attempt.call is not None
         upstream = attempt.upstream
-        if attempt.has_ended or not attempt.call.may_have_arrived:
+        if upstream.is_ending_as_planned(clocks.get_s()) or not attempt.call.may_have_arrived:
             return
-        if not upstream.is_ending_as_planned(clocks.get_s()):
-            self._context.contents.note_abandoned(
-                upstream.instance.life_id, self.job.content_id, attempt.sent_s
-            )
+        life_id = upstream.instance.life_id
+        self._context.contents.note_abandoned(life_id, self.job.content_id, attempt.sent_s)
 
     def note_whole(self, status: int) -> None:
         """Take note of an instance's whole answer."""
--- a/src/spoolhead/_internal/policy/lost_runs.py
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -71,7 +71,6 @@
             # What became of it is known only now.
             LostRun(run.content_id, sent_s=run.sent_s, lost_s=now_s)
             for run in self._abandoned.pop(life_id, [])
-            if now_s - run.lost_s <= ABANDONED_S
         ]
         return self._lost.pop(life_id, []) + abandoned
 
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -61,6 +61,9 @@
     def let_end(self, call):
         assert not call.is_over
 
+    def forget(self, address):
+        pass
+
     @property
     def attempts(self):
         return [call for call in self.made if not call.is_cancel_order]
--- a/tests/unit/test_held_contents.py
+++ b/tests/unit/test_held_contents.py
@@ -2,10 +2,14 @@
 
 import pytest
 
-from lib import fakes, gateway_setting
-from spoolhead._internal.entry import held_contents
-from spoolhead._internal.models import rows
+from lib import fakes, gateway_setting, simulated_clock
+from spoolhead._internal.entry import decision_book, dispatcher, held_contents
+from spoolhead._internal.models import content_record, rows, settings
 from spoolhead._internal.network import links
+from spoolhead._internal.network import loop as loops
+from spoolhead._internal.policy import policy_set, quarantine, request_content
+from spoolhead._internal.table import view
+from spoolhead._internal.utils import clocks, metrics
 
 CONTENT = b"c" * 16
 
@@ -64,3 +68,84 @@
         setting.abandon()
     setting.contents.note_unreachable(setting.replica)
     assert not setting.calls.made
+
+
+class Entry:
+    """An entry of one plain service, to which a content is known that has ended two upstreams."""
+
+    def __init__(self):
+        self.calls = fakes.FakeCalls()
+        self.timers = simulated_clock.Clock()
+        self.contents = held_contents.HeldContents(
+            "entry-1",
+            self.calls,
+            self.timers,
+            probe_path="/load",
+            tell=lambda records: None,
+            on_held=lambda content_id: self.dispatcher.hold_back(content_id),
+        )
+        config = settings.EntrySettings(
+            name="entry-1",
+            hall="h",
+            host="127.0.0.1",
+            port=1,
+            control_host="127.0.0.1",
+            control_port=2,
+            keepers=["127.0.0.1:3"],
+            shared_key=fakes.SHARED_KEY,
+        )
+        table = view.TableView()
+        table.workspaces["w"] = rows.WorkspaceRow(key_sha256=[], services=["m"])
+        table.services["m"] = rows.ServiceRow(kind=rows.ServiceKind.PLAIN)
+        table.upstreams["u1"] = rows.UpstreamRow(address="10.0.0.1:80", hall="h", service="m")
+        gathered = metrics.Metrics()
+        self.dispatcher = dispatcher.Dispatcher(
+            loops.Loop(lambda: None),
+            config,
+            table,
+            self.calls,
+            gathered,
+            policy_set.PolicySet(),
+            decision_book.DecisionBook(config, gathered, clocks.get_s),
+            self.contents,
+        )
+        self.dispatcher.update_upstreams()
+
+    def hold(self, request, *, since_s):
+        content_id = request_content.get_content_id(request, "", request.workspace)
+        record = content_record.ContentRecord(content_id=content_id, ends=(1, 2), waves=2)
+        aged = content_record.AgedRecord(record, int(since_s * 1000))
+        self.contents.take("keeper-1", [aged])
+        return content_id
+
+    def submit(self, request):
+        caller = fakes.FakeCaller()
+        self.dispatcher.submit(request, caller)
+        return caller
+
+
+def test_a_trial_of_a_held_request_runs_though_it_is_held_and_clears_it():
+    entry = Entry()
+    request = fakes.make_request(kind="plain", stream=False)
+    content_id = entry.hold(request, since_s=quarantine.TRIAL_AFTER_S)
+    caller = entry.submit(request)
+    again = entry.submit(fakes.make_request(kind="plain", stream=False))
+    assert not entry.calls.attempts
+    assert again.status == 503
+    entry.timers.run(quarantine.CLAIM_S + 0.01)
+    entry.dispatcher.hold_back(content_id)
+    (call,) = entry.calls.attempts
+    call.may_have_arrived = True
+    call.user.on_answer_head(200, [])
+    call.user.on_answer_end()
+    assert caller.status == 200
+    assert not entry.contents.is_held(content_id)
+
+
+def test_a_request_that_was_just_held_is_refused():
+    entry = Entry()
+    request = fakes.make_request(kind="plain", stream=False)
+    entry.hold(request, since_s=0.0)
+    assert entry.submit(request).status == 503
+    entry.timers.run(quarantine.CLAIM_S + 0.01)
+    assert not entry.calls.made
--- a/tests/unit/test_saved_contents.py
+++ b/tests/unit/test_saved_contents.py
@@ -116,7 +116,13 @@
 
 
 def test_a_flood_is_written_at_most_four_times_a_second(tmp_path, monkeypatch):
-    writes = []
+    real, made, writes = saved_contents.encode, [], []
+
+    def _encode(items, wall_s):
+        made.append(real(items, wall_s))
+        return made[-1]
+
+    monkeypatch.setattr(saved_contents, "encode", _encode)
     monkeypatch.setattr(files, "replace_file", lambda path, data: writes.append(data))
     process = Process(tmp_path)
     for number in range(200):
@@ -125,6 +131,6 @@
         process.saved.note()
         process.clock.run(0.01)
     assert process.saved.wait_until_synced(WAIT_S)
-    assert len(writes) <= 2.0 / saved_contents.SAVE_PAUSE_S + 2
-    *_, last = writes
-    assert len(saved_contents.decode(last, process.wall_s)) == 200
+    assert len(made) <= 2.0 / saved_contents.SAVE_PAUSE_S + 2
+    assert writes[-1] == made[-1]
+    assert len(saved_contents.decode(writes[-1], process.wall_s)) == 200
