--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -486,3 +486,14 @@
     contents.note_lost("i-2", content_id, sent_s)
     contents.note_ended("i-2", "Connection refused")
     assert not contents.is_held(content_id)
+
+
+def test_of_requests_abandoned_at_one_instance_only_the_late_ones_count(clock):
+    contents = _make_contents(clock)
+    contents.note_abandoned("i-1", b"early", clock.now_s - 0.1)
+    clock.now_s += lost_runs.ABANDONED_S
+    contents.note_abandoned("i-1", b"late", clock.now_s - 0.1)
+    clock.now_s += 0.1
+    contents.note_ended("i-1", "Connection refused")
+    assert contents.is_suspect(b"late")
+    assert not contents.is_suspect(b"early")
