An entry that starts again within 1.6 s is told all by its hub

Cause: a hub takes an entry for new only once it has been silent for 1.6 s. One that was killed and started sooner was known, so it got no update of all work and no round of all records until something changed or its number was seen to differ; found while a test without network restarted entries at once.

Change: reports are numbered on from the time of day, so a number more than 1,000 ahead is another start; such an entry counts as new. Test red before, green now.

--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -58,6 +58,7 @@
     :param on_alarm: called with an instance that another entry found bad.
     :param on_news: called when what others hold has changed.
     :param clock: monotonic time in seconds.
+    :param wall_clock: the time of day in seconds.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         on_alarm: Callable[[upstream_book.Upstream], None],
         on_news: Callable[[], None],
         clock: clocks.Clock = clocks.get_s,
+        wall_clock: Callable[[], float] = time.time,
     ) -> None:
         self._timers = timers
         self._send = send
@@ -82,7 +84,7 @@
         self._view = load_view.LoadView(config.hall, book)
         self._choice = hub_choice.HubChoice(config.name)
         # A restarted entry must not begin below the numbers of its former self.
-        self._sequence = int(time.time() * 1000)
+        self._sequence = int(wall_clock() * 1000)
         hub = load_hub.LoadHub(config.name, self._sequence)
         self._hub_port = hub_port.HubPort(
             timers,
--- a/src/spoolhead/_internal/policy/datagram_order.py
+++ b/src/spoolhead/_internal/policy/datagram_order.py
@@ -15,6 +15,14 @@
     return newest - LATE_NUMBERS < sequence <= newest
 
 
+def is_other_start(sequence: int, newest: int) -> bool:
+    """Tell whether a datagram is from another start of a process that was heard just now.
+
+    Numbers that far ahead cannot have been used up since; the time of day has gone on that far.
+    """
+    return sequence > newest + LATE_NUMBERS or is_restart(sequence, newest)
+
+
 def is_restart(sequence: int, newest: int) -> bool:
     """Tell whether a datagram is from a process that has begun its numbers anew, and lower."""
     return sequence <= newest - LATE_NUMBERS
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -142,7 +142,8 @@
         """Take what an entry reports.
 
         :param address: where it came from.
-        :returns: whether the entry is new here, and should get all that is known.
+        :returns: whether the entry is new here, or has started anew, and should get all that is
+            known.
         """
         self._halls_heard_s[report.hall] = now_s
         known = self._reporters.get(report.sender)
@@ -151,6 +152,7 @@
         if not report.is_reporter:
             self._forget_reporter(report.sender)
             return False
+        is_new = known is None or datagram_order.is_other_start(report.sequence, known.counted)
         reporter = known
         if reporter is None:
             reporter = self._reporters[report.sender] = Reporter(address)
@@ -163,7 +165,7 @@
         for content_id in self._take_contents(report.contents, now_s):
             self._to_hubs.note_changed(content_id)
         self._to_reporters.note_digest(report.sender, report.contents.digest, now_s)
-        return known is None
+        return is_new
 
     def take_totals(
         self, totals: shared_load.Totals, address: endpoints.Endpoint, now_s: float
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -101,6 +101,7 @@
             on_alarm=lambda upstream: self.alarms.append(upstream.instance.instance_id),
             on_news=lambda: None,
             clock=fleet_.clock,
+            wall_clock=fleet_.clock,
         )
         process.take = self.sharing.take
         self.sharing.set_fleet(known)
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -40,6 +40,14 @@
     assert _tokens(hub) == 40
 
 
+def test_an_entry_that_has_started_anew_is_told_all_though_it_was_not_missed():
+    hub = load_hub.LoadHub("k1", 1)
+    assert _take(hub, sequence=1_000)
+    assert not _take(hub, now_s=1.4, sequence=1_400)
+    assert _take(hub, now_s=1.5, sequence=2_700)
+    assert not _take(hub, now_s=1.6, sequence=2_701)
+
+
 def test_who_leaves_or_falls_silent_is_not_counted():
     hub = load_hub.LoadHub("k1", 1)
     _take(hub, sender="e1", tokens=100)
