A hub tells a new reporter with its first update what is held

Cause: all records were told in rounds for all reporters, at most each half second, so the second entry that started at a hub within that time waited for the next.

Change: the update that a new reporter gets carries the eight records that matter most (by hand, by waves, newest); the others follow in the next round. 400 bytes more for one entry, once. Weighed: a round for each newcomer (24 entries that start send 24 rounds to all reporters), all records at once (50 KB at 1,000 records).

--- a/src/spoolhead/_internal/policy/content_book.py
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -6,6 +6,7 @@
 in.
 """
 
+import heapq
 import math
 from collections.abc import Iterable
 
@@ -91,6 +92,11 @@
         """Return the names of all contents known, those known longest first."""
         return list(self._known)
 
+    def get_weightiest(self, count: int) -> list[bytes]:
+        """Return the names of the contents that matter most, at most so many."""
+        known = heapq.nlargest(count, self._known.items(), key=lambda item: _get_weight(item[1]))
+        return [content_id for content_id, _ in known]
+
     def set(self, record: content_record.ContentRecord, now_s: float) -> bool:
         """Take a record that this process has found or changed.
 
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -236,8 +236,14 @@
         return self._make_update(rows, _take_tellings(self._all_alarms), contents, now_s)
 
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all work that is known, for a new reporter; records of contents follow."""
-        contents = shared_load.ContentNews(digest=self._contents.digest)
+        """Return all work that is known, for a new reporter.
+
+        Of the records of contents it gets those that matter most, since it may serve at once; the
+        others follow in the next round for all.
+        """
+        content_ids = self._contents.get_weightiest(content_book.RECORDS_AT_ONCE)
+        records = self._contents.get_all_aged(content_ids, now_s)
+        contents = shared_load.ContentNews(records, self._contents.digest)
         return self._make_update(self._all.get_all(), [], contents, now_s)
 
     def _make_update(
