An entry that has a disk keeps there what is held, beside its table

An entry of the product's own interface starts by its saved table while no keeper answers, and knew nothing of what is held until one did: each such start ended one upstream more.

Change: the class that keeps a keeper's records keeps the entry's, in its data_dir. Weighed: refusing all until a keeper answers, which would take from the saved table what it is for.

Tests: with processes, red before (3002 where 2011 is due), green; two without network, red before.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -39,6 +39,11 @@
         self._telling = content_book.ContentTelling(self._quarantine.book)
         self._runs = lost_runs.LostRuns()
 
+    @property
+    def book(self) -> content_book.ContentBook:
+        """The records."""
+        return self._quarantine.book
+
     @property
     def held_count(self) -> int:
         """Contents that are held."""
--- a/src/spoolhead/_internal/contents/saved_contents.py
+++ b/src/spoolhead/_internal/contents/saved_contents.py
@@ -1,7 +1,7 @@
-"""Keeps a keeper's records of contents on its disk.
+"""Keeps a process's records of contents on its disk.
 
-Entries have no disk, so without this all would be forgotten if they and the keepers lost power at
-once, and each deadly request would end instances anew. One keeper whose disk is left is enough,
+Few entries have a disk, so without this all would be forgotten if they and the keepers lost power
+at once, and each deadly request would end instances anew. One keeper whose disk is left is enough,
 since processes tell each other what they know. A thread of its own writes, so that a slow disk
 delays nobody.
 """
@@ -65,7 +65,7 @@
 class SavedContents:
     """Fills a book from the disk, and keeps the disk up to date with it.
 
-    :param folder: the keeper's data folder.
+    :param folder: the process's data folder.
     :param book: the records.
     :param timers: calls back.
     :param clock: monotonic time in seconds, by which the book counts.
--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -1,12 +1,14 @@
 """Requests that end the upstreams which run them, for the product's own interface.
 
 The decisions are those of :mod:`spoolhead._internal.policy.quarantine`. What an entry finds goes to
-the keeper, which passes it on to all others and tells all it knows to each that connects.
+the keeper, which passes it on to all others and tells all it knows to each that connects. An entry
+that has a disk can serve by its saved table while no keeper answers, so it keeps this there, too.
 """
 
+import pathlib
 from collections.abc import Callable
 
-from spoolhead._internal.contents import content_watch, end_watch
+from spoolhead._internal.contents import content_watch, end_watch, saved_contents
 from spoolhead._internal.models import content_record, rows
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import quarantine, replicas
@@ -24,6 +26,7 @@
     :param probe_path: what an upstream that lost a request is asked for.
     :param tell: called with records that the keeper is to pass on.
     :param on_held: called with the name of a content that is held from now on.
+    :param folder: the entry's data folder; None for none.
     """
 
     def __init__(
@@ -35,17 +38,22 @@
         probe_path: str,
         tell: Callable[[Records], None],
         on_held: Callable[[bytes], None],
+        folder: pathlib.Path | None,
     ) -> None:
         self._name = name
         self._timers = timers
         self._probe_path = probe_path
+        self._tell = tell
         self._starts: dict[str, int] = {}
         self._watch = content_watch.ContentWatch(
             name,
             clock=clocks.get_s,
-            tell=lambda: tell(self._watch.take_changed()),
+            tell=self._tell_changed,
             on_held=on_held,
         )
+        self._saved: saved_contents.SavedContents | None = None
+        if folder is not None:
+            self._saved = saved_contents.SavedContents(folder, self._watch.book, timers)
         self._end_watch = end_watch.EndWatch(
             calls,
             timers,
@@ -66,6 +74,7 @@
     def take(self, teller: str, records: Records) -> None:
         """Take records that another process tells."""
         self._watch.take_records(teller, records)
+        self._save()
 
     def judge(self, content_id: bytes) -> quarantine.Verdict:
         """Decide on a request that has just come."""
@@ -131,6 +140,18 @@
         """Take note of a request that has ended well."""
         self._watch.note_sound(content_id)
 
+    def wait_until_saved(self, timeout_s: float) -> bool:
+        """Wait until all that is known is on the disk; False if that took too long."""
+        return self._saved is None or self._saved.wait_until_synced(timeout_s)
+
+    def _tell_changed(self) -> None:
+        self._tell(self._watch.take_changed())
+        self._save()
+
+    def _save(self) -> None:
+        if self._saved is not None:
+            self._saved.note()
+
     def _note_restart(self, life_id: str) -> None:
         upstream = life_id.rpartition("@")[0]
         self._starts[upstream] = self._starts.get(upstream, 0) + 1
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -1,6 +1,7 @@
 """The entry program: puts its parts together and runs them."""
 
 import logging
+import pathlib
 import secrets
 from collections.abc import Sequence
 
@@ -64,6 +65,7 @@
             probe_path=load_reports.REPORT_PATH,
             tell=lambda records: self._keeper.tell_contents(records),
             on_held=lambda content_id: self._dispatcher.hold_back(content_id),
+            folder=pathlib.Path(config.data_dir) if config.data_dir is not None else None,
         )
         self._dispatcher = dispatcher.Dispatcher(
             self._loop,
--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -27,6 +27,8 @@
 """Runs later than that: a fault may hide itself from some entries, but not from all."""
 PAUSE_S = 0.25
 SERIES_S = 12.0
+SAVED_S = 1.0
+"""Time after which what is held is surely on a disk; four times the pause between writings."""
 
 
 @pytest.fixture
@@ -210,6 +212,30 @@
     return calls.send(made.addresses[entry], "GET", "/readyz").status == 200
 
 
+def test_an_entry_that_serves_by_its_saved_table_holds_it_without_a_keeper(own):
+    """Seen: what is held was known from keepers only, and its table from its own disk too."""
+    made, engines = own
+    changes = {"data_dir": str(made.folder / "entry-3.data")}
+    made.start_entry("entry-3", changes=changes)
+    fleet.wait_for(lambda: _is_ready(made, "entry-3"), "the entry to have a table")
+    for number in range(6):
+        _send_chat(made, f"entry-{1 + number % 3}", _make_deadly_chat())
+        time.sleep(PAUSE_S)
+    fleet.wait_for(
+        lambda: _send_chat(made, "entry-3", _make_deadly_chat()).error["result_code"] == 2011,
+        "entry-3 to hold it",
+    )
+    time.sleep(SAVED_S)
+    ends = engines.ends
+    made.processes["keeper-1"].kill()
+    made.processes["entry-3"].kill()
+    made.start_entry("entry-3", changes=changes)
+    assert _is_ready(made, "entry-3")
+    answer = _send_chat(made, "entry-3", _make_deadly_chat())
+    assert answer.error["result_code"] == 2011
+    assert engines.ends == ends
+
+
 def _find_held(made):
     done = made.run_operator("held", "--json")
     return [item for item in json.loads(done.stdout) if item["held"]]
--- a/tests/unit/test_held_contents.py
+++ b/tests/unit/test_held_contents.py
@@ -12,12 +12,13 @@
 from spoolhead._internal.utils import clocks, metrics
 
 CONTENT = b"c" * 16
+SAVED_S = 5.0
 
 
 class Setting:
     """An entry that has abandoned a request at an upstream."""
 
-    def __init__(self):
+    def __init__(self, folder=None):
         self.calls = gateway_setting.GatewayCalls()
         self.replica = fakes.make_replica("u1")
         self.contents = held_contents.HeldContents(
@@ -27,6 +28,7 @@
             probe_path="/load",
             tell=lambda records: None,
             on_held=lambda content_id: None,
+            folder=folder,
         )
 
     def abandon(self):
@@ -44,6 +46,23 @@
     assert setting.contents.is_suspect(CONTENT)
 
 
+def test_what_it_knows_outlasts_it_on_its_own_disk(tmp_path):
+    setting = Setting(tmp_path)
+    setting.abandon()
+    setting.contents.note_unreachable(setting.replica)
+    setting.calls.made[0].lose(links.REFUSED)
+    assert setting.contents.wait_until_saved(SAVED_S)
+    assert Setting(tmp_path).contents.is_suspect(CONTENT)
+
+
+def test_what_it_was_told_outlasts_it_too(tmp_path):
+    setting = Setting(tmp_path)
+    record = content_record.ContentRecord(content_id=CONTENT, ends=(1, 2), waves=2)
+    setting.contents.take("keeper-1", [content_record.AgedRecord(record, 0)])
+    assert setting.contents.wait_until_saved(SAVED_S)
+    assert Setting(tmp_path).contents.is_held(CONTENT)
+
+
 def test_an_upstream_that_answers_has_not_ended():
     setting = Setting()
     setting.abandon()
@@ -83,6 +102,7 @@
             probe_path="/load",
             tell=lambda records: None,
             on_held=lambda content_id: self.dispatcher.hold_back(content_id),
+            folder=None,
         )
         config = settings.EntrySettings(
             name="entry-1",
