Soak: a fault that ends a process is left out while another ends it

Cause: the stop looks into the process's log before it signals; a kill 1.1 s later took the process away meanwhile. Such overlaps were left out already once the signal was sent.

Change: faults that end a process claim it. Test red before with that very error.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,6 +38,8 @@
     "stall_down": {"direction": "down", "stall": True},
     "refuse": {"cut": True, "refuse": True},
 }
+_ENDS = ("stop", "kill", "wipe", "tear")
+"""Faults that end a process and start it again: one at a time for each."""
 _HEALED = ({"direction": "up"}, {"direction": "down"}, {"refuse": False})
 
 
@@ -55,6 +57,7 @@
         self._issued = FIRST_VERSION
         self._acked = FIRST_VERSION
         self._threads = []
+        self._ending = set()
 
     def get_acknowledged(self):
         """Return the newest version that was acknowledged."""
@@ -85,13 +88,26 @@
             self._seen.problems.append(f"the soak itself failed at {step}: {error!r}")
 
     def _disturb(self, step):
-        if step.target in self._fleet.get_names() and step.target not in self._fleet.processes:
-            # An earlier fault has it down still.
+        if not self._begin(step):
             return
         noted = records.Disturbance(target=step.target, kind=step.kind, began_s=time.monotonic())
         self._seen.disturbances.append(noted)
         getattr(self, f"_{step.kind}", self._harm_link)(step)
         noted.ended_s = time.monotonic()
+        if step.kind in _ENDS:
+            self._ending.discard(step.target)
+
+    def _begin(self, step):
+        """Tell whether a fault can befall its target; not while an earlier one has it down."""
+        with self._lock:
+            is_ours = step.target in self._fleet.get_names()
+            if is_ours and step.target not in self._fleet.processes:
+                return False
+            if step.kind in _ENDS:
+                if step.target in self._ending:
+                    return False
+                self._ending.add(step.target)
+        return True
 
     def _pause(self, step):
         self._fleet.signal(step.target, signal.SIGSTOP)
