--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -140,10 +140,6 @@
         """Take note of a request that has ended well."""
         self._watch.note_sound(content_id)
 
-    def wait_until_saved(self, timeout_s: float) -> bool:
-        """Wait until all that is known is on the disk; False if that took too long."""
-        return self._saved is None or self._saved.wait_until_synced(timeout_s)
-
     def _tell_changed(self) -> None:
         self._tell(self._watch.take_changed())
         self._save()
--- a/tests/unit/test_held_contents.py
+++ b/tests/unit/test_held_contents.py
@@ -51,7 +51,7 @@
     setting.abandon()
     setting.contents.note_unreachable(setting.replica)
     setting.calls.made[0].lose(links.REFUSED)
-    assert setting.contents.wait_until_saved(SAVED_S)
+    assert setting.contents._saved.wait_until_synced(SAVED_S)
     assert Setting(tmp_path).contents.is_suspect(CONTENT)
 
 
@@ -59,7 +59,7 @@
     setting = Setting(tmp_path)
     record = content_record.ContentRecord(content_id=CONTENT, ends=(1, 2), waves=2)
     setting.contents.take("keeper-1", [content_record.AgedRecord(record, 0)])
-    assert setting.contents.wait_until_saved(SAVED_S)
+    assert setting.contents._saved.wait_until_synced(SAVED_S)
     assert Setting(tmp_path).contents.is_held(CONTENT)
 
 
