--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -48,6 +48,12 @@
     assert not _take(hub, now_s=1.6, sequence=2_701)
 
 
+def test_so_is_one_whose_time_of_day_was_set_back_meanwhile():
+    hub = load_hub.LoadHub("k1", 1)
+    assert _take(hub, sequence=90_000)
+    assert _take(hub, now_s=1.5, sequence=2_700)
+
+
 def test_who_leaves_or_falls_silent_is_not_counted():
     hub = load_hub.LoadHub("k1", 1)
     _take(hub, sender="e1", tokens=100)
