One piece tells of a disk that refuses writes

The file of records of contents brought its own copy of what the keepers' log had: the pause of 0.25 s, a line as refusals begin, one with their length as they are over. The thread of saved_contents.py no longer passes a time round its loop. Behaviour is unchanged but for the logger's name in these two lines. The start of a keeper keeps its line for each refusal: there each try counts towards its end after 5 s.

--- a/src/spoolhead/_internal/contents/saved_contents.py
+++ b/src/spoolhead/_internal/contents/saved_contents.py
@@ -18,7 +18,7 @@
 from spoolhead._internal.models import content_record
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import content_book
-from spoolhead._internal.utils import clocks, files
+from spoolhead._internal.utils import clocks, disk_refusals, files
 from spoolhead.coordination import changelog
 
 logger = logging.getLogger(__name__)
@@ -29,8 +29,6 @@
 SAVE_PAUSE_S = 0.25
 """Least time between two writings. A thousand records, the most that are kept, take some 60 KB, so
 a flood costs the disk 240 KB/s at most; what is lost with the power is no older than this."""
-RETRY_S = 0.25
-"""Pause before a refused write is tried again; a few times a second is cheap and soon."""
 
 
 def encode(items: list[content_record.AgedRecord], wall_s: float) -> bytes:
@@ -86,6 +84,7 @@
         self._timers = timers
         self._clock = clock
         self._wall_clock = wall_clock
+        self._refusals = disk_refusals.DiskRefusals(self._path)
         self._read()
         self._digest = book.digest
         self._earliest_s = clock()
@@ -140,35 +139,26 @@
         logger.info("saved contents are known again", extra={"fields": fields})
 
     def _run(self) -> None:
-        refused_s = 0.0
         while True:
             with self._condition:
                 self._condition.wait_for(lambda: self._waiting is not None)
                 data, self._waiting = self._waiting, None
             assert data is not None
-            refused_s = self._write(data, refused_s)
+            is_written = self._write(data)
             with self._condition:
-                if refused_s and self._waiting is None:
+                if not is_written and self._waiting is None:
                     self._waiting = data
                 self._is_synced = self._waiting is None
                 self._condition.notify_all()
-            if refused_s:
-                time.sleep(RETRY_S)
+            if not is_written:
+                time.sleep(disk_refusals.RETRY_S)
 
-    def _write(self, data: bytes, refused_s: float) -> float:
-        """Write the file.
-
-        :param refused_s: since when the disk has refused this; 0 if it has not.
-        :returns: the same afterwards.
-        """
+    def _write(self, data: bytes) -> bool:
+        """Write the file; False if the disk refuses that."""
         try:
             files.replace_file(self._path, data)
         except exceptions.DiskError as error:
-            if not refused_s:
-                fields = {"path": str(self._path), "reason": str(error)}
-                logger.error("disk refuses writes", extra={"fields": fields})
-            return refused_s or clocks.get_s()
-        if refused_s:
-            fields = {"lost_ms": int((clocks.get_s() - refused_s) * 1000)}
-            logger.warning("disk takes writes again", extra={"fields": fields})
-        return 0.0
+            self._refusals.note_refused(error)
+            return False
+        self._refusals.note_taken()
+        return True
--- a/src/spoolhead/_internal/quorum/storage.py
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -17,7 +17,7 @@
 import msgpack
 
 from spoolhead._internal import exceptions
-from spoolhead._internal.utils import clocks, files
+from spoolhead._internal.utils import clocks, disk_refusals, files
 from spoolhead.coordination import changelog, replicated_log
 
 logger = logging.getLogger(__name__)
@@ -26,8 +26,6 @@
 REWRITE_BYTES = 8 * 1024 * 1024
 """Size from which the file is written anew: a sixteenth of a disk of 128 MB, and some eighty
 of the largest tables seen (100 KiB)."""
-RETRY_S = 0.25
-"""Pause before a refused write is tried again; a few times a second is cheap and soon."""
 START_WAIT_S = 5.0
 """Time for which a start waits for a disk that refuses writes, before the process ends: some times
 what a disk was seen to stay full. Nothing may be promised before the identity is on the disk."""
@@ -103,6 +101,7 @@
         on_synced: Callable[[int], None],
     ) -> None:
         self._path = folder / FILE_NAME
+        self._refusals = disk_refusals.DiskRefusals(self._path)
         self._identity = changelog.make_record(msgpack.packb([_IDENTITY, member_id]))
         self._on_synced = on_synced
         self._condition = threading.Condition()
@@ -154,7 +153,7 @@
                     raise
                 fields = {"path": str(self._path), "reason": str(error)}
                 logger.error("disk refuses writes", extra={"fields": fields})
-                time.sleep(RETRY_S)
+                time.sleep(disk_refusals.RETRY_S)
 
     def _join(self, records: Sequence[replicated_log.Record]) -> bytes:
         return self._identity + b"".join(_pack(record) for record in records)
@@ -171,7 +170,6 @@
             self._on_synced(number)
 
     def _store(self, rewrite: bytes | None, data: bytes) -> None:
-        refused_s = 0.0
         while True:
             try:
                 if rewrite is not None:
@@ -181,14 +179,9 @@
                     self._append(data)
                 break
             except (OSError, exceptions.DiskError) as error:
-                if not refused_s:
-                    refused_s = clocks.get_s()
-                    fields = {"path": str(self._path), "reason": str(error)}
-                    logger.error("disk refuses writes", extra={"fields": fields})
-                time.sleep(RETRY_S)
-        if refused_s:
-            fields = {"lost_ms": int((clocks.get_s() - refused_s) * 1000)}
-            logger.warning("disk takes writes again", extra={"fields": fields})
+                self._refusals.note_refused(error)
+                time.sleep(disk_refusals.RETRY_S)
+        self._refusals.note_taken()
 
     def _append(self, data: bytes) -> None:
         written = 0
--- /dev/null
+++ b/tests/unit/test_disk_refusals.py
@@ -0,0 +1,20 @@
+"""A disk that refuses writes is told of once, and once more when it is over."""
+
+import logging
+
+from spoolhead._internal.utils import disk_refusals
+
+
+def test_each_time_of_refusals_has_one_line_at_either_end(caplog, tmp_path):
+    caplog.set_level(logging.INFO)
+    refusals = disk_refusals.DiskRefusals(tmp_path / "file")
+    refusals.note_taken()
+    for _ in range(2):
+        refusals.note_refused(OSError("full"))
+        refusals.note_refused(OSError("full"))
+        refusals.note_taken()
+        refusals.note_taken()
+    assert [record.getMessage() for record in caplog.records] == [
+        "disk refuses writes",
+        "disk takes writes again",
+    ] * 2
--- a/tests/unit/test_quorum_storage.py
+++ b/tests/unit/test_quorum_storage.py
@@ -10,6 +10,7 @@
 
 from spoolhead._internal import exceptions
 from spoolhead._internal.quorum import storage
+from spoolhead._internal.utils import disk_refusals
 from spoolhead.coordination import changelog, replicated_log
 
 RECORDS = [
@@ -126,7 +127,7 @@
         replace_file(path, data)
 
     monkeypatch.setattr(storage.files, "replace_file", _replace)
-    monkeypatch.setattr(storage, "RETRY_S", 0.01)
+    monkeypatch.setattr(disk_refusals, "RETRY_S", 0.01)
     storage.Storage(tmp_path, "a#first", RECORDS, _Synced())
     assert storage.read(tmp_path).records == RECORDS
 
@@ -137,6 +138,6 @@
 
     monkeypatch.setattr(storage.files, "replace_file", _replace)
     monkeypatch.setattr(storage, "START_WAIT_S", 0.05)
-    monkeypatch.setattr(storage, "RETRY_S", 0.01)
+    monkeypatch.setattr(disk_refusals, "RETRY_S", 0.01)
     with pytest.raises(exceptions.DiskError):
         storage.Storage(tmp_path, "a#first", RECORDS, _Synced())
