Headers of calls have the name that calls give them; a lost run is made in one place

Left: five aliases from before in models and network, and the attempts of the two interfaces (entry/flow_attempt.py, gateway/attempts.py), one of which is to go with the one gateway.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -76,15 +76,13 @@
 
     def note_lost(self, life_id: str, content_id: bytes, sent_s: float) -> None:
         """Take note of a request that an instance took and lost."""
-        now_s = self._clock()
-        run = lost_runs.LostRun(content_id, sent_s=sent_s, lost_s=now_s)
+        run = self._make_run(content_id, sent_s)
         if self._runs.note_lost(life_id, run):
             self._count(life_id, run, "lost after that")
 
     def note_abandoned(self, life_id: str, content_id: bytes, sent_s: float) -> None:
         """Take note of a request that an instance took and this entry has abandoned."""
-        now_s = self._clock()
-        run = lost_runs.LostRun(content_id, sent_s=sent_s, lost_s=now_s)
+        run = self._make_run(content_id, sent_s)
         if self._runs.note_abandoned(life_id, run):
             self._count(life_id, run, "abandoned after that")
 
@@ -138,6 +136,9 @@
         """Return what a report carries that tells nothing."""
         return shared_load.ContentNews(digest=self._quarantine.book.digest)
 
+    def _make_run(self, content_id: bytes, sent_s: float) -> lost_runs.LostRun:
+        return lost_runs.LostRun(content_id, sent_s=sent_s, lost_s=self._clock())
+
     def _count(self, life_id: str, run: lost_runs.LostRun, evidence: str) -> None:
         key = shared_load.get_key(life_id)
         record = self._quarantine.note_end(run.content_id, key, run.sent_s, run.lost_s)
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -120,7 +120,7 @@
         return codes.Ran.UNKNOWN if self._may_have_run else codes.Ran.NO
 
     def take_head(
-        self, attempt: flow_attempt.Attempt, status: int, headers: flow_attempt.Headers
+        self, attempt: flow_attempt.Attempt, status: int, headers: upstream_calls.Headers
     ) -> None:
         """Take the head of an attempt's answer."""
         if attempt is not self._attempt:
@@ -203,7 +203,7 @@
         attempt: flow_attempt.Attempt,
         method: str,
         target: str,
-        headers: flow_attempt.Headers,
+        headers: upstream_calls.Headers,
         body: bytes,
     ) -> None:
         address = attempt.replica.row.address
--- a/src/spoolhead/_internal/entry/flow_attempt.py
+++ b/src/spoolhead/_internal/entry/flow_attempt.py
@@ -1,18 +1,15 @@
 """One attempt of a flow at one upstream."""
 
-from collections.abc import Sequence
 from typing import Protocol
 
 from spoolhead._internal.network import upstream_calls
 from spoolhead._internal.policy import replicas
 
-Headers = Sequence[tuple[str, str]]
-
 
 class AttemptUser(Protocol):
     """The flow that made an attempt."""
 
-    def take_head(self, attempt: "Attempt", status: int, headers: Headers) -> None:
+    def take_head(self, attempt: "Attempt", status: int, headers: upstream_calls.Headers) -> None:
         """Take the head of its answer."""
 
     def take_body(self, attempt: "Attempt", data: bytes) -> None:
@@ -65,9 +62,9 @@
         self.generation = generation
         self.call: upstream_calls.UpstreamCall | None = None
         self.status = 0
-        self.headers: Headers = ()
+        self.headers: upstream_calls.Headers = ()
 
-    def on_answer_head(self, status: int, headers: Headers) -> None:
+    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Pass on the head."""
         self.flow.take_head(self, status, headers)
 
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -75,7 +75,7 @@
         self.begun_s = now_s
         self.call: upstream_calls.UpstreamCall | None = None
 
-    def on_answer_head(self, status: int, headers: Sequence[tuple[str, str]]) -> None:
+    def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         self._status = status
 
     def on_answer_body(self, data: bytes) -> None:
--- a/src/spoolhead/_internal/entry/passed_answers.py
+++ b/src/spoolhead/_internal/entry/passed_answers.py
@@ -1,7 +1,6 @@
 """What a caller gets around an upstream's answer, and what the answer tells; no I/O."""
 
 import json
-from collections.abc import Sequence
 
 from spoolhead._internal.entry import api, stream_token
 from spoolhead._internal.models import requests
@@ -23,12 +22,10 @@
     }
 )
 
-Headers = Sequence[tuple[str, str]]
-
 
 def make_stream_headers(
     request: requests.CallerRequest, shared_key: str, *, upstream: str, generation: str
-) -> Headers:
+) -> requests.Headers:
     """Return the headers of a streamed answer, with the token to go on with it elsewhere.
 
     :param shared_key: the fleet's secret.
@@ -52,7 +49,7 @@
     ]
 
 
-def make_whole_headers(headers: Headers, request_id: str) -> Headers:
+def make_whole_headers(headers: requests.Headers, request_id: str) -> requests.Headers:
     """Return the headers of an answer that was held until it was whole."""
     passed = [item for item in headers if item[0] not in _DROPPED_HEADERS]
     return [*passed, (api.REQUEST_ID_HEADER, request_id)]
