Gateway: read and log the rate limits that instances state

The adapter reads the header as a decimal number (the strictest of several; what is no number counts neither as a limit nor as its end), the newest statement of each instance is kept, and its changes are logged. Not shown to callers, as with its load.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -235,6 +235,7 @@
         now_s = clocks.get_s()
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, now_s)
+        self._context.limits.take_answer(attempt.upstream, attempt.head, now_s)
         self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
         if attempt.head.is_misdirected and attempt.upstream.note_replaced(now_s):
             fields = {
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import entry_figures, run_queue
+from spoolhead._internal.gateway import entry_figures, run_queue, upstream_limits
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
@@ -30,6 +30,7 @@
     :ivar entry_count: entries that there are.
     :ivar reach: which halls can be reached.
     :ivar cold_starts: what this entry may send to instances that are cold.
+    :ivar limits: rate limits that instances stated.
     :ivar contents: what is known of requests that may end instances.
     :ivar ask_lost: called with an instance that took a request and lost it, to find out whether it
         has ended.
@@ -49,6 +50,7 @@
         "figures",
         "get_news_age_ms",
         "get_silent_halls",
+        "limits",
         "on_change",
         "on_lost_request",
         "on_replaced",
@@ -93,6 +95,7 @@
         self.entry_count = 1
         self.reach = hall_reach.HallReach(config.hall)
         self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
+        self.limits = upstream_limits.UpstreamLimits()
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
     def get_cut_halls(self, now_s: float) -> frozenset[str]:
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -202,6 +202,9 @@
     :ivar is_misdirected: another instance than the one meant answers at its address.
     :ivar instance_id: id of the instance that answers; empty where it does not say.
     :ivar cold_ms: how much longer the instance is cold; None where it does not say.
+    :ivar limit_per_s: requests a second that it accepts from all entries together; None where it
+        states no limit.
+    :ivar is_limit_unreadable: it states a limit that is no number.
     """
 
     status: int
@@ -213,6 +216,8 @@
     is_closing: bool
     load: UpstreamLoad | None
     cold_ms: int | None = None
+    limit_per_s: float | None = None
+    is_limit_unreadable: bool = False
     is_misdirected: bool = False
     instance_id: str = ""
 
--- /dev/null
+++ b/src/spoolhead/_internal/policy/limit_book.py
@@ -0,0 +1,84 @@
+"""The newest rate limit that each instance stated; no I/O, time passed in."""
+
+import math
+from collections.abc import Iterable
+
+from spoolhead._internal.models import rate_limit
+
+UNLIMITED_PER_S = 10_000.0
+"""Limits from here on bind nobody: the whole fleet is built for fewer requests a second."""
+UNLIMITED_KEPT_S = 30.0
+"""Time for which it is remembered that an instance stated no limit, to outweigh older reports."""
+LIMIT_KEPT_S = 600.0
+"""Time after which a limit that the instance has not stated again is forgotten."""
+RESTATED_S = 0.5
+"""Age of the known statement from which one of the same limit counts as a change."""
+
+
+class LimitBook:
+    """Merges what one process reads in answers with what others report: the newest wins."""
+
+    def __init__(self) -> None:
+        self._stated: dict[int, rate_limit.StatedLimit] = {}
+
+    def __len__(self) -> int:
+        return len(self._stated)
+
+    def get(self, key: int) -> rate_limit.StatedLimit | None:
+        """Return the newest statement of an instance; None if there is none."""
+        return self._stated.get(key)
+
+    def get_limit_per_s(self, key: int) -> float | None:
+        """Return the limit in force; None if there is none."""
+        stated = self._stated.get(key)
+        if stated is None or stated.limit_per_s is None or stated.limit_per_s >= UNLIMITED_PER_S:
+            return None
+        return stated.limit_per_s
+
+    def record(self, key: int, limit_per_s: float | None, stated_s: float) -> bool:
+        """Record a statement.
+
+        :param limit_per_s: requests a second; None if the answer stated no limit.
+        :returns: whether it is to be passed on: it changes the limit, or renews an old statement.
+        """
+        known = self._stated.get(key)
+        if known is not None and known.stated_s >= stated_s:
+            return False
+        self._stated[key] = rate_limit.StatedLimit(limit_per_s, stated_s)
+        known_per_s = known.limit_per_s if known is not None else None
+        if known_per_s != limit_per_s:
+            return True
+        return known is not None and limit_per_s is not None and _is_old(known, stated_s)
+
+    def merge(self, limits: Iterable[rate_limit.AgedLimit], now_s: float) -> list[int]:
+        """Record what another process reports; returns the keys that are to be passed on."""
+        return [
+            item.key
+            for item in limits
+            if self.record(item.key, item.limit_per_s, now_s - item.age_ms / 1000)
+        ]
+
+    def get_aged(self, keys: Iterable[int], now_s: float) -> list[rate_limit.AgedLimit]:
+        """Return the statements of some instances for other processes."""
+        aged = []
+        for key in keys:
+            stated = self._stated.get(key)
+            if stated is not None:
+                age_ms = math.ceil((now_s - stated.stated_s) * 1000)
+                aged.append(rate_limit.AgedLimit(key, stated.limit_per_s, max(0, age_ms)))
+        return aged
+
+    def get_all_aged(self, now_s: float) -> list[rate_limit.AgedLimit]:
+        """Return all statements for another process."""
+        return self.get_aged(list(self._stated), now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Forget statements that are too old to matter."""
+        for key, stated in list(self._stated.items()):
+            kept_s = UNLIMITED_KEPT_S if stated.limit_per_s is None else LIMIT_KEPT_S
+            if now_s - stated.stated_s > kept_s:
+                del self._stated[key]
+
+
+def _is_old(known: rate_limit.StatedLimit, now_s: float) -> bool:
+    return now_s - known.stated_s >= RESTATED_S
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -1,6 +1,7 @@
 """The platform's messages, read into and written from the product's types."""
 
 import json
+import re
 import urllib.parse
 
 import expression
@@ -12,6 +13,8 @@
 _MISDIRECTED_STATUS = 421
 _LONGEST_COLD = 9
 """Digits up to which the rest of a cold start is read: eleven days in milliseconds."""
+_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?([eE]\+?\d{1,2})?", re.ASCII)
+"""Decimal numbers that are read as a rate limit."""
 _EVACUATES = {"POST": True, "DELETE": False}
 """Methods of an order on a hall, and whether it is evacuated from then on."""
 
@@ -94,8 +97,11 @@
     def read_answer(self, status: int, headers: dialects.Headers) -> dialects.AnswerHead:
         """Read the head of an instance's answer."""
         found = dict(headers)
-        hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, "date", "server"}
+        hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, names.LIMIT}
+        hidden |= {"date", "server"}
         hidden |= names.ONE_CONNECTION
+        stated_limits = [value.strip() for name, value in headers if name == names.LIMIT]
+        limit_per_s = _read_limit(stated_limits)
         return dialects.AnswerHead(
             status=status,
             headers=[item for item in headers if item[0] not in hidden],
@@ -108,6 +114,8 @@
             is_closing=found.get("connection", "").lower() == "close",
             load=_read_load(found.get(names.LOAD, "")),
             cold_ms=_read_cold(found.get(names.COLD)),
+            limit_per_s=limit_per_s,
+            is_limit_unreadable=bool(stated_limits) and limit_per_s is None,
         )
 
     def write_refusal(self, request_id: str, retry_after_ms: int | None) -> dialects.Headers:
@@ -199,3 +207,9 @@
     if text is None or not (text.isascii() and text.isdecimal()):
         return None
     return int(text) if len(text) <= _LONGEST_COLD else None
+
+
+def _read_limit(values: list[str]) -> float | None:
+    """Return the strictest of the limits that can be read; None if there is none."""
+    limits = [float(value) for value in values if _DECIMAL.fullmatch(value)]
+    return min(limits, default=None)
--- /dev/null
+++ b/tests/unit/test_limit_book.py
@@ -0,0 +1,87 @@
+"""The newest rate limit of each instance: what wins, what is passed on, what is forgotten."""
+
+import hypothesis
+from hypothesis import strategies
+
+from spoolhead._internal.models import rate_limit
+from spoolhead._internal.policy import limit_book
+
+KEY = 7
+
+
+def test_an_answer_without_a_limit_lifts_it():
+    book = limit_book.LimitBook()
+    assert book.record(KEY, 2.0, 1.0)
+    assert book.get_limit_per_s(KEY) == 2.0
+    assert book.record(KEY, None, 2.0)
+    assert book.get_limit_per_s(KEY) is None
+
+
+def test_that_there_is_no_limit_is_passed_on_only_where_it_lifts_one():
+    book = limit_book.LimitBook()
+    assert not book.record(KEY, None, 1.0)
+    assert not book.record(KEY, None, 9.0)
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.one_of(strategies.none(), strategies.floats(0, 100)),
+            strategies.integers(0, 1000),
+        ),
+        min_size=1,
+        unique_by=lambda item: item[1],
+    ),
+    strategies.randoms(),
+)
+def test_the_newest_statement_wins_in_any_order(statements, chance):
+    shuffled = list(statements)
+    chance.shuffle(shuffled)
+    first, second = limit_book.LimitBook(), limit_book.LimitBook()
+    for limit_per_s, stated_s in statements:
+        first.record(KEY, limit_per_s, stated_s)
+    for limit_per_s, stated_s in shuffled:
+        second.merge([rate_limit.AgedLimit(KEY, limit_per_s, (1000 - stated_s) * 1000)], 1000.0)
+    newest = max(statements, key=lambda item: item[1])[0]
+    assert first.get_limit_per_s(KEY) == second.get_limit_per_s(KEY) == newest
+
+
+def test_a_limit_of_zero_is_a_limit_and_one_beyond_all_load_is_none():
+    book = limit_book.LimitBook()
+    book.record(KEY, 0.0, 1.0)
+    assert book.get_limit_per_s(KEY) == 0.0
+    book.record(KEY, 1e9, 2.0)
+    assert book.get_limit_per_s(KEY) is None
+
+
+def test_the_same_limit_is_passed_on_again_once_the_last_report_is_old():
+    book = limit_book.LimitBook()
+    book.record(KEY, 2.0, 1.0)
+    assert not book.record(KEY, 2.0, 1.1)
+    assert book.record(KEY, 2.0, 1.1 + limit_book.RESTATED_S)
+
+
+def test_old_statements_are_forgotten():
+    book = limit_book.LimitBook()
+    book.record(1, 2.0, 0.0)
+    book.record(2, 2.0, 0.0)
+    book.record(2, None, 1.0)
+    book.expire(1.0 + limit_book.UNLIMITED_KEPT_S + 0.1)
+    assert (book.get(2), book.get_limit_per_s(1)) == (None, 2.0)
+    book.expire(limit_book.LIMIT_KEPT_S + 0.1)
+    assert len(book) == 0
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 2**32 - 1),
+            strategies.one_of(strategies.none(), strategies.floats(0, 1e9)),
+            strategies.integers(0, 10**6),
+        )
+    )
+)
+def test_limits_are_read_from_datagrams_as_they_were_written(values):
+    limits = [rate_limit.AgedLimit(*item) for item in values]
+    read = rate_limit.unpack(rate_limit.pack(limits))
+    assert [(item.key, item.limit_per_s, item.age_ms) for item in read] == values
--- /dev/null
+++ b/tests/unit/test_upstream_limits.py
@@ -0,0 +1,69 @@
+"""Rate limits that instances state in their answers, as an entry reads and logs them."""
+
+import logging
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.models import route_table
+from spoolhead.platform import dialect
+
+ONCE = route_table.RequestKind.ONCE
+
+
+def _read(*values):
+    headers = [("server-limit", value) for value in values]
+    return dialect.Dialect().read_answer(200, headers)
+
+
+@pytest.mark.parametrize(
+    ("text", "limit_per_s"),
+    [("2", 2.0), ("2.1", 2.1), ("0", 0.0), ("0.01", 0.01), ("1e9", 1e9), (" 3 ", 3.0)],
+)
+def test_a_decimal_number_is_a_limit(text, limit_per_s):
+    head = _read(text)
+    assert (head.limit_per_s, head.is_limit_unreadable) == (limit_per_s, False)
+
+
+@pytest.mark.parametrize("text", ["", "soon", "-1", "nan", "inf", "1_000", "2,5", "9" * 400])
+def test_what_is_no_number_is_neither_a_limit_nor_its_end(text):
+    head = _read(text)
+    assert (head.limit_per_s, head.is_limit_unreadable) == (None, True)
+
+
+def test_of_several_limits_the_strictest_counts():
+    assert _read("4", "x", "2.5").limit_per_s == 2.5
+
+
+def test_the_limit_is_not_passed_on_to_the_caller():
+    assert _read("2").headers == []
+
+
+def _get_changes(caplog):
+    return [
+        (item.fields["limit_per_s"], item.fields["before_per_s"])
+        for item in caplog.records
+        if item.getMessage() == "upstream changed its rate limit"
+    ]
+
+
+def test_each_change_of_a_limit_is_logged_once(caplog):
+    caplog.set_level(logging.INFO)
+    setting = gateway_setting.Setting(ONCE, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    limits = setting.context.limits
+    for now_s, text in enumerate(("2", "2", "x", "3")):
+        limits.take_answer(upstream, _read(text), float(now_s))
+    limits.take_answer(upstream, _read(), 9.0)
+    assert _get_changes(caplog) == [(2.0, None), (3.0, 2.0), (None, 3.0)]
+    unreadable = "upstream stated an unreadable rate limit"
+    assert [item.getMessage() for item in caplog.records].count(unreadable) == 1
+
+
+def test_an_answer_of_another_instance_says_nothing_of_this_one():
+    setting = gateway_setting.Setting(ONCE, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    limits = setting.context.limits
+    limits.take_answer(upstream, _read("2"), 1.0)
+    limits.take_answer(upstream, dialect.Dialect().read_answer(421, []), 2.0)
+    assert limits.book.get_limit_per_s(upstream.key) == 2.0
