--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -70,9 +70,12 @@
 
 
 class PlatformFleet:
-    """Processes, each on a loopback address of its own."""
+    """Processes, each on a loopback address of its own.
 
-    def __init__(self, folder):
+    :param entries: number of entries.
+    """
+
+    def __init__(self, folder, *, entries=2):
         self.folder = folder
         self.processes = {}
         self.peer_port = _find_port()
@@ -82,7 +85,7 @@
         # the same for all.
         net = f"127.{100 + self.port % 100}.{self.peer_port % 250}"
         self.keeper_hosts = {f"keeper-{i}": f"{net}.{10 + i}" for i in (1, 2, 3)}
-        self.entry_hosts = {f"entry-{i}": f"{net}.{20 + i}" for i in (1, 2)}
+        self.entry_hosts = {f"entry-{i}": f"{net}.{20 + i}" for i in range(1, entries + 1)}
 
     def __enter__(self):
         return self
@@ -91,7 +94,7 @@
         for name in list(self.processes):
             self.kill(name)
 
-    def start(self, entries=("entry-1", "entry-2"), step_ms=10):
+    def start(self, entries=None, step_ms=10):
         arguments = [sys.executable, "-m", "standins.platform", "--step-ms", str(step_ms)]
         for instance in INSTANCES:
             arguments += ["--instance", instance]
@@ -104,11 +107,11 @@
         self.list_address = f"127.0.0.1:{line.strip().partition('port=')[2]}"
         for name in self.keeper_hosts:
             self.start_keeper(name, is_first_start=True)
-        for name in entries:
+        for name in self.entry_hosts if entries is None else entries:
             self.start_entry(name)
 
     def start_serving(self):
-        """Start all, put a first table in force and wait until both entries serve by it."""
+        """Start all, put a first table in force and wait until all entries serve by it."""
         self.start()
         self.put_until_taken("keeper-1", make_table(3))
         self.wait_until_ready(*self.entry_hosts)
@@ -255,6 +258,11 @@
         body = json.dumps({"instance": instance, **changes}).encode()
         assert send(self.list_address, "POST", "/_set", body).status == 200
 
+    def get_arrivals(self, instance):
+        """Return when requests arrived at an instance, run or not."""
+        arrivals = json.loads(send(self.list_address, "GET", "/_arrivals").body)
+        return [item["at_s"] for item in arrivals if item["instance"] == instance]
+
     def get_ends(self):
         """Return the instances that a request ended, with when."""
         return json.loads(send(self.list_address, "GET", "/_ends").body)
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,8 +3,9 @@
 One process listens for the list and for every instance. A plain instance echoes; a model
 instance streams numbered events and lets a run go on at another instance from a copy. A test
 steers it by ``POST /_set`` at the list's address (``{"instance": .., "state": .., "dead": ..,
-"address": ..}``) and reads ``GET /_runs``. A request whose body begins with :data:`CRASH_BODY` ends
-the instance that begins to run it; another one starts at the address a while later.
+"address": .., "limit": ..}``) and reads ``GET /_runs`` and ``GET /_arrivals``. A request whose body
+begins with :data:`CRASH_BODY` ends the instance that begins to run it; another one starts at the
+address a while later.
 """
 
 import argparse
@@ -33,6 +34,7 @@
     :ivar starts: processes that have served there.
     :ivar listens: host and port at which it listens; its address may be that of a proxy.
     :ivar is_down: the last one has ended under a request, and the next has not started.
+    :ivar limit: requests a second that it states in its answers; empty for none.
     """
 
     def __init__(self, name: str, service: str, address: str, zone: str) -> None:
@@ -49,6 +51,12 @@
         self.starts = 1
         self.is_down = False
         self.listens = ("", 0)
+        self.limit = ""
+
+    @property
+    def stated_headers(self) -> dict[str, str]:
+        """What it says of itself in each answer to a request."""
+        return {"Server-Limit": self.limit} if self.limit else {}
 
     @property
     def place(self) -> str:
@@ -104,6 +112,7 @@
         self._handles = 0
         self._crashes: set[asyncio.Task] = set()
         self.ends: list[dict] = []
+        self.arrivals: list[dict] = []
         self.instances: dict[str, Instance] = {}
         self.foreign: list[object] = []
 
@@ -129,6 +138,8 @@
             answer.send_json(200, {"instances": listed, "next_token": None})
         elif request.path == "/_runs":
             answer.send_json(200, self._runs)
+        elif request.path == "/_arrivals":
+            answer.send_json(200, self.arrivals)
         elif request.path == "/_ends":
             answer.send_json(200, self.ends)
         else:
@@ -139,6 +150,7 @@
             instance.is_dead = order.get("dead", instance.is_dead)
             instance.address = order.get("address", instance.address)
             instance.zone = order.get("zone", instance.zone)
+            instance.limit = order.get("limit", instance.limit)
             if "born" in order:
                 instance.start_again(order["born"])
             if instance.is_dead:
@@ -174,7 +186,21 @@
             answer.send_json(200, {})
         elif request.headers.get("x-expected-replica") != instance.name:
             answer.send(421, b"", content_type="text/plain")
-        elif "x-token-usage" in request.headers:
+        else:
+            await self._take(instance, request, answer)
+
+    async def _take(
+        self, instance: Instance, request: http_server.Request, answer: http_server.Answer
+    ) -> None:
+        """Take a request that is meant for this instance."""
+        self.arrivals.append(
+            {
+                "instance": instance.place,
+                "id": request.headers.get("x-request-id"),
+                "at_s": time.monotonic(),
+            }
+        )
+        if "x-token-usage" in request.headers:
             await self._stream(instance, request, answer)
         else:
             await self._echo(instance, request, answer)
@@ -218,6 +244,7 @@
             delay_ms = 2_000 * CRASH_AFTER_S
         await asyncio.sleep(delay_ms / 1000)
         headers = {"X-Request-Id": request.headers["x-request-id"], SIGNATURE: "s"}
+        headers |= instance.stated_headers
         answer.send(200, request.body or b"empty", content_type="text/plain", headers=headers)
 
     async def _stream(
@@ -235,6 +262,7 @@
         count = int(request.headers["x-token-usage"].split(",")[1])
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
         head += f"X-Request-Id: {request.headers['x-request-id']}\r\n{SIGNATURE}: s\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in instance.stated_headers.items())
         answer._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
         if request.body.startswith(CRASH_BODY):
             await asyncio.sleep(2 * CRASH_AFTER_S)
