Policy: decide in one place whether a request may go to an instance

What bounds an instance's share stood in choose() and choose_holder() side by side. upstream_gate answers it for both, as a named reason; log lines count them as 'barred' instead of 'cold_full' and 'evacuated'.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -106,7 +106,7 @@
             silent_halls=context.get_silent_halls(),
             cut_halls=context.get_cut_halls(now_s),
             now_s=now_s,
-            cold_starts=context.cold_starts,
+            gate=context.gate,
             chance=context.chance,
         )
         choice = upstream_choice.choose(
@@ -132,10 +132,8 @@
             "news_age_ms": self._context.get_news_age_ms(),
             "remaining_ms": self.remaining_ms,
         }
-        if choice.cold_full:
-            fields["cold_full"] = choice.cold_full
-        if choice.evacuated:
-            fields["evacuated"] = choice.evacuated
+        if choice.barred:
+            fields["barred"] = {bar.value: count for bar, count in choice.barred.items()}
         logger.info(action, extra={"fields": fields})
 
     def send_attempt(
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -7,7 +7,13 @@
 from spoolhead._internal.gateway import entry_figures, run_queue, upstream_limits
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
-from spoolhead._internal.policy import cold_start, hall_reach, retry_allowance, upstream_book
+from spoolhead._internal.policy import (
+    cold_start,
+    hall_reach,
+    retry_allowance,
+    upstream_book,
+    upstream_gate,
+)
 from spoolhead._internal.utils import clocks
 
 
@@ -30,6 +36,7 @@
     :ivar entry_count: entries that there are.
     :ivar reach: which halls can be reached.
     :ivar cold_starts: what this entry may send to instances that are cold.
+    :ivar gate: what bounds this entry's requests to instances.
     :ivar limits: rate limits that instances stated.
     :ivar contents: what is known of requests that may end instances.
     :ivar ask_lost: called with an instance that took a request and lost it, to find out whether it
@@ -48,6 +55,7 @@
         "dialect",
         "entry_count",
         "figures",
+        "gate",
         "get_news_age_ms",
         "get_silent_halls",
         "limits",
@@ -95,6 +103,7 @@
         self.entry_count = 1
         self.reach = hall_reach.HallReach(config.hall)
         self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
+        self.gate = upstream_gate.Gate(self.cold_starts)
         self.limits = upstream_limits.UpstreamLimits()
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -191,7 +191,7 @@
             running_at=running_at,
             excluded=self._refusers,
             now_s=clocks.get_s(),
-            cold_starts=self._context.cold_starts,
+            gate=self._context.gate,
         )
 
     def _hold(self, holder: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Sequence
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import cold_start, upstream_book
+from spoolhead._internal.policy import upstream_book, upstream_gate
 
 OTHER_HALL_COST = 0.4
 """What another hall counts against a holder, as a share of a memory: a copy between halls takes
@@ -26,7 +26,7 @@
     running_at: upstream_book.Upstream,
     excluded: Collection[str],
     now_s: float,
-    cold_starts: cold_start.ColdStarts,
+    gate: upstream_gate.Gate,
 ) -> upstream_book.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
@@ -35,7 +35,7 @@
 
     :param running_at: where the run is.
     :param excluded: runs of instances that have just refused.
-    :param cold_starts: what this entry may send to instances that are cold.
+    :param gate: what bounds this entry's requests to instances.
     :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
@@ -46,8 +46,7 @@
         for upstream in upstreams
         if upstream is not running_at
         and upstream.instance.life_id not in excluded
-        and upstream.is_usable(now_s)
-        and cold_starts.may_send(service, upstream, now_s)
+        and gate.get_bar(service, upstream, now_s) is None
     ]
 
     def _get_cost(upstream: upstream_book.Upstream) -> float:
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -1,10 +1,11 @@
 """Which instance a request goes to; no I/O, time passed in."""
 
+import collections
 import random
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import cold_start, upstream_book
+from spoolhead._internal.policy import upstream_book, upstream_gate
 
 OTHER_HALL_COST = 0.1
 """What another hall counts against an instance, as a share of its capacity: a tenth more work
@@ -25,6 +26,10 @@
 of the time in which a first token is wanted."""
 
 
+_DEPARTED = (upstream_gate.Bar.LEAVING, upstream_gate.Bar.REPLACED)
+_OUT_OF_REACH = (upstream_gate.Bar.CUT_OFF, upstream_gate.Bar.EVACUATED)
+
+
 class Candidate:
     """An instance and why it was or was not chosen.
 
@@ -46,24 +51,21 @@
     :ivar candidates: what it was chosen from.
     :ivar is_cut_off: there are instances, but none in a hall that can be reached and is not
         evacuated.
-    :ivar cold_full: instances that are cold and get no more of this entry just now.
-    :ivar evacuated: instances that would take it but stand in evacuated halls.
+    :ivar barred: how many untried instances may get nothing, by the reason.
     """
 
-    __slots__ = ("candidates", "cold_full", "evacuated", "is_cut_off", "upstream")
+    __slots__ = ("barred", "candidates", "is_cut_off", "upstream")
 
     def __init__(
         self,
         candidates: Sequence[Candidate],
         *,
         is_cut_off: bool = False,
-        cold_full: int = 0,
-        evacuated: int = 0,
+        barred: Mapping[upstream_gate.Bar, int] | None = None,
     ) -> None:
         self.candidates = candidates
         self.is_cut_off = is_cut_off
-        self.cold_full = cold_full
-        self.evacuated = evacuated
+        self.barred = barred or {}
         self.upstream = candidates[0].upstream if candidates else None
 
     def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
@@ -76,12 +78,7 @@
 
     def _order(self, get_rank: Callable[[upstream_book.Upstream], int]) -> "Choice":
         ordered = sorted(self.candidates, key=lambda item: get_rank(item.upstream))
-        return Choice(
-            ordered,
-            is_cut_off=self.is_cut_off,
-            cold_full=self.cold_full,
-            evacuated=self.evacuated,
-        )
+        return Choice(ordered, is_cut_off=self.is_cut_off, barred=self.barred)
 
 
 class View:
@@ -91,11 +88,11 @@
     :ivar silent_halls: halls from which nothing has been heard for a while.
     :ivar cut_halls: halls that cannot be reached just now.
     :ivar now_s: monotonic time in seconds.
-    :ivar cold_starts: what this entry may send to instances that are cold.
+    :ivar gate: what bounds this entry's requests to instances.
     :ivar chance: source of random numbers.
     """
 
-    __slots__ = ("chance", "cold_starts", "cut_halls", "hall", "now_s", "silent_halls")
+    __slots__ = ("chance", "cut_halls", "gate", "hall", "now_s", "silent_halls")
 
     def __init__(
         self,
@@ -104,14 +101,14 @@
         silent_halls: Collection[str],
         cut_halls: Collection[str],
         now_s: float,
-        cold_starts: cold_start.ColdStarts,
+        gate: upstream_gate.Gate,
         chance: random.Random,
     ) -> None:
         self.hall = hall
         self.silent_halls = silent_halls
         self.cut_halls = cut_halls
         self.now_s = now_s
-        self.cold_starts = cold_starts
+        self.gate = gate
         self.chance = chance
 
 
@@ -135,22 +132,23 @@
     :param need_tokens: memory that the request will hold at a model engine.
     :param excluded: runs of instances that it must not go to.
     """
-    staying = [
-        upstream
+    bars = [
+        view.gate.get_bar(service, upstream, view.now_s, cut_halls=view.cut_halls)
         for upstream in upstreams
-        if not upstream.is_leaving and not upstream.is_replaced(view.now_s)
     ]
-    reachable = [
-        item
-        for item in staying
-        if item.instance.hall not in view.cut_halls and not item.is_evacuated
+    untried = [
+        (upstream, bar)
+        for upstream, bar in zip(upstreams, bars, strict=True)
+        if upstream.instance.life_id not in excluded
     ]
-    untried = [item for item in reachable if item.instance.life_id not in excluded]
-    allowed = [item for item in untried if view.cold_starts.may_send(service, item, view.now_s)]
-    usable = [upstream for upstream in allowed if upstream.is_usable(view.now_s)]
+    usable = [upstream for upstream, bar in untried if bar is None]
     if not usable:
         usable = [
-            upstream for upstream in allowed if upstream.instance.hall not in view.silent_halls
+            upstream
+            for upstream, bar in untried
+            if bar is not None
+            and not bar.is_binding
+            and upstream.instance.hall not in view.silent_halls
         ]
     other_hall_cost = _get_other_hall_cost(usable, view.hall)
     candidates = [
@@ -161,12 +159,17 @@
     candidates.sort(key=lambda candidate: candidate.cost)
     return Choice(
         candidates,
-        is_cut_off=bool(staying) and not reachable,
-        cold_full=len(untried) - len(allowed),
-        evacuated=sum(item.is_evacuated for item in staying),
+        is_cut_off=_is_cut_off(bars),
+        barred=collections.Counter(bar for _, bar in untried if bar is not None),
     )
 
 
+def _is_cut_off(bars: Collection[upstream_gate.Bar | None]) -> bool:
+    """Tell whether instances are there, but only where nothing may go."""
+    staying = [bar for bar in bars if bar not in _DEPARTED]
+    return bool(staying) and all(bar in _OUT_OF_REACH for bar in staying)
+
+
 def _get_other_hall_cost(usable: Sequence[upstream_book.Upstream], hall: str) -> float:
     home_count = sum(upstream.instance.hall == hall for upstream in usable)
     return OTHER_HALL_COST * min(max(1, home_count - 1), HOME_COUNT_LIMIT)
--- a/tests/lib/placement_load.py
+++ b/tests/lib/placement_load.py
@@ -10,7 +10,13 @@
 
 from lib import gateway_setting
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import cold_start, run_admission, upstream_book, upstream_choice
+from spoolhead._internal.policy import (
+    cold_start,
+    run_admission,
+    upstream_book,
+    upstream_choice,
+    upstream_gate,
+)
 
 
 class Kind:
@@ -103,7 +109,7 @@
             silent_halls=(),
             cut_halls=(),
             now_s=self.now_s,
-            cold_starts=cold_start.ColdStarts("entry-1", hall),
+            gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", hall)),
             chance=self.chance,
         )
         engine = self.service.engine
--- a/tests/patterns/test_cold_instance.py
+++ b/tests/patterns/test_cold_instance.py
@@ -11,7 +11,7 @@
 
 from lib import cold_fleet, gateway_setting
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import upstream_book, upstream_gate
 
 COLD_PER_S = 25.0
 ALLOWED = COLD_PER_S * 1.5 + 5
@@ -63,7 +63,7 @@
     setting.exchange._tried.clear()
     choice = setting.exchange.choose(0)
     assert choice.upstream is None
-    assert choice.cold_full == 1
+    assert choice.barred == {upstream_gate.Bar.COLD: 1}
     upstream.note_cold(0, 0.0)
     assert setting.exchange.choose(0).upstream is upstream
 
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -10,6 +10,7 @@
     run_safety,
     upstream_book,
     upstream_choice,
+    upstream_gate,
     watch_duty,
 )
 
@@ -33,7 +34,7 @@
         silent_halls=silent,
         cut_halls=cut,
         now_s=now_s,
-        cold_starts=cold_start.ColdStarts("entry-1", "hall-a"),
+        gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", "hall-a")),
         chance=random.Random(1),
     )
     return upstream_choice.choose(
@@ -194,7 +195,7 @@
             running_at=book.get("here"),
             excluded=(),
             now_s=100.0,
-            cold_starts=cold_start.ColdStarts("entry-1", "hall-a"),
+            gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", "hall-a")),
         )
 
     assert _choose_holder().instance.instance_id == "mate"
