--- /dev/null
+++ b/benchmarks/rate_sharing.py
@@ -0,0 +1,154 @@
+"""Ways to share the rate that an instance accepts among all entries, compared without a network.
+
+One of three instances states a limit, requests come to the entries unevenly (one in eight thrice
+as often), and the instance is the emptiest.
+Usage: .venv/bin/python benchmarks/rate_sharing.py
+"""
+
+import collections
+import pathlib
+import random
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tools")]
+
+from lib import limit_fleet  # noqa: E402
+
+SIZES = ((8, 3), (24, 3), (65, 4), (350, 15))
+LIMITS_PER_S = (0.5, 2.0, 20.0)
+PLAY_S = 20.0
+SEEDS = (1, 2, 3)
+NEWS_AGE_S = 0.1
+"""Age of what an entry knows of the others' demand."""
+
+
+def _get_requests_per_s(entries):
+    return max(50, entries)
+
+
+def _make_weights(entries):
+    return [3 if number % 8 == 0 else 1 for number in range(entries)]
+
+
+class FixedSenders:
+    """As many entries as the instance accepts requests a second, drawn by lot; one at least."""
+
+    name = "fixed senders"
+
+    def __init__(self, entries, limit_per_s, chance):
+        senders = chance.sample(range(entries), min(entries, max(1, int(limit_per_s))))
+        self._pause_s = dict.fromkeys(senders, len(senders) / limit_per_s)
+        self._sent_s = {}
+
+    def may_send(self, number, now_s):
+        """Tell whether an entry to which a request has come may send it, and count it as sent."""
+        pause_s = self._pause_s.get(number)
+        if pause_s is None or now_s - self._sent_s.get(number, -1e9) < pause_s:
+            return False
+        self._sent_s[number] = now_s
+        return True
+
+
+class EqualParts(FixedSenders):
+    """Each entry an equal part."""
+
+    name = "equal parts"
+
+    def __init__(self, entries, limit_per_s, chance):
+        super().__init__(entries, limit_per_s, chance)
+        self._pause_s = dict.fromkeys(range(entries), entries / limit_per_s)
+        self._sent_s = {n: -chance.uniform(0, entries / limit_per_s) for n in range(entries)}
+
+
+class SharesByDemand:
+    """Each entry a part in proportion to its requests of the last seconds, as hubs would tell."""
+
+    name = "shares by demand"
+    WINDOW_S = 2.0
+
+    def __init__(self, entries, limit_per_s, chance):
+        self._limit_per_s = limit_per_s
+        self._wanted = [collections.deque() for _ in range(entries)]
+        self._all = collections.deque()
+        self._tokens = [chance.random() for _ in range(entries)]
+        self._updated_s = [0.0] * entries
+
+    def may_send(self, number, now_s):
+        """Tell whether an entry to which a request has come may send it, and count it as sent."""
+        own, everyone = self._wanted[number], self._all
+        own.append(now_s)
+        everyone.append(now_s)
+        while own[0] < now_s - self.WINDOW_S:
+            own.popleft()
+        while everyone[0] < now_s - self.WINDOW_S - NEWS_AGE_S:
+            everyone.popleft()
+        part = min(1.0, len(own) / len(everyone))
+        passed_s = now_s - self._updated_s[number]
+        self._updated_s[number] = now_s
+        tokens = self._tokens[number] + passed_s * self._limit_per_s * part
+        self._tokens[number] = min(1.0, tokens)
+        if self._tokens[number] < 1.0:
+            return False
+        self._tokens[number] -= 1.0
+        return True
+
+
+def _play(cls, entries, limit_per_s, seed):
+    chance = random.Random(seed)
+    way = cls(entries, limit_per_s, chance)
+    weights = _make_weights(entries)
+    now_s, sent = 0.0, []
+    while now_s < PLAY_S + limit_fleet.CONTACT_S:
+        now_s += chance.expovariate(_get_requests_per_s(entries))
+        number = chance.choices(range(entries), weights)[0]
+        if way.may_send(number, now_s) and now_s >= limit_fleet.CONTACT_S:
+            sent.append((now_s, number))
+    return sent
+
+
+def _play_granter(entries, halls, limit_per_s, seed):
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls, seed=seed)
+    name = fleet.instances[0]
+    fleet.set_limit(limit_per_s, name)
+    weights = _make_weights(entries)
+    numbers = [number for number, weight in enumerate(weights) for _ in range(weight)]
+    fleet.begin_traffic(_get_requests_per_s(entries), entries=numbers)
+    fleet.run(limit_fleet.CONTACT_S)
+    bound_s = fleet.clock()
+    fleet.run(PLAY_S)
+    return [item for item in fleet.upstreams[name].arrivals if item[0] >= bound_s]
+
+
+def _describe(sent, entries, limit_per_s):
+    most = limit_fleet.get_most([time_s for time_s, _ in sent])
+    used = len(sent) / (limit_per_s * PLAY_S)
+    senders = len({number for _, number in sent})
+    return most, used, senders / min(entries, max(1, len(sent)))
+
+
+def _print(name, results, limit_per_s):
+    most = max(item[0] for item in results)
+    used = sum(item[1] for item in results) / len(results)
+    spread = sum(item[2] for item in results) / len(results)
+    allowed = limit_fleet.get_allowed(limit_per_s)
+    print(f"| {name} | {most} of {allowed:.0f} | {used:.2f} | {spread:.2f} |", flush=True)
+
+
+def main():
+    """Print a table for each size of fleet and each limit."""
+    for entries, halls in SIZES:
+        for limit_per_s in LIMITS_PER_S:
+            print(f"\n{entries} entries, {limit_per_s} a second")
+            print("| way | most in 4 s | used | spread over entries |\n|---|---|---|---|")
+            for cls in (EqualParts, FixedSenders, SharesByDemand):
+                plays = [_play(cls, entries, limit_per_s, seed) for seed in SEEDS]
+                results = [_describe(sent, entries, limit_per_s) for sent in plays]
+                _print(cls.name, results, limit_per_s)
+            plays = [_play_granter(entries, halls, limit_per_s, seed) for seed in SEEDS]
+            results = [_describe(sent, entries, limit_per_s) for sent in plays]
+            _print("one grants", results, limit_per_s)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/spoolhead/_internal/gateway/entry_figures.py
+++ b/src/spoolhead/_internal/gateway/entry_figures.py
@@ -31,6 +31,9 @@
         self.evacuated_halls = made.make_gauge(
             "spoolhead_evacuated_halls", "Halls to which nothing more is sent."
         )
+        self.limited_upstreams = made.make_gauge(
+            "spoolhead_limited_upstreams", "Instances that state a rate limit."
+        )
         self.held_contents = made.make_gauge(
             "spoolhead_held_contents",
             "Contents of requests that are held since instances ended under them.",
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -3,7 +3,13 @@
 import logging
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import attempts, exchange_context, refusals, routed_job
+from spoolhead._internal.gateway import (
+    attempts,
+    exchange_context,
+    permit_exchange,
+    refusals,
+    routed_job,
+)
 from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import quarantine, run_admission, upstream_book, upstream_choice
@@ -16,6 +22,11 @@
 connections and of the shortest rest of an upstream."""
 
 
+PERMIT_WAIT_PART = 1 / 6
+"""Part of its time for which a request waits for a permit where all instances are limited: after
+that its caller may as well come back."""
+
+
 class Exchange:
     """One request. Subclasses say what is done with an attempt's answer.
 
@@ -42,6 +53,7 @@
         wait_ms = job.route.timeout_ms
         if job.head.wait_ms is not None:
             wait_ms = min(wait_ms, job.head.wait_ms)
+        self._wait_ms = wait_ms
         self._deadline_s = self._arrived_s + wait_ms / 1000
         self._timer = context.timers.call_later(wait_ms / 1000, self._on_deadline)
         self._tried: set[str] = set()
@@ -50,6 +62,8 @@
         self._attempt: attempts.Attempt | None = None
         self._runs_apart = False
         self._is_trial = False
+        self._is_asking = False
+        self._permitted = ""
         caller.on_gone = self._on_caller_gone
 
     @property
@@ -107,6 +121,8 @@
             cut_halls=context.get_cut_halls(now_s),
             now_s=now_s,
             gate=context.gate,
+            claim=self.job.claim,
+            permitted=self._permitted,
             chance=context.chance,
         )
         choice = upstream_choice.choose(
@@ -116,8 +132,57 @@
             excluded=self._tried,
             view=view,
         )
-        # What may end its instance should take few others with it.
-        return choice.prefer_least_shared() if self._runs_apart else choice
+        if self._runs_apart:
+            # What may end its instance should take few others with it.
+            choice = choice.prefer_least_shared()
+        return choice.prefer(lambda upstream: upstream.instance.life_id == self._permitted)
+
+    def must_ask(self, choice: upstream_choice.Choice) -> bool:
+        """Ask for a permit if the chosen instance is limited.
+
+        :returns: whether the request has to wait; :meth:`on_permit` is called with the reply.
+        """
+        upstream = choice.upstream
+        if upstream is None or upstream.instance.life_id == self._permitted:
+            return False
+        if not self._context.gate.is_limited(upstream):
+            return False
+        self._is_asking = True
+        request = permit_exchange.Request(
+            self.job.claim,
+            is_retry=bool(self._tried),
+            wait_ms=self._get_permit_wait_ms(choice),
+            is_final=len(choice.candidates) == 1,
+        )
+        fields = {**self.get_fields(), "upstream": upstream.instance.life_id}
+        fields["wait_ms"] = request.wait_ms
+        logger.info("waits for a permit", extra={"fields": fields})
+        self._context.permits.ask(
+            upstream, request, lambda is_granted: self._take_permit(upstream, is_granted)
+        )
+        return True
+
+    def on_permit(self) -> None:
+        """Go on, now that it is known whether the chosen instance may take the request."""
+        raise NotImplementedError
+
+    def _get_permit_wait_ms(self, choice: upstream_choice.Choice) -> int:
+        """Return how long the request may wait for a permit: not where others may take it."""
+        if not all(self._context.gate.is_limited(item.upstream) for item in choice.candidates):
+            return 0
+        waits_until_s = self._arrived_s + self._wait_ms * PERMIT_WAIT_PART / 1000
+        return max(0, int((waits_until_s - clocks.get_s()) * 1000))
+
+    def _take_permit(self, upstream: upstream_book.Upstream, is_granted: bool) -> None:
+        self._is_asking = False
+        fields = {**self.get_fields(), "upstream": upstream.instance.life_id}
+        fields["is_granted"] = is_granted
+        fields["is_over"] = self.is_over
+        logger.info("permit decided", extra={"fields": fields})
+        if self.is_over:
+            return
+        self._permitted = upstream.instance.life_id if is_granted else ""
+        self.on_permit()
 
     def log_choice(self, action: str, choice: upstream_choice.Choice) -> None:
         """Log where the request goes and what it was chosen from."""
@@ -150,6 +215,7 @@
         )
         self._context.figures.attempts.labels(self.job.route.kind.value).inc()
         upstream.note_sent(clocks.get_s())
+        self._permitted = ""
         return self._context.calls.open(
             upstream.instance.address,
             data,
@@ -305,10 +371,12 @@
             self._note_abandoned_run(attempt)
             attempt.call.cancel()
 
-    def fail_without_upstream(self) -> None:
+    def fail_without_upstream(self, choice: upstream_choice.Choice) -> None:
         """Refuse the request, since no instance may take it."""
         text = f"no upstream of {self.job.service.name} is usable"
-        come_back_ms = run_admission.get_come_back_ms(self.remaining_ms)
+        come_back_ms = choice.retry_after_ms
+        if come_back_ms is None:
+            come_back_ms = run_admission.get_come_back_ms(self.remaining_ms)
         self.fail(codes.ResultCode.NO_UPSTREAM, text, retry_after_ms=come_back_ms)
 
     def _on_deadline(self) -> None:
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import entry_figures, run_queue, upstream_limits
+from spoolhead._internal.gateway import entry_figures, permit_exchange, run_queue, upstream_limits
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import (
@@ -38,6 +38,7 @@
     :ivar cold_starts: what this entry may send to instances that are cold.
     :ivar gate: what bounds this entry's requests to instances.
     :ivar limits: rate limits that instances stated.
+    :ivar permits: asks for leave to send to limited instances.
     :ivar contents: what is known of requests that may end instances.
     :ivar ask_lost: called with an instance that took a request and lost it, to find out whether it
         has ended.
@@ -62,6 +63,7 @@
         "on_change",
         "on_lost_request",
         "on_replaced",
+        "permits",
         "queue",
         "reach",
         "timers",
@@ -80,6 +82,8 @@
         on_lost_request: Callable[[str], None],
         on_replaced: Callable[[upstream_book.Upstream], None],
         contents: content_watch.ContentWatch,
+        limits: upstream_limits.UpstreamLimits,
+        permits: permit_exchange.PermitExchange,
         ask_lost: Callable[[upstream_book.Upstream], None],
         get_silent_halls: Callable[[], frozenset[str]],
         get_news_age_ms: Callable[[], int],
@@ -103,8 +107,9 @@
         self.entry_count = 1
         self.reach = hall_reach.HallReach(config.hall)
         self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
-        self.gate = upstream_gate.Gate(self.cold_starts)
-        self.limits = upstream_limits.UpstreamLimits()
+        self.limits = limits
+        self.permits = permits
+        self.gate = upstream_gate.Gate(self.cold_starts, limits.book, permits.backoff)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
 
     def get_cut_halls(self, now_s: float) -> frozenset[str]:
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -59,6 +59,8 @@
         self.has_not_run = head.has_not_run
         self.cold_ms = head.cold_ms or 0
         self.instance_id = head.instance_id
+        if self.instance_id in ("", self.upstream.instance.instance_id):
+            self.owner.on_answer(self.upstream, head)
 
     def on_answer_body(self, data: bytes) -> None:
         pass
@@ -90,6 +92,7 @@
     :param on_cold: called with an instance that has just said to be cold, and for how many
         milliseconds more.
     :param on_replaced: called with an instance at whose address another one was found to answer.
+    :param on_answer: called with the head of each answer of the instance that was asked.
     """
 
     def __init__(
@@ -106,6 +109,7 @@
         on_alarm: Callable[[upstream_book.Upstream, shared_load.AlarmKind], None],
         on_cold: Callable[[upstream_book.Upstream, int], None],
         on_replaced: Callable[[upstream_book.Upstream], None],
+        on_answer: Callable[[upstream_book.Upstream, dialects.AnswerHead], None],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -117,6 +121,7 @@
         self._on_alarm = on_alarm
         self._on_cold = on_cold
         self._on_replaced = on_replaced
+        self.on_answer = on_answer
         self._probes: dict[str, _Probe] = {}
         self._silences: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import alarm_exchange
+from spoolhead._internal.gateway import alarm_exchange, upstream_limits
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
@@ -54,6 +54,7 @@
     :param config: the entry's settings.
     :param book: the instances.
     :param contents: what is known of requests that may end instances; told along.
+    :param limits: rate limits that instances stated; told along.
     :param send: sends a datagram.
     :param on_alarm: called with an instance that another entry found bad.
     :param on_news: called when what others hold has changed.
@@ -67,6 +68,7 @@
         config: settings.GatewaySettings,
         book: upstream_book.UpstreamBook,
         contents: content_watch.ContentWatch,
+        limits: upstream_limits.UpstreamLimits,
         *,
         send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_book.Upstream], None],
@@ -95,6 +97,7 @@
             clock=clock,
         )
         self._contents = contents
+        self._limits = limits
         self._alarms = alarm_exchange.AlarmExchange(
             config.name, self._sequence, book, on_alarm, contents.note_ended
         )
@@ -160,6 +163,10 @@
         """Tell soon what is new of contents that may end instances."""
         self.note_change()
 
+    def tell_limits(self) -> None:
+        """Tell all other entries at once that an instance changed its rate limit."""
+        self._report()
+
     def note_change(self) -> None:
         """Report this entry's work soon."""
         if self._report_timer is not None:
@@ -172,7 +179,11 @@
         """Count again what the others hold, after the list of instances has changed."""
         self._view.rebuild(self._clock())
 
-    def take(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
+    def take(
+        self,
+        message: shared_load.Report | shared_load.Totals | shared_load.Update,
+        sender: endpoints.Endpoint,
+    ) -> None:
         """Take a datagram."""
         if isinstance(message, shared_load.Update):
             self._take_update(message, sender)
@@ -183,6 +194,7 @@
         now_s = self._clock()
         self._alarms.take(update.alarms, now_s)
         self._contents.take(update.hub, update.contents)
+        self._limits.merge(update.limits, now_s, reported_by=update.hub)
         before = self._choice.present
         heard = self._choice.note_heard(sender, now_s)
         if heard is hub_choice.Heard.OTHER:
@@ -253,6 +265,7 @@
             rows=rows,
             alarms=self._alarms.get_raised(now_s) if is_reporter else [],
             contents=self._contents.make_news() if is_reporter else self._contents.make_sign(),
+            limits=self._limits.get_reported(now_s) if is_reporter else [],
         )
         return shared_load.encode_report(report)
 
--- /dev/null
+++ b/src/spoolhead/_internal/gateway/permit_exchange.py
@@ -0,0 +1,292 @@
+"""An entry's datagrams about permits: those it asks for and those it grants."""
+
+import collections
+import logging
+from collections.abc import Callable, Iterable, Sequence
+
+import xxhash
+
+from spoolhead._internal.gateway import upstream_limits
+from spoolhead._internal.models import fleet, permits, rate_limit, settings
+from spoolhead._internal.network import scheduler
+from spoolhead._internal.policy import (
+    granter_choice,
+    permit_backoff,
+    permit_granter,
+    upstream_book,
+    upstream_gate,
+)
+from spoolhead._internal.utils import clocks, endpoints
+
+logger = logging.getLogger(__name__)
+
+RESEND_S = 0.06
+"""Wait for a reply: a few times the longest way between two regions."""
+MISSED_TO_SILENT = 3
+"""Asks in a row without a reply after which a granter counts as silent."""
+UNANSWERED_BACKOFF_MS = 250
+"""Time without an ask for an instance after none of its granters replied."""
+SILENT_S = 5.0
+"""Time for which a silent granter is passed over."""
+LEAST_POLL_S = 0.001
+
+
+class Request:
+    """What a granter has to know of a request.
+
+    :ivar claim: its rank and workspace.
+    :ivar is_retry: it is not the request's first attempt.
+    :ivar wait_ms: time for which it may wait for a permit.
+    :ivar is_final: there is no other instance that it could ask for.
+    """
+
+    __slots__ = ("claim", "is_final", "is_retry", "wait_ms")
+
+    def __init__(
+        self, claim: upstream_gate.Claim, *, is_retry: bool, wait_ms: int, is_final: bool
+    ) -> None:
+        self.claim = claim
+        self.is_retry = is_retry
+        self.wait_ms = wait_ms
+        self.is_final = is_final
+
+
+class _Ask:
+    """An ask without a last reply."""
+
+    __slots__ = ("on_reply", "request", "timer", "turn", "upstream")
+
+    def __init__(
+        self,
+        upstream: upstream_book.Upstream,
+        request: Request,
+        on_reply: Callable[[bool], None],
+        turn: int,
+    ) -> None:
+        self.upstream = upstream
+        self.request = request
+        self.on_reply = on_reply
+        self.turn = turn
+        self.timer: scheduler.Timer | None = None
+
+
+class PermitExchange:
+    """Asks other entries for permits, and grants them.
+
+    :param timers: calls back.
+    :param config: the entry's settings.
+    :param limits: rate limits that instances stated.
+    :param send: sends a datagram.
+    :param first_id: above every number that a former run of the entry gave out.
+    :ivar backoff: rejections that this entry got.
+    """
+
+    def __init__(
+        self,
+        timers: scheduler.Scheduler,
+        config: settings.GatewaySettings,
+        limits: upstream_limits.UpstreamLimits,
+        *,
+        send: Callable[[bytes, endpoints.Endpoint], None],
+        first_id: int,
+        clock: clocks.Clock = clocks.get_s,
+    ) -> None:
+        self._timers = timers
+        self._limits = limits
+        self._send = send
+        self._clock = clock
+        self._name = config.name
+        self._hall = config.hall
+        self._entries: Sequence[fleet.Process] = ()
+        self._granters: dict[str, list[fleet.Process]] = {}
+        self._granter = permit_granter.PermitGranter(limits.book)
+        self._addresses: dict[str, endpoints.Endpoint] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._missed: collections.Counter[str] = collections.Counter()
+        self._asks: dict[int, _Ask] = {}
+        self._last_id = first_id
+        self._poll_timer: scheduler.Timer | None = None
+        self.backoff = permit_backoff.PermitBackoff()
+
+    def set_entries(self, entries: Sequence[fleet.Process]) -> None:
+        """Take over which entries there are, this one among them."""
+        self._entries = entries
+        self._granters.clear()
+        known = {entry.name for entry in entries}
+        self._addresses = {name: to for name, to in self._addresses.items() if name in known}
+
+    def ask(
+        self,
+        upstream: upstream_book.Upstream,
+        request: Request,
+        on_reply: Callable[[bool], None],
+    ) -> None:
+        """Ask for a permit to send a request to an instance.
+
+        :param on_reply: called later with whether the request may go there.
+        """
+        self._last_id += 1
+        ask = _Ask(upstream, request, on_reply, self._find_turn(upstream, 0))
+        self._asks[self._last_id] = ask
+        self._try(self._last_id)
+
+    def take(
+        self, message: permits.PermitAsk | permits.PermitReply, sender: endpoints.Endpoint
+    ) -> None:
+        """Take a datagram of another entry."""
+        if isinstance(message, permits.PermitReply):
+            self._note_heard(message.ask_id)
+            self._take_reply(message)
+            return
+        self._addresses[message.sender] = sender
+        self._take_ask(message)
+
+    def forget_upstreams(self) -> None:
+        """Work out anew who grants for whom; due when the list of instances has changed."""
+        self._granters.clear()
+
+    def _get_granters(self, upstream: upstream_book.Upstream) -> list[fleet.Process]:
+        life_id = upstream.instance.life_id
+        granters = self._granters.get(life_id)
+        if granters is None:
+            granters = granter_choice.get_granters(self._entries, upstream.instance)
+            self._granters[life_id] = granters
+        return granters
+
+    def _find_turn(self, upstream: upstream_book.Upstream, from_turn: int) -> int:
+        """Return the first granter from one on that is not known to be silent."""
+        granters = self._get_granters(upstream)
+        now_s = self._clock()
+        for turn in range(from_turn, len(granters)):
+            if self._silent_until_s.get(granters[turn].name, 0.0) <= now_s:
+                return turn
+        return len(granters)
+
+    def _try(self, ask_id: int) -> None:
+        ask = self._asks[ask_id]
+        granters = self._get_granters(ask.upstream)
+        if ask.turn >= len(granters):
+            self._give_up(ask_id)
+            return
+        ask.timer = self._timers.call_later(RESEND_S, lambda: self._on_silence(ask_id))
+        granter = granters[ask.turn]
+        message = self._make_ask(ask_id, ask)
+        if granter.name == self._name:
+            # Replies come after this call, as those of other entries do.
+            self._timers.call_later(0.0, lambda: self._take_ask(message))
+        else:
+            self._send(permits.encode_ask(message), granter.endpoint)
+
+    def _make_ask(self, ask_id: int, ask: _Ask) -> permits.PermitAsk:
+        key = ask.upstream.key
+        stated = self._limits.book.get_aged([key], self._clock())
+        return permits.PermitAsk(
+            sender=self._name,
+            hall=self._hall,
+            ask_id=ask_id,
+            key=key,
+            turn=ask.turn,
+            rank=ask.request.claim.rank,
+            is_retry=ask.request.is_retry,
+            workspace=xxhash.xxh32_intdigest(ask.request.claim.workspace.encode()),
+            wait_ms=ask.request.wait_ms,
+            is_final=ask.request.is_final,
+            stated=stated[0] if stated else rate_limit.AgedLimit(key, None, 0),
+        )
+
+    def _on_silence(self, ask_id: int) -> None:
+        ask = self._asks.get(ask_id)
+        if ask is None:
+            return
+        granters = self._get_granters(ask.upstream)
+        if ask.turn < len(granters):
+            self._note_missed(granters[ask.turn], ask)
+        if not ask.request.wait_ms:
+            # Another instance may take the request at once.
+            self._give_up(ask_id)
+            return
+        ask.turn = self._find_turn(ask.upstream, ask.turn)
+        self._try(ask_id)
+
+    def _note_missed(self, granter: fleet.Process, ask: _Ask) -> None:
+        self._missed[granter.name] += 1
+        if self._missed[granter.name] < MISSED_TO_SILENT:
+            return
+        del self._missed[granter.name]
+        self._silent_until_s[granter.name] = self._clock() + SILENT_S
+        fields = {"entry": granter.name, "upstream": ask.upstream.instance.life_id}
+        logger.warning("granter of permits does not reply", extra={"fields": fields})
+
+    def _give_up(self, ask_id: int) -> None:
+        """Take the silence of all granters for a rejection."""
+        reply = permits.PermitReply(
+            ask_id=ask_id,
+            verdict=permits.Verdict.REJECTED,
+            retry_after_ms=UNANSWERED_BACKOFF_MS,
+            backoff_ms=UNANSWERED_BACKOFF_MS,
+        )
+        self._timers.call_later(0.0, lambda: self._take_reply(reply))
+
+    def _take_reply(self, reply: permits.PermitReply) -> None:
+        now_s = self._clock()
+        if reply.stated is not None:
+            self._limits.merge([reply.stated], now_s, reported_by="granter")
+        ask = self._asks.get(reply.ask_id)
+        if ask is None:
+            return
+        if ask.timer is not None:
+            ask.timer.cancel()
+        if reply.verdict is permits.Verdict.QUEUED:
+            wait_s = ask.request.wait_ms / 1000 + RESEND_S
+            ask.timer = self._timers.call_later(wait_s, lambda: self._give_up(reply.ask_id))
+            return
+        del self._asks[reply.ask_id]
+        is_granted = reply.verdict is not permits.Verdict.REJECTED
+        if not is_granted:
+            self._back_off(ask, reply, now_s)
+        ask.on_reply(is_granted)
+
+    def _note_heard(self, ask_id: int) -> None:
+        ask = self._asks.get(ask_id)
+        granters = self._get_granters(ask.upstream) if ask is not None else []
+        if ask is not None and ask.turn < len(granters):
+            self._missed.pop(granters[ask.turn].name, None)
+
+    def _back_off(self, ask: _Ask, reply: permits.PermitReply, now_s: float) -> None:
+        claim = ask.request.claim
+        self.backoff.record(
+            ask.upstream.key,
+            claim.rank,
+            claim.workspace,
+            retry_after_ms=reply.retry_after_ms,
+            backoff_ms=reply.backoff_ms,
+            now_s=now_s,
+        )
+
+    def _take_ask(self, ask: permits.PermitAsk) -> None:
+        now_s = self._clock()
+        self._limits.merge([ask.stated], now_s, reported_by=ask.sender)
+        self._send_replies(self._granter.take(ask, now_s))
+        self._poll_later()
+
+    def _poll(self) -> None:
+        self._poll_timer = None
+        self._send_replies(self._granter.poll(self._clock()))
+        self._poll_later()
+
+    def _poll_later(self) -> None:
+        if self._poll_timer is not None:
+            self._poll_timer.cancel()
+            self._poll_timer = None
+        now_s = self._clock()
+        due_s = self._granter.get_due_s(now_s)
+        if due_s is not None:
+            delay_s = max(LEAST_POLL_S, due_s - now_s)
+            self._poll_timer = self._timers.call_later(delay_s, self._poll)
+
+    def _send_replies(self, replies: Iterable[permit_granter.AddressedReply]) -> None:
+        for item in replies:
+            if item.receiver == self._name:
+                self._take_reply(item.reply)
+            elif item.receiver in self._addresses:
+                self._send(permits.encode_reply(item.reply), self._addresses[item.receiver])
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -22,12 +22,14 @@
     def start(self) -> None:
         """Make an attempt at the best instance."""
         choice = self.choose(0)
+        if self.must_ask(choice):
+            return
         self.log_choice("attempt", choice)
         if choice.upstream is None:
             if self._kept is not None:
                 self._deliver(self._kept)
             else:
-                self.fail_without_upstream()
+                self.fail_without_upstream(choice)
             return
         upstream = choice.upstream
         attempt = self._attempt = attempts.Attempt(self, upstream)
@@ -43,6 +45,10 @@
         )
         attempt.call = self.send_attempt(upstream, attempt, orders)
 
+    def on_permit(self) -> None:
+        """Make the attempt, here or at another instance."""
+        self.start()
+
     def release(self) -> None:
         """Cancel the present attempt."""
         self.drop_attempt()
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+import time
 from http import HTTPStatus
 
 from spoolhead._internal.contents import content_watch, end_watch
@@ -12,11 +13,13 @@
     first_table,
     health_watch,
     load_sharing,
+    permit_exchange,
     plain_exchange,
     refusals,
     routed_job,
     stream_exchange,
     table_feed,
+    upstream_limits,
     upstream_news,
 )
 from spoolhead._internal.load_telling import load_socket
@@ -26,6 +29,7 @@
     fault,
     fleet,
     instances,
+    permits,
     route_table,
     settings,
     shared_load,
@@ -95,11 +99,25 @@
         self._figures.held_contents.set_function(lambda: self._contents.held_count)
         address = (config.host, config.peer_port)
         sock = load_socket.LoadSocket(self.loop, address, self._take_load)
+        self._limits = upstream_limits.UpstreamLimits(
+            self._book.get_by_key,
+            tell=lambda: self._sharing.tell_limits(),
+            on_change=self._on_limit_change,
+        )
+        self._figures.limited_upstreams.set_function(lambda: self._limits.book.limited_count)
+        self._permits = permit_exchange.PermitExchange(
+            self.loop.scheduler,
+            config,
+            self._limits,
+            send=sock.send,
+            first_id=int(time.time() * 1000),
+        )
         self._sharing = load_sharing.LoadSharing(
             self.loop.scheduler,
             config,
             self._book,
             self._contents,
+            self._limits,
             send=sock.send,
             on_alarm=lambda upstream: self._news.empty(upstream),
             on_news=self._on_news,
@@ -123,6 +141,8 @@
             on_lost_request=self._sharing.tell_failure,
             on_replaced=lambda upstream: self._news.take_replaced(upstream),
             contents=self._contents,
+            limits=self._limits,
+            permits=self._permits,
             ask_lost=self._ask_lost,
             get_silent_halls=self._sharing.get_silent_halls,
             get_news_age_ms=self._sharing.get_news_age_ms,
@@ -158,6 +178,7 @@
             on_alarm=self._news.take_alarm,
             on_cold=self._news.take_cold,
             on_replaced=self._news.take_replaced,
+            on_answer=self._take_health,
         )
         self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
         self.loop.scheduler.call_every(REACH_CHECK_S, self._check_reach)
@@ -199,7 +220,9 @@
     def on_fleet(self, known: fleet.Fleet) -> None:
         """Take over which processes there are."""
         self._sharing.set_fleet(known)
-        self._context.cold_starts.set_entries(self._sharing.get_watchers())
+        entries = self._sharing.get_watchers()
+        self._context.cold_starts.set_entries(entries)
+        self._permits.set_entries(entries)
         self._context.entry_count = max(self._context.entry_count, len(known.entries))
 
     def on_keeper_lost(self, address: str) -> None:
@@ -211,11 +234,21 @@
         self._feed.set_seeds(config.keepers)
 
     def _take_load(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
-        self._sharing.take(message, sender)
+        if isinstance(message, permits.PermitAsk | permits.PermitReply):
+            self._permits.take(message, sender)
+        else:
+            self._sharing.take(message, sender)
 
     def _on_news(self) -> None:
         self._context.queue.note_change()
 
+    def _on_limit_change(self, key: int) -> None:
+        self._permits.backoff.clear(key)
+        self._context.queue.note_change()
+
+    def _take_health(self, upstream: upstream_book.Upstream, head: dialects.AnswerHead) -> None:
+        self._limits.take_health(upstream, head, clocks.get_s())
+
     def _on_own_change(self) -> None:
         self._sharing.note_change()
         self._context.queue.note_change()
--- a/src/spoolhead/_internal/gateway/routed_job.py
+++ b/src/spoolhead/_internal/gateway/routed_job.py
@@ -1,7 +1,10 @@
 """A request that was matched to a route."""
 
 from spoolhead._internal.models import dialects, route_table
+from spoolhead._internal.policy import upstream_gate
 
+RANKS_PER_WORKSPACE = 10
+"""The workspace's rank goes before the route's."""
 LEAST_URGENT = 9
 """Lowest rank that engines know."""
 
@@ -56,3 +59,9 @@
         if self.workspace is not None and self.workspace.priority is not None:
             return self.workspace.priority
         return self.route.priority
+
+    @property
+    def claim(self) -> upstream_gate.Claim:
+        """What the request may claim where not all get something."""
+        rank = self.workspace_rank * RANKS_PER_WORKSPACE + min(self.route.priority, LEAST_URGENT)
+        return upstream_gate.Claim(rank, self.workspace_name)
--- a/src/spoolhead/_internal/gateway/run_guard.py
+++ b/src/spoolhead/_internal/gateway/run_guard.py
@@ -6,7 +6,7 @@
 import logging
 from typing import Protocol
 
-from spoolhead._internal.gateway import exchange_context, routed_job, run_move
+from spoolhead._internal.gateway import exchange_context, permit_exchange, routed_job, run_move
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import run_safety, upstream_book
 from spoolhead._internal.utils import clocks
@@ -74,6 +74,7 @@
         self._holder: upstream_book.Upstream | None = None
         self._move: run_move.RunMove | None = None
         self._timer: scheduler.Timer | None = None
+        self._is_asking = False
         self._refusers: set[str] = set()
 
     def look(self) -> None:
@@ -151,7 +152,7 @@
 
     def _make_copy(self, running_at: upstream_book.Upstream) -> None:
         engine = self._job.service.engine
-        if engine is None or not engine.can_move:
+        if engine is None or not engine.can_move or self._is_asking:
             return
         holder = self._choose(running_at) if self._run.events else None
         if holder is None:
@@ -159,6 +160,42 @@
             # There is no run to copy yet, or no room for a copy just now.
             self._look_later(TRY_AGAIN_S)
             return
+        if self._context.gate.is_limited(holder):
+            self._ask(running_at, holder)
+            return
+        self._order_copy(running_at, holder)
+
+    def _ask(self, running_at: upstream_book.Upstream, holder: upstream_book.Upstream) -> None:
+        """Ask for a permit for the run to go on at a limited instance."""
+        self._is_asking = True
+        request = permit_exchange.Request(
+            self._job.claim, is_retry=False, wait_ms=0, is_final=False
+        )
+
+        def _take_permit(is_granted: bool) -> None:
+            self._is_asking = False
+            if self._run.is_over or self._run.upstream is not running_at:
+                return
+            if is_granted and not self._is_barred(holder):
+                self._order_copy(running_at, holder)
+            else:
+                self._look_later(TRY_AGAIN_S)
+
+        self._context.permits.ask(holder, request, _take_permit)
+
+    def _is_barred(self, holder: upstream_book.Upstream) -> bool:
+        bar = self._context.gate.get_bar(
+            self._job.service,
+            holder,
+            clocks.get_s(),
+            claim=self._job.claim,
+            has_permit=True,
+        )
+        return bar is not None
+
+    def _order_copy(
+        self, running_at: upstream_book.Upstream, holder: upstream_book.Upstream
+    ) -> None:
         self._log("copy ordered", running_at, holder)
         self._hold(holder)
         self._move = run_move.RunMove(
@@ -192,6 +229,7 @@
             excluded=self._refusers,
             now_s=clocks.get_s(),
             gate=self._context.gate,
+            claim=self._job.claim,
         )
 
     def _hold(self, holder: upstream_book.Upstream) -> None:
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -85,6 +85,8 @@
 
     def try_to_begin(self) -> bool:
         """Begin at an engine with room, or be refused, if that is due."""
+        if self._is_asking:
+            return False
         engine = self.job.service.engine
         choice = self.choose(self.need_tokens)
         if engine is not None:
@@ -96,13 +98,20 @@
             if verdict is run_admission.Verdict.REFUSE and choice.upstream is not None:
                 self._refuse(choice)
                 return True
+        if self.must_ask(choice):
+            return False
         self.log_choice("attempt", choice)
         if choice.upstream is None:
-            self.fail_without_upstream()
+            self.fail_without_upstream(choice)
         else:
             self._open(choice.upstream, None)
         return True
 
+    def on_permit(self) -> None:
+        """Begin the run, here or at another engine, unless it has to wait for room."""
+        if self.try_to_begin():
+            self._context.queue.remove(self)
+
     def release(self) -> None:
         """Cancel the run and give up its copy."""
         self._context.queue.remove(self)
@@ -178,7 +187,8 @@
             arrived_s=self._arrived_s,
         )
         if not self.try_to_begin():
-            logger.info("waits for room", extra={"fields": self.get_fields()})
+            if not self._is_asking:
+                logger.info("waits for room", extra={"fields": self.get_fields()})
             self._context.queue.add(self)
 
     def _refuse(self, choice: upstream_choice.Choice) -> None:
--- a/src/spoolhead/_internal/gateway/upstream_limits.py
+++ b/src/spoolhead/_internal/gateway/upstream_limits.py
@@ -1,23 +1,39 @@
-"""Reads the rate limits that instances state in their answers."""
+"""The rate limits that instances state: read in answers, and reported by other entries."""
 
 import logging
+from collections.abc import Callable, Iterable
 
-from spoolhead._internal.models import dialects
+from spoolhead._internal.models import dialects, rate_limit
 from spoolhead._internal.policy import limit_book, upstream_book
 
 logger = logging.getLogger(__name__)
 
+KEPT_S = 0.5
+"""Time for which reports carry a statement again, so that one lost datagram does not lose it."""
+
 
 class UpstreamLimits:
     """The rate limits that one entry knows of.
 
+    :param get_upstream: returns the instance that a datagram names by a number, if it is listed.
+    :param tell: called when other entries should be told at once.
+    :param on_change: called with the number of an instance whose limit has changed.
     :ivar book: the newest statement of each instance.
     """
 
-    __slots__ = ("_unreadable", "book")
+    __slots__ = ("_get_upstream", "_on_change", "_reported_s", "_tell", "_unreadable", "book")
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        get_upstream: Callable[[int], upstream_book.Upstream | None],
+        tell: Callable[[], None],
+        on_change: Callable[[int], None],
+    ) -> None:
         self.book = limit_book.LimitBook()
+        self._get_upstream = get_upstream
+        self._tell = tell
+        self._on_change = on_change
+        self._reported_s: dict[int, float] = {}
         self._unreadable: set[int] = set()
 
     def take_answer(
@@ -32,10 +48,42 @@
             return
         self._unreadable.discard(key)
         before_per_s = self.book.get_limit_per_s(key)
-        self.book.record(key, head.limit_per_s, now_s)
-        limit_per_s = self.book.get_limit_per_s(key)
-        if limit_per_s != before_per_s:
-            log_change(upstream, limit_per_s, before_per_s, reported_by="")
+        if not self.book.record(key, head.limit_per_s, now_s):
+            return
+        self._reported_s[key] = now_s
+        self._note_change(key, before_per_s, reported_by="")
+        self._tell()
+
+    def take_health(
+        self, upstream: upstream_book.Upstream, head: dialects.AnswerHead, now_s: float
+    ) -> None:
+        """Record a limit that an answer to a health question states.
+
+        One without a limit says nothing: only answers to requests are known to state it.
+        """
+        if head.limit_per_s is not None:
+            self.take_answer(upstream, head, now_s)
+
+    def merge(
+        self, limits: Iterable[rate_limit.AgedLimit], now_s: float, *, reported_by: str
+    ) -> None:
+        """Record what another process reports.
+
+        :param reported_by: name of that process.
+        """
+        for item in limits:
+            before_per_s = self.book.get_limit_per_s(item.key)
+            self.book.merge([item], now_s)
+            self._note_change(item.key, before_per_s, reported_by=reported_by)
+
+    def get_reported(self, now_s: float) -> list[rate_limit.AgedLimit]:
+        """Return what a report made now should carry of what this entry read itself."""
+        self._reported_s = {
+            key: reported_s
+            for key, reported_s in self._reported_s.items()
+            if now_s - reported_s <= KEPT_S
+        }
+        return self.book.get_aged(self._reported_s, now_s)
 
     def _note_unreadable(self, upstream: upstream_book.Upstream) -> None:
         """Log an unreadable limit once; what is known stays in force."""
@@ -45,22 +93,18 @@
         fields = {"upstream": upstream.instance.life_id}
         logger.warning("upstream stated an unreadable rate limit", extra={"fields": fields})
 
-
-def log_change(
-    upstream: upstream_book.Upstream,
-    limit_per_s: float | None,
-    before_per_s: float | None,
-    *,
-    reported_by: str,
-) -> None:
-    """Log that the limit of an instance has changed.
-
-    :param reported_by: process that reported it; empty if this entry read it in an answer.
-    """
-    fields = {
-        "upstream": upstream.instance.life_id,
-        "limit_per_s": limit_per_s,
-        "before_per_s": before_per_s,
-        "reported_by": reported_by,
-    }
-    logger.info("upstream changed its rate limit", extra={"fields": fields})
+    def _note_change(self, key: int, before_per_s: float | None, *, reported_by: str) -> None:
+        limit_per_s = self.book.get_limit_per_s(key)
+        if limit_per_s == before_per_s:
+            return
+        self._on_change(key)
+        upstream = self._get_upstream(key)
+        if upstream is None:
+            return
+        fields = {
+            "upstream": upstream.instance.life_id,
+            "limit_per_s": limit_per_s,
+            "before_per_s": before_per_s,
+            "reported_by": reported_by,
+        }
+        logger.info("upstream changed its rate limit", extra={"fields": fields})
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -2,8 +2,8 @@
 
 An entry reports to one hub what it holds, hubs tell each other the totals of their reporters, and
 each hub updates its reporters with the totals of all. Every datagram holds absolute values, so a
-lost one is made good by a later one. Records of contents that may end instances go along; see
-:mod:`spoolhead._internal.policy.content_book`.
+lost one is made good by a later one. Records of contents that may end instances go along, see
+:mod:`spoolhead._internal.policy.content_book`, and so do the rate limits that instances stated.
 """
 
 import enum
@@ -12,7 +12,7 @@
 import msgpack
 import xxhash
 
-from spoolhead._internal.models import content_record
+from spoolhead._internal.models import content_record, permits, rate_limit
 
 _ROW_FIELDS = 4
 _REPORT = 1
@@ -152,9 +152,19 @@
     :ivar rows: all its work.
     :ivar alarms: instances that it has found bad lately.
     :ivar contents: what it tells of contents.
+    :ivar limits: rate limits that instances stated.
     """
 
-    __slots__ = ("alarms", "contents", "hall", "is_reporter", "rows", "sender", "sequence")
+    __slots__ = (
+        "alarms",
+        "contents",
+        "hall",
+        "is_reporter",
+        "limits",
+        "rows",
+        "sender",
+        "sequence",
+    )
 
     def __init__(
         self,
@@ -166,8 +176,10 @@
         rows: Rows,
         alarms: Sequence[Alarm],
         contents: ContentNews | None = None,
+        limits: Sequence[rate_limit.AgedLimit] = (),
     ) -> None:
         self.contents = contents or ContentNews()
+        self.limits = list(limits)
         self.sender = sender
         self.hall = hall
         self.sequence = sequence
@@ -185,9 +197,10 @@
     :ivar ages: halls that this hub hears directly.
     :ivar alarms: alarms that its reporters raised.
     :ivar contents: what it tells of contents.
+    :ivar limits: rate limits that instances stated.
     """
 
-    __slots__ = ("ages", "alarms", "contents", "hub", "rows", "sequence")
+    __slots__ = ("ages", "alarms", "contents", "hub", "limits", "rows", "sequence")
 
     def __init__(
         self,
@@ -198,8 +211,10 @@
         ages: Sequence[HallAge],
         alarms: Sequence[Alarm],
         contents: ContentNews | None = None,
+        limits: Sequence[rate_limit.AgedLimit] = (),
     ) -> None:
         self.contents = contents or ContentNews()
+        self.limits = list(limits)
         self.hub = hub
         self.sequence = sequence
         self.rows = rows
@@ -217,9 +232,10 @@
     :ivar alarms: alarms that any entry raised.
     :ivar counted: sequence of the receiver's report that the totals contain.
     :ivar contents: what it tells of contents.
+    :ivar limits: rate limits that instances stated.
     """
 
-    __slots__ = ("ages", "alarms", "contents", "counted", "hub", "rows", "sequence")
+    __slots__ = ("ages", "alarms", "contents", "counted", "hub", "limits", "rows", "sequence")
 
     def __init__(
         self,
@@ -230,9 +246,11 @@
         alarms: Sequence[Alarm],
         counted: int = 0,
         contents: ContentNews | None = None,
+        limits: Sequence[rate_limit.AgedLimit] = (),
         hub: str = "",
     ) -> None:
         self.contents = contents or ContentNews()
+        self.limits = list(limits)
         self.hub = hub
         self.sequence = sequence
         self.rows = rows
@@ -241,29 +259,30 @@
         self.counted = counted
 
 
-Message = Report | Totals | Update
+Message = Report | Totals | Update | permits.PermitAsk | permits.PermitReply
 
 
 def encode_report(report: Report) -> bytes:
     """Write an entry's report."""
     fields = [report.sender, report.hall, report.sequence, report.is_reporter]
-    rows, alarms = _list_rows(report.rows), _list_alarms(report.alarms)
-    return msgpack.packb([_REPORT, *fields, rows, alarms, _list_contents(report.contents)])
+    fields += [_list_rows(report.rows), _list_alarms(report.alarms)]
+    fields += [_list_contents(report.contents), rate_limit.pack(report.limits)]
+    return msgpack.packb([_REPORT, *fields])
 
 
 def encode_totals(totals: Totals) -> bytes:
     """Write a hub's totals."""
     rows, alarms = _list_rows(totals.rows), _list_alarms(totals.alarms)
-    contents = _list_contents(totals.contents)
-    fields = [totals.hub, totals.sequence, rows, _list_ages(totals.ages), alarms, contents]
+    contents, limits = _list_contents(totals.contents), rate_limit.pack(totals.limits)
+    fields = [totals.hub, totals.sequence, rows, _list_ages(totals.ages), alarms, contents, limits]
     return msgpack.packb([_TOTALS, *fields])
 
 
 def encode_update(update: Update) -> bytes:
     """Write the part of an update that is the same for all reporters."""
     rows, alarms = _list_rows(update.rows), _list_alarms(update.alarms)
-    contents = _list_contents(update.contents)
-    fields = [update.hub, update.sequence, rows, _list_ages(update.ages), alarms, contents]
+    contents, limits = _list_contents(update.contents), rate_limit.pack(update.limits)
+    fields = [update.hub, update.sequence, rows, _list_ages(update.ages), alarms, contents, limits]
     return msgpack.packb([_UPDATE, *fields])
 
 
@@ -292,6 +311,10 @@
             return _read_totals(*fields)
         if tag == _UPDATE:
             return _read_update(*fields, int(values[1]))
+        if tag == permits.ASK:
+            return permits.read_ask(*fields)
+        if tag == permits.REPLY:
+            return permits.read_reply(*fields)
     except (TypeError, IndexError, OverflowError, msgpack.UnpackException) as error:
         raise ValueError(str(error)) from error
     raise ValueError("no such datagram")
@@ -305,6 +328,7 @@
     rows: list,
     alarms: list,
     contents: list,
+    limits: list,
 ) -> Report:
     return Report(
         sender=str(sender),
@@ -314,11 +338,18 @@
         rows=_read_rows(rows),
         alarms=_read_alarms(alarms),
         contents=_read_contents(contents),
+        limits=rate_limit.unpack(limits),
     )
 
 
 def _read_totals(
-    hub: object, sequence: int, rows: list, ages: list, alarms: list, contents: list
+    hub: object,
+    sequence: int,
+    rows: list,
+    ages: list,
+    alarms: list,
+    contents: list,
+    limits: list,
 ) -> Totals:
     return Totals(
         hub=str(hub),
@@ -327,15 +358,24 @@
         ages=_read_ages(ages),
         alarms=_read_alarms(alarms),
         contents=_read_contents(contents),
+        limits=rate_limit.unpack(limits),
     )
 
 
 def _read_update(
-    hub: object, sequence: int, rows: list, ages: list, alarms: list, contents: list, counted: int
+    hub: object,
+    sequence: int,
+    rows: list,
+    ages: list,
+    alarms: list,
+    contents: list,
+    limits: list,
+    counted: int,
 ) -> Update:
     return Update(
         hub=str(hub),
         contents=_read_contents(contents),
+        limits=rate_limit.unpack(limits),
         sequence=int(sequence),
         rows=_read_rows(rows),
         ages=_read_ages(ages),
--- a/src/spoolhead/_internal/policy/limit_book.py
+++ b/src/spoolhead/_internal/policy/limit_book.py
@@ -11,7 +11,7 @@
 """Time for which it is remembered that an instance stated no limit, to outweigh older reports."""
 LIMIT_KEPT_S = 600.0
 """Time after which a limit that the instance has not stated again is forgotten."""
-RESTATED_S = 0.5
+RESTATED_S = 1.0
 """Age of the known statement from which one of the same limit counts as a change."""
 
 
@@ -35,6 +35,11 @@
             return None
         return stated.limit_per_s
 
+    @property
+    def limited_count(self) -> int:
+        """Instances that state a limit."""
+        return sum(self.get_limit_per_s(key) is not None for key in self._stated)
+
     def record(self, key: int, limit_per_s: float | None, stated_s: float) -> bool:
         """Record a statement.
 
--- /dev/null
+++ b/src/spoolhead/_internal/policy/limit_broadcast.py
@@ -0,0 +1,52 @@
+"""Which stated rate limits a hub still has to pass on; no I/O, time passed in."""
+
+from collections.abc import Iterable
+
+from spoolhead._internal.models import rate_limit
+from spoolhead._internal.policy import limit_book
+
+SENT_TIMES = 2
+"""Datagrams in a row that carry a limit; while it holds it is stated anew besides."""
+LIMITS_AT_ONCE = 32
+"""Most limits in one datagram."""
+
+
+class LimitBroadcast:
+    """The limits that one side of a hub has not been sent yet.
+
+    :param book: the newest statement of each instance.
+    """
+
+    __slots__ = ("_book", "_left")
+
+    def __init__(self, book: limit_book.LimitBook) -> None:
+        self._book = book
+        self._left: dict[int, int] = {}
+
+    @property
+    def has_news(self) -> bool:
+        """Whether a limit has not been sent at all."""
+        return SENT_TIMES in self._left.values()
+
+    @property
+    def has_more(self) -> bool:
+        """Whether anything is left to send."""
+        return bool(self._left)
+
+    def add(self, keys: Iterable[int]) -> None:
+        """Have the limits of some instances sent."""
+        for key in keys:
+            self._left[key] = SENT_TIMES
+
+    def take_part(self, now_s: float) -> list[rate_limit.AgedLimit]:
+        """Return what is sent next, and count it as sent."""
+        part = list(self._left)[:LIMITS_AT_ONCE]
+        for key in part:
+            self._left[key] -= 1
+            if not self._left[key]:
+                del self._left[key]
+        return self._book.get_aged(part, now_s)
+
+    def clear(self) -> None:
+        """Forget what was to be sent: nobody is there to get it."""
+        self._left.clear()
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -7,8 +7,14 @@
 
 from collections.abc import Iterable
 
-from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import changed_rows, content_book, datagram_order
+from spoolhead._internal.models import rate_limit, shared_load
+from spoolhead._internal.policy import (
+    changed_rows,
+    content_book,
+    datagram_order,
+    limit_book,
+    limit_broadcast,
+)
 from spoolhead._internal.utils import endpoints
 
 REPORTER_EXPIRY_S = 1.6
@@ -103,6 +109,9 @@
         self._contents = contents if contents is not None else content_book.ContentBook()
         self._to_hubs = content_book.ContentTelling(self._contents)
         self._to_reporters = content_book.ContentTelling(self._contents)
+        self._limits = limit_book.LimitBook()
+        self._limits_to_hubs = limit_broadcast.LimitBroadcast(self._limits)
+        self._limits_to_reporters = limit_broadcast.LimitBroadcast(self._limits)
 
     @property
     def reporters(self) -> Iterable[Reporter]:
@@ -118,19 +127,20 @@
     def has_totals_to_tell(self) -> bool:
         """Whether other hubs wait for something new."""
         has_rows = self._own.has_changes or bool(self._own_alarms)
-        return has_rows or self._to_hubs.has_more
+        return has_rows or self._to_hubs.has_more or self._limits_to_hubs.has_more
 
     @property
     def has_updates_to_tell(self) -> bool:
         """Whether reporters wait for something new."""
         has_rows = self._all.has_changes or bool(self._all_alarms)
-        return has_rows or self._to_reporters.has_more
+        return has_rows or self._to_reporters.has_more or self._limits_to_reporters.has_more
 
     @property
     def has_new_alarms(self) -> bool:
-        """Whether an alarm or a content has not been told at all, which must not wait."""
+        """Whether an alarm, content or limit has not been told at all, which must not wait."""
         has_alarms = any(item.left == ALARM_PARTS for item in self._all_alarms)
-        return has_alarms or self._to_reporters.has_news
+        has_limits = self._limits_to_reporters.has_news
+        return has_alarms or has_limits or self._to_reporters.has_news
 
     def get_hub_addresses(self) -> list[endpoints.Endpoint]:
         """Return where the other hubs are that were heard lately."""
@@ -165,6 +175,9 @@
         for content_id in self._take_contents(report.contents, now_s):
             self._to_hubs.note_changed(content_id)
         self._to_reporters.note_digest(report.sender, report.contents.digest, now_s)
+        limited = self._limits.merge(report.limits, now_s)
+        self._limits_to_hubs.add(limited)
+        self._limits_to_reporters.add(limited)
         return is_new
 
     def take_totals(
@@ -190,9 +203,11 @@
         self._take_alarms(totals.alarms, now_s, self._all_alarms)
         self._take_contents(totals.contents, now_s)
         self._to_hubs.note_digest(totals.hub, totals.contents.digest, now_s)
+        self._limits_to_reporters.add(self._limits.merge(totals.limits, now_s))
 
     def forget_silent(self, now_s: float) -> None:
-        """Forget reporters and hubs that have not been heard for long."""
+        """Forget reporters and hubs that have not been heard for long, and old limits."""
+        self._limits.expire(now_s)
         for name, reporter in list(self._reporters.items()):
             if now_s - reporter.heard_s > REPORTER_EXPIRY_S:
                 self._forget_reporter(name)
@@ -216,6 +231,8 @@
         self._all_alarms.clear()
         self._to_hubs.clear()
         self._to_reporters.clear()
+        self._limits_to_hubs.clear()
+        self._limits_to_reporters.clear()
 
     def make_totals(self, now_s: float) -> shared_load.Totals:
         """Return what to tell the other hubs next."""
@@ -227,16 +244,19 @@
             ages=_get_ages(self._halls_heard_s, now_s),
             alarms=_take_tellings(self._own_alarms),
             contents=self._make_contents(self._to_hubs, now_s),
+            limits=self._limits_to_hubs.take_part(now_s),
         )
 
     def make_update(self, now_s: float) -> shared_load.Update:
         """Return what to tell the reporters next."""
         rows = self._all.take_part()
         contents = self._make_contents(self._to_reporters, now_s)
-        return self._make_update(rows, _take_tellings(self._all_alarms), contents, now_s)
+        alarms = _take_tellings(self._all_alarms)
+        limits = self._limits_to_reporters.take_part(now_s)
+        return self._make_update(rows, alarms, contents, limits, now_s)
 
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all work that is known, for a new reporter.
+        """Return all work and all limits that are known, for a new reporter.
 
         Of the records of contents it gets those that matter most, since it may serve at once; the
         others follow in the next round for all.
@@ -244,13 +264,15 @@
         content_ids = self._contents.get_weightiest(content_book.RECORDS_AT_ONCE)
         records = self._contents.get_all_aged(content_ids, now_s)
         contents = shared_load.ContentNews(records, self._contents.digest)
-        return self._make_update(self._all.get_all(), [], contents, now_s)
+        limits = self._limits.get_all_aged(now_s)
+        return self._make_update(self._all.get_all(), [], contents, limits, now_s)
 
     def _make_update(
         self,
         rows: shared_load.Rows,
         alarms: list[shared_load.Alarm],
         contents: shared_load.ContentNews,
+        limits: list[rate_limit.AgedLimit],
         now_s: float,
     ) -> shared_load.Update:
         self._sequence += 1
@@ -264,6 +286,7 @@
             ages=_get_ages(heard_s, now_s),
             alarms=alarms,
             contents=contents,
+            limits=limits,
         )
 
     def _make_contents(
--- a/src/spoolhead/_internal/policy/run_safety.py
+++ b/src/spoolhead/_internal/policy/run_safety.py
@@ -27,6 +27,7 @@
     excluded: Collection[str],
     now_s: float,
     gate: upstream_gate.Gate,
+    claim: upstream_gate.Claim,
 ) -> upstream_book.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
@@ -36,6 +37,7 @@
     :param running_at: where the run is.
     :param excluded: runs of instances that have just refused.
     :param gate: what bounds this entry's requests to instances.
+    :param claim: what the request may claim where not all get something.
     :returns: the instance with most room, with those of the same hall preferred, or None.
     """
     engine = service.engine
@@ -46,7 +48,7 @@
         for upstream in upstreams
         if upstream is not running_at
         and upstream.instance.life_id not in excluded
-        and gate.get_bar(service, upstream, now_s) is None
+        and gate.get_bar(service, upstream, now_s, claim=claim) is None
     ]
 
     def _get_cost(upstream: upstream_book.Upstream) -> float:
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -51,10 +51,12 @@
     :ivar candidates: what it was chosen from.
     :ivar is_cut_off: there are instances, but none in a hall that can be reached and is not
         evacuated.
+    :ivar retry_after_ms: when an instance that may get nothing just now is expected to; None where
+        that is not known.
     :ivar barred: how many untried instances may get nothing, by the reason.
     """
 
-    __slots__ = ("barred", "candidates", "is_cut_off", "upstream")
+    __slots__ = ("barred", "candidates", "is_cut_off", "retry_after_ms", "upstream")
 
     def __init__(
         self,
@@ -62,10 +64,12 @@
         *,
         is_cut_off: bool = False,
         barred: Mapping[upstream_gate.Bar, int] | None = None,
+        retry_after_ms: int | None = None,
     ) -> None:
         self.candidates = candidates
         self.is_cut_off = is_cut_off
         self.barred = barred or {}
+        self.retry_after_ms = retry_after_ms
         self.upstream = candidates[0].upstream if candidates else None
 
     def prefer(self, is_preferred: Callable[[upstream_book.Upstream], bool]) -> "Choice":
@@ -78,7 +82,12 @@
 
     def _order(self, get_rank: Callable[[upstream_book.Upstream], int]) -> "Choice":
         ordered = sorted(self.candidates, key=lambda item: get_rank(item.upstream))
-        return Choice(ordered, is_cut_off=self.is_cut_off, barred=self.barred)
+        return Choice(
+            ordered,
+            is_cut_off=self.is_cut_off,
+            barred=self.barred,
+            retry_after_ms=self.retry_after_ms,
+        )
 
 
 class View:
@@ -88,11 +97,22 @@
     :ivar silent_halls: halls from which nothing has been heard for a while.
     :ivar cut_halls: halls that cannot be reached just now.
     :ivar now_s: monotonic time in seconds.
+    :ivar claim: what the request may claim where not all get something.
+    :ivar permitted: run of a limited instance for which the request has a permit; empty for none.
     :ivar gate: what bounds this entry's requests to instances.
     :ivar chance: source of random numbers.
     """
 
-    __slots__ = ("chance", "cut_halls", "gate", "hall", "now_s", "silent_halls")
+    __slots__ = (
+        "chance",
+        "claim",
+        "cut_halls",
+        "gate",
+        "hall",
+        "now_s",
+        "permitted",
+        "silent_halls",
+    )
 
     def __init__(
         self,
@@ -102,6 +122,8 @@
         cut_halls: Collection[str],
         now_s: float,
         gate: upstream_gate.Gate,
+        claim: upstream_gate.Claim,
+        permitted: str = "",
         chance: random.Random,
     ) -> None:
         self.hall = hall
@@ -109,6 +131,8 @@
         self.cut_halls = cut_halls
         self.now_s = now_s
         self.gate = gate
+        self.claim = claim
+        self.permitted = permitted
         self.chance = chance
 
 
@@ -132,10 +156,7 @@
     :param need_tokens: memory that the request will hold at a model engine.
     :param excluded: runs of instances that it must not go to.
     """
-    bars = [
-        view.gate.get_bar(service, upstream, view.now_s, cut_halls=view.cut_halls)
-        for upstream in upstreams
-    ]
+    bars = [_get_bar(service, upstream, view) for upstream in upstreams]
     untried = [
         (upstream, bar)
         for upstream, bar in zip(upstreams, bars, strict=True)
@@ -161,9 +182,32 @@
         candidates,
         is_cut_off=_is_cut_off(bars),
         barred=collections.Counter(bar for _, bar in untried if bar is not None),
+        retry_after_ms=_get_retry_after_ms(untried, view),
+    )
+
+
+def _get_bar(
+    service: route_table.Service, upstream: upstream_book.Upstream, view: View
+) -> upstream_gate.Bar | None:
+    return view.gate.get_bar(
+        service,
+        upstream,
+        view.now_s,
+        claim=view.claim,
+        has_permit=upstream.instance.life_id == view.permitted,
+        cut_halls=view.cut_halls,
     )
 
 
+def _get_retry_after_ms(
+    untried: Sequence[tuple[upstream_book.Upstream, upstream_gate.Bar | None]], view: View
+) -> int | None:
+    waits_ms = [
+        view.gate.get_retry_after_ms(upstream, bar, view.now_s) for upstream, bar in untried
+    ]
+    return min((wait_ms for wait_ms in waits_ms if wait_ms is not None), default=None)
+
+
 def _is_cut_off(bars: Collection[upstream_gate.Bar | None]) -> bool:
     """Tell whether instances are there, but only where nothing may go."""
     staying = [bar for bar in bars if bar not in _DEPARTED]
--- a/src/spoolhead/_internal/policy/upstream_gate.py
+++ b/src/spoolhead/_internal/policy/upstream_gate.py
@@ -9,7 +9,7 @@
 from collections.abc import Collection
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import cold_start, upstream_book
+from spoolhead._internal.policy import cold_start, limit_book, permit_backoff, upstream_book
 
 
 class Bar(enum.Enum):
@@ -20,6 +20,8 @@
     CUT_OFF = "cut_off"
     EVACUATED = "evacuated"
     COLD = "cold"
+    LIMITED = "limited"
+    """A permit for a request at least as urgent was just rejected."""
     SUSPECTED = "suspected"
     """It is ejected, or an alarm about it counts."""
 
@@ -29,16 +31,39 @@
         return self is not Bar.SUSPECTED
 
 
+class Claim:
+    """What a request may claim where not all get something.
+
+    :ivar rank: its rank, 0 for the most urgent.
+    :ivar workspace: name of its workspace.
+    """
+
+    __slots__ = ("rank", "workspace")
+
+    def __init__(self, rank: int, workspace: str) -> None:
+        self.rank = rank
+        self.workspace = workspace
+
+
 class Gate:
     """What bounds one entry's requests to the instances.
 
     :ivar cold_starts: what the entry may send to instances that are cold.
+    :ivar limits: rate limits that instances stated.
+    :ivar backoff: permits that were rejected.
     """
 
-    __slots__ = ("cold_starts",)
+    __slots__ = ("backoff", "cold_starts", "limits")
 
-    def __init__(self, cold_starts: cold_start.ColdStarts) -> None:
+    def __init__(
+        self,
+        cold_starts: cold_start.ColdStarts,
+        limits: limit_book.LimitBook,
+        backoff: permit_backoff.PermitBackoff,
+    ) -> None:
         self.cold_starts = cold_starts
+        self.limits = limits
+        self.backoff = backoff
 
     def get_bar(
         self,
@@ -46,10 +71,16 @@
         upstream: upstream_book.Upstream,
         now_s: float,
         *,
+        claim: Claim,
+        has_permit: bool = False,
         cut_halls: Collection[str] = (),
     ) -> Bar | None:
         """Return why no request may go to an instance; None if one may.
 
+        One that may go to a limited instance still needs a permit.
+
+        :param claim: what the request may claim where not all get something.
+        :param has_permit: the request was granted a permit for it.
         :param cut_halls: halls that cannot be reached just now.
         """
         if upstream.is_leaving:
@@ -62,6 +93,28 @@
             return Bar.EVACUATED
         if not self.cold_starts.may_send(service, upstream, now_s):
             return Bar.COLD
+        if not has_permit and self._must_back_off(upstream, claim, now_s):
+            return Bar.LIMITED
         if not upstream.is_usable(now_s):
             return Bar.SUSPECTED
         return None
+
+    def _must_back_off(self, upstream: upstream_book.Upstream, claim: Claim, now_s: float) -> bool:
+        if not self.is_limited(upstream):
+            return False
+        return self.backoff.blocks(upstream.key, claim.rank, claim.workspace, now_s)
+
+    def is_limited(self, upstream: upstream_book.Upstream) -> bool:
+        """Tell whether a request needs a permit to go to an instance."""
+        return self.limits.get_limit_per_s(upstream.key) is not None
+
+    def get_retry_after_ms(
+        self, upstream: upstream_book.Upstream, bar: Bar | None, now_s: float
+    ) -> int | None:
+        """Return when a request that an instance may not get should come back.
+
+        :returns: None where that is not known.
+        """
+        if bar is Bar.LIMITED:
+            return self.backoff.get_retry_after_ms(upstream.key, now_s)
+        return None
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -126,8 +126,9 @@
         )
 
     def _take_load(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
-        if isinstance(message, shared_load.Update):
-            logger.warning("update of a hub that this keeper does not report to")
+        if not isinstance(message, shared_load.Report | shared_load.Totals):
+            fields = {"kind": type(message).__name__}
+            logger.warning("datagram that is not for a keeper", extra={"fields": fields})
             return
         self._hub_port.take(message, sender)
         self._saved_contents.note()
--- a/tests/functional/test_upstream_limits.py
+++ b/tests/functional/test_upstream_limits.py
@@ -16,6 +16,8 @@
 """Requests that may arrive in any such window."""
 USED_PART = 0.8
 """Part of the limit that is to be used where more is wanted."""
+MANY = 6
+"""Callers at each entry by which far more is wanted than both instances accept."""
 PAUSE_S = 0.05
 """Pause of each caller between two requests."""
 
@@ -40,11 +42,11 @@
 class Caller(threading.Thread):
     """Sends plain requests to one entry, one after the other."""
 
-    def __init__(self, fleet, entry, *, path="/once/x"):
+    def __init__(self, fleet, entry, number):
         super().__init__()
         self._fleet = fleet
         self._entry = entry
-        self._path = path
+        self._number = number
         self.answers = []
         self.is_told_to_stop = threading.Event()
 
@@ -52,15 +54,19 @@
         for number in range(100_000):
             if self.is_told_to_stop.is_set():
                 return
-            request_id = f"{self._entry}-{number}"
-            answer = self._fleet.ask(self._entry, self._path, X_Request_Id=request_id)
+            request_id = f"{self._entry}-{self._number}-{number}"
+            answer = self._fleet.ask(self._entry, "/once/x", X_Request_Id=request_id)
             self.answers.append((time.monotonic(), answer))
             time.sleep(PAUSE_S)
 
 
-def send_from_all(fleet, for_s):
+def send_from_all(fleet, for_s, *, callers_each=1):
     """Have callers at all entries send for a time; returns their answers."""
-    callers = [Caller(fleet, entry) for entry in fleet.entry_hosts]
+    callers = [
+        Caller(fleet, entry, number)
+        for entry in fleet.entry_hosts
+        for number in range(callers_each)
+    ]
     for caller in callers:
         caller.start()
     time.sleep(for_s)
@@ -87,7 +93,7 @@
     running.set("p-1", limit=str(LIMIT_PER_S))
     running.set("p-2", limit=str(LIMIT_PER_S))
     began_s = time.monotonic()
-    answers = send_from_all(running, CONTACT_S + 2 * WINDOW_S)
+    answers = send_from_all(running, CONTACT_S + 2 * WINDOW_S, callers_each=MANY)
     for name in ("p-1", "p-2"):
         bound = [time_s for time_s in running.get_arrivals(name) if time_s >= began_s + CONTACT_S]
         assert get_most(bound, WINDOW_S) <= ALLOWED
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -7,13 +7,29 @@
 from spoolhead._internal.gateway import (
     entry_figures,
     exchange_context,
+    permit_exchange,
     plain_exchange,
     routed_job,
     stream_exchange,
+    upstream_limits,
+)
+from spoolhead._internal.models import (
+    dialects,
+    fleet,
+    instances,
+    route_table,
+    settings,
+    shared_load,
 )
-from spoolhead._internal.models import dialects, instances, route_table, settings, shared_load
 from spoolhead._internal.network import request_reader
-from spoolhead._internal.policy import request_content, upstream_book
+from spoolhead._internal.policy import (
+    cold_start,
+    limit_book,
+    permit_backoff,
+    request_content,
+    upstream_book,
+    upstream_gate,
+)
 from spoolhead._internal.utils import clocks, figures
 from spoolhead.platform import dialect
 
@@ -186,6 +202,16 @@
     )
 
 
+CLAIM = upstream_gate.Claim(1, "w")
+
+
+def make_gate(name, hall):
+    """Return what bounds an entry that knows of no limits."""
+    return upstream_gate.Gate(
+        cold_start.ColdStarts(name, hall), limit_book.LimitBook(), permit_backoff.PermitBackoff()
+    )
+
+
 class Setting:
     """One request of a kind, started."""
 
@@ -205,6 +231,7 @@
         born_ms=0,
         contents=None,
         busy=None,
+        limits_per_s=None,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -225,6 +252,7 @@
         self.lost = []
         self.replaced = []
         self.asked = []
+        self.sent = []
         self.contents = contents or make_contents()
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
@@ -252,6 +280,16 @@
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
+        self.limits = upstream_limits.UpstreamLimits(
+            self.book.get_by_key, tell=lambda: None, on_change=lambda key: None
+        )
+        self.permits = permit_exchange.PermitExchange(
+            self.timers, config, self.limits, send=self.sent.append, first_id=0
+        )
+        for name, limit_per_s in (limits_per_s or {}).items():
+            self.limits.book.record(self.book.get(name).key, limit_per_s, clocks.get_s())
+        own = fleet.Process(name=config.name, hall=config.hall, address="")
+        self.permits.set_entries([own])
         context = self.context = exchange_context.Context(
             config=config,
             dialect=dialect.Dialect(),
@@ -263,6 +301,8 @@
             on_lost_request=self.lost.append,
             on_replaced=self.replaced.append,
             contents=self.contents,
+            limits=self.limits,
+            permits=self.permits,
             ask_lost=self.asked.append,
             get_silent_halls=frozenset,
             get_news_age_ms=lambda: 20,
--- /dev/null
+++ b/tests/lib/limit_fleet.py
@@ -0,0 +1,197 @@
+"""A fleet before instances that state rate limits: real news and permits, simulated requests."""
+
+import itertools
+
+from lib import gateway_setting, load_fleet
+from spoolhead._internal.gateway import permit_exchange
+from spoolhead._internal.models import route_table
+from spoolhead._internal.policy import cold_start, upstream_gate
+
+CONTACT_S = 3.0
+"""Time after which a stated limit binds all entries that read it."""
+WINDOW_S = 4.0
+WAIT_S = 0.25
+"""A sixth of the time that a request has."""
+SERVICE = route_table.Service(name="s", health_path="/h", max_connections=9, engine=None)
+
+
+def get_allowed(limit_per_s):
+    """Return how many requests may reach an instance in any window."""
+    return 1.5 * limit_per_s * WINDOW_S + 5
+
+
+def get_most(times_s, window_s=WINDOW_S):
+    """Return the most events that any window of a length has."""
+    most = first = 0
+    for last, time_s in enumerate(times_s):
+        while time_s - times_s[first] >= window_s:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class Instance:
+    """An instance that answers every request at once.
+
+    :ivar limit_per_s: limit that it states; None for none.
+    :ivar arrivals: when requests arrived, with the number of the entry.
+    """
+
+    def __init__(self):
+        self.limit_per_s = None
+        self.arrivals = []
+
+    def get_times_s(self, since_s):
+        return [time_s for time_s, _ in self.arrivals if time_s >= since_s]
+
+
+class Request:
+    """A request at an entry."""
+
+    def __init__(self, number, came_s, rank, workspace):
+        self.number = number
+        self.came_s = came_s
+        self.claim = upstream_gate.Claim(rank, workspace)
+
+
+class LimitFleet(load_fleet.LoadFleet):
+    """Entries that send each request to the instance that looks emptiest: a limited one.
+
+    :ivar served: requests that an instance answered, with when.
+    :ivar refused: requests that were refused, with when and when to come back in ms.
+    """
+
+    def __init__(self, *, entries, halls=3, keepers=3, instances=3, loss=0.01, seed=1):
+        super().__init__(
+            entries=entries,
+            halls=halls,
+            keepers=keepers,
+            instances=instances,
+            loss=loss,
+            seed=seed,
+        )
+        self.served = []
+        self.refused = []
+        self.upstreams = {name: Instance() for name in self.instances}
+        self.gates = [self._make_gate(entry) for entry in self.entries]
+        self.run(0.5)
+
+    def _make_gate(self, entry):
+        cold_starts = cold_start.ColdStarts(entry.process.name, entry.process.hall)
+        return upstream_gate.Gate(cold_starts, entry.limits.book, entry.permits.backoff)
+
+    def set_limit(self, limit_per_s, *names):
+        for name in names or self.instances:
+            self.upstreams[name].limit_per_s = limit_per_s
+
+    def begin_traffic(self, requests_per_s, *, rank=0, workspace="w", entries=None):
+        """Have requests come to entries drawn by lot from now on."""
+        numbers = range(len(self.entries)) if entries is None else entries
+
+        def _come():
+            self.send(self.chance.choice(list(numbers)), rank=rank, workspace=workspace)
+            self.clock.call_later(self.chance.expovariate(requests_per_s), _come)
+
+        _come()
+
+    def send(self, number, *, rank=0, workspace="w"):
+        self._go_on(self.entries[number], Request(number, self.clock(), rank, workspace))
+
+    def _go_on(self, entry, request):
+        if entry is not self.entries[request.number] or not entry.process.is_up:
+            return
+        gate = self.gates[request.number]
+        now_s = self.clock()
+        bars = {
+            upstream: gate.get_bar(
+                SERVICE, upstream, now_s, claim=request.claim, cut_halls=self._get_cut_halls(entry)
+            )
+            for upstream in entry.book.get_all()
+        }
+        open_ones = [upstream for upstream, bar in bars.items() if bar is None]
+        self.chance.shuffle(open_ones)
+        open_ones.sort(key=lambda upstream: not gate.is_limited(upstream))
+        if not open_ones:
+            waits_ms = [gate.get_retry_after_ms(*item, now_s) for item in bars.items()]
+            waits_ms = [wait_ms for wait_ms in waits_ms if wait_ms is not None]
+            self.refused.append((request, now_s, min(waits_ms, default=None)))
+        elif gate.is_limited(open_ones[0]):
+            self._ask(entry, request, open_ones)
+        else:
+            self._send_to(entry, request, open_ones[0])
+
+    def _get_cut_halls(self, entry):
+        cut = self.net.cut_halls
+        if entry.process.hall in cut:
+            return set(self.halls) - {entry.process.hall}
+        return cut
+
+    def _ask(self, entry, request, open_ones):
+        gate = self.gates[request.number]
+        left_s = request.came_s + WAIT_S - self.clock()
+        can_wait = all(gate.is_limited(upstream) for upstream in open_ones)
+        asked = permit_exchange.Request(
+            request.claim,
+            is_retry=False,
+            wait_ms=max(0, int(left_s * 1000)) if can_wait else 0,
+            is_final=len(open_ones) == 1,
+        )
+
+        def _take(is_granted):
+            if is_granted:
+                self._send_to(entry, request, open_ones[0])
+            else:
+                self._go_on(entry, request)
+
+        entry.permits.ask(open_ones[0], asked, _take)
+
+    def _send_to(self, entry, request, upstream):
+        if entry is not self.entries[request.number] or not entry.process.is_up:
+            return
+        instance = self.upstreams[upstream.instance.instance_id]
+        self.clock.call_later(
+            load_fleet.FAR_S, lambda: self._arrive(entry, request, upstream, instance)
+        )
+
+    def _arrive(self, entry, request, upstream, instance):
+        instance.arrivals.append((self.clock(), request.number))
+        head = gateway_setting.make_answer_head(limit_per_s=instance.limit_per_s)
+        self.clock.call_later(
+            load_fleet.FAR_S, lambda: self._take_answer(entry, request, upstream, head)
+        )
+
+    def _take_answer(self, entry, request, upstream, head):
+        if entry.process.is_up:
+            entry.limits.take_answer(upstream, head, self.clock())
+        self.served.append((request, self.clock()))
+
+    def restart_entry(self, number):
+        """Have an entry end and start anew, knowing nothing."""
+        former = self.entries[number]
+        former.sharing.take = lambda message, sender: None
+        former.permits.take = lambda message, sender: None
+        former.process.send = lambda data, address: None
+        process = load_fleet.Process(
+            self.net, former.process.name, former.process.hall, former.process.address
+        )
+        self.net.processes[process.address] = process
+        self.entries[number] = load_fleet.Entry(self, process, self.known, self.instances)
+        self.gates[number] = self._make_gate(self.entries[number])
+
+    def find_granter(self, name):
+        """Return the number of the entry that grants first for an instance."""
+        entry = self.entries[0]
+        granter = entry.permits._get_granters(entry.book.get(name))[0]
+        numbers = itertools.count()
+        return next(number for number in numbers if self._get_name(number) == granter.name)
+
+    def _get_name(self, number):
+        return self.entries[number].process.name
+
+    def get_limited(self, name):
+        """Return the numbers of the living entries that take an instance for limited."""
+        return [
+            number
+            for number, entry in enumerate(self.entries)
+            if entry.process.is_up and self.gates[number].is_limited(entry.book.get(name))
+        ]
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -5,9 +5,9 @@
 import random
 
 from lib import gateway_setting, simulated_clock
-from spoolhead._internal.gateway import load_sharing
+from spoolhead._internal.gateway import load_sharing, permit_exchange, upstream_limits
 from spoolhead._internal.load_telling import hub_port
-from spoolhead._internal.models import fleet, shared_load
+from spoolhead._internal.models import fleet, permits, shared_load
 from spoolhead._internal.policy import content_book, load_hub, upstream_book
 
 NEAR_S = 0.0005
@@ -92,19 +92,43 @@
             on_held=self.held.append,
         )
         config = gateway_setting.make_settings(name=process.name, hall=process.hall)
+        self.limits = upstream_limits.UpstreamLimits(
+            self.book.get_by_key,
+            tell=lambda: self.sharing.tell_limits(),
+            on_change=lambda key: self.permits.backoff.clear(key),
+        )
+        self.permits = permit_exchange.PermitExchange(
+            fleet_.clock,
+            config,
+            self.limits,
+            send=process.send,
+            first_id=int(fleet_.clock() * 1000),
+            clock=fleet_.clock,
+        )
         self.sharing = load_sharing.LoadSharing(
             fleet_.clock,
             config,
             self.book,
             self.contents,
+            self.limits,
             send=process.send,
             on_alarm=lambda upstream: self.alarms.append(upstream.instance.instance_id),
             on_news=lambda: None,
             clock=fleet_.clock,
             wall_clock=fleet_.clock,
         )
-        process.take = self.sharing.take
+        process.take = self.take
+        self.set_fleet(known)
+
+    def set_fleet(self, known):
         self.sharing.set_fleet(known)
+        self.permits.set_entries(self.sharing.get_watchers())
+
+    def take(self, message, sender):
+        if isinstance(message, permits.PermitAsk | permits.PermitReply):
+            self.permits.take(message, sender)
+        else:
+            self.sharing.take(message, sender)
 
     def hold(self, instance_id, request_id, tokens):
         work = upstream_book.Work(request_id, tokens, reading_tokens=0)
--- a/tests/lib/placement_load.py
+++ b/tests/lib/placement_load.py
@@ -11,11 +11,9 @@
 from lib import gateway_setting
 from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import (
-    cold_start,
     run_admission,
     upstream_book,
     upstream_choice,
-    upstream_gate,
 )
 
 
@@ -109,7 +107,8 @@
             silent_halls=(),
             cut_halls=(),
             now_s=self.now_s,
-            gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", hall)),
+            gate=gateway_setting.make_gate("entry-1", hall),
+            claim=gateway_setting.CLAIM,
             chance=self.chance,
         )
         engine = self.service.engine
--- /dev/null
+++ b/tests/patterns/test_limited_instance.py
@@ -0,0 +1,155 @@
+"""Pattern: instances in need state how many requests a second they accept from all entries.
+
+Seen: three plain instances, 25 requests a second from 8 entries, and limits of 2 a second stated by
+two of them, which then got 23 to 26 requests in 4 s. Allowed from 3 s on are one and a half times
+the limit and 5 more in any 4 s; a fleet that does well leaves out those 5 and uses 0.8 of the limit
+where more is wanted. Each request goes to the instance with the least work, which is the limited
+one. Sizes: a deployment in use (8), a few dozen, a grown one (65) and the largest planned (350).
+"""
+
+import pytest
+
+from lib import limit_fleet
+
+SIZES = [(8, 3), (24, 3), (65, 4), (350, 15)]
+USED_PART = 0.8
+PLAY_S = 8.0
+LIFTED_S = 3.0
+"""Time after which an instance that lifts its limit has its usual share again."""
+BYTES_PER_S = 1_000
+"""Most that an entry may send for this besides its other news."""
+
+
+def _play(fleet, *, requests_per_s, for_s=PLAY_S):
+    """Have requests come, and return the time from which limits stated before bind."""
+    fleet.begin_traffic(requests_per_s)
+    fleet.run(limit_fleet.CONTACT_S)
+    bound_s = fleet.clock()
+    fleet.run(for_s)
+    return bound_s
+
+
+def _check(fleet, name, bound_s, limit_per_s, *, for_s=PLAY_S):
+    times_s = fleet.upstreams[name].get_times_s(bound_s)
+    assert limit_fleet.get_most(times_s) <= max(limit_fleet.get_allowed(limit_per_s) - 5, 3)
+    assert len(times_s) >= USED_PART * limit_per_s * for_s
+
+
+@pytest.mark.parametrize(("entries", "halls"), SIZES)
+@pytest.mark.parametrize("limit_per_s", [0.5, 2.0, 20.0])
+def test_all_entries_together_keep_the_limit_and_use_it(entries, halls, limit_per_s):
+    """Guards against each entry keeping the limit by itself, or taking an equal part of it."""
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+    name = fleet.instances[0]
+    fleet.set_limit(limit_per_s, name)
+    bound_s = _play(fleet, requests_per_s=max(50, entries))
+    _check(fleet, name, bound_s, limit_per_s)
+    assert not fleet.refused
+
+
+@pytest.mark.parametrize(("entries", "halls"), SIZES)
+def test_where_all_state_one_their_sum_is_served_and_the_rest_refused_at_once(entries, halls):
+    """Guards against requests that wait for a limited instance until their time is over."""
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+    fleet.set_limit(2.0)
+    bound_s = _play(fleet, requests_per_s=max(50, entries))
+    for name in fleet.instances:
+        _check(fleet, name, bound_s, 2.0)
+    waited_s = sorted(at_s - request.came_s for request, at_s, _ in fleet.refused)
+    assert waited_s[int(0.95 * len(waited_s))] <= 0.25
+    assert all(retry_after_ms > 0 for _, _, retry_after_ms in fleet.refused)
+
+
+@pytest.mark.parametrize(("entries", "halls"), SIZES)
+def test_after_the_limit_is_lifted_no_entry_holds_anything_back(entries, halls):
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+    name = fleet.instances[0]
+    fleet.set_limit(2.0, name)
+    _play(fleet, requests_per_s=max(50, entries))
+    fleet.set_limit(None, name)
+    fleet.run(LIFTED_S)
+    assert fleet.get_limited(name) == []
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.01])
+def test_a_limit_near_nothing_is_kept_and_its_end_is_noticed(limit_per_s):
+    """Guards against an instance left alone for good, as no answer can say it has recovered."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    name = fleet.instances[0]
+    fleet.set_limit(limit_per_s, name)
+    bound_s = _play(fleet, requests_per_s=50, for_s=12.0)
+    assert limit_fleet.get_most(fleet.upstreams[name].get_times_s(bound_s)) <= 1
+    fleet.set_limit(None, name)
+    fleet.run(5.0 + 1.0)
+    assert fleet.get_limited(name) == []
+
+
+def test_a_limit_beyond_all_load_changes_nothing():
+    fleet = limit_fleet.LimitFleet(entries=8)
+    fleet.set_limit(1e9, fleet.instances[0])
+    _play(fleet, requests_per_s=50)
+    assert fleet.get_limited(fleet.instances[0]) == []
+
+
+def _count(fleet, bound_s, *, workspace=None, hall=None, rank=None):
+    return sum(
+        at_s >= bound_s
+        and workspace in (None, request.claim.workspace)
+        and hall in (None, fleet.entries[request.number].process.hall)
+        and rank in (None, request.claim.rank)
+        for request, at_s in fleet.served
+    )
+
+
+def test_a_busy_workspace_does_not_take_all_of_a_trickle():
+    """Guards against a trickle that goes to whoever asks most."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    fleet.set_limit(2.0)
+    fleet.begin_traffic(5, workspace="small")
+    bound_s = _play(fleet, requests_per_s=100, for_s=20.0)
+    assert _count(fleet, bound_s, workspace="small") >= 0.25 * _count(fleet, bound_s)
+
+
+def test_a_busy_hall_does_not_take_all_of_a_trickle():
+    fleet = limit_fleet.LimitFleet(entries=24)
+    fleet.set_limit(2.0)
+    hall = fleet.halls[1]
+    numbers = [i for i, entry in enumerate(fleet.entries) if entry.process.hall == hall]
+    others = [i for i in range(24) if i not in numbers]
+    fleet.begin_traffic(5, entries=numbers)
+    fleet.begin_traffic(100, entries=others)
+    fleet.run(limit_fleet.CONTACT_S)
+    bound_s = fleet.clock()
+    fleet.run(20.0)
+    assert _count(fleet, bound_s, hall=hall) >= 0.15 * _count(fleet, bound_s)
+
+
+def test_urgent_requests_are_served_before_others():
+    """The longest wait is half of the time between two tokens, which may all come at one moment."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    fleet.set_limit(2.0)
+    fleet.begin_traffic(3, rank=0)
+    fleet.begin_traffic(100, rank=5)
+    fleet.run(limit_fleet.CONTACT_S)
+    bound_s = fleet.clock()
+    fleet.run(20.0)
+    urgent = [item for item, came_s in fleet.served if item.claim.rank == 0 and came_s >= bound_s]
+    refused = [
+        item for item, came_s, _ in fleet.refused if item.claim.rank == 0 and came_s >= bound_s
+    ]
+    assert len(urgent) >= 0.5 * (len(urgent) + len(refused))
+
+
+@pytest.mark.parametrize(("entries", "halls"), SIZES)
+def test_permits_cost_an_entry_little(entries, halls):
+    """Bytes with limits against bytes without; the granter of three instances included."""
+    means = []
+    for limit_per_s in (None, 2.0):
+        fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+        fleet.set_limit(limit_per_s)
+        fleet.begin_traffic(max(50, entries))
+        fleet.run(2.0)
+        fleet.forget_traffic()
+        fleet.run(4.0)
+        means.append(fleet.get_traffic(fleet.entry_processes, 4.0)[0])
+    assert means[1] - means[0] <= BYTES_PER_S * 3
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -42,6 +42,7 @@
         )
         config = gateway_setting.make_settings()
         _Loop.scheduler.calls = []
+        self.heads = []
         self.watch = health_watch.HealthWatch(
             _Loop,
             self.calls,
@@ -56,6 +57,7 @@
             on_alarm=lambda upstream, is_said: self.alarms.append(upstream),
             on_cold=lambda upstream, cold_ms: self.colds.append(cold_ms),
             on_replaced=self.replaced_ids.append,
+            on_answer=lambda upstream, head: self.heads.append(head),
         )
 
     def ask(self):
--- /dev/null
+++ b/tests/unit/test_limit_fleet.py
@@ -0,0 +1,180 @@
+"""Limits while entries start and die, hubs die, datagrams are lost and halls are cut off."""
+
+import hypothesis
+import pytest
+from hypothesis import stateful, strategies
+
+from lib import limit_fleet
+from spoolhead._internal.models import fleet as models_fleet
+
+LIMIT_PER_S = 4.0
+
+
+def _make(**changes):
+    fleet = limit_fleet.LimitFleet(**{"entries": 24, **changes})
+    fleet.set_limit(LIMIT_PER_S, fleet.instances[0])
+    fleet.begin_traffic(100)
+    fleet.run(limit_fleet.CONTACT_S)
+    return fleet
+
+
+def _check(fleet, since_s, *, used_part=0.0):
+    times_s = fleet.upstreams[fleet.instances[0]].get_times_s(since_s)
+    assert limit_fleet.get_most(times_s) <= limit_fleet.get_allowed(LIMIT_PER_S)
+    assert len(times_s) >= used_part * LIMIT_PER_S * (fleet.clock() - since_s)
+
+
+@pytest.mark.parametrize("loss", [0.05, 0.2])
+def test_the_limit_holds_and_is_used_while_datagrams_are_lost(loss):
+    fleet = _make(loss=loss)
+    began_s = fleet.clock()
+    fleet.run(8.0)
+    _check(fleet, began_s, used_part=0.6)
+
+
+def test_another_entry_stands_in_for_a_granter_that_dies():
+    """Guards against a limit that is not used, or forgotten, with the entry that shares it out.
+
+    Until the keepers tell that it is gone the stand-in grants 0.4 of the limit; half of that is to
+    be used while entries find out.
+    """
+    fleet = _make()
+    began_s = fleet.clock()
+    name = fleet.entries[fleet.find_granter(fleet.instances[0])].process.name
+    fleet.kill(name)
+    fleet.run(6.0)
+    _check(fleet, began_s, used_part=0.2)
+    left = tuple(item for item in fleet.known.entries if item.name != name)
+    known = models_fleet.Fleet(keepers=fleet.known.keepers, entries=left)
+    for entry in fleet.entries:
+        entry.set_fleet(known)
+    fleet.run(1.0)
+    told_s = fleet.clock()
+    fleet.run(6.0)
+    _check(fleet, told_s, used_part=0.8)
+    _check(fleet, began_s)
+
+
+def test_an_entry_that_starts_knows_the_limits_with_its_first_update():
+    """Guards against a burst at an instance in need whenever entries start."""
+    fleet = _make()
+    for number in range(0, 24, 2):
+        fleet.restart_entry(number)
+    fleet.run(0.1)
+    assert len(fleet.get_limited(fleet.instances[0])) == 24
+
+
+def test_the_limit_holds_while_a_granter_starts_again_and_again():
+    fleet = _make()
+    began_s = fleet.clock()
+    for _ in range(6):
+        fleet.restart_entry(fleet.find_granter(fleet.instances[0]))
+        fleet.run(1.0)
+    _check(fleet, began_s)
+
+
+def test_entries_that_see_different_fleets_keep_within_what_is_allowed():
+    """Each half takes another entry for the first granter, as while news of a start spreads."""
+    fleet = _make()
+    first = fleet.entries[fleet.find_granter(fleet.instances[0])].process.name
+    entries = tuple(item for item in fleet.known.entries if item.name != first)
+    for entry in fleet.entries[::2]:
+        if entry.process.name != first:
+            entry.permits.set_entries(entries)
+    began_s = fleet.clock()
+    fleet.run(1.5)
+    for entry in fleet.entries:
+        entry.set_fleet(fleet.known)
+    fleet.run(6.0)
+    _check(fleet, began_s)
+
+
+def test_a_hall_that_is_cut_off_goes_on_using_its_instance():
+    fleet = _make()
+    fleet.net.cut_halls = {fleet.halls[0]}
+    began_s = fleet.clock()
+    fleet.run(8.0)
+    # The instance stands in the first hall, where a third of the requests come.
+    _check(fleet, began_s, used_part=0.6)
+
+
+def test_the_newest_statement_wins_where_two_cross():
+    fleet = _make()
+    fleet.set_limit(None, fleet.instances[0])
+    fleet.run(3.0)
+    assert fleet.get_limited(fleet.instances[0]) == []
+    fleet.set_limit(LIMIT_PER_S, fleet.instances[0])
+    fleet.run(3.0)
+    assert len(fleet.get_limited(fleet.instances[0])) == 24
+
+
+class LimitMachine(stateful.RuleBasedStateMachine):
+    """Instances change their limits while processes fail; what is stated binds, nothing else."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def begin(self, seed):
+        self.fleet = limit_fleet.LimitFleet(entries=9, seed=seed)
+        self.fleet.begin_traffic(40)
+        self.changed_s = {name: self.fleet.clock() for name in self.fleet.instances}
+        self.excused_s = self.fleet.clock()
+
+    def _disturb(self):
+        self.excused_s = self.fleet.clock()
+
+    @stateful.rule(
+        number=strategies.integers(0, 2),
+        limit_per_s=strategies.sampled_from([None, 0.0, 0.5, 2.0, 8.0, 60.0]),
+    )
+    def change_limit(self, number, limit_per_s):
+        name = self.fleet.instances[number]
+        self.fleet.set_limit(limit_per_s, name)
+        self.changed_s[name] = self.fleet.clock()
+
+    @stateful.rule(number=strategies.integers(0, 8))
+    def restart_entry(self, number):
+        self.fleet.restart_entry(number)
+        self._disturb()
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def cut_or_join(self, number):
+        hall = self.fleet.halls[number]
+        self.fleet.net.cut_halls = set() if self.fleet.net.cut_halls else {hall}
+        self._disturb()
+
+    @stateful.rule(loss=strategies.sampled_from([0.0, 0.02, 0.2]))
+    def lose(self, loss):
+        self.fleet.net.loss = loss
+
+    @stateful.rule(for_s=strategies.floats(0.05, 2.0))
+    def wait(self, for_s):
+        self.fleet.run(for_s)
+
+    @stateful.invariant()
+    def keeps_limits(self):
+        for name, instance in self.fleet.upstreams.items():
+            if instance.limit_per_s is None:
+                continue
+            since_s = max(self.changed_s[name], self.excused_s) + limit_fleet.CONTACT_S
+            allowed = limit_fleet.get_allowed(instance.limit_per_s)
+            assert limit_fleet.get_most(instance.get_times_s(since_s)) <= allowed
+
+    def teardown(self):
+        """Once all is calm, each limit is used and what has none is free."""
+        fleet = self.fleet
+        fleet.net.loss = 0.0
+        fleet.net.cut_halls = set()
+        fleet.run(6.0)
+        began_s = fleet.clock()
+        fleet.run(6.0)
+        for name, instance in fleet.upstreams.items():
+            if instance.limit_per_s is None:
+                assert fleet.get_limited(name) == []
+            else:
+                wanted = min(0.7 * instance.limit_per_s, 3.0) * 6.0 - 1.0
+                assert len(instance.get_times_s(began_s)) >= wanted
+
+
+LimitMachine.TestCase.settings = hypothesis.settings(
+    max_examples=max(10, hypothesis.settings().max_examples // 4), stateful_step_count=15
+)
+TestLimitMachine = LimitMachine.TestCase
--- a/tests/unit/test_shared_load.py
+++ b/tests/unit/test_shared_load.py
@@ -1,13 +1,14 @@
 """The datagrams that tell loads: what is written is read again, and nothing else is taken."""
 
 import contextlib
+import math
 
 import hypothesis
 import msgpack
 import pytest
 from hypothesis import strategies
 
-from spoolhead._internal.models import content_record, shared_load
+from spoolhead._internal.models import content_record, permits, rate_limit, shared_load
 
 _numbers = strategies.integers(0, 2**31)
 _rows = strategies.dictionaries(
@@ -42,6 +43,10 @@
     strategies.lists(strategies.builds(content_record.AgedRecord, _records, _numbers), max_size=3),
     strategies.integers(0, 2**64 - 1),
 )
+_limit = strategies.one_of(strategies.none(), strategies.floats(0, 1e9))
+_limits = strategies.lists(
+    strategies.builds(rate_limit.AgedLimit, _numbers, _limit, _numbers), max_size=3
+)
 _NO_CONTENTS = [[], 0]
 
 
@@ -63,6 +68,7 @@
         rows=_rows,
         alarms=_alarms,
         contents=_contents,
+        limits=_limits,
     )
 )
 def test_a_report_is_read_as_written(report):
@@ -80,6 +86,7 @@
         ages=_ages,
         alarms=_alarms,
         contents=_contents,
+        limits=_limits,
     )
 )
 def test_totals_are_read_as_written(totals):
@@ -88,12 +95,18 @@
     assert _get_values(read) == _get_values(totals)
 
 
-@hypothesis.given(_rows, _ages, _alarms, _numbers, _contents)
+@hypothesis.given(_rows, _ages, _alarms, _numbers, _contents, _limits)
 def test_an_update_names_the_report_that_each_receiver_has_counted(
-    rows, ages, alarms, counted, contents
+    rows, ages, alarms, counted, contents, limits
 ):
     update = shared_load.Update(
-        sequence=7, rows=rows, ages=ages, alarms=alarms, contents=contents, hub="k"
+        sequence=7,
+        rows=rows,
+        ages=ages,
+        alarms=alarms,
+        contents=contents,
+        limits=limits,
+        hub="k",
     )
     data = shared_load.address_update(shared_load.encode_update(update), counted)
     read = shared_load.decode(data)
@@ -102,6 +115,47 @@
     assert _get_values(read) == _get_values(update)
 
 
+@hypothesis.given(
+    strategies.builds(
+        permits.PermitAsk,
+        sender=strategies.text(max_size=9),
+        hall=strategies.text(max_size=9),
+        ask_id=_numbers,
+        key=strategies.just(7),
+        turn=_numbers,
+        rank=_numbers,
+        is_retry=strategies.booleans(),
+        workspace=_numbers,
+        wait_ms=_numbers,
+        is_final=strategies.booleans(),
+        stated=strategies.builds(rate_limit.AgedLimit, strategies.just(7), _limit, _numbers),
+    )
+)
+def test_an_ask_for_a_permit_is_read_as_written(ask):
+    read = shared_load.decode(permits.encode_ask(ask))
+    assert isinstance(read, permits.PermitAsk)
+    assert _get_values(read) == _get_values(ask)
+
+
+@hypothesis.given(
+    strategies.builds(
+        permits.PermitReply,
+        ask_id=_numbers,
+        verdict=strategies.sampled_from(permits.Verdict),
+        retry_after_ms=_numbers,
+        backoff_ms=_numbers,
+        stated=strategies.one_of(
+            strategies.none(),
+            strategies.builds(rate_limit.AgedLimit, _numbers, _limit, _numbers),
+        ),
+    )
+)
+def test_a_reply_to_one_is_read_as_written(reply):
+    read = shared_load.decode(permits.encode_reply(reply))
+    assert isinstance(read, permits.PermitReply)
+    assert _get_values(read) == _get_values(reply)
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -110,16 +164,25 @@
         b"\x90",
         msgpack.packb(7),
         msgpack.packb([9, "a"]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3], [], _NO_CONTENTS]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, "4"], [], _NO_CONTENTS]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, 1.5], [], _NO_CONTENTS]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[["c", 0, [], 0, 0, "", False, 0]], 0]]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[[b"c", 0, ["e"], 0, 0, "", False, 0]], 0]]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[[b"c", 0, []]], 0]]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[], None]]),
-        msgpack.packb([2, "a", 1, [], [["h"]], [], _NO_CONTENTS]),
-        msgpack.packb([3, "a", 1, [], [], [], _NO_CONTENTS]),
-        msgpack.packb([3, "a", 1, [], [], [["i", 99, "e", 1]], _NO_CONTENTS]) + msgpack.packb(1),
+        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3], [], _NO_CONTENTS, []]),
+        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, "4"], [], _NO_CONTENTS, []]),
+        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, 1.5], [], _NO_CONTENTS, []]),
+        msgpack.packb([1, "a", "h", 1, True, [], [], [[["c", 0, [], 0, 0, "", False, 0]], 0], []]),
+        msgpack.packb(
+            [1, "a", "h", 1, True, [], [], [[[b"c", 0, ["e"], 0, 0, "", False, 0]], 0], []]
+        ),
+        msgpack.packb([1, "a", "h", 1, True, [], [], [[[b"c", 0, []]], 0], []]),
+        msgpack.packb([1, "a", "h", 1, True, [], [], [[], None], []]),
+        msgpack.packb([2, "a", 1, [], [["h"]], [], _NO_CONTENTS, []]),
+        msgpack.packb([3, "a", 1, [], [], [], _NO_CONTENTS, []]),
+        msgpack.packb([3, "a", 1, [], [], [["i", 99, "e", 1]], _NO_CONTENTS, []])
+        + msgpack.packb(1),
+        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, [1, 2.0]]),
+        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, [1, math.nan, 3]]),
+        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, ["k", 1.0, 3]]),
+        msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, []]),
+        msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, [1, 2.0, 3, 1, 2.0, 3]]),
+        msgpack.packb([5, 1, 9, 0, 0, []]),
     ],
     ids=repr,
 )
--- a/tests/unit/test_upstream_limits.py
+++ b/tests/unit/test_stated_limits.py
@@ -5,6 +5,7 @@
 import pytest
 
 from lib import gateway_setting
+from spoolhead._internal.gateway import upstream_limits
 from spoolhead._internal.models import route_table
 from spoolhead.platform import dialect
 
@@ -67,3 +68,29 @@
     limits.take_answer(upstream, _read("2"), 1.0)
     limits.take_answer(upstream, dialect.Dialect().read_answer(421, []), 2.0)
     assert limits.book.get_limit_per_s(upstream.key) == 2.0
+
+
+def test_an_answer_to_a_health_question_sets_a_limit_but_lifts_none():
+    setting = gateway_setting.Setting(ONCE, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    limits = setting.context.limits
+    limits.take_health(upstream, _read("2"), 1.0)
+    assert limits.book.get_limit_per_s(upstream.key) == 2.0
+    limits.take_health(upstream, _read(), 2.0)
+    assert limits.book.get_limit_per_s(upstream.key) == 2.0
+
+
+def test_what_an_entry_reads_is_reported_to_others_at_once_and_for_a_while():
+    changes = []
+    setting = gateway_setting.Setting(ONCE, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    limits = upstream_limits.UpstreamLimits(
+        setting.book.get_by_key,
+        tell=lambda: changes.append("told"),
+        on_change=lambda key: changes.append(key),
+    )
+    limits.take_answer(upstream, _read("2"), 1.0)
+    assert changes == [upstream.key, "told"]
+    (reported,) = limits.get_reported(1.2)
+    assert (reported.key, reported.limit_per_s, reported.age_ms) == (upstream.key, 2.0, 200)
+    assert limits.get_reported(1.0 + upstream_limits.KEPT_S + 0.1) == []
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -5,12 +5,10 @@
 from lib import gateway_setting
 from spoolhead._internal.models import fleet, route_table, shared_load
 from spoolhead._internal.policy import (
-    cold_start,
     retry_allowance,
     run_safety,
     upstream_book,
     upstream_choice,
-    upstream_gate,
     watch_duty,
 )
 
@@ -34,7 +32,8 @@
         silent_halls=silent,
         cut_halls=cut,
         now_s=now_s,
-        gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", "hall-a")),
+        gate=gateway_setting.make_gate("entry-1", "hall-a"),
+        claim=gateway_setting.CLAIM,
         chance=random.Random(1),
     )
     return upstream_choice.choose(
@@ -195,7 +194,8 @@
             running_at=book.get("here"),
             excluded=(),
             now_s=100.0,
-            gate=upstream_gate.Gate(cold_start.ColdStarts("entry-1", "hall-a")),
+            gate=gateway_setting.make_gate("entry-1", "hall-a"),
+            claim=gateway_setting.CLAIM,
         )
 
     assert _choose_holder().instance.instance_id == "mate"
