Gateway: read and log that an instance asks for rest or leaves

The adapter reads Retry-After of answers that turn a request away (seconds, fractions too; a date or a negative number is logged as unreadable) and the header by which an instance says that it leaves.

--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -205,6 +205,9 @@
     :ivar limit_per_s: requests a second that it accepts from all entries together; None where it
         states no limit.
     :ivar is_limit_unreadable: it states a limit that is no number.
+    :ivar rest_ms: time for which it wants nothing from this entry; None where it does not say.
+    :ivar is_rest_unreadable: it says so by what is no number of seconds.
+    :ivar is_leaving: it leaves, and takes no new work.
     """
 
     status: int
@@ -218,6 +221,9 @@
     cold_ms: int | None = None
     limit_per_s: float | None = None
     is_limit_unreadable: bool = False
+    rest_ms: int | None = None
+    is_rest_unreadable: bool = False
+    is_leaving: bool = False
     is_misdirected: bool = False
     instance_id: str = ""
 
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -1,6 +1,7 @@
 """The platform's messages, read into and written from the product's types."""
 
 import json
+import math
 import re
 import urllib.parse
 
@@ -14,7 +15,10 @@
 _LONGEST_COLD = 9
 """Digits up to which the rest of a cold start is read: eleven days in milliseconds."""
 _DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?([eE]\+?\d{1,2})?", re.ASCII)
-"""Decimal numbers that are read as a rate limit."""
+"""Decimal numbers that are read as a rate limit or a number of seconds."""
+_TURNED_AWAY = frozenset({429, 503})
+"""Statuses by which an instance turns a request away."""
+_YES = "1"
 _EVACUATES = {"POST": True, "DELETE": False}
 """Methods of an order on a hall, and whether it is evacuated from then on."""
 
@@ -98,10 +102,12 @@
         """Read the head of an instance's answer."""
         found = dict(headers)
         hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, names.LIMIT}
-        hidden |= {"date", "server"}
+        hidden |= {names.LEAVING, "date", "server"}
         hidden |= names.ONE_CONNECTION
         stated_limits = [value.strip() for name, value in headers if name == names.LIMIT]
         limit_per_s = _read_limit(stated_limits)
+        rest_text = found.get(names.RETRY_AFTER, "") if status in _TURNED_AWAY else ""
+        rest_ms = _read_rest(rest_text)
         return dialects.AnswerHead(
             status=status,
             headers=[item for item in headers if item[0] not in hidden],
@@ -116,6 +122,9 @@
             cold_ms=_read_cold(found.get(names.COLD)),
             limit_per_s=limit_per_s,
             is_limit_unreadable=bool(stated_limits) and limit_per_s is None,
+            rest_ms=rest_ms,
+            is_rest_unreadable=bool(rest_text) and rest_ms is None,
+            is_leaving=found.get(names.LEAVING, "").strip() == _YES,
         )
 
     def write_refusal(self, request_id: str, retry_after_ms: int | None) -> dialects.Headers:
@@ -213,3 +222,9 @@
     """Return the strictest of the limits that can be read; None if there is none."""
     limits = [float(value) for value in values if _DECIMAL.fullmatch(value)]
     return min(limits, default=None)
+
+
+def _read_rest(text: str) -> int | None:
+    """Return milliseconds; None for what is no number of seconds, as a date."""
+    value = text.strip()
+    return math.ceil(float(value) * 1000) if _DECIMAL.fullmatch(value) else None
