--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -258,10 +258,14 @@
         body = json.dumps({"instance": instance, **changes}).encode()
         assert send(self.list_address, "POST", "/_set", body).status == 200
 
-    def get_arrivals(self, instance):
+    def get_arrivals(self, instance, *, id_prefix=""):
         """Return when requests arrived at an instance, run or not."""
         arrivals = json.loads(send(self.list_address, "GET", "/_arrivals").body)
-        return [item["at_s"] for item in arrivals if item["instance"] == instance]
+        return [
+            item["at_s"]
+            for item in arrivals
+            if item["instance"] == instance and item["id"].startswith(id_prefix)
+        ]
 
     def get_ends(self):
         """Return the instances that a request ended, with when."""
--- /dev/null
+++ b/tests/lib/senders.py
@@ -0,0 +1,45 @@
+"""Callers that send plain requests to the entries of a fleet, one after the other."""
+
+import threading
+import time
+
+PAUSE_S = 0.05
+"""Pause of each caller between two requests."""
+
+
+class Caller(threading.Thread):
+    """Sends plain requests to one entry, one after the other."""
+
+    def __init__(self, fleet, entry, number):
+        super().__init__()
+        self._fleet = fleet
+        self._entry = entry
+        self._number = number
+        self.answers = []
+        self.is_told_to_stop = threading.Event()
+
+    def run(self):
+        for number in range(100_000):
+            if self.is_told_to_stop.is_set():
+                return
+            request_id = f"{self._entry}-{self._number}-{number}"
+            answer = self._fleet.ask(self._entry, "/once/x", X_Request_Id=request_id)
+            self.answers.append((time.monotonic(), answer))
+            time.sleep(PAUSE_S)
+
+
+def send_from_all(fleet, for_s, *, callers_each=1):
+    """Have callers at all entries send for a time; returns their answers."""
+    callers = [
+        Caller(fleet, entry, number)
+        for entry in fleet.entry_hosts
+        for number in range(callers_each)
+    ]
+    for caller in callers:
+        caller.start()
+    time.sleep(for_s)
+    for caller in callers:
+        caller.is_told_to_stop.set()
+    for caller in callers:
+        caller.join()
+    return [item for caller in callers for item in caller.answers]
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,9 +3,9 @@
 One process listens for the list and for every instance. A plain instance echoes; a model
 instance streams numbered events and lets a run go on at another instance from a copy. A test
 steers it by ``POST /_set`` at the list's address (``{"instance": .., "state": .., "dead": ..,
-"address": .., "limit": ..}``) and reads ``GET /_runs`` and ``GET /_arrivals``. A request whose body
-begins with :data:`CRASH_BODY` ends the instance that begins to run it; another one starts at the
-address a while later.
+"address": .., "limit": .., "rest": .., "leaving": ..}``) and reads ``GET /_runs`` and
+``GET /_arrivals``. A request whose body begins with :data:`CRASH_BODY` ends the instance that
+begins to run it; another one starts at the address a while later.
 """
 
 import argparse
@@ -35,6 +35,8 @@
     :ivar listens: host and port at which it listens; its address may be that of a proxy.
     :ivar is_down: the last one has ended under a request, and the next has not started.
     :ivar limit: requests a second that it states in its answers; empty for none.
+    :ivar rest: seconds of rest that it asks for as it turns each request away; empty to take them.
+    :ivar says_leaving: it says in its answers that it leaves.
     """
 
     def __init__(self, name: str, service: str, address: str, zone: str) -> None:
@@ -52,11 +54,14 @@
         self.is_down = False
         self.listens = ("", 0)
         self.limit = ""
+        self.rest = ""
+        self.says_leaving = False
 
     @property
     def stated_headers(self) -> dict[str, str]:
         """What it says of itself in each answer to a request."""
-        return {"Server-Limit": self.limit} if self.limit else {}
+        headers = {"Server-Limit": self.limit} if self.limit else {}
+        return headers | ({"Server-Leaving": "1"} if self.says_leaving else {})
 
     @property
     def place(self) -> str:
@@ -151,6 +156,8 @@
             instance.address = order.get("address", instance.address)
             instance.zone = order.get("zone", instance.zone)
             instance.limit = order.get("limit", instance.limit)
+            instance.rest = order.get("rest", instance.rest)
+            instance.says_leaving = order.get("leaving", instance.says_leaving)
             if "born" in order:
                 instance.start_again(order["born"])
             if instance.is_dead:
@@ -200,7 +207,11 @@
                 "at_s": time.monotonic(),
             }
         )
-        if "x-token-usage" in request.headers:
+        if instance.rest:
+            headers = {"Retry-After": instance.rest, "X-Not-Executed": "1"}
+            headers |= instance.stated_headers
+            answer.send(503, b"", content_type="text/plain", headers=headers)
+        elif "x-token-usage" in request.headers:
             await self._stream(instance, request, answer)
         else:
             await self._echo(instance, request, answer)
