Gateway: heed the rest that an instance asks for

Cause: Retry-After of an instance was read by nobody, and a quick refusal made it look sound and empty, so it was first choice (cost 0.0 beside 0.1 to 0.27). A last resort and second attempts were ruled out by the attempt lines.

Change: an instance that asked for rest is barred until it is over, also as a last resort; then one request goes first. Once it has asked two entries, the others leave it to the last.

--- /dev/null
+++ b/benchmarks/requested_rest.py
@@ -0,0 +1,51 @@
+"""Whether entries tell each other that an instance asked for rest: ways compared.
+
+One of three instances turns requests away and asks for 2 s of rest; each request may go to one
+instance only. Usage: .venv/bin/python benchmarks/requested_rest.py
+"""
+
+import pathlib
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "tests"), str(ROOT / "tools")]
+
+from lib import limit_fleet  # noqa: E402
+from spoolhead._internal.policy import requested_rest  # noqa: E402
+
+SIZES = ((8, 3), (24, 3), (65, 4), (350, 15))
+WAYS = (("each by itself", 10**6), ("all at the first", 1), ("all at the second", 2))
+REST_MS = 2_000
+PLAY_S = 8.0
+
+
+def _play(entries, halls, turned_away):
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+    instance = fleet.upstreams[fleet.instances[0]]
+    fleet.begin_traffic(2 * max(50, entries))
+    fleet.run(1.0)
+    instance.rest_ms = REST_MS
+    instance.turned_away = turned_away
+    refused, arrived = len(fleet.refused), len(instance.arrivals)
+    served = len(fleet.served)
+    fleet.run(PLAY_S)
+    refused = len(fleet.refused) - refused
+    served = len(fleet.served) - served
+    return refused, (len(instance.arrivals) - arrived) / (refused + served)
+
+
+def main():
+    """Print a table for an instance that turns away all, and for one that turns away one."""
+    for text, turned_away in (("all entries", None), ("one entry", {0})):
+        print(
+            f"\nturned away: {text}\n| entries | way | refused in 8 s | its share |\n|---|---|---|---|"
+        )
+        for entries, halls in SIZES:
+            for name, reporters in WAYS:
+                requested_rest.REPORTERS = reporters
+                refused, share = _play(entries, halls, turned_away)
+                print(f"| {entries} | {name} | {refused} | {share:.2f} |", flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -105,6 +105,11 @@
                 if upstream.note_cold(alarm.for_ms, now_s):
                     cold_fields = {**fields, "for_ms": alarm.for_ms}
                     logger.info("upstream is cold", extra={"fields": cold_fields})
+            case shared_load.AlarmKind.RESTING:
+                upstream.rest.record_report(alarm.finder, alarm.for_ms, now_s)
+                rest_fields = {"upstream": alarm.life_id, "for_ms": alarm.for_ms}
+                rest_fields["reported_by"] = alarm.finder
+                logger.info("upstream asked for rest", extra={"fields": rest_fields})
             case shared_load.AlarmKind.REPLACED:
                 if upstream.note_replaced(now_s):
                     logger.info("upstream is said to be replaced", extra={"fields": fields})
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -300,7 +300,7 @@
         attempt.head = self._context.dialect.read_answer(status, headers)
         attempt.upstream.note_load(attempt.head.load, now_s)
         self._context.limits.take_answer(attempt.upstream, attempt.head, now_s)
-        self._log_requests(attempt.upstream, attempt.head)
+        self._context.on_answer(attempt.upstream, attempt.head, now_s)
         self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
         if attempt.head.is_misdirected and attempt.upstream.note_replaced(now_s):
             fields = {
@@ -310,17 +310,6 @@
             logger.info("upstream is replaced", extra={"fields": fields})
             self._context.on_replaced(attempt.upstream)
 
-    def _log_requests(self, upstream: upstream_book.Upstream, head: dialects.AnswerHead) -> None:
-        """Log what the instance asks of this entry."""
-        fields = {"upstream": upstream.instance.life_id}
-        if head.rest_ms is not None:
-            rest_fields = {**fields, "for_ms": head.rest_ms, "reported_by": ""}
-            logger.info("upstream asked for rest", extra={"fields": rest_fields})
-        if head.is_rest_unreadable:
-            logger.warning("upstream asked for an unreadable rest", extra={"fields": fields})
-        if head.is_leaving:
-            logger.info("upstream announced that it leaves", extra={"fields": fields})
-
     def note_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Take note of an attempt whose connection was lost, or was never made."""
         assert attempt.call is not None
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -28,6 +28,7 @@
     :ivar chance: source of random numbers.
     :ivar on_change: called when what this entry holds at an instance has changed.
     :ivar on_lost_request: called with the id of an instance that took a request and lost it.
+    :ivar on_answer: called with an instance, the head of its answer and when it came.
     :ivar on_replaced: called with an instance at whose address another one was found to answer.
     :ivar get_silent_halls: returns the halls from which nothing has been heard for a while.
     :ivar get_news_age_ms: returns the age of what is known of other entries' work.
@@ -60,6 +61,7 @@
         "get_news_age_ms",
         "get_silent_halls",
         "limits",
+        "on_answer",
         "on_change",
         "on_lost_request",
         "on_replaced",
@@ -80,6 +82,7 @@
         chance: random.Random,
         on_change: Callable[[], None],
         on_lost_request: Callable[[str], None],
+        on_answer: Callable[[upstream_book.Upstream, dialects.AnswerHead, float], None],
         on_replaced: Callable[[upstream_book.Upstream], None],
         contents: content_watch.ContentWatch,
         limits: upstream_limits.UpstreamLimits,
@@ -97,6 +100,7 @@
         self.chance = chance
         self.on_change = on_change
         self.on_lost_request = on_lost_request
+        self.on_answer = on_answer
         self.on_replaced = on_replaced
         self.contents = contents
         self.ask_lost = ask_lost
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -139,6 +139,7 @@
             chance=random.Random(),
             on_change=self._on_own_change,
             on_lost_request=self._sharing.tell_failure,
+            on_answer=lambda *answer: self._news.take_answer(*answer),
             on_replaced=lambda upstream: self._news.take_replaced(upstream),
             contents=self._contents,
             limits=self._limits,
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Set
 
 from spoolhead._internal.gateway import exchange, exchange_context, load_sharing, stream_exchange
-from spoolhead._internal.models import instances, shared_load
+from spoolhead._internal.models import dialects, instances, shared_load
 from spoolhead._internal.policy import upstream_book
 from spoolhead._internal.routing import matcher
 from spoolhead._internal.utils import clocks
@@ -89,6 +89,32 @@
         kind = shared_load.AlarmKind.COLD
         self._sharing.tell_alarm(upstream.instance.life_id, kind, for_ms=cold_ms)
 
+    def take_answer(
+        self, upstream: upstream_book.Upstream, head: dialects.AnswerHead, now_s: float
+    ) -> None:
+        """Take what an instance says of itself in an answer to a request."""
+        fields = {"upstream": upstream.instance.life_id}
+        if head.is_misdirected:
+            return
+        if not head.has_not_run:
+            upstream.rest.record_taken()
+        if head.is_rest_unreadable:
+            logger.warning("upstream asked for an unreadable rest", extra={"fields": fields})
+        if head.rest_ms is not None:
+            self._take_rest(upstream, head.rest_ms, now_s)
+        if head.is_leaving:
+            logger.info("upstream announced that it leaves", extra={"fields": fields})
+
+    def _take_rest(self, upstream: upstream_book.Upstream, rest_ms: int, now_s: float) -> None:
+        """Leave an instance alone that asked for it, and tell others unless enough know."""
+        if not upstream.rest.record(rest_ms, now_s):
+            return
+        life_id = upstream.instance.life_id
+        fields = {"upstream": life_id, "for_ms": rest_ms, "reported_by": ""}
+        logger.info("upstream asked for rest", extra={"fields": fields})
+        if not upstream.rest.has_reports(now_s):
+            self._sharing.tell_alarm(life_id, shared_load.AlarmKind.RESTING, for_ms=rest_ms)
+
     def take_replaced(self, upstream: upstream_book.Upstream) -> None:
         """Tell the others of an instance at whose address another one answers."""
         self._context.contents.note_ended(upstream.instance.life_id, "another answers")
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -89,6 +89,8 @@
     """Another instance answers at its address."""
     ENDED = 6
     """It lost a request and refuses connections: its process has ended."""
+    RESTING = 7
+    """It turned the entry away and asked for rest."""
 
 
 class Alarm:
@@ -98,7 +100,7 @@
     :ivar kind: what is wrong.
     :ivar finder: name of the entry that found it.
     :ivar sequence: rises with each alarm of that entry, across its restarts.
-    :ivar for_ms: how much longer it is cold, where that is what is told.
+    :ivar for_ms: how much longer it is cold, or how long it wants rest, where that is told.
     """
 
     __slots__ = ("finder", "for_ms", "kind", "life_id", "sequence")
--- /dev/null
+++ b/src/spoolhead/_internal/policy/requested_rest.py
@@ -0,0 +1,72 @@
+"""The rest that an instance asks of an entry; no I/O, time passed in."""
+
+import math
+
+LONGEST_S = 60.0
+"""Longest rest that is granted at once; then one request finds out whether it goes on."""
+TRIAL_S = 2.0
+"""Time for which one request is waited for, after a rest, before another may go."""
+REPORTERS = 2
+"""Other entries that must have been asked for rest before this one holds back unasked: an instance
+may have turned a single entry away."""
+
+
+class RequestedRest:
+    """What one instance asked of this entry, and of others."""
+
+    __slots__ = ("_must_try", "_reported_until_s", "_tried_s", "_until_s")
+
+    def __init__(self) -> None:
+        self._until_s = -math.inf
+        self._must_try = False
+        self._tried_s = -math.inf
+        self._reported_until_s: dict[str, float] = {}
+
+    def record(self, rest_ms: int, now_s: float) -> bool:
+        """Record that the instance wants nothing from this entry for a time.
+
+        :returns: whether it did not rest already.
+        """
+        is_news = not self.is_resting(now_s)
+        self._until_s = max(self._until_s, now_s + _get_granted_s(rest_ms))
+        self._must_try = True
+        self._tried_s = -math.inf
+        return is_news
+
+    def record_report(self, reporter: str, rest_ms: int, now_s: float) -> None:
+        """Record that another entry was asked for rest."""
+        self._reported_until_s[reporter] = now_s + _get_granted_s(rest_ms)
+
+    def record_sent(self, now_s: float) -> None:
+        """Record that a request is sent, the first one after a rest if it is over."""
+        if self._must_try:
+            self._tried_s = now_s
+
+    def record_taken(self) -> None:
+        """Record that the instance took a request."""
+        self._must_try = False
+        self._reported_until_s.clear()
+
+    def is_resting(self, now_s: float) -> bool:
+        """Tell whether it wants nothing from this entry now."""
+        return now_s < self._until_s
+
+    def is_doubtful(self, now_s: float) -> bool:
+        """Tell whether it may turn requests away: it does so to others, or one is finding out."""
+        is_tried = self._must_try and now_s - self._tried_s < TRIAL_S
+        return is_tried or self.has_reports(now_s)
+
+    def has_reports(self, now_s: float) -> bool:
+        """Tell whether enough other entries were asked for rest."""
+        for reporter, until_s in list(self._reported_until_s.items()):
+            if now_s >= until_s:
+                del self._reported_until_s[reporter]
+        return len(self._reported_until_s) >= REPORTERS
+
+    def get_left_ms(self, now_s: float) -> int:
+        """Return the time that is left of the rest."""
+        return max(0, math.ceil((self._until_s - now_s) * 1000))
+
+
+def _get_granted_s(rest_ms: int) -> float:
+    return min(max(0, rest_ms) / 1000, LONGEST_S)
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -114,6 +114,9 @@
     if choice.is_cut_off:
         # A cut lasts for seconds; waiting would only keep the caller from asking elsewhere.
         return Verdict.REFUSE
+    if choice.retry_after_ms is not None and choice.upstream is None:
+        # What bars all engines ends at a known time.
+        return _wait_or_refuse(request, now_s + choice.retry_after_ms / 1000)
     if now_s < request.refuse_s:
         return Verdict.WAIT
     if choice.upstream is None or get_least_fill(engine, choice) >= HOPELESS_FILL:
@@ -121,6 +124,10 @@
     return Verdict.BEGIN if now_s >= request.offer_s else Verdict.WAIT
 
 
+def _wait_or_refuse(request: Request, open_s: float) -> Verdict:
+    return Verdict.WAIT if open_s < request.refuse_s else Verdict.REFUSE
+
+
 def get_come_back_ms(remaining_ms: int) -> int:
     """Return when a refused caller should come back.
 
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from spoolhead._internal.models import dialects, instances, shared_load
-from spoolhead._internal.policy import latest_starts
+from spoolhead._internal.policy import latest_starts, requested_rest
 
 FAILURES_TO_EJECT = 3
 """Attempts in a row that must fail without an answer before an instance rests; one or two
@@ -66,6 +66,7 @@
     :ivar is_leaving: it takes no new work.
     :ivar is_gone: it is no longer listed.
     :ivar is_evacuated: its hall is, so nothing more is sent to it.
+    :ivar rest: rest that it asked for.
     :ivar listed_cold: reading by which it was last taken for cold.
     :ivar has_started_again: its instance has, so this run of it is over.
     """
@@ -90,6 +91,7 @@
         "key",
         "listed_cold",
         "others",
+        "rest",
         "works",
     )
 
@@ -98,6 +100,7 @@
         self.key = shared_load.get_key(instance.life_id)
         self.works: dict[str, Work] = {}
         self.others = shared_load.Held()
+        self.rest = requested_rest.RequestedRest()
         self.is_leaving = instance.is_leaving
         self.is_gone = False
         self.is_evacuated = False
@@ -143,7 +146,8 @@
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
         is_open = not self.is_evacuated and not self.is_departing(now_s)
-        return is_open and not self.is_replaced(now_s) and now_s >= self._rest_until_s
+        is_sound = now_s >= self._rest_until_s and not self.rest.is_doubtful(now_s)
+        return is_open and not self.is_replaced(now_s) and is_sound
 
     @property
     def expected_count(self) -> int:
@@ -183,6 +187,7 @@
     def note_sent(self, now_s: float) -> None:
         """Take note of a request that is sent to it."""
         self._sent_s.append(now_s)
+        self.rest.record_sent(now_s)
 
     def count_sent(self, since_s: float) -> int:
         """Return how many requests this entry has sent to it after a moment."""
--- a/src/spoolhead/_internal/policy/upstream_gate.py
+++ b/src/spoolhead/_internal/policy/upstream_gate.py
@@ -19,11 +19,13 @@
     REPLACED = "replaced"
     CUT_OFF = "cut_off"
     EVACUATED = "evacuated"
+    RESTING = "resting"
+    """It asked this entry for rest."""
     COLD = "cold"
     LIMITED = "limited"
     """A permit for a request at least as urgent was just rejected."""
     SUSPECTED = "suspected"
-    """It is ejected, or an alarm about it counts."""
+    """It is ejected, an alarm about it counts, or it turns other entries away."""
 
     @property
     def is_binding(self) -> bool:
@@ -91,6 +93,8 @@
             return Bar.CUT_OFF
         if upstream.is_evacuated:
             return Bar.EVACUATED
+        if upstream.rest.is_resting(now_s):
+            return Bar.RESTING
         if not self.cold_starts.may_send(service, upstream, now_s):
             return Bar.COLD
         if not has_permit and self._must_back_off(upstream, claim, now_s):
@@ -117,4 +121,6 @@
         """
         if bar is Bar.LIMITED:
             return self.backoff.get_retry_after_ms(upstream.key, now_s)
+        if bar is Bar.RESTING:
+            return upstream.rest.get_left_ms(now_s)
         return None
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -12,6 +12,7 @@
     routed_job,
     stream_exchange,
     upstream_limits,
+    upstream_news,
 )
 from spoolhead._internal.models import (
     dialects,
@@ -212,6 +213,16 @@
     )
 
 
+class FakeSharing:
+    """Keeps what would be told to other entries."""
+
+    def __init__(self, alarms):
+        self.alarms = alarms
+
+    def tell_alarm(self, life_id, kind, *, for_ms=0):
+        self.alarms.append((life_id, kind, for_ms))
+
+
 class Setting:
     """One request of a kind, started."""
 
@@ -280,6 +291,10 @@
         )
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
+        self.alarms = []
+        self.news = upstream_news.UpstreamNews(
+            None, FakeSharing(self.alarms), set(), get_table=lambda: None
+        )
         self.limits = upstream_limits.UpstreamLimits(
             self.book.get_by_key, tell=lambda: None, on_change=lambda key: None
         )
@@ -299,6 +314,7 @@
             chance=random.Random(1),
             on_change=lambda: None,
             on_lost_request=self.lost.append,
+            on_answer=self.news.take_answer,
             on_replaced=self.replaced.append,
             contents=self.contents,
             limits=self.limits,
--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -34,13 +34,21 @@
     """An instance that answers every request at once.
 
     :ivar limit_per_s: limit that it states; None for none.
+    :ivar rest_ms: rest that it asks for as it turns requests away; 0 to take them.
+    :ivar turned_away: numbers of the entries that it turns away; None for all.
     :ivar arrivals: when requests arrived, with the number of the entry.
     """
 
     def __init__(self):
         self.limit_per_s = None
+        self.rest_ms = 0
+        self.turned_away = None
         self.arrivals = []
 
+    def turns_away(self, number):
+        is_meant = self.turned_away is None or number in self.turned_away
+        return bool(self.rest_ms) and is_meant
+
     def get_times_s(self, since_s):
         return [time_s for time_s, _ in self.arrivals if time_s >= since_s]
 
@@ -109,6 +117,8 @@
             for upstream in entry.book.get_all()
         }
         open_ones = [upstream for upstream, bar in bars.items() if bar is None]
+        if not open_ones:
+            open_ones = [item for item, bar in bars.items() if not bar.is_binding]
         self.chance.shuffle(open_ones)
         open_ones.sort(key=lambda upstream: not gate.is_limited(upstream))
         if not open_ones:
@@ -149,6 +159,7 @@
         if entry is not self.entries[request.number] or not entry.process.is_up:
             return
         instance = self.upstreams[upstream.instance.instance_id]
+        upstream.note_sent(self.clock())
         self.clock.call_later(
             load_fleet.FAR_S, lambda: self._arrive(entry, request, upstream, instance)
         )
@@ -156,6 +167,10 @@
     def _arrive(self, entry, request, upstream, instance):
         instance.arrivals.append((self.clock(), request.number))
         head = gateway_setting.make_answer_head(limit_per_s=instance.limit_per_s)
+        if instance.turns_away(request.number):
+            head.status = 503
+            head.has_not_run = True
+            head.rest_ms = instance.rest_ms
         self.clock.call_later(
             load_fleet.FAR_S, lambda: self._take_answer(entry, request, upstream, head)
         )
@@ -163,7 +178,11 @@
     def _take_answer(self, entry, request, upstream, head):
         if entry.process.is_up:
             entry.limits.take_answer(upstream, head, self.clock())
-        self.served.append((request, self.clock()))
+            entry.news.take_answer(upstream, head, self.clock())
+        if head.has_not_run:
+            self.refused.append((request, self.clock(), None))
+        else:
+            self.served.append((request, self.clock()))
 
     def restart_entry(self, number):
         """Have an entry end and start anew, knowing nothing."""
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -5,7 +5,12 @@
 import random
 
 from lib import gateway_setting, simulated_clock
-from spoolhead._internal.gateway import load_sharing, permit_exchange, upstream_limits
+from spoolhead._internal.gateway import (
+    load_sharing,
+    permit_exchange,
+    upstream_limits,
+    upstream_news,
+)
 from spoolhead._internal.load_telling import hub_port
 from spoolhead._internal.models import fleet, permits, shared_load
 from spoolhead._internal.policy import content_book, load_hub, upstream_book
@@ -71,6 +76,16 @@
         return one.name != other.name and both <= self.cut_keepers
 
 
+class LateSharing:
+    """Tells by the sharing that an entry has by then."""
+
+    def __init__(self, entry):
+        self.entry = entry
+
+    def tell_alarm(self, *args, **options):
+        self.entry.sharing.tell_alarm(*args, **options)
+
+
 class Entry:
     """One entry: its book, its sharing and the ages of what it knows."""
 
@@ -105,6 +120,9 @@
             first_id=int(fleet_.clock() * 1000),
             clock=fleet_.clock,
         )
+        self.news = upstream_news.UpstreamNews(
+            None, LateSharing(self), set(), get_table=lambda: None
+        )
         self.sharing = load_sharing.LoadSharing(
             fleet_.clock,
             config,
--- /dev/null
+++ b/tests/unit/test_instance_words.py
@@ -0,0 +1,129 @@
+"""Rest that an instance asks of an entry, and its word that it leaves."""
+
+import pytest
+
+from lib import gateway_setting
+from spoolhead._internal.models import route_table, shared_load
+from spoolhead._internal.policy import requested_rest, upstream_gate
+from spoolhead._internal.utils import clocks
+from spoolhead.platform import dialect
+
+
+def _read(status, **headers):
+    named = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return dialect.Dialect().read_answer(status, named)
+
+
+@pytest.mark.parametrize(
+    ("text", "rest_ms"), [("3", 3_000), ("0.25", 250), ("0", 0), (" 2 ", 2_000), ("1e9", 10**12)]
+)
+@pytest.mark.parametrize("status", [429, 503])
+def test_an_answer_that_turns_a_request_away_may_ask_for_rest(status, text, rest_ms):
+    head = _read(status, retry_after=text)
+    assert (head.rest_ms, head.is_rest_unreadable) == (rest_ms, False)
+
+
+@pytest.mark.parametrize("text", ["-1", "soon", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"])
+def test_what_is_no_number_of_seconds_asks_for_nothing(text):
+    head = _read(503, retry_after=text)
+    assert (head.rest_ms, head.is_rest_unreadable) == (None, True)
+
+
+def test_other_answers_ask_for_nothing():
+    assert _read(200, retry_after="3").rest_ms is None
+    assert _read(503).rest_ms is None
+    assert _read(503, retry_after="").is_rest_unreadable is False
+
+
+@pytest.mark.parametrize(("text", "is_leaving"), [("1", True), ("0", False), ("", False)])
+def test_an_instance_says_itself_that_it_leaves(text, is_leaving):
+    head = _read(200, server_leaving=text)
+    assert head.is_leaving is is_leaving
+    assert head.headers == []
+
+
+ONCE = route_table.RequestKind.ONCE
+STREAM = route_table.RequestKind.STREAM
+TURNED_AWAY = [
+    ("x-request-id", gateway_setting.REQUEST_ID),
+    ("x-not-executed", "1"),
+    ("retry-after", "3"),
+]
+
+
+def _get_bar(setting, upstream, now_s):
+    service = setting.exchange.job.service
+    return setting.context.gate.get_bar(service, upstream, now_s, claim=gateway_setting.CLAIM)
+
+
+@pytest.mark.parametrize("kind", [ONCE, STREAM])
+def test_an_instance_that_asked_for_rest_is_barred_until_it_is_over(kind):
+    setting = gateway_setting.Setting(kind, names=("i-1",), attempts=1)
+    (upstream,) = setting.book.get_all()
+    setting.last.answer(503, TURNED_AWAY)
+    now_s = clocks.get_s()
+    assert _get_bar(setting, upstream, now_s) is upstream_gate.Bar.RESTING
+    assert _get_bar(setting, upstream, now_s + 2.9) is upstream_gate.Bar.RESTING
+    assert _get_bar(setting, upstream, now_s + 3.1) is None
+    assert setting.alarms == [("i-1", shared_load.AlarmKind.RESTING, 3_000)]
+
+
+@pytest.mark.parametrize("kind", [ONCE, STREAM])
+def test_where_all_rest_a_request_is_refused_with_when_the_first_is_over(kind):
+    """Guards against a last resort that overrides what the instances asked for."""
+    setting = gateway_setting.Setting(kind, names=("i-1", "i-2"), attempts=2)
+    for _ in range(2):
+        setting.last.answer(503, TURNED_AWAY)
+    assert len(setting.calls.attempts) == 2
+    assert setting.caller.status == 503
+    choice = setting.exchange.choose(0)
+    setting.exchange._tried.clear()
+    choice = setting.exchange.choose(0)
+    assert choice.upstream is None
+    assert 2_900 < choice.retry_after_ms <= 3_000
+
+
+def test_after_a_rest_one_request_goes_first():
+    rest = requested_rest.RequestedRest()
+    rest.record(2_000, 0.0)
+    assert not rest.is_doubtful(2.1)
+    rest.record_sent(2.1)
+    assert rest.is_doubtful(2.2)
+    rest.record_taken()
+    assert not rest.is_doubtful(2.3)
+
+
+def test_a_first_request_that_is_lost_does_not_hold_the_others_back_for_long():
+    rest = requested_rest.RequestedRest()
+    rest.record(2_000, 0.0)
+    rest.record_sent(2.1)
+    assert not rest.is_doubtful(2.2 + requested_rest.TRIAL_S)
+
+
+def test_the_longest_of_several_rests_counts_up_to_a_bound():
+    rest = requested_rest.RequestedRest()
+    assert rest.record(2_000, 0.0)
+    assert not rest.record(500, 1.0)
+    assert rest.get_left_ms(1.0) == 1_000
+    rest.record(10**12, 1.0)
+    assert rest.is_resting(60.9)
+    assert not rest.is_resting(61.1)
+
+
+def test_two_others_that_were_asked_make_an_instance_doubtful_until_their_rests_are_over():
+    rest = requested_rest.RequestedRest()
+    rest.record_report("e-2", 2_000, 0.0)
+    assert not rest.is_doubtful(0.1)
+    rest.record_report("e-2", 2_000, 0.1)
+    assert not rest.is_doubtful(0.2)
+    rest.record_report("e-3", 1_000, 0.2)
+    assert rest.is_doubtful(1.1)
+    assert not rest.is_resting(1.1)
+    assert not rest.is_doubtful(1.3)
+
+
+def test_a_word_of_another_instance_at_the_address_is_none_of_this_one():
+    setting = gateway_setting.Setting(ONCE, names=("i-1",), attempts=1)
+    (upstream,) = setting.book.get_all()
+    setting.news.take_answer(upstream, _read(421, retry_after="3"), 0.0)
+    assert not upstream.rest.is_resting(0.1)
