Gateway: heed an instance that says that it leaves

Cause: the header by which it says so in its answers was read by nobody.

Change: from such an answer on the instance counts as leaving for good, as a listed one: nothing new goes there, runs move, its end is no request's fault, the others are told at once. Health answers count as well. Another start under its id begins anew.

Compared: taken for an alarm that passes (2.5 s, then 30 s in which a further one counts for nothing) or as final. An alarm's cooldown would send to an instance that says all the time that it leaves, so it is final; no figure was needed to rule the first out.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -105,6 +105,13 @@
                 if upstream.note_cold(alarm.for_ms, now_s):
                     cold_fields = {**fields, "for_ms": alarm.for_ms}
                     logger.info("upstream is cold", extra={"fields": cold_fields})
+            case shared_load.AlarmKind.LEAVING:
+                if upstream.record_announced_end():
+                    leaving_fields = {"upstream": alarm.life_id, "reported_by": alarm.finder}
+                    logger.info(
+                        "upstream announced that it leaves", extra={"fields": leaving_fields}
+                    )
+                    self._on_alarm(upstream)
             case shared_load.AlarmKind.RESTING:
                 upstream.rest.record_report(alarm.finder, alarm.for_ms, now_s)
                 rest_fields = {"upstream": alarm.life_id, "for_ms": alarm.for_ms}
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -249,6 +249,8 @@
 
     def _take_health(self, upstream: upstream_book.Upstream, head: dialects.AnswerHead) -> None:
         self._limits.take_health(upstream, head, clocks.get_s())
+        if head.is_leaving:
+            self._news.take_announced_end(upstream)
 
     def _on_own_change(self) -> None:
         self._sharing.note_change()
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -60,7 +60,8 @@
     def _note_ended(self, before: list[upstream_book.Upstream]) -> None:
         """Take note of instances that are gone without a word: they have ended."""
         for upstream in before:
-            if upstream.is_gone and not upstream.instance.is_leaving:
+            has_announced = upstream.instance.is_leaving or upstream.has_announced_end
+            if upstream.is_gone and not has_announced:
                 self._context.contents.note_ended(upstream.instance.life_id, "no longer listed")
 
     def take_evacuations(self, halls: frozenset[str]) -> None:
@@ -103,7 +104,17 @@
         if head.rest_ms is not None:
             self._take_rest(upstream, head.rest_ms, now_s)
         if head.is_leaving:
-            logger.info("upstream announced that it leaves", extra={"fields": fields})
+            self.take_announced_end(upstream)
+
+    def take_announced_end(self, upstream: upstream_book.Upstream) -> None:
+        """Have runs leave an instance that says it leaves, and tell the others."""
+        if not upstream.record_announced_end():
+            return
+        life_id = upstream.instance.life_id
+        fields = {"upstream": life_id, "reported_by": ""}
+        logger.info("upstream announced that it leaves", extra={"fields": fields})
+        self._sharing.tell_alarm(life_id, shared_load.AlarmKind.LEAVING)
+        self.empty(upstream)
 
     def _take_rest(self, upstream: upstream_book.Upstream, rest_ms: int, now_s: float) -> None:
         """Leave an instance alone that asked for it, and tell others unless enough know."""
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -91,6 +91,8 @@
     """It lost a request and refuses connections: its process has ended."""
     RESTING = 7
     """It turned the entry away and asked for rest."""
+    LEAVING = 8
+    """It says itself that it leaves."""
 
 
 class Alarm:
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -64,6 +64,7 @@
     :ivar works: this entry's requests there.
     :ivar others: what other entries' requests hold there.
     :ivar is_leaving: it takes no new work.
+    :ivar has_announced_end: it said itself that it leaves, whatever the list shows.
     :ivar is_gone: it is no longer listed.
     :ivar is_evacuated: its hall is, so nothing more is sent to it.
     :ivar rest: rest that it asked for.
@@ -83,6 +84,7 @@
         "_rest_until_s",
         "_said_s",
         "_sent_s",
+        "has_announced_end",
         "has_started_again",
         "instance",
         "is_evacuated",
@@ -103,6 +105,7 @@
         self.rest = requested_rest.RequestedRest()
         self.is_leaving = instance.is_leaving
         self.is_gone = False
+        self.has_announced_end = False
         self.is_evacuated = False
         self.has_started_again = False
         self.listed_cold: instances.Instance | None = None
@@ -193,13 +196,24 @@
         """Return how many requests this entry has sent to it after a moment."""
         return sum(sent_s > since_s for sent_s in self._sent_s)
 
+    def record_announced_end(self) -> bool:
+        """Record that it said itself that it leaves, which it does not take back.
+
+        :returns: whether that is news.
+        """
+        is_news = not self.has_announced_end
+        self.has_announced_end = True
+        self.is_leaving = True
+        return is_news
+
     def is_departing(self, now_s: float) -> bool:
         """Tell whether it leaves, or says something that may mean so."""
         return self.is_leaving or self.is_alarmed(now_s)
 
     def is_ending_as_planned(self, now_s: float) -> bool:
         """Tell whether it has announced that it leaves, so that its end shows nothing."""
-        return self.instance.is_leaving or now_s - self._said_s < ALARM_S
+        has_announced = self.instance.is_leaving or self.has_announced_end
+        return has_announced or now_s - self._said_s < ALARM_S
 
     def is_alarmed(self, now_s: float) -> bool:
         """Tell whether an alarm about it counts."""
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -292,9 +292,7 @@
         workspace = route_table.Workspace(name="w", api_keys=("k",), priority=None)
         config = make_settings(retry_slack=slack)
         self.alarms = []
-        self.news = upstream_news.UpstreamNews(
-            None, FakeSharing(self.alarms), set(), get_table=lambda: None
-        )
+        self.news = None
         self.limits = upstream_limits.UpstreamLimits(
             self.book.get_by_key, tell=lambda: None, on_change=lambda key: None
         )
@@ -314,7 +312,7 @@
             chance=random.Random(1),
             on_change=lambda: None,
             on_lost_request=self.lost.append,
-            on_answer=self.news.take_answer,
+            on_answer=lambda *answer: self.news.take_answer(*answer),
             on_replaced=self.replaced.append,
             contents=self.contents,
             limits=self.limits,
@@ -324,11 +322,16 @@
             get_news_age_ms=lambda: 20,
             figures=entry_figures.EntryFigures(figures.Figures()),
         )
+        self.exchanges = set()
+        self.news = upstream_news.UpstreamNews(
+            context, FakeSharing(self.alarms), self.exchanges, get_table=lambda: None
+        )
         self.caller = RoutedCaller(wire)
         content_id = request_content.get_content_id(wire, head.host, workspace.name)
         job = routed_job.Job(head, route, service, workspace, 7, content_id)
         cls = stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         self.exchange = cls(job, self.caller, context, self.ended.append)
+        self.exchanges.add(self.exchange)
         self.exchange.begin()
 
     def list(self, *, leaving=(), gone=()):
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -76,6 +76,13 @@
         return one.name != other.name and both <= self.cut_keepers
 
 
+class FakeContext:
+    """What news need of an entry without requests."""
+
+    def ask_if_abandoned(self, upstream):
+        pass
+
+
 class LateSharing:
     """Tells by the sharing that an entry has by then."""
 
@@ -121,7 +128,7 @@
             clock=fleet_.clock,
         )
         self.news = upstream_news.UpstreamNews(
-            None, LateSharing(self), set(), get_table=lambda: None
+            FakeContext(), LateSharing(self), set(), get_table=lambda: None
         )
         self.sharing = load_sharing.LoadSharing(
             fleet_.clock,
--- a/tests/unit/test_instance_words.py
+++ b/tests/unit/test_instance_words.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from lib import gateway_setting
+from lib import gateway_setting, limit_fleet
 from spoolhead._internal.models import route_table, shared_load
 from spoolhead._internal.policy import requested_rest, upstream_gate
 from spoolhead._internal.utils import clocks
@@ -127,3 +127,60 @@
     (upstream,) = setting.book.get_all()
     setting.news.take_answer(upstream, _read(421, retry_after="3"), 0.0)
     assert not upstream.rest.is_resting(0.1)
+
+
+LEAVING = [*gateway_setting.SIGNED, ("server-leaving", "1")]
+
+
+@pytest.mark.parametrize("kind", [ONCE, STREAM])
+def test_an_instance_that_says_that_it_leaves_is_barred_whatever_the_list_shows(kind):
+    """Guards against an entry that waits for a list that is late or can't be read."""
+    setting = gateway_setting.Setting(kind, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    setting.last.user.on_answer_head(200, LEAVING)
+    setting.list()
+    now_s = clocks.get_s()
+    for later_s in (0.0, 5.0, 600.0):
+        assert _get_bar(setting, upstream, now_s + later_s) is upstream_gate.Bar.LEAVING
+    assert setting.alarms == [("i-1", shared_load.AlarmKind.LEAVING, 0)]
+    setting.news.take_answer(upstream, _read(200), now_s)
+    assert _get_bar(setting, upstream, now_s) is upstream_gate.Bar.LEAVING
+
+
+def test_a_run_leaves_an_instance_that_says_that_it_leaves():
+    setting = gateway_setting.Setting(STREAM, names=("i-1", "i-2"))
+    setting.last.send()
+    setting.last.user.on_answer_head(200, gateway_setting.SIGNED)
+    setting.last.user.on_answer_body(gateway_setting.make_events(1, 2))
+    name = setting.last.address.removesuffix(":80")
+    setting.news.take_answer(setting.book.get(name), _read(200, server_leaving="1"), 0.0)
+    assert len(setting.calls.copies) == 1
+
+
+def test_the_end_of_an_instance_that_said_that_it_leaves_is_no_requests_fault():
+    setting = gateway_setting.Setting(ONCE, names=("i-1",))
+    (upstream,) = setting.book.get_all()
+    assert not upstream.is_ending_as_planned(0.0)
+    setting.last.user.on_answer_head(200, LEAVING)
+    assert upstream.is_ending_as_planned(clocks.get_s() + 60.0)
+    setting.last.lose()
+    assert setting.asked == []
+
+
+def test_an_instance_that_starts_again_under_its_id_does_not_leave():
+    setting = gateway_setting.Setting(ONCE, names=("i-1",), born_ms=1)
+    setting.last.user.on_answer_head(200, LEAVING)
+    setting.born_ms = 2
+    setting.list()
+    (upstream,) = setting.book.get_all()
+    assert _get_bar(setting, upstream, clocks.get_s()) is None
+
+
+def test_others_that_are_told_of_it_send_nothing_either():
+    fleet = limit_fleet.LimitFleet(entries=8)
+    entry = fleet.entries[0]
+    name, *_ = fleet.instances
+    entry.news.take_answer(entry.book.get(name), _read(200, server_leaving="1"), fleet.clock())
+    fleet.run(0.3)
+    assert all(item.book.get(name).is_leaving for item in fleet.entries)
+    assert all(item.alarms == [name] for item in fleet.entries[1:])
