Gateway: back off from an instance that turns requests away without a word of rest

What callers saw: while instances of a service turned requests away (503, no Retry-After), 263 of 1,110 arrivals at that service were rejected; with one attempt each is lost.

Cause: an answer that a request did not run counted as health, and what turns all away holds nothing and is the emptiest. The same as with a word of rest, but nobody says for how long.

Change: such an instance is left to the last for 0.1 s, doubling to 1 s while it goes on, until it takes a request. It still serves where nothing else is left.

The tests failed before (4 of 4).

--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -97,7 +97,9 @@
         fields = {"upstream": upstream.instance.life_id}
         if head.is_misdirected:
             return
-        if not head.has_not_run:
+        if head.has_not_run:
+            upstream.rest.record_rejection(now_s)
+        else:
             upstream.rest.record_taken()
         if head.is_rest_unreadable:
             logger.warning("upstream asked for an unreadable rest", extra={"fields": fields})
--- a/src/spoolhead/_internal/policy/requested_rest.py
+++ b/src/spoolhead/_internal/policy/requested_rest.py
@@ -11,13 +11,28 @@
 may have turned a single entry away."""
 
 
+FIRST_BACKOFF_S = 0.1
+LONGEST_BACKOFF_S = 1.0
+"""Backoff after a request that was turned away without a word of rest; it doubles from the first
+to the longest with each further one in a row."""
+
+
 class RequestedRest:
     """What one instance asked of this entry, and of others."""
 
-    __slots__ = ("_must_try", "_reported_until_s", "_tried_s", "_until_s")
+    __slots__ = (
+        "_backoff_s",
+        "_backoff_until_s",
+        "_must_try",
+        "_reported_until_s",
+        "_tried_s",
+        "_until_s",
+    )
 
     def __init__(self) -> None:
         self._until_s = -math.inf
+        self._backoff_s = FIRST_BACKOFF_S
+        self._backoff_until_s = -math.inf
         self._must_try = False
         self._tried_s = -math.inf
         self._reported_until_s: dict[str, float] = {}
@@ -33,6 +48,14 @@
         self._tried_s = -math.inf
         return is_news
 
+    def record_rejection(self, now_s: float) -> None:
+        """Record that the instance turned a request away."""
+        if now_s < self._backoff_until_s:
+            return
+        self._backoff_until_s = now_s + self._backoff_s
+        self._backoff_s = min(self._backoff_s * 2, LONGEST_BACKOFF_S)
+        self._tried_s = -math.inf
+
     def record_report(self, reporter: str, rest_ms: int, now_s: float) -> None:
         """Record that another entry was asked for rest."""
         self._reported_until_s[reporter] = now_s + _get_granted_s(rest_ms)
@@ -45,6 +68,7 @@
     def record_taken(self) -> None:
         """Record that the instance took a request."""
         self._must_try = False
+        self._backoff_s = FIRST_BACKOFF_S
         self._reported_until_s.clear()
 
     def is_resting(self, now_s: float) -> bool:
@@ -52,7 +76,9 @@
         return now_s < self._until_s
 
     def is_doubtful(self, now_s: float) -> bool:
-        """Tell whether it may turn requests away: it does so to others, or one is finding out."""
+        """Tell whether it may turn requests away: it just did, or one is finding out."""
+        if now_s < self._backoff_until_s:
+            return True
         is_tried = self._must_try and now_s - self._tried_s < TRIAL_S
         return is_tried or self.has_reports(now_s)
 
--- a/tests/unit/test_instance_words.py
+++ b/tests/unit/test_instance_words.py
@@ -184,3 +184,42 @@
     fleet.run(0.3)
     assert all(item.book.get(name).is_leaving for item in fleet.entries)
     assert all(item.alarms == [name] for item in fleet.entries[1:])
+
+
+NOT_RUN = TURNED_AWAY[:2]
+
+
+@pytest.mark.parametrize("kind", [ONCE, STREAM])
+def test_an_instance_that_turns_a_request_away_is_left_to_the_last_for_a_moment(kind):
+    """Guards against an instance that looks emptiest since it turns away all that comes."""
+    setting = gateway_setting.Setting(kind, names=("i-1",), attempts=1)
+    (upstream,) = setting.book.get_all()
+    setting.last.answer(503, NOT_RUN)
+    now_s = clocks.get_s()
+    assert _get_bar(setting, upstream, now_s) is upstream_gate.Bar.SUSPECTED
+    assert _get_bar(setting, upstream, now_s + 0.2) is None
+    setting.exchange._tried.clear()
+    assert setting.exchange.choose(0).upstream is upstream
+
+
+def test_the_moment_grows_with_each_rejection_and_ends_with_a_request_that_is_taken():
+    rest = requested_rest.RequestedRest()
+    backoffs_s = []
+    now_s = 0.0
+    for _ in range(6):
+        rest.record_rejection(now_s)
+        began_s = now_s
+        while rest.is_doubtful(now_s):
+            now_s += 0.01
+        backoffs_s.append(round(now_s - began_s, 1))
+    assert backoffs_s == [0.1, 0.2, 0.4, 0.8, 1.0, 1.0]
+    rest.record_taken()
+    rest.record_rejection(now_s)
+    assert not rest.is_doubtful(now_s + requested_rest.FIRST_BACKOFF_S + 0.01)
+
+
+def test_rejections_of_one_moment_count_once():
+    rest = requested_rest.RequestedRest()
+    for _ in range(9):
+        rest.record_rejection(0.0)
+    assert not rest.is_doubtful(requested_rest.FIRST_BACKOFF_S + 0.01)
