Entry: heed Retry-After of upstreams on the own interface

The same cause looked for elsewhere: an upstream that turned requests away with 429 or 503 was not counted as failing, and its Retry-After was read by nobody; it stayed the emptiest. It counts as ejected now for as long as it asks, 60 s at most. How a decimal number is read stands once, for the adapter's headers as well.

The test failed before for the four cases that ask for rest (2.5 s, 1e9 s, both kinds). Not built: that entries of the own interface tell each other; a request may go to three upstreams there.

--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -12,7 +12,7 @@
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import placement, quarantine, replicas, retry
 from spoolhead._internal.relay import sequencer, stream_relay
-from spoolhead._internal.utils import metrics
+from spoolhead._internal.utils import decimals, metrics
 
 logger = logging.getLogger(__name__)
 
@@ -128,6 +128,8 @@
         self._pace.last_s = self._context.clock()
         attempt.status = status
         attempt.headers = headers
+        if status in _REFUSALS:
+            self._record_rest(attempt)
         if not self.request.is_model or status == _OK:
             return
         if self.request.resume is not None or self._relay.order.has_delivered:
@@ -140,6 +142,16 @@
             text = f"the upstream failed with status {status}"
             self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, text)
 
+    def _record_rest(self, attempt: flow_attempt.Attempt) -> None:
+        """Send nothing more for a time to an upstream that asks for that."""
+        text = dict(attempt.headers).get("retry-after", "")
+        rest_s = decimals.parse(text)
+        if rest_s is None:
+            return
+        attempt.replica.health.record_rest(rest_s, self._context.clock())
+        fields = {"upstream": attempt.replica.name, "for_ms": int(rest_s * 1000)}
+        logger.info("upstream asked for rest", extra={"fields": fields})
+
     def take_body(self, attempt: flow_attempt.Attempt, data: bytes) -> None:
         """Take a part of an attempt's answer."""
         if attempt is not self._attempt:
--- a/src/spoolhead/_internal/policy/health.py
+++ b/src/spoolhead/_internal/policy/health.py
@@ -5,6 +5,7 @@
 LONGEST_EJECTION_S = 30.0
 SLOW_START_S = 8.0
 FIRST_SHARE = 0.1
+LONGEST_REST_S = 60.0
 
 
 class Health:
@@ -14,12 +15,13 @@
     :param is_new: it came after this entry had started, so it begins slowly.
     """
 
-    __slots__ = ("_ejected_until_s", "_ejections", "_failures", "_ramp_from_s")
+    __slots__ = ("_ejected_until_s", "_ejections", "_failures", "_ramp_from_s", "_rest_until_s")
 
     def __init__(self, now_s: float, *, is_new: bool) -> None:
         self._failures = 0
         self._ejections = 0
         self._ejected_until_s = 0.0
+        self._rest_until_s = 0.0
         self._ramp_from_s = now_s if is_new else now_s - SLOW_START_S
 
     def note_success(self, now_s: float) -> None:
@@ -44,9 +46,16 @@
         self._ejected_until_s = now_s + duration_s
         self._ramp_from_s = self._ejected_until_s
 
+    def record_rest(self, rest_s: float, now_s: float) -> None:
+        """Record that it turned a request away and wants nothing for a time.
+
+        :param rest_s: that time in seconds; :data:`LONGEST_REST_S` counts at most.
+        """
+        self._rest_until_s = max(self._rest_until_s, now_s + min(rest_s, LONGEST_REST_S))
+
     def is_ejected(self, now_s: float) -> bool:
         """Whether it gets no new work just now."""
-        return now_s < self._ejected_until_s
+        return now_s < max(self._ejected_until_s, self._rest_until_s)
 
     def get_share(self, now_s: float) -> float:
         """Return the part of its capacity that may be used: rises to 1 after a start or return."""
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -2,20 +2,18 @@
 
 import json
 import math
-import re
 import urllib.parse
 
 import expression
 
 from spoolhead._internal.models import codes, dialects, evacuations, fault, route_table
 from spoolhead._internal.network import request_reader
+from spoolhead._internal.utils import decimals
 from spoolhead.platform import names, tables
 
 _MISDIRECTED_STATUS = 421
 _LONGEST_COLD = 9
 """Digits up to which the rest of a cold start is read: eleven days in milliseconds."""
-_DECIMAL = re.compile(r"\d{1,12}(\.\d{1,12})?([eE]\+?\d{1,2})?", re.ASCII)
-"""Decimal numbers that are read as a rate limit or a number of seconds."""
 _TURNED_AWAY = frozenset({429, 503})
 """Statuses by which an instance turns a request away."""
 _YES = "1"
@@ -104,7 +102,7 @@
         hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, names.LIMIT}
         hidden |= {names.LEAVING, "date", "server"}
         hidden |= names.ONE_CONNECTION
-        stated_limits = [value.strip() for name, value in headers if name == names.LIMIT]
+        stated_limits = [value for name, value in headers if name == names.LIMIT]
         limit_per_s = _read_limit(stated_limits)
         rest_text = found.get(names.RETRY_AFTER, "") if status in _TURNED_AWAY else ""
         rest_ms = _read_rest(rest_text)
@@ -220,11 +218,11 @@
 
 def _read_limit(values: list[str]) -> float | None:
     """Return the strictest of the limits that can be read; None if there is none."""
-    limits = [float(value) for value in values if _DECIMAL.fullmatch(value)]
-    return min(limits, default=None)
+    limits = [decimals.parse(value) for value in values]
+    return min((limit for limit in limits if limit is not None), default=None)
 
 
 def _read_rest(text: str) -> int | None:
     """Return milliseconds; None for what is no number of seconds, as a date."""
-    value = text.strip()
-    return math.ceil(float(value) * 1000) if _DECIMAL.fullmatch(value) else None
+    seconds = decimals.parse(text)
+    return math.ceil(seconds * 1000) if seconds is not None else None
--- a/tests/unit/test_flow.py
+++ b/tests/unit/test_flow.py
@@ -375,3 +375,18 @@
     call.user.on_answer_end()
     assert setting.caller.status == status
     assert bool(setting.contents.sound) is is_sound
+
+
+@pytest.mark.parametrize("kind", ["model", "plain"])
+@pytest.mark.parametrize(
+    ("text", "rest_s"), [("2.5", 2.5), ("1e9", 60.0), ("soon", 0.0), ("-1", 0.0)]
+)
+def test_an_upstream_that_asks_for_rest_gets_nothing_until_it_is_over(kind, text, rest_s):
+    """Guards against an upstream that looks empty since it turns everything away."""
+    setting = fakes.Setting(fakes.make_request(kind=kind, stream=False))
+    replica = setting.flow.replica
+    call = setting.calls.attempts[0]
+    call.may_have_arrived = True
+    call.user.on_answer_head(503, [("retry-after", text)])
+    assert replica.health.is_ejected(rest_s / 2) is bool(rest_s)
+    assert not replica.health.is_ejected(rest_s + 0.01)
