Permits: an entry without a fleet grants by itself; forget what is idle

Found by reading: an entry that knows no other entry (no keeper reached yet) had no granter and rejected all requests to a limited instance; buckets and rejections of instances that are gone were kept for good. Tests: test_an_entry_that_knows_no_other_grants_by_itself failed before (no granter), test_rejections_are_forgotten_once_they_keep_nobody_back and the renamed expire() of idle buckets.

--- a/src/spoolhead/_internal/gateway/permit_exchange.py
+++ b/src/spoolhead/_internal/gateway/permit_exchange.py
@@ -97,7 +97,8 @@
         self._clock = clock
         self._name = config.name
         self._hall = config.hall
-        self._entries: Sequence[fleet.Process] = ()
+        own = fleet.Process(name=config.name, hall=config.hall, address="")
+        self._entries: Sequence[fleet.Process] = (own,)
         self._granters: dict[str, list[fleet.Process]] = {}
         self._granter = permit_granter.PermitGranter(limits.book)
         self._addresses: dict[str, endpoints.Endpoint] = {}
@@ -114,6 +115,10 @@
         self._granters.clear()
         known = {entry.name for entry in entries}
         self._addresses = {name: to for name, to in self._addresses.items() if name in known}
+        self._missed.clear()
+        self._silent_until_s = {
+            name: until_s for name, until_s in self._silent_until_s.items() if name in known
+        }
 
     def ask(
         self,
@@ -141,9 +146,12 @@
         self._addresses[message.sender] = sender
         self._take_ask(message)
 
-    def forget_upstreams(self) -> None:
+    def refresh(self) -> None:
         """Work out anew who grants for whom; due when the list of instances has changed."""
+        now_s = self._clock()
         self._granters.clear()
+        self._granter.expire(now_s)
+        self.backoff.expire(now_s)
 
     def _get_granters(self, upstream: upstream_book.Upstream) -> list[fleet.Process]:
         life_id = upstream.instance.life_id
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -48,7 +48,7 @@
         self._note_ended(before)
         self._sharing.refresh()
         self._context.cold_starts.forget_quotas()
-        self._context.permits.forget_upstreams()
+        self._context.permits.refresh()
         self._context.limits.book.expire(clocks.get_s())
         self._context.queue.note_change()
         for upstream in leaving:
--- a/src/spoolhead/_internal/policy/permit_backoff.py
+++ b/src/spoolhead/_internal/policy/permit_backoff.py
@@ -72,6 +72,14 @@
         return_s = max(rejection.retry_at_s, rejection.others_until_s)
         return max(1, math.ceil((return_s - now_s) * 1000))
 
+    def expire(self, now_s: float) -> None:
+        """Forget rejections that keep nobody back any more."""
+        self._rejections = {
+            key: item
+            for key, item in self._rejections.items()
+            if now_s < max(item.until_s, item.retry_at_s)
+        }
+
     def clear(self, key: int) -> None:
         """Forget the rejection for an instance."""
         self._rejections.pop(key, None)
--- a/src/spoolhead/_internal/policy/permit_granter.py
+++ b/src/spoolhead/_internal/policy/permit_granter.py
@@ -127,15 +127,19 @@
     def poll(self, now_s: float) -> list[AddressedReply]:
         """Return the replies that have become due to asks that waited."""
         replies: list[AddressedReply] = []
-        for key, share in list(self._shares.items()):
+        for key, share in self._shares.items():
             limit_per_s = self._book.get_limit_per_s(key)
             if limit_per_s is None:
                 replies += self._release(share, now_s)
             elif share.waiting:
                 replies += self._settle(key, share, limit_per_s, now_s)
+        return replies
+
+    def expire(self, now_s: float) -> None:
+        """Forget instances that nobody asks for any more."""
+        for key, share in list(self._shares.items()):
             if not share.waiting and now_s - share.asked_s > IDLE_KEPT_S:
                 del self._shares[key]
-        return replies
 
     def get_due_s(self, now_s: float) -> float | None:
         """Return when :meth:`poll` has something to do; None if nothing waits."""
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -243,6 +243,7 @@
         contents=None,
         busy=None,
         limits_per_s=None,
+        knows_fleet=True,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -302,7 +303,8 @@
         for name, limit_per_s in (limits_per_s or {}).items():
             self.limits.book.record(self.book.get(name).key, limit_per_s, clocks.get_s())
         own = fleet.Process(name=config.name, hall=config.hall, address="")
-        self.permits.set_entries([own])
+        if knows_fleet:
+            self.permits.set_entries([own])
         context = self.context = exchange_context.Context(
             config=config,
             dialect=dialect.Dialect(),
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -129,7 +129,7 @@
 def test_idle_buckets_are_forgotten():
     _, granter = _make_granter()
     granter.take(_make_ask(1), 0.0)
-    granter.poll(permit_granter.IDLE_KEPT_S + 1)
+    granter.expire(permit_granter.IDLE_KEPT_S + 1)
     assert granter._shares == {}
 
 
@@ -146,6 +146,25 @@
     assert not backoff.blocks(KEY, 5, "a", 0.1)
 
 
+def test_rejections_are_forgotten_once_they_keep_nobody_back():
+    backoff = permit_backoff.PermitBackoff()
+    backoff.record(KEY, 5, "a", retry_after_ms=700, backoff_ms=1_000, now_s=0.0)
+    backoff.expire(0.9)
+    assert backoff.blocks(KEY, 5, "a", 0.9)
+    backoff.expire(1.1)
+    assert backoff._rejections == {}
+
+
+def test_an_entry_that_knows_no_other_grants_by_itself():
+    """Guards against an entry without keepers that never uses a limited instance again."""
+    setting = gateway_setting.Setting(
+        ONCE, names=("i-1",), limits_per_s={"i-1": 100.0}, knows_fleet=False
+    )
+    setting.timers.run_due(0.0)
+    (ask,) = setting.permits._granter._shares[setting.book.get("i-1").key].waiting
+    assert ask.ask.sender == "entry-1"
+
+
 def _make(kind, *, names=("i-1",)):
     """Return a request for which all instances are limited."""
     return gateway_setting.Setting(kind, names=names, limits_per_s=dict.fromkeys(names, 2.0))
