--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from lib import platform_fleet
+from lib import limit_fleet, platform_fleet
 from soak import plan
 from soak import records as soak_records
 
@@ -15,6 +15,9 @@
 """Time after which what ends instances must be held everywhere."""
 ENDS_TO_KNOW = 3
 RUNS_BORNE = 3
+ON_THE_WAY_S = 0.5
+"""Time after an instance asked for rest for what is on its way already."""
+REST_BORNE = 2
 LEAVE_S = 3.0
 """Time after which a leaving upstream must get no new work: some readings of the list."""
 
@@ -35,6 +38,7 @@
     broken += _check_entries(records)
     broken += _check_refusals(records)
     broken += _check_deadly(records)
+    broken += _check_words(records)
     return broken
 
 
@@ -99,6 +103,52 @@
         yield f"a deadly request ran {len(late)} times more after {len(ends_s)} ends"
 
 
+def _check_words(records):
+    """What an instance says of itself binds every entry that nothing befell."""
+    entries = {asked.request_id: asked.entry for asked in records.asked}
+    for word in records.words:
+        arrivals = [
+            (item["at_s"], entries.get(item["id"], ""))
+            for item in records.arrivals
+            if item["instance"] == word.target and word.began_s <= item["at_s"] <= word.ended_s
+        ]
+        yield from _WORD_CHECKS[word.kind](records, word, arrivals)
+
+
+def _check_limit(records, word, arrivals):
+    bound = [at_s for at_s, _ in arrivals if at_s >= word.began_s + limit_fleet.CONTACT_S]
+    most = limit_fleet.get_most(bound)
+    was_calm = not any(
+        records.was_disturbed(entry, word.began_s, word.ended_s) for entry in plan.ENTRIES
+    )
+    if was_calm and most > limit_fleet.get_allowed(plan.LIMIT_PER_S):
+        yield f"{word.target} got {most} requests within its limit"
+
+
+def _check_rest(records, word, arrivals):
+    for asked_s, entry in arrivals:
+        until_s = asked_s + plan.REST_S
+        late = [at_s for at_s, by in arrivals if by == entry and _is_in_rest(at_s, asked_s)]
+        if len(late) > REST_BORNE and not records.was_disturbed(entry, asked_s, until_s):
+            yield f"{word.target} got {len(late)} requests of {entry} in its rest"
+            return
+
+
+def _is_in_rest(at_s, asked_s):
+    return asked_s + ON_THE_WAY_S < at_s <= asked_s + plan.REST_S
+
+
+def _check_announced(records, word, arrivals):
+    told_s = {}
+    for at_s, entry in arrivals:
+        late_s = at_s - told_s.setdefault(entry, at_s)
+        if late_s > LEAVE_S and not records.was_disturbed(entry, word.began_s - SETTLE_S, at_s):
+            yield f"{word.target} got a request of {entry} {late_s:.1f} s after its word"
+
+
+_WORD_CHECKS = {"limit": _check_limit, "rest": _check_rest, "announce": _check_announced}
+
+
 def _check_evacuated(records):
     """What came to an entry after an evacuation was in force goes elsewhere, whatever befell it."""
     sent_s = {asked.request_id: asked.sent_s for asked in records.asked}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -38,6 +38,12 @@
     "stall_down": {"direction": "down", "stall": True},
     "refuse": {"cut": True, "refuse": True},
 }
+_WORDS = {
+    "limit": ({"limit": str(plan.LIMIT_PER_S)}, {"limit": ""}),
+    "rest": ({"rest": str(plan.REST_S)}, {"rest": ""}),
+    "announce": ({"leaving": True}, {"leaving": False}),
+}
+"""What an instance says of itself, and how that ends."""
 _ENDS = ("stop", "kill", "wipe", "tear")
 """Faults that end a process and start it again: one at a time for each."""
 _HEALED = ({"direction": "up"}, {"direction": "down"}, {"refuse": False})
@@ -80,6 +86,8 @@
                 self._change_table(step)
             elif step.kind == "evacuate":
                 self._evacuate(step)
+            elif step.kind in _WORDS:
+                self._say(step)
             elif step.kind in ("deadly", "hasty"):
                 self._repeat_deadly(step)
             else:
@@ -87,6 +95,19 @@
         except Exception as error:
             self._seen.problems.append(f"the soak itself failed at {step}: {error!r}")
 
+    def _say(self, step):
+        """Have an instance say something of itself for a time."""
+        begin, end = _WORDS[step.kind]
+        self._fleet.set(step.target, **begin)
+        said = records.Disturbance(target=step.target, kind=step.kind, began_s=time.monotonic())
+        time.sleep(step.for_s)
+        said.ended_s = time.monotonic()
+        self._seen.words.append(said)
+        if step.kind == "announce":
+            # Only another start under its id takes it back.
+            end = {**end, "born": int(time.time() * 1000)}
+        self._fleet.set(step.target, **end)
+
     def _disturb(self, step):
         if not self._begin(step):
             return
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -24,6 +24,11 @@
 HASTY_FROM_SEED = 40_000
 """From here on callers of such a request leave before it ends what runs it where the seed is odd;
 where it is even, all power is lost in the middle, as from 10,000 on, while it comes."""
+WORDS_FROM_SEED = 50_000
+"""From here on instances state limits, ask for rest and say that they leave; where the seed is even
+nothing befalls the entries meanwhile."""
+LIMIT_PER_S = 2.0
+REST_S = 1.5
 FAR = ("m-3", "p-2")
 """Instances in the other hall then."""
 FAR_HALL = "hall-b"
@@ -55,6 +60,10 @@
 def make_plan(seed):
     """Draw the steps of one run, in order of time."""
     chance = random.Random(seed)
+    if seed >= WORDS_FROM_SEED:
+        steps = _draw_words(chance) + _draw_disks(chance) + _draw_tables(chance)
+        steps += _draw_processes(chance) if seed % 2 else []
+        return sorted(steps, key=lambda step: step.at_s)
     is_hasty = seed >= HASTY_FROM_SEED and seed % 2 == 1
     if seed >= HASTY_FROM_SEED and not is_hasty:
         steps = _draw_power(chance)
@@ -134,6 +143,21 @@
     return Step(at_s=at_s, kind=kind, target=path, for_s=LENGTH_S - 1.0 - at_s)
 
 
+def _draw_words(chance):
+    """One instance of each service is limited; another asks for rest or says that it leaves."""
+    steps = []
+    for names in (MODELS, PLAIN):
+        limited, other = chance.sample(names, 2)
+        at_s = chance.uniform(0.3, 1.0)
+        for_s = chance.uniform(6.5, LENGTH_S - 1.5)
+        steps.append(Step(at_s=at_s, kind="limit", target=limited, for_s=for_s))
+        kind = chance.choice(("rest", "announce"))
+        at_s = chance.uniform(1.0, 4.0)
+        for_s = chance.uniform(2 * REST_S, 5.0)
+        steps.append(Step(at_s=at_s, kind=kind, target=other, for_s=for_s))
+    return steps
+
+
 def _draw_upstreams(chance):
     steps = []
     leaving = chance.choice(MODELS)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -138,6 +138,8 @@
             thread.join(platform_fleet.WAIT_S)
         seen.runs = json.loads(platform_fleet.send(fleet.list_address, "GET", "/_runs").body)
         seen.ends = fleet.get_ends()
+        arrivals = platform_fleet.send(fleet.list_address, "GET", "/_arrivals")
+        seen.arrivals = json.loads(arrivals.body)
         seen.disturbances += [_describe_end(end) for end in seen.ends]
         seen.problems += [f"{name} ended by itself" for name in fleet.get_ended()]
         seen.problems += _check_logs(fleet)
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -45,6 +45,10 @@
     return records.Acknowledged(version=version, at_s=at_s)
 
 
+def _arrivals(*times_s, instance="p-1"):
+    return [{"id": "r", "instance": instance, "at_s": time_s} for time_s in times_s]
+
+
 EVENTS = platform_fleet.make_events(3)
 BROKEN = {
     "twice": _seen(_asked(), runs=[_run(), _run()]),
@@ -57,6 +61,21 @@
         runs=[_run()],
         disturbances=[_trouble("entry-1", "stop", 50.2, 53.0)],
     ),
+    "more than a limit": _seen(
+        _asked(),
+        words=[_trouble("p-1", "limit", 40.0, 60.0)],
+        arrivals=_arrivals(*[50.0 + number / 10 for number in range(18)]),
+    ),
+    "requests in a rest": _seen(
+        _asked(),
+        words=[_trouble("p-1", "rest", 40.0, 60.0)],
+        arrivals=_arrivals(50.0, 50.6, 50.8, 51.0),
+    ),
+    "requests after a word of leaving": _seen(
+        _asked(),
+        words=[_trouble("p-1", "announce", 40.0, 60.0)],
+        arrivals=_arrivals(50.0, 53.1),
+    ),
     "leaving gets work": _seen(
         _asked(), runs=[_run()], disturbances=[_trouble("p-1", "drain", 46.0, 60.0)]
     ),
