Rename to the usual terms: ejection, peer failures, broadcasts; no behaviour changes

Rests of an entry's own making are ejections now, since rest is what an instance asks for: note_told_failure -> record_peer_failure, get_told_count -> get_reported_count, note_answer/note_load/ note_failure of instances -> record_answer/update_load/record_failure, FIRST_REST_S/LONGEST_REST_S -> FIRST_EJECTION_S/LONGEST_EJECTION_S, DISTRUST_S -> ALARM_COOLDOWN_S, load_telling -> load_broadcast, ContentTelling -> ContentBroadcast. Log lines: "upstream ejected" for "upstream rests", "peer reported upstream unhealthy" for "upstream is said not to be well". 0 tests changed but for these names.

--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -36,7 +36,7 @@
         self._tell = tell
         self._on_held = on_held
         self._quarantine = quarantine.Quarantine(name)
-        self._telling = content_book.ContentTelling(self._quarantine.book)
+        self._telling = content_book.ContentBroadcast(self._quarantine.book)
         self._runs = lost_runs.LostRuns()
 
     @property
--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -98,9 +98,9 @@
         fields = {"upstream": alarm.life_id, "told_by": alarm.finder}
         match alarm.kind:
             case shared_load.AlarmKind.LOST_REQUEST:
-                if upstream.note_told_failure(alarm.finder, now_s):
+                if upstream.record_peer_failure(alarm.finder, now_s):
                     fields = {"upstream": alarm.life_id, "reason": f"told by {alarm.finder}"}
-                    logger.warning("upstream rests", extra={"fields": fields})
+                    logger.warning("upstream ejected", extra={"fields": fields})
             case shared_load.AlarmKind.COLD:
                 if upstream.note_cold(alarm.for_ms, now_s):
                     cold_fields = {**fields, "for_ms": alarm.for_ms}
@@ -122,5 +122,5 @@
                     logger.info("upstream is said to be replaced", extra={"fields": fields})
             case _:
                 if upstream.raise_alarm(now_s, alarm.kind):
-                    logger.info("upstream is said not to be well", extra={"fields": fields})
+                    logger.info("peer reported upstream unhealthy", extra={"fields": fields})
                     self._on_alarm(upstream)
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -298,7 +298,7 @@
             return
         now_s = clocks.get_s()
         attempt.head = self._context.dialect.read_answer(status, headers)
-        attempt.upstream.note_load(attempt.head.load, now_s)
+        attempt.upstream.update_load(attempt.head.load, now_s)
         self._context.limits.take_answer(attempt.upstream, attempt.head, now_s)
         self._context.on_answer(attempt.upstream, attempt.head, now_s)
         self._context.reach.note_answer(attempt.upstream.instance.hall, now_s)
@@ -322,9 +322,9 @@
             self._note_lost_run(attempt)
         elif reason == links.REFUSED:
             self._context.ask_if_abandoned(attempt.upstream)
-        if attempt.upstream.note_failure(clocks.get_s(), is_unreachable=is_unreachable):
+        if attempt.upstream.record_failure(clocks.get_s(), is_unreachable=is_unreachable):
             fields = {"upstream": attempt.upstream.instance.life_id, "reason": reason}
-            logger.warning("upstream rests", extra={"fields": fields})
+            logger.warning("upstream ejected", extra={"fields": fields})
 
     def _note_lost_run(self, attempt: attempts.Attempt) -> None:
         """Take note that the request was at an instance which may have ended under it."""
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -12,7 +12,7 @@
 
 from spoolhead._internal.contents import content_watch
 from spoolhead._internal.gateway import alarm_exchange, upstream_limits
-from spoolhead._internal.load_telling import hub_port
+from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import hub_choice, load_hub, load_view, upstream_book
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -71,7 +71,7 @@
         if head.request_id and head.request_id != self.job.head.request_id:
             self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request")
         elif head.has_not_run:
-            attempt.upstream.note_answer()
+            attempt.upstream.record_answer()
             if head.is_misdirected:
                 # It never reached the instance that it was meant for.
                 self._attempts_made -= 1
@@ -79,11 +79,11 @@
         elif head.status in _SUCCESS and (not head.is_signed or head.is_encoded):
             self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer is not the upstream's own")
         elif head.status in _SERVER_ERRORS:
-            attempt.upstream.note_answer()
+            attempt.upstream.record_answer()
             self._kept = attempt
             self._retry(codes.ResultCode.UPSTREAM_LOST, f"status {head.status}")
         else:
-            attempt.upstream.note_answer()
+            attempt.upstream.record_answer()
             self._deliver(attempt)
 
     def take_loss(self, attempt: attempts.Attempt, reason: str) -> None:
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -22,7 +22,7 @@
     upstream_limits,
     upstream_news,
 )
-from spoolhead._internal.load_telling import load_socket
+from spoolhead._internal.load_broadcast import load_socket
 from spoolhead._internal.models import (
     codes,
     dialects,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -158,7 +158,7 @@
         if not self._is_good(attempt.head):
             self._take_refusal(attempt, attempt.head)
         else:
-            attempt.upstream.note_answer()
+            attempt.upstream.record_answer()
             self._finish(attempt.head)
 
     def take_loss(self, attempt: attempts.Attempt, reason: str) -> None:
--- a/src/spoolhead/_internal/policy/content_book.py
+++ b/src/spoolhead/_internal/policy/content_book.py
@@ -163,7 +163,7 @@
     return record.is_by_hand, record.waves, known.changed_s
 
 
-class ContentTelling:
+class ContentBroadcast:
     """What a process still has to tell one side of the records in its book.
 
     :param book: the records.
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -71,7 +71,7 @@
         self.rows: dict[int, _Row] = {}
 
 
-class _Telling:
+class _PendingBroadcast:
     """An alarm and how often it is still to be told."""
 
     __slots__ = ("alarm", "left")
@@ -104,11 +104,11 @@
         self._own = changed_rows.ChangedRows()
         self._all = changed_rows.ChangedRows()
         self._alarms_taken_s: dict[tuple[str, int], float] = {}
-        self._own_alarms: list[_Telling] = []
-        self._all_alarms: list[_Telling] = []
+        self._own_alarms: list[_PendingBroadcast] = []
+        self._all_alarms: list[_PendingBroadcast] = []
         self._contents = contents if contents is not None else content_book.ContentBook()
-        self._to_hubs = content_book.ContentTelling(self._contents)
-        self._to_reporters = content_book.ContentTelling(self._contents)
+        self._to_hubs = content_book.ContentBroadcast(self._contents)
+        self._to_reporters = content_book.ContentBroadcast(self._contents)
         self._limits = limit_book.LimitBook()
         self._limits_to_hubs = limit_broadcast.LimitBroadcast(self._limits)
         self._limits_to_reporters = limit_broadcast.LimitBroadcast(self._limits)
@@ -242,7 +242,7 @@
             sequence=self._sequence,
             rows=self._own.take_part(),
             ages=_get_ages(self._halls_heard_s, now_s),
-            alarms=_take_tellings(self._own_alarms),
+            alarms=_take_pending(self._own_alarms),
             contents=self._make_contents(self._to_hubs, now_s),
             limits=self._limits_to_hubs.take_part(now_s),
         )
@@ -251,7 +251,7 @@
         """Return what to tell the reporters next."""
         rows = self._all.take_part()
         contents = self._make_contents(self._to_reporters, now_s)
-        alarms = _take_tellings(self._all_alarms)
+        alarms = _take_pending(self._all_alarms)
         limits = self._limits_to_reporters.take_part(now_s)
         return self._make_update(rows, alarms, contents, limits, now_s)
 
@@ -290,7 +290,7 @@
         )
 
     def _make_contents(
-        self, telling: content_book.ContentTelling, now_s: float
+        self, telling: content_book.ContentBroadcast, now_s: float
     ) -> shared_load.ContentNews:
         return shared_load.ContentNews(telling.take_part(now_s), self._contents.digest)
 
@@ -331,15 +331,15 @@
             self._exchange_rows(reporter.rows, {})
 
     def _take_alarms(
-        self, alarms: Iterable[shared_load.Alarm], now_s: float, *tellings: list[_Telling]
+        self, alarms: Iterable[shared_load.Alarm], now_s: float, *pending: list[_PendingBroadcast]
     ) -> None:
         for alarm in alarms:
             name = (alarm.finder, alarm.sequence)
             if name in self._alarms_taken_s:
                 continue
             self._alarms_taken_s[name] = now_s
-            for telling in tellings:
-                telling.append(_Telling(alarm))
+            for broadcast in pending:
+                broadcast.append(_PendingBroadcast(alarm))
 
 
 def _get_ages(heard_s: dict[str, float], now_s: float) -> list[shared_load.HallAge]:
@@ -349,9 +349,9 @@
     ]
 
 
-def _take_tellings(tellings: list[_Telling]) -> list[shared_load.Alarm]:
-    alarms = [item.alarm for item in tellings]
-    for item in tellings:
+def _take_pending(pending: list[_PendingBroadcast]) -> list[shared_load.Alarm]:
+    alarms = [item.alarm for item in pending]
+    for item in pending:
         item.left -= 1
-    tellings[:] = [item for item in tellings if item.left]
+    pending[:] = [item for item in pending if item.left]
     return alarms
--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -8,18 +8,16 @@
 from spoolhead._internal.policy import latest_starts, requested_rest
 
 FAILURES_TO_EJECT = 3
-"""Attempts in a row that must fail without an answer before an instance rests; one or two
-happen on a good one."""
+"""Attempts in a row without an answer after which an instance is ejected."""
 REPORTERS_TO_EJECT = 2
-"""Entries that must have lost a request there before it rests: one alone may itself be cut off."""
+"""Entries that must have lost a request there before it is ejected: one may itself be cut off."""
 REPORT_S = 1.0
-"""Time within which they must have; about what a flapping instance was seen to stay down."""
+"""Time within which they must have."""
 OWN = ""
 """Reporter's name for this entry itself."""
-FIRST_REST_S = 0.5
-LONGEST_REST_S = 4.0
-"""Rests grow from one to the other: the first outlasts a burst of resets, the last is about as
-long as the platform lists an instance that is gone."""
+FIRST_EJECTION_S = 0.5
+LONGEST_EJECTION_S = 4.0
+"""Ejection time doubles from the first to the longest."""
 LOAD_FRESH_S = 1.0
 """Age up to which a load told by an instance counts; it changes within a second or so."""
 ALARM_S = 2.5
@@ -31,9 +29,8 @@
 REPLACED_S = 4.0
 """Time for which an instance gets nothing after another one has answered at its address: about as
 long as the platform lists an instance that is gone."""
-DISTRUST_S = 30.0
-"""Time for which an instance that raised a false alarm is not believed again: some times what
-an ordinary disturbance lasts."""
+ALARM_COOLDOWN_S = 30.0
+"""Ignores repeated alarms for an instance after a false positive."""
 
 
 class Work:
@@ -75,14 +72,14 @@
     __slots__ = (
         "_cold_until_s",
         "_failures",
-        "_found_s",
+        "_last_detected_s",
         "_load",
         "_load_s",
         "_replaced_until_s",
         "_reporters",
-        "_rest_s",
-        "_rest_until_s",
-        "_said_s",
+        "_ejection_s",
+        "_ejected_until_s",
+        "_last_reported_s",
         "_sent_s",
         "has_announced_end",
         "has_started_again",
@@ -115,11 +112,11 @@
         self._load: dialects.UpstreamLoad | None = None
         self._load_s = 0.0
         self._failures = 0
-        self._rest_s = FIRST_REST_S
-        self._rest_until_s = 0.0
+        self._ejection_s = FIRST_EJECTION_S
+        self._ejected_until_s = 0.0
         self._reporters: dict[str, float] = {}
-        self._said_s = -math.inf
-        self._found_s = -math.inf
+        self._last_reported_s = -math.inf
+        self._last_detected_s = -math.inf
 
     @property
     def tokens(self) -> int:
@@ -149,7 +146,7 @@
     def is_usable(self, now_s: float) -> bool:
         """Tell whether new work may go there."""
         is_open = not self.is_evacuated and not self.is_departing(now_s)
-        is_sound = now_s >= self._rest_until_s and not self.rest.is_doubtful(now_s)
+        is_sound = now_s >= self._ejected_until_s and not self.rest.is_doubtful(now_s)
         return is_open and not self.is_replaced(now_s) and is_sound
 
     @property
@@ -213,11 +210,11 @@
     def is_ending_as_planned(self, now_s: float) -> bool:
         """Tell whether it has announced that it leaves, so that its end shows nothing."""
         has_announced = self.instance.is_leaving or self.has_announced_end
-        return has_announced or now_s - self._said_s < ALARM_S
+        return has_announced or now_s - self._last_reported_s < ALARM_S
 
     def is_alarmed(self, now_s: float) -> bool:
         """Tell whether an alarm about it counts."""
-        return now_s - max(self._said_s, self._found_s) < ALARM_S
+        return now_s - max(self._last_reported_s, self._last_detected_s) < ALARM_S
 
     def raise_alarm(self, now_s: float, kind: shared_load.AlarmKind) -> bool:
         """Raise an alarm.
@@ -228,62 +225,62 @@
             count for nothing.
         """
         is_said = kind is shared_load.AlarmKind.SAID
-        last_s = self._said_s if is_said else self._found_s
-        if now_s - last_s < ALARM_S + DISTRUST_S:
+        last_s = self._last_reported_s if is_said else self._last_detected_s
+        if now_s - last_s < ALARM_S + ALARM_COOLDOWN_S:
             return False
         if is_said:
-            self._said_s = now_s
+            self._last_reported_s = now_s
         else:
-            self._found_s = now_s
+            self._last_detected_s = now_s
         return True
 
-    def note_load(self, load: dialects.UpstreamLoad | None, now_s: float) -> None:
+    def update_load(self, load: dialects.UpstreamLoad | None, now_s: float) -> None:
         """Take the load that an answer told."""
         if load is not None:
             self._load = load
             self._load_s = now_s
 
-    def get_told_count(self, now_s: float) -> int:
+    def get_reported_count(self, now_s: float) -> int:
         """Return the requests there by its own word, or 0 if that word is old."""
         if self._load is None or now_s - self._load_s > LOAD_FRESH_S:
             return 0
         return self._load.running + self._load.waiting
 
-    def note_answer(self) -> None:
+    def record_answer(self) -> None:
         """Take note that it answers."""
         self._failures = 0
-        self._rest_s = FIRST_REST_S
+        self._ejection_s = FIRST_EJECTION_S
 
-    def note_failure(self, now_s: float, *, is_unreachable: bool = False) -> bool:
-        """Take note of an attempt without an answer; True if it rests from now on.
+    def record_failure(self, now_s: float, *, is_unreachable: bool = False) -> bool:
+        """Take note of an attempt without an answer; True if it is ejected from now on.
 
         :param is_unreachable: no connection was made, which one request finds out for all.
         """
         self._failures += 1
         self._reporters[OWN] = now_s
         if self._failures < FAILURES_TO_EJECT and not is_unreachable:
-            return self._rest_if_reported(now_s)
-        self._rest(now_s)
+            return self._eject_if_reported(now_s)
+        self._eject(now_s)
         return True
 
-    def note_told_failure(self, reporter: str, now_s: float) -> bool:
-        """Take note that another entry lost a request there; True if it rests from now on."""
+    def record_peer_failure(self, reporter: str, now_s: float) -> bool:
+        """Take note that another entry lost a request there; True if it is ejected from now on."""
         self._reporters[reporter] = now_s
-        return self._rest_if_reported(now_s)
+        return self._eject_if_reported(now_s)
 
-    def _rest_if_reported(self, now_s: float) -> bool:
+    def _eject_if_reported(self, now_s: float) -> bool:
         for reporter, heard_s in list(self._reporters.items()):
             if now_s - heard_s > REPORT_S:
                 del self._reporters[reporter]
-        if len(self._reporters) < REPORTERS_TO_EJECT or now_s < self._rest_until_s:
+        if len(self._reporters) < REPORTERS_TO_EJECT or now_s < self._ejected_until_s:
             return False
-        self._rest(now_s)
+        self._eject(now_s)
         return True
 
-    def _rest(self, now_s: float) -> None:
+    def _eject(self, now_s: float) -> None:
         self._reporters.clear()
-        self._rest_until_s = now_s + self._rest_s
-        self._rest_s = min(self._rest_s * 2, LONGEST_REST_S)
+        self._ejected_until_s = now_s + self._ejection_s
+        self._ejection_s = min(self._ejection_s * 2, LONGEST_EJECTION_S)
 
 
 class UpstreamBook:
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -146,7 +146,7 @@
 ) -> Choice:
     """Choose an instance.
 
-    Where every instance rests or is said not to be well, one of them is better than none, but
+    Where every instance is ejected or reported unhealthy, one of them is better than none, but
     not in a hall from which nothing is heard. In a hall that cannot be reached none is tried: the
     request would wait for a connection that does not come. Nothing goes to an evacuated hall, and
     no more to a cold instance than it bears.
@@ -231,7 +231,7 @@
         cost = (upstream.tokens + need_tokens) / service.engine.memory_tokens
         cost += upstream.reading_tokens / READING_TOKENS_PER_COST
     else:
-        known = max(upstream.count, upstream.get_told_count(view.now_s))
+        known = max(upstream.count, upstream.get_reported_count(view.now_s))
         cost = known / max(1, instance.slots)
     if instance.hall != view.hall:
         cost += other_hall_cost
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -7,7 +7,7 @@
 from spoolhead._internal.contents import saved_contents
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.entry import answers
-from spoolhead._internal.load_telling import hub_port, load_socket
+from spoolhead._internal.load_broadcast import hub_port, load_socket
 from spoolhead._internal.models import (
     codes,
     dialects,
--- a/src/spoolhead/_internal/utils/log_losses.py
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -15,7 +15,7 @@
 _DEPARTURE_TEXTS = frozenset(
     {
         "upstream is to be emptied",
-        "upstream is said not to be well",
+        "peer reported upstream unhealthy",
         "upstream says that it is not well",
     }
 )
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -11,7 +11,7 @@
     upstream_limits,
     upstream_news,
 )
-from spoolhead._internal.load_telling import hub_port
+from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import fleet, permits, shared_load
 from spoolhead._internal.policy import content_book, load_hub, upstream_book
 
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 
 from lib import gateway_setting
-from spoolhead._internal.load_telling import hub_port
+from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.policy import changed_rows, hub_choice, load_hub, load_view, upstream_book
 
--- a/tests/unit/test_log_losses.py
+++ b/tests/unit/test_log_losses.py
@@ -28,7 +28,7 @@
     return _line(second, "attempt", request="r1", route="r-1", upstream=upstream)
 
 
-NOTICE = _line(5.0, "upstream is said not to be well", process="entry-2", upstream="i-1")
+NOTICE = _line(5.0, "peer reported upstream unhealthy", process="entry-2", upstream="i-1")
 ORDER = _line(5.1, "copy ordered", request="r1", source="i-1", target="i-2", events=9)
 END = _line(6.5, "failed", request="r1", route="r-1", status=0)
 
--- a/tests/unit/test_quarantine.py
+++ b/tests/unit/test_quarantine.py
@@ -233,7 +233,7 @@
     made = _make()
     for number in range(20):
         made.note_end(b"%016d" % number, 7, NOW_S, NOW_S)
-    telling = content_book.ContentTelling(made.book)
+    telling = content_book.ContentBroadcast(made.book)
     telling.note_digest("hub", 1, NOW_S)
     assert not telling.has_more, "it may be on its way"
     telling.note_digest("hub", 1, NOW_S + content_book.DIFFERS_S)
--- a/tests/unit/test_upstream_policy.py
+++ b/tests/unit/test_upstream_policy.py
@@ -94,15 +94,15 @@
 def test_an_instance_that_fails_rests_and_is_used_if_there_is_no_other():
     book = _make_book(gateway_setting.make_instance("a"), gateway_setting.make_instance("b"))
     for _ in range(upstream_book.FAILURES_TO_EJECT):
-        book.get("a").note_failure(100.0)
+        book.get("a").record_failure(100.0)
     assert not book.get("a").is_usable(100.1)
     assert _name(_choose(book, excluded={"b"}, now_s=100.1)) == "a"
-    assert book.get("a").is_usable(100.0 + upstream_book.FIRST_REST_S)
+    assert book.get("a").is_usable(100.0 + upstream_book.FIRST_EJECTION_S)
 
 
 def test_an_unreachable_instance_rests_at_once():
     book = _make_book(gateway_setting.make_instance("a"))
-    assert book.get("a").note_failure(100.0, is_unreachable=True)
+    assert book.get("a").record_failure(100.0, is_unreachable=True)
 
 
 def test_a_leaving_instance_is_never_chosen():
@@ -117,7 +117,9 @@
     assert not upstream.raise_alarm(100.5, SAID)
     assert not upstream.is_departing(100.0 + upstream_book.ALARM_S)
     assert not upstream.raise_alarm(100.0 + upstream_book.ALARM_S + 1.0, SAID)
-    assert upstream.raise_alarm(100.0 + upstream_book.ALARM_S + upstream_book.DISTRUST_S, SAID)
+    assert upstream.raise_alarm(
+        100.0 + upstream_book.ALARM_S + upstream_book.ALARM_COOLDOWN_S, SAID
+    )
 
 
 def test_the_list_tells_what_leaves_and_what_is_gone_with_work():
@@ -161,22 +163,22 @@
 def test_two_entries_that_lost_a_request_there_are_enough_one_is_not():
     upstream = _make_book(gateway_setting.make_instance("i")).get("i")
     for _ in range(5):
-        assert not upstream.note_told_failure("e1", 100.0)
+        assert not upstream.record_peer_failure("e1", 100.0)
     assert upstream.is_usable(100.0)
-    assert upstream.note_told_failure("e2", 100.5)
+    assert upstream.record_peer_failure("e2", 100.5)
     assert not upstream.is_usable(100.6)
 
 
 def test_the_own_loss_counts_with_another_entrys():
     upstream = _make_book(gateway_setting.make_instance("i")).get("i")
-    assert not upstream.note_told_failure("e1", 100.0)
-    assert upstream.note_failure(100.2)
+    assert not upstream.record_peer_failure("e1", 100.0)
+    assert upstream.record_failure(100.2)
 
 
 def test_losses_far_apart_are_two_accidents():
     upstream = _make_book(gateway_setting.make_instance("i")).get("i")
-    assert not upstream.note_told_failure("e1", 100.0)
-    assert not upstream.note_told_failure("e2", 100.0 + upstream_book.REPORT_S + 0.1)
+    assert not upstream.record_peer_failure("e1", 100.0)
+    assert not upstream.record_peer_failure("e2", 100.0 + upstream_book.REPORT_S + 0.1)
 
 
 def test_a_copy_goes_to_the_same_hall_where_there_is_room_and_is_tried_where_there_is_none():
