Gateway: wait for a permit no longer than the route's objective

Where all instances of a service are limited a request waited for a sixth of its time, which is 6.5 s for a generation that may take 39 s. Its caller is served better by coming back once the objective has passed. The test failed before for an objective of 200 ms (333 ms asked for).

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -23,8 +23,8 @@
 
 
 PERMIT_WAIT_PART = 1 / 6
-"""Part of its time for which a request waits for a permit where all instances are limited: after
-that its caller may as well come back."""
+"""Part of its time for which a request waits for a permit where all instances are limited, and no
+longer than its route's objective: after that its caller may as well come back."""
 
 
 class Exchange:
@@ -170,7 +170,8 @@
         """Return how long the request may wait for a permit: not where others may take it."""
         if not all(self._context.gate.is_limited(item.upstream) for item in choice.candidates):
             return 0
-        waits_until_s = self._arrived_s + self._wait_ms * PERMIT_WAIT_PART / 1000
+        longest_ms = min(self._wait_ms * PERMIT_WAIT_PART, self.job.route.objective_ms)
+        waits_until_s = self._arrived_s + longest_ms / 1000
         return max(0, int((waits_until_s - clocks.get_s()) * 1000))
 
     def _take_permit(self, upstream: upstream_book.Upstream, is_granted: bool) -> None:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -244,6 +244,7 @@
         busy=None,
         limits_per_s=None,
         knows_fleet=True,
+        objective_ms=400,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -276,7 +277,7 @@
             path_prefix="/a/",
             kind=kind,
             timeout_ms=2_000,
-            objective_ms=400,
+            objective_ms=objective_ms,
             priority=1,
             shares=(route_table.Share(service="s", weight=1),),
             attempts=attempts,
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -198,6 +198,19 @@
     assert 1.4 < float(setting.caller.get_header("retry-after")) <= 1.5
 
 
+@pytest.mark.parametrize(("kind", "wait_ms"), [(ONCE, 333), (STREAM, 333)])
+@pytest.mark.parametrize("objective_ms", [200, 400])
+def test_a_request_waits_no_longer_than_a_sixth_of_its_time_and_its_objective(
+    kind, wait_ms, objective_ms
+):
+    """Guards against callers that wait for what they would rather be told to come back for."""
+    setting = gateway_setting.Setting(
+        kind, names=("i-1",), limits_per_s={"i-1": 2.0}, objective_ms=objective_ms
+    )
+    (ask,) = setting.permits._asks.values()
+    assert min(wait_ms, objective_ms) - 20 <= ask.request.wait_ms <= min(wait_ms, objective_ms)
+
+
 def test_a_request_that_is_rejected_at_one_instance_asks_for_another():
     setting = _make(ONCE, names=("i-1", "i-2"))
     _reply(setting, V.REJECTED, retry_after_ms=1_500, backoff_ms=200)
