Health: few questions to a limited instance, none to one that rests

An engine is asked for its health five times a second, which is more than an instance that accepts 2 requests a second may get if questions count: 20 in 4 s beside 9 requests, 17 allowed. It is asked once a second while it states a limit, and not by an entry that it asked for rest. Found by reading; the two tests failed before.

--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -6,6 +6,7 @@
 """
 
 import logging
+import math
 from collections.abc import Callable, Sequence
 
 from spoolhead._internal.models import dialects, fleet, settings, shared_load
@@ -24,6 +25,9 @@
 """Questions in a row without any answer that raise an alarm. One comes from this entry itself
 standing still for half a second, or its link, and would have every engine emptied at once."""
 
+LIMITED_PAUSE_S = 1.0
+"""Least pause between two questions to an instance that states a rate limit."""
+
 _OK = 200
 
 
@@ -93,6 +97,7 @@
         milliseconds more.
     :param on_replaced: called with an instance at whose address another one was found to answer.
     :param on_answer: called with the head of each answer of the instance that was asked.
+    :param is_limited: tells whether an instance states a rate limit.
     """
 
     def __init__(
@@ -110,6 +115,7 @@
         on_cold: Callable[[upstream_book.Upstream, int], None],
         on_replaced: Callable[[upstream_book.Upstream], None],
         on_answer: Callable[[upstream_book.Upstream, dialects.AnswerHead], None],
+        is_limited: Callable[[upstream_book.Upstream], bool],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -122,6 +128,8 @@
         self._on_cold = on_cold
         self._on_replaced = on_replaced
         self.on_answer = on_answer
+        self._is_limited = is_limited
+        self._asked_s: dict[str, float] = {}
         self._probes: dict[str, _Probe] = {}
         self._silences: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._ask_all)
@@ -196,9 +204,23 @@
                     continue
                 if instance.hall in silent_halls:
                     continue
-                if watch_duty.is_on_duty(self._config.name, watchers, instance):
+                is_on_duty = watch_duty.is_on_duty(self._config.name, watchers, instance)
+                if is_on_duty and self._may_ask(upstream, now_s):
                     self._ask(upstream, service.health_path)
 
+    def _may_ask(self, upstream: upstream_book.Upstream, now_s: float) -> bool:
+        """Tell whether the instance's own words leave room for a question."""
+        if upstream.rest.is_resting(now_s):
+            return False
+        life_id = upstream.instance.life_id
+        if not self._is_limited(upstream):
+            self._asked_s.pop(life_id, None)
+            return True
+        if now_s - self._asked_s.get(life_id, -math.inf) < LIMITED_PAUSE_S:
+            return False
+        self._asked_s[life_id] = now_s
+        return True
+
     def _ask(self, upstream: upstream_book.Upstream, path: str) -> None:
         probe = _Probe(self, upstream, path)
         self._probes[upstream.instance.life_id] = probe
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -180,6 +180,7 @@
             on_cold=self._news.take_cold,
             on_replaced=self._news.take_replaced,
             on_answer=self._take_health,
+            is_limited=lambda upstream: self._context.gate.is_limited(upstream),
         )
         self.loop.scheduler.call_every(READY_CHECK_S, self._check_ready)
         self.loop.scheduler.call_every(REACH_CHECK_S, self._check_reach)
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -8,6 +8,7 @@
 from spoolhead._internal.network import links
 from spoolhead._internal.policy import upstream_book, watch_duty
 from spoolhead._internal.routing import matcher
+from spoolhead._internal.utils import clocks
 from spoolhead.platform import dialect
 
 SERVICE = route_table.Service(
@@ -43,6 +44,7 @@
         config = gateway_setting.make_settings()
         _Loop.scheduler.calls = []
         self.heads = []
+        self.limited = set()
         self.watch = health_watch.HealthWatch(
             _Loop,
             self.calls,
@@ -58,6 +60,7 @@
             on_cold=lambda upstream, cold_ms: self.colds.append(cold_ms),
             on_replaced=self.replaced_ids.append,
             on_answer=lambda upstream, head: self.heads.append(head),
+            is_limited=lambda upstream: upstream.instance.life_id in self.limited,
         )
 
     def ask(self):
@@ -172,3 +175,23 @@
         watch.calls.made[-1].answer(503, [("x-replica-id", "i-9")])
     assert [item.instance.instance_id for item in watch.replaced_ids] == ["i-1"]
     assert not watch.alarms
+
+
+def test_an_instance_that_asked_for_rest_is_not_asked_for_its_health():
+    """Guards against questions that an instance in need has to answer instead of requests."""
+    watch = _Watch()
+    watch.book.get("i-1").rest.record(60_000, clocks.get_s())
+    watch.ask()
+    assert watch.calls.made == []
+
+
+def test_a_limited_instance_is_asked_once_a_second():
+    watch = _Watch()
+    watch.limited.add("i-1")
+    for _ in range(3):
+        watch.ask()
+        watch.calls.made[0].answer(200, [])
+    assert len(watch.calls.made) == 1
+    watch.limited.clear()
+    watch.ask()
+    assert len(watch.calls.made) == 2
