--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -92,6 +92,14 @@
         for name in names or self.instances:
             self.upstreams[name].limit_per_s = limit_per_s
 
+    def play(self, *, requests_per_s, for_s):
+        """Have requests come, and return the time from which limits stated before bind."""
+        self.begin_traffic(requests_per_s)
+        self.run(CONTACT_S)
+        bound_s = self.clock()
+        self.run(for_s)
+        return bound_s
+
     def begin_traffic(self, requests_per_s, *, rank=0, workspace="w", entries=None):
         """Have requests come to entries drawn by lot from now on."""
         numbers = range(len(self.entries)) if entries is None else entries
--- /dev/null
+++ b/tests/patterns/test_lifted_limit.py
@@ -0,0 +1,44 @@
+"""Pattern: an instance lifts the rate limit that it stated, or states a tiny or a huge one.
+
+See test_limited_instance.py for where sizes and figures come from.
+"""
+
+import pytest
+
+from lib import limit_fleet
+
+SIZES = [(8, 3), (24, 3), (65, 4), (350, 15)]
+PLAY_S = 8.0
+LIFTED_S = 3.0
+"""Time after which an instance that lifts its limit has its usual share again."""
+
+
+@pytest.mark.parametrize(("entries", "halls"), SIZES)
+def test_after_the_limit_is_lifted_no_entry_holds_anything_back(entries, halls):
+    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
+    name = fleet.instances[0]
+    fleet.set_limit(2.0, name)
+    fleet.play(requests_per_s=max(50, entries), for_s=PLAY_S)
+    fleet.set_limit(None, name)
+    fleet.run(LIFTED_S)
+    assert fleet.get_limited(name) == []
+
+
+@pytest.mark.parametrize("limit_per_s", [0.0, 0.01])
+def test_a_limit_near_nothing_is_kept_and_its_end_is_noticed(limit_per_s):
+    """Guards against an instance left alone for good, as no answer can say it has recovered."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    name = fleet.instances[0]
+    fleet.set_limit(limit_per_s, name)
+    bound_s = fleet.play(requests_per_s=50, for_s=12.0)
+    assert limit_fleet.get_most(fleet.upstreams[name].get_times_s(bound_s)) <= 1
+    fleet.set_limit(None, name)
+    fleet.run(5.0 + 1.0)
+    assert fleet.get_limited(name) == []
+
+
+def test_a_limit_beyond_all_load_changes_nothing():
+    fleet = limit_fleet.LimitFleet(entries=8)
+    fleet.set_limit(1e9, fleet.instances[0])
+    fleet.play(requests_per_s=50, for_s=PLAY_S)
+    assert fleet.get_limited(fleet.instances[0]) == []
--- a/tests/patterns/test_limited_instance.py
+++ b/tests/patterns/test_limited_instance.py
@@ -14,17 +14,6 @@
 SIZES = [(8, 3), (24, 3), (65, 4), (350, 15)]
 USED_PART = 0.8
 PLAY_S = 8.0
-LIFTED_S = 3.0
-"""Time after which an instance that lifts its limit has its usual share again."""
-
-
-def _play(fleet, *, requests_per_s, for_s=PLAY_S):
-    """Have requests come, and return the time from which limits stated before bind."""
-    fleet.begin_traffic(requests_per_s)
-    fleet.run(limit_fleet.CONTACT_S)
-    bound_s = fleet.clock()
-    fleet.run(for_s)
-    return bound_s
 
 
 def _check(fleet, name, bound_s, limit_per_s, *, for_s=PLAY_S):
@@ -40,7 +29,7 @@
     fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
     name = fleet.instances[0]
     fleet.set_limit(limit_per_s, name)
-    bound_s = _play(fleet, requests_per_s=max(50, entries))
+    bound_s = fleet.play(requests_per_s=max(50, entries), for_s=PLAY_S)
     _check(fleet, name, bound_s, limit_per_s)
     assert not fleet.refused
 
@@ -50,40 +39,9 @@
     """Guards against requests that wait for a limited instance until their time is over."""
     fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
     fleet.set_limit(2.0)
-    bound_s = _play(fleet, requests_per_s=max(50, entries))
+    bound_s = fleet.play(requests_per_s=max(50, entries), for_s=PLAY_S)
     for name in fleet.instances:
         _check(fleet, name, bound_s, 2.0)
     waited_s = sorted(at_s - request.came_s for request, at_s, _ in fleet.refused)
     assert waited_s[int(0.95 * len(waited_s))] <= 0.25
     assert all(retry_after_ms > 0 for _, _, retry_after_ms in fleet.refused)
-
-
-@pytest.mark.parametrize(("entries", "halls"), SIZES)
-def test_after_the_limit_is_lifted_no_entry_holds_anything_back(entries, halls):
-    fleet = limit_fleet.LimitFleet(entries=entries, halls=halls)
-    name = fleet.instances[0]
-    fleet.set_limit(2.0, name)
-    _play(fleet, requests_per_s=max(50, entries))
-    fleet.set_limit(None, name)
-    fleet.run(LIFTED_S)
-    assert fleet.get_limited(name) == []
-
-
-@pytest.mark.parametrize("limit_per_s", [0.0, 0.01])
-def test_a_limit_near_nothing_is_kept_and_its_end_is_noticed(limit_per_s):
-    """Guards against an instance left alone for good, as no answer can say it has recovered."""
-    fleet = limit_fleet.LimitFleet(entries=24)
-    name = fleet.instances[0]
-    fleet.set_limit(limit_per_s, name)
-    bound_s = _play(fleet, requests_per_s=50, for_s=12.0)
-    assert limit_fleet.get_most(fleet.upstreams[name].get_times_s(bound_s)) <= 1
-    fleet.set_limit(None, name)
-    fleet.run(5.0 + 1.0)
-    assert fleet.get_limited(name) == []
-
-
-def test_a_limit_beyond_all_load_changes_nothing():
-    fleet = limit_fleet.LimitFleet(entries=8)
-    fleet.set_limit(1e9, fleet.instances[0])
-    _play(fleet, requests_per_s=50)
-    assert fleet.get_limited(fleet.instances[0]) == []
--- a/tests/patterns/test_scarce_permits.py
+++ b/tests/patterns/test_scarce_permits.py
@@ -14,15 +14,6 @@
 """Most that an entry may send for one limited instance besides its other news."""
 
 
-def _play(fleet, *, requests_per_s, for_s):
-    """Have requests come, and return the time from which limits stated before bind."""
-    fleet.begin_traffic(requests_per_s)
-    fleet.run(limit_fleet.CONTACT_S)
-    bound_s = fleet.clock()
-    fleet.run(for_s)
-    return bound_s
-
-
 def _count(fleet, bound_s, *, workspace=None, hall=None, rank=None):
     return sum(
         at_s >= bound_s
@@ -38,7 +29,7 @@
     fleet = limit_fleet.LimitFleet(entries=24)
     fleet.set_limit(2.0)
     fleet.begin_traffic(5, workspace="small")
-    bound_s = _play(fleet, requests_per_s=100, for_s=20.0)
+    bound_s = fleet.play(requests_per_s=100, for_s=20.0)
     assert _count(fleet, bound_s, workspace="small") >= 0.25 * _count(fleet, bound_s)
 
 
