--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -209,7 +209,7 @@
                     self._ask(upstream, service.health_path)
 
     def _may_ask(self, upstream: upstream_book.Upstream, now_s: float) -> bool:
-        """Tell whether the instance's own words leave room for a question."""
+        """Tell whether a probe fits the rest or the rate limit that the instance asked for."""
         if upstream.rest.is_resting(now_s):
             return False
         life_id = upstream.instance.life_id
--- a/src/spoolhead/_internal/gateway/upstream_news.py
+++ b/src/spoolhead/_internal/gateway/upstream_news.py
@@ -109,7 +109,7 @@
             self.take_announced_end(upstream)
 
     def take_announced_end(self, upstream: upstream_book.Upstream) -> None:
-        """Have runs leave an instance that says it leaves, and tell the others."""
+        """Move runs off an instance that announced its end, and report it to the others."""
         if not upstream.record_announced_end():
             return
         life_id = upstream.instance.life_id
@@ -119,7 +119,7 @@
         self.empty(upstream)
 
     def _take_rest(self, upstream: upstream_book.Upstream, rest_ms: int, now_s: float) -> None:
-        """Leave an instance alone that asked for it, and tell others unless enough know."""
+        """Send an instance nothing while it rests, and report that unless enough others did."""
         if not upstream.rest.record(rest_ms, now_s):
             return
         life_id = upstream.instance.life_id
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -102,7 +102,7 @@
     :ivar kind: what is wrong.
     :ivar finder: name of the entry that found it.
     :ivar sequence: rises with each alarm of that entry, across its restarts.
-    :ivar for_ms: how much longer it is cold, or how long it wants rest, where that is told.
+    :ivar for_ms: time for which it stays cold or rests, for those kinds.
     """
 
     __slots__ = ("finder", "for_ms", "kind", "life_id", "sequence")
--- a/src/spoolhead/_internal/policy/requested_rest.py
+++ b/src/spoolhead/_internal/policy/requested_rest.py
@@ -3,7 +3,7 @@
 import math
 
 LONGEST_S = 60.0
-"""Longest rest that is granted at once; then one request finds out whether it goes on."""
+"""Longest rest that is granted at once; then a trial request is sent."""
 TRIAL_S = 2.0
 """Time for which one request is waited for, after a rest, before another may go."""
 REPORTERS = 2
@@ -13,8 +13,7 @@
 
 FIRST_BACKOFF_S = 0.1
 LONGEST_BACKOFF_S = 1.0
-"""Backoff after a request that was turned away without a word of rest; it doubles from the first
-to the longest with each further one in a row."""
+"""Backoff after a rejection that asks for no rest; it doubles with each further one in a row."""
 
 
 class RequestedRest:
@@ -76,7 +75,7 @@
         return now_s < self._until_s
 
     def is_doubtful(self, now_s: float) -> bool:
-        """Tell whether it may turn requests away: it just did, or one is finding out."""
+        """Tell whether it is likely to reject: it just did, others say so, or a trial is due."""
         if now_s < self._backoff_until_s:
             return True
         is_tried = self._must_try and now_s - self._tried_s < TRIAL_S
