Tests: a keeper that still starts has logged no members

Cause: the fixture goes on as soon as two of three keepers have taken the first table. Beside load the third one may still import its modules; the test then kills and wipes a keeper and reads the members in the log of the third.

The run with the held keeper is a test; it failed with the same IndexError before.

--- a/tests/functional/test_old_tables.py
+++ b/tests/functional/test_old_tables.py
@@ -13,6 +13,8 @@
 their start, and one on fewer instances, in which no keeper led any more.
 """
 
+import signal
+import threading
 import time
 
 import pytest
@@ -20,6 +22,8 @@
 from lib import platform_fleet
 
 OLD, NEW = 3, 9
+LATE_S = 1.0
+"""Time for which a keeper is held at the beginning of its start."""
 STARTING_S = 3.0
 """Time for which the others may still be starting; a hall counts as cut off after four seconds."""
 WATCHED_S = 4.0
@@ -135,3 +139,23 @@
         lambda: fleet.ask("entry-1", "/nowhere/x").status == 404, "the entry is not sure again"
     )
     assert fleet.ask("entry-1", "/new/x", X_Request_Id="m").status == 200
+
+
+def test_a_wiped_keeper_joins_while_another_one_still_starts(tmp_path):
+    """Two keepers are enough to take a table, so the third may log nothing for a while."""
+    with platform_fleet.PlatformFleet(tmp_path) as fleet:
+        fleet.start(entries=("entry-1",), keepers=("keeper-1", "keeper-3"))
+        fleet.put_until_taken("keeper-1", platform_fleet.make_table(OLD))
+        fleet.wait_until_ready("entry-1")
+        fleet.start_keeper("keeper-2", is_first_start=True)
+        fleet.signal("keeper-2", signal.SIGSTOP)
+        late = threading.Timer(LATE_S, fleet.signal, ("keeper-2", signal.SIGCONT))
+        late.start()
+        try:
+            _join_anew(fleet, "keeper-1")
+        finally:
+            late.join()
+        fleet.put_until_taken("keeper-2", platform_fleet.make_table(NEW))
+        platform_fleet.wait_for(
+            lambda: fleet.read_version("keeper-1") == NEW, "the wiped keeper did not learn"
+        )
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -94,7 +94,7 @@
         for name in list(self.processes):
             self.kill(name)
 
-    def start(self, entries=None, step_ms=10):
+    def start(self, entries=None, step_ms=10, keepers=None):
         arguments = [sys.executable, "-m", "standins.platform", "--step-ms", str(step_ms)]
         for instance in INSTANCES:
             arguments += ["--instance", instance]
@@ -105,7 +105,7 @@
         self.processes["platform"] = process
         line = process.stdout.readline()
         self.list_address = f"127.0.0.1:{line.strip().partition('port=')[2]}"
-        for name in self.keeper_hosts:
+        for name in self.keeper_hosts if keepers is None else keepers:
             self.start_keeper(name, is_first_start=True)
         for name in self.entry_hosts if entries is None else entries:
             self.start_entry(name)
@@ -158,12 +158,13 @@
 
     def counts_again(self, keeper, other):
         """Tell whether a keeper has another one among the members under a new id."""
-        changes = [line for line in self.read_log(keeper) if line["text"] == "members changed"]
+        # A keeper that is still starting has logged no members yet.
+        members = []
+        for line in self.read_log(keeper):
+            if line["text"] == "members changed":
+                members = line["members"]
         host = f"{self.keeper_hosts[other]}:"
-        return any(
-            member.startswith(host) and not member.endswith("#first")
-            for member in changes[-1]["members"]
-        )
+        return any(member.startswith(host) and not member.endswith("#first") for member in members)
 
     def signal(self, name, number):
         os.kill(self.processes[name].pid, number)
