An entry asks its hub for all until it has got it

Cause: a hub sent all that it knows once, in one datagram; one in a hundred is lost, and the hub took it for told. Such an entry held no rate limit until the instance's limit was stated anew, and the rows of others came in turn, three each 20 ms. It was ready at once: any update ended the wait.

Ruled out: the limit being lost on its way to the hub: the other 23 had it, and the one without had taken an ordinary update after its start (news age known, limit not).

Change: a report says whether the entry has got all (`wants_all`), an update whether it is all (`is_whole`); the hub answers with all until then, at most each 50 ms to one entry, and the entry reports each 100 ms meanwhile. An entry that starts waits for it as it waits for records of contents, one second at most. The same serves an entry that changes its hub.

Ways: three first updates in a row, blindly (fewer bytes in a report; 20 KB each at 1,600 instances, and at two losses in a row still nothing); asking until it is there (chosen: one byte a report).

--- a/src/spoolhead/_internal/gateway/first_table.py
+++ b/src/spoolhead/_internal/gateway/first_table.py
@@ -1,7 +1,7 @@
 """When an entry that has just started may serve, and by which table; no I/O.
 
 It waits for what would otherwise be got wrong by each that starts: a route that is new, an instance
-that is not listed yet, a request that has ended instances before.
+that is not listed yet, a request that has ended instances before, an instance that asks for less.
 """
 
 import enum
@@ -22,12 +22,21 @@
     :ivar age_s: time since its start, in seconds.
     :ivar has_table: a table is in force.
     :ivar has_contents: the hub has told all that it knows of contents that may end instances.
+    :ivar has_limits: the hub has told all rate limits that instances state.
     :ivar has_instances: a list of instances is here.
     :ivar is_sure: more than half of the keepers confirm the table that is in force.
     :ivar reaches_most: more than half of the keepers that it follows can be reached.
     """
 
-    __slots__ = ("age_s", "has_contents", "has_instances", "has_table", "is_sure", "reaches_most")
+    __slots__ = (
+        "age_s",
+        "has_contents",
+        "has_instances",
+        "has_limits",
+        "has_table",
+        "is_sure",
+        "reaches_most",
+    )
 
     def __init__(
         self,
@@ -35,6 +44,7 @@
         age_s: float,
         has_table: bool,
         has_contents: bool,
+        has_limits: bool,
         has_instances: bool,
         is_sure: bool,
         reaches_most: bool,
@@ -42,6 +52,7 @@
         self.age_s = age_s
         self.has_table = has_table
         self.has_contents = has_contents
+        self.has_limits = has_limits
         self.has_instances = has_instances
         self.is_sure = is_sure
         self.reaches_most = reaches_most
@@ -62,7 +73,8 @@
     cannot, the hall is cut off and serves what it can.
     """
     if known.has_table:
-        is_complete = known.is_sure and known.has_instances and known.has_contents
+        has_news = known.has_contents and known.has_limits
+        is_complete = known.is_sure and known.has_instances and has_news
         return Step.SERVE if is_complete or known.age_s > CONFIRMED_WAIT_S else Step.WAIT
     if known.age_s > UNCONFIRMED_WAIT_S and not known.reaches_most:
         return Step.TAKE_UNCONFIRMED
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -275,6 +275,7 @@
             age_s=age_s,
             has_table=self._matcher is not None,
             has_contents=self._contents.agrees,
+            has_limits=self._sharing.has_all,
             has_instances=self._has_instances,
             is_sure=self._feed.is_sure,
             reaches_most=self._feed.connected_count * 2 > self._feed.keeper_count,
@@ -291,6 +292,7 @@
             "keepers": self._feed.connected_count,
             "is_sure": known.is_sure,
             "has_contents": known.has_contents,
+            "has_limits": known.has_limits,
             "age_ms": int(known.age_s * 1000),
         }
         logger.info("entry is ready", extra={"fields": fields})
--- a/src/spoolhead/_internal/load_broadcast/hub_port.py
+++ b/src/spoolhead/_internal/load_broadcast/hub_port.py
@@ -85,11 +85,8 @@
             self._hub.rest(now_s)
         if isinstance(message, shared_load.Totals):
             self._hub.take_totals(message, sender, now_s)
-        elif self._hub.take_report(message, sender, now_s):
-            fields = {"entry": message.sender, "hall": message.hall}
-            logger.info("entry reports its load here", extra={"fields": fields})
-            encoded = shared_load.encode_update(self._hub.make_whole_update(now_s))
-            self._send(shared_load.address_update(encoded, message.sequence), sender)
+        else:
+            self._take_report(message, sender, now_s)
         if self._hub.is_idle:
             return
         if self._hub.has_new_alarms:
@@ -98,6 +95,17 @@
         has_news = self._hub.has_totals_to_tell or self._hub.has_updates_to_tell
         self._wake(now_s, FIRST_S if has_news else IDLE_S)
 
+    def _take_report(
+        self, report: shared_load.Report, sender: endpoints.Endpoint, now_s: float
+    ) -> None:
+        if self._hub.take_report(report, sender, now_s):
+            fields = {"entry": report.sender, "hall": report.hall}
+            logger.info("entry reports its load here", extra={"fields": fields})
+        update = self._hub.make_first_update(report.sender, now_s)
+        if update is not None:
+            encoded = shared_load.encode_update(update)
+            self._send(shared_load.address_update(encoded, update.counted), sender)
+
     def _wake(self, now_s: float, delay_s: float) -> None:
         due_s = max(now_s + delay_s, self._earliest_s)
         if self._timer is not None:
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -5,6 +5,7 @@
 entries nor on that of instances.
 """
 
+import math
 from collections.abc import Iterable
 
 from spoolhead._internal.models import rate_limit, shared_load
@@ -23,6 +24,9 @@
 """Silence of a hub after which its totals no longer count. Its reporters look for another hub after
 a third of that, and until here are counted twice; forgotten sooner, what runs in the part behind a
 cut between hubs would seem gone."""
+WHOLE_PAUSE_S = 0.05
+"""Least time between two updates to one reporter with all that is known: one is under way for less,
+and it may be 20 KB."""
 ALARM_PARTS = 3
 """Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
 ALARM_REMEMBERED_S = 5.0
@@ -34,15 +38,19 @@
 
     :ivar address: where its updates go.
     :ivar counted: sequence of its report that is counted.
+    :ivar wants_all: it has not got all that is known.
+    :ivar told_all_s: when all was last sent to it.
     """
 
-    __slots__ = ("address", "counted", "heard_s", "rows")
+    __slots__ = ("address", "counted", "heard_s", "rows", "told_all_s", "wants_all")
 
     def __init__(self, address: endpoints.Endpoint) -> None:
         self.address = address
         self.counted = 0
         self.heard_s = 0.0
         self.rows: shared_load.Rows = {}
+        self.wants_all = True
+        self.told_all_s = -math.inf
 
 
 class _Row:
@@ -152,8 +160,7 @@
         """Take what an entry reports.
 
         :param address: where it came from.
-        :returns: whether the entry is new here, or has started anew, and should get all that is
-            known.
+        :returns: whether the entry is new here, or has started anew.
         """
         self._halls_heard_s[report.hall] = now_s
         known = self._reporters.get(report.sender)
@@ -169,6 +176,7 @@
         reporter.address = address
         reporter.heard_s = now_s
         reporter.counted = report.sequence
+        reporter.wants_all = is_new or report.wants_all
         self._exchange_rows(reporter.rows, report.rows)
         reporter.rows = report.rows
         self._take_alarms(report.alarms, now_s, self._own_alarms, self._all_alarms)
@@ -255,8 +263,20 @@
         limits = self._limits_to_reporters.take_part(now_s)
         return self._make_update(rows, alarms, contents, limits, now_s)
 
+    def make_first_update(self, name: str, now_s: float) -> shared_load.Update | None:
+        """Return what to tell a reporter that has not got all; None if it has, or will soon."""
+        reporter = self._reporters.get(name)
+        if reporter is None or not reporter.wants_all:
+            return None
+        if now_s - reporter.told_all_s < WHOLE_PAUSE_S:
+            return None
+        reporter.told_all_s = now_s
+        update = self.make_whole_update(now_s)
+        update.counted = reporter.counted
+        return update
+
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all work and all limits that are known, for a new reporter.
+        """Return all work and all limits that are known.
 
         Of the records of contents it gets those that matter most, since it may serve at once; the
         others follow in the next round for all.
@@ -265,7 +285,9 @@
         records = self._contents.get_all_aged(content_ids, now_s)
         contents = shared_load.ContentNews(records, self._contents.digest)
         limits = self._limits.get_all_aged(now_s)
-        return self._make_update(self._all.get_all(), [], contents, limits, now_s)
+        update = self._make_update(self._all.get_all(), [], contents, limits, now_s)
+        update.is_whole = True
+        return update
 
     def _make_update(
         self,
--- a/tests/lib/content_fleet.py
+++ b/tests/lib/content_fleet.py
@@ -141,21 +141,13 @@
         place.starts += 1
         place.is_up = True
 
-    def restart_entry(self, number):
+    def restart_entry(self, number, **options):
         """Have an entry end and start anew, knowing nothing; its runs are cut off."""
-        former = self.entries[number]
         for place in self.places:
             for run in [run for run in place.runs if run.entry == number]:
                 run.is_over = True
                 place.runs.remove(run)
-        # What still runs of the former one reaches nobody.
-        former.sharing.take = lambda message, sender: None
-        former.process.send = lambda data, address: None
-        process = load_fleet.Process(
-            self.net, former.process.name, former.process.hall, former.process.address
-        )
-        self.net.processes[process.address] = process
-        self.entries[number] = load_fleet.Entry(self, process, self.known, self.instances)
+        return super().restart_entry(number, **options)
 
     def restart_hub(self, number, *, disk=None):
         """Have a keeper end and start anew, knowing what is on its disk.
--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -192,18 +192,11 @@
         else:
             self.served.append((request, self.clock()))
 
-    def restart_entry(self, number):
-        """Have an entry end and start anew, knowing nothing."""
-        former = self.entries[number]
-        former.sharing.take = lambda message, sender: None
-        former.permits.take = lambda message, sender: None
-        former.process.send = lambda data, address: None
-        process = load_fleet.Process(
-            self.net, former.process.name, former.process.hall, former.process.address
-        )
-        self.net.processes[process.address] = process
-        self.entries[number] = load_fleet.Entry(self, process, self.known, self.instances)
-        self.gates[number] = self._make_gate(self.entries[number])
+    def restart_entry(self, number, **options):
+        """Have an entry end and start anew, knowing nothing; returns it."""
+        started = super().restart_entry(number, **options)
+        self.gates[number] = self._make_gate(started)
+        return started
 
     def find_granter(self, name):
         """Return the number of the entry that grants first for an instance."""
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -96,15 +96,11 @@
 class Entry:
     """One entry: its book, its sharing and the ages of what it knows."""
 
-    def __init__(self, fleet_, process, known, instance_names):
+    def __init__(self, fleet_, process, known, listed):
         self.process = process
+        self.clock = fleet_.clock
         self.book = upstream_book.UpstreamBook()
-        halls = fleet_.halls
-        listed = [
-            gateway_setting.make_instance(name, hall=halls[number % len(halls)])
-            for number, name in enumerate(instance_names)
-        ]
-        self.book.take_list(listed, 0.0)
+        self.book.take_list(listed, fleet_.clock())
         self.alarms = []
         self.held = []
         self.contents = gateway_setting.make_contents(
@@ -145,6 +141,10 @@
         process.take = self.take
         self.set_fleet(known)
 
+    def take_list(self, listed):
+        self.book.take_list(listed, self.clock())
+        self.sharing.refresh()
+
     def set_fleet(self, known):
         self.sharing.set_fleet(known)
         self.permits.set_entries(self.sharing.get_watchers())
@@ -189,7 +189,11 @@
         )
         self.hub_books = [content_book.ContentBook() for _ in self.hubs]
         self.hub_ports = [self._make_hub(number) for number in range(keepers)]
-        self.entries = [Entry(self, item, self.known, self.instances) for item in processes]
+        self.listed = [
+            gateway_setting.make_instance(name, hall=self.halls[number % halls])
+            for number, name in enumerate(self.instances)
+        ]
+        self.entries = [Entry(self, item, self.known, self.listed) for item in processes]
         self.ages_ms = []
 
     def _add(self, kind, number):
@@ -224,6 +228,24 @@
                 if process in self.hubs:
                     self._lose_keeper(process)
 
+    def restart_entry(self, number, *, is_listed=True):
+        """Have an entry end and start anew, knowing nothing; returns it.
+
+        :param is_listed: it has read the list of instances already.
+        """
+        former = self.entries[number]
+        # What still runs of the former one reaches nobody.
+        former.process.is_up = False
+        former.sharing.take = lambda message, sender: None
+        former.permits.take = lambda message, sender: None
+        process = Process(
+            self.net, former.process.name, former.process.hall, former.process.address
+        )
+        self.net.processes[process.address] = process
+        listed = self.listed if is_listed else []
+        self.entries[number] = Entry(self, process, self.known, listed)
+        return self.entries[number]
+
     def _lose_keeper(self, process):
         address = _describe(process).address
         for entry in self.entries:
--- a/tests/unit/test_first_table.py
+++ b/tests/unit/test_first_table.py
@@ -11,6 +11,7 @@
     known = {
         "has_table": True,
         "has_contents": True,
+        "has_limits": True,
         "has_instances": True,
         "is_sure": True,
         "reaches_most": True,
@@ -23,7 +24,7 @@
     assert _decide(0.0) is Step.SERVE
 
 
-@pytest.mark.parametrize("missing", ["is_sure", "has_instances", "has_contents"])
+@pytest.mark.parametrize("missing", ["is_sure", "has_instances", "has_contents", "has_limits"])
 def test_it_waits_a_second_for_what_is_missing(missing):
     assert _decide(first_table.CONFIRMED_WAIT_S, **{missing: False}) is Step.WAIT
     assert _decide(first_table.CONFIRMED_WAIT_S + 0.1, **{missing: False}) is Step.SERVE
--- a/tests/unit/test_load_fleet.py
+++ b/tests/unit/test_load_fleet.py
@@ -129,7 +129,7 @@
 def test_entries_that_join_during_the_day_are_counted():
     made = _make()
     joining = made._add("entry", 24)
-    entry = load_fleet.Entry(made, joining, made.known, made.instances)
+    entry = load_fleet.Entry(made, joining, made.known, made.listed)
     made.entries.append(entry)
     entry.hold(made.instances[2], "r", 50)
     made.run(1.5)
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -5,14 +5,22 @@
 
 from lib import gateway_setting
 from spoolhead._internal.load_broadcast import hub_port
-from spoolhead._internal.models import shared_load
+from spoolhead._internal.models import rate_limit, shared_load
 from spoolhead._internal.policy import changed_rows, hub_choice, load_hub, load_view, upstream_book
 
 ADDRESS = ("10.0.0.9", 7)
 KEY = shared_load.get_key("i-1")
 
 
-def _make_report(sender="e1", hall="a", sequence=1, tokens=100, is_reporter=True, alarms=()):
+def _make_report(
+    sender="e1",
+    hall="a",
+    sequence=1,
+    tokens=100,
+    is_reporter=True,
+    alarms=(),
+    wants_all=False,
+):
     rows = {KEY: shared_load.Held(tokens, 1, 0)} if tokens else {}
     return shared_load.Report(
         sender=sender,
@@ -21,6 +29,7 @@
         is_reporter=is_reporter,
         rows=rows,
         alarms=alarms,
+        wants_all=wants_all,
     )
 
 
@@ -48,6 +57,32 @@
     assert not _take(hub, now_s=1.6, sequence=2_701)
 
 
+def test_a_new_reporter_is_told_all_until_it_says_that_it_knows():
+    """Guards against a lost datagram that leaves an entry without limits for long."""
+    hub = load_hub.LoadHub("k1", 1)
+    report = _make_report(sender="e0")
+    report.limits = [rate_limit.AgedLimit(KEY, 2.0, 0)]
+    hub.take_report(report, ADDRESS, 0.0)
+    for sequence in range(1, 4):
+        _take(hub, now_s=sequence / 10, sequence=sequence, wants_all=True)
+        update = hub.make_first_update("e1", sequence / 10)
+        assert update.is_whole
+        assert update.counted == sequence
+        assert [(item.key, item.limit_per_s) for item in update.limits] == [(KEY, 2.0)]
+    _take(hub, now_s=0.4, sequence=4)
+    assert hub.make_first_update("e1", 0.4) is None
+
+
+def test_it_is_not_told_all_again_while_that_may_be_under_way():
+    hub = load_hub.LoadHub("k1", 1)
+    _take(hub, wants_all=True)
+    assert hub.make_first_update("e1", 0.0).is_whole
+    _take(hub, now_s=0.01, sequence=2, wants_all=True)
+    assert hub.make_first_update("e1", 0.01) is None
+    _take(hub, now_s=0.06, sequence=3, wants_all=True)
+    assert hub.make_first_update("e1", 0.06).is_whole
+
+
 def test_so_is_one_whose_time_of_day_was_set_back_meanwhile():
     hub = load_hub.LoadHub("k1", 1)
     assert _take(hub, sequence=90_000)
