An entry that starts learns which instances leave or rest

What callers saw: after an entry had started anew, its requests went to an instance that had said that it leaves, or that it wants rest, before that start.

Cause: an instance's word (cold, resting, leaving) is an alarm, told once when it is raised. Whoever starts later gets rate limits from its hub, and nothing of the other words. Class: state that holds for a time, passed on as an event.

Ruled out: the list showing it in time (the test holds the list back, as one that runs late does).

Change: each hub keeps the alarms that hold for a time, the newest 64, with what is left of them, and tells them with all else that it knows. The entry keeps those of instances that its list does not show yet, and takes its own former run's rest as its own. Keeping them in the keeper's log was weighed: a majority's write for what ends by itself in seconds.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Iterable
 
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import upstream_book
+from spoolhead._internal.policy import standing_alarms, upstream_book
 
 logger = logging.getLogger(__name__)
 
@@ -50,12 +50,14 @@
         on_ended: Callable[[str, str], None],
     ) -> None:
         self._name = name
+        self._first_sequence = first_sequence
         self._sequence = first_sequence
         self._book = book
         self._on_alarm = on_alarm
         self._on_ended = on_ended
         self._raised: list[_Raised] = []
         self._told_s: dict[str, float] = {}
+        self._unlisted = standing_alarms.StandingAlarms()
 
     def raise_alarm(
         self, life_id: str, kind: shared_load.AlarmKind, now_s: float, *, for_ms: int = 0
@@ -84,14 +86,29 @@
     def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
         """Take what other entries found."""
         for alarm in alarms:
-            if alarm.kind in _ENDS and alarm.finder != self._name:
+            if self._is_own(alarm):
+                continue
+            if alarm.kind in _ENDS:
                 self._on_ended(alarm.life_id, f"told by {alarm.finder}")
             if alarm.kind is shared_load.AlarmKind.ENDED:
                 continue
             upstream = self._book.get(alarm.life_id)
-            if alarm.finder != self._name and upstream is not None and not upstream.is_leaving:
+            if upstream is None:
+                self._unlisted.record(alarm, now_s)
+            elif not upstream.is_leaving:
                 self._take_one(alarm, upstream, now_s)
 
+    def take_listed(self, now_s: float) -> None:
+        """Take what was found of instances before they were listed here."""
+        for alarm in self._unlisted.get_all(now_s):
+            if self._book.get(alarm.life_id) is not None:
+                self._unlisted.remove(alarm)
+                self.take([alarm], now_s)
+
+    def _is_own(self, alarm: shared_load.Alarm) -> bool:
+        """Tell whether this run of the entry raised an alarm; a former run may have."""
+        return alarm.finder == self._name and alarm.sequence > self._first_sequence
+
     def _take_one(
         self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
     ) -> None:
@@ -113,7 +130,7 @@
                     )
                     self._on_alarm(upstream)
             case shared_load.AlarmKind.RESTING:
-                upstream.rest.record_report(alarm.finder, alarm.for_ms, now_s)
+                self._take_rest(alarm, upstream, now_s)
                 rest_fields = {"upstream": alarm.life_id, "for_ms": alarm.for_ms}
                 rest_fields["reported_by"] = alarm.finder
                 logger.info("upstream asked for rest", extra={"fields": rest_fields})
@@ -124,3 +141,11 @@
                 if upstream.raise_alarm(now_s, alarm.kind):
                     logger.info("peer reported upstream unhealthy", extra={"fields": fields})
                     self._on_alarm(upstream)
+
+    def _take_rest(
+        self, alarm: shared_load.Alarm, upstream: upstream_book.Upstream, now_s: float
+    ) -> None:
+        if alarm.finder == self._name:
+            upstream.rest.record(alarm.for_ms, now_s)
+        else:
+            upstream.rest.record_report(alarm.finder, alarm.for_ms, now_s)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -182,7 +182,9 @@
 
     def refresh(self) -> None:
         """Count again what the others hold, after the list of instances has changed."""
-        self._view.rebuild(self._clock())
+        now_s = self._clock()
+        self._alarms.take_listed(now_s)
+        self._view.rebuild(now_s)
 
     def take(
         self,
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -15,6 +15,7 @@
     datagram_order,
     limit_book,
     limit_broadcast,
+    standing_alarms,
 )
 from spoolhead._internal.utils import endpoints
 
@@ -114,6 +115,7 @@
         self._alarms_taken_s: dict[tuple[str, int], float] = {}
         self._own_alarms: list[_PendingBroadcast] = []
         self._all_alarms: list[_PendingBroadcast] = []
+        self._standing_alarms = standing_alarms.StandingAlarms()
         self._contents = contents if contents is not None else content_book.ContentBook()
         self._to_hubs = content_book.ContentBroadcast(self._contents)
         self._to_reporters = content_book.ContentBroadcast(self._contents)
@@ -214,8 +216,9 @@
         self._limits_to_reporters.add(self._limits.merge(totals.limits, now_s))
 
     def forget_silent(self, now_s: float) -> None:
-        """Forget reporters and hubs that have not been heard for long, and old limits."""
+        """Forget reporters and hubs that have not been heard for long, old limits and alarms."""
         self._limits.expire(now_s)
+        self._standing_alarms.expire(now_s)
         for name, reporter in list(self._reporters.items()):
             if now_s - reporter.heard_s > REPORTER_EXPIRY_S:
                 self._forget_reporter(name)
@@ -276,7 +279,7 @@
         return update
 
     def make_whole_update(self, now_s: float) -> shared_load.Update:
-        """Return all work and all limits that are known.
+        """Return all work, all alarms that hold and all limits that are known.
 
         Of the records of contents it gets those that matter most, since it may serve at once; the
         others follow in the next round for all.
@@ -285,7 +288,8 @@
         records = self._contents.get_all_aged(content_ids, now_s)
         contents = shared_load.ContentNews(records, self._contents.digest)
         limits = self._limits.get_all_aged(now_s)
-        update = self._make_update(self._all.get_all(), [], contents, limits, now_s)
+        alarms = self._standing_alarms.get_all(now_s)
+        update = self._make_update(self._all.get_all(), alarms, contents, limits, now_s)
         update.is_whole = True
         return update
 
@@ -360,6 +364,7 @@
             if name in self._alarms_taken_s:
                 continue
             self._alarms_taken_s[name] = now_s
+            self._standing_alarms.record(alarm, now_s)
             for broadcast in pending:
                 broadcast.append(_PendingBroadcast(alarm))
 
--- /dev/null
+++ b/src/spoolhead/_internal/policy/standing_alarms.py
@@ -0,0 +1,80 @@
+"""What instances said of themselves and what still holds; no I/O, time passed in.
+
+An alarm is sent when it is raised. An entry that starts later or missed it gets it from here.
+"""
+
+import math
+
+from spoolhead._internal.models import shared_load
+
+LEAVING_KEPT_S = 30.0
+"""Time for which an instance is said to leave; the list shows it long before."""
+MOST_KEPT = 64
+"""Most alarms that are kept, the newest ones; a new reporter gets all in one datagram."""
+KEPT_KINDS = frozenset(
+    {shared_load.AlarmKind.COLD, shared_load.AlarmKind.RESTING, shared_load.AlarmKind.LEAVING}
+)
+"""Kinds that hold for a time which the instance itself states, or until it ends."""
+
+_Name = tuple[str, shared_load.AlarmKind, str]
+
+
+class _Standing:
+    """An alarm and until when it holds."""
+
+    __slots__ = ("alarm", "until_s")
+
+    def __init__(self, alarm: shared_load.Alarm, until_s: float) -> None:
+        self.alarm = alarm
+        self.until_s = until_s
+
+
+class StandingAlarms:
+    """The newest alarm of each kind about each instance by each entry, while it holds."""
+
+    __slots__ = ("_standing",)
+
+    def __init__(self) -> None:
+        self._standing: dict[_Name, _Standing] = {}
+
+    def record(self, alarm: shared_load.Alarm, now_s: float) -> None:
+        """Keep an alarm if it states what holds for a time."""
+        if alarm.kind not in KEPT_KINDS:
+            return
+        name = (alarm.life_id, alarm.kind, alarm.finder)
+        known = self._standing.pop(name, None)
+        if known is not None and known.alarm.sequence > alarm.sequence:
+            self._standing[name] = known
+            return
+        self._standing[name] = _Standing(alarm, now_s + _get_kept_s(alarm))
+        if len(self._standing) > MOST_KEPT:
+            del self._standing[next(iter(self._standing))]
+
+    def remove(self, alarm: shared_load.Alarm) -> None:
+        """Forget an alarm."""
+        self._standing.pop((alarm.life_id, alarm.kind, alarm.finder), None)
+
+    def get_all(self, now_s: float) -> list[shared_load.Alarm]:
+        """Return the alarms that hold, each with the time that is left of it."""
+        self.expire(now_s)
+        return [_make_remaining(item, now_s) for item in self._standing.values()]
+
+    def expire(self, now_s: float) -> None:
+        """Forget the alarms that hold no more."""
+        for name, item in list(self._standing.items()):
+            if now_s >= item.until_s:
+                del self._standing[name]
+
+
+def _get_kept_s(alarm: shared_load.Alarm) -> float:
+    if alarm.kind is shared_load.AlarmKind.LEAVING:
+        return LEAVING_KEPT_S
+    return alarm.for_ms / 1000
+
+
+def _make_remaining(item: _Standing, now_s: float) -> shared_load.Alarm:
+    alarm = item.alarm
+    left_ms = 0 if alarm.for_ms == 0 else math.ceil((item.until_s - now_s) * 1000)
+    return shared_load.Alarm(
+        alarm.life_id, alarm.kind, finder=alarm.finder, sequence=alarm.sequence, for_ms=left_ms
+    )
--- a/tests/functional/test_requested_rest.py
+++ b/tests/functional/test_requested_rest.py
@@ -73,3 +73,15 @@
     late = [time_s for time_s in running.get_arrivals("p-1") if time_s > began_s + DRAIN_S]
     assert late == []
     assert {answer.status for _, answer in answers} == {200}
+
+
+def test_an_entry_that_starts_later_sends_nothing_to_one_that_leaves(running):
+    """Guards against a word that reaches only the entries that run when it is said."""
+    running.set("p-1", leaving=True)
+    senders.send_from_all(running, DRAIN_S)
+    running.kill("entry-1")
+    running.start_entry("entry-1")
+    began_s = time.monotonic()
+    running.wait_until_ready("entry-1")
+    senders.send_from_all(running, 1.0)
+    assert [time_s for time_s in running.get_arrivals("p-1") if time_s > began_s] == []
--- a/tests/unit/test_instance_words.py
+++ b/tests/unit/test_instance_words.py
@@ -186,6 +186,82 @@
     assert all(item.alarms == [name] for item in fleet.entries[1:])
 
 
+REST = {"retry_after": "3", "x_not_executed": "1"}
+LIST_LATE_S = 0.8
+
+
+def _make_fleet():
+    fleet = limit_fleet.LimitFleet(entries=8)
+    fleet.run(1.0)
+    return fleet, fleet.instances[0]
+
+
+def _say(fleet, number, name, status, **headers):
+    entry = fleet.entries[number]
+    entry.news.take_answer(entry.book.get(name), _read(status, **headers), fleet.clock())
+
+
+@pytest.mark.parametrize("said_to", [0, 1])
+def test_an_entry_that_starts_later_sends_nothing_to_one_that_leaves(said_to):
+    """Guards against words that reach only who was there when they were said."""
+    fleet, name = _make_fleet()
+    _say(fleet, said_to, name, 200, server_leaving="1")
+    fleet.run(5.0)
+    started = fleet.restart_entry(0)
+    fleet.run(0.5)
+    assert started.book.get(name).is_leaving
+
+
+@pytest.mark.parametrize("said_to", [0, 1])
+def test_so_it_is_where_the_list_comes_after_the_word(said_to):
+    fleet, name = _make_fleet()
+    _say(fleet, said_to, name, 200, server_leaving="1")
+    fleet.run(1.0)
+    started = fleet.restart_entry(0, is_listed=False)
+    fleet.run(LIST_LATE_S)
+    started.take_list(fleet.listed)
+    assert started.book.get(name).is_leaving
+    assert started.alarms == [name]
+
+
+def test_an_entry_that_starts_anew_keeps_the_rest_that_it_was_asked_for():
+    fleet, name = _make_fleet()
+    _say(fleet, 0, name, 503, **REST)
+    until_s = fleet.clock() + 3.0
+    fleet.run(1.0)
+    upstream = fleet.restart_entry(0).book.get(name)
+    fleet.run(0.5)
+    assert upstream.rest.get_left_ms(fleet.clock()) == pytest.approx(
+        (until_s - fleet.clock()) * 1000, abs=50
+    )
+    fleet.run(2.0)
+    assert not upstream.rest.is_resting(fleet.clock())
+
+
+def test_an_entry_that_starts_later_holds_back_where_two_others_were_asked():
+    fleet, name = _make_fleet()
+    for number in (1, 2):
+        _say(fleet, number, name, 503, **REST)
+    fleet.run(1.0)
+    upstream = fleet.restart_entry(0).book.get(name)
+    fleet.run(0.5)
+    assert not upstream.rest.is_resting(fleet.clock())
+    assert upstream.rest.is_doubtful(fleet.clock())
+    fleet.run(2.0)
+    assert not upstream.rest.is_doubtful(fleet.clock())
+
+
+def test_an_entrys_own_word_that_comes_back_is_no_news():
+    """Guards against an echo that lengthens the rest or counts as another entry's."""
+    fleet, name = _make_fleet()
+    _say(fleet, 0, name, 503, **REST)
+    upstream = fleet.entries[0].book.get(name)
+    left_ms = upstream.rest.get_left_ms(fleet.clock())
+    fleet.run(0.5)
+    assert upstream.rest.get_left_ms(fleet.clock()) == pytest.approx(left_ms - 500, abs=1)
+    assert not upstream.rest.has_reports(fleet.clock())
+
+
 NOT_RUN = TURNED_AWAY[:2]
 
 
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -6,7 +6,14 @@
 from lib import gateway_setting
 from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import rate_limit, shared_load
-from spoolhead._internal.policy import changed_rows, hub_choice, load_hub, load_view, upstream_book
+from spoolhead._internal.policy import (
+    changed_rows,
+    hub_choice,
+    load_hub,
+    load_view,
+    standing_alarms,
+    upstream_book,
+)
 
 ADDRESS = ("10.0.0.9", 7)
 KEY = shared_load.get_key("i-1")
@@ -168,6 +175,54 @@
     assert told == [1] * load_hub.ALARM_PARTS + [0] * (5 - load_hub.ALARM_PARTS)
 
 
+def _make_alarm(kind, *, life_id="i-1", sequence=1, for_ms=0):
+    return shared_load.Alarm(life_id, kind, finder="e1", sequence=sequence, for_ms=for_ms)
+
+
+def _get_told(hub, now_s):
+    return [(alarm.kind, alarm.for_ms) for alarm in hub.make_whole_update(now_s).alarms]
+
+
+def test_a_new_reporter_gets_the_alarms_that_hold_with_what_is_left_of_them():
+    hub = load_hub.LoadHub("k1", 1)
+    resting = _make_alarm(shared_load.AlarmKind.RESTING, for_ms=2_000)
+    leaving = _make_alarm(shared_load.AlarmKind.LEAVING, sequence=2)
+    once = _make_alarm(shared_load.AlarmKind.LOST_REQUEST, sequence=3)
+    _take(hub, alarms=[resting, leaving, once])
+    left = (shared_load.AlarmKind.LEAVING, 0)
+    assert _get_told(hub, 0.5) == [(shared_load.AlarmKind.RESTING, 1_500), left]
+    assert _get_told(hub, 2.0) == [left]
+    assert _get_told(hub, standing_alarms.LEAVING_KEPT_S) == []
+
+
+def test_it_gets_them_from_a_hub_that_was_told_by_another_one():
+    here, there = load_hub.LoadHub("k1", 1), load_hub.LoadHub("k2", 1)
+    resting = shared_load.AlarmKind.RESTING
+    _take(there, alarms=[_make_alarm(resting, for_ms=2_000)])
+    here.take_totals(there.make_totals(0.0), ADDRESS, 0.0)
+    here.rest(0.5)
+    assert _get_told(here, 0.5) == [(resting, 1_500)]
+
+
+def test_a_repeated_word_does_not_hold_longer_and_a_newer_one_replaces_it():
+    hub = load_hub.LoadHub("k1", 1)
+    resting = shared_load.AlarmKind.RESTING
+    _take(hub, alarms=[_make_alarm(resting, for_ms=2_000)])
+    _take(hub, now_s=0.4, sequence=2, alarms=[_make_alarm(resting, for_ms=2_000)])
+    assert _get_told(hub, 0.5) == [(resting, 1_500)]
+    _take(hub, now_s=1.0, sequence=3, alarms=[_make_alarm(resting, sequence=2, for_ms=3_000)])
+    assert _get_told(hub, 1.0) == [(resting, 3_000)]
+
+
+def test_only_so_many_alarms_are_kept_the_newest():
+    hub = load_hub.LoadHub("k1", 1)
+    for number in range(1, 200):
+        alarm = _make_alarm(shared_load.AlarmKind.LEAVING, life_id=f"i-{number}", sequence=number)
+        _take(hub, sequence=number, alarms=[alarm])
+    told = [alarm.life_id for alarm in hub.make_whole_update(0.0).alarms]
+    assert told == [f"i-{number}" for number in range(200 - standing_alarms.MOST_KEPT, 200)]
+
+
 def test_a_reporter_restarted_with_its_clock_set_back_is_taken_at_once():
     hub = load_hub.LoadHub("k1", 1)
     old = shared_load.Alarm("i-1", shared_load.AlarmKind.SAID, finder="e1", sequence=9_000_000)
