--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -36,7 +36,7 @@
         self._tell = tell
         self._on_held = on_held
         self._quarantine = quarantine.Quarantine(name)
-        self._telling = content_book.ContentBroadcast(self._quarantine.book)
+        self._broadcast = content_book.ContentBroadcast(self._quarantine.book)
         self._runs = lost_runs.LostRuns()
 
     @property
@@ -52,7 +52,7 @@
     @property
     def has_more_to_tell(self) -> bool:
         """Whether something is left to tell."""
-        return self._telling.has_more
+        return self._broadcast.has_more
 
     def judge(self, content_id: bytes) -> quarantine.Verdict:
         """Decide on a request that has just come."""
@@ -110,11 +110,11 @@
         self.take_records(hub, news.records)
         if news.digest == self._quarantine.book.digest:
             self.agrees = True
-        self._telling.note_digest(hub, news.digest, self._clock())
+        self._broadcast.note_digest(hub, news.digest, self._clock())
 
     def take_changed(self) -> list[content_record.AgedRecord]:
         """Return the records that were not told since they changed, to be told without loss."""
-        return self._telling.take_changed(self._clock())
+        return self._broadcast.take_changed(self._clock())
 
     def get_all(self) -> list[content_record.AgedRecord]:
         """Return all records."""
@@ -129,7 +129,7 @@
 
     def make_news(self) -> shared_load.ContentNews:
         """Return what a report made now should carry."""
-        part = self._telling.take_part(self._clock())
+        part = self._broadcast.take_part(self._clock())
         return shared_load.ContentNews(part, self._quarantine.book.digest)
 
     def make_sign(self) -> shared_load.ContentNews:
@@ -148,7 +148,7 @@
     def _note(self, record: content_record.ContentRecord, reason: str) -> None:
         """Pass on what this entry has found out itself."""
         self._log(record, reason)
-        self._telling.note_changed(record.content_id)
+        self._broadcast.note_changed(record.content_id)
         self._tell()
         self._tell_if_held(record)
 
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -111,9 +111,9 @@
         timers.call_every(HALL_CHECK_S, self._log_halls)
 
     @property
-    def has_all(self) -> bool:
-        """Whether the hub has told all that it knows."""
-        return self._view.has_all
+    def has_snapshot(self) -> bool:
+        """Whether the hub has sent all that it knows."""
+        return self._view.has_snapshot
 
     def set_fleet(self, known: fleet.Fleet) -> None:
         """Take over which processes there are."""
@@ -217,7 +217,7 @@
         now_s = self._clock()
         if self._choice.choose(now_s) and self._choice.trying is not None:
             self._send(self._make_report(is_reporter=True), self._choice.trying)
-        pause_s = REPORT_AGAIN_S if self._view.has_all else CHECK_S
+        pause_s = REPORT_AGAIN_S if self._view.has_snapshot else CHECK_S
         if now_s - self._reported_s >= pause_s:
             self._report()
         if now_s - self._heralded_s >= HERALD_S:
@@ -274,7 +274,7 @@
             alarms=self._alarms.get_raised(now_s) if is_reporter else [],
             contents=self._contents.make_news() if is_reporter else self._contents.make_sign(),
             limits=self._limits.get_reported(now_s) if is_reporter else [],
-            wants_all=is_reporter and not self._view.has_all,
+            wants_snapshot=is_reporter and not self._view.has_snapshot,
         )
         return shared_load.encode_report(report)
 
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -275,7 +275,7 @@
             age_s=age_s,
             has_table=self._matcher is not None,
             has_contents=self._contents.agrees,
-            has_limits=self._sharing.has_all,
+            has_limits=self._sharing.has_snapshot,
             has_instances=self._has_instances,
             is_sure=self._feed.is_sure,
             reaches_most=self._feed.connected_count * 2 > self._feed.keeper_count,
--- a/src/spoolhead/_internal/load_broadcast/hub_port.py
+++ b/src/spoolhead/_internal/load_broadcast/hub_port.py
@@ -101,7 +101,7 @@
         if self._hub.take_report(report, sender, now_s):
             fields = {"entry": report.sender, "hall": report.hall}
             logger.info("entry reports its load here", extra={"fields": fields})
-        update = self._hub.make_first_update(report.sender, now_s)
+        update = self._hub.make_due_snapshot(report.sender, now_s)
         if update is not None:
             encoded = shared_load.encode_update(update)
             self._send(shared_load.address_update(encoded, update.counted), sender)
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -157,7 +157,7 @@
     :ivar alarms: instances that it has found bad lately.
     :ivar contents: what it tells of contents.
     :ivar limits: rate limits that instances stated.
-    :ivar wants_all: it has not got an update with all that the hub knows.
+    :ivar wants_snapshot: it has not received all that the hub knows.
     """
 
     __slots__ = (
@@ -169,7 +169,7 @@
         "rows",
         "sender",
         "sequence",
-        "wants_all",
+        "wants_snapshot",
     )
 
     def __init__(
@@ -183,11 +183,11 @@
         alarms: Sequence[Alarm],
         contents: ContentNews | None = None,
         limits: Sequence[rate_limit.AgedLimit] = (),
-        wants_all: bool = False,
+        wants_snapshot: bool = False,
     ) -> None:
         self.contents = contents or ContentNews()
         self.limits = list(limits)
-        self.wants_all = wants_all
+        self.wants_snapshot = wants_snapshot
         self.sender = sender
         self.hall = hall
         self.sequence = sequence
@@ -241,7 +241,7 @@
     :ivar counted: sequence of the receiver's report that the totals contain.
     :ivar contents: what it tells of contents.
     :ivar limits: rate limits that instances stated.
-    :ivar is_whole: it holds all that the hub knows, and not a part.
+    :ivar is_snapshot: it holds all that the hub knows, not a part.
     """
 
     __slots__ = (
@@ -250,7 +250,7 @@
         "contents",
         "counted",
         "hub",
-        "is_whole",
+        "is_snapshot",
         "limits",
         "rows",
         "sequence",
@@ -267,11 +267,11 @@
         contents: ContentNews | None = None,
         limits: Sequence[rate_limit.AgedLimit] = (),
         hub: str = "",
-        is_whole: bool = False,
+        is_snapshot: bool = False,
     ) -> None:
         self.contents = contents or ContentNews()
         self.limits = list(limits)
-        self.is_whole = is_whole
+        self.is_snapshot = is_snapshot
         self.hub = hub
         self.sequence = sequence
         self.rows = rows
@@ -288,7 +288,7 @@
     fields = [report.sender, report.hall, report.sequence, report.is_reporter]
     fields += [_list_rows(report.rows), _list_alarms(report.alarms)]
     fields += [_list_contents(report.contents), rate_limit.pack(report.limits)]
-    fields.append(report.wants_all)
+    fields.append(report.wants_snapshot)
     return msgpack.packb([_REPORT, *fields])
 
 
@@ -305,7 +305,7 @@
     rows, alarms = _list_rows(update.rows), _list_alarms(update.alarms)
     contents, limits = _list_contents(update.contents), rate_limit.pack(update.limits)
     fields = [update.hub, update.sequence, rows, _list_ages(update.ages), alarms, contents, limits]
-    return msgpack.packb([_UPDATE, *fields, update.is_whole])
+    return msgpack.packb([_UPDATE, *fields, update.is_snapshot])
 
 
 def address_update(encoded: bytes, counted: int) -> bytes:
@@ -351,7 +351,7 @@
     alarms: list,
     contents: list,
     limits: list,
-    wants_all: object,
+    wants_snapshot: object,
 ) -> Report:
     return Report(
         sender=str(sender),
@@ -362,7 +362,7 @@
         alarms=_read_alarms(alarms),
         contents=_read_contents(contents),
         limits=rate_limit.unpack(limits),
-        wants_all=bool(wants_all),
+        wants_snapshot=bool(wants_snapshot),
     )
 
 
@@ -394,7 +394,7 @@
     alarms: list,
     contents: list,
     limits: list,
-    is_whole: object,
+    is_snapshot: object,
     counted: int,
 ) -> Update:
     return Update(
@@ -406,7 +406,7 @@
         ages=_read_ages(ages),
         alarms=_read_alarms(alarms),
         counted=counted,
-        is_whole=bool(is_whole),
+        is_snapshot=bool(is_snapshot),
     )
 
 
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -25,9 +25,8 @@
 """Silence of a hub after which its totals no longer count. Its reporters look for another hub after
 a third of that, and until here are counted twice; forgotten sooner, what runs in the part behind a
 cut between hubs would seem gone."""
-WHOLE_PAUSE_S = 0.05
-"""Least time between two updates to one reporter with all that is known: one is under way for less,
-and it may be 20 KB."""
+SNAPSHOT_PAUSE_S = 0.05
+"""Least time between two snapshots for one reporter; the one before may be under way."""
 ALARM_PARTS = 3
 """Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
 ALARM_REMEMBERED_S = 5.0
@@ -39,19 +38,19 @@
 
     :ivar address: where its updates go.
     :ivar counted: sequence of its report that is counted.
-    :ivar wants_all: it has not got all that is known.
-    :ivar told_all_s: when all was last sent to it.
+    :ivar wants_snapshot: it has not received a snapshot.
+    :ivar snapshot_sent_s: when one was last sent to it.
     """
 
-    __slots__ = ("address", "counted", "heard_s", "rows", "told_all_s", "wants_all")
+    __slots__ = ("address", "counted", "heard_s", "rows", "snapshot_sent_s", "wants_snapshot")
 
     def __init__(self, address: endpoints.Endpoint) -> None:
         self.address = address
         self.counted = 0
         self.heard_s = 0.0
         self.rows: shared_load.Rows = {}
-        self.wants_all = True
-        self.told_all_s = -math.inf
+        self.wants_snapshot = True
+        self.snapshot_sent_s = -math.inf
 
 
 class _Row:
@@ -178,7 +177,7 @@
         reporter.address = address
         reporter.heard_s = now_s
         reporter.counted = report.sequence
-        reporter.wants_all = is_new or report.wants_all
+        reporter.wants_snapshot = is_new or report.wants_snapshot
         self._exchange_rows(reporter.rows, report.rows)
         reporter.rows = report.rows
         self._take_alarms(report.alarms, now_s, self._own_alarms, self._all_alarms)
@@ -266,19 +265,19 @@
         limits = self._limits_to_reporters.take_part(now_s)
         return self._make_update(rows, alarms, contents, limits, now_s)
 
-    def make_first_update(self, name: str, now_s: float) -> shared_load.Update | None:
-        """Return what to tell a reporter that has not got all; None if it has, or will soon."""
+    def make_due_snapshot(self, name: str, now_s: float) -> shared_load.Update | None:
+        """Return the snapshot for a reporter that lacks one; None if none is due."""
         reporter = self._reporters.get(name)
-        if reporter is None or not reporter.wants_all:
+        if reporter is None or not reporter.wants_snapshot:
             return None
-        if now_s - reporter.told_all_s < WHOLE_PAUSE_S:
+        if now_s - reporter.snapshot_sent_s < SNAPSHOT_PAUSE_S:
             return None
-        reporter.told_all_s = now_s
-        update = self.make_whole_update(now_s)
+        reporter.snapshot_sent_s = now_s
+        update = self.make_snapshot(now_s)
         update.counted = reporter.counted
         return update
 
-    def make_whole_update(self, now_s: float) -> shared_load.Update:
+    def make_snapshot(self, now_s: float) -> shared_load.Update:
         """Return all work, all alarms that hold and all limits that are known.
 
         Of the records of contents it gets those that matter most, since it may serve at once; the
@@ -290,7 +289,7 @@
         limits = self._limits.get_all_aged(now_s)
         alarms = self._standing_alarms.get_all(now_s)
         update = self._make_update(self._all.get_all(), alarms, contents, limits, now_s)
-        update.is_whole = True
+        update.is_snapshot = True
         return update
 
     def _make_update(
@@ -316,9 +315,9 @@
         )
 
     def _make_contents(
-        self, telling: content_book.ContentBroadcast, now_s: float
+        self, broadcast: content_book.ContentBroadcast, now_s: float
     ) -> shared_load.ContentNews:
-        return shared_load.ContentNews(telling.take_part(now_s), self._contents.digest)
+        return shared_load.ContentNews(broadcast.take_part(now_s), self._contents.digest)
 
     def _take_contents(self, contents: shared_load.ContentNews, now_s: float) -> list[bytes]:
         """Take what a process tells of contents; returns those that this changed."""
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -32,7 +32,7 @@
 
     :param hall: hall of the entry.
     :param book: the instances.
-    :ivar has_all: the hub has told all that it knows.
+    :ivar has_snapshot: the hub has sent all that it knows.
     """
 
     def __init__(self, hall: str, book: upstream_book.UpstreamBook) -> None:
@@ -44,7 +44,7 @@
         self._halls_due_s: dict[str, float] = {}
         self._updated_s = -math.inf
         self._is_new_hub = True
-        self.has_all = False
+        self.has_snapshot = False
 
     def get_own(self) -> shared_load.Rows:
         """Return what this entry holds."""
@@ -65,7 +65,7 @@
     def begin_hub(self) -> None:
         """Take note that updates will come from another hub, with numbers of its own."""
         self._is_new_hub = True
-        self.has_all = False
+        self.has_snapshot = False
 
     def take_update(self, update: shared_load.Update, now_s: float) -> bool:
         """Take an update of the hub.
@@ -80,7 +80,7 @@
             self._clear()
             self._give_time(now_s)
         self._updated_s = now_s
-        self.has_all = self.has_all or update.is_whole
+        self.has_snapshot = self.has_snapshot or update.is_snapshot
         for age in update.ages:
             heard_s = now_s - age.age_ms / 1000
             known_s = self._halls_heard_s.get(age.hall, heard_s)
@@ -93,7 +93,7 @@
         """Count what is known at the instances listed now; due when the list has changed."""
         if now_s - self._updated_s > EXPIRY_S:
             self._clear()
-            self.has_all = False
+            self.has_snapshot = False
         for upstream in self._book.get_all():
             row = self._rows.get(upstream.key)
             upstream.others = row.others if row is not None else shared_load.Held()
--- a/tests/unit/test_limit_fleet.py
+++ b/tests/unit/test_limit_fleet.py
@@ -62,7 +62,7 @@
         fleet.restart_entry(number)
     fleet.run(0.1)
     limited = fleet.get_limited(fleet.instances[0])
-    told = [number for number in range(24) if fleet.entries[number].sharing.has_all]
+    told = [number for number in range(24) if fleet.entries[number].sharing.has_snapshot]
     # One in a hundred datagrams is lost, first ones among them.
     assert len(told) > 20
     assert set(told) <= set(limited)
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -26,7 +26,7 @@
     tokens=100,
     is_reporter=True,
     alarms=(),
-    wants_all=False,
+    wants_snapshot=False,
 ):
     rows = {KEY: shared_load.Held(tokens, 1, 0)} if tokens else {}
     return shared_load.Report(
@@ -36,7 +36,7 @@
         is_reporter=is_reporter,
         rows=rows,
         alarms=alarms,
-        wants_all=wants_all,
+        wants_snapshot=wants_snapshot,
     )
 
 
@@ -45,7 +45,7 @@
 
 
 def _tokens(hub):
-    return hub.make_whole_update(0.0).rows.get(KEY, shared_load.Held()).tokens
+    return hub.make_snapshot(0.0).rows.get(KEY, shared_load.Held()).tokens
 
 
 def test_a_new_report_replaces_the_one_before_and_a_late_one_does_not():
@@ -71,23 +71,23 @@
     report.limits = [rate_limit.AgedLimit(KEY, 2.0, 0)]
     hub.take_report(report, ADDRESS, 0.0)
     for sequence in range(1, 4):
-        _take(hub, now_s=sequence / 10, sequence=sequence, wants_all=True)
-        update = hub.make_first_update("e1", sequence / 10)
-        assert update.is_whole
+        _take(hub, now_s=sequence / 10, sequence=sequence, wants_snapshot=True)
+        update = hub.make_due_snapshot("e1", sequence / 10)
+        assert update.is_snapshot
         assert update.counted == sequence
         assert [(item.key, item.limit_per_s) for item in update.limits] == [(KEY, 2.0)]
     _take(hub, now_s=0.4, sequence=4)
-    assert hub.make_first_update("e1", 0.4) is None
+    assert hub.make_due_snapshot("e1", 0.4) is None
 
 
 def test_it_is_not_told_all_again_while_that_may_be_under_way():
     hub = load_hub.LoadHub("k1", 1)
-    _take(hub, wants_all=True)
-    assert hub.make_first_update("e1", 0.0).is_whole
-    _take(hub, now_s=0.01, sequence=2, wants_all=True)
-    assert hub.make_first_update("e1", 0.01) is None
-    _take(hub, now_s=0.06, sequence=3, wants_all=True)
-    assert hub.make_first_update("e1", 0.06).is_whole
+    _take(hub, wants_snapshot=True)
+    assert hub.make_due_snapshot("e1", 0.0).is_snapshot
+    _take(hub, now_s=0.01, sequence=2, wants_snapshot=True)
+    assert hub.make_due_snapshot("e1", 0.01) is None
+    _take(hub, now_s=0.06, sequence=3, wants_snapshot=True)
+    assert hub.make_due_snapshot("e1", 0.06).is_snapshot
 
 
 def test_so_is_one_whose_time_of_day_was_set_back_meanwhile():
@@ -180,7 +180,7 @@
 
 
 def _get_told(hub, now_s):
-    return [(alarm.kind, alarm.for_ms) for alarm in hub.make_whole_update(now_s).alarms]
+    return [(alarm.kind, alarm.for_ms) for alarm in hub.make_snapshot(now_s).alarms]
 
 
 def test_a_new_reporter_gets_the_alarms_that_hold_with_what_is_left_of_them():
@@ -219,7 +219,7 @@
     for number in range(1, 200):
         alarm = _make_alarm(shared_load.AlarmKind.LEAVING, life_id=f"i-{number}", sequence=number)
         _take(hub, sequence=number, alarms=[alarm])
-    told = [alarm.life_id for alarm in hub.make_whole_update(0.0).alarms]
+    told = [alarm.life_id for alarm in hub.make_snapshot(0.0).alarms]
     assert told == [f"i-{number}" for number in range(200 - standing_alarms.MOST_KEPT, 200)]
 
 
