Tests: hold the clock where a tenth of a second is asserted

Looked for: unit tests that take a time from the machine's clock and assert within a tenth of a second of it. Three do: two in test_instance_words.py (an instance that turns a request away is left for 0.1 s; Retry-After above 2.9 of 3 s) and one in test_permits.py (above 1.4 of 1.5 s). With a pause of 0.11 s put in by hand the first two fail, in both kinds of request (4 of 44 tests).

Change: a fixture holds the clock in both modules. With it and the same pauses all 44 pass. The checks are unchanged.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,10 @@
 import os
 
 import hypothesis
+import pytest
 
 from lib import known_red
+from spoolhead._internal.utils import clocks
 
 hypothesis.settings.register_profile(
     "ci",
@@ -39,3 +41,10 @@
     deselected = [item for item in items if item.nodeid in listed]
     items[:] = [item for item in items if item.nodeid not in listed]
     config.hook.pytest_deselected(items=deselected)
+
+
+@pytest.fixture
+def held_clock(monkeypatch):
+    """Hold the time, for tests that would fail where a busy machine pauses them for 0.1 s."""
+    now_s = clocks.get_s()
+    monkeypatch.setattr(clocks, "get_s", lambda: now_s)
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -299,7 +299,12 @@
             self.book.get_by_key, tell=lambda: None, on_change=lambda key: None
         )
         self.permits = permit_exchange.PermitExchange(
-            self.timers, config, self.limits, send=self.sent.append, first_id=0
+            self.timers,
+            config,
+            self.limits,
+            send=self.sent.append,
+            first_id=0,
+            clock=lambda: clocks.get_s(),
         )
         for name, limit_per_s in (limits_per_s or {}).items():
             self.limits.book.record(self.book.get(name).key, limit_per_s, clocks.get_s())
--- a/tests/unit/test_instance_words.py
+++ b/tests/unit/test_instance_words.py
@@ -8,6 +8,8 @@
 from spoolhead._internal.utils import clocks
 from spoolhead.platform import dialect
 
+pytestmark = pytest.mark.usefixtures("held_clock")
+
 
 def _read(status, **headers):
     named = [(name.replace("_", "-"), value) for name, value in headers.items()]
--- a/tests/unit/test_permits.py
+++ b/tests/unit/test_permits.py
@@ -7,6 +7,8 @@
 from spoolhead._internal.policy import limit_book, permit_backoff, permit_granter
 from spoolhead._internal.utils import clocks
 
+pytestmark = pytest.mark.usefixtures("held_clock")
+
 ONCE = route_table.RequestKind.ONCE
 STREAM = route_table.RequestKind.STREAM
 KEY = 1_000
