Soak: a fault is not undone at a process that has ended

Ruled out: a process of ours that ended by itself (their logs show the ends of the run).

Change: what is to be undone goes to the process that it was done to, and to nothing if that has ended.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -131,9 +131,11 @@
         return True
 
     def _pause(self, step):
-        self._fleet.signal(step.target, signal.SIGSTOP)
+        process = self._fleet.processes[step.target]
+        process.send_signal(signal.SIGSTOP)
         time.sleep(step.for_s)
-        self._fleet.signal(step.target, signal.SIGCONT)
+        # Sends nothing to a process that another fault has ended meanwhile.
+        process.send_signal(signal.SIGCONT)
 
     def _kill(self, step):
         self._fleet.kill(step.target)
@@ -189,11 +191,13 @@
 
     def _full_disk(self, step):
         """No file of the process may grow for a while."""
-        pid = self._fleet.processes[step.target].pid
-        _, hard = resource.prlimit(pid, resource.RLIMIT_FSIZE)
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (FULL_DISK_BYTES, hard))
+        process = self._fleet.processes[step.target]
+        _, hard = resource.prlimit(process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (FULL_DISK_BYTES, hard))
         time.sleep(step.for_s)
-        resource.prlimit(pid, resource.RLIMIT_FSIZE, (hard, hard))
+        # Another fault may have ended the process meanwhile.
+        if process.poll() is None:
+            resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (hard, hard))
 
     def _drain(self, step):
         self._fleet.set(step.target, state="draining")
--- a/tests/unit/test_soak_faults.py
+++ b/tests/unit/test_soak_faults.py
@@ -1,7 +1,11 @@
 """What the soak does to processes: faults of one run that overlap."""
 
+import subprocess
+import sys
 import threading
 
+import pytest
+
 from soak import faults, plan, records
 
 WAIT_S = 5.0
@@ -57,3 +61,35 @@
     playing.join(WAIT_S)
     assert seen.problems == []
     assert fleet.done == ["signal", "start"]
+
+
+class EndingFleet:
+    """A process that another fault has ended by the time a pause or a full disk is over."""
+
+    def __init__(self):
+        command = [sys.executable, "-c", "import time; time.sleep(60)"]
+        self.processes = {"keeper-2": subprocess.Popen(command)}
+
+    def get_names(self):
+        return ["keeper-2"]
+
+    def signal(self, name, number):
+        self.processes[name].send_signal(number)
+
+    def end(self):
+        process = self.processes.pop("keeper-2")
+        process.kill()
+        process.wait()
+
+
+@pytest.mark.parametrize("kind", ["pause", "full_disk"])
+def test_a_process_that_ended_meanwhile_has_nothing_to_be_undone(kind):
+    """Guards against a soak that takes its own delay on a busy machine for a broken promise."""
+    fleet = EndingFleet()
+    seen = records.Records()
+    step = plan.Step(at_s=0.0, kind=kind, target="keeper-2", for_s=0.5)
+    playing = threading.Thread(target=faults.Faults(fleet, seen).play, args=([step],))
+    playing.start()
+    threading.Timer(0.2, fleet.end).start()
+    playing.join(WAIT_S)
+    assert seen.problems == []
