Tests: what instances said reaches entries and hubs that lost datagrams; red

Looked for elsewhere: the class of the lifted limit, told a fixed number of times and never compared.

- An alarm (an instance leaves, rests, is cold) goes in three datagrams in a row.
Callers: their next requests there, until one answer says so.
- Hubs tell each other changes only.

--- a/tests/unit/test_limit_fleet.py
+++ b/tests/unit/test_limit_fleet.py
@@ -6,6 +6,7 @@
 
 from lib import limit_fleet
 from spoolhead._internal.models import fleet as models_fleet
+from spoolhead._internal.models import shared_load
 
 LIMIT_PER_S = 4.0
 
@@ -104,6 +105,29 @@
     _check(fleet, began_s, used_part=0.6)
 
 
+def test_hubs_that_were_cut_from_each_other_make_good_what_was_said_meanwhile():
+    """Guards against entries of one hub that keep to what an instance took back during a cut."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    first, second = fleet.instances[:2]
+    fleet.set_limit(LIMIT_PER_S, first)
+    here = [number for number in range(24) if fleet.entries[number].process.hall == "hall-0"]
+    fleet.begin_traffic(40, entries=here)
+    fleet.run(limit_fleet.CONTACT_S)
+    assert len(fleet.get_limited(first)) == 24
+    fleet.net.cut_keepers.update(hub.name for hub in fleet.hubs)
+    fleet.run(2.0)
+    fleet.set_limit(None, first)
+    kind = shared_load.AlarmKind.LEAVING
+    fleet.entries[here[0]].sharing.tell_alarm(second, kind)
+    fleet.run(6.0)
+    assert len(fleet.get_limited(first)) >= 24 - len(here)
+    fleet.net.cut_keepers.clear()
+    fleet.run(3.0)
+    assert fleet.get_limited(first) == []
+    others = [entry for number, entry in enumerate(fleet.entries) if number != here[0]]
+    assert [entry for entry in others if not entry.book.get(second).has_announced_end] == []
+
+
 def test_the_newest_statement_wins_where_two_cross():
     fleet = _make()
     fleet.set_limit(None, fleet.instances[0])
--- a/tests/unit/test_load_fleet.py
+++ b/tests/unit/test_load_fleet.py
@@ -177,6 +177,19 @@
     assert all(len(entry.alarms) <= 1 for entry in made.entries)
 
 
+def test_an_entry_that_lost_the_datagrams_of_an_alarm_hears_it_all_the_same():
+    """Guards against new work at an instance that leaves, from an entry nobody told again."""
+    made = _make(entries=48)
+    name = made.instances[0]
+    made.entries[0].sharing.tell_alarm(name, shared_load.AlarmKind.LEAVING)
+    made.net.loss = 0.5
+    made.run(1.0)
+    made.net.loss = 0.01
+    made.run(2.0)
+    others = made.entries[1:]
+    assert [entry for entry in others if not entry.book.get(name).has_announced_end] == []
+
+
 def test_few_entries_show_themselves_to_all_hubs():
     made = _make(entries=120)
     made.forget_traffic()
