Hubs: repeat alarms that hold for a time; entries take each once

What callers saw: an entry that lost the three datagrams which carry an alarm went on sending new requests to an instance that leaves, rests or is cold, until an answer of that instance told it. Change: alarms that hold for a time (leaving, resting, cold) are sent again each 0.5 s for 4 s with what is left of them; limits and alarms share the class that says what is due. An entry takes each alarm once: before, it took each of three datagrams, wrote 'upstream asked for rest' three times, and would have taken an instance for cold again after it had said that it is not.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -17,6 +17,10 @@
 """Instances for which that pause is kept."""
 
 
+TAKEN_KEPT_S = 6.0
+"""Time for which an alarm that was taken is passed over when it comes again; hubs repeat some for
+4 s."""
+
 _ENDS = (shared_load.AlarmKind.ENDED, shared_load.AlarmKind.REPLACED)
 
 
@@ -58,6 +62,7 @@
         self._raised: list[_Raised] = []
         self._told_s: dict[str, float] = {}
         self._unlisted = standing_alarms.StandingAlarms()
+        self._taken_s: dict[tuple[str, int], float] = {}
 
     def raise_alarm(
         self, life_id: str, kind: shared_load.AlarmKind, now_s: float, *, for_ms: int = 0
@@ -84,26 +89,36 @@
         return [item.alarm for item in self._raised]
 
     def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
-        """Take what other entries found."""
+        """Take what other entries found, each alarm once however often it is sent."""
         for alarm in alarms:
-            if self._is_own(alarm):
-                continue
-            if alarm.kind in _ENDS:
-                self._on_ended(alarm.life_id, f"told by {alarm.finder}")
-            if alarm.kind is shared_load.AlarmKind.ENDED:
+            name = (alarm.finder, alarm.sequence)
+            if self._is_own(alarm) or name in self._taken_s:
                 continue
-            upstream = self._book.get(alarm.life_id)
-            if upstream is None:
-                self._unlisted.record(alarm, now_s)
-            elif not upstream.is_leaving:
-                self._take_one(alarm, upstream, now_s)
+            self._taken_s[name] = now_s
+            self._take_new(alarm, now_s)
 
     def take_listed(self, now_s: float) -> None:
         """Take what was found of instances before they were listed here."""
+        self._taken_s = {
+            name: taken_s
+            for name, taken_s in self._taken_s.items()
+            if now_s - taken_s <= TAKEN_KEPT_S
+        }
         for alarm in self._unlisted.get_all(now_s):
             if self._book.get(alarm.life_id) is not None:
                 self._unlisted.remove(alarm)
-                self.take([alarm], now_s)
+                self._take_new(alarm, now_s)
+
+    def _take_new(self, alarm: shared_load.Alarm, now_s: float) -> None:
+        if alarm.kind in _ENDS:
+            self._on_ended(alarm.life_id, f"told by {alarm.finder}")
+        if alarm.kind is shared_load.AlarmKind.ENDED:
+            return
+        upstream = self._book.get(alarm.life_id)
+        if upstream is None:
+            self._unlisted.record(alarm, now_s)
+        elif not upstream.is_leaving:
+            self._take_one(alarm, upstream, now_s)
 
     def _is_own(self, alarm: shared_load.Alarm) -> bool:
         """Tell whether this run of the entry raised an alarm; a former run may have."""
--- /dev/null
+++ b/src/spoolhead/_internal/policy/alarm_broadcast.py
@@ -0,0 +1,63 @@
+"""Which alarms a hub still has to pass on; no I/O, time passed in."""
+
+from spoolhead._internal.models import shared_load
+from spoolhead._internal.policy import repeats, standing_alarms
+
+SENT_TIMES = 3
+"""Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
+REPEATED_AT_ONCE = 8
+"""Most alarms that one datagram repeats."""
+
+
+class _Pending:
+    """An alarm and how often it is still to be sent."""
+
+    __slots__ = ("alarm", "left")
+
+    def __init__(self, alarm: shared_load.Alarm) -> None:
+        self.alarm = alarm
+        self.left = SENT_TIMES
+
+
+class AlarmBroadcast:
+    """The alarms that one side of a hub has not been sent yet, or is sent again.
+
+    :param standing: alarms that hold for a time; only these are repeated.
+    """
+
+    __slots__ = ("_pending", "_repeats", "_standing")
+
+    def __init__(self, standing: standing_alarms.StandingAlarms) -> None:
+        self._standing = standing
+        self._pending: list[_Pending] = []
+        self._repeats: repeats.Repeats[standing_alarms.Name] = repeats.Repeats()
+
+    @property
+    def has_news(self) -> bool:
+        """Whether an alarm has not been sent at all."""
+        return any(item.left == SENT_TIMES for item in self._pending)
+
+    @property
+    def has_more(self) -> bool:
+        """Whether anything is left to send that must not wait for the next datagram."""
+        return bool(self._pending)
+
+    def add(self, alarm: shared_load.Alarm, now_s: float) -> None:
+        """Have an alarm sent."""
+        self._pending.append(_Pending(alarm))
+        if alarm.kind in standing_alarms.KEPT_KINDS:
+            self._repeats.add([standing_alarms.get_name(alarm)], now_s)
+
+    def take_part(self, now_s: float) -> list[shared_load.Alarm]:
+        """Return what is sent next, and count it as sent."""
+        alarms = [item.alarm for item in self._pending]
+        for item in self._pending:
+            item.left -= 1
+        self._pending = [item for item in self._pending if item.left]
+        names = self._repeats.take_due(REPEATED_AT_ONCE, now_s)
+        return alarms + self._standing.get(names, now_s)
+
+    def clear(self) -> None:
+        """Forget what was to be sent: nobody is there to get it."""
+        self._pending.clear()
+        self._repeats.clear()
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -10,6 +10,7 @@
 
 from spoolhead._internal.models import rate_limit, shared_load
 from spoolhead._internal.policy import (
+    alarm_broadcast,
     changed_rows,
     content_book,
     datagram_order,
@@ -27,8 +28,6 @@
 cut between hubs would seem gone."""
 SNAPSHOT_PAUSE_S = 0.05
 """Least time between two snapshots for one reporter; the one before may be under way."""
-ALARM_PARTS = 3
-"""Datagrams in a row that carry an alarm: at one lost in ten, one alarm in a thousand is lost."""
 ALARM_REMEMBERED_S = 5.0
 """Time for which an alarm is known to have been told: ten times that for which it is repeated."""
 
@@ -79,16 +78,6 @@
         self.rows: dict[int, _Row] = {}
 
 
-class _PendingBroadcast:
-    """An alarm and how often it is still to be told."""
-
-    __slots__ = ("alarm", "left")
-
-    def __init__(self, alarm: shared_load.Alarm) -> None:
-        self.alarm = alarm
-        self.left = ALARM_PARTS
-
-
 class LoadHub:
     """The hub of one process; without reporters it tells nothing but goes on listening.
 
@@ -112,9 +101,9 @@
         self._own = changed_rows.ChangedRows()
         self._all = changed_rows.ChangedRows()
         self._alarms_taken_s: dict[tuple[str, int], float] = {}
-        self._own_alarms: list[_PendingBroadcast] = []
-        self._all_alarms: list[_PendingBroadcast] = []
         self._standing_alarms = standing_alarms.StandingAlarms()
+        self._alarms_to_hubs = alarm_broadcast.AlarmBroadcast(self._standing_alarms)
+        self._alarms_to_reporters = alarm_broadcast.AlarmBroadcast(self._standing_alarms)
         self._contents = contents if contents is not None else content_book.ContentBook()
         self._to_hubs = content_book.ContentBroadcast(self._contents)
         self._to_reporters = content_book.ContentBroadcast(self._contents)
@@ -135,19 +124,19 @@
     @property
     def has_totals_to_tell(self) -> bool:
         """Whether other hubs wait for something new."""
-        has_rows = self._own.has_changes or bool(self._own_alarms)
+        has_rows = self._own.has_changes or self._alarms_to_hubs.has_more
         return has_rows or self._to_hubs.has_more or self._limits_to_hubs.has_more
 
     @property
     def has_updates_to_tell(self) -> bool:
         """Whether reporters wait for something new."""
-        has_rows = self._all.has_changes or bool(self._all_alarms)
+        has_rows = self._all.has_changes or self._alarms_to_reporters.has_more
         return has_rows or self._to_reporters.has_more or self._limits_to_reporters.has_more
 
     @property
     def has_new_alarms(self) -> bool:
         """Whether an alarm, content or limit has not been told at all, which must not wait."""
-        has_alarms = any(item.left == ALARM_PARTS for item in self._all_alarms)
+        has_alarms = self._alarms_to_reporters.has_news
         has_limits = self._limits_to_reporters.has_news
         return has_alarms or has_limits or self._to_reporters.has_news
 
@@ -180,7 +169,8 @@
         reporter.wants_snapshot = is_new or report.wants_snapshot
         self._exchange_rows(reporter.rows, report.rows)
         reporter.rows = report.rows
-        self._take_alarms(report.alarms, now_s, self._own_alarms, self._all_alarms)
+        for alarm in self._take_alarms(report.alarms, now_s):
+            self._alarms_to_hubs.add(alarm, now_s)
         for content_id in self._take_contents(report.contents, now_s):
             self._to_hubs.note_changed(content_id)
         self._to_reporters.note_digest(report.sender, report.contents.digest, now_s)
@@ -209,7 +199,7 @@
         for age in totals.ages:
             heard_s = now_s - age.age_ms / 1000
             self._halls_told_s[age.hall] = max(self._halls_told_s.get(age.hall, heard_s), heard_s)
-        self._take_alarms(totals.alarms, now_s, self._all_alarms)
+        self._take_alarms(totals.alarms, now_s)
         self._take_contents(totals.contents, now_s)
         self._to_hubs.note_digest(totals.hub, totals.contents.digest, now_s)
         limited = self._limits.merge(totals.limits, now_s)
@@ -238,8 +228,8 @@
         self.forget_silent(now_s)
         self._own.take_part()
         self._all.take_part()
-        self._own_alarms.clear()
-        self._all_alarms.clear()
+        self._alarms_to_hubs.clear()
+        self._alarms_to_reporters.clear()
         self._to_hubs.clear()
         self._to_reporters.clear()
         self._limits_to_hubs.clear()
@@ -253,7 +243,7 @@
             sequence=self._sequence,
             rows=self._own.take_part(),
             ages=_get_ages(self._halls_heard_s, now_s),
-            alarms=_take_pending(self._own_alarms),
+            alarms=self._alarms_to_hubs.take_part(now_s),
             contents=self._make_contents(self._to_hubs, now_s),
             limits=self._limits_to_hubs.take_part(now_s),
         )
@@ -262,7 +252,7 @@
         """Return what to tell the reporters next."""
         rows = self._all.take_part()
         contents = self._make_contents(self._to_reporters, now_s)
-        alarms = _take_pending(self._all_alarms)
+        alarms = self._alarms_to_reporters.take_part(now_s)
         limits = self._limits_to_reporters.take_part(now_s)
         return self._make_update(rows, alarms, contents, limits, now_s)
 
@@ -357,16 +347,19 @@
             self._exchange_rows(reporter.rows, {})
 
     def _take_alarms(
-        self, alarms: Iterable[shared_load.Alarm], now_s: float, *pending: list[_PendingBroadcast]
-    ) -> None:
+        self, alarms: Iterable[shared_load.Alarm], now_s: float
+    ) -> list[shared_load.Alarm]:
+        """Take alarms, and have the reporters sent those that are new; returns these."""
+        new = []
         for alarm in alarms:
             name = (alarm.finder, alarm.sequence)
             if name in self._alarms_taken_s:
                 continue
             self._alarms_taken_s[name] = now_s
             self._standing_alarms.record(alarm, now_s)
-            for broadcast in pending:
-                broadcast.append(_PendingBroadcast(alarm))
+            self._alarms_to_reporters.add(alarm, now_s)
+            new.append(alarm)
+        return new
 
 
 def _get_ages(heard_s: dict[str, float], now_s: float) -> list[shared_load.HallAge]:
@@ -374,11 +367,3 @@
         shared_load.HallAge(hall, int((now_s - heard) * 1000))
         for hall, heard in sorted(heard_s.items())
     ]
-
-
-def _take_pending(pending: list[_PendingBroadcast]) -> list[shared_load.Alarm]:
-    alarms = [item.alarm for item in pending]
-    for item in pending:
-        item.left -= 1
-    pending[:] = [item for item in pending if item.left]
-    return alarms
--- /dev/null
+++ b/src/spoolhead/_internal/policy/repeats.py
@@ -0,0 +1,63 @@
+"""When what was sent to many receivers is sent again; no I/O, time passed in.
+
+Receivers of a broadcast do not confirm it. What must reach all of them is repeated for a while.
+"""
+
+import itertools
+from collections.abc import Hashable, Iterable
+from typing import Generic, TypeVar
+
+REPEAT_PAUSE_S = 0.5
+"""Pause between two datagrams that carry the same item again."""
+REPEATED_FOR_S = 4.0
+"""Time for which an item is repeated; who hears nothing for so long asks for all."""
+
+Item = TypeVar("Item", bound=Hashable)
+
+
+class _Repeat:
+    """When an item is due again, and until when it is repeated."""
+
+    __slots__ = ("due_s", "until_s")
+
+    def __init__(self, due_s: float, until_s: float) -> None:
+        self.due_s = due_s
+        self.until_s = until_s
+
+
+class Repeats(Generic[Item]):
+    """Items that are sent again from time to time."""
+
+    __slots__ = ("_repeats",)
+
+    def __init__(self) -> None:
+        # In the order in which they are due, as the pause is the same for all.
+        self._repeats: dict[Item, _Repeat] = {}
+
+    def add(self, items: Iterable[Item], now_s: float) -> None:
+        """Have items that are sent now repeated."""
+        for item in items:
+            self._repeat_later(item, now_s, now_s + REPEATED_FOR_S)
+
+    def take_due(self, most: int, now_s: float) -> list[Item]:
+        """Return the items that are due, and count them as sent.
+
+        :param most: most items to return; the others stay due.
+        """
+        due = []
+        for item, repeat in list(itertools.islice(self._repeats.items(), most)):
+            if repeat.due_s > now_s:
+                break
+            due.append(item)
+            self._repeat_later(item, now_s, repeat.until_s)
+        return due
+
+    def clear(self) -> None:
+        """Forget all items."""
+        self._repeats.clear()
+
+    def _repeat_later(self, item: Item, now_s: float, until_s: float) -> None:
+        self._repeats.pop(item, None)
+        due_s = now_s + REPEAT_PAUSE_S
+        if due_s <= until_s:
+            self._repeats[item] = _Repeat(due_s, until_s)
--- a/src/spoolhead/_internal/policy/standing_alarms.py
+++ b/src/spoolhead/_internal/policy/standing_alarms.py
@@ -4,6 +4,7 @@
 """
 
 import math
+from collections.abc import Iterable
 
 from spoolhead._internal.models import shared_load
 
@@ -16,7 +17,8 @@
 )
 """Kinds that hold for a time which the instance itself states, or until it ends."""
 
-_Name = tuple[str, shared_load.AlarmKind, str]
+Name = tuple[str, shared_load.AlarmKind, str]
+"""Names what one entry found of one kind about one instance."""
 
 
 class _Standing:
@@ -35,13 +37,13 @@
     __slots__ = ("_standing",)
 
     def __init__(self) -> None:
-        self._standing: dict[_Name, _Standing] = {}
+        self._standing: dict[Name, _Standing] = {}
 
     def record(self, alarm: shared_load.Alarm, now_s: float) -> None:
         """Keep an alarm if it states what holds for a time."""
         if alarm.kind not in KEPT_KINDS:
             return
-        name = (alarm.life_id, alarm.kind, alarm.finder)
+        name = get_name(alarm)
         known = self._standing.pop(name, None)
         if known is not None and known.alarm.sequence > alarm.sequence:
             self._standing[name] = known
@@ -52,12 +54,20 @@
 
     def remove(self, alarm: shared_load.Alarm) -> None:
         """Forget an alarm."""
-        self._standing.pop((alarm.life_id, alarm.kind, alarm.finder), None)
+        self._standing.pop(get_name(alarm), None)
+
+    def get_names(self) -> list[Name]:
+        """Return the names of all alarms."""
+        return list(self._standing)
+
+    def get(self, names: Iterable[Name], now_s: float) -> list[shared_load.Alarm]:
+        """Return those of some alarms that hold, each with the time that is left of it."""
+        standing = [self._standing[name] for name in names if name in self._standing]
+        return [_make_remaining(item, now_s) for item in standing if now_s < item.until_s]
 
     def get_all(self, now_s: float) -> list[shared_load.Alarm]:
         """Return the alarms that hold, each with the time that is left of it."""
-        self.expire(now_s)
-        return [_make_remaining(item, now_s) for item in self._standing.values()]
+        return self.get(self._standing, now_s)
 
     def expire(self, now_s: float) -> None:
         """Forget the alarms that hold no more."""
@@ -66,6 +76,11 @@
                 del self._standing[name]
 
 
+def get_name(alarm: shared_load.Alarm) -> Name:
+    """Return the name by which an alarm is kept; a newer one of the same name replaces it."""
+    return alarm.life_id, alarm.kind, alarm.finder
+
+
 def _get_kept_s(alarm: shared_load.Alarm) -> float:
     if alarm.kind is shared_load.AlarmKind.LEAVING:
         return LEAVING_KEPT_S
--- /dev/null
+++ b/tests/unit/test_alarm_broadcast.py
@@ -0,0 +1,83 @@
+"""What a hub passes on of alarms, how often, and that an entry takes each once."""
+
+import logging
+
+from lib import load_fleet
+from spoolhead._internal.models import shared_load
+from spoolhead._internal.policy import alarm_broadcast, repeats, standing_alarms
+
+KINDS = shared_load.AlarmKind
+
+
+def _make(*alarms):
+    standing = standing_alarms.StandingAlarms()
+    broadcast = alarm_broadcast.AlarmBroadcast(standing)
+    for alarm in alarms:
+        standing.record(alarm, 0.0)
+        broadcast.add(alarm, 0.0)
+    return broadcast
+
+
+def _make_alarm(kind, *, life_id="i-1", sequence=1, for_ms=0):
+    return shared_load.Alarm(life_id, kind, finder="e1", sequence=sequence, for_ms=for_ms)
+
+
+def _get_later(broadcast, until_s):
+    """Return what is repeated up to a time, as (time, time that is left)."""
+    for _ in range(alarm_broadcast.SENT_TIMES):
+        assert broadcast.take_part(0.0)
+    assert not broadcast.has_more
+    steps = range(1, round(until_s / repeats.REPEAT_PAUSE_S) + 1)
+    times_s = [number * repeats.REPEAT_PAUSE_S for number in steps]
+    return [(now_s, alarm.for_ms) for now_s in times_s for alarm in broadcast.take_part(now_s)]
+
+
+def test_an_alarm_that_holds_is_repeated_with_what_is_left_of_it():
+    """Guards against an entry that lost the first datagrams and never hears of it."""
+    broadcast = _make(_make_alarm(KINDS.RESTING, for_ms=1_200))
+    assert _get_later(broadcast, 8.0) == [(0.5, 700), (1.0, 200)]
+
+
+def test_it_is_repeated_for_some_seconds_and_no_longer():
+    broadcast = _make(_make_alarm(KINDS.LEAVING))
+    times_s = [now_s for now_s, _ in _get_later(broadcast, 10.0)]
+    assert (times_s[0], times_s[-1]) == (repeats.REPEAT_PAUSE_S, repeats.REPEATED_FOR_S)
+
+
+def test_an_alarm_that_does_not_hold_for_a_time_is_not_repeated():
+    assert _get_later(_make(_make_alarm(KINDS.SAID)), 8.0) == []
+
+
+def test_a_datagram_repeats_so_many_and_the_others_follow():
+    count = 3 * alarm_broadcast.REPEATED_AT_ONCE
+    broadcast = _make(
+        *(
+            _make_alarm(KINDS.LEAVING, life_id=f"i-{number}", sequence=number)
+            for number in range(count)
+        )
+    )
+    for _ in range(alarm_broadcast.SENT_TIMES):
+        broadcast.take_part(0.0)
+    parts = [broadcast.take_part(1.0) for _ in range(3)]
+    assert [len(part) for part in parts] == [alarm_broadcast.REPEATED_AT_ONCE] * 3
+    assert len({alarm.life_id for part in parts for alarm in part}) == count
+
+
+def test_an_entry_takes_a_repeated_alarm_once(caplog):
+    """Guards against a log line for each datagram, and a cold instance that is taken for cold
+    again after it said that it is not."""
+    caplog.set_level(logging.INFO)
+    fleet = load_fleet.LoadFleet(entries=6, halls=3, keepers=3, instances=2)
+    fleet.run(1.0)
+    name = fleet.instances[0]
+    fleet.entries[0].sharing.tell_alarm(name, KINDS.RESTING, for_ms=3_000)
+    fleet.entries[0].sharing.tell_alarm(fleet.instances[1], KINDS.COLD, for_ms=9_000)
+    fleet.run(0.3)
+    for entry in fleet.entries[1:]:
+        entry.book.get(fleet.instances[1]).note_cold(0, fleet.clock())
+    fleet.run(5.0)
+    now_s = fleet.clock()
+    others = fleet.entries[1:]
+    assert not any(entry.book.get(fleet.instances[1]).is_cold(now_s) for entry in others)
+    words = [item.getMessage() for item in caplog.records]
+    assert words.count("upstream asked for rest") == len(others)
--- a/tests/unit/test_limit_broadcast.py
+++ b/tests/unit/test_limit_broadcast.py
@@ -1,6 +1,6 @@
 """What a hub passes on of the limits that instances state, and how often."""
 
-from spoolhead._internal.policy import limit_book, limit_broadcast
+from spoolhead._internal.policy import limit_book, limit_broadcast, repeats
 
 STEP_S = 0.1
 
@@ -33,9 +33,9 @@
     assert sent_s[: limit_broadcast.SENT_TIMES] == [0.0, 0.1]
     later_s = sent_s[limit_broadcast.SENT_TIMES :]
     pauses_s = [after - before for before, after in zip(later_s, later_s[1:], strict=False)]
-    assert all(pause_s <= limit_broadcast.REPEAT_PAUSE_S + STEP_S for pause_s in pauses_s)
-    last_s = limit_broadcast.REPEATED_FOR_S
-    assert last_s - limit_broadcast.REPEAT_PAUSE_S - STEP_S <= later_s[-1] <= last_s
+    assert all(pause_s <= repeats.REPEAT_PAUSE_S + STEP_S for pause_s in pauses_s)
+    last_s = repeats.REPEATED_FOR_S
+    assert last_s - repeats.REPEAT_PAUSE_S - STEP_S <= later_s[-1] <= last_s
 
 
 def test_what_is_repeated_is_the_newest_statement():
@@ -45,7 +45,7 @@
     broadcast.add([0], 1.0)
     sent = _get_sent(broadcast, 1.0, 8.0)
     assert {limit for part in sent.values() for limit in part} == {(0, None)}
-    assert max(sent) > limit_broadcast.REPEATED_FOR_S
+    assert max(sent) > repeats.REPEATED_FOR_S
 
 
 def test_a_datagram_carries_so_many_and_the_others_follow():
@@ -63,7 +63,7 @@
     _get_sent(broadcast, 0.0, 0.2)
     assert not broadcast.has_news
     assert not broadcast.has_more
-    assert broadcast.take_part(limit_broadcast.REPEAT_PAUSE_S)
+    assert broadcast.take_part(repeats.REPEAT_PAUSE_S)
 
 
 def test_nothing_is_repeated_once_nobody_is_there():
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -7,6 +7,7 @@
 from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import rate_limit, shared_load
 from spoolhead._internal.policy import (
+    alarm_broadcast,
     changed_rows,
     hub_choice,
     load_hub,
@@ -172,7 +173,7 @@
     _take(hub, alarms=[alarm])
     _take(hub, sequence=2, alarms=[alarm])
     told = [len(hub.make_update(0.0).alarms) for _ in range(5)]
-    assert told == [1] * load_hub.ALARM_PARTS + [0] * (5 - load_hub.ALARM_PARTS)
+    assert told == [1] * alarm_broadcast.SENT_TIMES + [0] * (5 - alarm_broadcast.SENT_TIMES)
 
 
 def _make_alarm(kind, *, life_id="i-1", sequence=1, for_ms=0):
