Limit book: remember the end of a limit as long as the limit

What callers would see: an instance held to a limit that it lifted half a minute ago, by all entries, once a process that was cut off meanwhile reports it. Cause: a limit was remembered for 600 s, its end for 30 s. From then on an older report of the limit was taken for news. Found by reading, while hubs were to tell each other what they know; shown by a property test that failed before. Change: both are kept 600 s. A hub keeps changes only, an entry one statement for each instance that answered it in that time. test_old_statements_are_forgotten asserted the 30 s; it asserts now that an end outlasts the limit that it ended and is forgotten in its turn.

--- a/src/spoolhead/_internal/policy/limit_book.py
+++ b/src/spoolhead/_internal/policy/limit_book.py
@@ -7,10 +7,9 @@
 
 UNLIMITED_PER_S = 10_000.0
 """Limits from here on bind nobody: the whole fleet is built for fewer requests a second."""
-UNLIMITED_KEPT_S = 30.0
-"""Time for which it is remembered that an instance stated no limit, to outweigh older reports."""
-LIMIT_KEPT_S = 600.0
-"""Time after which a limit that the instance has not stated again is forgotten."""
+KEPT_S = 600.0
+"""Time after which a statement that was not made again is forgotten: a limit and its end alike, as
+the end must outlast every report of the limit."""
 RESTATED_S = 1.0
 """Age of the known statement from which one of the same limit counts as a change."""
 
@@ -80,8 +79,7 @@
     def expire(self, now_s: float) -> None:
         """Forget statements that are too old to matter."""
         for key, stated in list(self._stated.items()):
-            kept_s = UNLIMITED_KEPT_S if stated.limit_per_s is None else LIMIT_KEPT_S
-            if now_s - stated.stated_s > kept_s:
+            if now_s - stated.stated_s > KEPT_S:
                 del self._stated[key]
 
 
