Hubs: tell a hub that is heard anew what limits and alarms hold

What callers saw: after a cut between keepers, or the start of one, entries of one side went on sending new requests to an instance that had said that it leaves, and asked for permits at one that had lifted its limit. Cause: hubs tell each other changes only. Change: a hub that hears another one anew, or its other start, sends the hubs all limits and the alarms that it keeps, within some 0.1 s. A hub takes no alarm again that it still keeps, so entries hear each once. Ruled out: telling only that hub. Totals are one datagram for all hubs, and what is known already changes nothing there.

--- a/src/spoolhead/_internal/policy/alarm_broadcast.py
+++ b/src/spoolhead/_internal/policy/alarm_broadcast.py
@@ -1,5 +1,7 @@
 """Which alarms a hub still has to pass on; no I/O, time passed in."""
 
+from collections.abc import Iterable
+
 from spoolhead._internal.models import shared_load
 from spoolhead._internal.policy import repeats, standing_alarms
 
@@ -48,6 +50,10 @@
         if alarm.kind in standing_alarms.KEPT_KINDS:
             self._repeats.add([standing_alarms.get_name(alarm)], now_s)
 
+    def send_again(self, names: Iterable[standing_alarms.Name], now_s: float) -> None:
+        """Have alarms that were sent before sent again."""
+        self._repeats.add_due(names, now_s)
+
     def take_part(self, now_s: float) -> list[shared_load.Alarm]:
         """Return what is sent next, and count it as sent."""
         alarms = [item.alarm for item in self._pending]
--- a/src/spoolhead/_internal/policy/limit_book.py
+++ b/src/spoolhead/_internal/policy/limit_book.py
@@ -34,6 +34,10 @@
             return None
         return stated.limit_per_s
 
+    def get_keys(self) -> list[int]:
+        """Return the instances of which a statement is known."""
+        return list(self._stated)
+
     @property
     def limited_count(self) -> int:
         """Instances that state a limit."""
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -186,6 +186,8 @@
         if totals.hub == self._name:
             return
         hub = self._hubs.get(totals.hub)
+        if hub is None or datagram_order.is_other_start(totals.sequence, hub.newest):
+            self._tell_new_hub(now_s)
         if hub is None:
             hub = self._hubs[totals.hub] = _OtherHub(address)
         if datagram_order.is_restart(totals.sequence, hub.newest):
@@ -318,6 +320,11 @@
             self._to_reporters.note_changed(content_id)
         return changed_ids
 
+    def _tell_new_hub(self, now_s: float) -> None:
+        """Have all limits and standing alarms sent to the hubs: one of them may know none."""
+        self._limits_to_hubs.add(self._limits.get_keys(), now_s)
+        self._alarms_to_hubs.send_again(self._standing_alarms.get_names(), now_s)
+
     def _take_row(self, hub: _OtherHub, key: int, held: shared_load.Held, sequence: int) -> None:
         row = hub.rows.get(key)
         if row is not None and sequence <= row.sequence:
@@ -353,7 +360,7 @@
         new = []
         for alarm in alarms:
             name = (alarm.finder, alarm.sequence)
-            if name in self._alarms_taken_s:
+            if name in self._alarms_taken_s or self._standing_alarms.has(alarm):
                 continue
             self._alarms_taken_s[name] = now_s
             self._standing_alarms.record(alarm, now_s)
--- a/src/spoolhead/_internal/policy/repeats.py
+++ b/src/spoolhead/_internal/policy/repeats.py
@@ -39,6 +39,12 @@
         for item in items:
             self._repeat_later(item, now_s, now_s + REPEATED_FOR_S)
 
+    def add_due(self, items: Iterable[Item], now_s: float) -> None:
+        """Have items sent with the next datagram, and repeated from then on."""
+        due = {item: _Repeat(now_s, now_s + REPEATED_FOR_S) for item in items}
+        others = {item: repeat for item, repeat in self._repeats.items() if item not in due}
+        self._repeats = {**due, **others}
+
     def take_due(self, most: int, now_s: float) -> list[Item]:
         """Return the items that are due, and count them as sent.
 
--- a/src/spoolhead/_internal/policy/standing_alarms.py
+++ b/src/spoolhead/_internal/policy/standing_alarms.py
@@ -56,6 +56,11 @@
         """Forget an alarm."""
         self._standing.pop(get_name(alarm), None)
 
+    def has(self, alarm: shared_load.Alarm) -> bool:
+        """Tell whether an alarm is kept, and not an earlier or later one of its name."""
+        known = self._standing.get(get_name(alarm))
+        return known is not None and known.alarm.sequence == alarm.sequence
+
     def get_names(self) -> list[Name]:
         """Return the names of all alarms."""
         return list(self._standing)
--- a/tests/unit/test_limit_fleet.py
+++ b/tests/unit/test_limit_fleet.py
@@ -171,6 +171,12 @@
         self.fleet.net.cut_halls = set() if self.fleet.net.cut_halls else {hall}
         self._disturb()
 
+    @stateful.rule()
+    def cut_or_join_hubs(self):
+        net = self.fleet.net
+        net.cut_keepers = set() if net.cut_keepers else {hub.name for hub in self.fleet.hubs}
+        self._disturb()
+
     @stateful.rule(loss=strategies.sampled_from([0.0, 0.02, 0.2]))
     def lose(self, loss):
         self.fleet.net.loss = loss
@@ -193,6 +199,7 @@
         fleet = self.fleet
         fleet.net.loss = 0.0
         fleet.net.cut_halls = set()
+        fleet.net.cut_keepers = set()
         fleet.run(6.0)
         began_s = fleet.clock()
         fleet.run(6.0)
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -205,6 +205,33 @@
     assert _get_told(here, 0.5) == [(resting, 1_500)]
 
 
+def test_a_hub_that_is_heard_anew_is_told_what_holds():
+    """Guards against entries of a hub that started, or was cut off, that know none of it."""
+    here, there = load_hub.LoadHub("k1", 1), load_hub.LoadHub("k2", 1)
+    report = _make_report(alarms=[_make_alarm(shared_load.AlarmKind.LEAVING)])
+    report.limits = [rate_limit.AgedLimit(KEY, 2.0, 0)]
+    there.take_report(report, ADDRESS, 0.0)
+    for step in range(100):
+        there.make_totals(step / 10)
+    _take(here, now_s=10.0)
+    there.take_totals(here.make_totals(10.0), ADDRESS, 10.0)
+    here.take_totals(there.make_totals(10.1), ADDRESS, 10.1)
+    told = here.make_snapshot(10.1)
+    assert [alarm.kind for alarm in told.alarms] == [shared_load.AlarmKind.LEAVING]
+    assert [limit.limit_per_s for limit in told.limits] == [2.0]
+
+
+def test_a_hub_takes_no_alarm_again_that_it_still_keeps():
+    hub = load_hub.LoadHub("k1", 1)
+    leaving = _make_alarm(shared_load.AlarmKind.LEAVING)
+    _take(hub, alarms=[leaving])
+    for step in range(100):
+        hub.forget_silent(step / 10)
+        hub.make_update(step / 10)
+    _take(hub, now_s=10.0, sequence=2, alarms=[leaving])
+    assert not hub.make_update(10.0).alarms
+
+
 def test_a_repeated_word_does_not_hold_longer_and_a_newer_one_replaces_it():
     hub = load_hub.LoadHub("k1", 1)
     resting = shared_load.AlarmKind.RESTING
