Upstream book: no room for send times of instances that get nothing

Cause: an empty deque takes 760 bytes, 2.2 of an entry's 39 MB with 3,000 instances; times are kept for those to which it has sent something. Ruled out: smaller bounds of the deque (its first block is 64 entries whatever the bound); an array, which has to be shifted.

--- a/src/spoolhead/_internal/policy/upstream_book.py
+++ b/src/spoolhead/_internal/policy/upstream_book.py
@@ -108,7 +108,8 @@
         self.listed_cold: instances.Instance | None = None
         self._cold_until_s = -math.inf
         self._replaced_until_s = -math.inf
-        self._sent_s: collections.deque[float] = collections.deque(maxlen=SENT_KEPT)
+        # An empty deque takes as much memory as a full one, and most instances get nothing.
+        self._sent_s: collections.deque[float] | None = None
         self._load: dialects.UpstreamLoad | None = None
         self._load_s = 0.0
         self._failures = 0
@@ -186,12 +187,14 @@
 
     def note_sent(self, now_s: float) -> None:
         """Take note of a request that is sent to it."""
+        if self._sent_s is None:
+            self._sent_s = collections.deque(maxlen=SENT_KEPT)
         self._sent_s.append(now_s)
         self.rest.record_sent(now_s)
 
     def count_sent(self, since_s: float) -> int:
         """Return how many requests this entry has sent to it after a moment."""
-        return sum(sent_s > since_s for sent_s in self._sent_s)
+        return sum(sent_s > since_s for sent_s in self._sent_s or ())
 
     def record_announced_end(self) -> bool:
         """Record that it said itself that it leaves, which it does not take back.
--- a/tests/unit/test_list_memory.py
+++ b/tests/unit/test_list_memory.py
@@ -46,6 +46,21 @@
     return [followed_keeper.FollowedKeeper(Follower(), f"10.0.0.{n}:7") for n in range(count)]
 
 
+def test_the_lists_of_all_keepers_and_the_book_fit_the_target():
+    listed = [_make(number) for number in range(INSTANCES)]
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    keepers = _make_keepers(KEEPERS)
+    for keeper in keepers:
+        _tell(keeper, listed, [other.listed for other in keepers if other.listed])
+    book = upstream_book.UpstreamBook()
+    book.take_list(keepers[0].listed.values(), 1.0)
+    taken_bytes = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    assert len(book.get_all()) == INSTANCES
+    assert taken_bytes < MOST_BYTES
+
+
 def test_what_keepers_tell_alike_is_kept_once_and_what_differs_is_not():
     one, other = _make_keepers(2)
     same, changed, cold = _make(1), _make(2), _make(3, cold_ms=500)
