--- a/tests/unit/test_limit_fleet.py
+++ b/tests/unit/test_limit_fleet.py
@@ -128,6 +128,22 @@
     assert [entry for entry in others if not entry.book.get(second).has_announced_end] == []
 
 
+def test_a_statement_is_not_lost_with_the_first_reports_that_carry_it():
+    """Guards against a limit that only the one entry keeps to which the instance stated it."""
+    fleet = limit_fleet.LimitFleet(entries=24)
+    name = fleet.instances[0]
+    fleet.set_limit(LIMIT_PER_S, name)
+    fleet.net.loss = 1.0
+    fleet.send(0)
+    while not fleet.get_limited(name):
+        fleet.send(0)
+        fleet.run(0.01)
+    fleet.run(0.7)
+    fleet.net.loss = 0.01
+    fleet.run(2.0)
+    assert len(fleet.get_limited(name)) == 24
+
+
 def test_the_newest_statement_wins_where_two_cross():
     fleet = _make()
     fleet.set_limit(None, fleet.instances[0])
--- a/tests/unit/test_load_fleet.py
+++ b/tests/unit/test_load_fleet.py
@@ -190,6 +190,26 @@
     assert [entry for entry in others if not entry.book.get(name).has_announced_end] == []
 
 
+def test_an_alarm_is_not_lost_with_the_first_reports_that_carry_it():
+    """Guards against new work at an instance that told one entry that it leaves."""
+    made = _make()
+    leaving, resting = made.instances[:2]
+    made.net.loss = 1.0
+    made.entries[0].sharing.tell_alarm(leaving, shared_load.AlarmKind.LEAVING)
+    for entry in made.entries[:2]:
+        entry.sharing.tell_alarm(resting, shared_load.AlarmKind.RESTING, for_ms=3_000)
+    made.run(0.7)
+    made.net.loss = 0.01
+    made.run(2.0)
+    others = made.entries[2:]
+    assert [entry for entry in others if not entry.book.get(leaving).has_announced_end] == []
+    now_s = made.clock()
+    assert all(entry.book.get(resting).rest.has_reports(now_s) for entry in others)
+    made.run(0.4)
+    now_s = made.clock()
+    assert not any(entry.book.get(resting).rest.has_reports(now_s) for entry in others)
+
+
 def test_few_entries_show_themselves_to_all_hubs():
     made = _make(entries=120)
     made.forget_traffic()
