Alarms: reports carry one that holds for a time for 4 s, not 0.5

What callers saw: after a cut of 0.7 s of the one entry that an instance had told that it leaves or wants rest, all other entries went on sending there until it told them, too (22 of 22 in the test). Cause: reports carried every alarm for 0.5 s, two or three datagrams. Change: those that hold for a time go along for 4 s, or as long as they hold, with what is left of them; entries and hubs remember for 10 s what they took. Ruled out: hubs that confirm alarms; reports would have to name each hub's.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -11,27 +11,49 @@
 KEPT_S = 0.5
 """Time for which reports carry an alarm again, so that one lost datagram or a hub that is lost at
 the same time does not lose it."""
+STANDING_KEPT_S = 4.0
+"""The same for an alarm that holds for a time, so that a short cut does not lose it either."""
 TELL_AGAIN_S = 0.3
 """Pause between two words about one instance that lost requests; a rest begins with 0.5 s."""
 TOLD_KEPT = 1_000
 """Instances for which that pause is kept."""
-
-
-TAKEN_KEPT_S = 6.0
-"""Time for which an alarm that was taken is passed over when it comes again; hubs repeat some for
-4 s."""
+TAKEN_KEPT_S = 10.0
+"""Time for which an alarm that was taken is passed over when it comes again: longer than reports
+and hubs together repeat it."""
 
 _ENDS = (shared_load.AlarmKind.ENDED, shared_load.AlarmKind.REPLACED)
 
 
 class _Raised:
-    """An alarm of this entry and when it was raised."""
+    """An alarm of this entry, when it was raised and until when reports carry it."""
 
-    __slots__ = ("alarm", "raised_s")
+    __slots__ = ("_alarm", "_raised_s", "until_s")
 
     def __init__(self, alarm: shared_load.Alarm, raised_s: float) -> None:
-        self.alarm = alarm
-        self.raised_s = raised_s
+        self._alarm = alarm
+        self._raised_s = raised_s
+        self.until_s = raised_s + _get_kept_s(alarm)
+
+    def make_remaining(self, now_s: float) -> shared_load.Alarm:
+        """Return the alarm with the time for which it still holds."""
+        alarm = self._alarm
+        if not alarm.for_ms:
+            return alarm
+        left_ms = alarm.for_ms - int((now_s - self._raised_s) * 1000)
+        return shared_load.Alarm(
+            alarm.life_id,
+            alarm.kind,
+            finder=alarm.finder,
+            sequence=alarm.sequence,
+            for_ms=max(0, left_ms),
+        )
+
+
+def _get_kept_s(alarm: shared_load.Alarm) -> float:
+    """Return for how long reports carry an alarm, no longer than it holds."""
+    if alarm.kind not in standing_alarms.KEPT_KINDS:
+        return KEPT_S
+    return min(STANDING_KEPT_S, alarm.for_ms / 1000) if alarm.for_ms else STANDING_KEPT_S
 
 
 class AlarmExchange:
@@ -85,8 +107,8 @@
 
     def get_raised(self, now_s: float) -> list[shared_load.Alarm]:
         """Return the alarms that a report made now should carry."""
-        self._raised = [item for item in self._raised if now_s - item.raised_s <= KEPT_S]
-        return [item.alarm for item in self._raised]
+        self._raised = [item for item in self._raised if now_s <= item.until_s]
+        return [item.make_remaining(now_s) for item in self._raised]
 
     def take(self, alarms: Iterable[shared_load.Alarm], now_s: float) -> None:
         """Take what other entries found, each alarm once however often it is sent."""
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -28,8 +28,9 @@
 cut between hubs would seem gone."""
 SNAPSHOT_PAUSE_S = 0.05
 """Least time between two snapshots for one reporter; the one before may be under way."""
-ALARM_REMEMBERED_S = 5.0
-"""Time for which an alarm is known to have been told: ten times that for which it is repeated."""
+ALARM_REMEMBERED_S = 10.0
+"""Time for which an alarm is known to have been told: longer than reports and hubs together repeat
+it."""
 
 
 class Reporter:
