Limits: reports carry what an entry read for 4 s, not 0.5

What callers saw: nothing by itself. An instance in need got up to the whole load of 23 entries that did not know its limit, if the one that did was cut off for 0.7 s just then.

--- a/src/spoolhead/_internal/gateway/upstream_limits.py
+++ b/src/spoolhead/_internal/gateway/upstream_limits.py
@@ -8,8 +8,8 @@
 
 logger = logging.getLogger(__name__)
 
-KEPT_S = 0.5
-"""Time for which reports carry a statement again, so that one lost datagram does not lose it."""
+KEPT_S = 4.0
+"""Time for which reports carry a statement again, so that a short cut does not lose it."""
 
 
 class UpstreamLimits:
