Tests: four mutations of what is repeated lived; each is caught now

Sixteen mutations of the new code by hand: 12 caught, four lived (the order of what is due, a hub that started anew within a second, an alarm that a hub still keeps, reports of what no longer holds). Three new tests and one that looked before the time that it is about; all four are caught.

--- a/tests/unit/test_alarm_broadcast.py
+++ b/tests/unit/test_alarm_broadcast.py
@@ -2,9 +2,17 @@
 
 import logging
 
+import pytest
+
 from lib import load_fleet
+from spoolhead._internal.gateway import alarm_exchange
 from spoolhead._internal.models import shared_load
-from spoolhead._internal.policy import alarm_broadcast, repeats, standing_alarms
+from spoolhead._internal.policy import (
+    alarm_broadcast,
+    repeats,
+    standing_alarms,
+    upstream_book,
+)
 
 KINDS = shared_load.AlarmKind
 
@@ -63,6 +71,34 @@
     assert len({alarm.life_id for part in parts for alarm in part}) == count
 
 
+def test_what_is_due_at_once_does_not_wait_behind_what_is_due_later():
+    items = repeats.Repeats()
+    items.add(["later"], 0.0)
+    items.add_due(["now"], 0.1)
+    assert items.take_due(9, 0.1) == ["now"]
+    assert items.take_due(9, 0.1 + repeats.REPEAT_PAUSE_S) == ["later", "now"]
+
+
+@pytest.mark.parametrize(
+    ("kind", "for_ms", "carried"),
+    [
+        (KINDS.COLD, 1_500, [(0.0, 1_500), (1.0, 500)]),
+        (KINDS.RESTING, 9_000, [(number / 1.0, 9_000 - 1_000 * number) for number in range(5)]),
+        (KINDS.LEAVING, 0, [(number / 1.0, 0) for number in range(5)]),
+        (KINDS.SAID, 0, [(0.0, 0)]),
+    ],
+)
+def test_reports_carry_an_alarm_while_it_holds_and_no_longer(kind, for_ms, carried):
+    """Guards against an instance taken for warm, or for cold anew, by a late report."""
+    exchange = alarm_exchange.AlarmExchange(
+        "e1", 1, upstream_book.UpstreamBook(), on_alarm=None, on_ended=None
+    )
+    exchange.raise_alarm("i-1", kind, 0.0, for_ms=for_ms)
+    times_s = [float(number) for number in range(8)]
+    told = [(now_s, item.for_ms) for now_s in times_s for item in exchange.get_raised(now_s)]
+    assert told == carried
+
+
 def test_an_entry_takes_a_repeated_alarm_once(caplog):
     """Guards against a log line for each datagram, and a cold instance that is taken for cold
     again after it said that it is not."""
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -221,15 +221,28 @@
     assert [limit.limit_per_s for limit in told.limits] == [2.0]
 
 
+def test_so_is_one_that_started_anew_before_it_was_missed():
+    there = load_hub.LoadHub("k2", 1)
+    _take(there, alarms=[_make_alarm(shared_load.AlarmKind.LEAVING)])
+    there.take_totals(load_hub.LoadHub("k1", 1).make_totals(0.0), ADDRESS, 0.0)
+    for step in range(100):
+        there.make_totals(step / 10)
+    restarted = load_hub.LoadHub("k1", 1_000_000)
+    there.take_totals(restarted.make_totals(10.0), ADDRESS, 10.0)
+    assert there.make_totals(10.0).alarms
+
+
 def test_a_hub_takes_no_alarm_again_that_it_still_keeps():
     hub = load_hub.LoadHub("k1", 1)
     leaving = _make_alarm(shared_load.AlarmKind.LEAVING)
     _take(hub, alarms=[leaving])
-    for step in range(100):
+    later_s = load_hub.ALARM_REMEMBERED_S + 1.0
+    for step in range(round(later_s * 10)):
         hub.forget_silent(step / 10)
         hub.make_update(step / 10)
-    _take(hub, now_s=10.0, sequence=2, alarms=[leaving])
-    assert not hub.make_update(10.0).alarms
+    hub.forget_silent(later_s)
+    _take(hub, now_s=later_s, sequence=2, alarms=[leaving])
+    assert not hub.make_update(later_s).alarms
 
 
 def test_a_repeated_word_does_not_hold_longer_and_a_newer_one_replaces_it():
