--- a/tests/functional/test_upstream_limits.py
+++ b/tests/functional/test_upstream_limits.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from lib import platform_fleet, senders
+from lib import limit_fleet, platform_fleet, senders
 
 ENTRIES = 4
 CONTACT_S = 3.0
@@ -26,23 +26,13 @@
         yield made
 
 
-def get_most(times_s, window_s):
-    """Return the most events that any window of a length has."""
-    most = first = 0
-    for last, time_s in enumerate(times_s):
-        while time_s - times_s[first] >= window_s:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
-
-
 def test_all_entries_together_keep_the_limit_that_an_instance_states(running):
     """Guards against entries that pass over a stated limit and go on choosing by load."""
     running.set("p-1", limit=str(LIMIT_PER_S))
     began_s = time.monotonic()
     answers = senders.send_from_all(running, CONTACT_S + 2 * WINDOW_S)
     bound = [time_s for time_s in running.get_arrivals("p-1") if time_s >= began_s + CONTACT_S]
-    assert get_most(bound, WINDOW_S) <= ALLOWED
+    assert limit_fleet.get_most(bound, WINDOW_S) <= ALLOWED
     assert len(bound) >= USED_PART * LIMIT_PER_S * 2 * WINDOW_S
     assert {answer.status for _, answer in answers} == {200}
 
@@ -55,7 +45,7 @@
     answers = senders.send_from_all(running, CONTACT_S + 2 * WINDOW_S, callers_each=MANY)
     for name in ("p-1", "p-2"):
         bound = [time_s for time_s in running.get_arrivals(name) if time_s >= began_s + CONTACT_S]
-        assert get_most(bound, WINDOW_S) <= ALLOWED
+        assert limit_fleet.get_most(bound, WINDOW_S) <= ALLOWED
         assert len(bound) >= USED_PART * LIMIT_PER_S * 2 * WINDOW_S
     assert {answer.status for _, answer in answers} == {200, 503}
     refused = [answer for _, answer in answers if answer.status == 503]
