--- /dev/null
+++ b/tests/unit/test_word_fleet.py
@@ -0,0 +1,95 @@
+"""What instances say to one entry, while entries start, halls are cut off and news are lost."""
+
+import hypothesis
+from hypothesis import stateful, strategies
+
+from lib import load_fleet
+from spoolhead._internal.models import shared_load
+
+ENTRIES = 9
+INSTANCES = 4
+TOLD_S = 1.0
+"""Time that an entry lives after it was told something: until then nobody else may know."""
+CALM_S = 6.0
+LONGEST_REST_MS = 3_000
+
+
+class WordMachine(stateful.RuleBasedStateMachine):
+    """An instance that leaves is known to all in the end; no rest outlasts what was asked for."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**16))
+    def begin(self, seed):
+        self.fleet = load_fleet.LoadFleet(
+            entries=ENTRIES, halls=3, keepers=3, instances=INSTANCES, seed=seed
+        )
+        self.fleet.run(1.0)
+        self.told_s = dict.fromkeys(range(ENTRIES), 0.0)
+        self.leaving = set()
+
+    def _tell(self, number, instance, kind, for_ms=0):
+        name = self.fleet.instances[instance]
+        self.fleet.entries[number].sharing.tell_alarm(name, kind, for_ms=for_ms)
+        self.told_s[number] = self.fleet.clock()
+        return name
+
+    @stateful.rule(
+        number=strategies.integers(0, ENTRIES - 1), instance=strategies.integers(0, INSTANCES - 2)
+    )
+    def leave(self, number, instance):
+        kind = shared_load.AlarmKind.LEAVING
+        name = self._tell(number, instance, kind)
+        self.fleet.entries[number].book.get(name).record_announced_end()
+        self.leaving.add(name)
+
+    @stateful.rule(
+        number=strategies.integers(0, ENTRIES - 1),
+        for_ms=strategies.integers(1, LONGEST_REST_MS),
+    )
+    def ask_for_rest(self, number, for_ms):
+        kind = shared_load.AlarmKind.RESTING
+        name = self._tell(number, INSTANCES - 1, kind, for_ms)
+        now_s = self.fleet.clock()
+        self.fleet.entries[number].book.get(name).rest.record(for_ms, now_s)
+
+    @stateful.rule(number=strategies.integers(0, ENTRIES - 1))
+    def restart_entry(self, number):
+        if self.fleet.clock() - self.told_s[number] > TOLD_S and not self.fleet.net.cut_halls:
+            self.fleet.restart_entry(number)
+
+    @stateful.rule(number=strategies.integers(0, 2))
+    def cut_or_join_hall(self, number):
+        net = self.fleet.net
+        net.cut_halls = set() if net.cut_halls else {self.fleet.halls[number]}
+
+    @stateful.rule()
+    def cut_or_join_hubs(self):
+        net = self.fleet.net
+        net.cut_keepers = set() if net.cut_keepers else {hub.name for hub in self.fleet.hubs}
+
+    @stateful.rule(loss=strategies.sampled_from([0.0, 0.02, 0.2]))
+    def lose(self, loss):
+        self.fleet.net.loss = loss
+
+    @stateful.rule(for_s=strategies.floats(0.05, 1.5))
+    def wait(self, for_s):
+        self.fleet.run(for_s)
+
+    def teardown(self):
+        net = self.fleet.net
+        net.loss = 0.0
+        net.cut_halls = set()
+        net.cut_keepers = set()
+        self.fleet.run(CALM_S)
+        now_s = self.fleet.clock()
+        for entry in self.fleet.entries:
+            known = {item for item in self.leaving if entry.book.get(item).has_announced_end}
+            assert known == self.leaving
+            rest = entry.book.get(self.fleet.instances[-1]).rest
+            assert not rest.is_resting(now_s)
+            assert not rest.has_reports(now_s)
+
+
+WordMachine.TestCase.settings = hypothesis.settings(
+    max_examples=max(10, hypothesis.settings().max_examples // 4), stateful_step_count=15
+)
+TestWordMachine = WordMachine.TestCase
