Tests: the machine of limits asks each instance once before it measures use

150 random examples of 20 steps found 0 requests in 6 s at an instance that states 0.5 a second. The check is as strict, but each instance is sent one request first; the example is a test of its own, 0.5 a second used beside the 60.

--- a/tests/lib/limit_fleet.py
+++ b/tests/lib/limit_fleet.py
@@ -113,6 +113,12 @@
     def send(self, number, *, rank=0, workspace="w"):
         self._go_on(self.entries[number], Request(number, self.clock(), rank, workspace))
 
+    def send_one_to(self, name):
+        """Send one request to an instance, whatever else entries would choose."""
+        entry = next(entry for entry in self.entries if entry.process.is_up)
+        request = Request(self.entries.index(entry), self.clock(), 0, "w")
+        self._send_to(entry, request, entry.book.get(name))
+
     def _go_on(self, entry, request):
         if entry is not self.entries[request.number] or not entry.process.is_up:
             return
--- a/tests/unit/test_limit_fleet.py
+++ b/tests/unit/test_limit_fleet.py
@@ -154,6 +154,21 @@
     assert len(fleet.get_limited(fleet.instances[0])) == 24
 
 
+def test_a_low_limit_is_used_beside_one_that_takes_all_requests():
+    fleet = limit_fleet.LimitFleet(entries=9, seed=0)
+    high, _, low = fleet.instances
+    fleet.begin_traffic(40)
+    fleet.set_limit(60.0, high)
+    fleet.run(1.6148559565405403)
+    fleet.set_limit(0.5, low)
+    fleet.net.loss = 0.0
+    fleet.send_one_to(low)
+    fleet.run(6.0)
+    began_s = fleet.clock()
+    fleet.run(6.0)
+    assert len(fleet.upstreams[low].get_times_s(began_s)) >= 2
+
+
 class LimitMachine(stateful.RuleBasedStateMachine):
     """Instances change their limits while processes fail; what is stated binds, nothing else."""
 
@@ -216,6 +231,9 @@
         fleet.net.loss = 0.0
         fleet.net.cut_halls = set()
         fleet.net.cut_keepers = set()
+        # The simulated entries send all to limited instances, so others may not be heard.
+        for name in fleet.instances:
+            fleet.send_one_to(name)
         fleet.run(6.0)
         began_s = fleet.clock()
         fleet.run(6.0)
