Keeper: confirm an operator's order on a content once it is on the disk

Cause: the keeper confirmed the order at once and saved it up to 0.25 s later (what is found out is saved at most four times a second). The kill came within that time. Change: the order is in force at once and confirmed when it is on the disk. Ruled out: waiting in the loop, which a slow disk would hold up.

--- a/src/spoolhead/_internal/contents/saved_contents.py
+++ b/src/spoolhead/_internal/contents/saved_contents.py
@@ -104,6 +104,12 @@
         else:
             self._save()
 
+    @property
+    def is_synced(self) -> bool:
+        """Whether all that was noted is on the disk."""
+        with self._condition:
+            return self._timer is None and self._is_synced
+
     def wait_until_synced(self, timeout_s: float) -> bool:
         """Wait until all that was to be saved is on the disk; False if that took too long."""
         if self._timer is not None:
--- a/src/spoolhead/_internal/keeper/content_relay.py
+++ b/src/spoolhead/_internal/keeper/content_relay.py
@@ -12,6 +12,9 @@
 
 logger = logging.getLogger(__name__)
 
+SYNC_CHECK_S = 0.01
+"""Pause between looks at whether what an operator ordered is on the disk."""
+
 
 class ContentRelay:
     """A keeper's records of contents, and what it does with messages about them.
@@ -28,6 +31,7 @@
         timers: scheduler.Scheduler,
     ) -> None:
         self._get_entries = get_entries
+        self._timers = timers
         self._book = content_book.ContentBook()
         self._saved = saved_contents.SavedContents(folder, self._book, timers)
 
@@ -48,7 +52,10 @@
         self._tell([record.content_id for record in changed], except_to=session)
 
     def order(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
-        """Have a content held, or let it go, by an operator's order."""
+        """Have a content held, or let it go, by an operator's order.
+
+        It is in force at once and confirmed once it is on the disk.
+        """
         record = content_record.begin_epoch(
             message.content_id,
             self._book.get(message.content_id),
@@ -63,7 +70,13 @@
         }
         logger.info("order on a content", extra={"fields": fields})
         self._tell([message.content_id])
-        self._answer(session, message.request, [message.content_id])
+        self._confirm(session, message)
+
+    def _confirm(self, session: peer_server.PeerSession, message: messages.HoldContent) -> None:
+        if self._saved.is_synced:
+            self._answer(session, message.request, [message.content_id])
+        else:
+            self._timers.call_later(SYNC_CHECK_S, lambda: self._confirm(session, message))
 
     def send_all(self, session: peer_server.PeerSession, message: messages.GetContents) -> None:
         """Send all records to an operator."""
