Interfaces: pace of an instance, expected answer tokens in load rows

Load rows get a fifth field, the tokens that the requests in flight are expected to generate: a run that still generates much is harmed longest by prompts beside it, and its length shows when memory comes free. No decision uses either yet.

--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -270,7 +270,10 @@
             waited_ms = (clocks.get_s() - self._arrived_s) * 1000
             self._context.metrics.room_wait_ms.observe(waited_ms)
         upstream.in_flight[request_id] = upstream_registry.InFlightRequest(
-            request_id, self.need_tokens, prefill_tokens=prefill_tokens
+            request_id,
+            self.need_tokens,
+            prefill_tokens=prefill_tokens,
+            answer_tokens=self._expected_tokens,
         )
         self._context.on_change()
         parameters = dialects.AttemptParameters(
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -183,11 +183,14 @@
     :ivar running: number of running requests.
     :ivar waiting: number of waiting requests.
     :ivar slots: number of requests that can run at once.
+    :ivar pace_percent: time that work takes there at present, in percent of the usual time; None
+        if not stated.
     """
 
     running: int
     waiting: int
     slots: int
+    pace_percent: int | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -15,7 +15,7 @@
 
 from spoolhead._internal.models import content_record, permits, rate_limit
 
-_ROW_FIELDS = 4
+_ROW_FIELDS = 5
 _REPORT = 1
 _TOTALS = 2
 _UPDATE = 3
@@ -37,14 +37,18 @@
     :ivar tokens: memory that the requests use or will use, in tokens.
     :ivar count: number of requests.
     :ivar prefill_tokens: tokens of prompts that were not processed yet.
+    :ivar answer_tokens: tokens that the requests are expected to generate in total.
     """
 
-    __slots__ = ("count", "prefill_tokens", "tokens")
+    __slots__ = ("answer_tokens", "count", "prefill_tokens", "tokens")
 
-    def __init__(self, tokens: int = 0, count: int = 0, prefill_tokens: int = 0) -> None:
+    def __init__(
+        self, tokens: int = 0, count: int = 0, prefill_tokens: int = 0, answer_tokens: int = 0
+    ) -> None:
         self.tokens = tokens
         self.count = count
         self.prefill_tokens = prefill_tokens
+        self.answer_tokens = answer_tokens
 
     def __eq__(self, other: object) -> bool:
         if not isinstance(other, InstanceLoad):
@@ -62,13 +66,14 @@
         self.tokens += sign * other.tokens
         self.count += sign * other.count
         self.prefill_tokens += sign * other.prefill_tokens
+        self.answer_tokens += sign * other.answer_tokens
 
     def copy(self) -> "InstanceLoad":
         """Return an independent copy."""
-        return InstanceLoad(self.tokens, self.count, self.prefill_tokens)
+        return InstanceLoad(*self._get_values())
 
-    def _get_values(self) -> tuple[int, int, int]:
-        return self.tokens, self.count, self.prefill_tokens
+    def _get_values(self) -> tuple[int, int, int, int]:
+        return self.tokens, self.count, self.prefill_tokens, self.answer_tokens
 
 
 LoadByInstance = dict[int, InstanceLoad]
@@ -414,7 +419,7 @@
 def _pack_rows(rows: LoadByInstance) -> list[int]:
     values: list[int] = []
     for key, load in rows.items():
-        values += (key, load.tokens, load.count, load.prefill_tokens)
+        values += (key, load.tokens, load.count, load.prefill_tokens, load.answer_tokens)
     return values
 
 
@@ -423,8 +428,8 @@
         raise ValueError("load rows have a wrong number or type of fields")
     rows: LoadByInstance = {}
     for start in range(0, len(values), _ROW_FIELDS):
-        key, tokens, count, prefill_tokens = values[start : start + _ROW_FIELDS]
-        rows[key] = InstanceLoad(tokens, count, prefill_tokens)
+        key, *load = values[start : start + _ROW_FIELDS]
+        rows[key] = InstanceLoad(*load)
     return rows
 
 
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -55,7 +55,10 @@
         """Return this entry's own load by instance."""
         return {
             upstream.key: shared_load.InstanceLoad(
-                upstream.own_tokens, len(upstream.in_flight), upstream.own_prefill_tokens
+                upstream.own_tokens,
+                len(upstream.in_flight),
+                upstream.own_prefill_tokens,
+                upstream.own_answer_tokens,
             )
             for upstream in self._registry.get_all()
             if upstream.in_flight
--- a/src/spoolhead/_internal/policy/upstream_registry.py
+++ b/src/spoolhead/_internal/policy/upstream_registry.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 
 from spoolhead._internal.models import dialects, instances, shared_load
-from spoolhead._internal.policy import latest_starts, requested_rest
+from spoolhead._internal.policy import latest_starts, pace_estimate, requested_rest
 
 FAILURES_TO_EJECT = 3
 """Consecutive attempts without an answer after which an instance is ejected."""
@@ -44,17 +44,25 @@
     :ivar request_id: its id.
     :ivar tokens: memory that it uses or will use, in tokens; 0 for a plain request.
     :ivar prefill_tokens: tokens of its prompt that are not processed yet.
+    :ivar answer_tokens: tokens that it is expected to generate in total.
     :ivar is_copy: whether it is a copy of a run, stored for a migration to this instance.
     """
 
-    __slots__ = ("is_copy", "prefill_tokens", "request_id", "tokens")
+    __slots__ = ("answer_tokens", "is_copy", "prefill_tokens", "request_id", "tokens")
 
     def __init__(
-        self, request_id: str, tokens: int, *, prefill_tokens: int, is_copy: bool = False
+        self,
+        request_id: str,
+        tokens: int,
+        *,
+        prefill_tokens: int,
+        answer_tokens: int = 0,
+        is_copy: bool = False,
     ) -> None:
         self.request_id = request_id
         self.tokens = tokens
         self.prefill_tokens = prefill_tokens
+        self.answer_tokens = answer_tokens
         self.is_copy = is_copy
 
 
@@ -71,6 +79,7 @@
     :ivar is_gone: whether the instance is no longer listed.
     :ivar is_evacuated: whether its hall is evacuated, so that it gets no new requests.
     :ivar rest: rest that the instance asked for.
+    :ivar pace: how long work takes at the instance.
     :ivar listed_cold: the list entry because of which it was last marked cold.
     :ivar has_restarted: whether the instance has restarted, which ended this incarnation.
     """
@@ -96,6 +105,7 @@
         "key",
         "listed_cold",
         "other_load",
+        "pace",
         "rest",
         "in_flight",
     )
@@ -106,6 +116,7 @@
         self.in_flight: dict[str, InFlightRequest] = {}
         self.other_load = shared_load.InstanceLoad()
         self.rest = requested_rest.RequestedRest()
+        self.pace = pace_estimate.PaceEstimate()
         self.is_leaving = instance.is_leaving
         self.is_gone = False
         self.has_announced_leaving = False
@@ -136,6 +147,16 @@
         """Tokens of all known prompts that are not processed yet."""
         return self.other_load.prefill_tokens + self.own_prefill_tokens
 
+    @property
+    def answer_tokens(self) -> int:
+        """Tokens that all known requests are expected to generate in total."""
+        return self.other_load.answer_tokens + self.own_answer_tokens
+
+    @property
+    def own_answer_tokens(self) -> int:
+        """Tokens that this entry's requests are expected to generate in total."""
+        return sum(request.answer_tokens for request in self.in_flight.values())
+
     @property
     def own_tokens(self) -> int:
         """Memory that this entry's requests use or will use, in tokens."""
