Keeper: a key that was claimed again no longer keeps it from starting

Seen: a keeper of the own interface whose log held two claims of one key, 25 h apart, ended at its next start with "table.log: damaged at byte 3: a is already claimed" (LogDamagedError).

Cause: claims expired when any claim was asked for, by the clock of that moment, and the log holds no record of it. Replay applied each claim and expired none. Class: state that changes without a record in the log from which it is rebuilt.

--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -198,11 +198,10 @@
     def handle_claim(self, session: peer_server.PeerSession, message: messages.ClaimOnce) -> None:
         """Grant a claim, or answer with the state of the first claim of the key."""
         time_ms = _get_time_ms()
-        self._state.once.drop_expired(time_ms)
         claim = self._state.once.claims.get(message.key)
         owner_is_gone = claim is not None and self._is_owner_gone(claim.owner)
         claim_state = self._state.once.get_state(
-            message.key, message.fingerprint, owner_is_gone=owner_is_gone
+            message.key, message.fingerprint, owner_is_gone=owner_is_gone, now_ms=time_ms
         )
         state_name = claim_state.value
         if claim_state is once_journal.ClaimState.GRANTED:
--- a/src/spoolhead/coordination/once_journal.py
+++ b/src/spoolhead/coordination/once_journal.py
@@ -3,7 +3,8 @@
 A key is claimed before its request is sent to any upstream, and finished with the outcome. A later
 request with a claimed key receives the first outcome, or the state that it is unknown, and is not
 run again. The journal is a state machine without I/O: the caller makes each claim durable before
-acting on it.
+acting on it. Claims expire only with a new claim, so that a replay of the durable claims gives the
+same state, whatever the clock did between them.
 """
 
 import collections
@@ -66,15 +67,18 @@
         self.claims: collections.OrderedDict[str, Claim] = collections.OrderedDict()
         self._retention_ms = retention_ms
 
-    def get_state(self, key: str, fingerprint: bytes, *, owner_is_gone: bool) -> ClaimState:
+    def get_state(
+        self, key: str, fingerprint: bytes, *, owner_is_gone: bool, now_ms: int
+    ) -> ClaimState:
         """Return the state that a claim of the key would find, without claiming it.
 
         :param key: the key, unique to its workspace and service.
         :param fingerprint: digest of the request.
         :param owner_is_gone: whether the owner of an unfinished claim can no longer report its end.
+        :param now_ms: the time, in milliseconds since 1970.
         """
         claim = self.claims.get(key)
-        if claim is None:
+        if claim is None or self._is_expired(claim, now_ms):
             return ClaimState.GRANTED
         if claim.fingerprint != fingerprint:
             return ClaimState.KEY_REUSED
@@ -85,12 +89,16 @@
         return ClaimState.IN_PROGRESS
 
     def claim(self, key: str, fingerprint: bytes, owner: str, time_ms: int) -> None:
-        """Record a claim that was granted and made durable.
+        """Record a claim that was granted and made durable, and remove the expired claims.
 
         :raises ValueError: if the key is already claimed.
         """
-        if key in self.claims:
+        self.drop_expired(time_ms)
+        claim = self.claims.get(key)
+        if claim is not None and not self._is_expired(claim, time_ms):
             raise ValueError(f"{key} is already claimed")
+        # A clock that was set back leaves expired claims behind newer ones.
+        self.claims.pop(key, None)
         self.claims[key] = Claim(fingerprint, owner, time_ms)
 
     def finish(self, key: str, owner: str, outcome: Outcome | None) -> bool:
@@ -125,8 +133,11 @@
         dropped = 0
         while self.claims:
             key, claim = next(iter(self.claims.items()))
-            if now_ms - claim.time_ms < self._retention_ms:
+            if not self._is_expired(claim, now_ms):
                 break
             del self.claims[key]
             dropped += 1
         return dropped
+
+    def _is_expired(self, claim: Claim, now_ms: int) -> bool:
+        return now_ms - claim.time_ms >= self._retention_ms
--- a/tests/unit/test_once_journal.py
+++ b/tests/unit/test_once_journal.py
@@ -20,7 +20,7 @@
 
     @stateful.rule(key=KEYS, owner=OWNERS, fingerprint=FINGERPRINTS, gone=strategies.booleans())
     def claim(self, key, owner, fingerprint, gone):
-        state = self.journal.get_state(key, fingerprint, owner_is_gone=gone)
+        state = self.journal.get_state(key, fingerprint, owner_is_gone=gone, now_ms=self.now_ms)
         if key not in self.granted:
             assert state is once_journal.ClaimState.GRANTED
             self.journal.claim(key, fingerprint, owner, self.now_ms)
