Test of a released content: the released request must run

`restarter.crashes + 1 > before` held whatever happened, since the count never falls. Now the count must rise after the release: the request runs at an engine and ends it. Fails where the request isn't sent after the release ("timed out waiting for the released request to run"), passes 2 of 2 on the code as it is.

--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -267,7 +267,7 @@
     assert made.run_operator("held", "--release", item["content"]).returncode == 0
     fleet.wait_for(lambda: not _find_held(made), "the release to take effect")
     assert _send_chat(made, "entry-1", _make_deadly_chat()).error["result_code"] != 2011
-    assert restarter.crashes + 1 > before
+    fleet.wait_for(lambda: restarter.crashes > before, "the released request to run")
     assert made.run_operator("held", "--hold", item["content"]).returncode == 0
     answer = _send_chat(made, "entry-1", _make_deadly_chat())
     assert answer.error["result_code"] == 2011
