Instance list: a read that ends at the page limit keeps what it did not read

Cause: after MAX_PAGES (200) pages with a further one left, the list was passed on as if it were whole, without a log line; the instances behind the limit counted as gone. Class: a limit taken for an end.

Change: such a read updates the instances that it names and keeps the others as the read before had them, unless that is 60 s old (a keeper that leads again would pass on what is long gone). Log lines `instance list is incomplete` and `instance list is complete again`, each once. A whole read is handled as before.

Not covered: a keeper or entry whose first read ends at the limit knows nothing of the rest, since the reader keeps only what it has read itself.

--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -14,6 +14,9 @@
 """Time limit for all pages of a read. A page takes some milliseconds, so a longer read is stuck."""
 MAX_PAGES = 200
 """Maximum pages of a read; 1,600 instances at 50 a page are 32 pages."""
+KEPT_TTL_S = 60.0
+"""Age of the previous read up to which an incomplete read keeps its instances: a keeper that leads
+again after a long time would pass on instances that are long gone."""
 
 _OK = 200
 
@@ -25,7 +28,8 @@
     :param calls: sends the HTTP requests.
     :param config: settings with the list's address.
     :param dialect: decodes the pages of the list.
-    :param on_list: called with the instances of each complete read.
+    :param on_list: called with the instances of each read; those behind the page limit are the ones
+        known before.
     """
 
     def __init__(
@@ -48,7 +52,9 @@
         self._status = 0
         self._body: list[bytes] = []
         self._is_failing = False
+        self._is_incomplete = False
         self._previous: dict[str, instances.Instance] = {}
+        self._previous_s = 0.0
         self._faults: list[fault.Fault] = []
         self._last_logged_fault = ""
 
@@ -93,6 +99,19 @@
         if page.ok.next_target and self._page_count < MAX_PAGES:
             self._request_page(page.ok.next_target)
             return
+        self._complete(is_whole=not page.ok.next_target)
+
+    def on_call_lost(self, reason: str) -> None:
+        """Handle a lost connection, which fails the read."""
+        self._call = None
+        self._fail(reason)
+
+    def _complete(self, *, is_whole: bool) -> None:
+        """Pass on the instances of a read.
+
+        :param is_whole: whether all pages were read. If not, instances that were not read stay as
+            they were in a previous read that is not too old.
+        """
         if self._is_failing:
             self._is_failing = False
             logger.info("instance list is readable again")
@@ -101,13 +120,23 @@
         if len(listed) < len(self._instances):
             fields = {"entries": len(self._instances), "ids": len(listed)}
             logger.warning("instance list names ids more than once", extra={"fields": fields})
-        self._previous = {item.instance_id: item for item in listed}
-        self._on_list(listed)
-
-    def on_call_lost(self, reason: str) -> None:
-        """Handle a lost connection, which fails the read."""
-        self._call = None
-        self._fail(reason)
+        current = {item.instance_id: item for item in listed}
+        now_s = clocks.get_s()
+        if not is_whole and now_s - self._previous_s < KEPT_TTL_S:
+            current = {**self._previous, **current}
+        self._log_completeness(is_whole, kept=len(current) - len(listed))
+        self._previous = current
+        self._previous_s = now_s
+        self._on_list(list(current.values()))
+
+    def _log_completeness(self, is_whole: bool, *, kept: int) -> None:
+        """Log the first incomplete read in a row, and the first complete read after it."""
+        if is_whole and self._is_incomplete:
+            logger.info("instance list is complete again")
+        elif not is_whole and not self._is_incomplete:
+            fields = {"pages": self._page_count, "entries": len(self._instances), "kept": kept}
+            logger.warning("instance list is incomplete", extra={"fields": fields})
+        self._is_incomplete = not is_whole
 
     def _log_faults(self) -> None:
         """Log the first entry that could not be decoded, unless it was logged by the last read."""
