Neighbours: a load report with a negative age is refused

Cause: unpack checked the types of the numbers, not the sign of the age, so that a report could count as received in the future and stay fresh for as long as its sender chose. It is refused as the other malformed fields are, which ends the stream with its reason in the log.

Test: one more case of test_what_is_no_report_is_refused; failed before ("DID NOT RAISE"), passes.

--- a/src/spoolhead/_internal/entry/neighbours.py
+++ b/src/spoolhead/_internal/entry/neighbours.py
@@ -173,6 +173,8 @@
     if not isinstance(upstream, str) or not all(isinstance(number, int) for number in numbers):
         raise messages.MessageError("malformed load report")
     running, waiting, used, capacity, preemptions, age_ms = numbers
+    if age_ms < 0:
+        raise messages.MessageError("load report with a negative age")
     report = load_report.LoadReport(
         running=running,
         waiting=waiting,
--- a/tests/unit/test_load_reports.py
+++ b/tests/unit/test_load_reports.py
@@ -55,7 +55,16 @@
 
 
 @pytest.mark.parametrize(
-    "item", [None, [], ["u", 1], [1, 1, 1, 1, 1, 1, 1], ["u", "x", 1, 1, 1, 1, 1]]
+    "item",
+    [
+        None,
+        [],
+        ["u", 1],
+        [1, 1, 1, 1, 1, 1, 1],
+        ["u", "x", 1, 1, 1, 1, 1],
+        # A report that is younger than now would stay fresh for longer than others.
+        ["u", 1, 1, 1, 1, 1, -1],
+    ],
 )
 def test_what_is_no_report_is_refused(item):
     with pytest.raises(messages.MessageError):
