Keeper link: a malformed message ends the stream with its reason, and a claim still gets a result

The stream ended, but with a trace in the log in place of a reason; and the claim that a malformed answer was for had lost its timer already: its caller got no answer, the count of claims stayed up (a stop waits for it) and the key stayed claimed. Class: state changed before the message was decoded.

Change: each handler decodes first. A message that fails is logged as the reason for the stream's end, and the claim is released and refused as one without an answer. PeerClient.reject is what on_data did for an unhandled exception (end, then the maximum delay), given a name.

Tests: tests/unit/test_keeper_link.py, 5 failed before (ValueError and TypeError through on_peer_message), pass; one in test_peer_streams.py for the delay.

--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -202,7 +202,7 @@
             case messages.Current():
                 self._confirm()
             case messages.Members():
-                self._listener.on_members([neighbours.Member(*entry) for entry in message.entries])
+                self._handle_members(message)
             case messages.Contents():
                 self._handle_contents(message)
             case messages.ClaimAnswer():
@@ -212,6 +212,17 @@
             case _:
                 self._client.reconnect(f"unexpected {type(message).__name__}")
 
+    def _reject_malformed(self, message: messages.Message, error: Exception) -> None:
+        self._client.reject(f"malformed {type(message).__name__}: {error}")
+
+    def _handle_members(self, message: messages.Members) -> None:
+        try:
+            members = [neighbours.Member(*entry) for entry in message.entries]
+        except TypeError as error:
+            self._reject_malformed(message, error)
+            return
+        self._listener.on_members(members)
+
     def _handle_contents(self, message: messages.Contents) -> None:
         try:
             records = content_record.unpack(message.items)
@@ -229,7 +240,11 @@
             logger.info("loaded table version %d from disk", self._followed.version)
 
     def _handle_snapshot(self, message: messages.Snapshot) -> None:
-        rows = packing.unpack_rows(message.rows)
+        try:
+            rows = packing.unpack_rows(message.rows)
+        except ValueError as error:
+            self._reject_malformed(message, error)
+            return
         result = self._followed.take_snapshot(message.log_id, message.version, rows)
         if result.is_error():
             self._reject_table(result.error, message.version)
@@ -240,7 +255,11 @@
         self._confirm()
 
     def _handle_change(self, message: messages.ChangeMade) -> None:
-        change = versioned_table.Change.unpack(message.change)
+        try:
+            change = versioned_table.Change.unpack(message.change)
+        except (TypeError, ValueError) as error:
+            self._reject_malformed(message, error)
+            return
         result = self._followed.take_change(message.log_id, change)
         if result.is_error():
             self._reject_table(result.error, change.version)
@@ -278,18 +297,18 @@
         self._client.send(messages.InForce(version=self._table.version))
 
     def _handle_claim_answer(self, message: messages.ClaimAnswer) -> None:
+        try:
+            result = _decode_claim_answer(message)
+        except ValueError as error:
+            self._reject_malformed(message, error)
+            self._expire_claim(message.request, is_sent=True)
+            return
         pending = self._claims.pop(message.request, None)
         if pending is None:
             return
         if pending.timer is not None:
             pending.timer.cancel()
-        if message.state == FAILED_STATE:
-            pending.on_answer(ClaimResult(None))
-            return
-        outcome = None
-        if message.status:
-            outcome = once_journal.Outcome(message.status, message.content_type, message.body)
-        pending.on_answer(ClaimResult(once_journal.ClaimState(message.state), outcome))
+        pending.on_answer(result)
 
     def _expire_claim(self, number: int, is_sent: bool) -> None:
         pending = self._claims.pop(number, None)
@@ -300,3 +319,16 @@
             # it, so release it.
             self.finish(pending.key, codes.Ran.NO, None)
         pending.on_answer(ClaimResult(None))
+
+
+def _decode_claim_answer(message: messages.ClaimAnswer) -> ClaimResult:
+    """Return the result of a claim that a keeper has answered.
+
+    :raises ValueError: if the state is unknown.
+    """
+    if message.state == FAILED_STATE:
+        return ClaimResult(None)
+    outcome = None
+    if message.status:
+        outcome = once_journal.Outcome(message.status, message.content_type, message.body)
+    return ClaimResult(once_journal.ClaimState(message.state), outcome)
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -148,6 +148,15 @@
         if self._link is not None:
             self._outgoing.abort(self._link, reason)
 
+    def reject(self, reason: str) -> None:
+        """Close the current stream because of a message, and reconnect after the maximum delay.
+
+        Later messages of the stream depend on that one; a new stream begins with the complete
+        state. The delay avoids frequent reconnections if the message fails each time.
+        """
+        self._retry_s = self._timing.max_retry_ms / 1000
+        self.reconnect(reason)
+
     def on_connected(self) -> None:
         """Start the silence timeout; the other side sends the first message."""
         self._heard_s = clocks.get_s()
@@ -162,11 +171,7 @@
         except messages.MessageError as error:
             self.reconnect(str(error))
         except Exception:
-            # Later messages of this stream depend on the failed one; a new stream begins with
-            # the complete state. The maximum delay avoids frequent reconnections if the message
-            # fails each time.
-            self._retry_s = self._timing.max_retry_ms / 1000
-            self.reconnect("a message could not be handled")
+            self.reject("a message could not be handled")
             raise
 
     def on_lost(self, reason: str) -> None:
--- /dev/null
+++ b/tests/unit/test_keeper_link.py
@@ -0,0 +1,106 @@
+"""An entry's connection to a keeper: malformed messages, and a keeper that confirms nothing."""
+
+import types
+
+import pytest
+
+from lib import fakes, simulated_clock
+from spoolhead._internal.entry import keeper_link
+from spoolhead._internal.models import settings
+from spoolhead._internal.network import messages, peer_client
+from spoolhead._internal.table import view
+from spoolhead._internal.utils import clocks
+
+
+class FakeClient:
+    """A stream to a keeper that keeps what the entry sends."""
+
+    address = "10.0.0.1:1"
+
+    def __init__(self, *_arguments, listener, **_details):
+        self.listener = listener
+        self.is_ready = True
+        self.sent = []
+        self.reasons = []
+
+    def send(self, message):
+        if self.is_ready:
+            self.sent.append(message)
+        return self.is_ready
+
+    def get_sent(self, message_class):
+        return [message for message in self.sent if isinstance(message, message_class)]
+
+    def reject(self, reason):
+        """Lose the stream and have a new one at once."""
+        self.reasons.append(reason)
+        self.sent = []
+        self.listener.on_peer_lost()
+        self.listener.on_peer_ready()
+
+
+class FakeListener:
+    def __getattr__(self, _name):
+        return lambda *_arguments: None
+
+
+class Setting:
+    """A link to a keeper, with its stream and a clock."""
+
+    def __init__(self, monkeypatch):
+        self.clock = simulated_clock.Clock()
+        monkeypatch.setattr(clocks, "get_s", self.clock)
+        monkeypatch.setattr(peer_client, "PeerClient", FakeClient)
+        config = settings.EntrySettings(
+            name="entry-1",
+            hall="hall-a",
+            host="127.0.0.1",
+            port=0,
+            control_host="127.0.0.1",
+            control_port=0,
+            keepers=[FakeClient.address],
+            shared_key=fakes.SHARED_KEY,
+        )
+        loop = types.SimpleNamespace(scheduler=self.clock)
+        self.link = keeper_link.KeeperLink(loop, None, config, view.TableView(), FakeListener(), "")
+        self.client = self.link._client
+        self.results = []
+
+    def claim(self, key):
+        self.link.claim(key, b"f", self.results.append)
+
+
+@pytest.fixture
+def setting(monkeypatch):
+    return Setting(monkeypatch)
+
+
+def _make_claim_answer(state):
+    return messages.ClaimAnswer(request=1, state=state, status=0, content_type="", body=b"")
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        messages.Snapshot(log_id="a", version=1, rows=[["sheet"]]),
+        messages.ChangeMade(log_id="a", change=[1, "edit", "author", 0, [4]]),
+        messages.Members(entries=[["entry-2", "hall-a"]]),
+        _make_claim_answer("odd"),
+    ],
+)
+def test_a_malformed_message_ends_the_stream_with_a_reason(setting, message):
+    """Guards against an exception in the loop for what another process sent."""
+    setting.claim("a")
+    setting.link.on_peer_message(message)
+    assert len(setting.client.reasons) == 1
+    assert type(message).__name__ in setting.client.reasons[0]
+
+
+def test_a_claim_with_a_malformed_answer_still_gets_a_result(setting):
+    """Guards against a caller that waits for ever, whose key also stays claimed."""
+    setting.claim("a")
+    setting.link.on_peer_message(_make_claim_answer("odd"))
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    assert [result.state for result in setting.results] == [None]
+    (release,) = setting.client.get_sent(messages.FinishOnce)
+    assert (release.key, release.ran) == ("a", "no")
--- a/tests/unit/test_peer_streams.py
+++ b/tests/unit/test_peer_streams.py
@@ -70,6 +70,16 @@
     assert reconnection.delay_s >= peer_client.DEFAULT_TIMING.max_retry_ms / 2_000
 
 
+def test_a_rejected_message_ends_the_stream_for_the_maximum_delay(setting):
+    client, links, listener = setting
+    listener.on_peer_message = lambda _message: client.reject("malformed")
+    link = _connect(client, links)
+    client.on_data(messages.encode(messages.Current(version=12)))
+    assert link.is_closed
+    (reconnection,) = client._scheduler.timers
+    assert reconnection.delay_s >= peer_client.DEFAULT_TIMING.max_retry_ms / 2_000
+
+
 class _Service:
     def on_opened(self, session):
         pass
