Keeper link: no key is claimed while 512 ends wait for a keeper

Cause: the ends of claimed requests (and releases of claims without an answer) are kept until a keeper confirms them, each with up to 16 KB of the answer, and nothing bounded their number. A keeper that takes streams but answers nothing adds an end for each claim that times out, for as long as it lasts.

What it holds must last: a dropped end leaves the key claimed without an outcome for 24 h, a dropped release one that nobody ran. So none is dropped. From MAX_UNCONFIRMED on no further key is claimed: the request is refused at once as where no keeper is connected (it has not run, retry after 2 s), with a log line. What is in flight then still ends in the table of unconfirmed ones, so its bound is 512 and the requests in flight (`max_requests`). A keeper that is connected but could not store them (a full disk) would never be sent them again; the stream is replaced for that, at most each 5 s.

Tests: two in tests/unit/test_keeper_link.py.

--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -19,6 +19,10 @@
 ROLE = "entry"
 CLAIM_TIMEOUT_S = 2.0
 MAX_STORED_BODY_BYTES = 16_384
+MAX_UNCONFIRMED = 512
+"""Unconfirmed ends of claimed requests from which on no key is claimed."""
+MIN_RESEND_INTERVAL_S = 5.0
+"""Minimum age of a stream that is replaced to send unconfirmed ends again."""
 FAILED_STATE = "failed"
 
 
@@ -96,6 +100,8 @@
         self._claim_numbers = itertools.count(1)
         self._claims: dict[int, _PendingClaim] = {}
         self._unconfirmed: dict[str, messages.FinishOnce] = {}
+        self._is_full = False
+        self._ready_s = clocks.get_s()
         self._unconfirmed_since_s: float | None = clocks.get_s()
         self._is_save_scheduled = False
         if config.data_dir is not None:
@@ -135,6 +141,9 @@
     def claim(self, key: str, fingerprint: bytes, on_answer: Callable[[ClaimResult], None]) -> None:
         """Claim a key whose request may run only once.
 
+        While :data:`MAX_UNCONFIRMED` ends wait for a keeper, nothing is claimed: an end must not be
+        dropped, or its key would stay claimed without an outcome.
+
         :param key: the key to claim.
         :param fingerprint: digest of the request.
         :param on_answer: called exactly once, never before this method returns.
@@ -143,12 +152,30 @@
         pending = _PendingClaim(key, on_answer)
         self._claims[number] = pending
         message = messages.ClaimOnce(request=number, key=key, fingerprint=fingerprint)
-        is_sent = self._client.send(message)
+        is_sent = self._may_claim() and self._client.send(message)
         delay_s = CLAIM_TIMEOUT_S if is_sent else 0
         pending.timer = self._scheduler.call_later(
             delay_s, lambda: self._expire_claim(number, is_sent)
         )
 
+    def _may_claim(self) -> bool:
+        """Return whether there is room for the end of one more claimed request."""
+        is_full = len(self._unconfirmed) >= MAX_UNCONFIRMED
+        if is_full and not self._is_full:
+            fields = {"unconfirmed": len(self._unconfirmed)}
+            logger.warning("no keys are claimed", extra={"fields": fields})
+        elif self._is_full and not is_full:
+            logger.info("keys are claimed again")
+        self._is_full = is_full
+        if is_full and clocks.get_s() - self._ready_s >= MIN_RESEND_INTERVAL_S:
+            self._resend()
+        return not is_full
+
+    def _resend(self) -> None:
+        """Send the unconfirmed ends again, which a new stream begins with."""
+        if self._client.is_ready:
+            self._client.reconnect("ends of claimed requests are not confirmed")
+
     def finish(self, key: str, ran: codes.Ran, outcome: once_journal.Outcome | None) -> None:
         """Report the end of a claimed request; the report is resent until a keeper has stored it.
 
@@ -176,6 +203,7 @@
 
     def on_peer_ready(self) -> None:
         """Introduce this entry, request newer versions and resend unconfirmed claim results."""
+        self._ready_s = clocks.get_s()
         logger.info("connected to keeper at %s", self._client.address)
         self._client.send(messages.Introduce(hall=self._hall, address=self._control_address))
         self._client.send(
--- a/tests/unit/test_keeper_link.py
+++ b/tests/unit/test_keeper_link.py
@@ -1,12 +1,13 @@
 """An entry's connection to a keeper: malformed messages, and a keeper that confirms nothing."""
 
+import logging
 import types
 
 import pytest
 
 from lib import fakes, simulated_clock
 from spoolhead._internal.entry import keeper_link
-from spoolhead._internal.models import settings
+from spoolhead._internal.models import codes, settings
 from spoolhead._internal.network import messages, peer_client
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import clocks
@@ -31,13 +32,15 @@
     def get_sent(self, message_class):
         return [message for message in self.sent if isinstance(message, message_class)]
 
-    def reject(self, reason):
+    def reconnect(self, reason):
         """Lose the stream and have a new one at once."""
         self.reasons.append(reason)
         self.sent = []
         self.listener.on_peer_lost()
         self.listener.on_peer_ready()
 
+    reject = reconnect
+
 
 class FakeListener:
     def __getattr__(self, _name):
@@ -104,3 +107,36 @@
     assert [result.state for result in setting.results] == [None]
     (release,) = setting.client.get_sent(messages.FinishOnce)
     assert (release.key, release.ran) == ("a", "no")
+
+
+def _fill(setting):
+    """Let requests end that the keeper granted, of which it confirms nothing."""
+    for number in range(keeper_link.MAX_UNCONFIRMED):
+        setting.link.finish(f"k-{number}", codes.Ran.YES, None)
+
+
+def test_no_key_is_claimed_while_too_many_ends_are_unconfirmed(setting, caplog):
+    """Guards against a memory without bound, and against an end that is dropped for it."""
+    caplog.set_level(logging.INFO)
+    _fill(setting)
+    setting.claim("a")
+    setting.claim("b")
+    setting.clock.run(0.0)
+    assert [result.state for result in setting.results] == [None, None]
+    assert not setting.client.get_sent(messages.ClaimOnce)
+    assert setting.link.unconfirmed_count == keeper_link.MAX_UNCONFIRMED
+    setting.link.on_peer_message(messages.FinishNoted(key="k-0"))
+    setting.claim("a")
+    assert [message.key for message in setting.client.get_sent(messages.ClaimOnce)] == ["a"]
+    logged = [item.getMessage() for item in caplog.records if "claimed" in item.getMessage()]
+    assert logged == ["no keys are claimed", "keys are claimed again"]
+
+
+def test_ends_that_a_connected_keeper_does_not_confirm_are_sent_again(setting):
+    """Guards against an entry that claims nothing any more, though its keeper works again."""
+    _fill(setting)
+    setting.clock.run(keeper_link.MIN_RESEND_INTERVAL_S)
+    for _ in range(3):
+        setting.claim("a")
+    assert len(setting.client.reasons) == 1
+    assert len(setting.client.get_sent(messages.FinishOnce)) == keeper_link.MAX_UNCONFIRMED
