Relay: one definition of the maximum size of an event

MAX_EVENT_BYTES stood in event_stream and in raw_events with the same value; raw_events now uses the one of event_stream. No change of behaviour; tests/unit/test_relay.py and test_gateway_streams.py pass unchanged.

--- a/src/spoolhead/_internal/relay/raw_events.py
+++ b/src/spoolhead/_internal/relay/raw_events.py
@@ -1,6 +1,6 @@
 """Splits a byte stream into server-sent events whose bytes are left unchanged."""
 
-MAX_EVENT_BYTES = 1_048_576
+from spoolhead._internal.relay import event_stream
 
 _EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 _ID = b"id:"
@@ -42,8 +42,8 @@
 
     @property
     def is_too_large(self) -> bool:
-        """Whether the incomplete event exceeds :data:`MAX_EVENT_BYTES`."""
-        return len(self.remainder) > MAX_EVENT_BYTES
+        """Whether the incomplete event exceeds :data:`event_stream.MAX_EVENT_BYTES`."""
+        return len(self.remainder) > event_stream.MAX_EVENT_BYTES
 
 
 def _find_end(data: bytes) -> int:
