--- a/src/spoolhead/_internal/quorum/replicated_state.py
+++ b/src/spoolhead/_internal/quorum/replicated_state.py
@@ -1,4 +1,7 @@
-"""The state that keepers replicate: the route table and the evacuated halls; performs no I/O."""
+"""The state that keepers replicate; performs no I/O.
+
+It consists of the route table, the evacuated halls and the outcomes of the latest orders on halls.
+"""
 
 import collections
 
@@ -41,17 +44,22 @@
 
     def dump(self) -> bytes:
         """Return the serialized state."""
-        return msgpack.packb([self.table.version, self.table.document, self.evacuations.pack()])
+        outcomes = list(self._outcomes.items())
+        return msgpack.packb(
+            [self.table.version, self.table.document, self.evacuations.pack(), outcomes]
+        )
 
     def load(self, state: bytes) -> None:
         """Replace the state by a snapshot that includes everything committed so far.
 
-        Snapshots written before halls could be evacuated contain only the table.
+        Snapshots of earlier versions lack the outcomes, or contain only the table.
         """
         version, document, *rest = msgpack.unpackb(state)
         self.table.load(table_register.pack_change(version, document))
         if rest:
             self.evacuations.restore(rest[0])
+        if len(rest) > 1:
+            self._outcomes = collections.OrderedDict(rest[1])
 
     def _apply_order(self, order: evacuations.HallOrder) -> None:
         has_taken_effect = self.evacuations.apply(order)
--- a/tests/unit/test_evacuations.py
+++ b/tests/unit/test_evacuations.py
@@ -100,6 +100,24 @@
     assert state.evacuations.evacuated_halls == frozenset()
 
 
+def test_the_outcome_of_an_order_outlives_a_snapshot():
+    """Guards against an order that took effect and is answered as unsure after a snapshot."""
+    state = replicated_state.ReplicatedState()
+    effective = _make_order(state.evacuations, "a", True, "x")
+    overtaken = _make_order(state.evacuations, "a", False, "y")
+    for order in (effective, overtaken):
+        state.apply(evacuations.pack_order(order))
+    state.apply(evacuations.pack_order(_make_order(state.evacuations, "a", False, "z")))
+    copy = replicated_state.ReplicatedState()
+    copy.load(state.dump())
+    # An order that was sent to two leaders may be committed again after the snapshot.
+    copy.apply(evacuations.pack_order(effective))
+    assert [copy.get_outcome(order_id) for order_id in "xyz"] == [True, False, True]
+    without_outcomes = msgpack.packb(msgpack.unpackb(state.dump())[:3])
+    copy.load(without_outcomes)
+    assert copy.evacuations.pack() == state.evacuations.pack()
+
+
 def _read_order(method, target):
     wire = request_reader.WireRequest()
     wire.method = method
