--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -15,8 +15,7 @@
 MAX_PAGES = 200
 """Maximum pages of a read; 1,600 instances at 50 a page are 32 pages."""
 KEPT_TTL_S = 60.0
-"""Age of the previous read up to which an incomplete read keeps its instances: a keeper that leads
-again after a long time would pass on instances that are long gone."""
+"""Age of the previous read up to which an incomplete read keeps its instances."""
 
 _OK = 200
 
