--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -19,6 +19,10 @@
 ROLE = "entry"
 CLAIM_TIMEOUT_S = 2.0
 MAX_STORED_BODY_BYTES = 16_384
+MAX_UNCONFIRMED = 512
+"""Unconfirmed ends of claimed requests from which on no key is claimed."""
+MIN_RESEND_INTERVAL_S = 5.0
+"""Minimum age of a stream that is replaced to send unconfirmed ends again."""
 FAILED_STATE = "failed"
 
 
@@ -96,6 +100,8 @@
         self._claim_numbers = itertools.count(1)
         self._claims: dict[int, _PendingClaim] = {}
         self._unconfirmed: dict[str, messages.FinishOnce] = {}
+        self._is_full = False
+        self._ready_s = clocks.get_s()
         self._unconfirmed_since_s: float | None = clocks.get_s()
         self._is_save_scheduled = False
         if config.data_dir is not None:
@@ -135,6 +141,9 @@
     def claim(self, key: str, fingerprint: bytes, on_answer: Callable[[ClaimResult], None]) -> None:
         """Claim a key whose request may run only once.
 
+        While :data:`MAX_UNCONFIRMED` ends wait for a keeper, nothing is claimed: an end must not be
+        dropped, or its key would stay claimed without an outcome.
+
         :param key: the key to claim.
         :param fingerprint: digest of the request.
         :param on_answer: called exactly once, never before this method returns.
@@ -143,12 +152,30 @@
         pending = _PendingClaim(key, on_answer)
         self._claims[number] = pending
         message = messages.ClaimOnce(request=number, key=key, fingerprint=fingerprint)
-        is_sent = self._client.send(message)
+        is_sent = self._may_claim() and self._client.send(message)
         delay_s = CLAIM_TIMEOUT_S if is_sent else 0
         pending.timer = self._scheduler.call_later(
             delay_s, lambda: self._expire_claim(number, is_sent)
         )
 
+    def _may_claim(self) -> bool:
+        """Return whether there is room for the end of one more claimed request."""
+        is_full = len(self._unconfirmed) >= MAX_UNCONFIRMED
+        if is_full and not self._is_full:
+            fields = {"unconfirmed": len(self._unconfirmed)}
+            logger.warning("no keys are claimed", extra={"fields": fields})
+        elif self._is_full and not is_full:
+            logger.info("keys are claimed again")
+        self._is_full = is_full
+        if is_full and clocks.get_s() - self._ready_s >= MIN_RESEND_INTERVAL_S:
+            self._resend()
+        return not is_full
+
+    def _resend(self) -> None:
+        """Send the unconfirmed ends again, which a new stream begins with."""
+        if self._client.is_ready:
+            self._client.reconnect("ends of claimed requests are not confirmed")
+
     def finish(self, key: str, ran: codes.Ran, outcome: once_journal.Outcome | None) -> None:
         """Report the end of a claimed request; the report is resent until a keeper has stored it.
 
@@ -176,6 +203,7 @@
 
     def on_peer_ready(self) -> None:
         """Introduce this entry, request newer versions and resend unconfirmed claim results."""
+        self._ready_s = clocks.get_s()
         logger.info("connected to keeper at %s", self._client.address)
         self._client.send(messages.Introduce(hall=self._hall, address=self._control_address))
         self._client.send(
@@ -202,7 +230,7 @@
             case messages.Current():
                 self._confirm()
             case messages.Members():
-                self._listener.on_members([neighbours.Member(*entry) for entry in message.entries])
+                self._handle_members(message)
             case messages.Contents():
                 self._handle_contents(message)
             case messages.ClaimAnswer():
@@ -212,6 +240,17 @@
             case _:
                 self._client.reconnect(f"unexpected {type(message).__name__}")
 
+    def _reject_malformed(self, message: messages.Message, error: Exception) -> None:
+        self._client.reject(f"malformed {type(message).__name__}: {error}")
+
+    def _handle_members(self, message: messages.Members) -> None:
+        try:
+            members = [neighbours.Member(*entry) for entry in message.entries]
+        except TypeError as error:
+            self._reject_malformed(message, error)
+            return
+        self._listener.on_members(members)
+
     def _handle_contents(self, message: messages.Contents) -> None:
         try:
             records = content_record.unpack(message.items)
@@ -229,7 +268,11 @@
             logger.info("loaded table version %d from disk", self._followed.version)
 
     def _handle_snapshot(self, message: messages.Snapshot) -> None:
-        rows = packing.unpack_rows(message.rows)
+        try:
+            rows = packing.unpack_rows(message.rows)
+        except ValueError as error:
+            self._reject_malformed(message, error)
+            return
         result = self._followed.take_snapshot(message.log_id, message.version, rows)
         if result.is_error():
             self._reject_table(result.error, message.version)
@@ -240,7 +283,11 @@
         self._confirm()
 
     def _handle_change(self, message: messages.ChangeMade) -> None:
-        change = versioned_table.Change.unpack(message.change)
+        try:
+            change = versioned_table.Change.unpack(message.change)
+        except (TypeError, ValueError) as error:
+            self._reject_malformed(message, error)
+            return
         result = self._followed.take_change(message.log_id, change)
         if result.is_error():
             self._reject_table(result.error, change.version)
@@ -278,18 +325,18 @@
         self._client.send(messages.InForce(version=self._table.version))
 
     def _handle_claim_answer(self, message: messages.ClaimAnswer) -> None:
+        try:
+            result = _decode_claim_answer(message)
+        except ValueError as error:
+            self._reject_malformed(message, error)
+            self._expire_claim(message.request, is_sent=True)
+            return
         pending = self._claims.pop(message.request, None)
         if pending is None:
             return
         if pending.timer is not None:
             pending.timer.cancel()
-        if message.state == FAILED_STATE:
-            pending.on_answer(ClaimResult(None))
-            return
-        outcome = None
-        if message.status:
-            outcome = once_journal.Outcome(message.status, message.content_type, message.body)
-        pending.on_answer(ClaimResult(once_journal.ClaimState(message.state), outcome))
+        pending.on_answer(result)
 
     def _expire_claim(self, number: int, is_sent: bool) -> None:
         pending = self._claims.pop(number, None)
@@ -300,3 +347,16 @@
             # it, so release it.
             self.finish(pending.key, codes.Ran.NO, None)
         pending.on_answer(ClaimResult(None))
+
+
+def _decode_claim_answer(message: messages.ClaimAnswer) -> ClaimResult:
+    """Return the result of a claim that a keeper has answered.
+
+    :raises ValueError: if the state is unknown.
+    """
+    if message.state == FAILED_STATE:
+        return ClaimResult(None)
+    outcome = None
+    if message.status:
+        outcome = once_journal.Outcome(message.status, message.content_type, message.body)
+    return ClaimResult(once_journal.ClaimState(message.state), outcome)
