Load header: read a fourth figure, the pace, and keep the first three whatever it holds

Cause: a load with four figures was dropped whole, so that not even the three counts arrived. Change: three or four figures are read; a fourth that is no number between 1 and 10,000 counts as not stated. Counts must be ASCII digits, nine at most: a superscript two or 5,000 digits raised ValueError. Measured: tests/unit/test_platform.py passes, with 20 new cases.

--- a/src/spoolhead/_internal/models/instance_pace.py
+++ b/src/spoolhead/_internal/models/instance_pace.py
@@ -8,6 +8,10 @@
 from collections.abc import Iterable
 
 USUAL_PERCENT = 100
+MIN_PERCENT = 1
+"""Lowest pace that is read; a lower one counts as not stated."""
+MAX_PERCENT = 10_000
+"""Highest pace that is read; a higher one counts as not stated."""
 _ROW_FIELDS = 3
 
 
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -6,7 +6,14 @@
 
 import expression
 
-from spoolhead._internal.models import codes, dialects, evacuations, fault, route_table
+from spoolhead._internal.models import (
+    codes,
+    dialects,
+    evacuations,
+    fault,
+    instance_pace,
+    route_table,
+)
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.utils import decimals
 from spoolhead.platform import names, tables
@@ -14,6 +21,10 @@
 _MISDIRECTED_STATUS = 421
 _MAX_COLD_DIGITS = 9
 """Maximum number of digits of the remaining time of a cold start; eleven days in milliseconds."""
+_LOAD_FIELDS = (3, 4)
+"""Possible numbers of fields in the load that an instance reports; the fourth is its pace."""
+_MAX_COUNT_DIGITS = 9
+"""Maximum number of digits of a count in that load."""
 _REST_STATUSES = frozenset({429, 503})
 """Statuses of answers in which Retry-After asks for a pause."""
 _YES = "1"
@@ -203,11 +214,29 @@
 
 
 def _read_load(text: str) -> dialects.UpstreamLoad | None:
-    values = text.split(",")
-    if len(values) != 3 or not all(value.strip().isdigit() for value in values):
+    values = [value.strip() for value in text.split(",")]
+    if len(values) not in _LOAD_FIELDS:
         return None
-    running, waiting, slots = (int(value) for value in values)
-    return dialects.UpstreamLoad(running=running, waiting=waiting, slots=slots)
+    if not all(_is_count(value) for value in values[:3]):
+        return None
+    running, waiting, slots = (int(value) for value in values[:3])
+    pace_percent = _read_pace(values[3]) if len(values) > 3 else None
+    return dialects.UpstreamLoad(
+        running=running, waiting=waiting, slots=slots, pace_percent=pace_percent
+    )
+
+
+def _is_count(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and len(text) <= _MAX_COUNT_DIGITS
+
+
+def _read_pace(text: str) -> int | None:
+    """Return the pace in percent; None if it is not a number in the range of paces."""
+    percent = decimals.parse(text)
+    if percent is None:
+        return None
+    is_valid = instance_pace.MIN_PERCENT <= percent <= instance_pace.MAX_PERCENT
+    return round(percent) if is_valid else None
 
 
 def _read_cold(text: str | None) -> int | None:
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -220,6 +220,34 @@
     assert dialect.Dialect().read_answer(200, [("x-replica-load", "odd")]).load is None
 
 
+def _read_load(text):
+    load = dialect.Dialect().read_answer(200, [("x-replica-load", text)]).load
+    return load and (load.running, load.waiting, load.slots, load.pace_percent)
+
+
+@pytest.mark.parametrize(
+    ("text", "pace_percent"),
+    [
+        ("3,0,8", None),
+        ("3,0,8,55", 55),
+        ("3, 0, 8, 300", 300),
+        ("3,0,8,1", 1),
+        ("3,0,8,10000", 10_000),
+        ("3,0,8,87.6", 88),
+        *((f"3,0,8,{text}", None) for text in ("", "0", "0.4", "10001", "1e9", "-5", "fast", "²")),
+    ],
+)
+def test_an_unreadable_pace_leaves_the_rest_of_the_load_in_use(text, pace_percent):
+    assert _read_load(text) == (3, 0, 8, pace_percent)
+
+
+@pytest.mark.parametrize(
+    "text", ["", "3,0", "3,0,8,100,1", "3,x,8,100", "3,²,8", "9" * 5_000 + ",0,8"]
+)
+def test_a_load_without_its_three_counts_is_not_used(text):
+    assert _read_load(text) is None
+
+
 def test_when_to_come_back_is_told_in_fractions_of_a_second():
     assert ("retry-after", "0.300") in dialect.Dialect().write_refusal("a", 300)
 
