Typical paces go to all entries through the load broadcast

Cause: an entry reads a few answers a second, of few instances; the entry that probes an engine reads five a second of it. A datagram without paces has no such field. Measured: tests/unit/test_pace_sharing.py: 1,600 paces reported by 350 entries at once stay under 1,000 B in each second at an entry and reach it within 60 s; nothing is sent while paces stay.

--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -34,6 +34,12 @@
         self.limited_upstreams = metrics.make_gauge(
             "spoolhead_limited_upstreams", "Instances that state a rate limit."
         )
+        self.known_paces = metrics.make_gauge(
+            "spoolhead_known_paces", "Instances whose pace was stated or measured."
+        )
+        self.overruled_paces = metrics.make_counter(
+            "spoolhead_overruled_paces", "Instances measured to be clearly slower than stated."
+        )
         self.held_contents = metrics.make_gauge(
             "spoolhead_held_contents",
             "Contents of requests that are held since instances ended under them.",
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import entry_metrics, permit_exchange, run_queue, upstream_limits
+from spoolhead._internal.gateway import (
+    entry_metrics,
+    permit_exchange,
+    run_queue,
+    upstream_limits,
+    upstream_paces,
+)
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import (
@@ -40,6 +46,7 @@
     :ivar cold_starts: quotas for requests to cold instances.
     :ivar gate: decides whether an instance may receive a request.
     :ivar limits: rate limits that instances stated.
+    :ivar paces: paces of instances.
     :ivar permits: requests permits for rate-limited instances.
     :ivar contents: tracks request contents that may crash instances.
     :ivar query_termination: called with an instance that accepted a request and lost it, to find
@@ -66,6 +73,7 @@
         "on_change",
         "on_lost_request",
         "on_replaced",
+        "paces",
         "permits",
         "queue",
         "reach",
@@ -87,6 +95,7 @@
         on_replaced: Callable[[upstream_registry.Upstream], None],
         contents: content_watch.ContentWatch,
         limits: upstream_limits.UpstreamLimits,
+        paces: upstream_paces.UpstreamPaces,
         permits: permit_exchange.PermitExchange,
         query_termination: Callable[[upstream_registry.Upstream], None],
         get_silent_halls: Callable[[], frozenset[str]],
@@ -113,6 +122,7 @@
         self.reach = hall_reach.HallReach(config.hall)
         self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
         self.limits = limits
+        self.paces = paces
         self.permits = permits
         self.gate = upstream_gate.Gate(self.cold_starts, limits.registry, permits.backoff)
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Iterable, Sequence
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import alarm_exchange, upstream_limits
+from spoolhead._internal.gateway import alarm_exchange, upstream_limits, upstream_paces
 from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
@@ -56,6 +56,7 @@
     :param registry: the known instances.
     :param contents: contents that may crash instances; included in reports.
     :param limits: rate limits that instances stated; included in reports.
+    :param paces: paces of instances; included in reports.
     :param send: sends a datagram.
     :param on_alarm: called with an instance that another entry reported unhealthy or leaving.
     :param on_load_update: called when the load of other entries has changed.
@@ -70,6 +71,7 @@
         registry: upstream_registry.UpstreamRegistry,
         contents: content_watch.ContentWatch,
         limits: upstream_limits.UpstreamLimits,
+        paces: upstream_paces.UpstreamPaces,
         *,
         send: Callable[[bytes, endpoints.Endpoint], None],
         on_alarm: Callable[[upstream_registry.Upstream], None],
@@ -99,6 +101,7 @@
         )
         self._contents = contents
         self._limits = limits
+        self._paces = paces
         self._alarms = alarm_exchange.AlarmExchange(
             config.name, self._sequence, registry, on_alarm, contents.record_terminated
         )
@@ -208,6 +211,9 @@
         self._alarms.handle_alarms(update.alarms, now_s)
         self._contents.handle_update(update.hub, update.contents)
         self._limits.merge(update.limits, now_s, reported_by=update.hub)
+        self._paces.merge(update.paces, now_s, reported_by=update.hub)
+        if update.is_snapshot:
+            self._paces.handle_snapshot()
         previous = self._hub_choice.current
         source = self._hub_choice.record_update(sender, now_s)
         if source is hub_choice.UpdateSource.OTHER:
@@ -284,6 +290,7 @@
                 else self._contents.make_digest_update()
             ),
             limits=self._limits.get_reported(now_s) if is_reporter else [],
+            paces=self._paces.get_reported(now_s) if is_reporter else [],
             wants_snapshot=is_reporter and not self._load_view.has_snapshot,
         )
         return shared_load.encode_report(report)
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -21,6 +21,7 @@
     table_feed,
     upstream_events,
     upstream_limits,
+    upstream_paces,
 )
 from spoolhead._internal.load_broadcast import load_socket
 from spoolhead._internal.models import (
@@ -106,6 +107,12 @@
             on_change=self._on_limit_change,
         )
         self._metrics.limited_upstreams.set_function(lambda: self._limits.registry.limited_count)
+        self._paces = upstream_paces.UpstreamPaces(
+            self._registry,
+            request_broadcast=lambda: self._load_sharing.schedule_report(),
+            on_overruled=self._metrics.overruled_paces.inc,
+        )
+        self._metrics.known_paces.set_function(lambda: self._paces.known_count)
         self._permits = permit_exchange.PermitExchange(
             self.loop.scheduler,
             config,
@@ -119,6 +126,7 @@
             self._registry,
             self._contents,
             self._limits,
+            self._paces,
             send=load_sock.send,
             on_alarm=lambda upstream: self._upstream_events.drain(upstream),
             on_load_update=self._on_load_update,
@@ -142,10 +150,11 @@
             rng=random.Random(),
             on_change=self._on_own_change,
             on_lost_request=self._load_sharing.broadcast_failure,
-            on_answer=lambda *answer: self._upstream_events.handle_answer(*answer),
+            on_answer=self._handle_answer,
             on_replaced=lambda upstream: self._upstream_events.handle_replaced(upstream),
             contents=self._contents,
             limits=self._limits,
+            paces=self._paces,
             permits=self._permits,
             query_termination=self._query_termination,
             get_silent_halls=self._load_sharing.get_silent_halls,
@@ -254,10 +263,18 @@
         self._permits.backoff.clear(key)
         self._context.queue.schedule_check()
 
+    def _handle_answer(
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
+    ) -> None:
+        self._paces.handle_answer(upstream, head, now_s)
+        self._upstream_events.handle_answer(upstream, head, now_s)
+
     def _handle_health_answer(
         self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead
     ) -> None:
-        self._limits.handle_health_answer(upstream, head, clocks.get_s())
+        now_s = clocks.get_s()
+        self._limits.handle_health_answer(upstream, head, now_s)
+        self._paces.handle_answer(upstream, head, now_s)
         if head.is_leaving:
             self._upstream_events.handle_announced_leaving(upstream)
 
--- a/src/spoolhead/_internal/models/instance_pace.py
+++ b/src/spoolhead/_internal/models/instance_pace.py
@@ -12,7 +12,7 @@
 """Lowest pace that is read; a lower one counts as not stated."""
 MAX_PERCENT = 10_000
 """Highest pace that is read; a higher one counts as not stated."""
-_ROW_FIELDS = 3
+_ROW_FIELDS = 4
 
 
 class AgedPace:
@@ -21,21 +21,39 @@
     :ivar key: key of the instance, see :func:`shared_load.get_key`.
     :ivar percent: time that work typically takes there, in percent of the usual time.
     :ivar age_ms: time since the pace was determined.
+    :ivar is_measured: whether an entry measured it, instead of reading it from answers.
     """
 
-    __slots__ = ("age_ms", "key", "percent")
+    __slots__ = ("age_ms", "is_measured", "key", "percent")
 
-    def __init__(self, key: int, percent: int, age_ms: int) -> None:
+    def __init__(self, key: int, percent: int, age_ms: int, *, is_measured: bool = False) -> None:
         self.key = key
         self.percent = percent
         self.age_ms = age_ms
+        self.is_measured = is_measured
+
+
+class TimedPace:
+    """A typical pace as a process stores it.
+
+    :ivar percent: time that work typically takes, in percent of the usual time.
+    :ivar determined_s: monotonic time of this process at which it was determined.
+    :ivar is_measured: whether an entry measured it, instead of reading it from answers.
+    """
+
+    __slots__ = ("determined_s", "is_measured", "percent")
+
+    def __init__(self, percent: int, determined_s: float, *, is_measured: bool) -> None:
+        self.percent = percent
+        self.determined_s = determined_s
+        self.is_measured = is_measured
 
 
 def pack(paces: Iterable[AgedPace]) -> list[int]:
     """Return the encoding of paces in datagrams."""
     values: list[int] = []
     for item in paces:
-        values += (item.key, item.percent, item.age_ms)
+        values += (item.key, item.percent, item.age_ms, int(item.is_measured))
     return values
 
 
@@ -48,8 +66,8 @@
         raise ValueError("paces have a wrong number or type of fields")
     paces = []
     for start in range(0, len(values), _ROW_FIELDS):
-        key, percent, age_ms = values[start : start + _ROW_FIELDS]
+        key, percent, age_ms, is_measured = values[start : start + _ROW_FIELDS]
         if percent <= 0 or age_ms < 0:
             raise ValueError("a pace or its age is out of range")
-        paces.append(AgedPace(key, percent, age_ms))
+        paces.append(AgedPace(key, percent, age_ms, is_measured=bool(is_measured)))
     return paces
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -3,8 +3,8 @@
 Each entry reports its load to one hub. Hubs send the totals of their reporters to each other, and
 each hub sends the totals of all entries to its reporters. All values are absolute, so a later
 datagram makes up for a lost one. The datagrams also contain records of contents that may crash
-instances, see :mod:`spoolhead._internal.policy.content_registry`, and rate limits that instances
-stated.
+instances, see :mod:`spoolhead._internal.policy.content_registry`, rate limits that instances stated
+and typical paces of instances.
 """
 
 import enum
@@ -13,7 +13,7 @@
 import msgpack
 import xxhash
 
-from spoolhead._internal.models import content_record, permits, rate_limit
+from spoolhead._internal.models import content_record, instance_pace, permits, rate_limit
 
 _ROW_FIELDS = 5
 _REPORT = 1
@@ -163,6 +163,7 @@
     :ivar alarms: recent alarms of the entry.
     :ivar contents: records of contents.
     :ivar limits: rate limits that instances stated.
+    :ivar paces: typical paces of instances.
     :ivar wants_snapshot: whether the entry has not yet received the complete state of the hub.
     """
 
@@ -172,6 +173,7 @@
         "hall",
         "is_reporter",
         "limits",
+        "paces",
         "rows",
         "sender",
         "sequence",
@@ -189,10 +191,12 @@
         alarms: Sequence[Alarm],
         contents: ContentUpdate | None = None,
         limits: Sequence[rate_limit.AgedLimit] = (),
+        paces: Sequence[instance_pace.AgedPace] = (),
         wants_snapshot: bool = False,
     ) -> None:
         self.contents = contents or ContentUpdate()
         self.limits = list(limits)
+        self.paces = list(paces)
         self.wants_snapshot = wants_snapshot
         self.sender = sender
         self.hall = hall
@@ -212,9 +216,10 @@
     :ivar alarms: alarms of its reporters.
     :ivar contents: records of contents.
     :ivar limits: rate limits that instances stated.
+    :ivar paces: typical paces of instances.
     """
 
-    __slots__ = ("ages", "alarms", "contents", "hub", "limits", "rows", "sequence")
+    __slots__ = ("ages", "alarms", "contents", "hub", "limits", "paces", "rows", "sequence")
 
     def __init__(
         self,
@@ -226,9 +231,11 @@
         alarms: Sequence[Alarm],
         contents: ContentUpdate | None = None,
         limits: Sequence[rate_limit.AgedLimit] = (),
+        paces: Sequence[instance_pace.AgedPace] = (),
     ) -> None:
         self.contents = contents or ContentUpdate()
         self.limits = list(limits)
+        self.paces = list(paces)
         self.hub = hub
         self.sequence = sequence
         self.rows = rows
@@ -247,6 +254,7 @@
     :ivar counted: sequence of the receiver's latest report that the totals include.
     :ivar contents: records of contents.
     :ivar limits: rate limits that instances stated.
+    :ivar paces: typical paces of instances.
     :ivar is_snapshot: whether the update holds the complete state of the hub, not a part.
     """
 
@@ -258,6 +266,7 @@
         "hub",
         "is_snapshot",
         "limits",
+        "paces",
         "rows",
         "sequence",
     )
@@ -272,11 +281,13 @@
         counted: int = 0,
         contents: ContentUpdate | None = None,
         limits: Sequence[rate_limit.AgedLimit] = (),
+        paces: Sequence[instance_pace.AgedPace] = (),
         hub: str = "",
         is_snapshot: bool = False,
     ) -> None:
         self.contents = contents or ContentUpdate()
         self.limits = list(limits)
+        self.paces = list(paces)
         self.is_snapshot = is_snapshot
         self.hub = hub
         self.sequence = sequence
@@ -295,7 +306,7 @@
     fields += [_pack_rows(report.rows), _pack_alarms(report.alarms)]
     fields += [_pack_contents(report.contents), rate_limit.pack(report.limits)]
     fields.append(report.wants_snapshot)
-    return msgpack.packb([_REPORT, *fields])
+    return msgpack.packb([_REPORT, *fields, *_pack_paces(report.paces)])
 
 
 def encode_totals(totals: Totals) -> bytes:
@@ -303,7 +314,7 @@
     rows, alarms = _pack_rows(totals.rows), _pack_alarms(totals.alarms)
     contents, limits = _pack_contents(totals.contents), rate_limit.pack(totals.limits)
     fields = [totals.hub, totals.sequence, rows, _pack_ages(totals.ages), alarms, contents, limits]
-    return msgpack.packb([_TOTALS, *fields])
+    return msgpack.packb([_TOTALS, *fields, *_pack_paces(totals.paces)])
 
 
 def encode_update(update: Update) -> bytes:
@@ -311,7 +322,8 @@
     rows, alarms = _pack_rows(update.rows), _pack_alarms(update.alarms)
     contents, limits = _pack_contents(update.contents), rate_limit.pack(update.limits)
     fields = [update.hub, update.sequence, rows, _pack_ages(update.ages), alarms, contents, limits]
-    return msgpack.packb([_UPDATE, *fields, update.is_snapshot])
+    fields.append(update.is_snapshot)
+    return msgpack.packb([_UPDATE, *fields, *_pack_paces(update.paces)])
 
 
 def complete_update(encoded: bytes, counted: int) -> bytes:
@@ -338,7 +350,7 @@
         if tag == _TOTALS:
             return _read_totals(*fields)
         if tag == _UPDATE:
-            return _read_update(*fields, int(values[1]))
+            return _read_update(*fields, counted=int(values[1]))
         if tag == permits.REQUEST:
             return permits.read_permit_request(*fields)
         if tag == permits.REPLY:
@@ -358,6 +370,7 @@
     contents: list,
     limits: list,
     wants_snapshot: object,
+    paces: Sequence[int] = (),
 ) -> Report:
     return Report(
         sender=str(sender),
@@ -368,6 +381,7 @@
         alarms=_unpack_alarms(alarms),
         contents=_unpack_contents(contents),
         limits=rate_limit.unpack(limits),
+        paces=instance_pace.unpack(list(paces)),
         wants_snapshot=bool(wants_snapshot),
     )
 
@@ -380,6 +394,7 @@
     alarms: list,
     contents: list,
     limits: list,
+    paces: Sequence[int] = (),
 ) -> Totals:
     return Totals(
         hub=str(hub),
@@ -389,6 +404,7 @@
         alarms=_unpack_alarms(alarms),
         contents=_unpack_contents(contents),
         limits=rate_limit.unpack(limits),
+        paces=instance_pace.unpack(list(paces)),
     )
 
 
@@ -401,12 +417,15 @@
     contents: list,
     limits: list,
     is_snapshot: object,
+    paces: Sequence[int] = (),
+    *,
     counted: int,
 ) -> Update:
     return Update(
         hub=str(hub),
         contents=_unpack_contents(contents),
         limits=rate_limit.unpack(limits),
+        paces=instance_pace.unpack(list(paces)),
         sequence=int(sequence),
         rows=_unpack_rows(rows),
         ages=_unpack_ages(ages),
@@ -450,6 +469,11 @@
     return ContentUpdate(content_record.unpack(records), int(digest))
 
 
+def _pack_paces(paces: Sequence[instance_pace.AgedPace]) -> list[list[int]]:
+    """Return the last field of a datagram, which is omitted if there are no paces."""
+    return [instance_pace.pack(paces)] if paces else []
+
+
 def _pack_alarms(alarms: Iterable[Alarm]) -> list[list[object]]:
     return [
         [item.incarnation_id, int(item.kind), item.reporter, item.sequence, item.for_ms]
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -16,6 +16,7 @@
     datagram_order,
     limit_broadcast,
     limit_registry,
+    pace_broadcast,
     standing_alarms,
 )
 from spoolhead._internal.utils import endpoints
@@ -113,6 +114,7 @@
         self._limits = limit_registry.LimitRegistry()
         self._limits_to_hubs = limit_broadcast.LimitBroadcast(self._limits)
         self._limits_to_reporters = limit_broadcast.LimitBroadcast(self._limits)
+        self._paces = pace_broadcast.HubPaces()
 
     @property
     def reporters(self) -> Iterable[Reporter]:
@@ -184,6 +186,7 @@
         changed_limits = self._limits.merge(report.limits, now_s)
         self._limits_to_hubs.add(changed_limits, now_s)
         self._limits_to_reporters.add(changed_limits, now_s)
+        self._paces.handle_report(report.paces, now_s)
         return is_new
 
     def handle_totals(
@@ -215,10 +218,12 @@
         self._contents_to_hubs.record_digest(totals.hub, totals.contents.digest, now_s)
         changed_limits = self._limits.merge(totals.limits, now_s)
         self._limits_to_reporters.add(changed_limits, now_s)
+        self._paces.handle_totals(totals.paces, now_s)
 
     def expire_silent(self, now_s: float) -> None:
-        """Remove silent reporters and hubs, and expired limits and alarms."""
+        """Remove silent reporters and hubs, and expired limits, paces and alarms."""
         self._limits.expire(now_s)
+        self._paces.expire(now_s)
         self._standing_alarms.expire(now_s)
         for name, reporter in list(self._reporters.items()):
             if now_s - reporter.heard_s > REPORTER_EXPIRY_S:
@@ -245,6 +250,7 @@
         self._contents_to_reporters.clear()
         self._limits_to_hubs.clear()
         self._limits_to_reporters.clear()
+        self._paces.clear_pending()
 
     def make_totals(self, now_s: float) -> shared_load.Totals:
         """Return the next datagram for the other hubs."""
@@ -257,6 +263,7 @@
             alarms=self._alarms_to_hubs.pop_batch(now_s),
             contents=self._make_contents(self._contents_to_hubs, now_s),
             limits=self._limits_to_hubs.pop_batch(now_s),
+            paces=self._paces.to_hubs.pop_batch(now_s),
         )
 
     def make_update(self, now_s: float) -> shared_load.Update:
@@ -265,7 +272,9 @@
         contents = self._make_contents(self._contents_to_reporters, now_s)
         alarms = self._alarms_to_reporters.pop_batch(now_s)
         limits = self._limits_to_reporters.pop_batch(now_s)
-        return self._make_update(rows, alarms, contents, limits, now_s)
+        update = self._make_update(rows, alarms, contents, limits, now_s)
+        update.paces = self._paces.to_reporters.pop_batch(now_s)
+        return update
 
     def make_due_snapshot(self, name: str, now_s: float) -> shared_load.Update | None:
         """Return the snapshot for a reporter that lacks one, or None if none is due."""
@@ -280,7 +289,7 @@
         return update
 
     def make_snapshot(self, now_s: float) -> shared_load.Update:
-        """Return the load of the whole fleet, all standing alarms and all known limits.
+        """Return the load of the whole fleet, all standing alarms, known limits and paces.
 
         It includes only the most severe content records, since the entry may serve requests at
         once; the others follow with the next full sync for all reporters.
@@ -291,6 +300,7 @@
         limits = self._limits.get_all_aged(now_s)
         alarms = self._standing_alarms.get_all(now_s)
         update = self._make_update(self._fleet_totals.get_all(), alarms, contents, limits, now_s)
+        update.paces = self._paces.get_all_aged(now_s)
         update.is_snapshot = True
         return update
 
@@ -330,7 +340,8 @@
         return changed_ids
 
     def _resend_to_new_hub(self, now_s: float) -> None:
-        """Schedule all limits and standing alarms for the hubs, as a new hub may know none."""
+        """Schedule limits, paces and standing alarms for the hubs: a new hub may know none."""
+        self._paces.resend_to_hubs()
         self._limits_to_hubs.add(self._limits.get_keys(), now_s)
         self._alarms_to_hubs.send_again(self._standing_alarms.get_names(), now_s)
 
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -13,6 +13,7 @@
     stream_exchange,
     upstream_events,
     upstream_limits,
+    upstream_paces,
 )
 from spoolhead._internal.models import (
     dialects,
@@ -315,6 +316,7 @@
         self.limits = upstream_limits.UpstreamLimits(
             self.registry.get_by_key, request_broadcast=lambda: None, on_change=lambda key: None
         )
+        self.paces = upstream_paces.UpstreamPaces(self.registry, request_broadcast=lambda: None)
         self.permits = permit_exchange.PermitExchange(
             self.timers,
             config,
@@ -341,6 +343,7 @@
             on_replaced=self.replaced.append,
             contents=self.contents,
             limits=self.limits,
+            paces=self.paces,
             permits=self.permits,
             query_termination=self.end_queries.append,
             get_silent_halls=frozenset,
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -10,6 +10,7 @@
     permit_exchange,
     upstream_events,
     upstream_limits,
+    upstream_paces,
 )
 from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import fleet, permits, shared_load
@@ -115,6 +116,10 @@
             request_broadcast=lambda: self.sharing.broadcast_limits(),
             on_change=lambda key: self.permits.backoff.clear(key),
         )
+        self.paces = upstream_paces.UpstreamPaces(
+            self.registry, request_broadcast=lambda: self.sharing.schedule_report()
+        )
+        self.paces.refresh(fleet_.clock())
         self.permits = permit_exchange.PermitExchange(
             fleet_.clock,
             config,
@@ -132,6 +137,7 @@
             self.registry,
             self.contents,
             self.limits,
+            self.paces,
             send=process.send,
             on_alarm=lambda upstream: self.alarms.append(upstream.instance.instance_id),
             on_load_update=lambda: None,
@@ -143,6 +149,7 @@
 
     def apply_list(self, listed):
         self.registry.update_instances(listed, self.clock())
+        self.paces.refresh(self.clock())
         self.sharing.refresh()
 
     def set_fleet(self, known):
--- /dev/null
+++ b/tests/unit/test_pace_sharing.py
@@ -0,0 +1,274 @@
+"""How typical paces reach all entries: what is sent, how often, and after which failures."""
+
+import random
+
+import pytest
+
+from lib import gateway_setting, load_fleet
+from spoolhead._internal.models import dialects, instance_pace, shared_load
+from spoolhead._internal.policy import load_hub, pace_broadcast, pace_registry
+
+ADDRESS = ("10.0.0.9", 7)
+STEP_S = 0.02
+"""Interval between the datagrams of a busy hub."""
+SHARED_S = 6.0
+"""Time after which a pace is known everywhere: two seconds of figures and the repeats."""
+MAX_BYTES_PER_S = 1_000
+MAX_DATAGRAM_BYTES = 65_507
+
+
+def _make_report(paces, *, sender="e1", sequence=1):
+    return shared_load.Report(
+        sender=sender,
+        hall="a",
+        sequence=sequence,
+        is_reporter=True,
+        rows={},
+        alarms=[],
+        paces=paces,
+    )
+
+
+def _get_sent(hub, since_s, until_s):
+    """Return (time, bytes of paces, paces) of each update."""
+    sent = []
+    for step in range(round((until_s - since_s) / STEP_S)):
+        now_s = since_s + step * STEP_S
+        paces = hub.make_update(now_s).paces
+        with_paces = shared_load.Update(sequence=1, rows={}, ages=[], alarms=[], paces=paces)
+        without = shared_load.Update(sequence=1, rows={}, ages=[], alarms=[])
+        size = len(shared_load.encode_update(with_paces)) - len(shared_load.encode_update(without))
+        sent.append((now_s, size, paces))
+    return sent
+
+
+def _make_large_hub(rng):
+    """Return a hub at which 350 entries report the paces of 1,600 instances at once."""
+    hub = load_hub.LoadHub("k1", 1)
+    keys = [rng.getrandbits(32) for _ in range(1_600)]
+    for number in range(350):
+        paces = [instance_pace.AgedPace(key, rng.choice((55, 300)), 0) for key in keys[number::350]]
+        hub.handle_report(_make_report(paces, sender=f"e{number}"), ADDRESS, 0.0)
+    return hub, keys
+
+
+def test_the_paces_of_1600_instances_take_less_than_a_kilobyte_per_second_at_each_entry():
+    hub, keys = _make_large_hub(random.Random(1))
+    sent = _get_sent(hub, 0.0, 60.0)
+    for start in range(0, len(sent), 10):
+        assert sum(size for _, size, _ in sent[start : start + 50]) < MAX_BYTES_PER_S
+    assert {pace.key for _, _, paces in sent for pace in paces} == set(keys)
+
+
+def test_a_snapshot_with_all_of_them_fits_into_a_datagram():
+    hub, keys = _make_large_hub(random.Random(1))
+    report = _make_report([], sender="e999")
+    report.rows = {key: shared_load.InstanceLoad(25_000, 24, 20_000, 9_000) for key in keys}
+    hub.handle_report(report, ADDRESS, 500.0)
+    snapshot = hub.make_snapshot(500.0)
+    assert {pace.key for pace in snapshot.paces} == set(keys)
+    assert len(shared_load.encode_update(snapshot)) < MAX_DATAGRAM_BYTES
+
+
+def test_without_paces_datagrams_are_as_before():
+    report = _make_report([])
+    assert len(shared_load.encode_report(report)) == len(
+        shared_load.encode_report(_make_report([instance_pace.AgedPace(1, 1, 1)]))
+    ) - len(b"\x94\1\1\1\0")
+
+
+def test_datagrams_decode_to_what_was_encoded():
+    paces = [
+        instance_pace.AgedPace(7, 55, 900),
+        instance_pace.AgedPace(9, 120, 0, is_measured=True),
+    ]
+    totals = shared_load.Totals(hub="k", sequence=1, rows={}, ages=[], alarms=[], paces=paces)
+    update = shared_load.Update(sequence=1, rows={}, ages=[], alarms=[], paces=paces)
+    encoded = (
+        shared_load.encode_report(_make_report(paces)),
+        shared_load.encode_totals(totals),
+        shared_load.complete_update(shared_load.encode_update(update), 5),
+    )
+    for data in encoded:
+        decoded = shared_load.decode(data)
+        assert instance_pace.pack(decoded.paces) == [7, 55, 900, 0, 9, 120, 0, 1]
+
+
+@pytest.mark.parametrize("values", [[1, 2, 3], [1, 0, 0, 0], [1, 55, -1, 0], [1, "x", 0, 0]])
+def test_invalid_paces_are_rejected(values):
+    with pytest.raises(ValueError, match="pace"):
+        instance_pace.unpack(values)
+
+
+def test_a_pace_that_is_sent_back_with_its_delay_is_not_sent_again():
+    """Guards against paces that processes send to each other without end."""
+    hub = load_hub.LoadHub("k1", 1)
+    hub.handle_report(_make_report([instance_pace.AgedPace(7, 55, 0)]), ADDRESS, 0.0)
+    _get_sent(hub, 0.0, 10.0)
+    for sequence, delay_s in enumerate((0.001, 0.004, 0.4), 2):
+        back = [instance_pace.AgedPace(7, 55, 10_000)]
+        hub.handle_report(_make_report(back, sequence=sequence), ADDRESS, 10.0 + delay_s)
+    assert not any(paces for _, _, paces in _get_sent(hub, 10.5, 15.0))
+
+
+def test_a_statement_does_not_replace_a_measurement_that_overrules_it():
+    registry = pace_registry.PaceRegistry()
+    assert registry.merge([instance_pace.AgedPace(7, 120, 0, is_measured=True)], 100.0)
+    assert not registry.merge([instance_pace.AgedPace(7, 30, 0)], 110.0)
+    assert not registry.is_due(7, 30, 110.0, is_measured=False)
+    assert registry.is_due(7, 120, 111.0, is_measured=True)
+    assert registry.merge([instance_pace.AgedPace(7, 30, 0)], 121.0)
+
+
+def test_only_a_clear_difference_or_a_renewal_is_reported():
+    registry = pace_registry.PaceRegistry()
+    registry.record(7, instance_pace.TimedPace(100, 0.0, is_measured=False))
+    assert not registry.is_due(7, 200, 1.0, is_measured=False)
+    assert not registry.is_due(7, 110, 10.0, is_measured=False)
+    assert registry.is_due(7, 111, 10.0, is_measured=False)
+    assert registry.is_due(7, 89, 10.0, is_measured=False)
+    assert registry.is_due(7, 100, pace_registry.RENEWAL_AGE_S, is_measured=False)
+
+
+class _PaceFleet(load_fleet.LoadFleet):
+    """Entries of which each reads the figures of some instances five times a second."""
+
+    def __init__(self, *, entries=9, instances=12, loss=0.2):
+        super().__init__(entries=entries, halls=3, keepers=3, instances=instances, loss=loss)
+        self.percents = {
+            name: 55 if number % 4 else 120 for number, name in enumerate(self.instances)
+        }
+        self.is_stating = True
+        self.clock.call_every(0.2, self._state)
+
+    def _state(self):
+        if not self.is_stating:
+            return
+        for number, name in enumerate(self.instances):
+            self.read_figure(self.entries[number % len(self.entries)], name)
+
+    def read_figure(self, entry, name):
+        upstream = entry.registry.get(name)
+        if not entry.process.is_up or upstream is None:
+            return
+        load = dialects.UpstreamLoad(
+            running=0, waiting=0, slots=6, pace_percent=self.percents[name]
+        )
+        head = gateway_setting.make_answer_head(load=load)
+        entry.paces.handle_answer(upstream, head, self.clock())
+
+    def get_ignorant(self, entries):
+        """Return the entries that don't know the pace of each instance."""
+        return [
+            entry.process.name
+            for entry in entries
+            for name in self.instances
+            if entry.registry.get(name).pace.typical_factor != self.percents[name] / 100
+        ]
+
+
+def test_all_entries_know_all_paces_though_a_fifth_of_the_datagrams_is_lost():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S)
+    assert not fleet.get_ignorant(fleet.entries)
+
+
+def test_an_entry_that_starts_gets_all_paces_with_the_snapshot():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S + 10.0)
+    fleet.is_stating = False
+    started = fleet.restart_entry(4)
+    fleet.run(2.0)
+    assert not fleet.get_ignorant([started])
+
+
+def test_so_does_one_that_reads_the_instance_list_after_the_snapshot():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S + 10.0)
+    fleet.is_stating = False
+    started = fleet.restart_entry(4, is_listed=False)
+    fleet.run(2.0)
+    started.apply_list(fleet.listed)
+    assert not fleet.get_ignorant([started])
+
+
+def test_the_hub_that_takes_over_knows_all_paces():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S + 10.0)
+    fleet.is_stating = False
+    fleet.kill("keeper-001")
+    fleet.run(3.0)
+    started = fleet.restart_entry(4)
+    fleet.run(2.0)
+    assert not fleet.get_ignorant([started])
+
+
+def test_entries_that_act_as_hubs_after_the_keepers_get_what_was_determined_before():
+    """Guards against reports that only the terminated hubs received."""
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S + 10.0)
+    fleet.is_stating = False
+    fleet.kill("keeper-000", "keeper-001", "keeper-002")
+    fleet.run(SHARED_S)
+    started = fleet.restart_entry(7)
+    fleet.run(2.0)
+    assert not fleet.get_ignorant([started])
+
+
+def test_a_hall_that_was_cut_off_gets_what_changed_meanwhile_and_the_others_what_changed_there():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S)
+    fleet.net.cut_off_halls = {"hall-1"}
+    fleet.percents = dict.fromkeys(fleet.instances, 240)
+    fleet.run(10.0)
+    assert fleet.get_ignorant(fleet.entries)
+    fleet.is_stating = False
+    fleet.net.cut_off_halls = set()
+    fleet.run(SHARED_S)
+    assert not fleet.get_ignorant(fleet.entries)
+
+
+def test_nothing_is_known_of_an_instance_that_restarts_under_its_id():
+    fleet = _PaceFleet()
+    fleet.run(SHARED_S)
+    listed = [gateway_setting.make_instance(name, started_ms=5) for name in fleet.instances]
+    entry = fleet.entries[0]
+    entry.apply_list(listed)
+    assert not any(upstream.pace.is_known for upstream in entry.registry.get_all())
+
+
+def test_paces_that_stay_cause_no_traffic_until_they_are_renewed():
+    fleet = _PaceFleet(loss=0.0)
+    fleet.run(2 * SHARED_S)
+    seen = []
+    for process in fleet.net.processes.values():
+        handle = process.on_datagram
+
+        def _handle(message, sender, handle=handle):
+            seen.extend(getattr(message, "paces", ()))
+            handle(message, sender)
+
+        process.on_datagram = _handle
+    fleet.run(20.0)
+    assert seen == []
+
+
+def test_an_instance_that_states_nothing_costs_nothing():
+    fleet = _PaceFleet()
+    fleet.percents = dict.fromkeys(fleet.instances)
+    fleet.run(SHARED_S)
+    entry = fleet.entries[0]
+    assert not any(upstream.pace.is_known for upstream in entry.registry.get_all())
+    assert entry.paces.known_count == 0
+
+
+def test_a_batch_is_bounded_and_the_rest_follows():
+    registry = pace_registry.PaceRegistry()
+    keys = range(100)
+    for key in keys:
+        registry.record(key, instance_pace.TimedPace(55, 0.0, is_measured=False))
+    broadcast = pace_broadcast.PaceBroadcast(registry)
+    broadcast.add(keys)
+    batches = [broadcast.pop_batch(step * 0.1) for step in range(100)]
+    assert max(len(batch) for batch in batches) <= pace_broadcast.MAX_PACES_PER_DATAGRAM
+    assert {pace.key for batch in batches for pace in batch} == set(keys)
