Measured pace: a statement that streams clearly contradict is overruled

Cause: an instance that states to be quicker than it is draws work. Change: entries measure blocks of four events; the lower quartile of an instance's blocks of 2 s is compared with the median of other instances', each divided by the pace it states. At twice the stated pace or more the measured one is used for 20 s, here and at the other entries; a later measurement corrects it. On only where an instance of the service states a pace, or by the new setting measures_pace (contract of shared machines).

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -110,6 +110,7 @@
         self._paces = upstream_paces.UpstreamPaces(
             self._registry,
             request_broadcast=lambda: self._load_sharing.schedule_report(),
+            measures_pace=config.measures_pace,
             on_overruled=self._metrics.overruled_paces.inc,
         )
         self._metrics.known_paces.set_function(lambda: self._paces.known_count)
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -18,7 +18,7 @@
     upstream_choice,
     upstream_registry,
 )
-from spoolhead._internal.relay import event_splicer, pace_meter
+from spoolhead._internal.relay import block_meter, event_splicer, pace_meter
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -47,6 +47,7 @@
         self._splicer = event_splicer.EventSplicer(job.head.last_event_id)
         self._migration = run_migration.RunMigration(self, job, context)
         self._pace_meter = pace_meter.PaceMeter(self._arrived_s)
+        self._block_meter = block_meter.BlockMeter()
 
     @property
     def upstream(self) -> upstream_registry.Upstream | None:
@@ -156,7 +157,11 @@
         events_before = self._splicer.events
         result = self._splicer.feed(data)
         if result.events:
-            self._pace_meter.record_events(events_before, clocks.get_s())
+            now_s = clocks.get_s()
+            self._pace_meter.record_events(events_before, now_s)
+            self._context.paces.handle_events(
+                attempt.upstream, self._block_meter, result.events, now_s
+            )
         if result.data and not self._forward(attempt.head, result.data):
             return
         if result.problem:
@@ -260,6 +265,7 @@
         self, upstream: upstream_registry.Upstream, resume: dialects.ResumePoint | None
     ) -> None:
         attempt = self._attempt = attempts.Attempt(self, upstream, is_resumed=resume is not None)
+        self._block_meter = block_meter.BlockMeter()
         request_id = self.job.head.request_id
         generation = self.job.head.generation
         prefill_tokens = (
--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -8,24 +8,32 @@
 from spoolhead._internal.policy import (
     pace_broadcast,
     pace_estimate,
+    pace_measurement,
     pace_registry,
     slow_periods,
     upstream_registry,
 )
+from spoolhead._internal.relay import block_meter
 
 logger = logging.getLogger(__name__)
 
+CLEAR_RATIO = 1.25
+"""Ratio of a measured pace to the usual one from which it is used where nothing is stated."""
+
 
 class UpstreamPaces:
     """Keeps the pace estimates in the registry of instances up to date.
 
     :param upstreams: the known instances.
     :param request_broadcast: called when a pace is to be reported to other entries.
+    :param measures_pace: whether paces are also measured where no instance states one.
     :param on_overruled: called when a measurement begins to overrule an instance's statements.
     """
 
     __slots__ = (
         "_logged_factors",
+        "_measurements",
+        "_measures_pace",
         "_on_overruled",
         "_own_s",
         "_paces",
@@ -39,11 +47,17 @@
         self,
         upstreams: upstream_registry.UpstreamRegistry,
         request_broadcast: Callable[[], None],
+        *,
+        measures_pace: bool = False,
         on_overruled: Callable[[], None] = lambda: None,
     ) -> None:
         self._upstreams = upstreams
         self._request_broadcast = request_broadcast
+        self._measures_pace = measures_pace
         self._on_overruled = on_overruled
+        self._measurements: dict[str, pace_measurement.PaceMeasurement] = collections.defaultdict(
+            pace_measurement.PaceMeasurement
+        )
         self._paces = pace_registry.PaceRegistry()
         self._to_report = pace_broadcast.PaceBroadcast(self._paces)
         self._slow_periods: dict[str, slow_periods.SlowPeriods] = collections.defaultdict(
@@ -68,9 +82,50 @@
         was_overruled = upstream.pace.is_overruled
         upstream.pace.record_stated(load.pace_percent, now_s)
         self._handle_change(upstream, now_s, was_overruled=was_overruled)
+        factor = upstream.pace.own_stated_factor
+        if upstream.pace.is_settled and factor is not None:
+            self._report(upstream.key, factor, now_s, is_measured=False)
+
+    def handle_events(
+        self,
+        upstream: upstream_registry.Upstream,
+        meter: block_meter.BlockMeter,
+        count: int,
+        now_s: float,
+    ) -> None:
+        """Measure the pace by events that arrived in a stream, where paces are in use.
+
+        :param meter: measures the stream's connection.
+        """
+        if not self._measures_pace and not self._slow_periods[upstream.instance.service].is_used:
+            return
+        interval_s = meter.record_events(count, now_s)
+        if interval_s is None:
+            return
         stated_factor = upstream.pace.stated_factor
-        if upstream.pace.is_settled and stated_factor is not None:
-            self._report(upstream.key, stated_factor, now_s, is_measured=False)
+        measurement = self._measurements[upstream.instance.service]
+        factor = measurement.record_block(
+            upstream.key, interval_s, now_s, stated_factor=stated_factor
+        )
+        if factor is not None and stated_factor is None:
+            factor = measurement.get_long_term_factor(upstream.key)
+            if factor is not None and not upstream.pace.is_known and _is_usual(factor):
+                factor = None
+        if factor is not None:
+            self._handle_measured(upstream, factor, now_s)
+
+    def _handle_measured(
+        self, upstream: upstream_registry.Upstream, factor: float, now_s: float
+    ) -> None:
+        """Use a measured pace, and report it where it counts or corrects an earlier one."""
+        self._bind(upstream)
+        was_overruled = upstream.pace.is_overruled
+        upstream.pace.record_measured(factor, now_s)
+        self._handle_change(upstream, now_s, was_overruled=was_overruled)
+        reported = self._paces.get(upstream.key)
+        is_correction = reported is not None and reported.is_measured
+        if upstream.pace.source is pace_estimate.Source.MEASURED or is_correction:
+            self._report(upstream.key, factor, now_s, is_measured=True)
 
     def merge(
         self, paces: Iterable[instance_pace.AgedPace], now_s: float, *, reported_by: str
@@ -100,6 +155,8 @@
         self._paces.expire(now_s)
         for pool in self._slow_periods.values():
             pool.expire(now_s)
+        for measurement in self._measurements.values():
+            measurement.expire(now_s)
         for upstream in self._upstreams.get_all():
             if self._bind(upstream):
                 self._apply_reported(upstream, now_s, reported_by="")
@@ -168,3 +225,7 @@
             "reported_by": reported_by,
         }
         logger.info("upstream changed its pace", extra={"fields": fields})
+
+
+def _is_usual(factor: float) -> bool:
+    return 1.0 / CLEAR_RATIO < factor < CLEAR_RATIO
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -238,6 +238,7 @@
     :ivar health_interval_ms: interval between health checks of a model engine.
     :ivar moves_runs: a run is migrated when its instance leaves.
     :ivar ranks_runs: the rank of each run is sent to the engine.
+    :ivar measures_pace: the paces of instances are measured by streams also where none is stated.
     """
 
     name: str
@@ -259,6 +260,7 @@
     health_interval_ms: Positive = 200
     moves_runs: bool = True
     ranks_runs: bool = True
+    measures_pace: bool = False
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
     upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
     log: LogSettings = pydantic.Field(default_factory=LogSettings)
--- a/src/spoolhead/_internal/policy/pace_estimate.py
+++ b/src/spoolhead/_internal/policy/pace_estimate.py
@@ -31,7 +31,7 @@
 """Age from which a figure no longer counts for the current pace; its weight falls linearly."""
 RETENTION_S = 600.0
 """Time after which a pace that was not confirmed expires."""
-OVERRULE_RATIO = 1.5
+OVERRULE_RATIO = 2.0
 """Ratio of the measured to the stated pace from which the measured one is used."""
 OVERRULE_TTL_S = 20.0
 """Time for which a measurement overrules the statements of an instance."""
@@ -112,7 +112,7 @@
     @property
     def is_overruled(self) -> bool:
         """Whether a measurement overrules what the instance states."""
-        return self._stated is not None and self._current is self._measured
+        return self._current is self._measured and self._choose_stated() is not None
 
     @property
     def typical_factor(self) -> float:
@@ -120,10 +120,16 @@
         return self._current.factor
 
     @property
-    def stated_factor(self) -> float | None:
+    def own_stated_factor(self) -> float | None:
         """The typical pace by this entry's figures alone; None without figures."""
         return self._stated.factor if self._stated is not None else None
 
+    @property
+    def stated_factor(self) -> float | None:
+        """The typical pace by all entries' figures; None without figures."""
+        stated = self._choose_stated()
+        return stated.factor if stated is not None else None
+
     @property
     def slow_factor(self) -> float:
         """The pace in the instance's slow periods; at least the typical factor."""
@@ -146,6 +152,7 @@
         factor = _clamp(percent / instance_pace.USUAL_PERCENT)
         self._newest_factor = factor
         self._newest_s = now_s
+        self.slow_periods.is_used = True
         if self._figures is None:
             self._figures = collections.deque(maxlen=MAX_FIGURES)
         self._expire_figures(now_s)
@@ -167,6 +174,7 @@
         pace = _Pace(_clamp(percent / instance_pace.USUAL_PERCENT), determined_s, Source.REPORTED)
         if not is_measured:
             self._reported = pace
+            self.slow_periods.is_used = True
         elif self._measured is None or self._measured.at_s < determined_s:
             self._measured = pace
         self.update(now_s)
--- a/src/spoolhead/_internal/policy/slow_periods.py
+++ b/src/spoolhead/_internal/policy/slow_periods.py
@@ -21,13 +21,15 @@
     expected to become as slow as the others. Each instance counts once, whatever it states.
 
     :ivar ratio: median of the ratios; 1.0 if no instance has been slow.
+    :ivar is_used: whether any instance of the service has stated its pace.
     """
 
-    __slots__ = ("_ratios", "ratio")
+    __slots__ = ("_ratios", "is_used", "ratio")
 
     def __init__(self) -> None:
         self._ratios: dict[Hashable, tuple[float, float]] = {}
         self.ratio = 1.0
+        self.is_used = False
 
     def record(self, instance: Hashable, ratio: float, now_s: float) -> None:
         """Record a figure of an instance relative to its typical one; others are ignored."""
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -23,6 +23,8 @@
 DEFAULT_LINK_MBPS = 5.0
 """Link bandwidth of a process whose settings state none."""
 BYTES_PER_MBIT = 125_000
+MEASURED_PACE_CONTRACT = "pressure"
+"""Contract under which instances share their machines without stating their pace."""
 _LOG = settings.LogSettings(output="stdout")
 
 
@@ -83,6 +85,7 @@
         stop_ms=int(bounds.get("grace_period_s", 8) * 1000),
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_slack=int(bounds.get("retry_slack", 0)),
+        measures_pace=MEASURED_PACE_CONTRACT in fields.get("contracts", ()),
         retry_window_ms=int(bounds.get("retry_window_s", 10) * 1000),
         upstreams=settings.UpstreamSettings(connect_ms=CONNECT_MS),
         log=_LOG,
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -263,6 +263,16 @@
     assert (keeper.port, keeper.data_dir) == (8748, "/data/x")
 
 
+@pytest.mark.parametrize(
+    ("line", "measures_pace"),
+    [("", False), ('contracts = ["base"]', False), ('contracts = ["base", "pressure"]', True)],
+)
+def test_paces_are_measured_under_the_contract_of_shared_machines(tmp_path, line, measures_pace):
+    path = tmp_path / "boot.toml"
+    path.write_text(f"{line}\n{SETTINGS}")
+    assert node_file.read_entry(str(path)).measures_pace is measures_pace
+
+
 @pytest.mark.parametrize(
     ("old", "new"),
     [("seeds =", "seeds = 4 #"), ("[cloud]", "[other]"), ('node_name = "n1"', ""), ("[", "[[[")],
