--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,7 +3,7 @@
 One process serves the list and all instances. A plain instance echoes requests; a model instance
 streams numbered events, and a run can continue at another instance from a copy. Tests control it
 by ``POST /_set`` at the address of the list (``{"instance": .., "state": .., "dead": ..,
-"address": .., "limit": .., "rest": .., "leaving": ..}``) and read ``GET /_runs``,
+"address": .., "limit": .., "load": .., "rest": .., "leaving": ..}``) and read ``GET /_runs``,
 ``GET /_arrivals`` and ``GET /_ends``. A request whose body begins with :data:`CRASH_BODY` crashes
 the instance that runs it; after :data:`RESTART_DELAY_S`, a new one starts at the address.
 """
@@ -35,6 +35,7 @@
     :ivar listens: host and port at which it listens; its listed address may be that of a proxy.
     :ivar is_down: it has crashed, and the next instance has not started.
     :ivar limit: requests a second that it states in its answers; empty for none.
+    :ivar load: load that it states in its answers, also to health probes; empty for none.
     :ivar rest: pause in seconds that it asks for when it refuses each request; empty to accept
         requests.
     :ivar says_leaving: it states in its answers that it is leaving.
@@ -55,6 +56,7 @@
         self.is_down = False
         self.listens = ("", 0)
         self.limit = ""
+        self.load = ""
         self.rest = ""
         self.says_leaving = False
 
@@ -62,8 +64,14 @@
     def stated_headers(self) -> dict[str, str]:
         """Headers about its own state in each answer."""
         headers = {"Server-Limit": self.limit} if self.limit else {}
+        headers |= self.load_headers
         return headers | ({"Server-Leaving": "1"} if self.says_leaving else {})
 
+    @property
+    def load_headers(self) -> dict[str, str]:
+        """Header with its load."""
+        return {"X-Replica-Load": self.load} if self.load else {}
+
     @property
     def base_name(self) -> str:
         """Name of the first instance at the address."""
@@ -157,6 +165,7 @@
             instance.address = order.get("address", instance.address)
             instance.zone = order.get("zone", instance.zone)
             instance.limit = order.get("limit", instance.limit)
+            instance.load = order.get("load", instance.load)
             instance.rest = order.get("rest", instance.rest)
             instance.says_leaving = order.get("leaving", instance.says_leaving)
             if "born" in order:
@@ -187,7 +196,8 @@
     ) -> None:
         if request.path == "/healthz":
             status = 200 if instance.state == "ready" else 503
-            answer.send(status, b"", content_type="text/plain")
+            headers = instance.load_headers
+            answer.send(status, b"", content_type="text/plain", headers=headers)
         elif request.path == "/spoolhead/kv-move":
             self._copy(request, answer)
         elif request.path.startswith("/spoolhead/"):
