Paces that expire do so within a second, with the load view

Cause: a measurement older than its time stayed in force at an entry until its next update, found by the new test of a measurement that overrules (entries at 0.3 and 1.2 side by side 12 s after it should have ended). Change: paces are recomputed each second beside the load view; a change by that is logged.

--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -41,7 +41,7 @@
 HALL_CHECK_INTERVAL_S = 0.2
 """Interval between checks for silent halls; a third of the silence after which a hall is silent."""
 REBUILD_INTERVAL_S = 1.0
-"""Interval at which the load view is rebuilt, to remove outdated reports."""
+"""Interval at which load and paces are recomputed, without what has expired."""
 
 _SAME_HALL_KEEPER = 0
 _OTHER_HALL_KEEPER = 1
@@ -190,10 +190,11 @@
         self._report_timer = self._timers.call_later(delay_s, self._report)
 
     def refresh(self) -> None:
-        """Recompute the load of the other entries; due after the instance list has changed."""
+        """Recompute load and paces of the instances; due after their list has changed."""
         now_s = self._clock()
         self._alarms.handle_list_change(now_s)
         self._load_view.rebuild(now_s)
+        self._paces.refresh(now_s)
 
     def handle_datagram(
         self,
--- a/src/spoolhead/_internal/gateway/upstream_events.py
+++ b/src/spoolhead/_internal/gateway/upstream_events.py
@@ -50,7 +50,6 @@
         self._context.cold_starts.clear_quotas()
         self._context.permits.refresh()
         self._context.limits.registry.expire(clocks.get_s())
-        self._context.paces.refresh(clocks.get_s())
         self._context.queue.schedule_check()
         for upstream in leaving:
             if upstream.has_restarted:
--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -161,7 +161,9 @@
             if self._bind(upstream):
                 self._apply_reported(upstream, now_s, reported_by="")
             elif upstream.pace.is_known:
+                was_overruled = upstream.pace.is_overruled
                 upstream.pace.update(now_s)
+                self._handle_change(upstream, now_s, was_overruled=was_overruled)
         known = set(self._paces.get_keys())
         self._own_s = {key: at_s for key, at_s in self._own_s.items() if key in known}
         listed = self._upstreams.get_by_key
--- a/tests/lib/load_fleet.py
+++ b/tests/lib/load_fleet.py
@@ -119,7 +119,6 @@
         self.paces = upstream_paces.UpstreamPaces(
             self.registry, request_broadcast=lambda: self.sharing.schedule_report()
         )
-        self.paces.refresh(fleet_.clock())
         self.permits = permit_exchange.PermitExchange(
             fleet_.clock,
             config,
@@ -149,7 +148,6 @@
 
     def apply_list(self, listed):
         self.registry.update_instances(listed, self.clock())
-        self.paces.refresh(self.clock())
         self.sharing.refresh()
 
     def set_fleet(self, known):
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -6,7 +6,8 @@
 
 from lib import gateway_setting, load_fleet
 from spoolhead._internal.models import dialects, instance_pace, shared_load
-from spoolhead._internal.policy import load_hub, pace_broadcast, pace_registry
+from spoolhead._internal.policy import load_hub, pace_broadcast, pace_estimate, pace_registry
+from spoolhead._internal.relay import block_meter
 
 ADDRESS = ("10.0.0.9", 7)
 STEP_S = 0.02
@@ -272,3 +273,50 @@
     batches = [broadcast.pop_batch(step * 0.1) for step in range(100)]
     assert max(len(batch) for batch in batches) <= pace_broadcast.MAX_PACES_PER_DATAGRAM
     assert {pace.key for batch in batches for pace in batch} == set(keys)
+
+
+class _OverruledFleet(_PaceFleet):
+    """A fleet in which one instance states to be quicker than one entry's streams show."""
+
+    def __init__(self):
+        super().__init__(loss=0.1)
+        self.quick = self.instances[0]
+        self.percents = dict.fromkeys(self.instances, 100) | {self.quick: 30}
+        self.run(SHARED_S)
+        for name in self.instances[1:5]:
+            self.begin_stream(name, 1.0, for_s=5.0)
+
+    def begin_stream(self, name, factor, *, for_s):
+        entry, meter = self.entries[5], block_meter.BlockMeter()
+        ends_s = self.clock() + for_s
+
+        def _handle_event():
+            if self.clock() < ends_s:
+                entry.paces.handle_events(entry.registry.get(name), meter, 1, self.clock())
+                self.clock.call_later(0.028 * factor, _handle_event)
+
+        _handle_event()
+
+    def get_factors(self):
+        paces = [entry.registry.get(self.quick).pace for entry in self.entries]
+        return {round(pace.typical_factor, 1) for pace in paces}
+
+
+def test_a_measurement_overrules_the_statements_at_all_entries_for_a_time():
+    fleet = _OverruledFleet()
+    fleet.begin_stream(fleet.quick, 1.2, for_s=5.0)
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {1.2}
+    fleet.run(pace_estimate.OVERRULE_TTL_S)
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {0.3}
+
+
+def test_a_later_measurement_ends_that_at_all_entries():
+    fleet = _OverruledFleet()
+    fleet.begin_stream(fleet.quick, 1.2, for_s=5.0)
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {1.2}
+    fleet.begin_stream(fleet.quick, 0.3, for_s=5.0)
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {0.3}
