--- a/src/spoolhead/_internal/policy/slow_periods.py
+++ b/src/spoolhead/_internal/policy/slow_periods.py
@@ -10,6 +10,8 @@
 """Ratio of a figure to the instance's typical one from which it belongs to a slow period."""
 MAX_RATIO = 5.0
 """Upper bound of a ratio, whatever instances state."""
+MAX_INSTANCES = 64
+"""Maximum number of instances that count, those with the newest figures."""
 RETENTION_S = 600.0
 """Time for which the last slow figure of an instance counts."""
 
@@ -35,7 +37,10 @@
         """Record a figure of an instance relative to its typical one; others are ignored."""
         if ratio < SLOW_RATIO:
             return
+        self._ratios.pop(instance, None)
         self._ratios[instance] = (now_s, min(ratio, MAX_RATIO))
+        if len(self._ratios) > MAX_INSTANCES:
+            del self._ratios[next(iter(self._ratios))]
         self._update()
 
     def expire(self, now_s: float) -> None:
--- a/tests/unit/test_pace_estimate.py
+++ b/tests/unit/test_pace_estimate.py
@@ -118,6 +118,9 @@
     for name in ("a", "b"):
         pool.record(name, 2.5, 20.0)
     assert pool.ratio == 2.5
+    for number in range(slow_periods.MAX_INSTANCES):
+        pool.record(number, 3.0, 20.0)
+    assert pool.ratio == 3.0
     pool.expire(20.0 + slow_periods.RETENTION_S + 1.0)
     assert pool.ratio == 1.0
 
