Placement: engines of known pace are compared by first token, risk and harm

Cause: the cost of an engine counted fill and prompts with one pace for all, and nothing counted that a prompt slows every answer beside it. Where the pace of at least one engine is known, a generation now costs (in spoilt answers) fill, its first token at that pace, the risk of its own long pause and the harm of its prompt to long answers at risk there; a plain request costs count / slots x pace; a copy target counts the risk as well; prefill in has_room counts the typical pace. With no known pace all is as before.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -12,7 +12,13 @@
 )
 from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import caller_front, links, upstream_calls
-from spoolhead._internal.policy import quarantine, run_admission, upstream_choice, upstream_registry
+from spoolhead._internal.policy import (
+    quarantine,
+    run_admission,
+    run_placement,
+    upstream_choice,
+    upstream_registry,
+)
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -113,10 +119,13 @@
         held = fault.make_held_fault()
         self.fail(held.code, held.text, retry_after_ms=None)
 
-    def choose(self, need_tokens: int) -> upstream_choice.Choice:
+    def choose(
+        self, need_tokens: int, generation: run_placement.Generation | None = None
+    ) -> upstream_choice.Choice:
         """Choose an instance that was not tried yet.
 
         :param need_tokens: memory that the request needs there, in tokens.
+        :param generation: properties of the generation; None for a plain request.
         """
         context = self._context
         now_s = clocks.get_s()
@@ -136,6 +145,7 @@
             need_tokens=need_tokens,
             excluded=self._tried_ids,
             context=choice_context,
+            generation=generation,
         )
         if self._prefers_least_loaded:
             # A suspect request may crash its instance; few other requests should run there.
@@ -205,6 +215,9 @@
             "news_age_ms": self._context.get_load_age_ms(),
             "remaining_ms": self.remaining_ms,
         }
+        placement = choice.candidates[0].placement if choice.candidates else None
+        if placement is not None:
+            fields["placement"] = placement.get_log_fields()
         if choice.blocked:
             fields["barred"] = {reason.value: count for reason, count in choice.blocked.items()}
         logger.info(action, extra={"fields": fields})
--- a/src/spoolhead/_internal/gateway/run_migration.py
+++ b/src/spoolhead/_internal/gateway/run_migration.py
@@ -8,7 +8,7 @@
 
 from spoolhead._internal.gateway import exchange_context, memory_copy, permit_exchange, routed_job
 from spoolhead._internal.network import scheduler
-from spoolhead._internal.policy import run_migration_policy, upstream_registry
+from spoolhead._internal.policy import run_migration_policy, run_placement, upstream_registry
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -53,6 +53,10 @@
     def need_tokens(self) -> int:
         """Memory that the run will need, in tokens."""
 
+    @property
+    def answer_tokens(self) -> int:
+        """Tokens that the run is expected to generate in total."""
+
     def on_copy_ready(self) -> None:
         """Called when the copy is complete and the run should resume from it."""
 
@@ -234,13 +238,31 @@
             now_s=clocks.get_s(),
             gate=self._context.gate,
             request_priority=self._job.request_priority,
+            generation=self._get_rest(),
+        )
+
+    def _get_rest(self) -> run_placement.Generation | None:
+        """Return the part of the run that is still to be generated."""
+        engine = self._job.service.engine
+        if engine is None:
+            return None
+        generated = self._run.events * engine.tokens_per_event
+        return run_placement.Generation(
+            prompt_tokens=0,
+            answer_tokens=max(0, self._run.answer_tokens - generated),
+            objective_ms=self._job.route.objective_ms,
+            pause_ms=self._job.route.pause_ms,
         )
 
     def _reserve(self, target: upstream_registry.Upstream) -> None:
         request_id = self._job.head.request_id
         self._target = target
         target.in_flight[request_id] = upstream_registry.InFlightRequest(
-            request_id, self._run.need_tokens, prefill_tokens=0, is_copy=True
+            request_id,
+            self._run.need_tokens,
+            prefill_tokens=0,
+            answer_tokens=self._run.answer_tokens,
+            is_copy=True,
         )
         self._context.on_change()
 
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -15,6 +15,7 @@
 from spoolhead._internal.policy import (
     run_admission,
     run_migration_policy,
+    run_placement,
     upstream_choice,
     upstream_registry,
 )
@@ -66,6 +67,11 @@
             return 0
         return generation.prompt_tokens + self._expected_tokens
 
+    @property
+    def answer_tokens(self) -> int:
+        """Tokens that the run is expected to generate in total."""
+        return self._expected_tokens
+
     @property
     def rank(self) -> float:
         """Benefit of migrating the run relative to the time that its copy takes."""
@@ -99,7 +105,7 @@
         if self._is_awaiting_permit:
             return False
         engine = self.job.service.engine
-        choice = self.choose(self.need_tokens)
+        choice = self.choose(self.need_tokens, self._make_generation())
         if engine is not None:
             request = self.admission
             choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
@@ -202,6 +208,17 @@
                 logger.info("waits for room", extra={"fields": self.get_log_fields()})
             self._context.queue.add(self)
 
+    def _make_generation(self) -> run_placement.Generation | None:
+        generation = self.job.head.generation
+        if generation is None:
+            return None
+        return run_placement.Generation(
+            prompt_tokens=generation.prompt_tokens,
+            answer_tokens=self._expected_tokens,
+            objective_ms=self.job.route.objective_ms,
+            pause_ms=self.job.route.pause_ms,
+        )
+
     def _refuse(self, choice: upstream_choice.Choice) -> None:
         """Refuse the request because no engine is expected to have free capacity in time."""
         self.log_choice("no room", choice)
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -96,6 +96,7 @@
     if upstream.count and upstream.tokens + request.need_tokens > limit:
         return False
     prefill_ms = (upstream.prefill_tokens + request.prompt_tokens) / PREFILL_TOKENS_PER_MS
+    prefill_ms *= upstream.pace.typical_factor
     return not upstream.prefill_tokens or prefill_ms <= request.objective_ms * PREFILL_FRACTION
 
 
--- a/src/spoolhead/_internal/policy/run_migration_policy.py
+++ b/src/spoolhead/_internal/policy/run_migration_policy.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Sequence
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import upstream_gate, upstream_registry
+from spoolhead._internal.policy import run_placement, upstream_gate, upstream_registry
 
 OTHER_HALL_COST = 0.4
 """Cost of a copy target in another hall, as a share of its memory: a copy between halls takes twice
@@ -29,6 +29,7 @@
     now_s: float,
     gate: upstream_gate.Gate,
     request_priority: upstream_gate.RequestPriority,
+    generation: run_placement.Generation | None = None,
 ) -> upstream_registry.Upstream | None:
     """Choose the instance that gets a copy of a run's memory.
 
@@ -40,7 +41,10 @@
     :param excluded: incarnation ids of instances that have just refused.
     :param gate: decides whether an instance is blocked for this entry.
     :param request_priority: rank and workspace of the request.
-    :returns: the least filled instance, with those of the same hall preferred, or None.
+    :param generation: the rest of the run; without it, or while no pace is known, instances are
+        compared by their fill alone.
+    :returns: the least filled instance, with those of the same hall and those where the run is at
+        no risk of a long pause preferred, or None.
     """
     engine = service.engine
     if engine is None:
@@ -54,8 +58,13 @@
         is None
     ]
 
+    paces = run_placement.Paces(candidates, now_s)
+
     def _get_cost(upstream: upstream_registry.Upstream) -> float:
         cost = upstream.tokens / engine.memory_tokens
+        if generation is not None and paces.is_known:
+            pace = paces.get(upstream)
+            cost += run_placement.get_risk_cost(engine, upstream, generation, pace)
         if upstream.instance.hall != source.instance.hall:
             cost += OTHER_HALL_COST
         return cost
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Collection, Mapping, Sequence
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import upstream_gate, upstream_registry
+from spoolhead._internal.policy import run_placement, upstream_gate, upstream_registry
 
 OTHER_HALL_COST = 0.1
 """Cost of an instance in another hall, as a share of its capacity: a tenth more load costs a
@@ -39,13 +39,20 @@
 
     :ivar upstream: the instance.
     :ivar cost: cost of sending the request there; the instance with the lowest cost is chosen.
+    :ivar placement: parts of the cost of a generation where paces are known; None otherwise.
     """
 
-    __slots__ = ("cost", "upstream")
+    __slots__ = ("cost", "placement", "upstream")
 
-    def __init__(self, upstream: upstream_registry.Upstream, cost: float) -> None:
+    def __init__(
+        self,
+        upstream: upstream_registry.Upstream,
+        cost: float,
+        placement: run_placement.Placement | None = None,
+    ) -> None:
         self.upstream = upstream
         self.cost = cost
+        self.placement = placement
 
 
 class Choice:
@@ -148,6 +155,7 @@
     need_tokens: int,
     excluded: Collection[str],
     context: ChoiceContext,
+    generation: run_placement.Generation | None = None,
 ) -> Choice:
     """Choose an instance.
 
@@ -159,6 +167,8 @@
     :param upstreams: its instances.
     :param need_tokens: memory that the request will need at a model engine, in tokens.
     :param excluded: incarnation ids of the instances that must not be used.
+    :param generation: the generation that is placed; without it, or while no pace is known, engines
+        are compared by their load alone.
     """
     reasons = [_get_block_reason(service, upstream, context) for upstream in upstreams]
     untried = [
@@ -175,11 +185,17 @@
             and not reason.is_binding
             and upstream.instance.hall not in context.silent_halls
         ]
+    paces = run_placement.Paces(usable, context.now_s)
     other_hall_cost = _get_other_hall_cost(usable, context.hall)
+    if _is_brief(service, generation) and paces.is_known:
+        # It has ended before a cut of either hall is likely, so other halls need not be avoided.
+        other_hall_cost = OTHER_HALL_COST
     candidates = [
-        Candidate(upstream, _get_cost(service, upstream, need_tokens, context, other_hall_cost))
+        _make_candidate(service, upstream, need_tokens, context, paces, generation)
         for upstream in usable
     ]
+    for candidate in candidates:
+        _add_place_cost(candidate, context, other_hall_cost)
     context.rng.shuffle(candidates)
     candidates.sort(key=lambda candidate: candidate.cost)
     return Choice(
@@ -225,24 +241,49 @@
     return OTHER_HALL_COST * min(max(1, own_hall_count - 1), MAX_OTHER_HALL_FACTOR)
 
 
-def _get_cost(
+def _is_brief(service: route_table.Service, generation: run_placement.Generation | None) -> bool:
+    if service.engine is None or generation is None:
+        return False
+    return not run_placement.is_long_answer(service.engine, generation)
+
+
+def _make_candidate(
     service: route_table.Service,
     upstream: upstream_registry.Upstream,
     need_tokens: int,
     context: ChoiceContext,
-    other_hall_cost: float,
+    paces: run_placement.Paces,
+    generation: run_placement.Generation | None,
+) -> Candidate:
+    """Return a candidate with the cost of its load and pace."""
+    engine = service.engine
+    if engine is None:
+        return Candidate(upstream, _get_plain_cost(upstream, context, paces))
+    if generation is not None and paces.is_known:
+        pace = paces.get(upstream)
+        placement = run_placement.compute_placement(engine, upstream, generation, pace)
+        return Candidate(upstream, placement.cost, placement)
+    cost = (upstream.tokens + need_tokens) / engine.memory_tokens
+    return Candidate(upstream, cost + upstream.prefill_tokens / PREFILL_TOKENS_PER_COST)
+
+
+def _get_plain_cost(
+    upstream: upstream_registry.Upstream, context: ChoiceContext, paces: run_placement.Paces
 ) -> float:
-    instance = upstream.instance
-    if service.engine is not None:
-        cost = (upstream.tokens + need_tokens) / service.engine.memory_tokens
-        cost += upstream.prefill_tokens / PREFILL_TOKENS_PER_COST
-    else:
-        known = max(upstream.count, upstream.get_reported_count(context.now_s))
-        cost = known / max(1, instance.slots)
-    if instance.hall != context.hall:
-        cost += other_hall_cost
-    if instance.hall in context.silent_halls:
-        cost += SILENT_HALL_COST
+    known = max(upstream.count, upstream.get_reported_count(context.now_s))
+    slots = max(1, upstream.instance.slots)
+    if not paces.is_known:
+        return known / slots
+    # The request itself counts too: it takes longer at a slow instance even if that is idle.
+    return (known + 1) / slots * paces.get(upstream).current
+
+
+def _add_place_cost(candidate: Candidate, context: ChoiceContext, other_hall_cost: float) -> None:
+    """Add the cost of the instance's hall and of its start, whatever its load."""
+    upstream = candidate.upstream
+    if upstream.instance.hall != context.hall:
+        candidate.cost += other_hall_cost
+    if upstream.instance.hall in context.silent_halls:
+        candidate.cost += SILENT_HALL_COST
     if upstream.is_cold(context.now_s):
-        cost += COLD_COST
-    return cost
+        candidate.cost += COLD_COST
