Bound the bytes that an entry buffers for slow readers, for the whole process

Cause: unread answers were bounded per caller only (1 MiB for streams, the whole answer of up to 16 MiB for plain ones), and their chunks of uneven size took up to twice their length of memory.

Change: a budget of unread bytes for the process (unread_bytes, a fifth of limits.memory_mb on the platform, 0 for none). Beyond it, callers that stopped reading are dropped before those that read slowly, by unread bytes times the time without reading. Unsent bytes are held in pieces of 16 KiB.

--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -45,6 +45,13 @@
         self.news_age_ms = metrics.make_gauge(
             "spoolhead_news_age_ms", "Age of what is known of other entries' work; -1 for none."
         )
+        self.unread_bytes = metrics.make_gauge(
+            "spoolhead_unread_bytes", "Bytes buffered for callers that read slowly."
+        )
+        self.dropped_callers = metrics.make_counter(
+            "spoolhead_dropped_callers",
+            "Callers dropped because too many bytes of all callers were unread.",
+        )
         self.room_wait_ms = metrics.make_histogram(
             "spoolhead_room_wait_ms", "Time for which a generation waited before it was sent."
         )
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -64,7 +64,9 @@
         self._is_trial = False
         self._is_awaiting_permit = False
         self._permitted_id = ""
+        caller.request_id = job.head.request_id
         caller.on_disconnect = self._on_caller_disconnect
+        caller.on_drop = self._on_caller_drop
 
     @property
     def remaining_ms(self) -> int:
@@ -256,6 +258,9 @@
             request_id=self.job.head.request_id,
             retry_after_ms=retry_after_ms,
         )
+        if self.is_over:
+            # The caller was dropped while this answer was sent.
+            return
         fields = {
             **self.get_log_fields(),
             "code": int(code),
@@ -402,6 +407,9 @@
         self._prefers_least_loaded = True
         self.start()
 
+    def _on_caller_drop(self, reason: str) -> None:
+        self.fail(codes.ResultCode.CALLER_TOO_SLOW, reason)
+
     def _on_caller_disconnect(self) -> None:
         if self.is_over:
             return
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -143,7 +143,12 @@
         assert head is not None
         self._ran = codes.Ran.YES
         self.record_whole_answer(head.status)
-        self.caller.send_answer(head.status, head.headers, b"".join(attempt.body))
+        body = b"".join(attempt.body)
+        attempt.body.clear()
+        self.caller.send_answer(head.status, head.headers, body)
+        if self.is_over:
+            # The caller was dropped.
+            return
         fields = {
             **self.get_log_fields(),
             "upstream": attempt.upstream.instance.incarnation_id,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -16,6 +16,7 @@
     plain_exchange,
     refusals,
     routed_job,
+    slow_readers,
     startup,
     stream_exchange,
     table_feed,
@@ -159,11 +160,14 @@
             get_table=lambda: self._matcher,
         )
         self._metrics.waiting.set_function(lambda: len(self._context.queue))
+        readers = slow_readers.SlowReaders(config, self._metrics)
         self._front = caller_front.CallerFront(
             self.loop,
             config,
             on_request=self._handle_request,
             on_bad_request=self._refuse_malformed,
+            unread=readers.unread,
+            on_drop=readers.record_drop,
         ).register(self.loop)
         small_server.SmallServer(
             (config.ready_host, config.ready_port),
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -243,6 +243,9 @@
         self._ran = codes.Ran.YES
         self.record_whole_answer(head.status)
         self.caller.send_answer(head.status, head.headers, b"".join(attempt.body))
+        if self.is_over:
+            # The caller was dropped.
+            return
         fields = {**self.get_log_fields(), "status": head.status}
         logger.info("answered", extra={"fields": fields})
         self.end()
@@ -329,6 +332,9 @@
         if remainder or not self.caller.is_started:
             self._forward(head, remainder)
         self.caller.end_stream()
+        if self.is_over:
+            # The caller was dropped.
+            return
         route = self.job.route
         fields = {
             **self.get_log_fields(),
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -20,6 +20,7 @@
 
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Positive = Annotated[int, pydantic.Field(gt=0)]
+NotNegative = Annotated[int, pydantic.Field(ge=0)]
 IpNumber = Annotated[str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 SharedKey = Annotated[str, pydantic.StringConstraints(min_length=16)]
 LogFormat = Annotated[str, pydantic.StringConstraints(pattern="^(json|text)$")]
@@ -236,6 +237,8 @@
         entries.
     :ivar retry_window_ms: length of the window.
     :ivar health_interval_ms: interval between health checks of a model engine.
+    :ivar unread_bytes: maximum number of bytes buffered for all callers that read slowly; 0 for no
+        bound other than that of each caller.
     :ivar moves_runs: a run is migrated when its instance leaves.
     :ivar ranks_runs: the rank of each run is sent to the engine.
     """
@@ -257,6 +260,7 @@
     retry_slack: int = 0
     retry_window_ms: Positive = 10_000
     health_interval_ms: Positive = 200
+    unread_bytes: NotNegative = 0
     moves_runs: bool = True
     ranks_runs: bool = True
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -9,8 +9,11 @@
 import collections
 import contextlib
 import dataclasses
+import fcntl
 import logging
 import socket
+import struct
+import termios
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
@@ -21,6 +24,7 @@
 from spoolhead._internal.models import codes, fault, route_table, settings
 from spoolhead._internal.network import direct_server, request_reader
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.policy import unread_budget
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -36,6 +40,12 @@
 """Socket send buffer: bytes that the kernel buffers for a caller that does not read. Only bytes
 beyond it are buffered, and counted, in this process."""
 
+MAX_JOINED_BYTES = 65_536
+"""Size of a body up to which it is sent together with the head; joining copies it."""
+READ_CHECK_INTERVAL_S = 0.25
+"""Interval between checks of the kernel's send buffers of callers with unread bytes."""
+
+_NO_BYTES = struct.pack("i", 0)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LIBRARY_REQUEST = b"POST / HTTP/1.1\r\nHost: spoolhead\r\nContent-Length: 0\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -45,7 +55,10 @@
     """A request from a caller, and the means to send its answer.
 
     :ivar request: the request.
+    :ivar request_id: id of the request for the log; empty until it is known.
     :ivar remote: IP address of the caller.
+    :ivar on_drop: called with the reason if the caller is dropped before the answer is complete,
+        because it leaves too many bytes unread.
     :ivar on_disconnect: called once if the connection ends before the answer is complete.
     :ivar is_disconnected: the connection has ended.
     :ivar is_started: the head of the answer has been sent.
@@ -60,8 +73,10 @@
         "is_disconnected",
         "is_started",
         "on_disconnect",
+        "on_drop",
         "remote",
         "request",
+        "request_id",
     )
 
     def __init__(
@@ -75,7 +90,9 @@
         self._connection = connection
         self._response = response
         self.request = request
+        self.request_id = ""
         self.remote = connection.remote
+        self.on_drop: Callable[[str], None] | None = None
         self.on_disconnect: Callable[[], None] | None = None
         self.is_disconnected = False
         self.is_started = False
@@ -95,7 +112,11 @@
             head["Content-Length"] = str(len(body))
         data = body if self.request.method != "HEAD" else b""
         self.is_started = True
-        self._front.send(self._connection, self._get_head_bytes() + data)
+        head_bytes = self._get_head_bytes()
+        if len(data) > MAX_JOINED_BYTES:
+            self._front.send(self._connection, head_bytes)
+            head_bytes = b""
+        self._front.send(self._connection, head_bytes + data if head_bytes else data)
         self._finish()
 
     def start_stream(self, status: int, headers: Headers, first: bytes = b"") -> None:
@@ -176,6 +197,7 @@
     :ivar waiting: complete requests that are not being served yet.
     :ivar waiting_bytes: size of their bodies.
     :ivar current: request that is being served.
+    :ivar last_request_id: id of the request that was answered last.
     :ivar phase: part of a request to which the deadline applies.
     :ivar deadline_s: monotonic time by which the awaited bytes must arrive; None while a request
         is being served.
@@ -189,6 +211,7 @@
         "current",
         "deadline_s",
         "is_closing",
+        "last_request_id",
         "lingered_bytes",
         "must_linger",
         "phase",
@@ -206,6 +229,7 @@
         self.waiting: collections.deque[request_reader.WireRequest] = collections.deque()
         self.waiting_bytes = 0
         self.current: Caller | None = None
+        self.last_request_id = ""
         self.phase = request_reader.Phase.IDLE
         self.deadline_s: float | None = None
         self.is_closing = False
@@ -223,6 +247,9 @@
     :param config: settings of the entry.
     :param on_request: called with each request.
     :param on_bad_request: called with a request that cannot be served and the reason.
+    :param unread: budget of the unread bytes of all callers; None for no bound.
+    :param on_drop: called with the id of a dropped caller's request, the grounds, and whether the
+        request was still being served.
     """
 
     channel = "web"
@@ -234,19 +261,28 @@
         *,
         on_request: Callable[[Caller], None],
         on_bad_request: Callable[[Caller, fault.Fault], None],
+        unread: unread_budget.UnreadBudget | None = None,
+        on_drop: Callable[[str, unread_budget.Drop, bool], None] | None = None,
     ) -> None:
         super().__init__()
         self._limits = config.callers
         self._configured_limits = config.callers
         self._handle_request = on_request
         self._on_bad_request = on_bad_request
+        self._unread = unread if unread is not None else unread_budget.UnreadBudget(0)
+        self._on_drop = on_drop
         self._connections: dict[socket.socket, _Connection] = {}
         self._is_closing_after_answers = False
         self._server = direct_server.DirectServer(
-            (config.host, config.port), channel="callers", send_buffer_bytes=SEND_BUFFER_BYTES
+            (config.host, config.port),
+            channel="callers",
+            send_buffer_bytes=SEND_BUFFER_BYTES,
+            unread=self._unread,
         ).register(self)
         self._library = http.HTTP(self, channel=self.channel).register(self)
         loop.scheduler.call_every(DEADLINE_CHECK_INTERVAL_S, self._close_expired)
+        if self._unread.budget_bytes:
+            loop.scheduler.call_every(READ_CHECK_INTERVAL_S, self._check_reads)
 
     secure = False
     display_banner = False
@@ -310,7 +346,12 @@
 
         :returns: unsent bytes in this process's buffer; -1 if the caller is gone.
         """
-        return self._server.send_now(connection.sock, data)
+        unsent = self._server.send_now(connection.sock, data)
+        if self._unread.is_exceeded:
+            self._drop_slowest()
+            is_dropped = connection.sock.fileno() < 0
+            return -1 if is_dropped else self._unread.get_unread_bytes(connection.sock)
+        return unsent
 
     def close(self, connection: _Connection) -> None:
         """Close a connection immediately."""
@@ -321,6 +362,8 @@
 
         :param close: close the connection instead.
         """
+        if connection.current is not None:
+            connection.last_request_id = connection.current.request_id
         connection.current = None
         self._library._clients.pop(connection.sock, None)
         if close or connection.is_closing and not connection.waiting:
@@ -330,6 +373,30 @@
         self._set_deadline(connection, restart=True)
         self._serve_next(connection)
 
+    def _drop_slowest(self) -> None:
+        """Drop callers until the unread bytes are within the budget."""
+        for drop in self._unread.pop_drops(clocks.get_s()):
+            connection = self._connections.get(drop.key)
+            if connection is not None:
+                self._drop(connection, drop)
+
+    def _drop(self, connection: _Connection, drop: unread_budget.Drop) -> None:
+        caller = connection.current
+        request_id = caller.request_id if caller is not None else connection.last_request_id
+        if self._on_drop is not None:
+            self._on_drop(request_id, drop, caller is not None)
+        if caller is not None and caller.on_drop is not None:
+            caller.on_drop(f"the caller left {drop.unread_bytes} bytes unread")
+        self._server.close_now(connection.sock)
+
+    def _check_reads(self) -> None:
+        """Check which callers with unread bytes read, by the kernel's send buffers."""
+        now_s = clocks.get_s()
+        for sock in self._unread:
+            with contextlib.suppress(OSError):
+                count = fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES)
+                self._unread.record_kernel_bytes(sock, *struct.unpack("i", count), now_s)
+
     def _close_or_linger(self, connection: _Connection) -> None:
         # Closing a socket with unread bytes resets the connection, and the caller may lose the
         # refusal that was just sent. So the bytes of a refused caller are read for a while.
--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -12,8 +12,14 @@
 import circuits
 from circuits.net import sockets
 
+from spoolhead._internal.policy import unread_budget
+from spoolhead._internal.utils import clocks
+
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 READ_BYTES = 65_536
+PIECE_BYTES = 16_384
+"""Size of the pieces in which unsent bytes are buffered. Chunks of a few bytes or of uneven sizes
+take up to twice their length of memory; equal pieces reuse the memory of sent ones."""
 
 
 class DirectServer(sockets.TCPServer):
@@ -23,6 +29,7 @@
     :param channel: channel of its ``connect``, ``read`` and ``disconnect`` events.
     :param send_buffer_bytes: size of the kernel's send buffer of a connection; None for the
         kernel's default, which may buffer several megabytes for a peer that does not read.
+    :param unread: records the unsent bytes of each connection.
     """
 
     socket_options = [
@@ -31,13 +38,18 @@
     ]
 
     def __init__(
-        self, bind: tuple[str, int], *, channel: str, send_buffer_bytes: int | None = None
+        self,
+        bind: tuple[str, int],
+        *,
+        channel: str,
+        send_buffer_bytes: int | None = None,
+        unread: unread_budget.UnreadBudget | None = None,
     ) -> None:
         options = []
         if send_buffer_bytes is not None:
             options.append((socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes))
         super().__init__(bind, channel=channel, bufsize=READ_BYTES, socket_options=options)
-        self._unsent_bytes: dict[socket.socket, int] = {}
+        self._unread = unread if unread is not None else unread_budget.UnreadBudget(0)
 
     def send_now(self, sock: socket.socket, data: bytes) -> int:
         """Send bytes on an accepted connection.
@@ -48,6 +60,7 @@
         """
         if sock not in self._buffers and sock.fileno() < 0:
             return -1
+        sent = 0
         if not self._buffers[sock]:
             try:
                 sent = sock.send(data)
@@ -55,19 +68,15 @@
                 if error.errno not in _RETRYABLE_ERRNOS:
                     self._close(sock)
                     return -1
-                sent = 0
             if sent == len(data):
                 return 0
-            data = data[sent:]
-            self._unsent_bytes[sock] = 0
             self._poller.addWriter(self, sock)
-        self._buffers[sock].append(data)
-        self._unsent_bytes[sock] = self._unsent_bytes.get(sock, 0) + len(data)
-        return self._unsent_bytes[sock]
+        self._buffer(sock, data, sent)
+        return self._unread.add(sock, len(data) - sent, clocks.get_s())
 
     def get_unsent_bytes(self, sock: socket.socket) -> int:
         """Return the number of unsent bytes in the buffer of a connection."""
-        return self._unsent_bytes.get(sock, 0)
+        return self._unread.get_unread_bytes(sock)
 
     def close_after_send(self, sock: socket.socket) -> None:
         """Close a connection after its buffer has been sent."""
@@ -83,6 +92,16 @@
         if self._sock is not None:
             self._close(self._sock)
 
+    def _buffer(self, sock: socket.socket, data: bytes, sent: int) -> None:
+        """Buffer the bytes from an offset on, in pieces of equal size."""
+        chunks = self._buffers[sock]
+        start = sent
+        if chunks and len(chunks[-1]) < PIECE_BYTES:
+            start += PIECE_BYTES - len(chunks[-1])
+            chunks[-1] += data[sent:start]
+        starts = range(start, len(data), PIECE_BYTES)
+        chunks.extend(data[begin : begin + PIECE_BYTES] for begin in starts)
+
     def _accept(self) -> Iterator[object]:
         # The library accepts in a task that runs after the event. By then, a planned stop may have
         # closed the listening socket.
@@ -97,11 +116,14 @@
             super()._on_write(sock)
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
+        chunks = self._buffers[sock]
+        count = len(chunks)
         super()._write(sock, data)
-        if sock in self._buffers:
-            unsent_bytes = sum(len(chunk) for chunk in self._buffers[sock])
-            self._unsent_bytes[sock] = unsent_bytes
+        # Of a chunk that is sent in part, the library puts the rest back.
+        rest_bytes = len(chunks[0]) if len(chunks) > count else 0
+        if rest_bytes < len(data):
+            self._unread.record_read(sock, len(data) - rest_bytes, clocks.get_s())
 
     def _close(self, sock: socket.socket) -> None:
-        self._unsent_bytes.pop(sock, None)
+        self._unread.remove(sock)
         super()._close(sock)
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -23,6 +23,9 @@
 DEFAULT_LINK_MBPS = 5.0
 """Link bandwidth of a process whose settings state none."""
 BYTES_PER_MBIT = 125_000
+UNREAD_FRACTION = 0.2
+"""Fraction of an entry's memory limit that may be buffered for callers that read slowly."""
+BYTES_PER_MB = 1_000_000
 _LOG = settings.LogSettings(output="stdout")
 
 
@@ -80,6 +83,7 @@
         instance_list=_make_list_settings(fields),
         metrics_port=METRICS_PORT,
         hub_bytes_per_s=_get_hub_bytes_per_s(fields),
+        unread_bytes=_get_unread_bytes(fields),
         stop_ms=int(bounds.get("grace_period_s", 8) * 1000),
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_slack=int(bounds.get("retry_slack", 0)),
@@ -113,6 +117,11 @@
     return int(link_mbps * BYTES_PER_MBIT * HUB_LINK_FRACTION)
 
 
+def _get_unread_bytes(fields: dict[str, Any]) -> int:
+    memory_mb = fields.get("limits", {}).get("memory_mb", 0)
+    return int(memory_mb * BYTES_PER_MB * UNREAD_FRACTION)
+
+
 def _make_list_settings(fields: dict[str, Any]) -> settings.InstanceListSettings:
     return settings.InstanceListSettings(address=fields["cloud"]["address"])
 
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -74,10 +74,12 @@
 
     :param folder: folder for settings, logs and data.
     :param entries: number of entries.
+    :param limits: limits on each process, for its settings file.
     """
 
-    def __init__(self, folder, *, entries=2):
+    def __init__(self, folder, *, entries=2, limits=None):
         self.folder = folder
+        self.limits = limits or {}
         self.processes = {}
         self.peer_port = _find_port()
         self.port = _find_port()
@@ -136,7 +138,8 @@
             f"bootstrap = {json.dumps(is_first_start)}\n"
             f'data_dir = "{self.get_data_dir(name)}"\n[listen]\n{listen}\n[bounds]\n'
             "grace_period_s = 6\nretry_budget_ratio = 0.2\nretry_slack = 50\n"
-            f'[cloud]\naddress = "{self.list_address}"\n'
+            f'[cloud]\naddress = "{self.list_address}"\n[limits]\n'
+            + "".join(f"{name} = {value}\n" for name, value in self.limits.items())
         )
         log = (self.folder / f"{name}.log").open("ab")
         self.processes[name] = subprocess.Popen(
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -235,6 +235,15 @@
     assert (keeper.port, keeper.data_dir) == (8748, "/data/x")
 
 
+@pytest.mark.parametrize(
+    ("limits", "unread_bytes"), [("", 0), ("[limits]\nmemory_mb = 128\n", 25_600_000)]
+)
+def test_unread_bytes_follow_from_the_memory_limit(tmp_path, limits, unread_bytes):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + limits)
+    assert node_file.read_entry(str(path)).unread_bytes == unread_bytes
+
+
 @pytest.mark.parametrize(
     ("old", "new"),
     [("seeds =", "seeds = 4 #"), ("[cloud]", "[other]"), ('node_name = "n1"', ""), ("[", "[[[")],
--- /dev/null
+++ b/tests/unit/test_unread_budget.py
@@ -0,0 +1,101 @@
+"""The budget of the unread bytes of a process, and how the server of callers counts them."""
+
+import pytest
+
+from spoolhead._internal.network import direct_server
+from spoolhead._internal.policy import unread_budget
+
+
+def make_budget(budget_bytes, **unread_bytes):
+    budget = unread_budget.UnreadBudget(budget_bytes)
+    for key, count in unread_bytes.items():
+        budget.add(key, count, 0.0)
+    return budget
+
+
+@pytest.mark.parametrize("budget_bytes", [0, 300])
+def test_nobody_is_dropped_without_a_budget_or_within_it(budget_bytes):
+    assert make_budget(budget_bytes, a=100, b=200).pop_drops(9.0) == []
+
+
+def test_no_more_are_dropped_than_it_takes():
+    budget = make_budget(300, a=100, b=200, c=150)
+    (drop,) = budget.pop_drops(2.0)
+    assert (drop.key, drop.unread_bytes, drop.unread_s, drop.total_bytes) == ("b", 200, 2.0, 450)
+    assert (budget.total_bytes, len(budget)) == (250, 2)
+
+
+def test_a_caller_that_reads_is_kept_although_it_has_most_unread():
+    budget = make_budget(300, reader=1_000, stopped=200, other=100)
+    budget.record_read("reader", 800, 4.9)
+    assert [drop.key for drop in budget.pop_drops(5.0)] == ["stopped"]
+
+
+def test_a_large_backlog_of_a_reader_stays_before_a_small_one_of_a_stopped_caller():
+    budget = make_budget(3_000, reader=3_000, stopped=100)
+    budget.record_kernel_bytes("reader", 90, 4.0)
+    budget.record_kernel_bytes("reader", 80, 4.5)
+    assert [drop.key for drop in budget.pop_drops(5.0)] == ["stopped"]
+
+
+def test_a_read_that_shows_only_in_the_kernel_counts():
+    budget = make_budget(300, reader=210, stopped=200)
+    for key, kernel_bytes in (("reader", 90), ("stopped", 90), ("reader", 80), ("stopped", 90)):
+        budget.record_kernel_bytes(key, kernel_bytes, 4.9)
+    assert [drop.key for drop in budget.pop_drops(5.0)] == ["stopped"]
+
+
+def test_what_was_read_or_closed_no_longer_counts():
+    budget = make_budget(300, a=100, b=200, c=150)
+    budget.record_read("a", 100, 1.0)
+    budget.remove("c")
+    budget.remove("c")
+    budget.record_read("c", 50, 1.0)
+    assert (budget.total_bytes, list(budget)) == (200, ["b"])
+
+
+class FakePoller:
+    def addWriter(self, source, sock):  # noqa: N802
+        pass
+
+    def isWriting(self, sock):  # noqa: N802
+        return False
+
+
+class FakeSocket:
+    """Socket whose send buffer accepts a number of bytes."""
+
+    def __init__(self):
+        self.free = 0
+        self.sent = b""
+
+    def fileno(self):
+        return 5
+
+    def send(self, data):
+        if not self.free:
+            raise BlockingIOError(11, "full")
+        count = min(self.free, len(data))
+        self.free -= count
+        self.sent += data[:count]
+        return count
+
+
+def test_the_server_counts_the_bytes_that_it_holds():
+    budget = unread_budget.UnreadBudget(0)
+    server = direct_server.DirectServer(("127.0.0.1", 0), channel="callers", unread=budget)
+    server._poller, sock = FakePoller(), FakeSocket()
+    server._clients.append(sock)
+    parts = [b"a" * 100, b"b" * 40_000, b"c" * 30, b"d" * 30, b"e" * 20_000]
+    sock.free = 70
+    for part in parts:
+        server.send_now(sock, part)
+    held = server._buffers[sock]
+    while held:
+        assert budget.total_bytes == sum(map(len, held)) == server.get_unsent_bytes(sock)
+        assert all(len(piece) == direct_server.PIECE_BYTES for piece in list(held)[1:-1])
+        sock.free = 5_000
+        server._on_write(sock)
+    assert sock.sent == b"".join(parts)
+    assert (budget.total_bytes, len(budget)) == (0, 0)
+    server._sock.close()
--- a/tools/standins/http_server.py
+++ b/tools/standins/http_server.py
@@ -129,6 +129,6 @@
     gone.cancel()
     if not task.done():
         task.cancel()
-        await asyncio.wait([task])
+        await asyncio.gather(task, return_exceptions=True)
         raise ConnectionResetError
     task.result()
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -257,7 +257,8 @@
         await asyncio.sleep(delay_ms / 1000)
         headers = {"X-Request-Id": request.headers["x-request-id"], SIGNATURE: "s"}
         headers |= instance.stated_headers
-        answer.send(200, request.body or b"empty", content_type="text/plain", headers=headers)
+        body = (request.body or b"empty") + _make_padding(request)
+        answer.send(200, body, content_type="text/plain", headers=headers)
 
     async def _stream(
         self, instance: Instance, request: http_server.Request, answer: http_server.Answer
@@ -278,12 +279,19 @@
         answer._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
         if request.body.startswith(CRASH_BODY):
             await asyncio.sleep(2 * CRASH_AFTER_S)
+        padding = _make_padding(request)
+        step_s = float(request.headers.get("x-step-ms", "0")) / 1000 or self._step_s
         for number in range(first, count + 1):
-            await answer.send_events(b"id: %d\ndata: t%d\n\n" % (number, number))
-            await asyncio.sleep(self._step_s)
+            await answer.send_events(b"id: %d\ndata: t%d%b\n\n" % (number, number, padding))
+            await asyncio.sleep(step_s)
         answer.end_events()
 
 
+def _make_padding(request: http_server.Request) -> bytes:
+    """Return the bytes that a request asks to be added to the answer or to each event."""
+    return b"x" * int(request.headers.get("x-added-bytes", "0"))
+
+
 def _bind_socket(host: str, port: int) -> socket.socket:
     """Return a socket bound to an address, even if connections of a previous one are open."""
     sock = socket.socket()
