--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -42,7 +42,7 @@
 
 MAX_JOINED_BYTES = 65_536
 """Size of a body up to which it is sent together with the head; joining copies it."""
-READ_CHECK_INTERVAL_S = 0.25
+READ_CHECK_INTERVAL_S = 0.1
 """Interval between checks of the kernel's send buffers of callers with unread bytes."""
 
 _NO_BYTES = struct.pack("i", 0)
--- a/src/spoolhead/_internal/policy/unread_budget.py
+++ b/src/spoolhead/_internal/policy/unread_budget.py
@@ -9,7 +9,7 @@
 
 from collections.abc import Callable, Hashable, Iterator
 
-STOPPED_S = 1.0
+STOPPED_S = 0.5
 """Time without reading from which a caller counts as one that has stopped."""
 MIN_UNREAD_S = 0.001
 """Lower bound on the time without reading in the cost, so that among callers that read just now
