--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -273,6 +273,15 @@
     assert node_file.read_entry(str(path)).measures_pace is measures_pace
 
 
+@pytest.mark.parametrize(
+    ("limits", "unread_bytes"), [("", 0), ("[limits]\nmemory_mb = 128\n", 25_600_000)]
+)
+def test_unread_bytes_follow_from_the_memory_limit(tmp_path, limits, unread_bytes):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS + limits)
+    assert node_file.read_entry(str(path)).unread_bytes == unread_bytes
+
+
 @pytest.mark.parametrize(
     ("old", "new"),
     [("seeds =", "seeds = 4 #"), ("[cloud]", "[other]"), ('node_name = "n1"', ""), ("[", "[[[")],
