Placement: long answers at risk gather, so that prompts keep away from them

Cause: spread over all slow engines, long answers that find no quick one leave few engines where a prompt harms nobody. The risk of an answer now counts less where others at risk run already (half as much again for each, up to four), first tokens go by the typical pace, and a slow period that is known counts half, since it ends soon.

--- a/src/spoolhead/_internal/policy/run_placement.py
+++ b/src/spoolhead/_internal/policy/run_placement.py
@@ -29,16 +29,18 @@
 """Share of the pause bound up to which an event is at no risk, despite errors of the pace."""
 MIN_EVENTS_AT_RISK = 10
 """Events from which an answer is long enough to be still running when the next prompts are read."""
-PAUSE_RISK = 0.6
-"""Probability of a long pause for a long answer at an engine where it is at risk."""
-ANSWER_TOKENS_AT_RISK = 400
+PAUSE_RISK = 0.9
+"""Cost of a long answer at an engine where it is at risk and no other long answer runs."""
+SHELTER_FACTOR = 0.5
+"""Reduction of that cost by each answer at risk there, since these keep prompts away."""
+MAX_SHELTERING = 4
+"""Answers at risk from which it is not reduced further."""
+TOKENS_PER_ANSWER_AT_RISK = 700
 """Expected tokens of the answers at an engine that count as one answer at risk."""
-CURRENT_SHARE = 0.5
-"""Share of the time in which a prompt is read for which the current pace is expected to last."""
 SLOW_PROBABILITY = 0.25
-"""Probability that an engine is slow at some moment while it reads a prompt."""
-SLOW_NOW_PROBABILITY = 0.6
-"""The same if it is slow now, as far as is known: the period may have ended by then."""
+"""Probability that an engine is slow for a whole event at some moment of a prompt."""
+SLOW_NOW_PROBABILITY = 0.5
+"""The same for an engine that is slow now: the period may end within an event."""
 
 
 class Generation:
@@ -85,11 +87,6 @@
         slowness = min(1.0, max(0.0, slowness))
         return SLOW_PROBABILITY + (SLOW_NOW_PROBABILITY - SLOW_PROBABILITY) * slowness
 
-    @property
-    def expected(self) -> float:
-        """Factor expected while a prompt is read."""
-        return CURRENT_SHARE * self.current + (1 - CURRENT_SHARE) * self.typical
-
 
 class Placement:
     """Cost of a generation at one engine, with its parts.
@@ -193,9 +190,12 @@
 def compute_first_ms(
     upstream: upstream_registry.Upstream, generation: Generation, pace: Pace
 ) -> float:
-    """Return the expected time to the first token of a generation."""
+    """Return the expected time to the first token of a generation.
+
+    Its pace is the typical one: a slow period is about as short as the time that prompts take.
+    """
     tokens = upstream.prefill_tokens + generation.prompt_tokens
-    return tokens / CHUNK_TOKENS * (CHUNK_MS + STEP_MS) * pace.expected
+    return tokens / CHUNK_TOKENS * (CHUNK_MS + STEP_MS) * pace.typical
 
 
 def is_long_answer(engine: route_table.Engine, generation: Generation) -> bool:
@@ -209,10 +209,12 @@
     generation: Generation,
     pace: Pace,
 ) -> float:
-    """Return the probability that an answer has a long pause at an engine."""
+    """Return the cost of the risk that an answer has a long pause at an engine."""
     if not is_long_answer(engine, generation):
         return 0.0
-    return PAUSE_RISK * _get_risk(engine, upstream, generation, pace)
+    shelter = min(MAX_SHELTERING, _count_long_answers(upstream))
+    risk = _get_risk(engine, upstream, generation, pace)
+    return PAUSE_RISK * risk / (1 + SHELTER_FACTOR * shelter)
 
 
 def _get_risk(
@@ -230,14 +232,20 @@
     return min(1.0, max(0.0, excess / (1 - SAFE_FRACTION)))
 
 
+def _count_long_answers(upstream: upstream_registry.Upstream) -> float:
+    return min(upstream.count, upstream.answer_tokens / TOKENS_PER_ANSWER_AT_RISK)
+
+
 def _compute_harm(
-    upstream: upstream_registry.Upstream, generation: Generation, pace: Pace, risk: float
+    upstream: upstream_registry.Upstream,
+    generation: Generation,
+    pace: Pace,
+    risk: float,
 ) -> float:
-    """Return the expected number of running answers that get a long pause through a prompt.
+    """Return the number of other answers in which a prompt is expected to cause a long pause.
 
     Their routes are not known here; the bound of the generation's own route stands for theirs.
     """
     if not generation.prompt_tokens:
         return 0.0
-    at_risk = min(upstream.count, upstream.answer_tokens / ANSWER_TOKENS_AT_RISK)
-    return at_risk * risk * pace.slow_probability
+    return _count_long_answers(upstream) * risk * pace.slow_probability
