Shared queue: room at engines is given in one order over all entries

Cause: each entry kept its own queue and decided alone on shared totals, so ten entries of 55 sent to the same engine within 12 ms; what was sent too much queued at the engine, where it can't be moved.

Change: entries publish the memory that their waiting requests need, by class (late, rank, share of the workspace, age), as rows of the load reports. Each walks the demand ahead of a request over the engines with room and starts it if room is left. Room unused for 0.1 s is open to all.

--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -48,6 +48,21 @@
         self.room_wait_ms = metrics.make_histogram(
             "spoolhead_room_wait_ms", "Time for which a generation waited before it was sent."
         )
+        self.room_starts = metrics.make_counter(
+            "spoolhead_room_starts",
+            "Generations sent while others waited anywhere, by waiting class.",
+            "rank",
+            "is_late",
+            "is_over_share",
+        )
+        self.waiting_ahead_tokens = metrics.make_gauge(
+            "spoolhead_waiting_ahead_tokens",
+            "Memory needed by what was ahead of the last generation that was decided on.",
+        )
+        self.room_unused_ms = metrics.make_histogram(
+            "spoolhead_room_unused_ms",
+            "Time for which room had stayed unused when a generation got it that had waited.",
+        )
         self.request_ms = metrics.make_histogram(
             "spoolhead_request_ms", "Time from arrival to the end of the answer.", "kind"
         )
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 
 from spoolhead._internal.contents import content_watch
-from spoolhead._internal.gateway import entry_metrics, permit_exchange, run_queue, upstream_limits
+from spoolhead._internal.gateway import (
+    entry_metrics,
+    permit_exchange,
+    room_sharing,
+    run_queue,
+    upstream_limits,
+)
 from spoolhead._internal.models import dialects, settings
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import (
@@ -35,6 +41,7 @@
     :ivar get_load_age_ms: returns the age of the load data received from other entries.
     :ivar metrics: counters and histograms.
     :ivar queue: generations that wait for an engine with free capacity.
+    :ivar room: shares the order of these with other entries; None if each entry has its own.
     :ivar entry_count: number of known entries.
     :ivar reach: tracks which halls are reachable.
     :ivar cold_starts: quotas for requests to cold instances.
@@ -69,6 +76,7 @@
         "permits",
         "queue",
         "reach",
+        "room",
         "timers",
     )
 
@@ -92,6 +100,7 @@
         get_silent_halls: Callable[[], frozenset[str]],
         get_load_age_ms: Callable[[], int],
         metrics: entry_metrics.EntryMetrics,
+        room: room_sharing.RoomSharing | None = None,
     ) -> None:
         self.config = config
         self.dialect = dialect
@@ -108,7 +117,8 @@
         self.get_silent_halls = get_silent_halls
         self.get_load_age_ms = get_load_age_ms
         self.metrics = metrics
-        self.queue = run_queue.RunQueue(timers, rng)
+        self.room = room
+        self.queue = run_queue.RunQueue(timers, rng, room)
         self.entry_count = 1
         self.reach = hall_reach.HallReach(config.hall)
         self.cold_starts = cold_start.ColdStarts(config.name, config.hall)
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -107,6 +107,7 @@
         self._reported_s = 0.0
         self._report_bytes = 0
         self._beacon_sent_s = 0.0
+        self._get_queue_rows: Callable[[], shared_load.LoadByInstance] = dict
         timers.call_every(HUB_CHECK_INTERVAL_S, self._check_hub)
         timers.call_every(REBUILD_INTERVAL_S, self.refresh)
         timers.call_every(HALL_CHECK_INTERVAL_S, self._log_halls)
@@ -116,6 +117,14 @@
         """Whether the current hub has sent its complete state."""
         return self._load_view.has_snapshot
 
+    def share_queue(self, get_rows: Callable[[], shared_load.LoadByInstance]) -> None:
+        """Include the rows of this entry's queue in reports."""
+        self._get_queue_rows = get_rows
+
+    def get_other_load(self, key: int) -> shared_load.InstanceLoad | None:
+        """Return the load of the other entries under a key; None for no load."""
+        return self._load_view.get_other_load(key)
+
     def set_fleet(self, known: fleet.Fleet) -> None:
         """Set the known keepers and entries, and update the candidates for the hub."""
         self._fleet = known
@@ -270,6 +279,7 @@
         self._sequence += 1
         rows = self._load_view.get_own_load() if is_reporter else {}
         if is_reporter:
+            rows.update(self._get_queue_rows())
             self._load_view.record_report(self._sequence, rows)
         report = shared_load.Report(
             sender=self._name,
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -15,6 +15,7 @@
     permit_exchange,
     plain_exchange,
     refusals,
+    room_sharing,
     routed_job,
     startup,
     stream_exchange,
@@ -124,6 +125,7 @@
             on_load_update=self._on_load_update,
         )
         self._metrics.news_age_ms.set_function(self._load_sharing.get_load_age_ms)
+        room = room_sharing.make(config, self._registry, self._load_sharing, self._metrics)
         self._termination_watch = termination_watch.TerminationWatch(
             calls,
             self.loop.scheduler,
@@ -151,6 +153,7 @@
             get_silent_halls=self._load_sharing.get_silent_halls,
             get_load_age_ms=self._load_sharing.get_load_age_ms,
             metrics=self._metrics,
+            room=room,
         )
         self._upstream_events = upstream_events.UpstreamEvents(
             self._context,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -10,11 +10,12 @@
     routed_job,
     run_migration,
 )
-from spoolhead._internal.models import codes, dialects
+from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import caller_front
 from spoolhead._internal.policy import (
     run_admission,
     run_migration_policy,
+    shared_queue,
     upstream_choice,
     upstream_registry,
 )
@@ -32,9 +33,13 @@
     """One streamed request.
 
     :ivar admission: properties of the request for admission to engines.
+    :ivar waiting: the request in the queue shared by all entries; None if that is off.
+    :ivar decision: last decision on it there.
     """
 
     admission: run_admission.Request
+    waiting: shared_queue.WaitingRequest | None = None
+    decision: shared_queue.Decision | None = None
 
     def __init__(
         self,
@@ -101,9 +106,7 @@
         engine = self.job.service.engine
         choice = self.choose(self.need_tokens)
         if engine is not None:
-            request = self.admission
-            choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
-            verdict = run_admission.decide(engine, choice, request, clocks.get_s())
+            choice, verdict = self._admit(engine, choice)
             if verdict is run_admission.Verdict.WAIT:
                 return False
             if verdict is run_admission.Verdict.REFUSE and choice.upstream is not None:
@@ -115,9 +118,33 @@
         if choice.upstream is None:
             self.fail_without_upstream(choice)
         else:
+            self._record_room()
             self._send_run(choice.upstream, None)
         return True
 
+    def _admit(
+        self, engine: route_table.Engine, choice: upstream_choice.Choice
+    ) -> tuple[upstream_choice.Choice, run_admission.Verdict]:
+        """Decide on the request; the choice is returned with the preferred engine first."""
+        request = self.admission
+        choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
+        now_s = clocks.get_s()
+        if self._context.room is None or self.waiting is None or self._permitted_id:
+            return choice, run_admission.decide(engine, choice, request, now_s)
+        self.decision = decision = self._context.room.decide(
+            self.waiting,
+            engine,
+            [item.upstream for item in choice.candidates],
+            has_room=lambda item: run_admission.has_room(engine, item, request),
+        )
+        if decision.upstream is None:
+            refuse_s = self.waiting.refuse_s
+            return choice, run_admission.decide_queued(
+                choice, request, refuse_s=refuse_s, now_s=now_s
+            )
+        choice = choice.prefer(lambda item: item is decision.upstream)
+        return choice, run_admission.Verdict.BEGIN
+
     def on_permit(self) -> None:
         """Start the run, at this or another engine, unless it must wait for capacity."""
         if self.try_start():
@@ -190,8 +217,16 @@
 
     def _start_run(self) -> None:
         generation = self.job.head.generation
+        if self._context.room is not None and self.waiting is None:
+            self.waiting = self._context.room.make_request(
+                self.job,
+                need_tokens=self.need_tokens,
+                arrived_s=self._arrived_s,
+                deadline_s=self._deadline_s,
+            )
         self.admission = run_admission.Request(
-            rank=self.job.route.priority,
+            # The shared queue orders ranks itself, and all may use the whole memory.
+            rank=self.job.route.priority if self.waiting is None else 0,
             need_tokens=self.need_tokens,
             prompt_tokens=generation.prompt_tokens if generation is not None else 0,
             objective_ms=self.job.route.objective_ms,
@@ -199,9 +234,25 @@
         )
         if not self.try_start():
             if not self._is_awaiting_permit:
-                logger.info("waits for room", extra={"fields": self.get_log_fields()})
+                fields = {**self.get_log_fields(), **self._get_room_fields()}
+                logger.info("waits for room", extra={"fields": fields})
             self._context.queue.add(self)
 
+    def _get_room_fields(self) -> dict[str, object]:
+        """Return the log fields of the last decision in the shared queue."""
+        if self._context.room is None or self.decision is None:
+            return {}
+        return self._context.room.get_log_fields(self.decision)
+
+    def _record_room(self) -> None:
+        """Log and count that the request gets room in the shared queue."""
+        room, decision, waiting = self._context.room, self.decision, self.waiting
+        if room is None or decision is None or waiting is None or decision.upstream is None:
+            return
+        if room.record_start(waiting, decision):
+            fields = {**self.get_log_fields(), **self._get_room_fields()}
+            logger.info("gets room", extra={"fields": fields})
+
     def _refuse(self, choice: upstream_choice.Choice) -> None:
         """Refuse the request because no engine is expected to have free capacity in time."""
         self.log_choice("no room", choice)
@@ -274,6 +325,8 @@
             self.need_tokens,
             prefill_tokens=prefill_tokens,
             answer_tokens=self._expected_tokens,
+            rank=self.job.route.priority,
+            workspace=self.job.workspace_name,
         )
         self._context.on_change()
         parameters = dialects.AttemptParameters(
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -238,6 +238,7 @@
     :ivar health_interval_ms: interval between health checks of a model engine.
     :ivar moves_runs: a run is migrated when its instance leaves.
     :ivar ranks_runs: the rank of each run is sent to the engine.
+    :ivar shares_room: generations that wait for an engine are queued in one order over all entries.
     """
 
     name: str
@@ -259,6 +260,7 @@
     health_interval_ms: Positive = 200
     moves_runs: bool = True
     ranks_runs: bool = True
+    shares_room: bool = False
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
     upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
     log: LogSettings = pydantic.Field(default_factory=LogSettings)
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -64,6 +64,11 @@
             if upstream.in_flight
         }
 
+    def get_other_load(self, key: int) -> shared_load.InstanceLoad | None:
+        """Return the load of the other entries under a key; None for no load."""
+        row = self._rows.get(key)
+        return row.other_load if row is not None else None
+
     def record_report(self, sequence: int, rows: shared_load.LoadByInstance) -> None:
         """Store an own report, whose load has to be subtracted from updates that include it."""
         self._reports[sequence] = rows
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -126,6 +126,22 @@
     return Verdict.BEGIN if now_s >= request.offer_s else Verdict.WAIT
 
 
+def decide_queued(
+    choice: upstream_choice.Choice, request: Request, *, refuse_s: float, now_s: float
+) -> Verdict:
+    """Decide on a generation that gets no room in the queue shared by all entries.
+
+    :param refuse_s: monotonic time until which it may wait.
+    """
+    if choice.is_cut_off:
+        return Verdict.REFUSE
+    if choice.upstream is None:
+        refuse_s = min(refuse_s, request.refuse_s)
+        open_s = now_s + (choice.retry_after_ms or 0) / 1000
+        return Verdict.WAIT if open_s < refuse_s else Verdict.REFUSE
+    return Verdict.WAIT if now_s < refuse_s else Verdict.REFUSE
+
+
 def _wait_or_refuse(request: Request, open_s: float) -> Verdict:
     return Verdict.WAIT if open_s < request.refuse_s else Verdict.REFUSE
 
--- a/src/spoolhead/_internal/policy/upstream_registry.py
+++ b/src/spoolhead/_internal/policy/upstream_registry.py
@@ -46,9 +46,19 @@
     :ivar prefill_tokens: tokens of its prompt that are not processed yet.
     :ivar answer_tokens: tokens that it is expected to generate in total.
     :ivar is_copy: whether it is a copy of a run, stored for a migration to this instance.
+    :ivar rank: its route's rank, 0 for the most urgent.
+    :ivar workspace: name of its workspace; empty without one.
     """
 
-    __slots__ = ("answer_tokens", "is_copy", "prefill_tokens", "request_id", "tokens")
+    __slots__ = (
+        "answer_tokens",
+        "is_copy",
+        "prefill_tokens",
+        "rank",
+        "request_id",
+        "tokens",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -58,12 +68,16 @@
         prefill_tokens: int,
         answer_tokens: int = 0,
         is_copy: bool = False,
+        rank: int = 0,
+        workspace: str = "",
     ) -> None:
         self.request_id = request_id
         self.tokens = tokens
         self.prefill_tokens = prefill_tokens
         self.answer_tokens = answer_tokens
         self.is_copy = is_copy
+        self.rank = rank
+        self.workspace = workspace
 
 
 class Upstream:
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -23,6 +23,8 @@
 DEFAULT_LINK_MBPS = 5.0
 """Link bandwidth of a process whose settings state none."""
 BYTES_PER_MBIT = 125_000
+PRESSURE_CONTRACT = "pressure"
+"""Name in the file's ``contracts`` where callers compete for too few engines."""
 _LOG = settings.LogSettings(output="stdout")
 
 
@@ -84,6 +86,7 @@
         retry_ratio=float(bounds.get("retry_budget_ratio", 0.0)),
         retry_slack=int(bounds.get("retry_slack", 0)),
         retry_window_ms=int(bounds.get("retry_window_s", 10) * 1000),
+        shares_room=PRESSURE_CONTRACT in fields.get("contracts", ()),
         upstreams=settings.UpstreamSettings(connect_ms=CONNECT_MS),
         log=_LOG,
     )
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -9,6 +9,7 @@
     exchange_context,
     permit_exchange,
     plain_exchange,
+    room_sharing,
     routed_job,
     stream_exchange,
     upstream_events,
@@ -239,6 +240,7 @@
     :param busy: number of requests of other entries at each instance, by name.
     :param limits_per_s: rate limit of each limited instance, by name.
     :param knows_fleet: whether the entry knows itself as a granter of permits.
+    :param shares_room: whether the entry shares its queue; ``other_rows`` has what others report.
     """
 
     def __init__(
@@ -260,6 +262,7 @@
         limits_per_s=None,
         knows_fleet=True,
         objective_ms=400,
+        shares_room=False,
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -328,6 +331,19 @@
         own = fleet.Process(name=config.name, hall=config.hall, address="")
         if knows_fleet:
             self.permits.set_entries([own])
+        metrics = entry_metrics.EntryMetrics(prometheus_metrics.PrometheusMetrics())
+        self.other_rows = {}
+        self.room = None
+        if shares_room:
+            self.room = room_sharing.RoomSharing(
+                self.registry,
+                get_other_load=self.other_rows.get,
+                get_load_age_ms=lambda: 20,
+                request_report=lambda: None,
+                metrics=metrics,
+                rng=random.Random(1),
+                clock=lambda: clocks.get_s(),
+            )
         context = self.context = exchange_context.Context(
             config=config,
             dialect=dialect.Dialect(),
@@ -345,7 +361,8 @@
             query_termination=self.end_queries.append,
             get_silent_halls=frozenset,
             get_load_age_ms=lambda: 20,
-            metrics=entry_metrics.EntryMetrics(prometheus_metrics.PrometheusMetrics()),
+            metrics=metrics,
+            room=self.room,
         )
         self.exchanges = set()
         self.events = upstream_events.UpstreamEvents(
--- a/tests/unit/test_platform.py
+++ b/tests/unit/test_platform.py
@@ -244,3 +244,11 @@
     path.write_text(SETTINGS.replace(old, new))
     with pytest.raises(exceptions.SettingsError):
         node_file.read_entry(str(path))
+
+
+def test_the_queue_is_shared_where_callers_compete(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    assert not node_file.read_entry(str(path)).shares_room
+    path.write_text('contracts = ["base", "pressure"]\n' + SETTINGS)
+    assert node_file.read_entry(str(path)).shares_room
