--- a/benchmarks/run_placement.py
+++ b/benchmarks/run_placement.py
@@ -7,7 +7,7 @@
 import statistics
 import sys
 
-from lib import uneven_engines
+from lib import decoding_engines
 from spoolhead._internal.policy import run_placement
 
 QUICK_BELOW = 0.9
@@ -56,9 +56,11 @@
 
 
 def _play(pace_age_s, seed, for_s):
-    long = uneven_engines.Kind(13.6, prompt_tokens=3_000, events=187, objective_ms=1_800)
-    short = uneven_engines.Kind(15.3, prompt_tokens=2_200, events=2.5, objective_ms=1_500)
-    play = uneven_engines.UnevenEngines([long, short], engines=28, pace_age_s=pace_age_s, seed=seed)
+    long = decoding_engines.Kind(13.6, prompt_tokens=3_000, events=187, objective_ms=1_800)
+    short = decoding_engines.Kind(15.3, prompt_tokens=2_200, events=2.5, objective_ms=1_500)
+    play = decoding_engines.UnevenEngines(
+        [long, short], engines=28, pace_age_s=pace_age_s, seed=seed
+    )
     play.run(for_s)
     return play.get_spoilt_fraction(long), play.get_first_ms(long), play.get_first_ms(short)
 
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -242,6 +242,7 @@
     :ivar moves_runs: a run is migrated when its instance leaves.
     :ivar ranks_runs: the rank of each run is sent to the engine.
     :ivar measures_pace: the paces of instances are measured by streams also where none is stated.
+    :ivar shares_room: generations that wait for an engine are queued in one order over all entries.
     """
 
     name: str
@@ -265,6 +266,7 @@
     moves_runs: bool = True
     ranks_runs: bool = True
     measures_pace: bool = False
+    shares_room: bool = False
     callers: CallerLimits = pydantic.Field(default_factory=CallerLimits)
     upstreams: UpstreamSettings = pydantic.Field(default_factory=UpstreamSettings)
     log: LogSettings = pydantic.Field(default_factory=LogSettings)
--- a/tests/patterns/test_uneven_engines_placement.py
+++ b/tests/patterns/test_uneven_engines_placement.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from lib import uneven_engines
+from lib import decoding_engines
 
 SEEDS = (1, 2, 3)
 FOR_S = 20
@@ -19,11 +19,11 @@
     """
 
     def __init__(self, pace_age_s):
-        long = uneven_engines.Kind(13.6, prompt_tokens=3_000, events=187, objective_ms=1_800)
-        short = uneven_engines.Kind(15.3, prompt_tokens=2_200, events=2.5, objective_ms=1_500)
+        long = decoding_engines.Kind(13.6, prompt_tokens=3_000, events=187, objective_ms=1_800)
+        short = decoding_engines.Kind(15.3, prompt_tokens=2_200, events=2.5, objective_ms=1_500)
         plays = []
         for seed in SEEDS:
-            play = uneven_engines.UnevenEngines(
+            play = decoding_engines.UnevenEngines(
                 [long, short], engines=28, pace_age_s=pace_age_s, seed=seed
             )
             play.run(FOR_S)
