Shared queue: refuse early what is not expected to start in time, with when to return

Wires the forecast into the shared queue (setting shares_room): entries publish the memory that their runs acquired and released and the places of who is to return, as load rows; a waiting generation is refused on arrival if its expected start is past its objective, later only past twice that.

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -61,6 +61,9 @@
 """Age up to which an entry that is not ready queues requests. A start that includes an election
 takes less than a second."""
 READY_CHECK_INTERVAL_S = 0.05
+FLOW_INTERVAL_S = 0.1
+"""Interval at which the memory released by runs is recorded; a twentieth of the time over which its
+rate is measured."""
 REACH_CHECK_INTERVAL_S = 0.2
 """Interval between checks of which services are reachable; a fifth of the load balancer's probe
 interval."""
@@ -136,6 +139,8 @@
         )
         self._metrics.news_age_ms.set_function(self._load_sharing.get_load_age_ms)
         room = room_sharing.make(config, self._registry, self._load_sharing, self._metrics)
+        if room is not None:
+            self.loop.scheduler.call_every(FLOW_INTERVAL_S, room.forecast.record_flows)
         self._termination_watch = termination_watch.TerminationWatch(
             calls,
             self.loop.scheduler,
--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -7,7 +7,12 @@
 import random
 from collections.abc import Callable, Sequence
 
-from spoolhead._internal.gateway import entry_metrics, load_sharing, routed_job
+from spoolhead._internal.gateway import (
+    entry_metrics,
+    load_sharing,
+    room_forecast,
+    routed_job,
+)
 from spoolhead._internal.models import queue_rows, route_table, settings, shared_load
 from spoolhead._internal.policy import shared_queue, upstream_registry, workspace_shares
 from spoolhead._internal.utils import clocks
@@ -63,6 +68,7 @@
     :param metrics: counters and histograms.
     :param rng: random number generator.
     :param clock: monotonic time in seconds.
+    :ivar forecast: forecasts when waiting requests start.
     """
 
     def __init__(
@@ -84,6 +90,7 @@
         self._rng = rng
         self._clock = clock
         self._queues: dict[str, _ServiceQueue] = {}
+        self.forecast = room_forecast.RoomForecast(get_other_load, clock=clock)
 
     def make_request(
         self, job: routed_job.Job, *, need_tokens: int, arrived_s: float, deadline_s: float
@@ -190,6 +197,7 @@
     def get_rows(self) -> shared_load.LoadByInstance:
         """Return the rows of this entry for a report."""
         rows = self._get_waiting_rows()
+        rows.update(self.forecast.get_rows())
         for service, queue in self._queues.items():
             self._add_running_rows(rows, service)
             if self._has_waiting(service, queue):
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -7,6 +7,8 @@
     attempts,
     exchange,
     exchange_context,
+    room_forecast,
+    room_sharing,
     routed_job,
     run_migration,
 )
@@ -17,6 +19,7 @@
     run_migration_policy,
     run_placement,
     shared_queue,
+    start_forecast,
     upstream_choice,
     upstream_registry,
 )
@@ -54,6 +57,9 @@
         self._migration = run_migration.RunMigration(self, job, context)
         self._pace_meter = pace_meter.PaceMeter(self._arrived_s)
         self._block_meter = block_meter.BlockMeter()
+        self._forecast: room_forecast.Forecast | None = None
+        self._is_return = False
+        self._acquired_tokens = 0
 
     @property
     def upstream(self) -> upstream_registry.Upstream | None:
@@ -146,9 +152,8 @@
         )
         if decision.upstream is None:
             refuse_s = self.waiting.refuse_s
-            return choice, run_admission.decide_queued(
-                choice, request, refuse_s=refuse_s, now_s=now_s
-            )
+            verdict = run_admission.decide_queued(choice, request, refuse_s=refuse_s, now_s=now_s)
+            return choice, self._apply_forecast(self._context.room, choice, verdict)
         choice = choice.prefer(lambda item: item is decision.upstream)
         return choice, run_admission.Verdict.BEGIN
 
@@ -161,6 +166,7 @@
         """Remove the request from the queue, cancel its run and release its copy."""
         self._context.queue.remove(self)
         self._migration.release_copy()
+        self._record_released()
         self.cancel_attempt()
 
     def on_instances_changed(self) -> None:
@@ -229,6 +235,7 @@
     def _start_run(self) -> None:
         generation = self.job.head.generation
         if self._context.room is not None and self.waiting is None:
+            self._is_return = self._context.room.forecast.claim_place(self.job)
             self.waiting = self._context.room.make_request(
                 self.job,
                 need_tokens=self.need_tokens,
@@ -260,11 +267,36 @@
             pause_ms=self.job.route.pause_ms,
         )
 
+    def _apply_forecast(
+        self,
+        room: room_sharing.RoomSharing,
+        choice: upstream_choice.Choice,
+        verdict: run_admission.Verdict,
+    ) -> run_admission.Verdict:
+        """Refuse a waiting request that is not expected to start in time."""
+        assert self.waiting is not None and self.decision is not None
+        upstreams = [item.upstream for item in choice.candidates]
+        running = start_forecast.Running(
+            sum(upstream.tokens for upstream in upstreams),
+            sum(upstream.answer_tokens for upstream in upstreams),
+            sum(upstream.count for upstream in upstreams),
+        )
+        self._forecast = forecast = room.forecast.forecast(self.waiting, self.decision, running)
+        if verdict is not run_admission.Verdict.WAIT:
+            return verdict
+        is_refused = room.forecast.should_refuse(
+            self.admission, forecast, timeout_ms=self._wait_ms, is_return=self._is_return
+        )
+        return run_admission.Verdict.REFUSE if is_refused else verdict
+
     def _get_room_fields(self) -> dict[str, object]:
         """Return the log fields of the last decision in the shared queue."""
         if self._context.room is None or self.decision is None:
             return {}
-        return self._context.room.get_log_fields(self.decision)
+        fields = self._context.room.get_log_fields(self.decision)
+        if self._forecast is not None:
+            fields.update(self._forecast.get_log_fields())
+        return fields
 
     def _record_room(self) -> None:
         """Log and count that the request gets room in the shared queue."""
@@ -278,10 +310,20 @@
     def _refuse(self, choice: upstream_choice.Choice) -> None:
         """Refuse the request because no engine is expected to have free capacity in time."""
         self.log_choice("no room", choice)
-        retry_after_ms = run_admission.compute_retry_after_ms(self.remaining_ms)
+        if self._context.room is not None:
+            fields = {**self.get_log_fields(), **self._get_room_fields()}
+            fields["is_return"] = self._is_return
+            logger.info("no start in time", extra={"fields": fields})
+        retry_after_ms = self._get_retry_after_ms()
         code = codes.ResultCode.DEADLINE_UNREACHABLE
         self.fail(code, "no engine is expected to have room in time", retry_after_ms=retry_after_ms)
 
+    def _get_retry_after_ms(self) -> int:
+        room, forecast = self._context.room, self._forecast
+        if room is None or forecast is None:
+            return run_admission.compute_retry_after_ms(self.remaining_ms)
+        return room.forecast.give_place(self.job, forecast, remaining_ms=self.remaining_ms)
+
     def _is_event_stream(self, head: dialects.AnswerHead) -> bool:
         """Return whether an answer is the instance's own event stream for this request."""
         request_id = self.job.head.request_id
@@ -344,6 +386,7 @@
         )
         self._tried_ids.add(upstream.instance.incarnation_id)
         if resume is None:
+            self._record_acquired()
             waited_ms = (clocks.get_s() - self._arrived_s) * 1000
             self._context.metrics.room_wait_ms.observe(waited_ms)
         upstream.in_flight[request_id] = upstream_registry.InFlightRequest(
@@ -364,6 +407,22 @@
         )
         attempt.call = self.send_attempt(upstream, attempt, parameters)
 
+    def _record_acquired(self) -> None:
+        room = self._context.room
+        if room is not None and not self._acquired_tokens:
+            self._acquired_tokens = self.need_tokens
+            service = self.job.service.name
+            room.forecast.record_acquired(service, self.job.route.priority, self.need_tokens)
+
+    def _record_released(self) -> None:
+        """Record the memory of the run as released, unless its instance leaves."""
+        room, upstream = self._context.room, self.upstream
+        if room is None or not self._acquired_tokens:
+            return
+        if upstream is not None and not upstream.may_be_leaving(clocks.get_s()):
+            room.forecast.record_released(self.job.service.name, self._acquired_tokens)
+        self._acquired_tokens = 0
+
     def _get_urgency(self) -> int | None:
         if not self._context.config.ranks_runs:
             return None
--- a/src/spoolhead/_internal/models/queue_rows.py
+++ b/src/spoolhead/_internal/models/queue_rows.py
@@ -49,6 +49,18 @@
     return tuple(shared_load.get_key(f"running/{service}/{rank}") for rank in range(RANKS))
 
 
+@functools.lru_cache(maxsize=64)
+def get_released_key(service: str) -> int:
+    """Return the key of the memory that a service's runs have released so far."""
+    return shared_load.get_key(f"released/{service}")
+
+
+@functools.lru_cache(maxsize=64)
+def get_acquired_keys(service: str) -> tuple[int, ...]:
+    """Return the keys of the memory that a service's runs have acquired so far, by rank."""
+    return tuple(shared_load.get_key(f"acquired/{service}/{rank}") for rank in range(RANKS))
+
+
 @functools.lru_cache(maxsize=64)
 def get_bucket_keys(service: str) -> tuple[tuple[int, ...], ...]:
     """Return the keys of the workspace buckets of a service, for each of the two hashes."""
--- a/src/spoolhead/_internal/policy/run_refusal.py
+++ b/src/spoolhead/_internal/policy/run_refusal.py
@@ -12,6 +12,8 @@
 EARLY_FRACTION = 1 / 8
 """Share of the objective after the arrival within which a generation is refused if it is not
 expected to start in time: its caller has nearly all of its time left."""
+MIN_START_FRACTION = 0.5
+"""Share of the objective within which any generation may start, whatever its prefill takes."""
 MAX_WAIT_OBJECTIVES = 2.0
 """Latest start after the arrival, as a multiple of the objective."""
 MAX_WAIT_FRACTION = 0.5
@@ -21,7 +23,8 @@
 def get_in_time_ms(request: run_admission.Request) -> int:
     """Return how long after its arrival a generation may start to meet its objective."""
     prefill_ms = request.prompt_tokens / run_admission.PREFILL_TOKENS_PER_MS
-    return max(0, int(request.objective_ms - prefill_ms))
+    earliest_ms = request.objective_ms * MIN_START_FRACTION
+    return int(max(earliest_ms, request.objective_ms - prefill_ms))
 
 
 def get_max_wait_ms(request: run_admission.Request, timeout_ms: int) -> int:
--- a/src/spoolhead/_internal/policy/start_forecast.py
+++ b/src/spoolhead/_internal/policy/start_forecast.py
@@ -13,6 +13,13 @@
 load that fills engines, several runs end within it."""
 MIN_WINDOW_S = 0.5
 """Minimum time covered by samples for a rate; a shorter span holds too few ends of runs."""
+TOKEN_MS = 10.0
+"""Typical time in which a run generates a token in a well filled batch."""
+PREFILL_S = 0.4
+"""Typical time from the start of a run to its first token."""
+TURNOVER_SHARE = 0.5
+"""Share of the turnover that is expected while less was measured: many runs may have begun only a
+moment ago, and more urgent ones take a part."""
 SAMPLE_INTERVAL_S = 0.1
 """Minimum interval between two stored samples."""
 
@@ -74,6 +81,37 @@
         return max(0.0, (released_tokens - acquired_tokens) / span_s)
 
 
+class Running:
+    """The runs of all entries at the engines of a service.
+
+    :ivar tokens: memory that they use or will use.
+    :ivar answer_tokens: tokens that they are expected to generate in total.
+    :ivar count: their number.
+    """
+
+    __slots__ = ("answer_tokens", "count", "tokens")
+
+    def __init__(self, tokens: int, answer_tokens: int, count: int) -> None:
+        self.tokens = tokens
+        self.answer_tokens = answer_tokens
+        self.count = count
+
+
+def compute_rate_per_s(running: Running, measured_per_s: float | None) -> float:
+    """Return the rate at which memory is expected to become available, in tokens a second.
+
+    In the first seconds of a burst the measured rate is too low, since the runs that fill the
+    engines have only just begun. The rate is therefore at least a share of the turnover that
+    follows from the mean length of the runs.
+
+    :param measured_per_s: measured rate; None if unknown.
+    """
+    if not running.count:
+        return measured_per_s or 0.0
+    mean_s = running.answer_tokens / running.count * TOKEN_MS / 1000 + PREFILL_S
+    return max(measured_per_s or 0.0, TURNOVER_SHARE * running.tokens / mean_s)
+
+
 class Demand:
     """Memory that is free and memory that is wanted before and by one generation.
 
--- a/tests/unit/test_start_forecast.py
+++ b/tests/unit/test_start_forecast.py
@@ -43,6 +43,14 @@
     assert start_forecast.compute_wait_ms(_make_demand(), 0.0) is None
 
 
+def test_the_turnover_counts_where_the_runs_have_only_just_begun():
+    """Pattern: a burst fills the engines within two seconds, and nothing has ended yet."""
+    running = start_forecast.Running(tokens=375_000, answer_tokens=75_000, count=100)
+    rate_per_s = start_forecast.compute_rate_per_s(running, 2_000.0)
+    assert 20_000 < rate_per_s < 375_000 / 7.5
+    assert start_forecast.compute_rate_per_s(running, 60_000.0) == 60_000.0
+
+
 def test_refused_generations_come_back_one_after_the_other():
     demand = _make_demand(returning_tokens=10_000)
     assert start_forecast.compute_return_ms(demand, 5_000.0) == 4_000
