--- a/src/spoolhead/_internal/policy/run_migration_policy.py
+++ b/src/spoolhead/_internal/policy/run_migration_policy.py
@@ -8,6 +8,9 @@
 OTHER_HALL_COST = 0.4
 """Cost of a copy target in another hall, as a share of its memory: a copy between halls takes twice
 as long, and a leaving instance has time for a handful of copies only."""
+RISK_FRACTION = 0.6
+"""Share of the cost of a long pause that counts for a copy target: less than a full memory, since a
+full instance refuses the copy and the run may be lost."""
 GENERATED_TOKEN_VALUE = 10
 """Value of a generated token relative to a prompt token: generating one takes some ten times as
 long, a step of 8 ms shared by some eight runs against 14 prompt tokens processed in a
@@ -64,7 +67,8 @@
         cost = upstream.tokens / engine.memory_tokens
         if generation is not None and paces.is_known:
             pace = paces.get(upstream)
-            cost += run_placement.get_risk_cost(engine, upstream, generation, pace)
+            risk_cost = run_placement.get_risk_cost(engine, upstream, generation, pace)
+            cost += RISK_FRACTION * risk_cost
         if upstream.instance.hall != source.instance.hall:
             cost += OTHER_HALL_COST
         return cost
--- a/src/spoolhead/_internal/policy/run_placement.py
+++ b/src/spoolhead/_internal/policy/run_placement.py
@@ -6,6 +6,7 @@
 beside a prompt in a slow moment takes longer than its route's pause bound.
 
 The unit of all costs is one spoilt answer: one whose first token is late or that has a long pause.
+A full memory costs as much, since a generation that finds no room there is late.
 """
 
 from collections.abc import Sequence
@@ -21,16 +22,13 @@
 """Time that a chunk of a prompt adds to a step."""
 CHUNK_TOKENS = 112
 """Tokens of a prompt in one chunk."""
-FILL_COST = 0.35
-"""Cost of a full memory: a run there may have to wait or be preempted."""
-SHARED_ROOM_COST = 1.0
-"""Cost of a full memory for an answer that is at no risk anywhere: it takes room from others."""
 SAFE_FRACTION = 0.85
 """Share of the pause bound up to which an event is at no risk, despite errors of the pace."""
 MIN_EVENTS_AT_RISK = 10
 """Events from which an answer is long enough to be still running when the next prompts are read."""
-PAUSE_RISK = 0.9
-"""Cost of a long answer at an engine where it is at risk and no other long answer runs."""
+RISK_COST = 1.5
+"""Cost of a long answer where it is at risk and no other long answer runs: above 1, since it also
+keeps prompts away from the engine."""
 SHELTER_FACTOR = 0.5
 """Reduction of that cost by each answer at risk there, since these keep prompts away."""
 MAX_SHELTERING = 4
@@ -173,14 +171,12 @@
 ) -> Placement:
     """Compute the cost of a generation at an engine."""
     risk = _get_risk(engine, upstream, generation, pace)
-    is_long = is_long_answer(engine, generation)
     first_ms = compute_first_ms(upstream, generation, pace)
     need_tokens = generation.prompt_tokens + generation.answer_tokens
-    fill = (upstream.tokens + need_tokens) / engine.memory_tokens
     return Placement(
         pace,
         first_ms=first_ms,
-        fill_cost=fill * (FILL_COST if is_long else SHARED_ROOM_COST),
+        fill_cost=(upstream.tokens + need_tokens) / engine.memory_tokens,
         first_cost=first_ms / max(1, generation.objective_ms),
         risk_cost=get_risk_cost(engine, upstream, generation, pace),
         harm_cost=_compute_harm(upstream, generation, pace, risk),
@@ -214,7 +210,7 @@
         return 0.0
     shelter = min(MAX_SHELTERING, _count_long_answers(upstream))
     risk = _get_risk(engine, upstream, generation, pace)
-    return PAUSE_RISK * risk / (1 + SHELTER_FACTOR * shelter)
+    return RISK_COST * risk / (1 + SHELTER_FACTOR * shelter)
 
 
 def _get_risk(
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -187,9 +187,6 @@
         ]
     paces = run_placement.Paces(usable, context.now_s)
     other_hall_cost = _get_other_hall_cost(usable, context.hall)
-    if _is_brief(service, generation) and paces.is_known:
-        # It has ended before a cut of either hall is likely, so other halls need not be avoided.
-        other_hall_cost = OTHER_HALL_COST
     candidates = [
         _make_candidate(service, upstream, need_tokens, context, paces, generation)
         for upstream in usable
@@ -241,12 +238,6 @@
     return OTHER_HALL_COST * min(max(1, own_hall_count - 1), MAX_OTHER_HALL_FACTOR)
 
 
-def _is_brief(service: route_table.Service, generation: run_placement.Generation | None) -> bool:
-    if service.engine is None or generation is None:
-        return False
-    return not run_placement.is_long_answer(service.engine, generation)
-
-
 def _make_candidate(
     service: route_table.Service,
     upstream: upstream_registry.Upstream,
