--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -113,10 +113,9 @@
         data = body if self.request.method != "HEAD" else b""
         self.is_started = True
         head_bytes = self._get_head_bytes()
-        if len(data) > MAX_JOINED_BYTES:
-            self._front.send(self._connection, head_bytes)
-            head_bytes = b""
-        self._front.send(self._connection, head_bytes + data if head_bytes else data)
+        parts = (head_bytes, data) if len(data) > MAX_JOINED_BYTES else (head_bytes + data,)
+        for part in parts:
+            self._front.send(self._connection, part)
         self._finish()
 
     def start_stream(self, status: int, headers: Headers, first: bytes = b"") -> None:
@@ -393,9 +392,8 @@
         """Check which callers with unread bytes read, by the kernel's send buffers."""
         now_s = clocks.get_s()
         for sock in self._unread:
-            with contextlib.suppress(OSError):
-                count = fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES)
-                self._unread.record_kernel_bytes(sock, *struct.unpack("i", count), now_s)
+            (kernel_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES))
+            self._unread.record_kernel_bytes(sock, kernel_bytes, now_s)
 
     def _close_or_linger(self, connection: _Connection) -> None:
         # Closing a socket with unread bytes resets the connection, and the caller may lose the
