Paces: a datagram cannot make a hub or entry raise when it sends

Cause: keys, percents and ages were not bounded on decoding. A report with the age 2**64 - 1 ms was stored; with the time since, the next datagram of the hub held 2**64, and msgpack raised OverflowError in the hub's timer, with each datagram until the pace expired.

Change: keys outside 32 bits and percents outside the range that is read are rejected; paces that are expired on arrival are not merged. A measured pace is reported within the range that is read (a factor of 1,000 was sent as 100,000 percent).

--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -180,7 +180,7 @@
 
     def _report(self, key: int, factor: float, now_s: float, *, is_measured: bool) -> None:
         """Schedule the report of a pace, unless the other entries know about the same one."""
-        percent = max(1, round(factor * instance_pace.USUAL_PERCENT))
+        percent = instance_pace.compute_percent(factor)
         if not self._paces.is_due(key, percent, now_s, is_measured=is_measured):
             return
         pace = instance_pace.TimedPace(percent, now_s, is_measured=is_measured)
--- a/src/spoolhead/_internal/models/instance_pace.py
+++ b/src/spoolhead/_internal/models/instance_pace.py
@@ -12,6 +12,8 @@
 """Lowest pace that is read; a lower one counts as not stated."""
 MAX_PERCENT = 10_000
 """Highest pace that is read; a higher one counts as not stated."""
+MAX_KEY = 2**32 - 1
+"""Highest key of an instance, see :func:`shared_load.get_key`."""
 _ROW_FIELDS = 4
 
 
@@ -49,6 +51,11 @@
         self.is_measured = is_measured
 
 
+def compute_percent(factor: float) -> int:
+    """Return a pace in percent of the usual time, within the range that is read."""
+    return min(max(round(factor * USUAL_PERCENT), MIN_PERCENT), MAX_PERCENT)
+
+
 def pack(paces: Iterable[AgedPace]) -> list[int]:
     """Return the encoding of paces in datagrams."""
     values: list[int] = []
@@ -67,7 +74,8 @@
     paces = []
     for start in range(0, len(values), _ROW_FIELDS):
         key, percent, age_ms, is_measured = values[start : start + _ROW_FIELDS]
-        if percent <= 0 or age_ms < 0:
-            raise ValueError("a pace or its age is out of range")
+        is_key = 0 <= key <= MAX_KEY
+        if not is_key or not MIN_PERCENT <= percent <= MAX_PERCENT or age_ms < 0:
+            raise ValueError("a pace, its key or its age is out of range")
         paces.append(AgedPace(key, percent, age_ms, is_measured=bool(is_measured)))
     return paces
--- a/src/spoolhead/_internal/policy/pace_registry.py
+++ b/src/spoolhead/_internal/policy/pace_registry.py
@@ -62,17 +62,19 @@
         return True
 
     def merge(self, paces: Iterable[instance_pace.AgedPace], now_s: float) -> list[int]:
-        """Merge paces reported by another process; return the keys whose pace was replaced."""
-        return [
-            item.key
-            for item in paces
-            if self.record(
-                item.key,
-                instance_pace.TimedPace(
-                    item.percent, now_s - item.age_ms / 1000, is_measured=item.is_measured
-                ),
-            )
-        ]
+        """Merge paces reported by another process, except expired ones.
+
+        :returns: the keys whose pace was replaced.
+        """
+        replaced = []
+        for item in paces:
+            determined_s = now_s - item.age_ms / 1000
+            if now_s - determined_s > pace_estimate.RETENTION_S:
+                continue
+            pace = instance_pace.TimedPace(item.percent, determined_s, is_measured=item.is_measured)
+            if self.record(item.key, pace):
+                replaced.append(item.key)
+        return replaced
 
     def get_aged(self, keys: Iterable[int], now_s: float) -> list[instance_pace.AgedPace]:
         """Return the paces of some instances with their ages, as sent to other processes."""
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -95,12 +95,43 @@
         assert instance_pace.pack(decoded.paces) == [7, 55, 900, 0, 9, 120, 0, 1]
 
 
-@pytest.mark.parametrize("values", [[1, 2, 3], [1, 0, 0, 0], [1, 55, -1, 0], [1, "x", 0, 0]])
+@pytest.mark.parametrize(
+    "values",
+    [
+        [1, 2, 3],
+        [1, 0, 0, 0],
+        [1, instance_pace.MAX_PERCENT + 1, 0, 0],
+        [1, 55, -1, 0],
+        [1, "x", 0, 0],
+        [-1, 55, 0, 0],
+        [1 << 32, 55, 0, 0],
+    ],
+)
 def test_invalid_paces_are_rejected(values):
     with pytest.raises(ValueError, match="pace"):
         instance_pace.unpack(values)
 
 
+def test_a_pace_of_any_age_leaves_a_hub_able_to_send():
+    """Guards against an age that, after the transfer, no longer fits into a datagram."""
+    hub = load_hub.LoadHub("k1", 1)
+    paces = [instance_pace.AgedPace(7, 55, 2**64 - 1), instance_pace.AgedPace(8, 55, 900)]
+    report = shared_load.decode(shared_load.encode_report(_make_report(paces)))
+    hub.handle_report(report, ADDRESS, 1.0)
+    sent = (hub.make_totals(2.0), hub.make_update(2.0), hub.make_snapshot(2.0))
+    assert [[pace.key for pace in item.paces] for item in sent] == [[8]] * 3
+    assert shared_load.encode_totals(sent[0])
+
+
+def test_a_measured_pace_is_reported_within_the_range_that_is_read():
+    fleet = _PaceFleet(entries=1)
+    fleet.run(0.1)
+    paces = fleet.entries[0].paces
+    paces._report(7, 1_000.0, fleet.clock(), is_measured=True)
+    (pace,) = paces.get_reported(fleet.clock())
+    assert pace.percent == instance_pace.MAX_PERCENT
+
+
 def test_a_pace_that_is_sent_back_with_its_delay_is_not_sent_again():
     """Guards against paces that processes send to each other without end."""
     hub = load_hub.LoadHub("k1", 1)
