--- a/src/spoolhead/_internal/policy/pace_registry.py
+++ b/src/spoolhead/_internal/policy/pace_registry.py
@@ -36,7 +36,7 @@
         return self._paces.get(key)
 
     def get_keys(self) -> list[int]:
-        """Return the keys of the instances with a known pace."""
+        """Return the keys of the instances with a known pace, the last recorded at the end."""
         return list(self._paces)
 
     def is_due(self, key: int, percent: int, now_s: float, *, is_measured: bool) -> bool:
@@ -58,6 +58,8 @@
         known = self._paces.get(key)
         if known is not None and not _is_newer(pace, known):
             return False
+        # The keys are in the order in which their paces were recorded.
+        self._paces.pop(key, None)
         self._paces[key] = pace
         return True
 
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -71,6 +71,16 @@
     assert len(shared_load.encode_update(snapshot)) < MAX_DATAGRAM_BYTES
 
 
+def test_a_pace_that_was_renewed_stays_in_the_snapshot_when_others_are_left_out():
+    hub = load_hub.LoadHub("k1", 1)
+    for since, now_s in ((0, 0.0), (1, 100.0), (0, 200.0)):
+        count = 1 if since == 0 else pace_broadcast.MAX_PACES_PER_SNAPSHOT
+        paces = [instance_pace.AgedPace(key, 55, 0) for key in range(since, since + count)]
+        hub.handle_report(_make_report(paces, sequence=1 + int(now_s)), ADDRESS, now_s)
+    keys = {pace.key for pace in hub.make_snapshot(200.0).paces}
+    assert keys == {0, *range(2, 1 + pace_broadcast.MAX_PACES_PER_SNAPSHOT)}
+
+
 def test_without_paces_datagrams_are_as_before():
     report = _make_report([])
     assert len(shared_load.encode_report(report)) == len(
