--- a/src/spoolhead/_internal/load_broadcast/load_socket.py
+++ b/src/spoolhead/_internal/load_broadcast/load_socket.py
@@ -10,8 +10,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_DATAGRAM_BYTES = 60_000
-
 
 class LoadSocket:
     """Sends and receives the datagrams that report load.
@@ -43,7 +41,7 @@
     def _on_readable(self, sock: socket.socket) -> None:
         while True:
             try:
-                data, sender = sock.recvfrom(MAX_DATAGRAM_BYTES)
+                data, sender = sock.recvfrom(shared_load.MAX_DATAGRAM_BYTES)
             except BlockingIOError:
                 return
             try:
--- a/src/spoolhead/_internal/models/instance_pace.py
+++ b/src/spoolhead/_internal/models/instance_pace.py
@@ -14,6 +14,8 @@
 """Highest pace that is read; a higher one counts as not stated."""
 MAX_KEY = 2**32 - 1
 """Highest key of an instance, see :func:`shared_load.get_key`."""
+MAX_PACE_BYTES = 14
+"""Maximum size in a datagram of a pace that has not expired."""
 _ROW_FIELDS = 4
 
 
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -15,6 +15,8 @@
 
 from spoolhead._internal.models import content_record, instance_pace, permits, rate_limit
 
+MAX_DATAGRAM_BYTES = 60_000
+"""Maximum size of a datagram; receivers cut off the rest."""
 _ROW_FIELDS = 5
 _REPORT = 1
 _TOTALS = 2
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -292,7 +292,8 @@
         """Return the load of the whole fleet, all standing alarms, known limits and paces.
 
         It includes only the most severe content records, since the entry may serve requests at
-        once; the others follow with the next full sync for all reporters.
+        once; the others follow with the next full sync for all reporters. So do the paces for
+        which a datagram has no room, at the rate of other paces.
         """
         content_ids = self._contents.get_most_severe(content_registry.MAX_RECORDS_PER_DATAGRAM)
         records = self._contents.get_all_aged(content_ids, now_s)
@@ -300,8 +301,9 @@
         limits = self._limits.get_all_aged(now_s)
         alarms = self._standing_alarms.get_all(now_s)
         update = self._make_update(self._fleet_totals.get_all(), alarms, contents, limits, now_s)
-        update.paces = self._paces.get_all_aged(now_s)
         update.is_snapshot = True
+        free_bytes = shared_load.MAX_DATAGRAM_BYTES - len(shared_load.encode_update(update))
+        update.paces = self._paces.get_for_snapshot(free_bytes, now_s)
         return update
 
     def _make_update(
--- a/src/spoolhead/_internal/policy/pace_broadcast.py
+++ b/src/spoolhead/_internal/policy/pace_broadcast.py
@@ -14,6 +14,8 @@
 """Maximum rate of paces to each receiver: at 14 bytes each, less than 1 KB/s."""
 MAX_PACES_PER_SNAPSHOT = 1_600
 """Maximum number of paces in a snapshot, the last recorded: 22 KB."""
+SNAPSHOT_RESERVE_BYTES = 32
+"""Part of a snapshot's free bytes that no paces use: its last fields follow them."""
 
 
 class PaceBroadcast:
@@ -78,10 +80,14 @@
         """Merge the paces that another hub sends."""
         self.to_reporters.add(self._registry.merge(paces, now_s))
 
-    def get_all_aged(self, now_s: float) -> list[instance_pace.AgedPace]:
-        """Return the paces for a snapshot."""
-        keys = self._registry.get_keys()[-MAX_PACES_PER_SNAPSHOT:]
-        return self._registry.get_aged(keys, now_s)
+    def get_for_snapshot(self, free_bytes: int, now_s: float) -> list[instance_pace.AgedPace]:
+        """Return the paces that fit into a snapshot, and schedule the others for all reporters."""
+        max_bytes = max(0, free_bytes - SNAPSHOT_RESERVE_BYTES)
+        max_count = min(MAX_PACES_PER_SNAPSHOT, max_bytes // instance_pace.MAX_PACE_BYTES)
+        keys = self._registry.get_keys()
+        first = max(0, len(keys) - max_count)
+        self.to_reporters.add(keys[:first])
+        return self._registry.get_aged(keys[first:], now_s)
 
     def resend_to_hubs(self) -> None:
         """Schedule all paces for the other hubs."""
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lib import gateway_setting, load_fleet
-from spoolhead._internal.models import dialects, instance_pace, shared_load
+from spoolhead._internal.models import dialects, instance_pace, rate_limit, shared_load
 from spoolhead._internal.policy import load_hub, pace_broadcast, pace_estimate, pace_registry
 from spoolhead._internal.relay import block_meter
 
@@ -15,7 +15,6 @@
 SHARED_S = 6.0
 """Time after which a pace is known everywhere: two seconds of figures and the repeats."""
 MAX_BYTES_PER_S = 1_000
-MAX_DATAGRAM_BYTES = 65_507
 
 
 def _make_report(paces, *, sender="e1", sequence=1):
@@ -68,7 +67,25 @@
     hub.handle_report(report, ADDRESS, 500.0)
     snapshot = hub.make_snapshot(500.0)
     assert {pace.key for pace in snapshot.paces} == set(keys)
-    assert len(shared_load.encode_update(snapshot)) < MAX_DATAGRAM_BYTES
+    assert len(shared_load.encode_update(snapshot)) < shared_load.MAX_DATAGRAM_BYTES
+
+
+def test_with_much_else_a_snapshot_is_still_read_and_the_left_out_paces_follow():
+    """Guards against entries that get no snapshot because paces make it too large."""
+    hub, keys = _make_large_hub(random.Random(1))
+    _get_sent(hub, 0.0, 60.0)
+    report = _make_report([], sender="e999")
+    report.rows = {key: shared_load.InstanceLoad(120_000, 24, 70_000, 70_000) for key in keys}
+    report.limits = [rate_limit.AgedLimit(key, 50.0, 0) for key in keys]
+    hub.handle_report(report, ADDRESS, 500.0)
+    snapshot = hub.make_snapshot(500.0)
+    assert snapshot.paces
+    encoded = shared_load.complete_update(shared_load.encode_update(snapshot), 2**32)
+    assert len(encoded) <= shared_load.MAX_DATAGRAM_BYTES
+    assert (len(snapshot.rows), len(snapshot.limits)) == (1_600, 1_600)
+    known = {pace.key for pace in snapshot.paces}
+    known |= {pace.key for _, _, paces in _get_sent(hub, 500.0, 560.0) for pace in paces}
+    assert known == set(keys)
 
 
 def test_a_pace_that_was_renewed_stays_in_the_snapshot_when_others_are_left_out():
