Slow readers: the refusal to a dropped caller is not buffered

Cause: a caller whose next request had no answer yet was refused first and closed then. The refusal went into the buffer that was to be discarded, was counted as unread, and could exceed the budget again: the same caller was dropped and logged twice, or another one was dropped that had to stay.

Change: the connection is closed before the request ends.

--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -385,9 +385,10 @@
         request_id = caller.request_id if caller is not None else connection.last_request_id
         if self._on_drop is not None:
             self._on_drop(request_id, drop, caller is not None)
+        # Closed first, so that a refusal is not buffered, which might exceed the budget again.
+        self._server.close_now(connection.sock)
         if caller is not None and caller.on_drop is not None:
             caller.on_drop(f"the caller left {drop.unread_bytes} bytes unread")
-        self._server.close_now(connection.sock)
 
     def _check_reads(self) -> None:
         """Check which callers with unread bytes read, by the kernel's send buffers."""
--- a/tests/unit/test_unread_budget.py
+++ b/tests/unit/test_unread_budget.py
@@ -1,13 +1,17 @@
 """The budget of the unread bytes of a process, how they are counted, and what a drop ends."""
 
+import dataclasses
 import logging
+import socket
 
 import pytest
 
 from lib import gateway_setting
-from spoolhead._internal.models import route_table
-from spoolhead._internal.network import direct_server
+from spoolhead._internal.gateway import refusals
+from spoolhead._internal.models import codes, fault, route_table
+from spoolhead._internal.network import caller_front, direct_server, loop
 from spoolhead._internal.policy import unread_budget
+from spoolhead.platform import dialect
 
 
 def make_budget(budget_bytes, **unread_bytes):
@@ -124,3 +128,65 @@
     setting.last.answer(200, gateway_setting.SIGNED, gateway_setting.make_events(1, 3))
     texts = [record.getMessage() for record in caplog.records]
     assert "failed" in texts and "answered" not in texts
+
+
+REQUEST = b"POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"
+ANSWER_BYTES = 8_000_000
+"""Size of an answer of which the kernel buffers only a part."""
+MAX_TICKS = 1_000
+
+
+class Front:
+    """A server for callers, whose first request is answered with many bytes."""
+
+    def __init__(self):
+        self.callers, self.drops = [], []
+        self.unread = unread_budget.UnreadBudget(10**9)
+        config = dataclasses.replace(gateway_setting.make_settings(), host="127.0.0.1", port=0)
+        self.loop = loop.Loop(lambda: None)
+        # The library polls only while it runs.
+        self.loop._running = True
+        self.front = caller_front.CallerFront(
+            self.loop,
+            config,
+            on_request=self._handle_request,
+            on_bad_request=lambda *_request: None,
+            unread=self.unread,
+            on_drop=lambda *drop: self.drops.append(drop),
+        ).register(self.loop)
+
+    def _handle_request(self, caller):
+        self.callers.append(caller)
+        if len(self.callers) == 1:
+            caller.send_answer(200, [], bytes(ANSWER_BYTES))
+
+    def connect(self, data, *, callers):
+        """Send bytes on a new connection, until there were so many requests."""
+        sock = socket.create_connection(("127.0.0.1", self.front.port))
+        sock.sendall(data)
+        for _ in range(MAX_TICKS):
+            if len(self.callers) >= callers:
+                return sock
+            self.loop.tick(0.01)
+        raise AssertionError("the requests did not arrive")
+
+
+def test_a_refusal_to_a_dropped_caller_is_not_buffered(monkeypatch):
+    """Guards against a second drop, of this or another caller, because of the refusal."""
+    monkeypatch.setattr(loop.signal, "signal", lambda *_handler: None)
+    front = Front()
+    stopped = front.connect(REQUEST * 2, callers=2)
+    other = front.connect(REQUEST, callers=3)
+    waiting = front.callers[1]
+    item = fault.Fault(codes.ResultCode.CALLER_TOO_SLOW, "too slow")
+    waiting.on_drop = lambda _reason: refusals.send(
+        waiting, dialect.Dialect(), item, ran=codes.Ran.NO, request_id="r-2"
+    )
+    front.unread.budget_bytes = 1
+    front.callers[2].send_answer(200, [], b"whole")
+    assert [is_running for _, _, is_running in front.drops] == [True]
+    assert (front.unread.total_bytes, waiting.is_finished) == (0, True)
+    assert other.recv(1_000).endswith(b"whole")
+    for sock in (stopped, other):
+        sock.close()
+    front.front.close_when_idle()
