Instance list: what an incomplete read keeps is bounded

Cause: while each read ends at the page limit (a list that is too long, or whose pages form a cycle), an instance once read was kept for good, also after its end; 60 s bounded only the time between two reads. After 10 reads that each named a new instance all 10 were passed on.

Change: at most 1,600 are kept, those that were read last.

Left as it is: below that number, ended instances are kept until a read is complete; dropping them by age would also drop running instances behind the limit.

Test: tests/unit/test_list_reader.py; the new case failed before, all 4 pass.

--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -16,6 +16,8 @@
 """Maximum pages of a read; 1,600 instances at 50 a page are 32 pages."""
 KEPT_TTL_S = 60.0
 """Age of the previous read up to which an incomplete read keeps its instances."""
+MAX_KEPT = 1_600
+"""Maximum number of instances that an incomplete read keeps, those that were read last."""
 
 _OK = 200
 
@@ -122,12 +124,20 @@
         current = {item.instance_id: item for item in listed}
         now_s = clocks.get_s()
         if not is_whole and now_s - self._previous_s < KEPT_TTL_S:
-            current = {**self._previous, **current}
+            current = {**self._get_kept(current), **current}
         self._log_completeness(is_whole, kept=len(current) - len(listed))
         self._previous = current
         self._previous_s = now_s
         self._on_list(list(current.values()))
 
+    def _get_kept(self, current: dict[str, instances.Instance]) -> dict[str, instances.Instance]:
+        """Return the previous instances that an incomplete read keeps, the last read at the end.
+
+        Some of them may have ended, which only a complete read shows.
+        """
+        unread = [item for name, item in self._previous.items() if name not in current]
+        return {item.instance_id: item for item in unread[-MAX_KEPT:]}
+
     def _log_completeness(self, is_whole: bool, *, kept: int) -> None:
         """Log the first incomplete read in a row, and the first complete read after it."""
         if is_whole and self._is_incomplete:
--- a/tests/unit/test_list_reader.py
+++ b/tests/unit/test_list_reader.py
@@ -69,3 +69,11 @@
     monkeypatch.setattr(clocks, "get_s", lambda: later_s)
     listed = read(_make_page("i-2", next_token="2"), _make_page("i-3", next_token="3"))[-1]
     assert list(listed) == ["i-2", "i-3"]
+
+
+def test_lists_over_the_page_limit_keep_a_bounded_number_of_instances(read, monkeypatch):
+    """Guards against ended instances that accumulate while no read reaches the last page."""
+    monkeypatch.setattr(list_reader, "MAX_KEPT", 3)
+    for number in range(10):
+        listed = read(_make_page("i-0", next_token="2"), _make_page(f"n-{number}", next_token="3"))
+    assert set(listed[-1]) == {"i-0", "n-9", "n-8", "n-7", "n-6"}
