Once: a claim without an answer releases only a key that the entry has not claimed

Cause: a claim that gets no answer within 2 s, or (since malformed answers are rejected) a malformed one, was followed by a release, as it might have been granted. If an earlier request with the same key runs at the same entry, that release named its claim: keepers go by owner and key, and removed it. A third request with the key was then granted and ran beside the first. If the first had ended and its end was not confirmed, the release replaced that end, so a keeper that got only the release granted the key again.

Change: the entry records which keys it was granted and has not finished; such a key, and one with an unconfirmed end of a request that may have run, is not released because a later claim got no answer.

Tests: tests/unit/test_keeper_link.py; both new cases failed before, pass now.

--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -99,6 +99,7 @@
         self._folder_lock: files.FolderLock | None = None
         self._claim_numbers = itertools.count(1)
         self._claims: dict[int, _PendingClaim] = {}
+        self._granted: set[str] = set()
         self._unconfirmed: dict[str, messages.FinishOnce] = {}
         self._is_full = False
         self._ready_s = clocks.get_s()
@@ -190,6 +191,7 @@
             content_type=outcome.content_type if is_stored else "",
             body=outcome.body if is_stored else b"",
         )
+        self._granted.discard(key)
         self._unconfirmed[key] = message
         self._client.send(message)
 
@@ -336,18 +338,25 @@
             return
         if pending.timer is not None:
             pending.timer.cancel()
+        if result.state is once_journal.ClaimState.GRANTED:
+            self._granted.add(pending.key)
         pending.on_answer(result)
 
     def _expire_claim(self, number: int, is_sent: bool) -> None:
         pending = self._claims.pop(number, None)
         if pending is None:
             return
-        if is_sent:
+        if is_sent and not self._has_claim(pending.key):
             # The claim may have been granted although its answer was lost. Nothing was run under
             # it, so release it.
             self.finish(pending.key, codes.Ran.NO, None)
         pending.on_answer(ClaimResult(None))
 
+    def _has_claim(self, key: str) -> bool:
+        """Return whether an earlier claim of this entry was granted, and its request may run."""
+        end = self._unconfirmed.get(key)
+        return key in self._granted or end is not None and end.ran != codes.Ran.NO.value
+
 
 def _decode_claim_answer(message: messages.ClaimAnswer) -> ClaimResult:
     """Return the result of a claim that a keeper has answered.
--- a/tests/unit/test_keeper_link.py
+++ b/tests/unit/test_keeper_link.py
@@ -11,6 +11,7 @@
 from spoolhead._internal.network import messages, peer_client
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import clocks
+from spoolhead.coordination import once_journal
 
 
 class FakeClient:
@@ -109,6 +110,31 @@
     assert (release.key, release.ran) == ("a", "no")
 
 
+def test_a_resend_without_an_answer_does_not_release_the_key_of_the_running_request(setting):
+    """Guards against a third request with the key, which would run beside the first."""
+    setting.claim("a")
+    setting.link.on_peer_message(_make_claim_answer("granted"))
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    assert [result.state for result in setting.results] == [once_journal.ClaimState.GRANTED, None]
+    assert not setting.client.get_sent(messages.FinishOnce)
+
+
+def test_nor_does_it_replace_an_end_that_is_not_confirmed(setting):
+    """Guards against a keeper that gets a release instead of the end of a request that has run."""
+    setting.claim("a")
+    setting.link.on_peer_message(_make_claim_answer("granted"))
+    setting.link.finish("a", codes.Ran.YES, None)
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    setting.client.reconnect("lost")
+    assert [end.ran for end in setting.client.get_sent(messages.FinishOnce)] == ["yes"]
+    setting.link.on_peer_message(messages.FinishNoted(key="a"))
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    assert [end.ran for end in setting.client.get_sent(messages.FinishOnce)] == ["yes", "no"]
+
+
 def _fill(setting):
     """Let requests end that the keeper granted, of which it confirms nothing."""
     for number in range(keeper_link.MAX_UNCONFIRMED):
