Keeper link: malformed records of contents are rejected like other malformed messages

Cause: the stream was reconnected with the initial delay (which a successful handshake resets), although a keeper sends its records with each new stream: an entry that could not read them reconnected again and again without backoff.

Change: the stream is rejected, so the next one follows after the maximum delay.

Test: tests/unit/test_keeper_link.py, which now tells a rejected stream from a reconnected one; the new case failed before.

--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -257,7 +257,7 @@
         try:
             records = content_record.unpack(message.items)
         except (TypeError, ValueError) as error:
-            self._client.reconnect(f"records of contents: {error}")
+            self._reject_malformed(message, error)
             return
         self._listener.on_contents(records)
 
--- a/tests/unit/test_keeper_link.py
+++ b/tests/unit/test_keeper_link.py
@@ -24,6 +24,7 @@
         self.is_ready = True
         self.sent = []
         self.reasons = []
+        self.rejected = []
 
     def send(self, message):
         if self.is_ready:
@@ -33,6 +34,11 @@
     def get_sent(self, message_class):
         return [message for message in self.sent if isinstance(message, message_class)]
 
+    def reject(self, reason):
+        """Lose the stream because of a message."""
+        self.rejected.append(reason)
+        self.reconnect(reason)
+
     def reconnect(self, reason):
         """Lose the stream and have a new one at once."""
         self.reasons.append(reason)
@@ -40,8 +46,6 @@
         self.listener.on_peer_lost()
         self.listener.on_peer_ready()
 
-    reject = reconnect
-
 
 class FakeListener:
     def __getattr__(self, _name):
@@ -89,6 +93,7 @@
         messages.Snapshot(log_id="a", version=1, rows=[["sheet"]]),
         messages.ChangeMade(log_id="a", change=[1, "edit", "author", 0, [4]]),
         messages.Members(entries=[["entry-2", "hall-a"]]),
+        messages.Contents(items=[[1]]),
         _make_claim_answer("odd"),
     ],
 )
@@ -96,8 +101,9 @@
     """Guards against an exception in the loop for what another process sent."""
     setting.claim("a")
     setting.link.on_peer_message(message)
-    assert len(setting.client.reasons) == 1
-    assert type(message).__name__ in setting.client.reasons[0]
+    (reason,) = setting.client.rejected
+    assert type(message).__name__ in reason
+    assert setting.client.reasons == [reason]
 
 
 def test_a_claim_with_a_malformed_answer_still_gets_a_result(setting):
