Server: nothing is stored of connections closed with unsent bytes

Cause: a connection that is to be closed after its buffer is in a list of the library, which drops it only when the buffer is empty.

Change: a closed connection is removed from that list, and its buffer after a failed write.

--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -114,6 +114,9 @@
         # a buffer that is never removed.
         if sock.fileno() >= 0:
             super()._on_write(sock)
+        # It also creates one if the connection is closed because of an error.
+        if sock.fileno() < 0:
+            self._buffers.pop(sock, None)
 
     def _write(self, sock: socket.socket, data: bytes) -> None:
         chunks = self._buffers[sock]
@@ -126,4 +129,6 @@
 
     def _close(self, sock: socket.socket) -> None:
         self._unread.remove(sock)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
         super()._close(sock)
--- a/tests/unit/test_unread_budget.py
+++ b/tests/unit/test_unread_budget.py
@@ -1,6 +1,7 @@
 """The budget of the unread bytes of a process, how they are counted, and what a drop ends."""
 
 import dataclasses
+import errno
 import logging
 import socket
 
@@ -69,6 +70,9 @@
     def isWriting(self, sock):  # noqa: N802
         return False
 
+    def discard(self, sock):
+        pass
+
 
 class FakeSocket:
     """Socket whose send buffer accepts a number of bytes."""
@@ -76,11 +80,21 @@
     def __init__(self):
         self.free = 0
         self.sent = b""
+        self.is_closed = False
+        self.is_reset = False
 
     def fileno(self):
-        return 5
+        return -1 if self.is_closed else 5
+
+    def shutdown(self, how):
+        pass
+
+    def close(self):
+        self.is_closed = True
 
     def send(self, data):
+        if self.is_reset:
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
         if not self.free:
             raise BlockingIOError(11, "full")
         count = min(self.free, len(data))
@@ -109,6 +123,24 @@
     server._sock.close()
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_nothing_is_stored_of_a_connection_that_is_closed_before_its_bytes_were_sent(is_reset):
+    """Guards against a memory that grows with each caller that is dropped or leaves."""
+    server = direct_server.DirectServer(("127.0.0.1", 0), channel="callers")
+    server._poller, sock = FakePoller(), FakeSocket()
+    server._clients.append(sock)
+    server.send_now(sock, b"a" * 100)
+    server.close_after_send(sock)
+    sock.is_reset = is_reset
+    if is_reset:
+        server._on_write(sock)
+    else:
+        server.close_now(sock)
+    assert sock.is_closed
+    assert (list(server._closeq), list(server._buffers)) == ([], [])
+    server._sock.close()
+
+
 def test_a_drop_frees_the_engine_at_once():
     setting = gateway_setting.Setting(route_table.RequestKind.STREAM)
     setting.last.answer(200, gateway_setting.SIGNED, gateway_setting.make_events(1, 3), whole=False)
