Measured pace: a correction is reported once, so that statements are shared again

Cause: while the known pace was a measured one, each later measurement was reported as a correction, also long after the first had corrected it, and renewed each 10 s as long as streams ran there. A statement must be 20 s newer than a measurement to replace it, so none was shared any more: in the test one entry knew 0.5, the eight others stayed at 0.3.

Change: a measurement that is not used is reported only if the known one clearly contradicts what is stated.

Tests: tests/unit/test_pace_sharing.py; the new case failed before; tests/unit/test_pace_*.py and tests/patterns/test_uneven_engines.py pass.

--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -122,11 +122,19 @@
         was_overruled = upstream.pace.is_overruled
         upstream.pace.record_measured(factor, now_s)
         self._handle_change(upstream, now_s, was_overruled=was_overruled)
-        reported = self._paces.get(upstream.key)
-        is_correction = reported is not None and reported.is_measured
-        if upstream.pace.source is pace_estimate.Source.MEASURED or is_correction:
+        is_used = upstream.pace.source is pace_estimate.Source.MEASURED
+        if is_used or self._is_overruled_elsewhere(upstream):
             self._report(upstream.key, factor, now_s, is_measured=True)
 
+    def _is_overruled_elsewhere(self, upstream: upstream_registry.Upstream) -> bool:
+        """Return whether a reported measurement overrules the statements of an instance."""
+        reported = self._paces.get(upstream.key)
+        stated_factor = upstream.pace.stated_factor
+        if reported is None or not reported.is_measured or stated_factor is None:
+            return False
+        reported_factor = reported.percent / instance_pace.USUAL_PERCENT
+        return pace_estimate.is_contradicting(reported_factor, stated_factor)
+
     def merge(
         self, paces: Iterable[instance_pace.AgedPace], now_s: float, *, reported_by: str
     ) -> None:
--- a/src/spoolhead/_internal/policy/pace_estimate.py
+++ b/src/spoolhead/_internal/policy/pace_estimate.py
@@ -217,11 +217,16 @@
         return factors[int((len(factors) - 1) * TYPICAL_QUANTILE)]
 
 
+def is_contradicting(measured_factor: float, stated_factor: float) -> bool:
+    """Return whether a measured pace clearly contradicts a stated one."""
+    return measured_factor >= stated_factor * OVERRULE_RATIO
+
+
 def _is_overruling(measured: _Pace, stated: _Pace | None, now_s: float) -> bool:
     if stated is None:
         return True
-    is_slower = measured.factor >= stated.factor * OVERRULE_RATIO
-    return is_slower and now_s - measured.at_s <= OVERRULE_TTL_S
+    is_recent = now_s - measured.at_s <= OVERRULE_TTL_S
+    return is_recent and is_contradicting(measured.factor, stated.factor)
 
 
 def _drop_old(pace: _Pace | None, now_s: float) -> _Pace | None:
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -378,3 +378,15 @@
     fleet.begin_stream(fleet.quick, 0.3, for_s=5.0)
     fleet.run(SHARED_S)
     assert fleet.get_factors() == {0.3}
+
+
+def test_after_a_measurement_was_corrected_statements_are_shared_again_beside_streams():
+    """Guards against corrections that are renewed without end and so stay newer than statements."""
+    fleet = _OverruledFleet()
+    fleet.begin_stream(fleet.quick, 1.2, for_s=5.0)
+    fleet.run(SHARED_S)
+    fleet.begin_stream(fleet.quick, 0.3, for_s=60.0)
+    fleet.run(pace_estimate.OVERRULE_TTL_S + SHARED_S)
+    fleet.percents[fleet.quick] = 50
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {0.5}
