--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -18,8 +18,7 @@
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 READ_BYTES = 65_536
 PIECE_BYTES = 16_384
-"""Size of the pieces in which unsent bytes are buffered. Chunks of a few bytes or of uneven sizes
-take up to twice their length of memory; equal pieces reuse the memory of sent ones."""
+"""Size of the pieces in which unsent bytes are buffered."""
 
 
 class DirectServer(sockets.TCPServer):
@@ -93,7 +92,7 @@
             self._close(self._sock)
 
     def _buffer(self, sock: socket.socket, data: bytes, sent: int) -> None:
-        """Buffer the bytes from an offset on, in pieces of equal size."""
+        """Buffer the bytes from an offset on, in equal pieces, which reuse the memory of others."""
         chunks = self._buffers[sock]
         start = sent
         if chunks and len(chunks[-1]) < PIECE_BYTES:
--- a/src/spoolhead/_internal/policy/pace_registry.py
+++ b/src/spoolhead/_internal/policy/pace_registry.py
@@ -14,11 +14,9 @@
 RENEWAL_AGE_S = 300.0
 """Age from which an unchanged pace is reported again, before it expires everywhere."""
 MIN_REPORT_INTERVAL_S = 2.0
-"""Minimum interval between two reports of an instance's pace, so that entries that read different
-figures do not replace each other's pace without end."""
+"""Minimum interval between two reports of an instance's pace, by whichever entries."""
 MIN_RENEWAL_S = 1.0
-"""Minimum difference of the times at which an equal pace was determined for the later one to count
-as newer: each transfer adds its delay to the time."""
+"""Minimum time by which an equal pace must be newer: each transfer adds its delay to the time."""
 
 
 class PaceRegistry:
--- a/src/spoolhead/_internal/policy/unread_budget.py
+++ b/src/spoolhead/_internal/policy/unread_budget.py
@@ -12,8 +12,7 @@
 STOPPED_S = 0.5
 """Time without reading from which a caller counts as one that has stopped."""
 MIN_UNREAD_S = 0.001
-"""Lower bound on the time without reading in the cost, so that among callers that read just now
-the one with the most unread bytes is dropped."""
+"""Lower bound on the time without reading in the cost."""
 
 
 class Backlog:
--- a/tests/patterns/test_slow_readers.py
+++ b/tests/patterns/test_slow_readers.py
@@ -3,7 +3,7 @@
 The aim: within the budget nobody is dropped; beyond it, callers that read, if slowly or after a
 pause, are kept while there are others that read nothing, and no more are dropped than it takes.
 Sizes: 300 callers; the budget is a fifth of an entry's 128 MB; the kernel buffers 256 KiB for
-each caller, and accepts more only when a third of that is free. Other rules are weighed on the
+each caller, and accepts more only when a third of that is free. Other rules are compared on the
 same loads; ``pytest -n 0 -s`` on this file prints whom each drops.
 """
 
@@ -24,8 +24,8 @@
 )
 LOADS = {
     "all stop at once": [Kind("stopped", 300, 60_000, 0), Kind("good", 60, 60_000)],
-    "mass hiccup": [Kind("paused", 300, 40_000, pause=(5, 13))],
-    "hiccup beside stopped": [
+    "all pause": [Kind("paused", 300, 40_000, pause=(5, 13))],
+    "paused beside stopped": [
         Kind("stopped", 150, 35_000, 0),
         Kind("paused", 100, 120_000, pause=(8, 12)),
     ],
@@ -37,7 +37,7 @@
         Kind("stopped", 280, 40_000, 0),
         Kind("slow", 20, 140_000, 30_000, length=1_200_000),
     ],
-    "old small ones beside a flood": [
+    "old small ones beside large ones": [
         Kind("small", 200, 60_000, 0, length=275_000),
         Kind("stopped", 60, 60_000, pause=(6, FULL)),
     ],
--- a/tests/patterns/test_uneven_engines.py
+++ b/tests/patterns/test_uneven_engines.py
@@ -25,7 +25,7 @@
 WARM_UP_S = 45.0
 ALLOWED_ERROR = 0.15
 MAX_DETECTION_S = 2.0
-FALSE_CLAIM = 30
+FALSE_PERCENT = 30
 
 
 class _Entry:
@@ -36,7 +36,7 @@
         self.rng = random.Random(seed)
         self.states_pace = states_pace
         self.overruled = 0
-        self.claims = {}
+        self.false_percents = {}
         self.registry = upstream_registry.UpstreamRegistry()
         names = [f"i-{number}" for number in range(ENGINES)]
         self.registry.update_instances(map(gateway_setting.make_instance, names), 0.0)
@@ -65,7 +65,7 @@
         if not self.states_pace:
             return
         now_s = self.clock()
-        percent = self.claims.get(name) or self.engines[name].state_percent(now_s)
+        percent = self.false_percents.get(name) or self.engines[name].state_percent(now_s)
         load = dialects.UpstreamLoad(running=4, waiting=0, slots=24, pace_percent=percent)
         head = gateway_setting.make_answer_head(load=load)
         self.paces.handle_answer(self.registry.get(name), head, now_s)
@@ -73,8 +73,8 @@
 
     def begin_stream(self, name=None):
         """Stream from an engine, a random one if none is given, then from others."""
-        name = name or self.rng.choice([item for item in self.engines if item not in self.claims])
-        _Stream(self, name)
+        others = [item for item in self.engines if item not in self.false_percents]
+        _Stream(self, name or self.rng.choice(others))
 
 
 class _Stream:
@@ -129,14 +129,14 @@
 @pytest.mark.parametrize("seed", range(8))
 def test_an_engine_that_states_less_than_it_takes_gets_its_measured_pace(seed):
     entry = _Entry(seed)
-    liar = "i-1"
-    entry.claims[liar] = FALSE_CLAIM
+    misstating = "i-1"
+    entry.false_percents[misstating] = FALSE_PERCENT
     entry.clock.run(WARM_UP_S)
-    assert entry.get_pace(liar).typical_factor == pytest.approx(FALSE_CLAIM / 100)
-    entry.begin_stream(liar)
+    assert entry.get_pace(misstating).typical_factor == pytest.approx(FALSE_PERCENT / 100)
+    entry.begin_stream(misstating)
     entry.clock.run(MAX_DETECTION_S)
-    assert entry.get_pace(liar).is_overruled
-    assert entry.get_pace(liar).typical_factor >= 1.1
+    assert entry.get_pace(misstating).is_overruled
+    assert entry.get_pace(misstating).typical_factor >= 1.1
 
 
 @pytest.mark.parametrize("seed", range(4))
--- a/tests/unit/test_pace_estimate.py
+++ b/tests/unit/test_pace_estimate.py
@@ -65,7 +65,7 @@
 
 @pytest.mark.parametrize("seed", range(3))
 def test_slow_periods_do_not_move_the_typical_pace_as_they_move_other_estimates(seed):
-    """Weighs the ways: the newest figure, the median, a smoothed figure and the one in use."""
+    """Compares the ways: the newest figure, the median, a smoothed figure and the one in use."""
     wrong = _compare_ways(seed)
     assert wrong["estimate"] <= 0.01
     assert wrong["estimate"] <= wrong["median"] < wrong["newest"] < wrong["smoothed"]
--- a/tests/unit/test_pace_measurement.py
+++ b/tests/unit/test_pace_measurement.py
@@ -68,7 +68,7 @@
     assert measurement.get_long_term_factor(KEY) == pytest.approx(1.5)
 
 
-def test_instances_without_streams_are_forgotten():
+def test_instances_without_streams_expire():
     measurement = _make()
     measurement.expire(2.0 + pace_measurement.PEER_TTL_S)
     assert _record(measurement, KEY, 2.5, since_s=5.0) is None
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -216,7 +216,7 @@
         head = gateway_setting.make_answer_head(load=load)
         entry.paces.handle_answer(upstream, head, self.clock())
 
-    def get_ignorant(self, entries):
+    def get_without_paces(self, entries):
         """Return the entries that don't know the pace of each instance."""
         return [
             entry.process.name
@@ -229,7 +229,7 @@
 def test_all_entries_know_all_paces_though_a_fifth_of_the_datagrams_is_lost():
     fleet = _PaceFleet()
     fleet.run(SHARED_S)
-    assert not fleet.get_ignorant(fleet.entries)
+    assert not fleet.get_without_paces(fleet.entries)
 
 
 def test_an_entry_that_starts_gets_all_paces_with_the_snapshot():
@@ -238,7 +238,7 @@
     fleet.is_stating = False
     started = fleet.restart_entry(4)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_so_does_one_that_reads_the_instance_list_after_the_snapshot():
@@ -248,7 +248,7 @@
     started = fleet.restart_entry(4, is_listed=False)
     fleet.run(2.0)
     started.apply_list(fleet.listed)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_the_hub_that_takes_over_knows_all_paces():
@@ -259,7 +259,7 @@
     fleet.run(3.0)
     started = fleet.restart_entry(4)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_entries_that_act_as_hubs_after_the_keepers_get_what_was_determined_before():
@@ -271,7 +271,7 @@
     fleet.run(SHARED_S)
     started = fleet.restart_entry(7)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_a_hall_that_was_cut_off_gets_what_changed_meanwhile_and_the_others_what_changed_there():
@@ -280,11 +280,11 @@
     fleet.net.cut_off_halls = {"hall-1"}
     fleet.percents = dict.fromkeys(fleet.instances, 240)
     fleet.run(10.0)
-    assert fleet.get_ignorant(fleet.entries)
+    assert fleet.get_without_paces(fleet.entries)
     fleet.is_stating = False
     fleet.net.cut_off_halls = set()
     fleet.run(SHARED_S)
-    assert not fleet.get_ignorant(fleet.entries)
+    assert not fleet.get_without_paces(fleet.entries)
 
 
 def test_nothing_is_known_of_an_instance_that_restarts_under_its_id():
