Test of datagrams: each invalid one has one invalid field

Rows of four fields were refused for their number, too.

Change: a report that is read, with one field replaced at a time; 12 cases, all refused. Rows that are written and read have all four values.

--- a/tests/unit/test_shared_load.py
+++ b/tests/unit/test_shared_load.py
@@ -12,7 +12,9 @@
 
 _numbers = strategies.integers(0, 2**31)
 _rows = strategies.dictionaries(
-    _numbers, strategies.builds(shared_load.InstanceLoad, _numbers, _numbers, _numbers), max_size=30
+    _numbers,
+    strategies.builds(shared_load.InstanceLoad, _numbers, _numbers, _numbers, _numbers),
+    max_size=30,
 )
 _alarms = strategies.lists(
     strategies.builds(
@@ -164,22 +166,10 @@
         b"\x90",
         msgpack.packb(7),
         msgpack.packb([9, "a"]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3], [], _NO_CONTENTS, []]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, "4"], [], _NO_CONTENTS, []]),
-        msgpack.packb([1, "a", "h", 1, True, [1, 2, 3, 1.5], [], _NO_CONTENTS, []]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[["c", 0, [], 0, 0, "", False, 0]], 0], []]),
-        msgpack.packb(
-            [1, "a", "h", 1, True, [], [], [[[b"c", 0, ["e"], 0, 0, "", False, 0]], 0], []]
-        ),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[[b"c", 0, []]], 0], []]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], [[], None], []]),
         msgpack.packb([2, "a", 1, [], [["h"]], [], _NO_CONTENTS, []]),
-        msgpack.packb([3, "a", 1, [], [], [], _NO_CONTENTS, []]),
-        msgpack.packb([3, "a", 1, [], [], [["i", 99, "e", 1]], _NO_CONTENTS, []])
+        msgpack.packb([3, "a", 1, [], [], [], _NO_CONTENTS, [], False]),
+        msgpack.packb([3, "a", 1, [], [], [["i", 99, "e", 1, 0]], _NO_CONTENTS, [], False])
         + msgpack.packb(1),
-        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, [1, 2.0]]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, [1, math.nan, 3]]),
-        msgpack.packb([1, "a", "h", 1, True, [], [], _NO_CONTENTS, ["k", 1.0, 3]]),
         msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, []]),
         msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, [1, 2.0, 3, 1, 2.0, 3]]),
         msgpack.packb([5, 1, 9, 0, 0, []]),
@@ -191,6 +181,43 @@
         shared_load.decode(data)
 
 
+_REPORT_FIELDS = {
+    "sender": "a",
+    "hall": "h",
+    "sequence": 1,
+    "is_reporter": True,
+    "rows": [1, 2, 3, 4, 5],
+    "alarms": [["i", 1, "e", 1, 0]],
+    "contents": [[[b"c", 0, [7], 0, 0, "", False, 0]], 0],
+    "limits": [1, 2.0, 3],
+    "wants_snapshot": False,
+    "paces": [1, 55, 3, 0],
+}
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("rows", [1, 2, 3]),
+        ("rows", [1, 2, 3, 4, "5"]),
+        ("rows", [1, 2, 3, 4, 1.5]),
+        ("contents", [[["c", 0, [], 0, 0, "", False, 0]], 0]),
+        ("contents", [[[b"c", 0, ["e"], 0, 0, "", False, 0]], 0]),
+        ("contents", [[[b"c", 0, []]], 0]),
+        ("contents", [[], None]),
+        ("limits", [1, 2.0]),
+        ("limits", [1, math.nan, 3]),
+        ("limits", ["k", 1.0, 3]),
+        ("paces", [1, 55, 3]),
+        ("paces", 7),
+    ],
+)
+def test_a_report_with_one_invalid_field_is_refused(field, value):
+    assert shared_load.decode(msgpack.packb([1, *_REPORT_FIELDS.values()])).sender == "a"
+    with pytest.raises(ValueError):
+        shared_load.decode(msgpack.packb([1, *(_REPORT_FIELDS | {field: value}).values()]))
+
+
 @hypothesis.given(strategies.binary(max_size=60))
 def test_random_bytes_raise_nothing_else(data):
     with contextlib.suppress(ValueError):
