Load datagrams: values that a hub cannot send on are refused

Two reports with a value of 2**64 - 1, or one limit with that age in ms, made msgpack raise OverflowError in the hub's timer: it sent no more totals and updates while it knew the row or limit.

Change: values beyond 2**40, and keys of limits outside 32 bits, make a datagram invalid: logged and ignored.

--- a/src/spoolhead/_internal/models/rate_limit.py
+++ b/src/spoolhead/_internal/models/rate_limit.py
@@ -2,6 +2,10 @@
 
 from collections.abc import Iterable
 
+MAX_KEY = 2**32 - 1
+"""Highest key of an instance, see :func:`shared_load.get_key`."""
+MAX_AGE_MS = 2**40
+"""Maximum age that is read, so that one with the time since fits into a datagram."""
 _ROW_FIELDS = 3
 _NO_LIMIT = -1.0
 """Value in datagrams for an instance that no longer states a limit."""
@@ -56,6 +60,8 @@
     limits = []
     for start in range(0, len(values), _ROW_FIELDS):
         key, limit_per_s, age_ms = values[start : start + _ROW_FIELDS]
+        if not 0 <= key <= MAX_KEY or age_ms > MAX_AGE_MS:
+            raise ValueError("the key or age of a limit is out of range")
         limits.append(AgedLimit(int(key), _read_limit(float(limit_per_s)), max(0, int(age_ms))))
     return limits
 
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -17,6 +17,8 @@
 
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of a datagram; receivers cut off the rest."""
+MAX_ROW_VALUE = 2**40
+"""Maximum of a value in a row, so that sums over all entries fit into a datagram."""
 _ROW_FIELDS = 5
 _REPORT = 1
 _TOTALS = 2
@@ -450,6 +452,8 @@
     rows: LoadByInstance = {}
     for start in range(0, len(values), _ROW_FIELDS):
         key, *load = values[start : start + _ROW_FIELDS]
+        if any(abs(value) > MAX_ROW_VALUE for value in load):
+            raise ValueError("a value of a load row is out of range")
         rows[key] = InstanceLoad(*load)
     return rows
 
--- a/tests/unit/test_load_hub.py
+++ b/tests/unit/test_load_hub.py
@@ -476,3 +476,17 @@
         choice.choose(0.0)
         chosen.add(choice.probing)
     assert chosen == set(addresses)
+
+
+def test_the_largest_values_that_are_read_can_be_sent_by_hubs():
+    """Guards against a hub whose totals no longer fit into a datagram."""
+    hub = load_hub.LoadHub("k1", 1)
+    most = shared_load.MAX_ROW_VALUE
+    for number in range(350):
+        report = _make_report(sender=f"e{number}")
+        report.rows = {7: shared_load.InstanceLoad(most, most, most, most)}
+        report.limits = [rate_limit.AgedLimit(7, 5.0, rate_limit.MAX_AGE_MS)]
+        hub.handle_report(shared_load.decode(shared_load.encode_report(report)), ADDRESS, 1.0)
+    totals = hub.make_totals(2.0)
+    assert totals.rows[7].tokens == 350 * most
+    assert shared_load.encode_totals(totals)
