--- a/src/spoolhead/_internal/policy/pace_registry.py
+++ b/src/spoolhead/_internal/policy/pace_registry.py
@@ -14,11 +14,9 @@
 RENEWAL_AGE_S = 300.0
 """Age from which an unchanged pace is reported again, before it expires everywhere."""
 MIN_REPORT_INTERVAL_S = 2.0
-"""Minimum interval between two reports of an instance's pace, so that entries that read different
-figures do not replace each other's pace without end."""
+"""Minimum interval between two reports of an instance's pace, by whichever entries."""
 MIN_RENEWAL_S = 1.0
-"""Minimum difference of the times at which an equal pace was determined for the later one to count
-as newer: each transfer adds its delay to the time."""
+"""Minimum time by which an equal pace must be newer: each transfer adds its delay to the time."""
 
 
 class PaceRegistry:
@@ -36,7 +34,7 @@
         return self._paces.get(key)
 
     def get_keys(self) -> list[int]:
-        """Return the keys of the instances with a known pace."""
+        """Return the keys of the instances with a known pace, the last recorded at the end."""
         return list(self._paces)
 
     def is_due(self, key: int, percent: int, now_s: float, *, is_measured: bool) -> bool:
@@ -58,21 +56,25 @@
         known = self._paces.get(key)
         if known is not None and not _is_newer(pace, known):
             return False
+        # The keys are in the order in which their paces were recorded.
+        self._paces.pop(key, None)
         self._paces[key] = pace
         return True
 
     def merge(self, paces: Iterable[instance_pace.AgedPace], now_s: float) -> list[int]:
-        """Merge paces reported by another process; return the keys whose pace was replaced."""
-        return [
-            item.key
-            for item in paces
-            if self.record(
-                item.key,
-                instance_pace.TimedPace(
-                    item.percent, now_s - item.age_ms / 1000, is_measured=item.is_measured
-                ),
-            )
-        ]
+        """Merge paces reported by another process, except expired ones.
+
+        :returns: the keys whose pace was replaced.
+        """
+        replaced = []
+        for item in paces:
+            determined_s = now_s - item.age_ms / 1000
+            if now_s - determined_s > pace_estimate.RETENTION_S:
+                continue
+            pace = instance_pace.TimedPace(item.percent, determined_s, is_measured=item.is_measured)
+            if self.record(item.key, pace):
+                replaced.append(item.key)
+        return replaced
 
     def get_aged(self, keys: Iterable[int], now_s: float) -> list[instance_pace.AgedPace]:
         """Return the paces of some instances with their ages, as sent to other processes."""
--- a/tests/unit/test_pace_sharing.py
+++ b/tests/unit/test_pace_sharing.py
@@ -5,7 +5,7 @@
 import pytest
 
 from lib import gateway_setting, load_fleet
-from spoolhead._internal.models import dialects, instance_pace, shared_load
+from spoolhead._internal.models import dialects, instance_pace, rate_limit, shared_load
 from spoolhead._internal.policy import load_hub, pace_broadcast, pace_estimate, pace_registry
 from spoolhead._internal.relay import block_meter
 
@@ -15,7 +15,6 @@
 SHARED_S = 6.0
 """Time after which a pace is known everywhere: two seconds of figures and the repeats."""
 MAX_BYTES_PER_S = 1_000
-MAX_DATAGRAM_BYTES = 65_507
 
 
 def _make_report(paces, *, sender="e1", sequence=1):
@@ -68,7 +67,35 @@
     hub.handle_report(report, ADDRESS, 500.0)
     snapshot = hub.make_snapshot(500.0)
     assert {pace.key for pace in snapshot.paces} == set(keys)
-    assert len(shared_load.encode_update(snapshot)) < MAX_DATAGRAM_BYTES
+    assert len(shared_load.encode_update(snapshot)) < shared_load.MAX_DATAGRAM_BYTES
+
+
+def test_with_much_else_a_snapshot_is_still_read_and_the_left_out_paces_follow():
+    """Guards against entries that get no snapshot because paces make it too large."""
+    hub, keys = _make_large_hub(random.Random(1))
+    _get_sent(hub, 0.0, 60.0)
+    report = _make_report([], sender="e999")
+    report.rows = {key: shared_load.InstanceLoad(120_000, 24, 70_000, 70_000) for key in keys}
+    report.limits = [rate_limit.AgedLimit(key, 50.0, 0) for key in keys]
+    hub.handle_report(report, ADDRESS, 500.0)
+    snapshot = hub.make_snapshot(500.0)
+    assert snapshot.paces
+    encoded = shared_load.complete_update(shared_load.encode_update(snapshot), 2**32)
+    assert len(encoded) <= shared_load.MAX_DATAGRAM_BYTES
+    assert (len(snapshot.rows), len(snapshot.limits)) == (1_600, 1_600)
+    known = {pace.key for pace in snapshot.paces}
+    known |= {pace.key for _, _, paces in _get_sent(hub, 500.0, 560.0) for pace in paces}
+    assert known == set(keys)
+
+
+def test_a_pace_that_was_renewed_stays_in_the_snapshot_when_others_are_left_out():
+    hub = load_hub.LoadHub("k1", 1)
+    for since, now_s in ((0, 0.0), (1, 100.0), (0, 200.0)):
+        count = 1 if since == 0 else pace_broadcast.MAX_PACES_PER_SNAPSHOT
+        paces = [instance_pace.AgedPace(key, 55, 0) for key in range(since, since + count)]
+        hub.handle_report(_make_report(paces, sequence=1 + int(now_s)), ADDRESS, now_s)
+    keys = {pace.key for pace in hub.make_snapshot(200.0).paces}
+    assert keys == {0, *range(2, 1 + pace_broadcast.MAX_PACES_PER_SNAPSHOT)}
 
 
 def test_without_paces_datagrams_are_as_before():
@@ -95,12 +122,43 @@
         assert instance_pace.pack(decoded.paces) == [7, 55, 900, 0, 9, 120, 0, 1]
 
 
-@pytest.mark.parametrize("values", [[1, 2, 3], [1, 0, 0, 0], [1, 55, -1, 0], [1, "x", 0, 0]])
+@pytest.mark.parametrize(
+    "values",
+    [
+        [1, 2, 3],
+        [1, 0, 0, 0],
+        [1, instance_pace.MAX_PERCENT + 1, 0, 0],
+        [1, 55, -1, 0],
+        [1, "x", 0, 0],
+        [-1, 55, 0, 0],
+        [1 << 32, 55, 0, 0],
+    ],
+)
 def test_invalid_paces_are_rejected(values):
     with pytest.raises(ValueError, match="pace"):
         instance_pace.unpack(values)
 
 
+def test_a_pace_of_any_age_leaves_a_hub_able_to_send():
+    """Guards against an age that, after the transfer, no longer fits into a datagram."""
+    hub = load_hub.LoadHub("k1", 1)
+    paces = [instance_pace.AgedPace(7, 55, 2**64 - 1), instance_pace.AgedPace(8, 55, 900)]
+    report = shared_load.decode(shared_load.encode_report(_make_report(paces)))
+    hub.handle_report(report, ADDRESS, 1.0)
+    sent = (hub.make_totals(2.0), hub.make_update(2.0), hub.make_snapshot(2.0))
+    assert [[pace.key for pace in item.paces] for item in sent] == [[8]] * 3
+    assert shared_load.encode_totals(sent[0])
+
+
+def test_a_measured_pace_is_reported_within_the_range_that_is_read():
+    fleet = _PaceFleet(entries=1)
+    fleet.run(0.1)
+    paces = fleet.entries[0].paces
+    paces._report(7, 1_000.0, fleet.clock(), is_measured=True)
+    (pace,) = paces.get_reported(fleet.clock())
+    assert pace.percent == instance_pace.MAX_PERCENT
+
+
 def test_a_pace_that_is_sent_back_with_its_delay_is_not_sent_again():
     """Guards against paces that processes send to each other without end."""
     hub = load_hub.LoadHub("k1", 1)
@@ -158,7 +216,7 @@
         head = gateway_setting.make_answer_head(load=load)
         entry.paces.handle_answer(upstream, head, self.clock())
 
-    def get_ignorant(self, entries):
+    def get_without_paces(self, entries):
         """Return the entries that don't know the pace of each instance."""
         return [
             entry.process.name
@@ -171,7 +229,7 @@
 def test_all_entries_know_all_paces_though_a_fifth_of_the_datagrams_is_lost():
     fleet = _PaceFleet()
     fleet.run(SHARED_S)
-    assert not fleet.get_ignorant(fleet.entries)
+    assert not fleet.get_without_paces(fleet.entries)
 
 
 def test_an_entry_that_starts_gets_all_paces_with_the_snapshot():
@@ -180,7 +238,7 @@
     fleet.is_stating = False
     started = fleet.restart_entry(4)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_so_does_one_that_reads_the_instance_list_after_the_snapshot():
@@ -190,7 +248,7 @@
     started = fleet.restart_entry(4, is_listed=False)
     fleet.run(2.0)
     started.apply_list(fleet.listed)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_the_hub_that_takes_over_knows_all_paces():
@@ -201,7 +259,7 @@
     fleet.run(3.0)
     started = fleet.restart_entry(4)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_entries_that_act_as_hubs_after_the_keepers_get_what_was_determined_before():
@@ -213,7 +271,7 @@
     fleet.run(SHARED_S)
     started = fleet.restart_entry(7)
     fleet.run(2.0)
-    assert not fleet.get_ignorant([started])
+    assert not fleet.get_without_paces([started])
 
 
 def test_a_hall_that_was_cut_off_gets_what_changed_meanwhile_and_the_others_what_changed_there():
@@ -222,11 +280,11 @@
     fleet.net.cut_off_halls = {"hall-1"}
     fleet.percents = dict.fromkeys(fleet.instances, 240)
     fleet.run(10.0)
-    assert fleet.get_ignorant(fleet.entries)
+    assert fleet.get_without_paces(fleet.entries)
     fleet.is_stating = False
     fleet.net.cut_off_halls = set()
     fleet.run(SHARED_S)
-    assert not fleet.get_ignorant(fleet.entries)
+    assert not fleet.get_without_paces(fleet.entries)
 
 
 def test_nothing_is_known_of_an_instance_that_restarts_under_its_id():
@@ -320,3 +378,15 @@
     fleet.begin_stream(fleet.quick, 0.3, for_s=5.0)
     fleet.run(SHARED_S)
     assert fleet.get_factors() == {0.3}
+
+
+def test_after_a_measurement_was_corrected_statements_are_shared_again_beside_streams():
+    """Guards against corrections that are renewed without end and so stay newer than statements."""
+    fleet = _OverruledFleet()
+    fleet.begin_stream(fleet.quick, 1.2, for_s=5.0)
+    fleet.run(SHARED_S)
+    fleet.begin_stream(fleet.quick, 0.3, for_s=60.0)
+    fleet.run(pace_estimate.OVERRULE_TTL_S + SHARED_S)
+    fleet.percents[fleet.quick] = 50
+    fleet.run(SHARED_S)
+    assert fleet.get_factors() == {0.5}
--- a/tests/unit/test_unread_budget.py
+++ b/tests/unit/test_unread_budget.py
@@ -1,13 +1,18 @@
 """The budget of the unread bytes of a process, how they are counted, and what a drop ends."""
 
+import dataclasses
+import errno
 import logging
+import socket
 
 import pytest
 
 from lib import gateway_setting
-from spoolhead._internal.models import route_table
-from spoolhead._internal.network import direct_server
+from spoolhead._internal.gateway import refusals
+from spoolhead._internal.models import codes, fault, route_table
+from spoolhead._internal.network import caller_front, direct_server, loop
 from spoolhead._internal.policy import unread_budget
+from spoolhead.platform import dialect
 
 
 def make_budget(budget_bytes, **unread_bytes):
@@ -65,6 +70,9 @@
     def isWriting(self, sock):  # noqa: N802
         return False
 
+    def discard(self, sock):
+        pass
+
 
 class FakeSocket:
     """Socket whose send buffer accepts a number of bytes."""
@@ -72,11 +80,21 @@
     def __init__(self):
         self.free = 0
         self.sent = b""
+        self.is_closed = False
+        self.is_reset = False
 
     def fileno(self):
-        return 5
+        return -1 if self.is_closed else 5
+
+    def shutdown(self, how):
+        pass
+
+    def close(self):
+        self.is_closed = True
 
     def send(self, data):
+        if self.is_reset:
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
         if not self.free:
             raise BlockingIOError(11, "full")
         count = min(self.free, len(data))
@@ -105,6 +123,24 @@
     server._sock.close()
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_nothing_is_stored_of_a_connection_that_is_closed_before_its_bytes_were_sent(is_reset):
+    """Guards against a memory that grows with each caller that is dropped or leaves."""
+    server = direct_server.DirectServer(("127.0.0.1", 0), channel="callers")
+    server._poller, sock = FakePoller(), FakeSocket()
+    server._clients.append(sock)
+    server.send_now(sock, b"a" * 100)
+    server.close_after_send(sock)
+    sock.is_reset = is_reset
+    if is_reset:
+        server._on_write(sock)
+    else:
+        server.close_now(sock)
+    assert sock.is_closed
+    assert (list(server._closeq), list(server._buffers)) == ([], [])
+    server._sock.close()
+
+
 def test_a_drop_frees_the_engine_at_once():
     setting = gateway_setting.Setting(route_table.RequestKind.STREAM)
     setting.last.answer(200, gateway_setting.SIGNED, gateway_setting.make_events(1, 3), whole=False)
@@ -124,3 +160,65 @@
     setting.last.answer(200, gateway_setting.SIGNED, gateway_setting.make_events(1, 3))
     texts = [record.getMessage() for record in caplog.records]
     assert "failed" in texts and "answered" not in texts
+
+
+REQUEST = b"POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n"
+ANSWER_BYTES = 8_000_000
+"""Size of an answer of which the kernel buffers only a part."""
+MAX_TICKS = 1_000
+
+
+class Front:
+    """A server for callers, whose first request is answered with many bytes."""
+
+    def __init__(self):
+        self.callers, self.drops = [], []
+        self.unread = unread_budget.UnreadBudget(10**9)
+        config = dataclasses.replace(gateway_setting.make_settings(), host="127.0.0.1", port=0)
+        self.loop = loop.Loop(lambda: None)
+        # The library polls only while it runs.
+        self.loop._running = True
+        self.front = caller_front.CallerFront(
+            self.loop,
+            config,
+            on_request=self._handle_request,
+            on_bad_request=lambda *_request: None,
+            unread=self.unread,
+            on_drop=lambda *drop: self.drops.append(drop),
+        ).register(self.loop)
+
+    def _handle_request(self, caller):
+        self.callers.append(caller)
+        if len(self.callers) == 1:
+            caller.send_answer(200, [], bytes(ANSWER_BYTES))
+
+    def connect(self, data, *, callers):
+        """Send bytes on a new connection, until there were so many requests."""
+        sock = socket.create_connection(("127.0.0.1", self.front.port))
+        sock.sendall(data)
+        for _ in range(MAX_TICKS):
+            if len(self.callers) >= callers:
+                return sock
+            self.loop.tick(0.01)
+        raise AssertionError("the requests did not arrive")
+
+
+def test_a_refusal_to_a_dropped_caller_is_not_buffered(monkeypatch):
+    """Guards against a second drop, of this or another caller, because of the refusal."""
+    monkeypatch.setattr(loop.signal, "signal", lambda *_handler: None)
+    front = Front()
+    stopped = front.connect(REQUEST * 2, callers=2)
+    other = front.connect(REQUEST, callers=3)
+    waiting = front.callers[1]
+    item = fault.Fault(codes.ResultCode.CALLER_TOO_SLOW, "too slow")
+    waiting.on_drop = lambda _reason: refusals.send(
+        waiting, dialect.Dialect(), item, ran=codes.Ran.NO, request_id="r-2"
+    )
+    front.unread.budget_bytes = 1
+    front.callers[2].send_answer(200, [], b"whole")
+    assert [is_running for _, _, is_running in front.drops] == [True]
+    assert (front.unread.total_bytes, waiting.is_finished) == (0, True)
+    assert other.recv(1_000).endswith(b"whole")
+    for sock in (stopped, other):
+        sock.close()
+    front.front.close_when_idle()
