--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -20,9 +20,11 @@
 MAX_ROW_VALUE = 2**40
 """Maximum of a value in a row, so that sums over all entries fit into a datagram."""
 _ROW_FIELDS = 5
-_REPORT = 1
-_TOTALS = 2
-_UPDATE = 3
+REPORT = 11
+TOTALS = 12
+UPDATE = 13
+"""Tags of the datagrams; another layout of the fields takes other tags, so that processes of
+different versions reject each other's datagrams instead of misreading them."""
 
 
 def get_key(incarnation_id: str) -> int:
@@ -310,7 +312,7 @@
     fields += [_pack_rows(report.rows), _pack_alarms(report.alarms)]
     fields += [_pack_contents(report.contents), rate_limit.pack(report.limits)]
     fields.append(report.wants_snapshot)
-    return msgpack.packb([_REPORT, *fields, *_pack_paces(report.paces)])
+    return msgpack.packb([REPORT, *fields, *_pack_paces(report.paces)])
 
 
 def encode_totals(totals: Totals) -> bytes:
@@ -318,7 +320,7 @@
     rows, alarms = _pack_rows(totals.rows), _pack_alarms(totals.alarms)
     contents, limits = _pack_contents(totals.contents), rate_limit.pack(totals.limits)
     fields = [totals.hub, totals.sequence, rows, _pack_ages(totals.ages), alarms, contents, limits]
-    return msgpack.packb([_TOTALS, *fields, *_pack_paces(totals.paces)])
+    return msgpack.packb([TOTALS, *fields, *_pack_paces(totals.paces)])
 
 
 def encode_update(update: Update) -> bytes:
@@ -327,7 +329,7 @@
     contents, limits = _pack_contents(update.contents), rate_limit.pack(update.limits)
     fields = [update.hub, update.sequence, rows, _pack_ages(update.ages), alarms, contents, limits]
     fields.append(update.is_snapshot)
-    return msgpack.packb([_UPDATE, *fields, *_pack_paces(update.paces)])
+    return msgpack.packb([UPDATE, *fields, *_pack_paces(update.paces)])
 
 
 def complete_update(encoded: bytes, counted: int) -> bytes:
@@ -349,11 +351,11 @@
     try:
         values = list(unpacker)
         tag, *fields = values[0]
-        if tag == _REPORT:
+        if tag == REPORT:
             return _read_report(*fields)
-        if tag == _TOTALS:
+        if tag == TOTALS:
             return _read_totals(*fields)
-        if tag == _UPDATE:
+        if tag == UPDATE:
             return _read_update(*fields, counted=int(values[1]))
         if tag == permits.REQUEST:
             return permits.read_permit_request(*fields)
--- a/tests/unit/test_shared_load.py
+++ b/tests/unit/test_shared_load.py
@@ -166,9 +166,11 @@
         b"\x90",
         msgpack.packb(7),
         msgpack.packb([9, "a"]),
-        msgpack.packb([2, "a", 1, [], [["h"]], [], _NO_CONTENTS, []]),
-        msgpack.packb([3, "a", 1, [], [], [], _NO_CONTENTS, [], False]),
-        msgpack.packb([3, "a", 1, [], [], [["i", 99, "e", 1, 0]], _NO_CONTENTS, [], False])
+        msgpack.packb([shared_load.TOTALS, "a", 1, [], [["h"]], [], _NO_CONTENTS, []]),
+        msgpack.packb([shared_load.UPDATE, "a", 1, [], [], [], _NO_CONTENTS, [], False]),
+        msgpack.packb(
+            [shared_load.UPDATE, "a", 1, [], [], [["i", 99, "e", 1, 0]], _NO_CONTENTS, [], False]
+        )
         + msgpack.packb(1),
         msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, []]),
         msgpack.packb([4, "a", "h", 1, 0, 0, False, 7, 0, True, [1, 2.0, 3, 1, 2.0, 3]]),
@@ -218,9 +220,14 @@
     ],
 )
 def test_a_report_with_one_invalid_field_is_refused(field, value):
-    assert shared_load.decode(msgpack.packb([1, *_REPORT_FIELDS.values()])).sender == "a"
+    assert (
+        shared_load.decode(msgpack.packb([shared_load.REPORT, *_REPORT_FIELDS.values()])).sender
+        == "a"
+    )
     with pytest.raises(ValueError):
-        shared_load.decode(msgpack.packb([1, *(_REPORT_FIELDS | {field: value}).values()]))
+        shared_load.decode(
+            msgpack.packb([shared_load.REPORT, *(_REPORT_FIELDS | {field: value}).values()])
+        )
 
 
 @hypothesis.given(strategies.binary(max_size=60))
