--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -12,13 +12,23 @@
 from spoolhead._internal.policy import shared_queue, upstream_registry, workspace_shares
 from spoolhead._internal.utils import clocks
 
-MAX_WORKSPACES_PER_REPORT = 4
-"""Maximum number of workspaces whose usage is reported, the largest first: 140 bytes."""
+MAX_WORKSPACES_PER_REPORT = 6
+"""Maximum number of workspaces whose usage is reported, the largest first: 200 bytes. The usage of
+the others is reported as one sum."""
+STALE_S = 0.6
+"""Age of the other entries' load above which no request starts until an update arrives, as after a
+time in which this process did not run."""
+STALE_WAIT_S = 0.3
+"""Maximum time for which requests wait for that update; about the time to find another hub."""
 SHARES_TTL_S = 0.05
 """Time for which computed shares are used; about the interval between updates."""
 DEMAND_TTL_S = 0.01
 """Time for which the computed classes and demand are used, so that one check computes them once."""
 
+REJOIN_S = 1.0
+"""Time after a hall is heard again for which its engines get no queued requests: until the rows of
+its loads have been sent in rotation, they look empty."""
+
 Place = tuple[int, float]
 """Waiting class and random number of a request, which order it."""
 
@@ -58,6 +68,8 @@
     :param registry: the known instances.
     :param get_other_load: returns the load of the other entries under a key.
     :param get_load_age_ms: returns the age of that load.
+    :param has_snapshot: returns whether that load is complete.
+    :param get_silent_halls: returns the halls that are silent.
     :param request_report: called when a request begins or ends to wait; changes of class follow
         with the repeated reports.
     :param metrics: counters and histograms.
@@ -71,6 +83,8 @@
         *,
         get_other_load: Callable[[int], shared_load.InstanceLoad | None],
         get_load_age_ms: Callable[[], int],
+        has_snapshot: Callable[[], bool],
+        get_silent_halls: Callable[[], frozenset[str]],
         request_report: Callable[[], None],
         metrics: entry_metrics.EntryMetrics,
         rng: random.Random,
@@ -79,11 +93,15 @@
         self._registry = registry
         self._get_other_load = get_other_load
         self._get_load_age_ms = get_load_age_ms
+        self._has_snapshot = has_snapshot
+        self._get_silent_halls = get_silent_halls
+        self._silent_at_s: dict[str, float] = {}
         self._request_report = request_report
         self._metrics = metrics
         self._rng = rng
         self._clock = clock
         self._queues: dict[str, _ServiceQueue] = {}
+        self._stale_since_s: float | None = None
 
     def make_request(
         self, job: routed_job.Job, *, need_tokens: int, arrived_s: float, deadline_s: float
@@ -91,7 +109,7 @@
         """Return the request of a job for the shared queue."""
         return shared_queue.WaitingRequest(
             service=job.service.name,
-            rank=job.route.priority,
+            rank=job.workspace_rank,
             workspace=job.workspace_name,
             need_tokens=need_tokens,
             objective_ms=job.route.objective_ms,
@@ -140,7 +158,7 @@
         self._update_demand(request.service, queue, now_s)
         rooms = [
             shared_queue.EngineRoom(upstream, engine.memory_tokens, request.need_tokens)
-            for upstream in upstreams
+            for upstream in self._get_known(upstreams, now_s)
             if has_room(upstream)
         ]
         stall = queue.stalls[request.rank]
@@ -189,6 +207,7 @@
 
     def get_rows(self) -> shared_load.LoadByInstance:
         """Return the rows of this entry for a report."""
+        self._record_silent_halls(self._clock())
         rows = self._get_waiting_rows()
         for service, queue in self._queues.items():
             self._add_running_rows(rows, service)
@@ -221,6 +240,8 @@
     ) -> None:
         usage = self._get_own_usage(service, queue)
         largest = sorted(usage.items(), key=lambda item: -_get_demand(item[1]))
+        for _, load in largest[MAX_WORKSPACES_PER_REPORT:]:
+            _add(rows, queue_rows.get_rest_key(service), load)
         for workspace, load in largest[:MAX_WORKSPACES_PER_REPORT]:
             places = zip(
                 queue_rows.get_bucket_keys(service), queue_rows.get_buckets(workspace), strict=True
@@ -259,7 +280,35 @@
             [self._get_total(key, own) for key in keys]
             for keys in queue_rows.get_bucket_keys(service)
         ]
-        queue.shares = workspace_shares.WorkspaceShares(tables, queue.capacity)
+        # The workspaces that are not reported by name use little, so they get all that they want.
+        rest = _get_demand(self._get_total(queue_rows.get_rest_key(service), own))
+        queue.shares = workspace_shares.WorkspaceShares(tables, max(0, queue.capacity - rest))
+
+    def _get_known(
+        self, upstreams: Sequence[upstream_registry.Upstream], now_s: float
+    ) -> Sequence[upstream_registry.Upstream]:
+        """Return the engines whose load is known, or all if their halls are all silent."""
+        if self._awaits_update(now_s):
+            return ()
+        self._record_silent_halls(now_s)
+        known = [item for item in upstreams if item.instance.hall not in self._silent_at_s]
+        return known or upstreams
+
+    def _record_silent_halls(self, now_s: float) -> None:
+        for hall in self._get_silent_halls():
+            self._silent_at_s[hall] = now_s
+        for hall, silent_at_s in list(self._silent_at_s.items()):
+            if now_s - silent_at_s > REJOIN_S:
+                del self._silent_at_s[hall]
+
+    def _awaits_update(self, now_s: float) -> bool:
+        """Return whether the other entries' load is old or partial, and may be complete soon."""
+        if self._get_load_age_ms() <= STALE_S * 1000 and self._has_snapshot():
+            self._stale_since_s = None
+            return False
+        if self._stale_since_s is None:
+            self._stale_since_s = now_s
+        return now_s - self._stale_since_s < STALE_WAIT_S
 
     def _get_total(self, key: int, own: shared_load.LoadByInstance) -> shared_load.InstanceLoad:
         total = own.get(key, shared_load.InstanceLoad()).copy()
@@ -313,6 +362,8 @@
         registry,
         get_other_load=sharing.get_other_load,
         get_load_age_ms=sharing.get_load_age_ms,
+        has_snapshot=lambda: sharing.has_snapshot,
+        get_silent_halls=sharing.get_silent_halls,
         request_report=sharing.schedule_report,
         metrics=metrics,
         rng=rng or random.Random(),
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -325,7 +325,7 @@
             self.need_tokens,
             prefill_tokens=prefill_tokens,
             answer_tokens=self._expected_tokens,
-            rank=self.job.route.priority,
+            rank=self.job.workspace_rank,
             workspace=self.job.workspace_name,
         )
         self._context.on_change()
--- a/src/spoolhead/_internal/policy/shared_queue.py
+++ b/src/spoolhead/_internal/policy/shared_queue.py
@@ -23,10 +23,16 @@
 """Room kept free for more urgent requests, as a share of their memory in flight."""
 MAX_RESERVE_FRACTION = 0.03
 """Maximum of that room, as a share of the memory of all engines."""
-DRAW_INTERVAL_S = 0.1
-"""Mean time for which a random number orders a request, longer than a start takes to reach the
-other entries."""
-RELEASE_S = 0.1
+DRAW_INTERVAL_S = 0.2
+"""Mean time for which a random number orders a request; several times as long as a start takes to
+reach the other entries."""
+START_SLACK = 0.5
+"""Demand ahead of a request that may exceed the room, as a share of what it needs: a larger one
+leaves less room unused, a smaller one has fewer entries start at once."""
+SCARCE_FRACTION = 0.2
+"""Share of all memory below which free room is scarce: requests then spread over it at random, as
+entries that decide at the same time would all choose the best engine."""
+RELEASE_S = 0.3
 """Time without a start after which unused room is open to all waiting requests alike."""
 MAX_WAIT_FRACTION = 2.0
 """Maximum time in the queue, as a share of the objective."""
@@ -43,6 +49,7 @@
     :ivar need_tokens: memory that it needs, in tokens.
     :ivar arrived_s: monotonic time of its arrival.
     :ivar draw: random number that orders it within its class.
+    :ivar spread: random number that selects its engine where room is scarce.
     """
 
     __slots__ = (
@@ -56,6 +63,7 @@
         "objective_s",
         "rank",
         "service",
+        "spread",
         "workspace",
     )
 
@@ -80,6 +88,7 @@
         self.deadline_s = deadline_s
         self.draw = rng.random()
         self._share_draw = rng.random()
+        self.spread = rng.random()
         self._is_promoted = rng.random() < PROMOTED_SHARE
         self._draw_until_s = arrived_s + DRAW_INTERVAL_S * rng.random()
 
@@ -93,6 +102,7 @@
         """Draw another random number if the last one is old."""
         if now_s >= self._draw_until_s:
             self.draw = rng.random()
+            self.spread = rng.random()
             self._draw_until_s = now_s + DRAW_INTERVAL_S * (0.5 + rng.random())
 
     def get_class(self, shares: workspace_shares.WorkspaceShares | None, now_s: float) -> int:
@@ -100,10 +110,13 @@
         age = (now_s - self.arrived_s) / self.objective_s
         is_promoted = self._is_promoted and age >= PROMOTE_FRACTION
         age_class = int(age / START_FRACTION * queue_rows.AGE_CLASSES)
+        is_over = shares is not None and shares.is_over(self.workspace)
+        # Of a workspace below its share, only as many requests as fit come first.
+        exceeds = shares is not None and shares.is_over(self.workspace, self._share_draw)
         return queue_rows.get_class(
             max(0, self.rank - is_promoted),
-            is_late=age_class >= queue_rows.AGE_CLASSES,
-            is_over_share=shares is not None and shares.is_over(self.workspace, self._share_draw),
+            is_late=age_class >= queue_rows.AGE_CLASSES or (exceeds and not is_over),
+            is_over_share=is_over,
             age_class=max(0, age_class),
         )
 
@@ -219,9 +232,11 @@
         ahead = min(ahead, demand.get_random_ahead_tokens(request))
     ahead += demand.get_reserve_tokens(request)
     room_tokens = sum(room.tokens for room in rooms)
-    starts = bool(rooms) and ahead + request.need_tokens / 2 <= room_tokens
+    is_scarce = room_tokens < SCARCE_FRACTION * demand.capacity
+    place = request.spread * room_tokens if is_scarce else ahead
+    starts = bool(rooms) and ahead + request.need_tokens * (1 - START_SLACK) <= room_tokens
     return Decision(
-        _find_engine(rooms, ahead) if starts else None,
+        _find_engine(rooms, place) if starts else None,
         waiting_class=waiting_class,
         ahead_tokens=ahead,
         room_tokens=room_tokens,
@@ -229,12 +244,12 @@
     )
 
 
-def _find_engine(rooms: Sequence[EngineRoom], ahead: float) -> upstream_registry.Upstream:
-    """Return the engine that has room after the demand ahead has filled the better ones."""
+def _find_engine(rooms: Sequence[EngineRoom], place: float) -> upstream_registry.Upstream:
+    """Return the engine that has the room at a place, counted in tokens over all engines."""
     for room in rooms:
-        if ahead < room.tokens:
+        if place < room.tokens:
             return room.upstream
-        ahead -= room.tokens
+        place -= room.tokens
     return rooms[-1].upstream
 
 
--- a/src/spoolhead/_internal/policy/workspace_shares.py
+++ b/src/spoolhead/_internal/policy/workspace_shares.py
@@ -4,6 +4,7 @@
 and the smaller of both bounds its usage from above.
 """
 
+import math
 from collections.abc import Sequence
 
 from spoolhead._internal.models import queue_rows, shared_load
@@ -13,6 +14,9 @@
     """Return the max-min fair share: the most that any of the demands gets of a capacity."""
     left = float(capacity)
     ordered = sorted(demand for demand in demands if demand > 0)
+    if len(ordered) == 1:
+        # Nobody else wants the room.
+        return math.inf
     for number, demand in enumerate(ordered):
         share = left / (len(ordered) - number)
         if demand > share:
@@ -37,11 +41,10 @@
             for table in tables
         ]
 
-    def is_over(self, workspace: str, draw: float) -> bool:
-        """Return whether a waiting request of a workspace is over its share.
+    def is_over(self, workspace: str, draw: float = 0.0) -> bool:
+        """Return whether a workspace is over its share.
 
-        :param draw: random number of the request, from 0 to 1: of a workspace under its share, as
-            many waiting requests are not over it as fit.
+        :param draw: part of its waiting demand that is added to its memory in flight, from 0 to 1.
         """
         if not workspace:
             return False
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -339,6 +339,8 @@
                 self.registry,
                 get_other_load=self.other_rows.get,
                 get_load_age_ms=lambda: 20,
+                has_snapshot=lambda: True,
+                get_silent_halls=frozenset,
                 request_report=lambda: None,
                 metrics=metrics,
                 rng=random.Random(1),
--- a/tests/patterns/test_shared_room.py
+++ b/tests/patterns/test_shared_room.py
@@ -52,3 +52,64 @@
     assert other <= urgent + MAX_INVERSION
     assert other >= MIN_SHARE * fleet.get_served(began_s, ended_s)
     assert sent_per_s + received_per_s < MAX_CONTROL_BYTES_PER_S
+
+
+def _check_goes_on(fleet, failed_s, heal_s):
+    """Check that starts go on after a failure, and that the bounds hold again after it heals."""
+    fleet.run(heal_s + HEAL_S)
+    healed_s = fleet.clock()
+    fleet.run(3.0)
+    assert fleet.get_longest_stall_s(failed_s) < RELEASE_LIMIT_S
+    assert fleet.get_unused(healed_s, fleet.clock()) < MAX_UNUSED
+    assert fleet.get_overshoot(healed_s, fleet.clock()) < MAX_OVERSHOOT
+
+
+def _begin_long(entries=24):
+    fleet, _ = _begin(entries)
+    fleet.clock.call_later(BURST_S, lambda: _send(fleet, 2.4, 0.2, for_s=12.0))
+    fleet.run(4.0)
+    return fleet, fleet.find_head()
+
+
+def test_starts_go_on_when_the_entry_at_the_head_is_killed():
+    """Its rows count until its reports expire."""
+    fleet, head = _begin_long()
+    fleet.kill_entry(head)
+    _check_goes_on(fleet, fleet.clock(), 0.0)
+
+
+def test_starts_go_on_while_the_entry_at_the_head_is_frozen():
+    fleet, head = _begin_long()
+    fleet.freeze_entry(head, 5.0)
+    _check_goes_on(fleet, fleet.clock(), 5.0)
+
+
+def test_starts_go_on_while_the_hall_of_the_head_is_cut_off():
+    """Each side shares the engines that it reaches."""
+    fleet, head = _begin_long()
+    fleet.cut_off(fleet.entries[head].process.hall, 5.0)
+    _check_goes_on(fleet, fleet.clock(), 5.0)
+
+
+def test_starts_go_on_when_a_hub_is_killed():
+    fleet, _ = _begin_long()
+    fleet.kill(fleet.hubs[0].name)
+    _check_goes_on(fleet, fleet.clock(), 0.0)
+
+
+def test_a_workspace_that_sends_half_of_all_gets_no_more_than_its_share():
+    """Room is scarce from the third second on; what ends after that is shared."""
+    names = [f"small-{number}" for number in range(10)]
+    workspaces = ["large"] * 10 + names
+    fleet, began_s = _begin(24, workspaces=workspaces)
+    fleet.clock.call_later(
+        BURST_S, lambda: _send(fleet, 2.4, 0.2, for_s=BURST_S, workspaces=workspaces)
+    )
+    fleet.run(2 * BURST_S)
+    ended_s = fleet.clock()
+    fleet.run(room_fleet.LONG.objective_ms / 1000 * 2)
+    fair = 1 / (len(names) + 1)
+    assert fleet.get_started_share("large", began_s + 3.0, ended_s) <= fair + MAX_INVERSION
+    served = fleet.get_served(began_s, ended_s)
+    for name in names:
+        assert fleet.get_served(began_s, ended_s, workspace=name) >= MIN_SHARE * served
