Shared queue: a backlog of prompts stays short enough for the most urgent kind

A long prompt that starts behind others gains nothing by it. It now waits in the queue while more than 0.4 of the shortest objective of the service's streams is ahead.

--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -436,7 +436,10 @@
         assert service is not None
         workspace_name = workspace.name if workspace is not None else ""
         content_id = request_content.get_content_id(caller.request, head.host, workspace_name)
-        return routed_job.Job(head, route, service, workspace, table.version, content_id)
+        tightest_ms = table.get_tightest_objective_ms(service.name)
+        return routed_job.Job(
+            head, route, service, workspace, table.version, content_id, tightest_ms
+        )
 
     def _adjust_refusal(self, item: fault.Fault) -> fault.Fault:
         """Return the fault to send for a request that the table refuses.
--- a/src/spoolhead/_internal/gateway/routed_job.py
+++ b/src/spoolhead/_internal/gateway/routed_job.py
@@ -18,9 +18,18 @@
     :ivar workspace: owner of the API key; None on a route without keys.
     :ivar version: version of the route table that was used.
     :ivar content_id: digest of the request's content; equal for repeated requests.
+    :ivar tightest_objective_ms: shortest objective of the streams that the service gets.
     """
 
-    __slots__ = ("content_id", "head", "route", "service", "version", "workspace")
+    __slots__ = (
+        "content_id",
+        "head",
+        "route",
+        "service",
+        "tightest_objective_ms",
+        "version",
+        "workspace",
+    )
 
     def __init__(
         self,
@@ -30,6 +39,7 @@
         workspace: route_table.Workspace | None,
         version: int,
         content_id: bytes,
+        tightest_objective_ms: int | None = None,
     ) -> None:
         self.head = head
         self.route = route
@@ -37,6 +47,7 @@
         self.workspace = workspace
         self.version = version
         self.content_id = content_id
+        self.tightest_objective_ms = tightest_objective_ms or route.objective_ms
 
     @property
     def workspace_name(self) -> str:
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -249,6 +249,7 @@
             prompt_tokens=generation.prompt_tokens if generation is not None else 0,
             objective_ms=self.job.route.objective_ms,
             arrived_s=self._arrived_s,
+            max_prefill_ms=self._get_max_prefill_ms(),
         )
         if not self.try_start():
             if not self._is_awaiting_permit:
@@ -267,6 +268,14 @@
             pause_ms=self.job.route.pause_ms,
         )
 
+    def _get_max_prefill_ms(self) -> float | None:
+        """Return the bound on prefill in the shared queue, where a wait costs no place."""
+        if self.waiting is None:
+            return None
+        return run_admission.get_max_prefill_ms(
+            self.job.route.objective_ms, self.job.tightest_objective_ms
+        )
+
     def _apply_forecast(
         self,
         room: room_sharing.RoomSharing,
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -23,6 +23,9 @@
 the others (7 ms)."""
 PREFILL_FRACTION = 0.7
 """Share of the objective that prefill of all prompts ahead may take."""
+OTHERS_PREFILL_FRACTION = 0.4
+"""Share of the shortest objective at a service that prefill at an engine may take before a request
+with a longer objective starts there: a more urgent one must still find a short backlog."""
 REFUSE_AFTER_FRACTION = 0.2
 """Share of the objective for which a request waits even if it is unlikely to start. Engines start
 and runs end at unexpected times: refusing at once lost 0.011 of the value served (standard error
@@ -58,9 +61,17 @@
     :ivar prompt_tokens: length of its prompt.
     :ivar objective_ms: time within which its first token is expected.
     :ivar arrived_s: monotonic time of its arrival.
+    :ivar max_prefill_ms: time that its prefill and that of all prompts ahead may take.
     """
 
-    __slots__ = ("arrived_s", "need_tokens", "objective_ms", "prompt_tokens", "rank")
+    __slots__ = (
+        "arrived_s",
+        "max_prefill_ms",
+        "need_tokens",
+        "objective_ms",
+        "prompt_tokens",
+        "rank",
+    )
 
     def __init__(
         self,
@@ -70,12 +81,16 @@
         prompt_tokens: int,
         objective_ms: int,
         arrived_s: float,
+        max_prefill_ms: float | None = None,
     ) -> None:
         self.rank = rank
         self.need_tokens = need_tokens
         self.prompt_tokens = prompt_tokens
         self.objective_ms = objective_ms
         self.arrived_s = arrived_s
+        if max_prefill_ms is None:
+            max_prefill_ms = objective_ms * PREFILL_FRACTION
+        self.max_prefill_ms = max_prefill_ms
 
     @property
     def refuse_s(self) -> float:
@@ -97,7 +112,19 @@
         return False
     prefill_ms = (upstream.prefill_tokens + request.prompt_tokens) / PREFILL_TOKENS_PER_MS
     prefill_ms *= upstream.pace.typical_factor
-    return not upstream.prefill_tokens or prefill_ms <= request.objective_ms * PREFILL_FRACTION
+    return not upstream.prefill_tokens or prefill_ms <= request.max_prefill_ms
+
+
+def get_max_prefill_ms(objective_ms: int, tightest_objective_ms: int) -> float:
+    """Return the time that prefill may take where requests with a shorter objective come, too.
+
+    :param objective_ms: objective of the request.
+    :param tightest_objective_ms: shortest objective of the requests that the engines get.
+    """
+    own_ms = objective_ms * PREFILL_FRACTION
+    if tightest_objective_ms >= objective_ms:
+        return own_ms
+    return min(own_ms, tightest_objective_ms * OTHERS_PREFILL_FRACTION)
 
 
 def get_min_fill(engine: route_table.Engine, choice: upstream_choice.Choice) -> float:
--- a/src/spoolhead/_internal/routing/matcher.py
+++ b/src/spoolhead/_internal/routing/matcher.py
@@ -2,7 +2,7 @@
 
 import collections
 import random
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from spoolhead._internal.models import route_table
 
@@ -51,6 +51,7 @@
         self._hosts: dict[str, _HostRoutes] = collections.defaultdict(_HostRoutes)
         for route in table.routes:
             self._hosts[route.host.lower()].add(route)
+        self._stream_objectives_ms = _get_stream_objectives_ms(table.routes)
         self._needs_key = table.workspaces is not None
         self._owners = {
             api_key: workspace
@@ -76,6 +77,10 @@
         routes = self._hosts.get(host.partition(":")[0].lower())
         return routes.find(path) if routes is not None else None
 
+    def get_tightest_objective_ms(self, service: str) -> int | None:
+        """Return the shortest objective of the streams that a service gets; None for no streams."""
+        return self._stream_objectives_ms.get(service)
+
     def needs_key(self, route: route_table.Route) -> bool:
         """Return whether a route's requests need an API key."""
         return self._needs_key and not route.is_public
@@ -85,6 +90,17 @@
         return self._owners.get(api_key)
 
 
+def _get_stream_objectives_ms(routes: Iterable[route_table.Route]) -> dict[str, int]:
+    objectives_ms: dict[str, int] = {}
+    for route in routes:
+        if route.kind is not route_table.RequestKind.STREAM:
+            continue
+        for share in route.shares:
+            known_ms = objectives_ms.get(share.service, route.objective_ms)
+            objectives_ms[share.service] = min(known_ms, route.objective_ms)
+    return objectives_ms
+
+
 def choose_service(route: route_table.Route, rng: random.Random) -> str:
     """Return the service for a route's next request, chosen at random by weight."""
     if len(route.shares) == 1:
--- a/tests/unit/test_run_admission.py
+++ b/tests/unit/test_run_admission.py
@@ -129,3 +129,21 @@
     setting.timers.run_due(5.0)
     assert setting.calls.attempts == []
     assert setting.ended == [setting.exchange]
+
+
+def test_a_request_with_time_does_not_fill_the_backlog_of_a_more_urgent_kind():
+    """Pattern: long prompts burst at engines that also get short answers with 1.5 s to begin.
+
+    A prompt that starts behind another one gains nothing, and it delays every later one there.
+    """
+    bound_ms = run_admission.get_max_prefill_ms(4_000, 1_500)
+    assert bound_ms + 2_200 / run_admission.PREFILL_TOKENS_PER_MS <= 0.7 * 1_500
+    request = _make_request(objective_ms=4_000, max_prefill_ms=bound_ms)
+    assert run_admission.has_room(ENGINE, _make_upstream(9_000, 1_000), request)
+    assert not run_admission.has_room(ENGINE, _make_upstream(9_000, 3_000), request)
+    assert run_admission.has_room(ENGINE, _make_upstream(9_000, 3_000), _make_request())
+
+
+def test_the_most_urgent_kind_keeps_its_own_bound():
+    bound_ms = run_admission.get_max_prefill_ms(1_500, 1_500)
+    assert bound_ms == 1_500 * run_admission.PREFILL_FRACTION
