--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -60,6 +60,7 @@
         self._forecast: room_forecast.Forecast | None = None
         self._is_return = False
         self._acquired_tokens = 0
+        self._grown_tokens = 0
 
     @property
     def upstream(self) -> upstream_registry.Upstream | None:
@@ -102,7 +103,7 @@
         generation = self.job.head.generation
         if generation is None:
             return 0
-        expected = generation.hinted_tokens or generation.limit_tokens
+        expected = max(generation.hinted_tokens or generation.limit_tokens, self._grown_tokens)
         return min(expected, generation.limit_tokens)
 
     def start(self) -> None:
@@ -198,6 +199,7 @@
         if result.events:
             now_s = clocks.get_s()
             self._pace_meter.record_events(events_before, now_s)
+            self._update_expected_length(attempt)
             self._context.paces.handle_events(
                 attempt.upstream, self._block_meter, result.events, now_s
             )
@@ -444,6 +446,27 @@
             request.prefill_tokens = 0
             self._context.on_change()
 
+    def _update_expected_length(self, attempt: attempts.Attempt) -> None:
+        """Expect more tokens of an answer that exceeds its expected length.
+
+        Its engine otherwise seems to have memory that the answer takes, and preempts a run.
+        """
+        engine = self.job.service.engine
+        if engine is None or not self._plans_memory(attempt.upstream):
+            return
+        generated = self.events * engine.tokens_per_event
+        if generated <= self._expected_tokens:
+            return
+        self._grown_tokens = int(generated * run_admission.LENGTH_GROWTH)
+        request = attempt.upstream.in_flight.get(self.job.head.request_id)
+        if request is not None:
+            request.tokens = self.need_tokens
+            request.answer_tokens = self._expected_tokens
+            self._context.on_change()
+
+    def _plans_memory(self, upstream: upstream_registry.Upstream) -> bool:
+        return self._context.room is not None or upstream.pace.is_known
+
     def _resume_run(self, copy: run_migration.ReadyCopy) -> None:
         resume_point = dialects.ResumePoint(
             address=copy.address, handle=copy.handle, last_event_id=self._splicer.last_event_id
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -241,6 +241,7 @@
     :param busy: number of requests of other entries at each instance, by name.
     :param limits_per_s: rate limit of each limited instance, by name.
     :param knows_fleet: whether the entry knows itself as a granter of permits.
+    :param hint: the caller's guess of the tokens that are generated; empty for none.
     :param shares_room: whether the entry shares its queue; ``other_rows`` has what others report.
     """
 
@@ -264,6 +265,7 @@
         knows_fleet=True,
         objective_ms=400,
         shares_room=False,
+        hint="",
     ):
         self.calls = GatewayCalls()
         self.timers = FakeTimers()
@@ -290,6 +292,8 @@
         self.contents = contents or make_contents()
         is_stream = kind is route_table.RequestKind.STREAM
         headers = [("x-token-usage", tokens), ("x-model", "m")] if is_stream else []
+        if hint:
+            headers.append(("length-hint", hint))
         wire = make_wire(headers=headers)
         head = dialect.Dialect().read_request(wire).ok
         route = route_table.Route(
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -245,3 +245,26 @@
     setting.timers.run_due(60.0)
     assert not setting.calls.attempts
     assert setting.ended
+
+
+def _get_reserved_tokens(setting):
+    (upstream,) = [item for item in setting.registry.get_all() if item.in_flight]
+    (request,) = upstream.in_flight.values()
+    return request.tokens
+
+
+def test_an_answer_that_exceeds_its_guess_is_expected_to_take_more_memory():
+    """Pattern: guesses that are far too low let engines fill up and preempt runs."""
+    setting = _start(hint="40", shares_room=True)
+    assert _get_reserved_tokens(setting) == 3_040
+    setting.last.answer(200, SIGNED, make_events(1, 11), whole=False)
+    assert _get_reserved_tokens(setting) >= 3_000 + 11 * 4
+    grown_tokens = _get_reserved_tokens(setting)
+    setting.last.answer(200, SIGNED, make_events(12, 1), whole=False)
+    assert _get_reserved_tokens(setting) == grown_tokens
+
+
+def test_a_guess_stays_as_it_is_where_memory_is_not_planned():
+    setting = _start(hint="40")
+    setting.last.answer(200, SIGNED, make_events(1, 11), whole=False)
+    assert _get_reserved_tokens(setting) == 3_040
