Expected length: the guess and the route's other answers together

Tokens of running answers count in the mean, as the short ones complete first. Only with the shared queue.

--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable, Sequence
 
 from spoolhead._internal.gateway import (
+    answer_lengths,
     entry_metrics,
     load_sharing,
     room_forecast,
@@ -81,6 +82,7 @@
     :param rng: random number generator.
     :param clock: monotonic time in seconds.
     :ivar forecast: forecasts when waiting requests start.
+    :ivar lengths: lengths of the answers of each route.
     """
 
     def __init__(
@@ -108,6 +110,7 @@
         self._clock = clock
         self._queues: dict[str, _ServiceQueue] = {}
         self.forecast = room_forecast.RoomForecast(get_other_load, clock=clock)
+        self.lengths = answer_lengths.AnswerLengths(get_other_load)
         self._stale_since_s: float | None = None
 
     def make_request(
@@ -217,6 +220,7 @@
         self._record_silent_halls(self._clock())
         rows = self._get_waiting_rows()
         rows.update(self.forecast.get_rows())
+        rows.update(self.lengths.get_rows())
         for service, queue in self._queues.items():
             self._add_running_rows(rows, service)
             if self._has_waiting(service, queue):
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -15,6 +15,7 @@
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import caller_front
 from spoolhead._internal.policy import (
+    length_estimate,
     run_admission,
     run_migration_policy,
     run_placement,
@@ -61,6 +62,8 @@
         self._is_return = False
         self._acquired_tokens = 0
         self._grown_tokens = 0
+        self._estimated_tokens = 0
+        self._is_complete = False
 
     @property
     def upstream(self) -> upstream_registry.Upstream | None:
@@ -103,8 +106,14 @@
         generation = self.job.head.generation
         if generation is None:
             return 0
-        expected = max(generation.hinted_tokens or generation.limit_tokens, self._grown_tokens)
-        return min(expected, generation.limit_tokens)
+        expected = self._estimated_tokens or generation.hinted_tokens or generation.limit_tokens
+        return min(max(expected, self._grown_tokens), generation.limit_tokens)
+
+    @property
+    def generated_tokens(self) -> int:
+        """Tokens that the run has generated, as far as they were forwarded to the caller."""
+        engine = self.job.service.engine
+        return self.events * engine.tokens_per_event if engine is not None else 0
 
     def start(self) -> None:
         """Start the run at the best instance, or queue it."""
@@ -238,6 +247,7 @@
         generation = self.job.head.generation
         if self._context.room is not None and self.waiting is None:
             self._is_return = self._context.room.forecast.claim_place(self.job)
+            self._estimated_tokens = self._estimate_tokens(self._context.room)
             self.waiting = self._context.room.make_request(
                 self.job,
                 need_tokens=self.need_tokens,
@@ -270,6 +280,16 @@
             pause_ms=self.job.route.pause_ms,
         )
 
+    def _estimate_tokens(self, room: room_sharing.RoomSharing) -> int:
+        """Return the expected length of the answer; 0 if it is not known to be a generation."""
+        generation = self.job.head.generation
+        if generation is None:
+            return 0
+        mean_tokens = room.lengths.get_mean_tokens(self.job.route.name)
+        return length_estimate.estimate_tokens(
+            generation.hinted_tokens, generation.limit_tokens, mean_tokens
+        )
+
     def _get_max_prefill_ms(self) -> float | None:
         """Return the bound on prefill in the shared queue, where a wait costs no place."""
         if self.waiting is None:
@@ -422,6 +442,7 @@
         room = self._context.room
         if room is not None and not self._acquired_tokens:
             self._acquired_tokens = self.need_tokens
+            room.lengths.add(self, self.job.route.name)
             service = self.job.service.name
             room.forecast.record_acquired(service, self.job.route.priority, self.need_tokens)
 
@@ -430,6 +451,7 @@
         room, upstream = self._context.room, self.upstream
         if room is None or not self._acquired_tokens:
             return
+        room.lengths.remove(self, is_complete=self._is_complete)
         if upstream is not None and not upstream.may_be_leaving(clocks.get_s()):
             room.forecast.record_released(self.job.service.name, self._acquired_tokens)
         self._acquired_tokens = 0
@@ -454,10 +476,9 @@
         engine = self.job.service.engine
         if engine is None or not self._plans_memory(attempt.upstream):
             return
-        generated = self.events * engine.tokens_per_event
-        if generated <= self._expected_tokens:
+        if self.generated_tokens <= self._expected_tokens:
             return
-        self._grown_tokens = int(generated * run_admission.LENGTH_GROWTH)
+        self._grown_tokens = int(self.generated_tokens * run_admission.LENGTH_GROWTH)
         request = attempt.upstream.in_flight.get(self.job.head.request_id)
         if request is not None:
             request.tokens = self.need_tokens
@@ -497,6 +518,7 @@
         return not self.is_over
 
     def _finish(self, head: dialects.AnswerHead) -> None:
+        self._is_complete = True
         self.record_whole_answer(head.status)
         remainder = self._splicer.finish()
         if remainder or not self.caller.is_started:
--- a/src/spoolhead/_internal/models/queue_rows.py
+++ b/src/spoolhead/_internal/models/queue_rows.py
@@ -65,6 +65,12 @@
     return tuple(shared_load.get_key(f"acquired/{service}/{rank}") for rank in range(RANKS))
 
 
+@functools.lru_cache(maxsize=1024)
+def get_length_key(route: str) -> int:
+    """Return the key of the tokens and the number of a route's answers so far."""
+    return shared_load.get_key(f"length/{route}")
+
+
 @functools.lru_cache(maxsize=64)
 def get_bucket_keys(service: str) -> tuple[tuple[int, ...], ...]:
     """Return the keys of the workspace buckets of a service, for each of the two hashes."""
