--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -7,10 +7,10 @@
     attempts,
     exchange,
     exchange_context,
-    room_forecast,
     room_sharing,
     routed_job,
     run_migration,
+    run_room,
 )
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import caller_front
@@ -20,7 +20,6 @@
     run_migration_policy,
     run_placement,
     shared_queue,
-    start_forecast,
     upstream_choice,
     upstream_registry,
 )
@@ -38,13 +37,9 @@
     """One streamed request.
 
     :ivar admission: properties of the request for admission to engines.
-    :ivar waiting: the request in the queue shared by all entries; None if that is off.
-    :ivar decision: last decision on it there.
     """
 
     admission: run_admission.Request
-    waiting: shared_queue.WaitingRequest | None = None
-    decision: shared_queue.Decision | None = None
 
     def __init__(
         self,
@@ -58,13 +53,15 @@
         self._migration = run_migration.RunMigration(self, job, context)
         self._pace_meter = pace_meter.PaceMeter(self._arrived_s)
         self._block_meter = block_meter.BlockMeter()
-        self._forecast: room_forecast.Forecast | None = None
-        self._is_return = False
-        self._acquired_tokens = 0
-        self._grown_tokens = 0
-        self._estimated_tokens = 0
+        self._room: run_room.RunRoom | None = None
+        self._length = _make_expected_length(job.head.generation)
         self._is_complete = False
 
+    @property
+    def waiting(self) -> shared_queue.WaitingRequest | None:
+        """The request in the queue shared by all entries; None if that is off."""
+        return self._room.waiting if self._room is not None else None
+
     @property
     def upstream(self) -> upstream_registry.Upstream | None:
         """Instance of the run; None without one."""
@@ -103,11 +100,7 @@
 
     @property
     def _expected_tokens(self) -> int:
-        generation = self.job.head.generation
-        if generation is None:
-            return 0
-        expected = self._estimated_tokens or generation.hinted_tokens or generation.limit_tokens
-        return min(max(expected, self._grown_tokens), generation.limit_tokens)
+        return self._length.tokens
 
     @property
     def generated_tokens(self) -> int:
@@ -141,7 +134,8 @@
         if choice.upstream is None:
             self.fail_without_upstream(choice)
         else:
-            self._record_room()
+            if self._room is not None:
+                self._room.record_start(self.get_log_fields())
             self._send_run(choice.upstream, None)
         return True
 
@@ -151,21 +145,9 @@
         """Decide on the request; the choice is returned with the preferred engine first."""
         request = self.admission
         choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
-        now_s = clocks.get_s()
-        if self._context.room is None or self.waiting is None or self._permitted_id:
-            return choice, run_admission.decide(engine, choice, request, now_s)
-        self.decision = decision = self._context.room.decide(
-            self.waiting,
-            engine,
-            [item.upstream for item in choice.candidates],
-            has_room=lambda item: run_admission.has_room(engine, item, request),
-        )
-        if decision.upstream is None:
-            refuse_s = self.waiting.refuse_s
-            verdict = run_admission.decide_queued(choice, request, refuse_s=refuse_s, now_s=now_s)
-            return choice, self._apply_forecast(self._context.room, choice, verdict)
-        choice = choice.prefer(lambda item: item is decision.upstream)
-        return choice, run_admission.Verdict.BEGIN
+        if self._room is not None and not self._permitted_id:
+            return self._room.admit(engine, choice, request)
+        return choice, run_admission.decide(engine, choice, request, clocks.get_s())
 
     def on_permit(self) -> None:
         """Start the run, at this or another engine, unless it must wait for capacity."""
@@ -176,7 +158,8 @@
         """Remove the request from the queue, cancel its run and release its copy."""
         self._context.queue.remove(self)
         self._migration.release_copy()
-        self._record_released()
+        if self._room is not None:
+            self._room.record_released(self, self.upstream, is_complete=self._is_complete)
         self.cancel_attempt()
 
     def on_instances_changed(self) -> None:
@@ -245,27 +228,22 @@
 
     def _start_run(self) -> None:
         generation = self.job.head.generation
-        if self._context.room is not None and self.waiting is None:
-            self._is_return = self._context.room.forecast.claim_place(self.job)
-            self._estimated_tokens = self._estimate_tokens(self._context.room)
-            self.waiting = self._context.room.make_request(
-                self.job,
-                need_tokens=self.need_tokens,
-                arrived_s=self._arrived_s,
-                deadline_s=self._deadline_s,
-            )
+        if self._context.room is not None and self._room is None:
+            self._room = self._join_room(self._context.room)
         self.admission = run_admission.Request(
             # The shared queue orders ranks itself, and all may use the whole memory.
-            rank=self.job.route.priority if self.waiting is None else 0,
+            rank=self.job.route.priority if self._room is None else 0,
             need_tokens=self.need_tokens,
             prompt_tokens=generation.prompt_tokens if generation is not None else 0,
             objective_ms=self.job.route.objective_ms,
             arrived_s=self._arrived_s,
-            max_prefill_ms=self._get_max_prefill_ms(),
+            max_prefill_ms=self._room.get_max_prefill_ms() if self._room is not None else None,
         )
         if not self.try_start():
             if not self._is_awaiting_permit:
-                fields = {**self.get_log_fields(), **self._get_room_fields()}
+                fields = self.get_log_fields()
+                if self._room is not None:
+                    fields.update(self._room.get_log_fields())
                 logger.info("waits for room", extra={"fields": fields})
             self._context.queue.add(self)
 
@@ -280,81 +258,29 @@
             pause_ms=self.job.route.pause_ms,
         )
 
-    def _estimate_tokens(self, room: room_sharing.RoomSharing) -> int:
-        """Return the expected length of the answer; 0 if it is not known to be a generation."""
-        generation = self.job.head.generation
-        if generation is None:
-            return 0
-        mean_tokens = room.lengths.get_mean_tokens(self.job.route.name)
-        return length_estimate.estimate_tokens(
-            generation.hinted_tokens, generation.limit_tokens, mean_tokens
-        )
-
-    def _get_max_prefill_ms(self) -> float | None:
-        """Return the bound on prefill in the shared queue, where a wait costs no place."""
-        if self.waiting is None:
-            return None
-        return run_admission.get_max_prefill_ms(
-            self.job.route.objective_ms, self.job.tightest_objective_ms
-        )
-
-    def _apply_forecast(
-        self,
-        room: room_sharing.RoomSharing,
-        choice: upstream_choice.Choice,
-        verdict: run_admission.Verdict,
-    ) -> run_admission.Verdict:
-        """Refuse a waiting request that is not expected to start in time."""
-        assert self.waiting is not None and self.decision is not None
-        upstreams = [item.upstream for item in choice.candidates]
-        running = start_forecast.Running(
-            sum(upstream.tokens for upstream in upstreams),
-            sum(upstream.answer_tokens for upstream in upstreams),
-            sum(upstream.count for upstream in upstreams),
-        )
-        self._forecast = forecast = room.forecast.forecast(self.waiting, self.decision, running)
-        if verdict is not run_admission.Verdict.WAIT:
-            return verdict
-        is_refused = room.forecast.should_refuse(
-            self.admission, forecast, timeout_ms=self._wait_ms, is_return=self._is_return
+    def _join_room(self, room: room_sharing.RoomSharing) -> run_room.RunRoom:
+        """Return the request's part in the shared queue."""
+        self._length.set_mean(room.lengths.get_mean_tokens(self.job.route.name))
+        return run_room.RunRoom(
+            room,
+            self.job,
+            need_tokens=self.need_tokens,
+            arrived_s=self._arrived_s,
+            timeout_ms=self._wait_ms,
         )
-        return run_admission.Verdict.REFUSE if is_refused else verdict
-
-    def _get_room_fields(self) -> dict[str, object]:
-        """Return the log fields of the last decision in the shared queue."""
-        if self._context.room is None or self.decision is None:
-            return {}
-        fields = self._context.room.get_log_fields(self.decision)
-        if self._forecast is not None:
-            fields.update(self._forecast.get_log_fields())
-        return fields
-
-    def _record_room(self) -> None:
-        """Log and count that the request gets room in the shared queue."""
-        room, decision, waiting = self._context.room, self.decision, self.waiting
-        if room is None or decision is None or waiting is None or decision.upstream is None:
-            return
-        if room.record_start(waiting, decision):
-            fields = {**self.get_log_fields(), **self._get_room_fields()}
-            logger.info("gets room", extra={"fields": fields})
 
     def _refuse(self, choice: upstream_choice.Choice) -> None:
         """Refuse the request because no engine is expected to have free capacity in time."""
         self.log_choice("no room", choice)
-        if self._context.room is not None:
-            fields = {**self.get_log_fields(), **self._get_room_fields()}
-            fields["is_return"] = self._is_return
-            logger.info("no start in time", extra={"fields": fields})
-        retry_after_ms = self._get_retry_after_ms()
+        if self._room is not None:
+            retry_after_ms = self._room.record_refused(
+                self.get_log_fields(), remaining_ms=self.remaining_ms
+            )
+        else:
+            retry_after_ms = run_admission.compute_retry_after_ms(self.remaining_ms)
         code = codes.ResultCode.DEADLINE_UNREACHABLE
         self.fail(code, "no engine is expected to have room in time", retry_after_ms=retry_after_ms)
 
-    def _get_retry_after_ms(self) -> int:
-        room, forecast = self._context.room, self._forecast
-        if room is None or forecast is None:
-            return run_admission.compute_retry_after_ms(self.remaining_ms)
-        return room.forecast.give_place(self.job, forecast, remaining_ms=self.remaining_ms)
-
     def _is_event_stream(self, head: dialects.AnswerHead) -> bool:
         """Return whether an answer is the instance's own event stream for this request."""
         request_id = self.job.head.request_id
@@ -417,7 +343,8 @@
         )
         self._tried_ids.add(upstream.instance.incarnation_id)
         if resume is None:
-            self._record_acquired()
+            if self._room is not None:
+                self._room.record_acquired(self, self.need_tokens)
             waited_ms = (clocks.get_s() - self._arrived_s) * 1000
             self._context.metrics.room_wait_ms.observe(waited_ms)
         upstream.in_flight[request_id] = upstream_registry.InFlightRequest(
@@ -438,24 +365,6 @@
         )
         attempt.call = self.send_attempt(upstream, attempt, parameters)
 
-    def _record_acquired(self) -> None:
-        room = self._context.room
-        if room is not None and not self._acquired_tokens:
-            self._acquired_tokens = self.need_tokens
-            room.lengths.add(self, self.job.route.name)
-            service = self.job.service.name
-            room.forecast.record_acquired(service, self.job.route.priority, self.need_tokens)
-
-    def _record_released(self) -> None:
-        """Record the memory of the run as released, unless its instance leaves."""
-        room, upstream = self._context.room, self.upstream
-        if room is None or not self._acquired_tokens:
-            return
-        room.lengths.remove(self, is_complete=self._is_complete)
-        if upstream is not None and not upstream.may_be_leaving(clocks.get_s()):
-            room.forecast.record_released(self.job.service.name, self._acquired_tokens)
-        self._acquired_tokens = 0
-
     def _get_urgency(self) -> int | None:
         if not self._context.config.ranks_runs:
             return None
@@ -469,25 +378,17 @@
             self._context.on_change()
 
     def _update_expected_length(self, attempt: attempts.Attempt) -> None:
-        """Expect more tokens of an answer that exceeds its expected length.
-
-        Its engine otherwise seems to have memory that the answer takes, and preempts a run.
-        """
-        engine = self.job.service.engine
-        if engine is None or not self._plans_memory(attempt.upstream):
+        """Update the memory that the run is expected to need, where memory is planned."""
+        if self._room is None and not attempt.upstream.pace.is_known:
             return
-        if self.generated_tokens <= self._expected_tokens:
+        if not self._length.record_generated(self.generated_tokens):
             return
-        self._grown_tokens = int(self.generated_tokens * run_admission.LENGTH_GROWTH)
         request = attempt.upstream.in_flight.get(self.job.head.request_id)
         if request is not None:
             request.tokens = self.need_tokens
             request.answer_tokens = self._expected_tokens
             self._context.on_change()
 
-    def _plans_memory(self, upstream: upstream_registry.Upstream) -> bool:
-        return self._context.room is not None or upstream.pace.is_known
-
     def _resume_run(self, copy: run_migration.ReadyCopy) -> None:
         resume_point = dialects.ResumePoint(
             address=copy.address, handle=copy.handle, last_event_id=self._splicer.last_event_id
@@ -548,3 +449,11 @@
         if self._ran is codes.Ran.NO:
             self._ran = codes.Ran.UNKNOWN
         self.fail(codes.ResultCode.UPSTREAM_LOST, reason)
+
+
+def _make_expected_length(
+    generation: dialects.Generation | None,
+) -> length_estimate.ExpectedLength:
+    if generation is None:
+        return length_estimate.ExpectedLength(0, 0)
+    return length_estimate.ExpectedLength(generation.hinted_tokens, generation.limit_tokens)
--- a/src/spoolhead/_internal/policy/length_estimate.py
+++ b/src/spoolhead/_internal/policy/length_estimate.py
@@ -9,6 +9,8 @@
 GUESS_WEIGHT = 0.4
 """Weight of the guess: about the share that the variance of the route's lengths has in the sum of
 that variance and of the guesses' error."""
+GROWTH = 1.5
+"""Expected length of an answer that exceeds its expected length, relative to what it has."""
 MIN_ANSWERS = 8
 """Number of completed answers from which the mean length of a route is used."""
 
@@ -52,3 +54,34 @@
         weighted_log = GUESS_WEIGHT * math.log(guess_tokens)
         expected = math.exp(weighted_log + (1 - GUESS_WEIGHT) * math.log(mean_tokens))
     return min(limit_tokens, math.ceil(expected))
+
+
+class ExpectedLength:
+    """Expected length of one answer.
+
+    :param guess_tokens: guess of its caller; 0 for none.
+    :param limit_tokens: maximum length.
+    :ivar tokens: the expected length.
+    """
+
+    __slots__ = ("_guess_tokens", "_limit_tokens", "tokens")
+
+    def __init__(self, guess_tokens: int, limit_tokens: int) -> None:
+        self._guess_tokens = guess_tokens
+        self._limit_tokens = limit_tokens
+        self.tokens = estimate_tokens(guess_tokens, limit_tokens, None)
+
+    def set_mean(self, mean_tokens: float | None) -> None:
+        """Take the mean length of the route's answers into account; None if unknown."""
+        self.tokens = estimate_tokens(self._guess_tokens, self._limit_tokens, mean_tokens)
+
+    def record_generated(self, generated_tokens: int) -> bool:
+        """Record the length so far; return whether that changed the expected length.
+
+        The engine of an answer that exceeds its expected length otherwise seems to have memory that
+        the answer takes, and preempts a run.
+        """
+        if generated_tokens <= self.tokens or self.tokens >= self._limit_tokens:
+            return False
+        self.tokens = min(self._limit_tokens, math.ceil(generated_tokens * GROWTH))
+        return True
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -26,8 +26,6 @@
 OTHERS_PREFILL_FRACTION = 0.4
 """Share of the shortest objective at a service that prefill at an engine may take before a request
 with a longer objective starts there: a more urgent one must still find a short backlog."""
-LENGTH_GROWTH = 1.5
-"""Expected length of an answer that exceeds its expected length, relative to what it has."""
 REFUSE_AFTER_FRACTION = 0.2
 """Share of the objective for which a request waits even if it is unlikely to start. Engines start
 and runs end at unexpected times: refusing at once lost 0.011 of the value served (standard error
