--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -61,6 +61,11 @@
         self.room_wait_ms = metrics.make_histogram(
             "spoolhead_room_wait_ms", "Time for which a generation waited before it was sent."
         )
+        self.room_refusals = metrics.make_counter(
+            "spoolhead_room_refusals",
+            "Generations refused because their expected start was too late.",
+            "is_return",
+        )
         self.room_starts = metrics.make_counter(
             "spoolhead_room_starts",
             "Generations sent while others waited anywhere, by waiting class.",
--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -199,6 +199,13 @@
         self._metrics.room_unused_ms.observe(unused_s * 1000)
         return True
 
+    def record_refused(self, *, is_return: bool) -> None:
+        """Count a refusal.
+
+        :param is_return: whether the caller was refused before and returned when asked.
+        """
+        self._metrics.room_refusals.labels(str(int(is_return))).inc()
+
     def get_log_fields(self, decision: shared_queue.Decision) -> dict[str, object]:
         """Return the log fields of a decision."""
         rank, is_late, is_over_share = queue_rows.get_group(decision.waiting_class)
--- a/src/spoolhead/_internal/gateway/run_room.py
+++ b/src/spoolhead/_internal/gateway/run_room.py
@@ -108,6 +108,7 @@
         """
         fields = {**log_fields, **self.get_log_fields(), "is_return": self._is_return}
         logger.info("no start in time", extra={"fields": fields})
+        self._room.record_refused(is_return=self._is_return)
         if self._forecast is None:
             return run_admission.compute_retry_after_ms(remaining_ms)
         return self._room.forecast.give_place(self._job, self._forecast, remaining_ms=remaining_ms)
