--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -75,11 +75,13 @@
     :param folder: folder for settings, logs and data.
     :param entries: number of entries.
     :param limits: limits on each process, for its settings file.
+    :param contracts: contracts of the deployment, for the settings files.
     """
 
-    def __init__(self, folder, *, entries=2, limits=None):
+    def __init__(self, folder, *, entries=2, limits=None, contracts=()):
         self.folder = folder
         self.limits = limits or {}
+        self.contracts = list(contracts)
         self.processes = {}
         self.peer_port = _find_port()
         self.port = _find_port()
@@ -135,7 +137,7 @@
         path.write_text(
             f'node_name = "{name}"\nzone = "hall-a"\nip = "{host}"\n'
             f"internal_ports = [{self.peer_port}, {self.peer_port}]\nseeds = {seeds}\n"
-            f"bootstrap = {json.dumps(is_first_start)}\n"
+            f"bootstrap = {json.dumps(is_first_start)}\ncontracts = {json.dumps(self.contracts)}\n"
             f'data_dir = "{self.get_data_dir(name)}"\n[listen]\n{listen}\n[bounds]\n'
             "grace_period_s = 6\nretry_budget_ratio = 0.2\nretry_slack = 50\n"
             f'[cloud]\naddress = "{self.list_address}"\n[limits]\n'
@@ -310,5 +312,6 @@
         time.sleep(0.05)
 
 
-def make_events(count):
-    return b"".join(b"id: %d\ndata: t%d\n\n" % (i, i) for i in range(1, count + 1))
+def make_events(count, added_bytes=0):
+    padding = b"x" * added_bytes
+    return b"".join(b"id: %d\ndata: t%d%b\n\n" % (i, i, padding) for i in range(1, count + 1))
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,12 +9,25 @@
 from soak import plan, records
 
 CALLER_COUNT = 4
-ANSWER_TIMEOUT_S = 9.0
-"""Socket timeout while an answer is read; longer than the timeout of any route."""
+DEADLINE_S = 8.0
+"""Time within which a caller wants an answer, as long as the timeout of any route."""
+ANSWER_TIMEOUT_S = 11.0
+"""Socket timeout while an answer is read; longer than that by more than an answer may be late."""
 STREAM_EVENTS = (5, 20, 120)
 """Lengths of streams, in events."""
 PAUSE_S = 0.02
 """Pause of a caller between two requests."""
+BURST_CALLERS = 40
+"""Callers of a burst: six of their generations fit into the engines at a time."""
+BURST_PROMPT_TOKENS = 600
+BURST_EVENTS = 150
+MAX_RETURNS = 4
+"""Times that a refused caller of a burst returns."""
+MUTE_CALLERS = 8
+"""Callers that stop reading at a time."""
+MUTE_EVENTS = 120
+MUTE_EVENT_BYTES = (500, 5_000, 20_000)
+"""Sizes of the events of their streams; the largest exceed the bound on one stream."""
 
 
 class Caller(threading.Thread):
@@ -41,14 +54,15 @@
         while not self.stop_requested.is_set():
             entry = self._rng.choice(plan.ENTRIES)
             kind = self._rng.choice(("once", "safe", "talk", "version"))
-            self._send_request(entry, kind)
+            events = self._rng.choice(STREAM_EVENTS) if kind == "talk" else 0
+            self._send_request(entry, kind, events=events)
             self.stop_requested.wait(PAUSE_S)
 
-    def _send_request(self, entry, kind):
+    def _send_request(self, entry, kind, **changes):
         self._count += 1
         request_id = f"{self._prefix}-{self._count}"
         request = records.CallerRequest(
-            request_id=request_id, kind=kind, entry=entry, sent_s=time.monotonic()
+            request_id=request_id, kind=kind, entry=entry, sent_s=time.monotonic(), **changes
         )
         if kind == "version":
             request.version = self._get_version()
@@ -58,6 +72,7 @@
             self._close_connection(entry)
         request.ended_s = time.monotonic()
         self._observed.requests.append(request)
+        return request
 
     def _send_and_read(self, request):
         connection = self._connections.get(request.entry)
@@ -70,15 +85,19 @@
             "Host": "a.example",
             "Authorization": f"Bearer {platform_fleet.API_KEY}",
             "X-Request-Id": request.request_id,
-            "X-Request-Deadline": "8000",
+            "X-Request-Deadline": str(int(DEADLINE_S * 1000)),
         }
-        body = request.request_id.encode()
+        body = (request.content or request.request_id).encode()
         if request.kind == "talk":
-            request.events = self._rng.choice(STREAM_EVENTS)
-            headers |= {"X-Model": "m", "X-Token-Usage": f"100,{request.events}"}
+            usage = f"{request.prompt_tokens},{request.events}"
+            headers |= {"X-Model": "m", "X-Token-Usage": usage}
+            headers["X-Added-Bytes"] = str(request.added_bytes)
         connection.request("POST", f"{path}x", body, headers)
         answer = connection.getresponse()
+        request.answered_s = time.monotonic()
         request.status = answer.status
+        request.retry_after_s = float(answer.headers.get("Retry-After", "0"))
+        time.sleep(request.unread_s)
         while part := answer.read1(4_096):
             request.body += part
         request.is_whole = True
@@ -90,3 +109,36 @@
         connection = self._connections.pop(entry, None)
         if connection is not None:
             connection.close()
+
+
+class BurstCaller(Caller):
+    """Sends one long generation, and again after each refusal when the refusal asks for it."""
+
+    def run(self):
+        content = f"{self._prefix} content"
+        for _ in range(1 + MAX_RETURNS):
+            request = self._send_request(
+                self._rng.choice(plan.ENTRIES),
+                "talk",
+                events=BURST_EVENTS,
+                content=content,
+                prompt_tokens=BURST_PROMPT_TOKENS,
+            )
+            if not request.retry_after_s:
+                return
+            self.stop_requested.wait(request.retry_after_s)
+
+
+class MuteCaller(Caller):
+    """Requests one stream and reads nothing of it for a while."""
+
+    unread_s = 0.0
+
+    def run(self):
+        self._send_request(
+            self._rng.choice(plan.ENTRIES),
+            "talk",
+            events=MUTE_EVENTS,
+            added_bytes=self._rng.choice(MUTE_EVENT_BYTES),
+            unread_s=self.unread_s,
+        )
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -3,13 +3,16 @@
 import collections
 
 from lib import limit_fleet, platform_fleet
-from soak import plan
+from soak import callers, plan
 from soak import records as soak_records
 
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 """Statuses that guarantee the caller that its request was not run."""
 MAX_APPLY_DELAY_S = 3.0
 """Time within which an accepted table must be in force at all entries."""
+MAX_LATE_S = 2.0
+"""Time after its deadline within which a caller must have an answer: processes may stand still
+for that long on a busy machine."""
 RECOVERY_S = 4.0
 """Time after a disturbance during which an entry may exceed time limits."""
 MAX_HOLD_DELAY_S = 3.0
@@ -35,6 +38,7 @@
     for request in records.requests:
         violations += _check_runs(request, runs[request.request_id])
         violations += _check_answer(request)
+        violations += _check_deadline(records, request)
         violations += _check_planned_stop(records, request, runs[request.request_id])
     violations += _check_leaving(records)
     violations += _check_evacuated(records)
@@ -58,16 +62,25 @@
     if request.status != 200:
         return
     if request.kind == "talk":
-        expected = platform_fleet.make_events(request.events)
+        expected = platform_fleet.make_events(request.events, request.added_bytes)
         if not expected.startswith(request.body) or (request.is_whole and request.body != expected):
             yield f"{request.request_id} got other events than its own: {request.body[-80:]!r}"
     elif request.is_whole and request.body != request.request_id.encode():
         yield f"{request.request_id} got {request.body[:80]!r}"
 
 
+def _check_deadline(records, request):
+    """Check that an undisturbed entry answers each caller by its deadline."""
+    waited_s = (request.answered_s or request.ended_s) - request.sent_s
+    if waited_s > callers.DEADLINE_S + MAX_LATE_S and not records.was_disturbed(
+        request.entry, request.sent_s - RECOVERY_S, request.ended_s
+    ):
+        yield f"{request.request_id} waited {waited_s:.1f} s at {request.entry} without an answer"
+
+
 def _check_planned_stop(records, request, runs):
     """Check that a planned stop or reload of only its entry does not cut off a running request."""
-    if request.is_whole or not runs:
+    if request.is_whole or not runs or request.unread_s:
         return
     from_s, to_s = request.sent_s - RECOVERY_S, request.ended_s
     is_planned = records.was_disturbed(request.entry, request.sent_s, to_s)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,6 @@
 """Injects the faults of a plan into a running fleet from outside its processes."""
 
+import itertools
 import json
 import resource
 import signal
@@ -7,7 +8,7 @@
 import time
 
 from lib import platform_fleet
-from soak import plan, records
+from soak import callers, plan, records
 from standins import platform
 
 FIRST_VERSION = 3
@@ -50,6 +51,14 @@
     "announce": ({"leaving": True}, {"leaving": False}),
 }
 """Changes by which an instance begins and ends a statement in its answers."""
+_LOADS = {
+    "slow": {"load": "0,0,8,250", "pace": 2.5},
+    "claim_quick": {"load": "0,0,8,30"},
+    "claim_slow": {"load": "0,0,8,1000"},
+    "claim_full": {"load": "8,99,8,100"},
+    "claim_invalid": {"load": "0,0,8,0.001"},
+}
+"""Changes by which an instance states a load and a pace; all but the first are false."""
 _RESTART_KINDS = ("stop", "kill", "wipe", "tear")
 """Faults that end a process and start it again; at most one at a time per process."""
 _LINK_REPAIR_ORDERS = ({"direction": "up"}, {"direction": "down"}, {"refuse": False})
@@ -61,9 +70,10 @@
 
     :param fleet: fleet whose processes and upstreams are disturbed.
     :param observed: records to which disturbances and problems are added.
+    :param memory_tokens: memory of each engine in the tables; None for the usual one.
     """
 
-    def __init__(self, fleet, observed):
+    def __init__(self, fleet, observed, memory_tokens=None):
         self._fleet = fleet
         self._observed = observed
         self._lock = threading.Lock()
@@ -71,6 +81,8 @@
         self._acknowledged = FIRST_VERSION
         self._threads = []
         self._restarting = set()
+        self._memory_tokens = memory_tokens
+        self._caller_numbers = itertools.count(callers.CALLER_COUNT)
 
     def get_acknowledged(self):
         """Return the newest acknowledged table version."""
@@ -95,6 +107,10 @@
                 self._evacuate(step)
             elif step.kind in _STATEMENTS:
                 self._make_statement(step)
+            elif step.kind in _LOADS:
+                self._state_load(step)
+            elif step.kind in ("burst", "mute"):
+                self._add_callers(step)
             elif step.kind in ("deadly", "hasty"):
                 self._repeat_deadly(step)
             else:
@@ -117,6 +133,27 @@
             end = {**end, "born": int(time.time() * 1000)}
         self._fleet.set_instance(step.target, **end)
 
+    def _state_load(self, step):
+        """Make an instance state a load and a pace, true or not, for a time."""
+        self._fleet.set_instance(step.target, **_LOADS[step.kind])
+        time.sleep(step.for_s)
+        self._fleet.set_instance(step.target, load="", pace=1.0)
+
+    def _add_callers(self, step):
+        """Add the callers of a burst within its time, or callers that do not read for that time."""
+        is_burst = step.kind == "burst"
+        make = callers.BurstCaller if is_burst else callers.MuteCaller
+        count = callers.BURST_CALLERS if is_burst else callers.MUTE_CALLERS
+        added = []
+        for number in itertools.islice(self._caller_numbers, count):
+            caller = make(number, self._fleet, self._observed, self.get_acknowledged)
+            caller.unread_s = step.for_s
+            caller.start()
+            added.append(caller)
+            time.sleep(step.for_s / count if is_burst else 0.0)
+        for caller in added:
+            caller.join()
+
     def _disturb(self, step):
         if not self._try_begin(step):
             return
@@ -303,7 +340,7 @@
 
     def _put(self, first_keeper, version):
         """Send a table to one keeper after another until one accepts it, as operators do."""
-        document = json.dumps(make_table(version)).encode()
+        document = json.dumps(make_table(version, self._memory_tokens)).encode()
         keepers = sorted(plan.KEEPERS, key=lambda name: name != first_keeper)
         until_s = time.monotonic() + platform_fleet.TIMEOUT_S
         while time.monotonic() < until_s:
@@ -321,9 +358,11 @@
         self._observed.acknowledged.append(item)
 
 
-def make_table(version):
+def make_table(version, memory_tokens=None):
     """Return a table with one additional route for each version so far."""
     table = platform_fleet.make_table(version)
+    if memory_tokens is not None:
+        table["services"][1]["engine"]["kv_capacity"] = memory_tokens
     safe = table["routes"][1]
     for number in range(FIRST_VERSION, version + 1):
         table["routes"].append({**safe, "name": f"v{number}", "path_prefix": f"/v{number}/"})
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,6 +28,14 @@
 STATEMENTS_FROM_SEED = 50_000
 """Seeds from here on have instances that state rate limits, ask for rest and say that they leave.
 With an even seed, the entries have no faults meanwhile."""
+PRESSURE_FROM_SEED = 60_000
+"""Seeds from here on have engines with little memory, bursts of generations, callers that stop
+reading, and engines that state a pace, some of them a false one, beside the faults of a lower
+seed."""
+ENGINE_MEMORY_TOKENS = 2_000
+"""Memory of each engine in these seeds: two generations of a burst."""
+ENTRY_MEMORY_MB = 10
+"""Memory that the settings of an entry state in these seeds: 2 MB of it for unread answers."""
 LIMIT_PER_S = 2.0
 """Requests per second that a limited instance accepts."""
 REST_S = 1.5
@@ -37,6 +45,7 @@
 FAR_HALL = "hall-b"
 
 PROCESS_KINDS = ("pause", "kill", "stop", "reload")
+LOAD_KINDS = ("slow", "claim_quick", "claim_slow", "claim_full", "claim_invalid")
 LINK_KINDS = ("delay", "reset", "stall_up", "stall_down", "refuse")
 
 
@@ -47,7 +56,7 @@
     :ivar at_s: seconds from the start of traffic to its beginning.
     :ivar kind: name of the fault or order.
     :ivar target: process or instance; for a table or an evacuation, the keeper that is tried
-        first; for a request that crashes instances, its path.
+        first; for a request that crashes instances and for callers, the path.
     :ivar for_s: its duration.
     """
 
@@ -63,6 +72,10 @@
 
 def make_plan(seed):
     """Draw the steps of one run, sorted by time."""
+    if seed >= PRESSURE_FROM_SEED:
+        lowest = (0, POWER_FROM_SEED, HALLS_FROM_SEED)[seed % 3]
+        steps = make_plan(lowest + seed % 10_000) + _draw_pressure(random.Random(f"load-{seed}"))
+        return sorted(steps, key=lambda step: step.at_s)
     rng = random.Random(seed)
     if seed >= STATEMENTS_FROM_SEED:
         steps = _draw_statements(rng) + _draw_disks(rng) + _draw_tables(rng)
@@ -83,6 +96,11 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def shares_room(seed):
+    """Return whether the entries of a run queue generations in one order."""
+    return seed >= PRESSURE_FROM_SEED and seed % 4 != 3
+
+
 def _draw_processes(rng):
     steps = []
     for target in ENTRIES:
@@ -171,6 +189,21 @@
     return steps
 
 
+def _draw_pressure(rng):
+    """Draw two bursts of generations, callers that stop reading, and the loads of two engines."""
+    steps = []
+    for from_s, to_s in ((0.5, 3.0), (4.0, 8.0)):
+        at_s = rng.uniform(from_s, to_s)
+        steps.append(Step(at_s=at_s, kind="burst", target="talk", for_s=rng.uniform(0.1, 1.0)))
+    at_s = rng.uniform(0.5, 6.0)
+    steps.append(Step(at_s=at_s, kind="mute", target="talk", for_s=rng.uniform(1.0, 3.0)))
+    for target in rng.sample(MODEL_INSTANCES, 2):
+        at_s = rng.uniform(0.0, 3.0)
+        for_s = rng.uniform(2.0, RUN_DURATION_S - 4.0)
+        steps.append(Step(at_s=at_s, kind=rng.choice(LOAD_KINDS), target=target, for_s=for_s))
+    return steps
+
+
 def _draw_upstreams(rng):
     steps = []
     leaving = rng.choice(MODEL_INSTANCES)
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -20,6 +20,12 @@
     :ivar is_whole: whether the whole answer was received.
     :ivar events: number of events of the whole stream.
     :ivar version: table version whose route was requested.
+    :ivar content: its body, the same for a request that is sent again after a refusal.
+    :ivar prompt_tokens: length of its prompt.
+    :ivar added_bytes: bytes that each event has beside its own.
+    :ivar unread_s: time for which its caller does not read the answer.
+    :ivar answered_s: time when the head of the answer was received; 0 for none.
+    :ivar retry_after_s: pause that the answer asks for; 0 for none.
     """
 
     request_id: str
@@ -32,6 +38,12 @@
     is_whole: bool = False
     events: int = 0
     version: int = 0
+    content: str = ""
+    prompt_tokens: int = 100
+    added_bytes: int = 0
+    unread_s: float = 0.0
+    answered_s: float = 0.0
+    retry_after_s: float = 0.0
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -25,9 +25,10 @@
 class SoakFleet(platform_fleet.PlatformFleet):
     """A fleet whose instances are reached through proxies."""
 
-    def __init__(self, folder):
-        super().__init__(folder)
+    def __init__(self, folder, **changes):
+        super().__init__(folder, **changes)
         self._controls = {}
+        self._exited = []
         self._launches = collections.Counter()
 
     def start_with_links(self):
@@ -69,6 +70,11 @@
         started = sum(text.endswith((f"{name} starts", f"{name} serves")) for text in lines)
         return started >= self._launches[name]
 
+    def kill(self, name):
+        if self.processes[name].poll() is not None:
+            self._exited.append(name)
+        super().kill(name)
+
     def restart(self, name):
         if name in self.keeper_hosts:
             self.start_keeper(name)
@@ -82,7 +88,9 @@
 
     def get_exited(self):
         """Return the names of the processes that exited by themselves."""
-        return [name for name, item in self.processes.items() if item.poll() is not None]
+        return self._exited + [
+            name for name, item in self.processes.items() if item.poll() is not None
+        ]
 
 
 class TableReader(threading.Thread):
@@ -115,14 +123,16 @@
     :returns: each violated guarantee as one line of text, and the number of requests.
     """
     observed = records.Records()
-    with SoakFleet(pathlib.Path(folder)) as fleet:
+    with SoakFleet(pathlib.Path(folder), **_make_settings(seed)) as fleet:
+        memory_tokens = plan.ENGINE_MEMORY_TOKENS if seed >= plan.PRESSURE_FROM_SEED else None
+        first_table = faults.make_table(faults.FIRST_VERSION, memory_tokens)
         fleet.start_with_links()
-        fleet.put_until_accepted("keeper-1", faults.make_table(faults.FIRST_VERSION))
+        fleet.put_until_accepted("keeper-1", first_table)
         fleet.wait_until_ready(*plan.ENTRIES)
         if seed >= plan.HALLS_FROM_SEED:
             for name in plan.FAR_HALL_INSTANCES:
                 fleet.set_instance(name, zone=plan.FAR_HALL)
-        injector = faults.FaultInjector(fleet, observed)
+        injector = faults.FaultInjector(fleet, observed, memory_tokens)
         threads = [
             callers.Caller(number, fleet, observed, injector.get_acknowledged)
             for number in range(callers.CALLER_COUNT)
@@ -147,6 +157,14 @@
     return checks.check(observed), len(observed.requests)
 
 
+def _make_settings(seed):
+    """Return the settings of the processes of one run that differ from the usual ones."""
+    if seed < plan.PRESSURE_FROM_SEED:
+        return {}
+    contracts = ("pressure",) if plan.shares_room(seed) else ()
+    return {"contracts": contracts, "limits": {"memory_mb": plan.ENTRY_MEMORY_MB}}
+
+
 def _make_disturbance(crash):
     """Return the disturbance of an instance that a deadly request crashed."""
     return records.Disturbance(
@@ -160,6 +178,11 @@
 def _check_recovery(fleet, observed, injector):
     try:
         fleet.wait_until_ready(*plan.ENTRIES)
+        for entry in plan.ENTRIES:
+            platform_fleet.wait_for(
+                lambda entry=entry: _is_generation_served(fleet, entry),
+                f"{entry} serves no generation",
+            )
         for keeper in plan.KEEPERS:
             platform_fleet.wait_for(
                 lambda keeper=keeper: (fleet.read_version(keeper) or 0)
@@ -170,6 +193,12 @@
         observed.problems.append(f"not recovered: {error}")
 
 
+def _is_generation_served(fleet, entry):
+    headers = {"X_Model": "m", "X_Token_Usage": "100,5", "X_Request_Id": f"up-{time.monotonic()}"}
+    answer = fleet.send(entry, "/talk/x", **headers)
+    return answer.status == 200 and answer.body == platform_fleet.make_events(5)
+
+
 def _check_logs(fleet):
     for name in (*plan.KEEPERS, *plan.ENTRIES):
         with contextlib.suppress(FileNotFoundError):
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -53,6 +53,13 @@
 VIOLATIONS = {
     "twice": _make_records(_make_request(), runs=[_make_run(), _make_run()]),
     "refused yet run": _make_records(_make_request(status=503, body=b""), runs=[_make_run()]),
+    "no answer by the deadline": _make_records(_make_request(status=0, ended_s=60.5)),
+    "answer after the deadline": _make_records(
+        _make_request(answered_s=60.5, ended_s=61.0), runs=[_make_run()]
+    ),
+    "refused generation yet run": _make_records(
+        _make_request(kind="talk", status=503, retry_after_s=0.3), runs=[_make_run()]
+    ),
     "another's answer": _make_records(_make_request(body=b"q"), runs=[_make_run()]),
     "event twice": _make_records(
         _make_request(kind="talk", events=3, body=EVENTS + EVENTS[-14:]), runs=[_make_run()]
@@ -121,6 +128,18 @@
         runs=[_make_deadly_run(at_s) for at_s in (50.0, 51.0, 52.0, 54.0, 55.0, 56.0, 57.0)],
         crashes=[{"at_s": at_s} for at_s in (50.1, 51.1, 52.1)],
     ),
+    "answered at the deadline, read later": _make_records(
+        _make_request(answered_s=59.5, ended_s=63.0), runs=[_make_run()]
+    ),
+    "no answer of a paused entry": _make_records(
+        _make_request(status=0, ended_s=60.5),
+        disturbances=[_make_disturbance("entry-1", "pause", 58.0, 60.0)],
+    ),
+    "unread, cut by a stop": _make_records(
+        _make_request(is_whole=False, status=200, body=b"", unread_s=2.0),
+        runs=[_make_run()],
+        disturbances=[_make_disturbance("entry-1", "stop", 50.2, 53.0)],
+    ),
     "moved": _make_records(
         _make_request(kind="talk", events=3, body=EVENTS),
         runs=[_make_run(), _make_run(**{"kv-from": "x"})],
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,9 +3,10 @@
 One process serves the list and all instances. A plain instance echoes requests; a model instance
 streams numbered events, and a run can continue at another instance from a copy. Tests control it
 by ``POST /_set`` at the address of the list (``{"instance": .., "state": .., "dead": ..,
-"address": .., "limit": .., "load": .., "rest": .., "leaving": ..}``) and read ``GET /_runs``,
-``GET /_arrivals`` and ``GET /_ends``. A request whose body begins with :data:`CRASH_BODY` crashes
-the instance that runs it; after :data:`RESTART_DELAY_S`, a new one starts at the address.
+"address": .., "limit": .., "load": .., "pace": .., "rest": .., "leaving": ..}``) and read
+``GET /_runs``, ``GET /_arrivals`` and ``GET /_ends``. A request whose body begins with
+:data:`CRASH_BODY` crashes the instance that runs it; after :data:`RESTART_DELAY_S`, a new one
+starts at the address.
 """
 
 import argparse
@@ -36,6 +37,7 @@
     :ivar is_down: it has crashed, and the next instance has not started.
     :ivar limit: requests a second that it states in its answers; empty for none.
     :ivar load: load that it states in its answers, also to health probes; empty for none.
+    :ivar pace: factor of the time that its events take.
     :ivar rest: pause in seconds that it asks for when it refuses each request; empty to accept
         requests.
     :ivar says_leaving: it states in its answers that it is leaving.
@@ -57,6 +59,7 @@
         self.listens = ("", 0)
         self.limit = ""
         self.load = ""
+        self.pace = 1.0
         self.rest = ""
         self.says_leaving = False
 
@@ -166,6 +169,7 @@
             instance.zone = order.get("zone", instance.zone)
             instance.limit = order.get("limit", instance.limit)
             instance.load = order.get("load", instance.load)
+            instance.pace = order.get("pace", instance.pace)
             instance.rest = order.get("rest", instance.rest)
             instance.says_leaving = order.get("leaving", instance.says_leaving)
             if "born" in order:
@@ -293,7 +297,7 @@
         step_s = float(request.headers.get("x-step-ms", "0")) / 1000 or self._step_s
         for number in range(first, count + 1):
             await answer.send_events(b"id: %d\ndata: t%d%b\n\n" % (number, number, padding))
-            await asyncio.sleep(step_s)
+            await asyncio.sleep(step_s * instance.pace)
         answer.end_events()
 
 
