Soak: tests of the new plans and checks

The plan of a seed from 60,000 on is that of a lower one with the new steps; the new checks of recovery and of processes that end by themselves are shown to fail.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -6,6 +6,7 @@
 
 SEEDS = (101, 10_101, 20_101, 30_101, 40_101, 40_102, 50_102)
 """One seed for each kind of plan."""
+PRESSURE_SEED = 60_101
 REGRESSION_SEEDS = (1005, 3005, 20_017, 20_019, 30_003)
 """Seeds that failed before; docs/SOAK.md has the causes."""
 
@@ -17,6 +18,29 @@
     assert count > 50
 
 
+def test_no_promise_is_broken_while_generations_wait_and_are_refused(tmp_path):
+    """Load: two bursts of forty generations, of which six fit into the engines at a time."""
+    violations, _ = run.run_seed(PRESSURE_SEED, tmp_path)
+    assert violations == []
+    logs = "".join(path.read_text() for path in tmp_path.glob("entry-*.log"))
+    for text in ('"waits for room"', '"gets room"', '"no start in time"', '"is_return": true'):
+        assert text in logs
+
+
+def test_plans_of_engines_with_little_memory_add_to_those_of_lower_seeds():
+    added = {*plan.LOAD_KINDS, "burst", "mute"}
+    seen = set()
+    for seed in range(plan.PRESSURE_FROM_SEED, plan.PRESSURE_FROM_SEED + 60):
+        steps = plan.make_plan(seed)
+        assert steps == plan.make_plan(seed)
+        kept = [step for step in steps if step.kind not in added]
+        lowest = (0, plan.POWER_FROM_SEED, plan.HALLS_FROM_SEED)[seed % 3]
+        assert kept == plan.make_plan(lowest + seed - plan.PRESSURE_FROM_SEED)
+        seen |= {step.kind for step in steps if step.kind in added}
+        seen.add(plan.shares_room(seed))
+    assert seen == added | {True, False}
+
+
 def test_a_plan_is_the_same_each_time_and_disks_are_lost_one_at_a_time():
     for seed in (*range(200), *range(plan.HALLS_FROM_SEED, plan.HALLS_FROM_SEED + 200)):
         steps = plan.make_plan(seed)
--- a/tests/unit/test_soak_faults.py
+++ b/tests/unit/test_soak_faults.py
@@ -3,10 +3,12 @@
 import subprocess
 import sys
 import threading
+import types
 
 import pytest
 
-from soak import faults, plan, records
+from lib import platform_fleet
+from soak import faults, plan, records, run
 
 TIMEOUT_S = 5.0
 
@@ -93,3 +95,45 @@
     threading.Timer(0.2, fleet.end).start()
     player.join(TIMEOUT_S)
     assert observed.problems == []
+
+
+def test_a_process_that_exited_by_itself_before_a_kill_is_recorded(tmp_path):
+    fleet = run.SoakFleet(tmp_path)
+    fleet.processes["entry-1"] = subprocess.Popen([sys.executable, "-c", ""])
+    fleet.processes["entry-1"].wait(TIMEOUT_S)
+    fleet.kill("entry-1")
+    assert fleet.get_exited() == ["entry-1"]
+
+
+class RecoveredFleet:
+    """A fleet that is ready again, with a given answer to each generation."""
+
+    def __init__(self, status, body):
+        self._answer = types.SimpleNamespace(status=status, body=body)
+
+    def wait_until_ready(self, *_entries):
+        pass
+
+    def send(self, _entry, _path, **_headers):
+        return self._answer
+
+    def read_version(self, _keeper):
+        return faults.FIRST_VERSION
+
+
+@pytest.mark.parametrize(
+    ("status", "body", "problems"),
+    [
+        (200, platform_fleet.make_events(5), []),
+        (200, platform_fleet.make_events(4), ["not recovered: entry-1 serves no generation"]),
+        (503, b"", ["not recovered: entry-1 serves no generation"]),
+    ],
+)
+def test_an_entry_that_serves_no_generations_after_the_faults_is_found(
+    monkeypatch, status, body, problems
+):
+    monkeypatch.setattr(platform_fleet, "TIMEOUT_S", 0.1)
+    observed = records.Records()
+    fleet = RecoveredFleet(status, body)
+    run._check_recovery(fleet, observed, faults.FaultInjector(fleet, observed))
+    assert observed.problems == problems
