--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 import http.client
 import random
+import socket
 import threading
 import time
 
@@ -22,12 +23,14 @@
 BURST_PROMPT_TOKENS = 600
 BURST_EVENTS = 150
 MAX_RETURNS = 4
-"""Times that a refused caller of a burst returns."""
+"""Times that a refused caller of a generation returns."""
 MUTE_CALLERS = 8
 """Callers that stop reading at a time."""
 MUTE_EVENTS = 120
-MUTE_EVENT_BYTES = (500, 5_000, 20_000)
+MUTE_EVENT_BYTES = (500, 10_000, 20_000)
 """Sizes of the events of their streams; the largest exceed the bound on one stream."""
+MUTE_BUFFER_BYTES = 65_536
+"""Size of the buffers in which the kernel holds what such a caller has not read."""
 
 
 class Caller(threading.Thread):
@@ -80,6 +83,9 @@
             connection = self._connections[request.entry] = self._fleet.connect(
                 request.entry, ANSWER_TIMEOUT_S
             )
+        if request.unread_s and connection.sock is None:
+            connection.connect()
+            connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, MUTE_BUFFER_BYTES)
         path = f"/v{request.version}/" if request.kind == "version" else f"/{request.kind}/"
         headers = {
             "Host": "a.example",
@@ -97,7 +103,8 @@
         request.answered_s = time.monotonic()
         request.status = answer.status
         request.retry_after_s = float(answer.headers.get("Retry-After", "0"))
-        time.sleep(request.unread_s)
+        if request.status == http.client.OK:
+            time.sleep(request.unread_s)
         while part := answer.read1(4_096):
             request.body += part
         request.is_whole = True
@@ -111,34 +118,30 @@
             connection.close()
 
 
-class BurstCaller(Caller):
-    """Sends one long generation, and again after each refusal when the refusal asks for it."""
+class GenerationCaller(Caller):
+    """Sends one generation, and again after each refusal when the refusal asks for it.
+
+    :ivar fields: fields of its requests.
+    """
+
+    fields = {}
 
     def run(self):
-        content = f"{self._prefix} content"
         for _ in range(1 + MAX_RETURNS):
-            request = self._send_request(
-                self._rng.choice(plan.ENTRIES),
-                "talk",
-                events=BURST_EVENTS,
-                content=content,
-                prompt_tokens=BURST_PROMPT_TOKENS,
-            )
+            entry = self._rng.choice(plan.ENTRIES)
+            request = self._send_request(entry, "talk", content=self._prefix, **self.fields)
             if not request.retry_after_s:
                 return
             self.stop_requested.wait(request.retry_after_s)
 
+    def join_burst(self):
+        """Send a long generation."""
+        self.fields = {"events": BURST_EVENTS, "prompt_tokens": BURST_PROMPT_TOKENS}
 
-class MuteCaller(Caller):
-    """Requests one stream and reads nothing of it for a while."""
-
-    unread_s = 0.0
-
-    def run(self):
-        self._send_request(
-            self._rng.choice(plan.ENTRIES),
-            "talk",
-            events=MUTE_EVENTS,
-            added_bytes=self._rng.choice(MUTE_EVENT_BYTES),
-            unread_s=self.unread_s,
-        )
+    def stop_reading(self, unread_s):
+        """Read nothing of the stream for a time."""
+        self.fields = {
+            "events": MUTE_EVENTS,
+            "added_bytes": self._rng.choice(MUTE_EVENT_BYTES),
+            "unread_s": unread_s,
+        }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -142,12 +142,16 @@
     def _add_callers(self, step):
         """Add the callers of a burst within its time, or callers that do not read for that time."""
         is_burst = step.kind == "burst"
-        make = callers.BurstCaller if is_burst else callers.MuteCaller
         count = callers.BURST_CALLERS if is_burst else callers.MUTE_CALLERS
         added = []
         for number in itertools.islice(self._caller_numbers, count):
-            caller = make(number, self._fleet, self._observed, self.get_acknowledged)
-            caller.unread_s = step.for_s
+            caller = callers.GenerationCaller(
+                number, self._fleet, self._observed, self.get_acknowledged
+            )
+            if is_burst:
+                caller.join_burst()
+            else:
+                caller.stop_reading(step.for_s)
             caller.start()
             added.append(caller)
             time.sleep(step.for_s / count if is_burst else 0.0)
