--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -23,7 +23,9 @@
 BURST_PROMPT_TOKENS = 600
 BURST_EVENTS = 150
 MAX_RETURNS = 4
-"""Times that a refused caller of a generation returns."""
+"""Times that a caller without an answer to its generation returns."""
+RETURN_PAUSE_S = 0.3
+"""Pause before that if no answer asks for one, as from an entry that is down."""
 MUTE_CALLERS = 8
 """Callers that stop reading at a time."""
 MUTE_EVENTS = 120
@@ -119,7 +121,7 @@
 
 
 class GenerationCaller(Caller):
-    """Sends one generation, and again after each refusal when the refusal asks for it.
+    """Sends one generation, and again without an answer, after a refusal when that asks for it.
 
     :ivar fields: fields of its requests.
     """
@@ -130,9 +132,9 @@
         for _ in range(1 + MAX_RETURNS):
             entry = self._rng.choice(plan.ENTRIES)
             request = self._send_request(entry, "talk", content=self._prefix, **self.fields)
-            if not request.retry_after_s:
+            if request.status == http.client.OK:
                 return
-            self.stop_requested.wait(request.retry_after_s)
+            self.stop_requested.wait(request.retry_after_s or RETURN_PAUSE_S)
 
     def join_burst(self):
         """Send a long generation."""
