Shared queue: the rank is the route's

Cause: workspaces have a rank of their own in the deployments played, which replaced the route's, so short answers of rank 0 queued like long ones of rank 2 of the same workspace.

--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -119,7 +119,7 @@
         """Return the request of a job for the shared queue."""
         return shared_queue.WaitingRequest(
             service=job.service.name,
-            rank=job.workspace_rank,
+            rank=job.route.priority,
             workspace=job.workspace_name,
             need_tokens=need_tokens,
             objective_ms=job.route.objective_ms,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -352,7 +352,7 @@
             self.need_tokens,
             prefill_tokens=prefill_tokens,
             answer_tokens=self._expected_tokens,
-            rank=self.job.workspace_rank,
+            rank=self.job.route.priority,
             workspace=self.job.workspace_name,
         )
         self._context.on_change()
