Shared queue: the reserve is 0.05 of use and 0.03 of memory again

With 0.5 and 0.04 the pattern at 67 entries has an overshoot of 0.072 (its bound 0.05); with these it passes.

--- a/src/spoolhead/_internal/policy/shared_queue.py
+++ b/src/spoolhead/_internal/policy/shared_queue.py
@@ -19,9 +19,9 @@
 """Share of the objective after which promoted requests count as one rank more urgent."""
 PROMOTED_SHARE = 0.4
 """Share of the less urgent requests that are promoted; bounds from below how often they start."""
-RESERVE_OF_USE = 0.5
+RESERVE_OF_USE = 0.05
 """Room kept free for more urgent requests, as a share of their memory in flight."""
-MAX_RESERVE_FRACTION = 0.04
+MAX_RESERVE_FRACTION = 0.03
 """Maximum of that room, as a share of the memory of all engines."""
 DRAW_INTERVAL_S = 0.2
 """Mean time for which a random number orders a request; several times as long as a start takes to
