--- a/tests/lib/room_fleet.py
+++ b/tests/lib/room_fleet.py
@@ -27,6 +27,13 @@
     tokens_per_event=4,
 )
 
+BURST_S = 6.0
+"""Duration of the burst of :func:`begin_burst`."""
+MAX_UNUSED = 0.05
+"""Share of the room that may stay unused while someone waits."""
+MAX_OVERSHOOT = 0.05
+"""Share of an engine's memory that may be queued at it."""
+
 
 class Kind:
     """A kind of requests."""
@@ -418,3 +425,19 @@
 def get_engine_count(entries):
     """Return as many engines as serve so many entries: 24 for 55."""
     return max(3, round(entries * 24 / 55))
+
+
+def begin_burst(entries, *, workspaces=("w",), seed=1):
+    """Return a fleet at the start of its burst, and that time."""
+    engines = get_engine_count(entries)
+    fleet = RoomFleet(entries=entries, engines=engines, seed=seed)
+    send_load(fleet, 0.7, 0.1, for_s=3.0, workspaces=workspaces)
+    fleet.run(3.0)
+    fleet.clear_traffic()
+    send_load(fleet, 2.4, 0.2, for_s=BURST_S, workspaces=workspaces)
+    return fleet, fleet.clock()
+
+
+def send_load(fleet, long_load, short_load, **options):
+    for kind, load in ((LONG, long_load), (SHORT, short_load)):
+        fleet.begin_traffic(kind, kind.get_rate(load * len(fleet.engines)), **options)
