--- a/tests/unit/test_keeper_link.py
+++ b/tests/unit/test_keeper_link.py
@@ -11,6 +11,7 @@
 from spoolhead._internal.network import messages, peer_client
 from spoolhead._internal.table import view
 from spoolhead._internal.utils import clocks
+from spoolhead.coordination import once_journal
 
 
 class FakeClient:
@@ -23,6 +24,7 @@
         self.is_ready = True
         self.sent = []
         self.reasons = []
+        self.rejected = []
 
     def send(self, message):
         if self.is_ready:
@@ -32,6 +34,11 @@
     def get_sent(self, message_class):
         return [message for message in self.sent if isinstance(message, message_class)]
 
+    def reject(self, reason):
+        """Lose the stream because of a message."""
+        self.rejected.append(reason)
+        self.reconnect(reason)
+
     def reconnect(self, reason):
         """Lose the stream and have a new one at once."""
         self.reasons.append(reason)
@@ -39,8 +46,6 @@
         self.listener.on_peer_lost()
         self.listener.on_peer_ready()
 
-    reject = reconnect
-
 
 class FakeListener:
     def __getattr__(self, _name):
@@ -88,6 +93,7 @@
         messages.Snapshot(log_id="a", version=1, rows=[["sheet"]]),
         messages.ChangeMade(log_id="a", change=[1, "edit", "author", 0, [4]]),
         messages.Members(entries=[["entry-2", "hall-a"]]),
+        messages.Contents(items=[[1]]),
         _make_claim_answer("odd"),
     ],
 )
@@ -95,8 +101,9 @@
     """Guards against an exception in the loop for what another process sent."""
     setting.claim("a")
     setting.link.on_peer_message(message)
-    assert len(setting.client.reasons) == 1
-    assert type(message).__name__ in setting.client.reasons[0]
+    (reason,) = setting.client.rejected
+    assert type(message).__name__ in reason
+    assert setting.client.reasons == [reason]
 
 
 def test_a_claim_with_a_malformed_answer_still_gets_a_result(setting):
@@ -109,6 +116,31 @@
     assert (release.key, release.ran) == ("a", "no")
 
 
+def test_a_resend_without_an_answer_does_not_release_the_key_of_the_running_request(setting):
+    """Guards against a third request with the key, which would run beside the first."""
+    setting.claim("a")
+    setting.link.on_peer_message(_make_claim_answer("granted"))
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    assert [result.state for result in setting.results] == [once_journal.ClaimState.GRANTED, None]
+    assert not setting.client.get_sent(messages.FinishOnce)
+
+
+def test_nor_does_it_replace_an_end_that_is_not_confirmed(setting):
+    """Guards against a keeper that gets a release instead of the end of a request that has run."""
+    setting.claim("a")
+    setting.link.on_peer_message(_make_claim_answer("granted"))
+    setting.link.finish("a", codes.Ran.YES, None)
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    setting.client.reconnect("lost")
+    assert [end.ran for end in setting.client.get_sent(messages.FinishOnce)] == ["yes"]
+    setting.link.on_peer_message(messages.FinishNoted(key="a"))
+    setting.claim("a")
+    setting.clock.run(keeper_link.CLAIM_TIMEOUT_S)
+    assert [end.ran for end in setting.client.get_sent(messages.FinishOnce)] == ["yes", "no"]
+
+
 def _fill(setting):
     """Let requests end that the keeper granted, of which it confirms nothing."""
     for number in range(keeper_link.MAX_UNCONFIRMED):
