Entry: log when no instance of a service can be reached

Each new connection to an instance now counts, whatever it was made for: three instances in a row without an answer, or all if there are fewer, and the entry logs 'service is out of reach' with the instances, the silent halls and the age of what it knows of its peers; spoolhead_unreached_services counts them. 'peer reported upstream unhealthy' has the kind of the alarm, so that an instance's own word and another entry's timeout can be told apart.

--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -198,7 +198,8 @@
                     logger.info("peer reported upstream replaced", extra={"fields": fields})
             case _:
                 if upstream.raise_alarm(now_s, alarm.kind):
-                    logger.info("peer reported upstream unhealthy", extra={"fields": fields})
+                    alarm_fields = {**fields, "kind": alarm.kind.name.lower()}
+                    logger.info("peer reported upstream unhealthy", extra={"fields": alarm_fields})
                     self._on_alarm(upstream)
 
     def _handle_rest(
--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -44,6 +44,10 @@
             "spoolhead_held_contents",
             "Contents of requests that are held since instances ended under them.",
         )
+        self.unreached_services = metrics.make_gauge(
+            "spoolhead_unreached_services",
+            "Services of which this entry reaches no instance on a new connection.",
+        )
         self.in_flight = metrics.make_gauge("spoolhead_in_flight", "Requests in hand.")
         self.waiting = metrics.make_gauge(
             "spoolhead_waiting", "Generations that wait at this entry for an engine with room."
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -14,6 +14,7 @@
     load_sharing,
     permit_exchange,
     plain_exchange,
+    reach_watch,
     refusals,
     room_sharing,
     routed_job,
@@ -138,6 +139,13 @@
             on_load_update=self._on_load_update,
         )
         self._metrics.news_age_ms.set_function(self._load_sharing.get_load_age_ms)
+        self._reach_watch = reach_watch.ReachWatch(
+            self._registry,
+            self._metrics,
+            get_silent_halls=self._load_sharing.get_silent_halls,
+            get_load_age_ms=self._load_sharing.get_load_age_ms,
+        )
+        calls.observer = self._reach_watch
         room = room_sharing.make(config, self._registry, self._load_sharing, self._metrics)
         if room is not None:
             self.loop.scheduler.call_every(FLOW_INTERVAL_S, room.forecast.record_flows)
@@ -241,6 +249,7 @@
     def on_instances(self, listed: list[instances.Instance]) -> None:
         """Apply a new instance list."""
         self._upstream_events.apply_list(listed)
+        self._reach_watch.handle_list_change()
         self._has_instances = True
 
     def on_evacuations(self, halls: frozenset[str]) -> None:
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -42,6 +42,16 @@
         """Called when the call ended before its answer was complete; the last call."""
 
 
+class CallObserver(Protocol):
+    """Is notified of the outcome of calls on new connections, whoever made them."""
+
+    def record_answered(self, address: str, opened_s: float) -> None:
+        """Called with the address of a final answer's head and when its call was made."""
+
+    def record_unanswered(self, address: str) -> None:
+        """Called when a new connection could not be made or ended without such a head."""
+
+
 class DiscardedAnswer:
     """User of a call that ignores the answer."""
 
@@ -76,6 +86,7 @@
     """A request to an upstream and its answer. Its methods are the callbacks of the parser.
 
     :ivar address: ``IP:PORT`` of the upstream.
+    :ivar opened_s: monotonic time at which the call was made.
     :ivar is_over: the answer is complete, or the call was lost or cancelled.
     :ivar has_head: the head of the answer was received.
     """
@@ -105,6 +116,7 @@
         self._must_close_link = False
         self._may_reuse_link = False
         self.address = address
+        self.opened_s = clocks.get_s()
         self.is_over = False
         self.has_head = False
 
@@ -164,6 +176,8 @@
         if self.is_over:
             return
         self.is_over = True
+        if not self.has_head:
+            self._owner.record_unanswered(self)
         if self._ends_with_connection and reason == links.CLOSED_CLEANLY:
             self._listener.on_answer_end()
         else:
@@ -187,6 +201,7 @@
         if self._is_informational or self.is_over or self._is_complete:
             return
         self.has_head = True
+        self._owner.record_answered(self)
         names = {name for name, _ in self._headers}
         has_length = "content-length" in names or "transfer-encoding" in names
         has_body = not self._is_head_method and status not in (_NO_CONTENT, _NOT_MODIFIED)
@@ -268,11 +283,13 @@
     :param loop: event loop of the program.
     :param outgoing: outgoing connections of the program.
     :param config: limits on connections, and timeouts.
+    :ivar observer: is notified of the outcome of calls on new connections; None for nothing.
     """
 
     def __init__(
         self, loop: loops.Loop, outgoing: links.Links, config: settings.UpstreamSettings
     ) -> None:
+        self.observer: CallObserver | None = None
         self._outgoing = outgoing
         self._config = config
         self._idle: dict[str, collections.deque[_IdleLink]] = {}
@@ -306,6 +323,16 @@
         call.begin(link)
         return call
 
+    def record_answered(self, call: UpstreamCall) -> None:
+        """Notify the observer that the head of an answer was received."""
+        if self.observer is not None and not call.is_reused:
+            self.observer.record_answered(call.address, call.opened_s)
+
+    def record_unanswered(self, call: UpstreamCall) -> None:
+        """Notify the observer that a connection ended without the head of an answer."""
+        if self.observer is not None and not call.is_reused:
+            self.observer.record_unanswered(call.address)
+
     def release_link(self, link: links.Link) -> None:
         """Return a link to the pool after a complete answer; closed if the pool is full."""
         idle = self._idle.setdefault(link.address, collections.deque())
--- a/src/spoolhead/_internal/policy/upstream_registry.py
+++ b/src/spoolhead/_internal/policy/upstream_registry.py
@@ -340,6 +340,7 @@
         self._starts = latest_starts.LatestStarts()
         self._upstreams: dict[str, Upstream] = {}
         self._by_key: dict[int, Upstream] = {}
+        self._by_address: dict[str, Upstream] = {}
 
     def get(self, incarnation_id: str) -> Upstream | None:
         """Return an incarnation of an instance, or None if it is not listed."""
@@ -349,6 +350,10 @@
         """Return the instance with a datagram key, or None if it is not listed."""
         return self._by_key.get(key)
 
+    def get_by_address(self, address: str) -> Upstream | None:
+        """Return the instance at an ``IP:PORT``, or None if none is listed there."""
+        return self._by_address.get(address)
+
     def get_service(self, service: str) -> list[Upstream]:
         """Return the instances of a service."""
         return [item for item in self._upstreams.values() if item.instance.service == service]
@@ -376,6 +381,7 @@
             else:
                 self._keep_current(instance, before)
         self._by_key = {item.key: item for item in self._upstreams.values()}
+        self._by_address = {item.instance.address: item for item in self._upstreams.values()}
         self._starts.evict_oldest(len(self._upstreams))
         for upstream in before.values():
             upstream.is_leaving = True
