Failing test: an entry without instances serves by way of others

Callers of entries that had lost their connections to all instances were refused what the entries beside them could serve. The test has two of four entries cut off from all five instances by forwarders, while callers, keepers and the other entries reach them: new connections hang, or are refused while open ones are reset, or are refused while open ones go on.

--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -12,6 +12,9 @@
 import sys
 import time
 
+from lib import cut_links, separable_entry
+
+TESTS = pathlib.Path(__file__).parents[1]
 TOOLS = pathlib.Path(__file__).parents[2] / "tools"
 API_KEY = "key-of-w1"
 TIMEOUT_S = 12.0
@@ -83,6 +86,7 @@
         self.limits = limits or {}
         self.contracts = list(contracts)
         self.processes = {}
+        self.links = {}
         self.peer_port = _find_port()
         self.port = _find_port()
         self.ready_port = _find_port()
@@ -98,8 +102,14 @@
     def __exit__(self, *_details):
         for name in list(self.processes):
             self.kill(name)
+        for links in self.links.values():
+            links.close()
+
+    def start(self, entries=None, step_ms=10, keepers=None, separable=()):
+        """Start the processes.
 
-    def start(self, entries=None, step_ms=10, keepers=None):
+        :param separable: entries whose connections to instances can be cut, see ``links``.
+        """
         arguments = [sys.executable, "-m", "standins.platform", "--step-ms", str(step_ms)]
         for instance in INSTANCES:
             arguments += ["--instance", instance]
@@ -110,14 +120,18 @@
         self.processes["platform"] = process
         line = process.stdout.readline()
         self.list_address = f"127.0.0.1:{line.strip().partition('port=')[2]}"
+        self.links = {
+            name: cut_links.CutLinks(self.list_address, self.folder / f"{name}-forwarders.json")
+            for name in separable
+        }
         for name in self.keeper_hosts if keepers is None else keepers:
             self.start_keeper(name, is_first_start=True)
         for name in self.entry_hosts if entries is None else entries:
             self.start_entry(name)
 
-    def start_serving(self):
+    def start_serving(self, **options):
         """Start all processes, apply a first table and wait until all entries serve by it."""
-        self.start()
+        self.start(**options)
         self.put_until_accepted("keeper-1", make_table(3))
         self.wait_until_ready(*self.entry_hosts)
 
@@ -144,11 +158,14 @@
             + "".join(f"{name} = {value}\n" for name, value in self.limits.items())
         )
         log = (self.folder / f"{name}.log").open("ab")
+        module = f"spoolhead.platform.{program}"
+        environment = {**os.environ, "SPOOLHEAD_NODE_FILE": str(path)}
+        if name in self.links:
+            module = "lib.separable_entry"
+            environment["PYTHONPATH"] = str(TESTS)
+            environment[separable_entry.MAP_VARIABLE] = str(self.links[name].map_path)
         self.processes[name] = subprocess.Popen(
-            [sys.executable, "-m", f"spoolhead.platform.{program}"],
-            stdout=log,
-            stderr=log,
-            env={**os.environ, "SPOOLHEAD_NODE_FILE": str(path)},
+            [sys.executable, "-m", module], stdout=log, stderr=log, env=environment
         )
         log.close()
 
