Failing test: conclusions of an entry without instances bind others

Entries that had lost their connections to all instances had sound ones drained at all entries. The test has requests in flight at the cut entries and a stream at another one, cuts the connections, and finds at the entries that were not cut: 'peer reported upstream unhealthy' where they hang, and where they are reset a second run of the stream, which was moved away from a sound engine.

--- a/tests/functional/test_entries_cut_off.py
+++ b/tests/functional/test_entries_cut_off.py
@@ -16,6 +16,13 @@
 CONTACT_S = 3.0
 """Time after the cut from which first attempts must be served."""
 CUT_S = 6.0
+CONCLUSIONS = {
+    "peer reported upstream unhealthy",
+    "upstream is to be emptied",
+    "upstream ejected",
+    "content record changed",
+}
+"""Log lines of an entry that holds an instance for unhealthy or a request for harmful."""
 PAUSE_S = 0.05
 
 
@@ -73,6 +80,29 @@
         yield made
 
 
+@contextlib.contextmanager
+def _run_slow_requests(fleet):
+    """Have requests in flight at the instances, sent by the entries that are cut off."""
+    threads = [
+        threading.Thread(
+            target=fleet.send,
+            args=(name, "/once/slow"),
+            kwargs={"X_Request_Id": f"slow-{name}-{number}", "X_Delay_Ms": "3000"},
+        )
+        for name in CUT
+        for number in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    platform_fleet.wait_for(
+        lambda: sum(run["path"] == "/once/slow" for run in fleet.get_all_runs()) == len(threads),
+        "the slow requests do not run",
+    )
+    yield
+    for thread in threads:
+        thread.join()
+
+
 def _cut(fleet, how):
     for links in fleet.links.values():
         links.cut(how)
@@ -99,3 +129,18 @@
         assert _get_served_share(callers.get(CUT + OTHERS, healed_s)) == 1.0
         runs = [run["id"] for run in fleet.get_all_runs() if run["path"].startswith("/once/")]
         assert len(runs) == len(set(runs))
+
+
+# Three of five engines were drained at all entries, and streams there moved, because entries that
+# had lost their connections to all instances raised alarms about them.
+@pytest.mark.parametrize("how", ["hang", "reset"])
+def test_what_an_entry_without_instances_concludes_of_them_does_not_bind_others(tmp_path, how):
+    with _run_fleet(tmp_path) as fleet:
+        with _Callers(fleet, OTHERS), _run_slow_requests(fleet):
+            stream = fleet.open_stream("entry-3", "stream", 300)
+            _cut(fleet, how)
+            assert stream.read() == platform_fleet.make_events(300)
+        assert len(fleet.get_runs("stream")) == 1
+        for name in OTHERS:
+            texts = {line["text"] for line in fleet.read_log(name)}
+            assert not texts & CONCLUSIONS
