Entry: confirm conclusions from an instance's silence before reporting them

Cause: a probe without an answer, a lost request or a refused connection was taken for a fault of the instance and bound the fleet, though the reporter's own connections may be at fault. Class: a process that has lost its links reports others as dead.

Evidence: 'upstream says that it is not well ... connecting took too long' at c-1, a-2 and b-2, 'peer reported upstream unhealthy' by them at all others within 3 ms, then 'upstream is to be emptied' and 'run goes on elsewhere'. Where connections are reset, refusals were also recorded as crashes of the instances (ENDED), and the requests there as suspects, by the code and by the test.

Change: unreachable, lost request and terminated-by-refusal are confirmed by an answer of another instance on a connection opened after the failure, of any request or of up to two probes; without one within 0.3 s they are dropped and logged. What an instance says itself (unhealthy, rest, limit, leaving, another id at its address) needs an answer anyway and is reported as before. With one instance only there is nothing to compare, so it is reported at once.

Why it works: an entry without connections gets no such answer.

--- a/src/spoolhead/_internal/contents/termination_watch.py
+++ b/src/spoolhead/_internal/contents/termination_watch.py
@@ -82,6 +82,9 @@
     :param contents: receives the results.
     :param read_instance_id: returns the instance id that an answer states, or an empty string.
     :param on_terminated: called with the incarnation id of an instance that has crashed.
+    :param confirm: called with the incarnation id of an instance that refuses connections, the kind
+        of the conclusion and a function that records the crash, to be called if the refusal is not
+        due to this entry's own connections; None to record each refusal at once.
     """
 
     def __init__(
@@ -92,12 +95,14 @@
         *,
         read_instance_id: Callable[[int, upstream_calls.Headers], str],
         on_terminated: Callable[[str], None],
+        confirm: Callable[[str, str, Callable[[], None]], None] | None = None,
     ) -> None:
         self.read_instance_id = read_instance_id
         self._calls = calls
         self._timers = timers
         self._contents = contents
         self._on_terminated = on_terminated
+        self._confirm = confirm
         self._queries: dict[str, _Query] = {}
 
     def query(self, target: TerminationQuery) -> None:
@@ -129,7 +134,7 @@
         """Handle a lost query; if its connection was refused, the instance has crashed."""
         self._remove(query)
         if reason == links.REFUSED:
-            self._handle_terminated(query, reason)
+            self._handle_refused(query)
             return
         self._log(query, reason)
         if query.number < MAX_QUERIES:
@@ -141,6 +146,16 @@
         self._remove(query)
         self._log(query, "no answer")
 
+    def _handle_refused(self, query: _Query) -> None:
+        if self._confirm is None:
+            self._handle_terminated(query, links.REFUSED)
+            return
+        self._confirm(
+            query.target.incarnation_id,
+            "terminated",
+            lambda: self._handle_terminated(query, links.REFUSED),
+        )
+
     def _handle_terminated(self, query: _Query, evidence: str) -> None:
         self._log(query, evidence, has_ended=True)
         incarnation_id = query.target.incarnation_id
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -100,6 +100,8 @@
     :param on_replaced: called with an instance at whose address another one answers.
     :param on_answer: called with the head of each answer of the probed instance itself.
     :param is_limited: returns whether an instance states a rate limit.
+    :param confirm: called with an instance that did not answer, the kind of the alarm and a
+        function that raises it, to be called if the failure is not this entry's own.
     """
 
     def __init__(
@@ -118,6 +120,7 @@
         on_replaced: Callable[[upstream_registry.Upstream], None],
         on_answer: Callable[[upstream_registry.Upstream, dialects.AnswerHead], None],
         is_limited: Callable[[upstream_registry.Upstream], bool],
+        confirm: Callable[[str, str, Callable[[], None]], None],
     ) -> None:
         self._calls = calls
         self._config = config
@@ -132,6 +135,7 @@
         self._on_replaced = on_replaced
         self.on_answer = on_answer
         self._is_limited = is_limited
+        self._confirm = confirm
         self._probed_s: dict[str, float] = {}
         self._probes: dict[str, _Probe] = {}
         self._silent_probes: dict[str, int] = {}
@@ -161,14 +165,24 @@
         if is_silent and silent_count + 1 < MIN_SILENT_PROBES:
             self._silent_probes[incarnation_id] = silent_count + 1
             return
-        now_s = clocks.get_s()
-        kind = (
-            shared_load.AlarmKind.UNHEALTHY if probe.status else shared_load.AlarmKind.UNREACHABLE
+        if probe.status:
+            self._raise_alarm(probe.upstream, shared_load.AlarmKind.UNHEALTHY, outcome)
+            return
+        kind = shared_load.AlarmKind.UNREACHABLE
+        self._confirm(
+            incarnation_id,
+            kind.name.lower(),
+            lambda: self._raise_alarm(probe.upstream, kind, outcome),
         )
-        if probe.upstream.raise_alarm(now_s, kind):
-            fields = {"upstream": incarnation_id, "outcome": outcome}
-            logger.info("upstream says that it is not well", extra={"fields": fields})
-            self._on_alarm(probe.upstream, kind)
+
+    def _raise_alarm(
+        self, upstream: upstream_registry.Upstream, kind: shared_load.AlarmKind, outcome: str
+    ) -> None:
+        if not upstream.raise_alarm(clocks.get_s(), kind):
+            return
+        fields = {"upstream": upstream.instance.incarnation_id, "outcome": outcome}
+        logger.info("upstream says that it is not well", extra={"fields": fields})
+        self._on_alarm(upstream, kind)
 
     def _handle_replaced(self, upstream: upstream_registry.Upstream, instance_id: str) -> None:
         """Record that another instance answers at this one's address."""
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -173,6 +173,7 @@
             on_terminated=lambda incarnation_id: self._load_sharing.broadcast_alarm(
                 incarnation_id, shared_load.AlarmKind.ENDED
             ),
+            confirm=self._reach_watch.conclusions.confirm,
         )
         self._context = exchange_context.Context(
             config=config,
@@ -182,7 +183,7 @@
             registry=self._registry,
             rng=rng,
             on_change=self._on_own_change,
-            on_lost_request=self._load_sharing.broadcast_failure,
+            on_lost_request=self._report_lost_request,
             on_answer=self._handle_answer,
             on_replaced=lambda upstream: self._upstream_events.handle_replaced(upstream),
             contents=self._contents,
@@ -245,6 +246,7 @@
             on_replaced=self._upstream_events.handle_replaced,
             on_answer=self._handle_health_answer,
             is_limited=lambda upstream: self._context.gate.is_limited(upstream),
+            confirm=self._reach_watch.conclusions.confirm,
         )
         self.loop.scheduler.call_every(READY_CHECK_INTERVAL_S, self._check_ready)
         self.loop.scheduler.call_every(REACH_CHECK_INTERVAL_S, self._check_reach)
@@ -318,6 +320,14 @@
             upstream.clear_failures()
         self._context.queue.schedule_check()
 
+    def _report_lost_request(self, incarnation_id: str) -> None:
+        """Report an instance that lost a request, unless the entry's connections are lost."""
+        self._reach_watch.conclusions.confirm(
+            incarnation_id,
+            shared_load.AlarmKind.LOST_REQUEST.name.lower(),
+            lambda: self._load_sharing.broadcast_failure(incarnation_id),
+        )
+
     def _on_load_update(self) -> None:
         self._context.queue.schedule_check()
 
--- a/src/spoolhead/_internal/gateway/reach_watch.py
+++ b/src/spoolhead/_internal/gateway/reach_watch.py
@@ -4,7 +4,7 @@
 import random
 from collections.abc import Callable
 
-from spoolhead._internal.gateway import entry_metrics
+from spoolhead._internal.gateway import conclusion_check, entry_metrics
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import service_reach, upstream_registry
 from spoolhead._internal.routing import matcher
@@ -68,6 +68,7 @@
     :param on_lost: called with the name of a service that is out of reach from now on.
     :param on_regained: called with the name of a service that is within reach again.
     :param clock: monotonic time in seconds.
+    :ivar conclusions: conclusions about instances that must be confirmed.
     """
 
     def __init__(
@@ -98,6 +99,9 @@
         self._reach = service_reach.ServiceReach()
         self._out_of_reach_s: dict[str, float] = {}
         self._probed_s: dict[str, float] = {}
+        self.conclusions = conclusion_check.ConclusionCheck(
+            timers, registry, rng, probe=self._send_probe, clock=clock
+        )
         metrics.unreached_services.set_function(lambda: len(self._out_of_reach_s))
         timers.call_every(PROBE_INTERVAL_S, self._probe_lost)
 
@@ -110,6 +114,7 @@
         upstream = self._registry.get_by_address(address)
         if upstream is None:
             return
+        self.conclusions.record_answered(upstream, opened_s)
         service = upstream.instance.service
         self._reach.record_reached(service, opened_s)
         if self.is_out_of_reach(service):
@@ -186,9 +191,6 @@
             self._probe(service, excluded=set())
 
     def _probe(self, service: str, *, excluded: set[str]) -> None:
-        path = self._get_health_path(service)
-        if not path:
-            return
         now_s = self._clock()
         candidates = [
             upstream
@@ -198,9 +200,13 @@
         ]
         count = min(PROBES_AT_ONCE, len(candidates))
         for upstream in self._rng.sample(candidates, count):
-            self._send_probe(upstream.instance.address, path)
+            self._send_probe(upstream)
 
-    def _send_probe(self, address: str, path: str) -> None:
+    def _send_probe(self, upstream: upstream_registry.Upstream) -> None:
+        path = self._get_health_path(upstream.instance.service)
+        if not path:
+            return
+        address = upstream.instance.address
         probe = _Probe(self, address)
         request = upstream_calls.make_request("GET", path, address, (), b"")
         probe.call = self._calls.open(address, request, probe, fresh=True)
--- a/tests/unit/test_health_watch.py
+++ b/tests/unit/test_health_watch.py
@@ -61,6 +61,7 @@
             on_replaced=self.replaced_ids.append,
             on_answer=lambda upstream, head: self.heads.append(head),
             is_limited=lambda upstream: upstream.instance.incarnation_id in self.limited,
+            confirm=lambda incarnation_id, kind, action: action(),
         )
 
     def probe(self):
