Soak: keep the logs of a failed run and report each attempt of an order

A failed run now reports each attempt of an order (when, keeper, status, duration), the text of the wait, the load and the stalls of each process, and copies its logs.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -346,14 +346,20 @@
         """Send a table to one keeper after another until one accepts it, as operators do."""
         document = json.dumps(make_table(version, self._memory_tokens)).encode()
         keepers = sorted(plan.KEEPERS, key=lambda name: name != first_keeper)
-        until_s = time.monotonic() + platform_fleet.TIMEOUT_S
-        while time.monotonic() < until_s:
+        began_s = time.monotonic()
+        attempts = []
+        while time.monotonic() < began_s + platform_fleet.TIMEOUT_S:
             for keeper in keepers:
-                if self._fleet.put(keeper, document).status == 200:
+                sent_s = time.monotonic()
+                status = self._fleet.put(keeper, document).status
+                if status == 200:
                     self._record_acknowledged(version)
                     return
+                took_s = time.monotonic() - sent_s
+                attempts.append(f"{sent_s - began_s:.1f} s {keeper} {status} after {took_s:.1f} s")
             time.sleep(0.1)
-        self._observed.problems.append(f"no keeper acknowledged version {version}")
+        text = f"no keeper acknowledged version {version}: {'; '.join(attempts)}"
+        self._observed.problems.append(text)
 
     def _record_acknowledged(self, version):
         with self._lock:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,9 +6,11 @@
 import json
 import os
 import pathlib
+import shutil
 import socket
 import subprocess
 import sys
+import tempfile
 import threading
 import time
 
@@ -118,11 +120,35 @@
 
 
 def run_seed(seed, folder):
-    """Run the plan of one seed.
+    """Run the plan of one seed; if a guarantee is violated, its logs and the machine's load stay.
 
     :returns: each violated guarantee as one line of text, and the number of requests.
     """
     observed = records.Records()
+    try:
+        _run_plan(seed, folder, observed)
+    except AssertionError as error:
+        observed.problems.append(f"a wait ran out: {error}")
+    violations = checks.check(observed)
+    if violations:
+        violations.append(_keep_evidence(seed, folder, violations))
+    return violations, len(observed.requests)
+
+
+def _keep_evidence(seed, folder, violations):
+    """Copy the logs of a failed run and describe the machine's load, for the report."""
+    kept = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    shutil.copytree(folder, kept, dirs_exist_ok=True)
+    stalls = {
+        path.stem: path.read_text().count('"process stood still"') for path in kept.glob("*.log")
+    }
+    load = ", ".join(f"{value:.1f}" for value in os.getloadavg())
+    text = f"evidence of seed {seed} in {kept}; load {load}; stalls {stalls}"
+    (kept / "violations.txt").write_text("\n".join([*violations, text]))
+    return text
+
+
+def _run_plan(seed, folder, observed):
     with SoakFleet(pathlib.Path(folder), **_make_settings(seed)) as fleet:
         memory_tokens = plan.ENGINE_MEMORY_TOKENS if seed >= plan.PRESSURE_FROM_SEED else None
         first_table = faults.make_table(faults.FIRST_VERSION, memory_tokens)
@@ -154,7 +180,6 @@
         observed.disturbances += [_make_disturbance(crash) for crash in observed.crashes]
         observed.problems += [f"{name} exited by itself" for name in fleet.get_exited()]
         observed.problems += _check_logs(fleet)
-    return checks.check(observed), len(observed.requests)
 
 
 def _make_settings(seed):
--- a/tests/unit/test_soak_faults.py
+++ b/tests/unit/test_soak_faults.py
@@ -137,3 +137,30 @@
     fleet = RecoveredFleet(status, body)
     run._check_recovery(fleet, observed, faults.FaultInjector(fleet, observed))
     assert observed.problems == problems
+
+
+def test_an_order_that_no_keeper_takes_is_reported_with_each_answer(monkeypatch):
+    monkeypatch.setattr(platform_fleet, "TIMEOUT_S", 0.2)
+    answer = types.SimpleNamespace(status=503)
+    fleet = types.SimpleNamespace(put=lambda keeper, document: answer)
+    observed = records.Records()
+    injector = faults.FaultInjector(fleet, observed)
+    injector._put("keeper-2", 7)
+    (problem,) = observed.problems
+    assert problem.startswith("no keeper acknowledged version 7: 0.0 s keeper-2 503 after 0.0 s; ")
+
+
+def test_logs_and_the_text_of_a_wait_that_ran_out_are_kept(tmp_path, monkeypatch):
+    def _fail(seed, folder, observed):
+        (folder / "keeper-1.log").write_text('{"text": "process stood still"}\n')
+        raise AssertionError("entry-1 is not ready")
+
+    monkeypatch.setattr(run, "_run_plan", _fail)
+    monkeypatch.setattr(run.tempfile, "mkdtemp", lambda prefix: str(tmp_path / prefix))
+    (tmp_path / "run").mkdir()
+    violations, _ = run.run_seed(7, tmp_path / "run")
+    assert violations[0] == "a wait ran out: entry-1 is not ready"
+    assert "stalls {'keeper-1': 1}" in violations[1]
+    kept = tmp_path / "soak-7-"
+    assert (kept / "keeper-1.log").exists()
+    assert "entry-1 is not ready" in (kept / "violations.txt").read_text()
