Soak: cut entries off from all instances, seeds from 70,000 on; refusals of peers

Seeds from 70,000 on add to the plan of a lower one that an entry, or both, reach no instance for 3.5 to 6 s: new connections hang, are reset or refused. From 3 s on an entry must serve at least two thirds of what the other serves, once more than 10 + 1 in 50 of its requests fail, as the users put it.

A peer that does not reach the service now says UPSTREAM_UNREACHABLE; its refusals for other reasons are passed on with their Retry-After, and it is asked again. Test: test_the_refusal_of_an_entry_whose_instances_rest_is_passed_on_and_it_is_asked_again.

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -325,7 +325,7 @@
             return False
         if self.job.forwarded_by:
             text = f"this entry does not reach {self.job.service.name}"
-            self.fail(codes.ResultCode.NO_UPSTREAM, text)
+            self.fail(codes.ResultCode.UPSTREAM_UNREACHABLE, text)
             return True
         self.job.attempts = self.count_attempts()
         self.job.ran = self._ran
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -25,7 +25,6 @@
 _OK = 200
 _UNABLE_CODES = frozenset(
     {
-        codes.ResultCode.NO_UPSTREAM,
         codes.ResultCode.UPSTREAM_UNREACHABLE,
         codes.ResultCode.STOPPING,
         codes.ResultCode.NO_TABLE,
@@ -36,7 +35,8 @@
     }
 )
 """Results for which another entry is asked. The codes about the table are among them since this
-entry's table, by which the request was accepted, may be newer."""
+entry's table, by which the request was accepted, may be newer. An entry that reaches the instances
+but may send them nothing, for example because they asked for rest, speaks for all entries."""
 
 
 class ForwardExchange(exchange.Exchange):
--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -4,7 +4,7 @@
 
 from soak import plan, run
 
-SEEDS = (101, 10_101, 20_101, 30_101, 40_101, 40_102, 50_102)
+SEEDS = (101, 10_101, 20_101, 30_101, 40_101, 40_102, 50_102, 70_101)
 """One seed for each kind of plan."""
 PRESSURE_SEED = 60_101
 REGRESSION_SEEDS = (1005, 3005, 20_017, 20_019, 30_003)
@@ -41,6 +41,19 @@
     assert seen == added | {True, False}
 
 
+def test_plans_that_cut_entries_off_add_to_those_of_lower_seeds():
+    kinds = set()
+    for seed in range(plan.CUT_FROM_SEED, plan.CUT_FROM_SEED + 30):
+        steps = plan.make_plan(seed)
+        cuts = [step for step in steps if step.kind in plan.CUT_KINDS]
+        lowest = (0, plan.DEADLY_FROM_SEED, plan.STATEMENTS_FROM_SEED)[seed % 3]
+        kept = [step for step in steps if step not in cuts]
+        assert kept == plan.make_plan(lowest + seed - plan.CUT_FROM_SEED)
+        assert len({step.target for step in cuts}) == len(cuts) >= 1
+        kinds |= {step.kind for step in cuts}
+    assert kinds == set(plan.CUT_KINDS)
+
+
 def test_a_plan_is_the_same_each_time_and_disks_are_lost_one_at_a_time():
     for seed in (*range(200), *range(plan.HALLS_FROM_SEED, plan.HALLS_FROM_SEED + 200)):
         steps = plan.make_plan(seed)
--- a/tests/lib/cut_links.py
+++ b/tests/lib/cut_links.py
@@ -113,9 +113,19 @@
         with urllib.request.urlopen(f"http://{list_address}/replicas") as answer:
             targets = [item["address"] for item in json.load(answer)["instances"]]
         self.map_path = map_path
-        self._forwarders = {target: _Forwarder(target) for target in targets}
+        self._forwarders = {}
+        map_path.write_text("{}")
+        for target in targets:
+            self.add(target)
+
+    def add(self, target):
+        """Add an address at which an instance is listed from now on."""
+        self._forwarders[target] = _Forwarder(target)
         addresses = {target: item.address for target, item in self._forwarders.items()}
-        map_path.write_text(json.dumps(addresses))
+        # Replaced as a whole: the entry may read it at any time.
+        new_path = self.map_path.with_suffix(".new")
+        new_path.write_text(json.dumps(addresses))
+        new_path.replace(self.map_path)
 
     def cut(self, how):
         """Cut all connections.
--- a/tests/lib/separable_entry.py
+++ b/tests/lib/separable_entry.py
@@ -12,10 +12,11 @@
 
 
 def _redirect():
-    forwarders = json.loads(pathlib.Path(os.environ[MAP_VARIABLE]).read_text())
+    path = pathlib.Path(os.environ[MAP_VARIABLE])
     open_link = links.Links.open
 
     def _open(self, address, listener, *, connect_ms):
+        forwarders = json.loads(path.read_text())
         link = open_link(self, forwarders.get(address, address), listener, connect_ms=connect_ms)
         # Idle connections are pooled by the instance's address.
         link.address = address
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -25,6 +25,15 @@
 """Time after an instance asked for rest in which requests already in flight may arrive."""
 MAX_REQUESTS_IN_REST = 2
 """Requests of one entry that may arrive later during a rest."""
+CONTACT_S = 3.0
+"""Time after an entry lost its connections to instances from which it must serve by way of
+another."""
+MAX_FAILED_IN_CUT = 10
+MAX_FAILED_FRACTION_IN_CUT = 1 / 50
+"""Failed requests that are allowed while an entry is cut off, in number and as a fraction of all,
+added up."""
+MIN_RELATIVE_SERVED = 2 / 3
+"""Share of requests that it must serve, relative to the share of the other entry."""
 MAX_LEAVE_DELAY_S = 3.0
 """Time after which a leaving upstream must get no new requests: a few polls of the list."""
 
@@ -47,6 +56,7 @@
     violations += _check_refusals(records)
     violations += _check_deadly(records)
     violations += _check_statements(records)
+    violations += _check_cut_off(records)
     return violations
 
 
@@ -173,6 +183,50 @@
 _STATEMENT_CHECKS = {"limit": _check_limit, "rest": _check_rest, "announce": _check_announced}
 
 
+def _check_cut_off(records):
+    """Check that an entry without instances serves first attempts about as often as the other."""
+    for cut in records.disturbances:
+        if cut.kind not in plan.CUT_KINDS:
+            continue
+        by_entry = {entry: _get_statuses_in_cut(records, cut, entry) for entry in plan.ENTRIES}
+        statuses = by_entry.pop(cut.target)
+        (other_statuses,) = by_entry.values()
+        if not statuses or not other_statuses:
+            continue
+        failed = len(statuses) - statuses.count(200)
+        served = statuses.count(200) / len(statuses)
+        other_served = other_statuses.count(200) / len(other_statuses)
+        max_failed = MAX_FAILED_IN_CUT + MAX_FAILED_FRACTION_IN_CUT * len(statuses)
+        if failed > max_failed and served < MIN_RELATIVE_SERVED * other_served:
+            yield (
+                f"{cut.target} served {served:.2f} of {len(statuses)} requests while it was cut "
+                f"off ({cut.kind}), the other entry {other_served:.2f} of {len(other_statuses)}"
+            )
+
+
+def _get_statuses_in_cut(records, cut, entry):
+    """Return the statuses of an entry's plain requests while the entries had no other fault."""
+    return [
+        request.status
+        for request in records.requests
+        if request.entry == entry
+        and request.kind in ("once", "safe")
+        and cut.began_s + CONTACT_S <= request.sent_s
+        and request.ended_s <= cut.ended_s
+        and not _has_other_fault(records, cut, request)
+    ]
+
+
+def _has_other_fault(records, cut, request):
+    return any(
+        item is not cut
+        and item.target in plan.ENTRIES
+        and item.began_s <= request.ended_s
+        and item.ended_s >= request.sent_s - RECOVERY_S
+        for item in records.disturbances
+    )
+
+
 def _check_evacuated(records):
     """Check that requests received once an evacuation is in force run in another hall.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -254,6 +254,15 @@
         if process.poll() is None:
             resource.prlimit(process.pid, resource.RLIMIT_FSIZE, (hard, hard))
 
+    def _cut_off(self, step):
+        """Cut an entry off from all instances for a while."""
+        links = self._fleet.links[step.target]
+        links.cut(step.kind.removeprefix("cut_"))
+        time.sleep(step.for_s)
+        links.heal()
+
+    _cut_hang = _cut_reset = _cut_refuse = _cut_off
+
     def _drain(self, step):
         self._fleet.set_instance(step.target, state="draining")
         time.sleep(step.for_s)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -32,6 +32,8 @@
 """Seeds from here on have engines with little memory, bursts of generations, callers that stop
 reading, and engines that state a pace, some of them a false one, beside the faults of a lower
 seed."""
+CUT_FROM_SEED = 70_000
+"""Seeds from here on cut entries off from all instances, beside the faults of a lower seed."""
 ENGINE_MEMORY_TOKENS = 2_000
 """Memory of each engine in these seeds: two generations of a burst."""
 ENTRY_MEMORY_MB = 10
@@ -46,6 +48,7 @@
 
 PROCESS_KINDS = ("pause", "kill", "stop", "reload")
 LOAD_KINDS = ("slow", "claim_quick", "claim_slow", "claim_full", "claim_invalid")
+CUT_KINDS = ("cut_hang", "cut_reset", "cut_refuse")
 LINK_KINDS = ("delay", "reset", "stall_up", "stall_down", "refuse")
 
 
@@ -72,6 +75,10 @@
 
 def make_plan(seed):
     """Draw the steps of one run, sorted by time."""
+    if seed >= CUT_FROM_SEED:
+        lowest = (0, DEADLY_FROM_SEED, STATEMENTS_FROM_SEED)[seed % 3]
+        steps = make_plan(lowest + seed % 10_000) + _draw_cuts(random.Random(f"cut-{seed}"))
+        return sorted(steps, key=lambda step: step.at_s)
     if seed >= PRESSURE_FROM_SEED:
         lowest = (0, POWER_FROM_SEED, HALLS_FROM_SEED)[seed % 3]
         steps = make_plan(lowest + seed % 10_000) + _draw_pressure(random.Random(f"load-{seed}"))
@@ -96,9 +103,14 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def has_pressure(seed):
+    """Return whether generations compete for the memory of engines in a run."""
+    return PRESSURE_FROM_SEED <= seed < CUT_FROM_SEED
+
+
 def shares_room(seed):
     """Return whether the entries of a run queue generations in one order."""
-    return seed >= PRESSURE_FROM_SEED and seed % 4 != 3
+    return has_pressure(seed) and seed % 4 != 3
 
 
 def _draw_processes(rng):
@@ -204,6 +216,20 @@
     return steps
 
 
+def _draw_cuts(rng):
+    """Draw the time in which one entry, or both, reach no instance."""
+    targets = ENTRIES if rng.random() < 0.25 else (rng.choice(ENTRIES),)
+    return [
+        Step(
+            at_s=rng.uniform(0.5, 4.0),
+            kind=rng.choice(CUT_KINDS),
+            target=target,
+            for_s=rng.uniform(3.5, 6.0),
+        )
+        for target in targets
+    ]
+
+
 def _draw_upstreams(rng):
     steps = []
     leaving = rng.choice(MODEL_INSTANCES)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -33,9 +33,12 @@
         self._exited = []
         self._launches = collections.Counter()
 
-    def start_with_links(self):
-        """Start all processes, with a proxy in front of each instance."""
-        self.start()
+    def start_with_links(self, separable=()):
+        """Start all processes, with a proxy in front of each instance.
+
+        :param separable: entries whose connections to instances can be cut.
+        """
+        self.start(separable=separable)
         listed = json.loads(platform_fleet.send(self.list_address, "GET", "/replicas").body)
         for instance in listed["instances"]:
             self._add_link(instance["id"], instance["address"])
@@ -51,7 +54,10 @@
         self.processes[f"link-{name}"] = process
         ports = dict(field.split("=") for field in process.stdout.readline().split()[1:])
         self._controls[name] = int(ports["control"])
-        self.set_instance(name, address=f"127.0.0.1:{ports['port']}")
+        address = f"127.0.0.1:{ports['port']}"
+        for cut_links in self.links.values():
+            cut_links.add(address)
+        self.set_instance(name, address=address)
 
     def send_link_order(self, name, order):
         with socket.create_connection(("127.0.0.1", self._controls[name]), timeout=5) as sock:
@@ -150,9 +156,9 @@
 
 def _run_plan(seed, folder, observed):
     with SoakFleet(pathlib.Path(folder), **_make_settings(seed)) as fleet:
-        memory_tokens = plan.ENGINE_MEMORY_TOKENS if seed >= plan.PRESSURE_FROM_SEED else None
+        memory_tokens = plan.ENGINE_MEMORY_TOKENS if plan.has_pressure(seed) else None
         first_table = faults.make_table(faults.FIRST_VERSION, memory_tokens)
-        fleet.start_with_links()
+        fleet.start_with_links(plan.ENTRIES if seed >= plan.CUT_FROM_SEED else ())
         fleet.put_until_accepted("keeper-1", first_table)
         fleet.wait_until_ready(*plan.ENTRIES)
         if seed >= plan.HALLS_FROM_SEED:
@@ -184,7 +190,7 @@
 
 def _make_settings(seed):
     """Return the settings of the processes of one run that differ from the usual ones."""
-    if seed < plan.PRESSURE_FROM_SEED:
+    if not plan.has_pressure(seed):
         return {}
     contracts = ("pressure",) if plan.shares_room(seed) else ()
     return {"contracts": contracts, "limits": {"memory_mb": plan.ENTRY_MEMORY_MB}}
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -9,13 +9,20 @@
 from spoolhead._internal.models import codes, fleet, route_table
 from spoolhead._internal.network import forward_messages
 from spoolhead._internal.policy import peer_choice
+from spoolhead._internal.utils import clocks
 
 ONCE = route_table.RequestKind.ONCE
 REPEATABLE = route_table.RequestKind.REPEATABLE
 STREAM = route_table.RequestKind.STREAM
 RESULT = forward_messages.RESULT_HEADER
 KEY = "the shared key of the fleet"
-NOT_REACHED = [(RESULT, forward_messages.format_result(codes.ResultCode.NO_UPSTREAM, codes.Ran.NO))]
+NOT_REACHED = [
+    (RESULT, forward_messages.format_result(codes.ResultCode.UPSTREAM_UNREACHABLE, codes.Ran.NO))
+]
+RESTING = [
+    ("retry-after", "1.5"),
+    (RESULT, forward_messages.format_result(codes.ResultCode.NO_UPSTREAM, codes.Ran.NO)),
+]
 UNKNOWN = [
     (RESULT, forward_messages.format_result(codes.ResultCode.UPSTREAM_LOST, codes.Ran.UNKNOWN))
 ]
@@ -109,6 +116,15 @@
     assert setting.caller.result == (codes.ResultCode.NO_UPSTREAM, codes.Ran.NO)
 
 
+def test_the_refusal_of_an_entry_whose_instances_rest_is_passed_on_and_it_is_asked_again():
+    setting = _Setting(ONCE)
+    setting.peer_call.answer(503, RESTING, b"{}")
+    assert len(setting.peer_calls.made) == 1
+    assert setting.caller.status == 503
+    assert setting.caller.get_header("retry-after") == "1.5"
+    assert setting.context.forwarding.peers.get_retry_after_ms("s", clocks.get_s()) == 0
+
+
 def test_an_entry_that_does_not_ask_for_the_body_in_time_cannot_have_run_the_request():
     setting = _Setting(ONCE)
     silent = setting.peer_call
@@ -189,7 +205,7 @@
     )
     setting.exchange.handle_service_lost()
     assert setting.caller.status == 503
-    assert setting.caller.result == (codes.ResultCode.NO_UPSTREAM, codes.Ran.NO)
+    assert setting.caller.result == (codes.ResultCode.UPSTREAM_UNREACHABLE, codes.Ran.NO)
 
 
 def _make_forwarded():
--- a/tests/unit/test_soak_checks.py
+++ b/tests/unit/test_soak_checks.py
@@ -50,7 +50,27 @@
 
 
 EVENTS = platform_fleet.make_events(3)
+
+
+def _make_cut_requests(other_status):
+    """Return refused requests at an entry that is cut off, and those at the other entry."""
+    return [
+        _make_request(
+            request_id=f"r-{entry}-{number}",
+            entry=entry,
+            sent_s=53.0 + number / 2,
+            ended_s=53.4 + number / 2,
+            status=status,
+            body=f"r-{entry}-{number}".encode(),
+        )
+        for entry, status in (("entry-1", 503), ("entry-2", other_status))
+        for number in range(12)
+    ]
+
+
+CUT = _make_disturbance("entry-1", "cut_hang", 49.0, 60.0)
 VIOLATIONS = {
+    "cut off and not served": _make_records(*_make_cut_requests(200), disturbances=[CUT]),
     "twice": _make_records(_make_request(), runs=[_make_run(), _make_run()]),
     "refused yet run": _make_records(_make_request(status=503, body=b""), runs=[_make_run()]),
     "no answer by the deadline": _make_records(_make_request(status=0, ended_s=60.5)),
@@ -124,6 +144,15 @@
     ),
 }
 ALLOWED = {
+    "cut off while no entry serves": _make_records(*_make_cut_requests(503), disturbances=[CUT]),
+    "cut off with another fault": _make_records(
+        *_make_cut_requests(200),
+        disturbances=[CUT, _make_disturbance("entry-2", "pause", 50.0, 59.0)],
+    ),
+    "cut off a moment ago": _make_records(
+        *_make_cut_requests(200),
+        disturbances=[_make_disturbance("entry-1", "cut_hang", 52.9, 58.9)],
+    ),
     "deadly request held in time": _make_records(
         runs=[_make_deadly_run(at_s) for at_s in (50.0, 51.0, 52.0, 54.0, 55.0, 56.0, 57.0)],
         crashes=[{"at_s": at_s} for at_s in (50.1, 51.1, 52.1)],
