Entry: bound the probes of a lost service; count a forwarded request once in the log

Probes of a service that is out of reach came from each entry by itself: 350 entries that lost a service of three instances would have sent 350 probes a second to each, cold ones too. Retry-After of a request that no entry can serve is a second at most, since the entry may find the service back itself.

Lines of a forwarded request at the entry that serves it carry forwarded_by, and 'spoolhead losses' counts how it ended for its caller; before, the first end line of any process counted, so a request refused by one entry and served by the next was counted as refused (test).

--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -86,7 +86,9 @@
 
     def get_log_fields(self) -> dict[str, object]:
         """Return the log fields that are common to all log lines of the request."""
+        fields = {"forwarded_by": self.job.forwarded_by} if self.job.forwarded_by else {}
         return {
+            **fields,
             "request": self.job.head.request_id,
             "content": self.job.content_id.hex(),
             "route": self.job.route.name,
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -22,6 +22,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_RETRY_AFTER_MS = 1_000
+"""Maximum of Retry-After for a request that no entry can serve: two probes of the service."""
 _OK = 200
 _UNABLE_CODES = frozenset(
     {
@@ -228,6 +230,8 @@
     def _refuse_unreached(self) -> None:
         peers = self._forwarding.peers
         retry_after_ms = peers.get_retry_after_ms(self.job.service.name, clocks.get_s())
+        # This entry itself may reach the service again before another one is asked.
+        retry_after_ms = min(retry_after_ms, MAX_RETRY_AFTER_MS)
         code = codes.ResultCode.NO_UPSTREAM
         if self._ran is not codes.Ran.NO:
             code = codes.ResultCode.UPSTREAM_LOST
@@ -278,7 +282,7 @@
         self._forwarding.peers.record_served(self.job.service.name, self._peer.name, clocks.get_s())
         fields = {**self.get_log_fields(), "peer": self._peer.name, "status": head.status}
         if self._result is None:
-            logger.info("answered", extra={"fields": {**fields, "is_late": self.is_late()}})
+            logger.info("answered", extra={"fields": fields})
             self.end()
             return
         outcome = "refused" if self._ran is codes.Ran.NO else "failed"
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -158,6 +158,7 @@
             get_table=lambda: self._matcher,
             get_silent_halls=self._load_sharing.get_silent_halls,
             get_load_age_ms=self._load_sharing.get_load_age_ms,
+            get_entry_count=lambda: len(self._load_sharing.get_entries()),
             on_lost=self._on_service_lost,
             on_regained=self._on_service_regained,
         )
--- a/src/spoolhead/_internal/gateway/reach_watch.py
+++ b/src/spoolhead/_internal/gateway/reach_watch.py
@@ -16,10 +16,13 @@
 """Time within which an instance must answer a probe."""
 SUSPICION_INTERVAL_S = 0.1
 """Minimum interval between probes of a service after failures."""
-PROBE_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 0.5
 """Interval between probes of a service that is out of reach."""
 PROBES_AT_ONCE = 3
 """Maximum number of instances of a service that are probed at the same time."""
+MAX_PROBES_PER_S = 20.0
+"""Probes that one instance may get from all entries together, each of which may have lost it. In a
+large fleet, an entry therefore sends its probes with a probability below one."""
 
 
 class _Probe:
@@ -63,6 +66,7 @@
     :param metrics: metrics of the entry.
     :param rng: source of random numbers.
     :param get_table: returns the route table in force.
+    :param get_entry_count: returns the number of known entries.
     :param get_silent_halls: returns the silent halls, for the log.
     :param get_load_age_ms: returns the age of what is known of other entries, for the log.
     :param on_lost: called with the name of a service that is out of reach from now on.
@@ -80,6 +84,7 @@
         rng: random.Random,
         *,
         get_table: Callable[[], matcher.Matcher | None],
+        get_entry_count: Callable[[], int],
         get_silent_halls: Callable[[], frozenset[str]],
         get_load_age_ms: Callable[[], int],
         on_lost: Callable[[str], None],
@@ -91,6 +96,7 @@
         self._registry = registry
         self._rng = rng
         self._get_table = get_table
+        self._get_entry_count = get_entry_count
         self._get_silent_halls = get_silent_halls
         self._get_load_age_ms = get_load_age_ms
         self._on_lost = on_lost
@@ -184,13 +190,20 @@
             return
         self._probed_s[service] = now_s
         unreached = set(self._reach.get_unreached(service))
-        self._probe(service, excluded=unreached)
+        if self._may_probe(service, interval_s=1.0):
+            self._probe(service, excluded=unreached, most=PROBES_AT_ONCE)
 
     def _probe_lost(self) -> None:
         for service in self._out_of_reach_s:
-            self._probe(service, excluded=set())
+            if self._may_probe(service, interval_s=PROBE_INTERVAL_S):
+                self._probe(service, excluded=set(), most=1)
 
-    def _probe(self, service: str, *, excluded: set[str]) -> None:
+    def _may_probe(self, service: str, *, interval_s: float) -> bool:
+        """Return whether this entry sends a probe now, drawn at random in a large fleet."""
+        allowed = MAX_PROBES_PER_S * interval_s * len(self._get_remaining(service))
+        return self._rng.random() * self._get_entry_count() < allowed
+
+    def _probe(self, service: str, *, excluded: set[str], most: int) -> None:
         now_s = self._clock()
         candidates = [
             upstream
@@ -198,8 +211,7 @@
             if upstream.instance.incarnation_id not in excluded
             and not upstream.rest.is_resting(now_s)
         ]
-        count = min(PROBES_AT_ONCE, len(candidates))
-        for upstream in self._rng.sample(candidates, count):
+        for upstream in self._rng.sample(candidates, min(most, len(candidates))):
             self._send_probe(upstream)
 
     def _send_probe(self, upstream: upstream_registry.Upstream) -> None:
--- a/src/spoolhead/_internal/utils/log_losses.py
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -12,6 +12,8 @@
 """Time after the first notice of an instance's departure within which a loss at that instance is
 attributed to it. Longer than any notice period seen."""
 ROUTE_FIELD = "route"
+FORWARDED_FIELD = "forwarded_by"
+"""Field of the lines of an entry that serves the request of another one."""
 _DEPARTURE_TEXTS = frozenset(
     {
         "upstream is to be emptied",
@@ -112,11 +114,14 @@
 
 
 def _get_cause(request_lines: Sequence[log_trace.Line], observed: _ObservedState) -> Cause:
-    end = next((line for line in request_lines if line.text in log_trace.END_TEXTS), None)
-    if end is None:
+    ends = [line for line in request_lines if line.text in log_trace.END_TEXTS]
+    if not ends:
         return Cause.NO_END
+    # What counts is how the request ended for its caller, not at an entry that it was forwarded to.
+    end = next((line for line in ends if FORWARDED_FIELD not in line.fields), ends[0])
     if end.text == "answered":
-        return _get_answer_cause(request_lines, end)
+        served = [line for line in ends if line.text == "answered" and line is not end]
+        return _get_answer_cause(request_lines, served[-1] if served else end)
     if observed.is_any_hall_silent(end.process, end.time_s):
         return Cause.CUT_HALL
     if end.text == "refused":
--- a/tests/unit/test_log_losses.py
+++ b/tests/unit/test_log_losses.py
@@ -46,6 +46,17 @@
     assert _get_cause(_make_attempt(), moved, paused) is CAUSE.LATE_MOVED
 
 
+def test_what_counts_of_a_forwarded_request_is_how_it_ended_for_its_caller():
+    request = {"request": "r1", "route": "r-1"}
+    there = {**request, "process": "entry-2", "forwarded_by": "entry-1"}
+    refused = _line(2.0, "refused", **there)
+    answered = _line(3.0, "answered", **request, peer="entry-3")
+    assert _get_cause(refused, answered) is CAUSE.IN_TIME
+    late = _line(2.9, "answered", **{**there, "process": "entry-3"}, is_late=True)
+    assert _get_cause(refused, late, answered) is CAUSE.LATE_FIRST
+    assert _get_cause(refused, _line(3.0, "refused", **request)) is CAUSE.REFUSED
+
+
 def test_losses_at_a_departure_are_told_apart_by_their_copy():
     failed = _line(6.4, "copy failed", request="r1", source="i-1", target="i-2", status=0)
     assert _get_cause(_make_attempt(), NOTICE, END) is CAUSE.CUT_NOT_COPIED
