--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -10,19 +10,15 @@
     entry_metrics,
     exchange,
     exchange_context,
-    forward_exchange,
     forwarding,
     health_watch,
     load_sharing,
     permit_exchange,
-    plain_exchange,
     reach_watch,
-    refusals,
+    request_intake,
     room_sharing,
-    routed_job,
     slow_readers,
     startup,
-    stream_exchange,
     table_feed,
     upstream_events,
     upstream_limits,
@@ -30,19 +26,15 @@
 )
 from spoolhead._internal.load_broadcast import load_socket
 from spoolhead._internal.models import (
-    codes,
     dialects,
-    fault,
     fleet,
     instances,
     permits,
-    route_table,
     settings,
     shared_load,
 )
 from spoolhead._internal.network import (
     caller_front,
-    forward_messages,
     forward_server,
     links,
     loop,
@@ -53,7 +45,6 @@
 from spoolhead._internal.policy import (
     hall_reach,
     peer_choice,
-    request_content,
     upstream_registry,
 )
 from spoolhead._internal.routing import matcher, table_checks
@@ -111,7 +102,7 @@
             config.name,
             clock=clocks.get_s,
             request_broadcast=lambda: self._load_sharing.broadcast_contents(),
-            on_held=self._reject_held,
+            on_held=lambda content_id: self._intake.reject_held(content_id),
         )
         self._metrics.held_contents.set_function(lambda: self._contents.held_count)
         address = (config.host, config.peer_port)
@@ -159,7 +150,7 @@
             get_silent_halls=self._load_sharing.get_silent_halls,
             get_load_age_ms=self._load_sharing.get_load_age_ms,
             get_entry_count=lambda: len(self._load_sharing.get_entries()),
-            on_lost=self._on_service_lost,
+            on_lost=lambda service: self._intake.handle_service_lost(service),
             on_regained=self._on_service_regained,
         )
         calls.observer = self._reach_watch
@@ -204,7 +195,7 @@
             self._reach_watch,
             self._peers,
             get_silent_halls=self._load_sharing.get_silent_halls,
-            take_over=self._forward,
+            take_over=lambda job, caller: self._intake.forward(job, caller),
         )
         self._upstream_events = upstream_events.UpstreamEvents(
             self._context,
@@ -218,12 +209,12 @@
             self.loop,
             config,
             on_request=self._handle_request,
-            on_bad_request=self._refuse_malformed,
+            on_bad_request=lambda caller, item: self._intake.refuse(caller, "", item),
             unread=readers.unread,
             on_drop=readers.record_drop,
         ).register(self.loop)
         self._forward_server = forward_server.ForwardServer(
-            self.loop, config, on_request=self._handle_forwarded
+            self.loop, config, on_request=lambda *received: self._intake.serve_forwarded(*received)
         ).register(self.loop)
         small_server.SmallServer(
             (config.ready_host, config.ready_port),
@@ -233,6 +224,14 @@
         ).register(self.loop)
         metrics.serve(self.loop, config)
         self._table_feed = table_feed.TableFeed(self.loop, outgoing, calls, config, dialect, self)
+        self._intake = request_intake.RequestIntake(
+            self._context,
+            self._table_feed,
+            self._exchanges,
+            get_table=lambda: self._matcher,
+            is_serving=lambda: self._is_ready,
+            is_stopping=lambda: self._is_stopping,
+        )
         self._health_watch = health_watch.HealthWatch(
             self.loop,
             calls,
@@ -311,11 +310,6 @@
         else:
             self._load_sharing.handle_datagram(message, sender)
 
-    def _on_service_lost(self, service: str) -> None:
-        for handler in list(self._exchanges):
-            if handler.job.service.name == service:
-                handler.handle_service_lost()
-
     def _on_service_regained(self, service: str) -> None:
         for upstream in self._registry.get_service(service):
             upstream.clear_failures()
@@ -443,78 +437,7 @@
         if not self._is_ready and age_s < EARLY_REQUEST_WAIT_S and not self._is_stopping:
             self._early_callers.append(caller)
             return
-        job = self._make_job(caller)
-        if job is not None:
-            self._serve(job, caller)
-
-    def _handle_forwarded(
-        self,
-        caller: forward_server.ForwardedCaller,
-        forwarded: forward_messages.ForwardedRequest,
-    ) -> None:
-        """Serve a request that another entry has forwarded."""
-        if self._is_stopping:
-            item = fault.Fault(codes.ResultCode.STOPPING, "this entry stops")
-            self._refuse(caller, "", item)
-            return
-        job = self._make_job(caller, wait_ms=forwarded.remaining_ms)
-        if job is None:
-            return
-        job.forwarded_by = forwarded.sender
-        job.attempts = forwarded.attempts
-        job.is_counted = forwarded.is_counted
-        fields = {"request": job.head.request_id, "peer": forwarded.sender}
-        fields |= {"attempts": job.attempts, "remaining_ms": forwarded.remaining_ms}
-        logger.info("forwarded request received", extra={"fields": fields})
-        self._serve(job, caller)
-
-    def _make_job(
-        self, caller: forward_server.AnyCaller, *, wait_ms: int | None = None
-    ) -> routed_job.Job | None:
-        """Return a request with its route, or refuse it and return None.
-
-        :param wait_ms: time until its deadline; None for the one that the request states.
-        """
-        decoded = self._dialect.read_request(caller.request)
-        if decoded.is_error():
-            self._refuse(caller, "", decoded.error)
-            return None
-        head = decoded.ok
-        if wait_ms is not None:
-            head.wait_ms = wait_ms
-        matched = self._match(head, caller)
-        if isinstance(matched, fault.Fault):
-            self._refuse(caller, head.request_id, self._adjust_refusal(matched))
-            return None
-        return matched
-
-    def _serve(self, job: routed_job.Job, caller: forward_server.AnyCaller) -> None:
-        """Serve a request from this entry, or by way of another one."""
-        if not job.forwarded_by and self._context.forwarding.is_needed(job.service.name):
-            self._forward(job, caller)
-            return
-        if not job.is_counted:
-            self._context.get_allowance(job.service.name).record_request(clocks.get_s())
-            job.is_counted = True
-        is_stream = job.route.kind is route_table.RequestKind.STREAM
-        self._begin(
-            stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange,
-            job,
-            caller,
-        )
-
-    def _forward(self, job: routed_job.Job, caller: forward_server.AnyCaller) -> None:
-        self._begin(forward_exchange.ForwardExchange, job, caller)
-
-    def _begin(
-        self,
-        exchange_class: type[exchange.Exchange],
-        job: routed_job.Job,
-        caller: forward_server.AnyCaller,
-    ) -> None:
-        handler = exchange_class(job, caller, self._context, self._exchanges.discard)
-        self._exchanges.add(handler)
-        handler.begin()
+        self._intake.serve_caller(caller)
 
     def _query_termination(self, upstream: upstream_registry.Upstream) -> None:
         """Query whether an instance that lost a request has terminated."""
@@ -527,68 +450,6 @@
         )
         self._termination_watch.query(query)
 
-    def _reject_held(self, content_id: bytes) -> None:
-        """Refuse all current requests with a content that is held from now on."""
-        for handler in list(self._exchanges):
-            if handler.job.content_id == content_id:
-                handler.reject_held()
-
-    def _match(
-        self, head: dialects.RequestHead, caller: forward_server.AnyCaller
-    ) -> routed_job.Job | fault.Fault:
-        table = self._matcher
-        if table is None or not self._is_ready:
-            return fault.Fault(codes.ResultCode.NO_TABLE, "this entry has no table yet")
-        path = caller.request.target.partition("?")[0]
-        route = table.find_route(head.host, path)
-        if route is None:
-            return fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no route leads there")
-        workspace = table.get_owner(head.api_key) if head.api_key else None
-        if table.needs_key(route) and workspace is None:
-            code = codes.ResultCode.KEY_UNKNOWN if head.api_key else codes.ResultCode.KEY_MISSING
-            return fault.Fault(code, "the API key belongs to no workspace")
-        service = table.get_service(matcher.choose_service(route, self._context.rng))
-        assert service is not None
-        workspace_name = workspace.name if workspace is not None else ""
-        content_id = request_content.get_content_id(caller.request, head.host, workspace_name)
-        tightest_ms = table.get_tightest_objective_ms(service.name)
-        return routed_job.Job(
-            head, route, service, workspace, table.version, content_id, tightest_ms
-        )
-
-    def _adjust_refusal(self, item: fault.Fault) -> fault.Fault:
-        """Return the fault to send for a request that the table refuses.
-
-        Callers treat such a refusal as final, but the route may be new. If the entry cannot confirm
-        that its table is the newest, it therefore reports this instead, so that callers retry or
-        use another hall.
-        """
-        if item.code is codes.ResultCode.NO_TABLE or self._table_feed.is_sure:
-            return item
-        return fault.make_unconfirmed_fault(item)
-
-    def _refuse(self, caller: forward_server.AnyCaller, request_id: str, item: fault.Fault) -> None:
-        status = refusals.send(
-            caller,
-            self._dialect,
-            item,
-            ran=codes.Ran.NO,
-            request_id=request_id,
-            retry_after_ms=exchange.RETRY_AFTER_MS,
-        )
-        fields = {
-            "request": request_id,
-            "code": int(item.code),
-            "reason": item.text,
-            "status": status,
-            "table_version": self._matcher.version if self._matcher is not None else 0,
-            "taken_version": self._table_feed.version,
-        }
-        logger.info("refused", extra={"fields": fields})
-
-    def _refuse_malformed(self, caller: caller_front.Caller, item: fault.Fault) -> None:
-        self._refuse(caller, "", item)
-
     def _begin_stop(self) -> None:
         self._is_stopping = True
         self._stop_started_s = clocks.get_s()
