--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -17,6 +17,9 @@
     def handle_body(self, attempt: "Attempt", data: bytes) -> None:
         """Handle a part of the answer's body."""
 
+    def record_ending(self, attempt: "Attempt") -> None:
+        """Record how the answer ended, before the end or the loss is handled."""
+
     def handle_end(self, attempt: "Attempt") -> None:
         """Handle the end of the answer."""
 
@@ -62,6 +65,15 @@
         self.body_bytes = 0
         self.has_ended = False
 
+    def get_log_fields(self) -> dict[str, str]:
+        """Return the log fields about the framing and the end of the answer."""
+        framing = self.call.framing if self.call is not None else None
+        ending = self.call.ending if self.call is not None else None
+        return {
+            "framing": framing.value if framing is not None else "",
+            "ending": ending.value if ending is not None else "",
+        }
+
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Forward the head to the owner."""
         self._owner.handle_head(self, status, headers)
@@ -73,9 +85,11 @@
     def on_answer_end(self) -> None:
         """Forward the end of the answer to the owner."""
         self.has_ended = True
+        self._owner.record_ending(self)
         self._owner.handle_end(self)
 
     def on_call_lost(self, reason: str) -> None:
         """Forward the loss of the connection to the owner."""
         self.has_ended = True
+        self._owner.record_ending(self)
         self._owner.handle_loss(self, reason)
--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -17,6 +17,12 @@
         self.attempts = metrics.make_counter(
             "spoolhead_attempts", "Attempts at instances, by kind.", "kind"
         )
+        self.answer_ends = metrics.make_counter(
+            "spoolhead_answer_ends",
+            "Ended attempts at instances, by framing of the answer and how it ended.",
+            "framing",
+            "ending",
+        )
         self.received_requests = metrics.make_counter(
             "spoolhead_received_requests",
             "Requests ended that another entry had forwarded, by outcome.",
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -375,6 +375,11 @@
             logger.info("upstream is replaced", extra={"fields": fields})
             self._context.on_replaced(attempt.upstream)
 
+    def record_ending(self, attempt: attempts.Attempt) -> None:
+        """Count the framing of an attempt's answer and how it ended."""
+        fields = attempt.get_log_fields()
+        self._context.metrics.answer_ends.labels(fields["framing"], fields["ending"]).inc()
+
     def record_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Record an attempt whose connection was lost or could not be established."""
         assert attempt.call is not None
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -129,6 +129,7 @@
             self._attempt_count -= 1
         fields = {
             **self.get_log_fields(),
+            **attempt.get_log_fields(),
             "upstream": attempt.upstream.instance.incarnation_id,
             "code": int(code),
             "reason": text,
@@ -169,6 +170,7 @@
             return
         fields = {
             **self.get_log_fields(),
+            **attempt.get_log_fields(),
             "upstream": attempt.upstream.instance.incarnation_id,
             "status": head.status,
             "attempts": self._attempt_count,
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -209,7 +209,7 @@
             self._handle_unusable_answer(attempt, attempt.head)
         else:
             attempt.upstream.record_answer()
-            self._finish(attempt.head)
+            self._finish(attempt, attempt.head)
 
     def handle_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Handle the loss of the connection; a run that may have begun is not repeated."""
@@ -327,13 +327,14 @@
         if self.is_over:
             # The caller was dropped.
             return
-        fields = {**self.get_log_fields(), "status": head.status}
+        fields = {**self.get_log_fields(), **attempt.get_log_fields(), "status": head.status}
         logger.info("answered", extra={"fields": fields})
         self.end()
 
     def _log_attempt_failure(self, attempt: attempts.Attempt, reason: str) -> None:
         fields = {
             **self.get_log_fields(),
+            **attempt.get_log_fields(),
             "upstream": attempt.upstream.instance.incarnation_id,
             "events": self.events,
             "reason": reason,
@@ -427,7 +428,7 @@
             self.fail(codes.ResultCode.CALLER_TOO_SLOW, f"the caller left {unsent} bytes unread")
         return not self.is_over
 
-    def _finish(self, head: dialects.AnswerHead) -> None:
+    def _finish(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         self._is_complete = True
         self.record_whole_answer(head.status)
         remainder = self._splicer.finish()
@@ -440,8 +441,10 @@
         route = self.job.route
         fields = {
             **self.get_log_fields(),
+            **attempt.get_log_fields(),
             "status": head.status,
             "events": self.events,
+            "unfinished_bytes": len(remainder),
             "first_ms": self._pace_meter.first_ms,
             "longest_pause_ms": self._pace_meter.longest_pause_ms,
             "pause_after_events": self._pace_meter.events_before_longest_pause,
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -14,13 +14,12 @@
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import links
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
 Headers = Sequence[tuple[str, str]]
 
 _CONTINUE = 100
-_NO_CONTENT = 204
-_NOT_MODIFIED = 304
 _MIN_FINAL_STATUS = 200
 
 
@@ -95,6 +94,8 @@
     :ivar opened_s: monotonic time at which the call was made.
     :ivar is_over: the answer is complete, or the call was lost or cancelled.
     :ivar has_head: the head of the answer was received.
+    :ivar framing: framing of the answer; None before its head was received.
+    :ivar ending: how the answer ended; None before its end.
     """
 
     def __init__(
@@ -120,7 +121,6 @@
         self._headers: list[tuple[str, str]] = []
         self._link: links.Link | None = None
         self._sent_bytes_before = 0
-        self._ends_with_connection = False
         self._is_informational = False
         self._is_complete = False
         self._must_close_link = False
@@ -129,6 +129,8 @@
         self.opened_s = clocks.get_s()
         self.is_over = False
         self.has_head = False
+        self.framing: answer_end.Framing | None = None
+        self.ending: answer_end.Ending | None = None
 
     @property
     def may_have_arrived(self) -> bool:
@@ -190,7 +192,9 @@
         self.is_over = True
         if not self.has_head:
             self._owner.record_unanswered(self)
-        if self._ends_with_connection and reason == links.CLOSED_CLEANLY:
+        is_closed = reason == links.CLOSED_CLEANLY
+        self.ending = answer_end.Ending.CLOSED if is_closed else answer_end.Ending.BROKEN
+        if is_closed and self.framing is answer_end.Framing.CONNECTION:
             self._listener.on_answer_end()
         else:
             self._listener.on_call_lost(reason)
@@ -216,10 +220,9 @@
             return
         self.has_head = True
         self._owner.record_answered(self)
-        names = {name for name, _ in self._headers}
-        has_length = "content-length" in names or "transfer-encoding" in names
-        has_body = not self._is_head_method and status not in (_NO_CONTENT, _NOT_MODIFIED)
-        self._ends_with_connection = has_body and not has_length
+        self.framing = answer_end.get_framing(
+            status, self._headers, has_no_body=self._is_head_method
+        )
         self._listener.on_answer_head(status, self._headers)
         if self._is_head_method:
             self._must_close_link = True
@@ -249,6 +252,7 @@
             self._owner.release_link(link)
         elif link is not None:
             link.close()
+        self.ending = answer_end.Ending.FRAMED
         self._listener.on_answer_end()
 
     def _abort(self, reason: str) -> None:
@@ -256,6 +260,7 @@
             self._link.close()
         if not self.is_over:
             self.is_over = True
+            self.ending = answer_end.Ending.BROKEN
             self._listener.on_call_lost(reason)
 
 
--- /dev/null
+++ b/src/spoolhead/_internal/relay/answer_end.py
@@ -0,0 +1,55 @@
+"""How an answer is framed and how it ended.
+
+Performs no I/O. Framing is defined in RFC 9112, section 6.
+"""
+
+import enum
+from collections.abc import Sequence
+
+_NO_BODY_STATUSES = (204, 304)
+_CHUNKED = "chunked"
+_IDENTITY = "identity"
+
+
+class Framing(enum.Enum):
+    """What marks the end of an answer's body."""
+
+    NO_BODY = "no_body"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CONNECTION = "connection"
+    """The body ends with the connection; a process that crashes ends it in the same way."""
+    INVALID = "invalid"
+    """A transfer coding that was not requested."""
+
+
+class Ending(enum.Enum):
+    """How the answer ended."""
+
+    FRAMED = "framed"
+    """Where its framing says."""
+    CLOSED = "closed"
+    """With an orderly end of the connection."""
+    BROKEN = "broken"
+    """With a reset, a timeout or invalid bytes, or without a head."""
+
+
+def get_framing(
+    status: int, headers: Sequence[tuple[str, str]], *, has_no_body: bool = False
+) -> Framing:
+    """Return the framing of an answer.
+
+    :param headers: headers of the answer; names are in lower case.
+    :param has_no_body: whether the request was one whose answer has no body.
+    """
+    if has_no_body or status in _NO_BODY_STATUSES:
+        return Framing.NO_BODY
+    values = [value for name, value in headers if name == "transfer-encoding"]
+    codings = [item.strip().lower() for value in values for item in value.split(",")]
+    if codings == [_CHUNKED]:
+        return Framing.CHUNKED
+    if codings and codings != [_IDENTITY]:
+        return Framing.INVALID
+    if not codings and any(name == "content-length" for name, _ in headers):
+        return Framing.LENGTH
+    return Framing.CONNECTION
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -97,6 +97,8 @@
         self.is_answer_complete = False
         self.has_head = False
         self.is_reused = False
+        self.framing = None
+        self.ending = None
 
     @property
     def is_attempt(self):
