--- a/tests/functional/test_deadly_requests.py
+++ b/tests/functional/test_deadly_requests.py
@@ -282,3 +282,11 @@
     assert (again["content"], again["by_hand"]) == (item["content"], True)
     answer = _send_chat(made, "entry-2", _make_deadly_chat())
     assert answer.error["result_code"] == 2011
+
+
+# Guards against a crash that counts as a complete answer, which clears the request that caused it.
+def test_a_stream_without_framing_that_ends_engines_is_held_at_all_entries(running):
+    for name in ("m-1", "m-2", "m-3"):
+        running.set_instance(name, unframed=True)
+    _send_repeatedly(running, "/talk/x", X_Model="m", X_Token_Usage="100,20")
+    assert _count_late_runs(running) <= MAX_LATE_RUNS
--- a/tools/standins/http_server.py
+++ b/tools/standins/http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 READ_LIMIT_BYTES = 16 * 1024 * 1024
@@ -22,10 +23,15 @@
 
 
 class Answer:
-    """Writes the answer to one request."""
+    """Writes the answer to one request.
+
+    :ivar ends_with_connection: the body has neither a length nor chunks; the connection is closed
+        after it.
+    """
 
     def __init__(self, writer: asyncio.StreamWriter) -> None:
         self._writer = writer
+        self.ends_with_connection = False
 
     def send(
         self, status: int, body: bytes, *, content_type: str, headers: dict[str, str] | None = None
@@ -33,26 +39,45 @@
         """Send a complete answer."""
         lines = [f"HTTP/1.1 {status} X", f"Content-Type: {content_type}"]
         lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
-        lines += [f"Content-Length: {len(body)}", "", ""]
-        self._writer.write("\r\n".join(lines).encode() + body)
+        if not self.ends_with_connection:
+            lines.append(f"Content-Length: {len(body)}")
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + body)
 
     def send_json(self, status: int, value: object) -> None:
         """Send a complete answer with a JSON body."""
         self.send(status, json.dumps(value).encode(), content_type="application/json")
 
-    def start_events(self) -> None:
+    def start_events(self, headers: dict[str, str] | None = None) -> None:
         """Start an answer that is a stream of events."""
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        self._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream"]
+        lines += [f"{name}: {value}" for name, value in (headers or {}).items()]
+        if not self.ends_with_connection:
+            lines.append("Transfer-Encoding: chunked")
+        self._writer.write("\r\n".join([*lines, "", ""]).encode())
 
     async def send_events(self, data: bytes) -> None:
-        """Send events of a started stream."""
-        self._writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        """Send events, or a part of one, of a started stream."""
+        is_chunked = not self.ends_with_connection
+        self._writer.write(b"%x\r\n%b\r\n" % (len(data), data) if is_chunked else data)
         await self._writer.drain()
 
     def end_events(self) -> None:
         """End a started stream."""
-        self._writer.write(b"0\r\n\r\n")
+        if not self.ends_with_connection:
+            self._writer.write(b"0\r\n\r\n")
+
+    def send_half(self, body: bytes, *, headers: dict[str, str]) -> None:
+        """Send the head of a complete answer and the first half of its body."""
+        lines = ["HTTP/1.1 200 X", *(f"{name}: {value}" for name, value in headers.items())]
+        if not self.ends_with_connection:
+            lines.append(f"Content-Length: {len(body)}")
+        self._writer.write("\r\n".join([*lines, "", ""]).encode() + body[: len(body) // 2])
+
+    def reset(self) -> None:
+        """Reset the connection."""
+        sock = self._writer.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self._writer.transport.abort()
 
 
 Handler = Callable[[Request, Answer], Awaitable[None]]
@@ -109,8 +134,11 @@
     async def _serve_connection(reader: _Reader, writer: asyncio.StreamWriter) -> None:
         try:
             while (request := await _read_request(reader)) is not None:
-                await _serve_until_gone(handler(request, Answer(writer)), reader)
+                answer = Answer(writer)
+                await _serve_until_gone(handler(request, answer), reader)
                 await writer.drain()
+                if answer.ends_with_connection:
+                    break
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,10 +3,14 @@
 One process serves the list and all instances. A plain instance echoes requests; a model instance
 streams numbered events, and a run can continue at another instance from a copy. Tests control it
 by ``POST /_set`` at the address of the list (``{"instance": .., "state": .., "dead": ..,
-"address": .., "limit": .., "load": .., "pace": .., "rest": .., "leaving": ..}``) and read
-``GET /_runs``, ``GET /_arrivals`` and ``GET /_ends``. A request whose body begins with
-:data:`CRASH_BODY` crashes the instance that runs it; after :data:`RESTART_DELAY_S`, a new one
-starts at the address.
+"address": .., "limit": .., "load": .., "pace": .., "rest": .., "leaving": ..,
+"unframed": ..}``) and read ``GET /_runs``, ``GET /_arrivals`` and ``GET /_ends``.
+
+A request whose body begins with :data:`CRASH_BODY` crashes the instance that runs it; after
+:data:`RESTART_DELAY_S`, a new one starts at the address. The answers of an unframed instance end
+with their connection. The header ``X-Break`` breaks an answer off: ``end`` inside an event with an
+end that looks orderly, ``cut`` by closing the connection, ``reset``, or ``crash`` after an event.
+``X-Line-End`` names the line ending of events.
 """
 
 import argparse
@@ -20,6 +24,9 @@
 from standins import http_server
 
 SIGNATURE = "X-Response-Signature"
+BREAK_AFTER_EVENTS = 3
+"""Events of a stream that is broken off."""
+LINE_ENDS = {"lf": b"\n", "crlf": b"\r\n", "cr": b"\r"}
 CRASH_BODY = b"end the instance"
 CRASH_AFTER_S = 0.1
 """Time for which such a request runs before the crash."""
@@ -41,6 +48,7 @@
     :ivar rest: pause in seconds that it asks for when it refuses each request; empty to accept
         requests.
     :ivar says_leaving: it states in its answers that it is leaving.
+    :ivar is_unframed: its answers to requests have neither a length nor chunks.
     """
 
     def __init__(self, name: str, service: str, address: str, zone: str) -> None:
@@ -62,6 +70,7 @@
         self.pace = 1.0
         self.rest = ""
         self.says_leaving = False
+        self.is_unframed = False
 
     @property
     def stated_headers(self) -> dict[str, str]:
@@ -172,6 +181,7 @@
             instance.pace = order.get("pace", instance.pace)
             instance.rest = order.get("rest", instance.rest)
             instance.says_leaving = order.get("leaving", instance.says_leaving)
+            instance.is_unframed = order.get("unframed", instance.is_unframed)
             if "born" in order:
                 instance.start_again(order["born"])
             if instance.is_dead:
@@ -222,6 +232,7 @@
                 "at_s": time.monotonic(),
             }
         )
+        answer.ends_with_connection = instance.is_unframed
         if instance.rest:
             headers = {"Retry-After": instance.rest, "X-Not-Executed": "1"}
             headers |= instance.stated_headers
@@ -252,12 +263,16 @@
             }
         )
         if request.body.startswith(CRASH_BODY):
-            crash = asyncio.ensure_future(self._crash(instance))
-            self._crash_tasks.add(crash)
-            crash.add_done_callback(self._crash_tasks.discard)
+            self._begin_crash(instance, CRASH_AFTER_S)
 
-    async def _crash(self, instance: Instance) -> None:
-        await asyncio.sleep(CRASH_AFTER_S)
+    def _begin_crash(self, instance: Instance, after_s: float) -> None:
+        # The crash cancels the tasks of the instance's requests, so it needs its own.
+        crash = asyncio.ensure_future(self._crash(instance, after_s))
+        self._crash_tasks.add(crash)
+        crash.add_done_callback(self._crash_tasks.discard)
+
+    async def _crash(self, instance: Instance, after_s: float) -> None:
+        await asyncio.sleep(after_s)
         if not instance.is_down:
             await instance.crash(self)
 
@@ -272,8 +287,26 @@
         headers = {"X-Request-Id": request.headers["x-request-id"], SIGNATURE: "s"}
         headers |= instance.stated_headers
         body = (request.body or b"empty") + _make_padding(request)
+        if how := request.headers.get("x-break"):
+            answer.send_half(body, headers=headers)
+            await self._break_off(instance, answer, how)
+            return
         answer.send(200, body, content_type="text/plain", headers=headers)
 
+    async def _break_off(self, instance: Instance, answer: http_server.Answer, how: str) -> None:
+        """End an answer that is not complete."""
+        # What was sent arrives before the end.
+        await asyncio.sleep(self._step_s)
+        if how == "crash":
+            self._begin_crash(instance, 0.0)
+            await asyncio.sleep(RESTART_DELAY_S)
+        elif how == "reset":
+            answer.reset()
+        elif how == "cut":
+            raise ConnectionResetError
+        else:
+            answer.end_events()
+
     async def _stream(
         self, instance: Instance, request: http_server.Request, answer: http_server.Answer
     ) -> None:
@@ -287,16 +320,26 @@
             first = int(request.headers.get("last-event-id", "0")) + 1
         self._record_run(instance, request)
         count = int(request.headers["x-token-usage"].split(",")[1])
-        head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-        head += f"X-Request-Id: {request.headers['x-request-id']}\r\n{SIGNATURE}: s\r\n"
-        head += "".join(f"{name}: {value}\r\n" for name, value in instance.stated_headers.items())
-        answer._writer.write((head + "Transfer-Encoding: chunked\r\n\r\n").encode())
+        headers = {"X-Request-Id": request.headers["x-request-id"], SIGNATURE: "s"}
+        answer.start_events(headers | instance.stated_headers)
         if request.body.startswith(CRASH_BODY):
+            if instance.is_unframed:
+                await answer.send_events(b"id: 1\ndata: t1\n\nid: 2\nda")
             await asyncio.sleep(2 * CRASH_AFTER_S)
         padding = _make_padding(request)
+        line_end = LINE_ENDS[request.headers.get("x-line-end", "lf")]
         step_s = float(request.headers.get("x-step-ms", "0")) / 1000 or self._step_s
+        how = request.headers.get("x-break", "")
         for number in range(first, count + 1):
-            await answer.send_events(b"id: %d\ndata: t%d%b\n\n" % (number, number, padding))
+            event = line_end.join(
+                (b"id: %d" % number, b"data: t%d%b" % (number, padding), b"", b"")
+            )
+            if how and number > BREAK_AFTER_EVENTS:
+                if how != "crash":
+                    await answer.send_events(event[: len(event) // 2])
+                await self._break_off(instance, answer, how)
+                return
+            await answer.send_events(event)
             await asyncio.sleep(step_s * instance.pace)
         answer.end_events()
 
