--- a/src/spoolhead/_internal/relay/event_stream.py
+++ b/src/spoolhead/_internal/relay/event_stream.py
@@ -4,8 +4,13 @@
 are normalized to ``\\n``. The format is defined in the HTML standard, section "Server-sent events".
 """
 
+import re
+
 MAX_EVENT_BYTES = 1_048_576
 
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
+_COMMENT = b":"
 _ID = b"id:"
 _DATA = b"data:"
 _DONE = b"[DONE]"
@@ -63,6 +68,21 @@
         return data + trailing
 
 
+def find_event_end(data: bytes) -> int:
+    """Return the offset behind the blank line that ends the first event; -1 without one.
+
+    A carriage return at the end of the data counts as a line end. If a line feed follows it, that
+    line feed is left as a blank line before the next event.
+    """
+    match = _EVENT_END.search(data)
+    return match.end() if match is not None else -1
+
+
+def has_field(data: bytes) -> bool:
+    """Return whether bytes contain a line, or a part of one, other than comments."""
+    return any(line and not line.startswith(_COMMENT) for line in data.splitlines())
+
+
 def parse_event(raw: bytes) -> Event:
     """Parse one event.
 
--- a/src/spoolhead/_internal/relay/raw_events.py
+++ b/src/spoolhead/_internal/relay/raw_events.py
@@ -2,7 +2,6 @@
 
 from spoolhead._internal.relay import event_stream
 
-_EVENT_SEPARATORS = (b"\n\n", b"\r\n\r\n")
 _ID = b"id:"
 
 
@@ -34,7 +33,7 @@
         self.remainder += data
         events: list[RawEvent] = []
         while True:
-            end = _find_end(self.remainder)
+            end = event_stream.find_event_end(self.remainder)
             if end < 0:
                 return events
             events.append(RawEvent(self.remainder[:end]))
@@ -46,11 +45,6 @@
         return len(self.remainder) > event_stream.MAX_EVENT_BYTES
 
 
-def _find_end(data: bytes) -> int:
-    ends = [data.find(item) + len(item) for item in _EVENT_SEPARATORS if item in data]
-    return min(ends) if ends else -1
-
-
 def _find_id(data: bytes) -> str:
     for line in data.splitlines():
         if line.startswith(_ID):
--- a/tests/unit/test_relay.py
+++ b/tests/unit/test_relay.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies
 
 from spoolhead._internal.models import codes
-from spoolhead._internal.relay import event_stream, sequencer, stream_relay
+from spoolhead._internal.relay import event_stream, raw_events, sequencer, stream_relay
 
 
 def _make_events(count, generation="g", line_end="\n", first=0):
@@ -120,3 +120,31 @@
     relay = stream_relay.StreamRelay()
     relayed = relay.feed(b": keep-alive\n\n" + _make_events(1))
     assert (relayed.data, relayed.tokens) == (_make_events(1), 1)
+
+
+LINE_END = strategies.sampled_from([b"\n", b"\r\n", b"\r"])
+
+
+# Guards against a stream that is kept back until its end because of its line ends.
+@hypothesis.given(strategies.lists(strategies.tuples(*[LINE_END] * 3), max_size=6), CUTS)
+def test_raw_events_end_at_any_blank_line_and_keep_their_bytes(line_ends, cuts):
+    # A carriage return before a line feed would make one line end of both.
+    line_ends = [
+        (first, b"\n", blank) if second == b"\r" else (first, second, blank)
+        for first, second, blank in line_ends
+    ] + [(b"\r", b"\r", b"\r")]
+    events = [
+        b"id: %d%bdata: %d%b%b" % (number, first, number, second, blank)
+        for number, (first, second, blank) in enumerate(line_ends)
+    ]
+    splitter = raw_events.RawEventSplitter()
+    found = [event for part in _split(b"".join(events), cuts) for event in splitter.feed(part)]
+    assert [event.event_id for event in found] == [str(n) for n in range(len(events))]
+    assert b"".join(event.data for event in found) + splitter.remainder == b"".join(events)
+    assert not event_stream.has_field(splitter.remainder)
+
+
+def test_blank_lines_and_comments_after_an_event_are_no_event():
+    assert not event_stream.has_field(b"\n\r\n: ping")
+    assert event_stream.has_field(b": ping\nid: 4")
+    assert event_stream.has_field(b"\xc3")
