--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -86,13 +86,20 @@
 
     def on_answer_end(self) -> None:
         if self._status == 200 and self._body_bytes <= MAX_REPORT_BYTES:
-            self._owner.handle_answer(self._replica, b"".join(self._body))
+            self._handle_report(b"".join(self._body))
         else:
             self._owner.handle_failure(self._replica, f"status {self._status}")
 
     def on_call_lost(self, reason: str) -> None:
         self._owner.handle_failure(self._replica, reason)
 
+    def _handle_report(self, body: bytes) -> None:
+        # The last line of the format ends with a line feed.
+        if body.endswith(b"\n"):
+            self._owner.handle_answer(self._replica, body)
+        else:
+            self._owner.handle_failure(self._replica, "the report was cut short")
+
 
 class LoadReports:
     """Fetches the upstreams' load reports at a fixed interval.
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -19,10 +19,13 @@
     upstream_choice,
     upstream_registry,
 )
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
 
+BROKEN_OFF = "the answer was broken off"
+"""Reason for the end of an answer that is not complete, however its connection ended."""
 RETRY_AFTER_MS = 300
 """Value of Retry-After for refusals because of failures: about the time in which the load balancer
 cycles through its connections, and about the length of the shortest ejection of an upstream."""
@@ -380,6 +383,28 @@
         fields = attempt.get_log_fields()
         self._context.metrics.answer_ends.labels(fields["framing"], fields["ending"]).inc()
 
+    def handle_end(self, attempt: attempts.Attempt) -> None:
+        """Handle the end of an attempt's answer, which may not be complete."""
+        if attempt is not self._attempt or attempt.head is None:
+            return
+        outcome = attempt.decide_outcome(self.get_content(attempt))
+        if outcome is answer_end.Outcome.BROKEN_OFF and not attempt.head.has_not_run:
+            self.handle_broken_off(attempt)
+        else:
+            self.handle_complete(attempt, attempt.head)
+
+    def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
+        """Return what the body of an attempt's answer shows of its end."""
+        raise NotImplementedError
+
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
+        """Handle a complete answer."""
+        raise NotImplementedError
+
+    def handle_broken_off(self, attempt: attempts.Attempt) -> None:
+        """Handle an answer that was broken off, although its connection ended in order."""
+        raise NotImplementedError
+
     def record_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Record an attempt whose connection was lost or could not be established."""
         assert attempt.call is not None
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -18,6 +18,7 @@
     upstream_calls,
 )
 from spoolhead._internal.policy import quarantine
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -150,6 +151,9 @@
         """Handle the end of the answer."""
         if self.is_over or self._head is None:
             return
+        if not self._is_complete():
+            self.on_call_lost(exchange.BROKEN_OFF)
+            return
         result = self._result
         if result is not None and self._is_unable(result):
             self._ask_next(result.code.name.lower(), is_unable=True)
@@ -241,6 +245,13 @@
             retry_after_ms=max(exchange.RETRY_AFTER_MS, retry_after_ms),
         )
 
+    def _is_complete(self) -> bool:
+        """Return whether the answer has the framing and the end that entries give each answer."""
+        call = self._call
+        assert call is not None and call.framing is not None and call.ending is not None
+        outcome = answer_end.decide(call.framing, call.ending, answer_end.Content.OPAQUE)
+        return outcome is answer_end.Outcome.COMPLETE
+
     def _is_stream(self) -> bool:
         """Return whether the answer is an instance's event stream."""
         head = self._head
--- a/src/spoolhead/_internal/gateway/memory_copy.py
+++ b/src/spoolhead/_internal/gateway/memory_copy.py
@@ -103,7 +103,8 @@
         if self._must_release:
             self._release()
             return
-        if self.status != _OK:
+        # An answer that was cut short has no handle.
+        if self.status != _OK or not answer.handle:
             self._owner.on_copy_failed(self)
             return
         self._owner.on_copied(self)
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -7,6 +7,7 @@
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import forward_server
 from spoolhead._internal.policy import upstream_registry
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -83,11 +84,16 @@
             self._ran = codes.Ran.YES
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE, "the answer is too large")
 
-    def handle_end(self, attempt: attempts.Attempt) -> None:
+    def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
+        """Return that the body shows nothing of its end."""
+        return answer_end.Content.OPAQUE
+
+    def handle_broken_off(self, attempt: attempts.Attempt) -> None:
+        """Make another attempt, if the request may be repeated."""
+        self._retry(codes.ResultCode.UPSTREAM_LOST, exchange.BROKEN_OFF)
+
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Deliver a complete answer, or retry if the answer is not usable."""
-        if attempt is not self._attempt or attempt.head is None:
-            return
-        head = attempt.head
         if head.request_id and head.request_id != self.job.head.request_id:
             self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request")
         elif head.has_not_run:
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -23,7 +23,7 @@
     upstream_choice,
     upstream_registry,
 )
-from spoolhead._internal.relay import block_meter, event_splicer, pace_meter
+from spoolhead._internal.relay import answer_end, block_meter, event_splicer, pace_meter
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -31,6 +31,8 @@
 MAX_UNREAD_BYTES = 1_048_576
 """Maximum number of bytes buffered for a slow caller: several of the longest answers (120 KiB)."""
 _OK = 200
+_CONTENT_TYPE = "content-type"
+_EVENT_STREAM = "text/event-stream"
 
 
 class StreamExchange(exchange.Exchange):
@@ -201,15 +203,25 @@
         if result.problem:
             self._fail_lost(result.problem)
 
-    def handle_end(self, attempt: attempts.Attempt) -> None:
-        """Handle the end of the answer."""
-        if attempt is not self._attempt or attempt.head is None or attempt.call is None:
-            return
-        if not self._is_event_stream(attempt.head):
-            self._handle_unusable_answer(attempt, attempt.head)
+    def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
+        """Return what the events of a stream show of its end."""
+        head = attempt.head
+        if head is None or not self._is_event_stream(head) or not _may_have_events(head):
+            return answer_end.Content.OPAQUE
+        return self._splicer.content
+
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
+        """Finish the stream, or handle an answer that is no stream."""
+        if not self._is_event_stream(head):
+            self._handle_unusable_answer(attempt, head)
         else:
             attempt.upstream.record_answer()
-            self._finish(attempt, attempt.head)
+            self._finish(attempt, head)
+
+    def handle_broken_off(self, attempt: attempts.Attempt) -> None:
+        """Break off the caller's stream; the run may not be repeated."""
+        self._log_attempt_failure(attempt, exchange.BROKEN_OFF)
+        self._fail_lost(exchange.BROKEN_OFF)
 
     def handle_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Handle the loss of the connection; a run that may have begun is not repeated."""
@@ -463,6 +475,12 @@
         self.fail(codes.ResultCode.UPSTREAM_LOST, reason)
 
 
+def _may_have_events(head: dialects.AnswerHead) -> bool:
+    """Return whether an answer is an event stream by its type, or states no type."""
+    types = [value for name, value in head.headers if name.lower() == _CONTENT_TYPE]
+    return not types or types[0].strip().lower().startswith(_EVENT_STREAM)
+
+
 def _make_expected_length(
     generation: dialects.Generation | None,
 ) -> length_estimate.ExpectedLength:
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -182,7 +182,9 @@
         except httptools.HttpParserUpgrade:
             self._abort("an upgrade that was not asked for")
             return
-        if self._is_complete and not self.is_over:
+        if self.framing is answer_end.Framing.INVALID:
+            self._abort("the transfer coding was not requested")
+        elif self._is_complete and not self.is_over:
             self._finish()
 
     def on_lost(self, reason: str) -> None:
--- a/src/spoolhead/_internal/relay/answer_end.py
+++ b/src/spoolhead/_internal/relay/answer_end.py
@@ -1,4 +1,4 @@
-"""How an answer is framed and how it ended.
+"""Decides whether an answer is complete, from its framing, its end and its content.
 
 Performs no I/O. Framing is defined in RFC 9112, section 6.
 """
@@ -34,6 +34,39 @@
     """With a reset, a timeout or invalid bytes, or without a head."""
 
 
+class Content(enum.Enum):
+    """What the body shows of its own end."""
+
+    OPAQUE = "opaque"
+    """Nothing: it is not a stream of events."""
+    NO_EVENT = "no_event"
+    WHOLE_EVENTS = "whole_events"
+    PARTIAL_EVENT = "partial_event"
+    """The last event has no end."""
+    END_MARKER = "end_marker"
+    """The last event marks the end of the stream."""
+
+
+class Outcome(enum.Enum):
+    """What is known about an answer that has ended."""
+
+    COMPLETE = "complete"
+    BROKEN_OFF = "broken_off"
+    UNKNOWN = "unknown"
+    """Its process may have ended the connection by a crash."""
+
+
+def decide(framing: Framing, ending: Ending, content: Content) -> Outcome:
+    """Decide whether an answer is complete."""
+    if ending is Ending.BROKEN or content is Content.PARTIAL_EVENT:
+        return Outcome.BROKEN_OFF
+    if ending is Ending.FRAMED:
+        return Outcome.COMPLETE
+    if framing is not Framing.CONNECTION:
+        return Outcome.BROKEN_OFF
+    return Outcome.COMPLETE if content is Content.END_MARKER else Outcome.UNKNOWN
+
+
 def get_framing(
     status: int, headers: Sequence[tuple[str, str]], *, has_no_body: bool = False
 ) -> Framing:
--- a/src/spoolhead/_internal/relay/event_splicer.py
+++ b/src/spoolhead/_internal/relay/event_splicer.py
@@ -4,7 +4,7 @@
 has, because the run resumed a little earlier, are omitted.
 """
 
-from spoolhead._internal.relay import raw_events
+from spoolhead._internal.relay import answer_end, event_stream, raw_events
 
 
 class SpliceResult:
@@ -31,23 +31,33 @@
     :ivar events: number of forwarded events.
     """
 
-    __slots__ = ("_last_number", "_splitter", "events", "last_event_id")
+    __slots__ = ("_content", "_last_number", "_splitter", "events", "last_event_id")
 
     def __init__(self, last_event_id: str = "") -> None:
         self.last_event_id = last_event_id
         self.events = 0
         self._last_number = int(last_event_id) if last_event_id.isdigit() else -1
         self._splitter = raw_events.RawEventSplitter()
+        self._content = answer_end.Content.NO_EVENT
+
+    @property
+    def content(self) -> answer_end.Content:
+        """What the current connection shows of the end of its stream."""
+        if event_stream.has_field(self._splitter.remainder):
+            return answer_end.Content.PARTIAL_EVENT
+        return self._content
 
     def begin_connection(self) -> None:
         """Begin another connection; the incomplete event of the previous one is discarded."""
         self._splitter = raw_events.RawEventSplitter()
+        self._content = answer_end.Content.NO_EVENT
 
     def feed(self, data: bytes) -> SpliceResult:
         """Process bytes of the current connection."""
         result = SpliceResult()
         forwarded: list[bytes] = []
         for event in self._splitter.feed(data):
+            self._record_content(event)
             if not event.event_id.isdigit():
                 forwarded.append(event.data)
                 continue
@@ -67,6 +77,13 @@
         result.data = b"".join(forwarded)
         return result
 
+    def _record_content(self, event: raw_events.RawEvent) -> None:
+        if event_stream.has_field(event.data):
+            is_end = event.is_end_marker
+            self._content = (
+                answer_end.Content.END_MARKER if is_end else answer_end.Content.WHOLE_EVENTS
+            )
+
     def finish(self) -> bytes:
         """Return the bytes after the last event of a complete answer."""
         remainder, self._splitter.remainder = self._splitter.remainder, b""
--- a/src/spoolhead/_internal/relay/raw_events.py
+++ b/src/spoolhead/_internal/relay/raw_events.py
@@ -3,6 +3,7 @@
 from spoolhead._internal.relay import event_stream
 
 _ID = b"id:"
+_END_MARKER = b"data: [DONE]"
 
 
 class RawEvent:
@@ -18,6 +19,11 @@
         self.data = data
         self.event_id = _find_id(data)
 
+    @property
+    def is_end_marker(self) -> bool:
+        """Whether the event marks the end of the stream."""
+        return any(line.strip() == _END_MARKER for line in self.data.splitlines())
+
 
 class RawEventSplitter:
     """Splits a stream into events.
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -77,6 +77,7 @@
         self.is_disconnected = False
         self.is_started = False
         self.is_finished = False
+        self.is_aborted = False
         self.status = 0
         self.data = b""
         self.unread_bytes = 0
@@ -108,7 +109,7 @@
         self.is_finished = True
 
     def abort(self):
-        self.is_finished = True
+        self.is_finished = self.is_aborted = True
 
 
 class FakeHost:
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -33,9 +33,11 @@
     upstream_gate,
     upstream_registry,
 )
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks, prometheus_metrics
 from spoolhead.platform import dialect
 
+Framing = answer_end.Framing
 REQUEST_ID = "9c41d07be2a35f68"
 SIGNED = [("x-request-id", REQUEST_ID), ("x-response-signature", "3e1b.07")]
 ENGINE = route_table.Engine(
@@ -97,7 +99,7 @@
         self.is_answer_complete = False
         self.has_head = False
         self.is_reused = False
-        self.framing = None
+        self.framing = Framing.CHUNKED
         self.ending = None
 
     @property
@@ -107,9 +109,10 @@
     def send(self):
         self.may_have_arrived = True
 
-    def answer(self, status, headers, *parts, whole=True):
+    def answer(self, status, headers, *parts, whole=True, framing=Framing.CHUNKED):
         self.send()
         self.has_head = True
+        self.framing = framing
         self.listener.on_answer_head(status, headers)
         for part in parts:
             self.listener.on_answer_body(part)
@@ -118,11 +121,14 @@
 
     def end(self):
         self.is_over = True
-        self.is_answer_complete = True
+        is_closed = self.framing is Framing.CONNECTION
+        self.ending = answer_end.Ending.CLOSED if is_closed else answer_end.Ending.FRAMED
+        self.is_answer_complete = not is_closed
         self.listener.on_answer_end()
 
     def lose(self, reason="Connection reset by peer"):
         self.is_over = True
+        self.ending = answer_end.Ending.BROKEN
         self.listener.on_call_lost(reason)
 
 
--- a/tests/unit/test_forwarding.py
+++ b/tests/unit/test_forwarding.py
@@ -231,3 +231,13 @@
 def test_what_is_no_forwarded_request_is_an_error(data):
     with pytest.raises(ValueError):
         forward_messages.decode(data)
+
+
+# Guards against a helper whose crash ends its connection in order, which would look complete.
+@pytest.mark.parametrize("kind", [STREAM, ONCE])
+def test_an_answer_of_another_entry_without_framing_is_broken_off(kind):
+    setting = _Setting(kind)
+    framing = gateway_setting.Framing.CONNECTION
+    setting.peer_call.answer(200, gateway_setting.SIGNED, b"id: 1\n\n", framing=framing)
+    assert setting.caller.is_finished
+    assert setting.caller.is_aborted or setting.caller.status == 502
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -268,3 +268,34 @@
     setting = _start(hint="40")
     setting.last.answer(200, SIGNED, make_events(1, 11), whole=False)
     assert _get_reserved_tokens(setting) == 3_040
+
+
+# Guards against half an event that reaches the caller, with an end that says it is complete.
+@hypothesis.given(
+    strategies.sampled_from([gateway_setting.Framing.CHUNKED, gateway_setting.Framing.CONNECTION]),
+    strategies.integers(1, len(make_events(3, 1)) - 1),
+)
+def test_a_stream_that_ends_inside_an_event_is_broken_off_for_its_caller(framing, cut):
+    setting = _start()
+    torn = make_events(3, 1)[:cut]
+    setting.last.answer(200, SIGNED, make_events(1, 2) + torn, framing=framing)
+    assert setting.caller.data == make_events(1, 2)
+    assert setting.caller.is_aborted
+
+
+def test_an_answer_that_is_no_event_stream_needs_no_event():
+    setting = _start()
+    headers = [*SIGNED, ("content-type", "application/json")]
+    setting.last.answer(200, headers, b'{"text": "t"}')
+    assert setting.caller.data == b'{"text": "t"}'
+    assert setting.caller.is_finished and not setting.caller.is_aborted
+
+
+def test_a_copy_whose_answer_was_cut_short_is_not_made():
+    setting = _start(tokens="3000,100")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    setting.leave(setting.last.address.removesuffix(":80"))
+    framing = gateway_setting.Framing.CONNECTION
+    setting.calls.copies[-1].answer(200, [], b'{"handle": "h-', framing=framing)
+    assert len(setting.calls.attempts) == 1
+    assert not setting.caller.is_finished
--- a/tests/unit/test_load_reports.py
+++ b/tests/unit/test_load_reports.py
@@ -69,3 +69,24 @@
 def test_what_is_no_report_is_refused(item):
     with pytest.raises(messages.MessageError):
         neighbours.unpack(item, now_s=0.0)
+
+
+class _Owner:
+    def __init__(self):
+        self.handled = []
+
+    def handle_answer(self, replica, body):
+        self.handled.append("answer")
+
+    def handle_failure(self, replica, reason):
+        self.handled.append("failure")
+
+
+@pytest.mark.parametrize(("body", "handled"), [(REPORT, "answer"), (REPORT[:-3], "failure")])
+def test_a_report_that_was_cut_short_is_a_failure(body, handled):
+    owner = _Owner()
+    fetch = load_reports._Fetch(owner, None, 0.0)
+    fetch.on_answer_head(200, [])
+    fetch.on_answer_body(body.encode())
+    fetch.on_answer_end()
+    assert owner.handled == [handled]
--- a/tests/unit/test_upstream_calls.py
+++ b/tests/unit/test_upstream_calls.py
@@ -5,6 +5,7 @@
 from lib import fakes
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import links, upstream_calls
+from spoolhead._internal.relay import answer_end
 
 ADDRESS = "10.0.0.9:80"
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -110,3 +111,39 @@
     _call(calls, outgoing)
     outgoing.opened[0].listener.on_data(WHOLE)
     assert outgoing.opened[0].is_closed
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\nxx",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nContent-Le",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nok",
+    ],
+)
+def test_an_answer_with_invalid_or_unfinished_framing_is_lost(calls, outgoing, answer):
+    listener = _Listener()
+    call = calls.open(ADDRESS, b"GET / HTTP/1.1\r\n\r\n", listener)
+    link = outgoing.opened[-1]
+    link.listener.on_data(answer)
+    if not call.is_over:
+        link.listener.on_lost(links.CLOSED_CLEANLY)
+    assert (listener.end_count, len(listener.losses)) == (0, 1)
+
+
+def test_an_answer_of_length_zero_with_bytes_after_it_ends_where_its_framing_says(calls, outgoing):
+    call = _call(calls, outgoing, b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200")
+    assert call.ending is answer_end.Ending.FRAMED
+    assert outgoing.opened[0].is_closed
+
+
+def test_a_connection_whose_end_is_that_of_the_answer_is_not_used_again(calls, outgoing):
+    call = _call(calls, outgoing, None)
+    link = outgoing.opened[-1]
+    link.listener.on_data(b"HTTP/1.0 200 OK\r\n\r\nok")
+    link.listener.on_lost(links.CLOSED_CLEANLY)
+    assert (call.framing, call.ending) == (answer_end.Framing.CONNECTION, answer_end.Ending.CLOSED)
+    assert not _call(calls, outgoing).is_reused
