--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -9,11 +9,8 @@
 import collections
 import contextlib
 import dataclasses
-import fcntl
 import logging
 import socket
-import struct
-import termios
 from collections.abc import Callable, Sequence
 from http import HTTPStatus
 
@@ -42,10 +39,12 @@
 
 MAX_JOINED_BYTES = 65_536
 """Size of a body up to which it is sent together with the head; joining copies it."""
+RESET_TIMEOUT_S = 1.0
+"""Time within which a caller must have received what was sent before its connection is reset."""
+RESET_CHECK_INTERVAL_S = 0.02
 READ_CHECK_INTERVAL_S = 0.1
 """Interval between checks of the kernel's send buffers of callers with unread bytes."""
 
-_NO_BYTES = struct.pack("i", 0)
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _LIBRARY_REQUEST = b"POST / HTTP/1.1\r\nHost: spoolhead\r\nContent-Length: 0\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
@@ -67,6 +66,7 @@
 
     __slots__ = (
         "_connection",
+        "_ends_with_connection",
         "_front",
         "_response",
         "is_finished",
@@ -89,6 +89,7 @@
         self._front = front
         self._connection = connection
         self._response = response
+        self._ends_with_connection = False
         self.request = request
         self.request_id = ""
         self.remote = connection.remote
@@ -137,6 +138,7 @@
         else:
             self._response.close = True
             head["Connection"] = "close"
+            self._ends_with_connection = True
         self.is_started = True
         self._front.send(self._connection, self._get_head_bytes() + self._encode_chunk(first))
 
@@ -158,9 +160,12 @@
         self._finish()
 
     def abort(self) -> None:
-        """Close the connection, so that the caller sees an incomplete answer."""
+        """End the connection, so that the caller sees an incomplete answer."""
         self.is_finished = True
-        self._front.close(self._connection)
+        if self.is_started and self._ends_with_connection:
+            self._front.reset_after_send(self._connection)
+        else:
+            self._front.close(self._connection)
 
     def _encode_chunk(self, data: bytes) -> bytes:
         if not data or not self._response.chunked:
@@ -267,6 +272,7 @@
         on_drop: Callable[[str, unread_budget.Drop, bool], None] | None = None,
     ) -> None:
         super().__init__()
+        self._timers = loop.scheduler
         self._limits = config.callers
         self._configured_limits = config.callers
         self._handle_request = on_request
@@ -364,6 +370,27 @@
         """Close a connection immediately."""
         self._server.close_now(connection.sock)
 
+    def reset_after_send(self, connection: _Connection) -> None:
+        """Reset a connection once the caller has what was sent, or after a timeout."""
+        connection.is_closing = True
+        connection.current = None
+        connection.waiting.clear()
+        self._reset_when_sent(connection, clocks.get_s() + RESET_TIMEOUT_S)
+
+    def _reset_when_sent(self, connection: _Connection, until_s: float) -> None:
+        sock = connection.sock
+        if sock.fileno() < 0:
+            return
+        unsent = self._server.get_unsent_bytes(sock) or (
+            self._server.count_unacknowledged_bytes(sock)
+        )
+        if not unsent or clocks.get_s() >= until_s:
+            self._server.reset(sock)
+            return
+        self._timers.call_later(
+            RESET_CHECK_INTERVAL_S, lambda: self._reset_when_sent(connection, until_s)
+        )
+
     def finish(self, connection: _Connection, *, close: bool) -> None:
         """Finish the current request of a connection and begin the next one.
 
@@ -401,7 +428,7 @@
         """Check which callers with unread bytes read, by the kernel's send buffers."""
         now_s = clocks.get_s()
         for sock in self._unread:
-            (kernel_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES))
+            kernel_bytes = self._server.count_unacknowledged_bytes(sock)
             self._unread.record_kernel_bytes(sock, kernel_bytes, now_s)
 
     def _close_or_linger(self, connection: _Connection) -> None:
--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -5,8 +5,12 @@
 to the library's write handler. Both use the library's buffer of the socket, so bytes stay in order.
 """
 
+import contextlib
 import errno
+import fcntl
 import socket
+import struct
+import termios
 from collections.abc import Iterator
 
 import circuits
@@ -16,6 +20,8 @@
 from spoolhead._internal.utils import clocks
 
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
+_NO_BYTES = struct.pack("i", 0)
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 READ_BYTES = 65_536
 PIECE_BYTES = 16_384
 """Size of the pieces in which unsent bytes are buffered."""
@@ -86,6 +92,23 @@
         """Close a connection and discard its buffer."""
         self._close(sock)
 
+    def reset(self, sock: socket.socket) -> None:
+        """Reset a connection, so that its peer cannot take its end for that of the answer.
+
+        Bytes that the peer has not acknowledged are discarded.
+        """
+        # The library shuts a socket down before it closes it, which would end the stream in order.
+        self._poller.discard(sock)
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            sock.close()
+        self._close(sock)
+
+    def count_unacknowledged_bytes(self, sock: socket.socket) -> int:
+        """Return the number of bytes in the kernel's send buffer of a connection."""
+        (kernel_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES))
+        return kernel_bytes
+
     def stop_listening(self) -> None:
         """Close the listening socket; open connections stay."""
         if self._sock is not None:
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -79,6 +79,14 @@
     _check_broken_stream(_stream(running, version="1.0", X_Break=how))
 
 
+# Guards against a reset that discards what the caller has not received yet.
+def test_a_caller_of_http_1_0_gets_what_was_sent_before_its_stream_broke_off(running, is_unframed):
+    added_bytes = 200_000
+    answer = _stream(running, version="1.0", X_Break="end", X_Added_Bytes=added_bytes)
+    assert answer.body == platform_fleet.make_events(platform.BREAK_AFTER_EVENTS, added_bytes)
+    assert not answer.is_complete
+
+
 # Guards against a crash between two events, whose bytes are those of a complete stream.
 @pytest.mark.parametrize("version", VERSIONS)
 def test_a_stream_whose_engine_crashes_after_an_event_never_looks_complete(
