--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -12,7 +12,7 @@
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import placement, quarantine, replicas, retry
-from spoolhead._internal.relay import sequencer, stream_relay
+from spoolhead._internal.relay import answer_end, sequencer, stream_relay
 from spoolhead._internal.utils import decimals, metrics
 
 logger = logging.getLogger(__name__)
@@ -173,9 +173,37 @@
         if attempt is not self._attempt:
             return
         if self.request.wants_stream and attempt.status == _OK:
-            self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, "the stream ended without its mark")
+            self.handle_loss(attempt, "the stream ended without its mark")
             return
-        self._finish_whole(attempt)
+        call = attempt.call
+        assert call is not None and call.framing is not None and call.ending is not None
+        content = answer_end.Content.OPAQUE
+        if call.framing is answer_end.Framing.CONNECTION:
+            content = answer_end.get_json_content(b"".join(self._body))
+        outcome = answer_end.decide(call.framing, call.ending, content)
+        if outcome is answer_end.Outcome.UNKNOWN:
+            address = attempt.replica.row.address
+            self._context.calls.confirm_end(
+                address, lambda evidence: self._handle_evidence(attempt, evidence)
+            )
+            return
+        self._apply_outcome(attempt, outcome)
+
+    def _handle_evidence(
+        self, attempt: flow_attempt.Attempt, evidence: answer_end.Evidence
+    ) -> None:
+        """Handle evidence about an answer whose end alone shows nothing."""
+        if attempt is self._attempt:
+            self._apply_outcome(attempt, answer_end.decide_by_evidence(evidence))
+
+    def _apply_outcome(self, attempt: flow_attempt.Attempt, outcome: answer_end.Outcome) -> None:
+        if outcome is answer_end.Outcome.COMPLETE:
+            self._finish_whole(attempt)
+        elif outcome is answer_end.Outcome.BROKEN_OFF:
+            self.handle_loss(attempt, "the answer was broken off")
+        else:
+            text = "the answer may be incomplete: it ended with its connection"
+            self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, text, is_conclusive=False)
 
     def handle_loss(self, attempt: flow_attempt.Attempt, reason: str) -> None:
         """Handle the loss of an attempt's connection.
@@ -338,7 +366,12 @@
         *,
         refused: bool = False,
         is_final: bool = False,
+        is_conclusive: bool = True,
     ) -> None:
+        """Make the next attempt, or give up.
+
+        :param is_conclusive: whether the failure shows that the upstream is unhealthy.
+        """
         attempt = self._attempt
         assert attempt is not None and attempt.call is not None
         now_s = self._context.clock()
@@ -351,7 +384,7 @@
             # runs it, which may be gone for good.
             self._attempts_made -= 0 if has_begun else 1
             attempt.replica.health.record_unreachable(now_s)
-        elif not refused:
+        elif not refused and is_conclusive:
             attempt.replica.health.record_failure(now_s)
         self._may_have_run = self._may_have_run or (arrived and not refused)
         failed = retry.FailedAttempt(
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -5,7 +5,7 @@
 
 from spoolhead._internal.models import codes
 from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import placement, policy_set, replicas, retry
+from spoolhead._internal.policy import end_confirmation, placement, policy_set, replicas, retry
 from spoolhead._internal.utils import metrics
 
 if TYPE_CHECKING:
@@ -56,6 +56,9 @@
         :param is_head: the method is HEAD, so the answer has no body.
         """
 
+    def confirm_end(self, address: str, on_evidence: end_confirmation.OnEvidence) -> None:
+        """Check whether an upstream crashed as it ended a connection."""
+
     def finish_in_background(self, call: upstream_calls.UpstreamCall) -> None:
         """Read the rest of a call's answer and discard it."""
 
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -38,6 +38,7 @@
     :ivar head: head of the answer; None until it arrives.
     :ivar body: buffered parts of the body that were not forwarded to the caller.
     :ivar body_bytes: total size of these parts.
+    :ivar outcome: whether the answer is complete; None before that is decided.
     :ivar has_ended: whether the answer is complete or the connection was lost.
     """
 
@@ -49,6 +50,7 @@
         "has_ended",
         "head",
         "is_resumed",
+        "outcome",
         "sent_s",
         "upstream",
     )
@@ -64,15 +66,17 @@
         self.head: dialects.AnswerHead | None = None
         self.body: list[bytes] = []
         self.body_bytes = 0
+        self.outcome: answer_end.Outcome | None = None
         self.has_ended = False
 
     def get_log_fields(self) -> dict[str, str]:
-        """Return the log fields about the framing and the end of the answer."""
+        """Return the log fields about the end of the answer."""
         framing = self.call.framing if self.call is not None else None
         ending = self.call.ending if self.call is not None else None
         return {
             "framing": framing.value if framing is not None else "",
             "ending": ending.value if ending is not None else "",
+            "outcome": self.outcome.value if self.outcome is not None else "",
         }
 
     def decide_outcome(self, content: answer_end.Content) -> answer_end.Outcome:
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -26,6 +26,7 @@
 
 BROKEN_OFF = "the answer was broken off"
 """Reason for the end of an answer that is not complete, however its connection ended."""
+UNKNOWN_END = "the answer may be incomplete: it ended with its connection"
 RETRY_AFTER_MS = 300
 """Value of Retry-After for refusals because of failures: about the time in which the load balancer
 cycles through its connections, and about the length of the shortest ejection of an upstream."""
@@ -370,6 +371,8 @@
         self._context.limits.handle_answer(attempt.upstream, attempt.head, now_s)
         self._context.on_answer(attempt.upstream, attempt.head, now_s)
         self._context.reach.record_answer(attempt.upstream.instance.hall, now_s)
+        if attempt.call is not None and not attempt.head.is_misdirected:
+            self._context.calls.record_alive(attempt.call)
         if attempt.head.is_misdirected and attempt.upstream.record_replaced(now_s):
             fields = {
                 "upstream": attempt.upstream.instance.incarnation_id,
@@ -387,11 +390,37 @@
         """Handle the end of an attempt's answer, which may not be complete."""
         if attempt is not self._attempt or attempt.head is None:
             return
-        outcome = attempt.decide_outcome(self.get_content(attempt))
-        if outcome is answer_end.Outcome.BROKEN_OFF and not attempt.head.has_not_run:
-            self.handle_loss(attempt, BROKEN_OFF)
-        else:
-            self.handle_complete(attempt, attempt.head)
+        outcome = answer_end.Outcome.COMPLETE
+        if not attempt.head.has_not_run:
+            outcome = attempt.decide_outcome(self.get_content(attempt))
+        if outcome is not answer_end.Outcome.UNKNOWN:
+            self._apply_outcome(attempt, outcome)
+            return
+        self._context.calls.confirm_end(
+            attempt.upstream.instance.address,
+            lambda evidence: self._handle_evidence(attempt, evidence),
+        )
+
+    def _handle_evidence(self, attempt: attempts.Attempt, evidence: answer_end.Evidence) -> None:
+        """Handle evidence about an answer whose end alone shows nothing."""
+        if self.is_over or attempt is not self._attempt:
+            return
+        is_terminated = evidence is answer_end.Evidence.TERMINATED
+        if is_terminated and attempt.upstream.is_expected_to_terminate(clocks.get_s()):
+            # An instance that leaves may refuse connections before its last answer ends.
+            evidence = answer_end.Evidence.NONE
+        self._apply_outcome(attempt, answer_end.decide_by_evidence(evidence))
+
+    def _apply_outcome(self, attempt: attempts.Attempt, outcome: answer_end.Outcome) -> None:
+        assert attempt.head is not None
+        attempt.outcome = outcome
+        match outcome:
+            case answer_end.Outcome.COMPLETE:
+                self.handle_complete(attempt, attempt.head)
+            case answer_end.Outcome.BROKEN_OFF:
+                self.handle_loss(attempt, BROKEN_OFF)
+            case answer_end.Outcome.UNKNOWN:
+                self.handle_unknown_end(attempt)
 
     def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
         """Return what the body of an attempt's answer shows of its end."""
@@ -405,6 +434,10 @@
         """Handle an attempt that was lost, or whose answer was broken off."""
         raise NotImplementedError
 
+    def handle_unknown_end(self, attempt: attempts.Attempt) -> None:
+        """Handle an answer that may not be complete; nothing is concluded from it."""
+        raise NotImplementedError
+
     def record_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Record an attempt whose connection was lost or could not be established."""
         assert attempt.call is not None
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -85,8 +85,14 @@
             self.fail(codes.ResultCode.ANSWER_TOO_LARGE, "the answer is too large")
 
     def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
-        """Return that the body shows nothing of its end."""
-        return answer_end.Content.OPAQUE
+        """Return what the body shows of its end, if its framing does not show it."""
+        if attempt.call is None or attempt.call.framing is not answer_end.Framing.CONNECTION:
+            return answer_end.Content.OPAQUE
+        return answer_end.get_json_content(b"".join(attempt.body))
+
+    def handle_unknown_end(self, attempt: attempts.Attempt) -> None:
+        """Make another attempt, if the request may be repeated."""
+        self._retry(codes.ResultCode.UPSTREAM_LOST, exchange.UNKNOWN_END)
 
     def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Deliver a complete answer, or retry if the answer is not usable."""
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -218,6 +218,11 @@
             attempt.upstream.record_answer()
             self._finish(attempt, head)
 
+    def handle_unknown_end(self, attempt: attempts.Attempt) -> None:
+        """Break off the caller's stream; the run may not be repeated."""
+        self._log_attempt_failure(attempt, exchange.UNKNOWN_END)
+        self._fail_lost(exchange.UNKNOWN_END)
+
     def handle_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Handle the loss of the connection; a run that may have begun is not repeated."""
         if attempt is not self._attempt or attempt.call is None:
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -12,8 +12,9 @@
 import httptools
 
 from spoolhead._internal.models import settings
-from spoolhead._internal.network import links
+from spoolhead._internal.network import end_probes, links
 from spoolhead._internal.network import loop as loops
+from spoolhead._internal.policy import end_confirmation
 from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
@@ -319,6 +320,7 @@
         self._outgoing = outgoing
         self._config = config
         self._idle: dict[str, collections.deque[_IdleLink]] = {}
+        self._end_probes = end_probes.EndProbes(loop.scheduler, outgoing)
         self._background_calls: collections.deque[_BackgroundCall] = collections.deque()
         loop.scheduler.call_every(config.idle_ms / 1000, self._close_idle)
 
@@ -363,6 +365,18 @@
         if self.observer is not None and not call.is_reused:
             self.observer.record_unanswered(call.address)
 
+    def confirm_end(self, address: str, on_evidence: end_confirmation.OnEvidence) -> None:
+        """Check whether an upstream crashed as it ended a connection.
+
+        :param address: ``IP:PORT`` of the upstream.
+        :param on_evidence: called once, later, with the evidence.
+        """
+        self._end_probes.confirm(address, on_evidence)
+
+    def record_alive(self, call: UpstreamCall) -> None:
+        """Record that the upstream itself, and not another process at its address, answered."""
+        self._end_probes.record_alive(call.address, call.opened_s)
+
     def release_link(self, link: links.Link) -> None:
         """Return a link to the pool after a complete answer; closed if the pool is full."""
         idle = self._idle.setdefault(link.address, collections.deque())
--- /dev/null
+++ b/src/spoolhead/_internal/policy/end_confirmation.py
@@ -0,0 +1,79 @@
+"""Decides when to connect to an instance whose answers ended with their connection.
+
+Performs no I/O. The end of a connection is also that of a process that crashed. A process that
+accepts a connection opened later did not crash.
+"""
+
+from collections.abc import Callable
+
+from spoolhead._internal.relay import answer_end
+
+SETTLE_S = 0.01
+"""Time after an end from which a new connection counts. A process that crashes closes its
+connections before its listening socket, or after it."""
+PROBE_INTERVAL_S = 0.05
+"""Minimum time between two probes of an instance; one probe serves all ends before it."""
+MAX_PROBES = 2
+"""Probes without a result after which nothing is known of an end."""
+
+OnEvidence = Callable[[answer_end.Evidence], None]
+
+
+class WaitingEnd:
+    """An end of an answer that waits for evidence.
+
+    :ivar ended_s: monotonic time of the end.
+    :ivar probe_count: probes that had no result.
+    :ivar on_evidence: called with the evidence.
+    """
+
+    __slots__ = ("ended_s", "on_evidence", "probe_count")
+
+    def __init__(self, ended_s: float, on_evidence: OnEvidence) -> None:
+        self.ended_s = ended_s
+        self.on_evidence = on_evidence
+        self.probe_count = 0
+
+
+class EndConfirmation:
+    """The waiting ends of answers of one instance."""
+
+    __slots__ = ("_last_probe_s", "_waiting")
+
+    def __init__(self) -> None:
+        self._last_probe_s: float | None = None
+        self._waiting: list[WaitingEnd] = []
+
+    def add(self, ended_s: float, on_evidence: OnEvidence) -> None:
+        """Add an end."""
+        self._waiting.append(WaitingEnd(ended_s, on_evidence))
+
+    def get_next_probe_s(self) -> float | None:
+        """Return when to begin the next probe; None if nothing waits."""
+        if not self._waiting:
+            return None
+        due_s = min(item.ended_s for item in self._waiting) + SETTLE_S
+        if self._last_probe_s is None:
+            return due_s
+        return max(due_s, self._last_probe_s + PROBE_INTERVAL_S)
+
+    def record_probe(self, now_s: float) -> None:
+        """Record the begin of a probe."""
+        self._last_probe_s = now_s
+
+    def pop_known(self, opened_s: float) -> list[WaitingEnd]:
+        """Remove and return the ends of which a connection shows something.
+
+        :param opened_s: when the connection was opened.
+        """
+        known = [item for item in self._waiting if item.ended_s + SETTLE_S <= opened_s]
+        self._waiting = [item for item in self._waiting if item not in known]
+        return known
+
+    def pop_unknown(self, opened_s: float) -> list[WaitingEnd]:
+        """Record a probe without a result, and return the ends that wait no longer."""
+        for item in self._waiting:
+            item.probe_count += item.ended_s + SETTLE_S <= opened_s
+        unknown = [item for item in self._waiting if item.probe_count >= MAX_PROBES]
+        self._waiting = [item for item in self._waiting if item.probe_count < MAX_PROBES]
+        return unknown
--- a/src/spoolhead/_internal/relay/answer_end.py
+++ b/src/spoolhead/_internal/relay/answer_end.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import json
 from collections.abc import Sequence
 
 _NO_BODY_STATUSES = (204, 304)
@@ -43,8 +44,16 @@
     WHOLE_EVENTS = "whole_events"
     PARTIAL_EVENT = "partial_event"
     """The last event has no end."""
-    END_MARKER = "end_marker"
-    """The last event marks the end of the stream."""
+    MARKED_END = "marked_end"
+    """Its last event, or its JSON value, marks the end."""
+
+
+class Evidence(enum.Enum):
+    """What a new connection shows of a process whose connection has ended."""
+
+    ALIVE = "alive"
+    TERMINATED = "terminated"
+    NONE = "none"
 
 
 class Outcome(enum.Enum):
@@ -64,7 +73,32 @@
         return Outcome.COMPLETE
     if framing is not Framing.CONNECTION:
         return Outcome.BROKEN_OFF
-    return Outcome.COMPLETE if content is Content.END_MARKER else Outcome.UNKNOWN
+    return Outcome.COMPLETE if content is Content.MARKED_END else Outcome.UNKNOWN
+
+
+def decide_by_evidence(evidence: Evidence) -> Outcome:
+    """Decide whether an answer is complete whose end alone shows nothing.
+
+    A process that went on after it ended the connection ended the answer, too.
+    """
+    match evidence:
+        case Evidence.ALIVE:
+            return Outcome.COMPLETE
+        case Evidence.TERMINATED:
+            return Outcome.BROKEN_OFF
+        case Evidence.NONE:
+            return Outcome.UNKNOWN
+
+
+def get_json_content(body: bytes) -> Content:
+    """Return whether a body is a whole JSON object or array, which shows its own end."""
+    if not body.lstrip().startswith((b"{", b"[")):
+        return Content.OPAQUE
+    try:
+        json.loads(body)
+    except ValueError:
+        return Content.OPAQUE
+    return Content.MARKED_END
 
 
 def get_framing(
--- a/src/spoolhead/_internal/relay/event_splicer.py
+++ b/src/spoolhead/_internal/relay/event_splicer.py
@@ -81,7 +81,7 @@
         if event_stream.has_field(event.data):
             is_end = event.is_end_marker
             self._content = (
-                answer_end.Content.END_MARKER if is_end else answer_end.Content.WHOLE_EVENTS
+                answer_end.Content.MARKED_END if is_end else answer_end.Content.WHOLE_EVENTS
             )
 
     def finish(self) -> bytes:
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -3,6 +3,7 @@
 from spoolhead._internal.entry import flow, flow_context
 from spoolhead._internal.models import codes, requests, rows
 from spoolhead._internal.policy import placement, policy_set, replicas
+from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import metrics
 
 SHARED_KEY = "a-shared-key-for-tests"
@@ -16,6 +17,8 @@
         self.listener = listener
         self.is_over = False
         self.may_have_arrived = False
+        self.framing = answer_end.Framing.CHUNKED
+        self.ending = answer_end.Ending.FRAMED
 
     def cancel(self):
         self.is_over = True
@@ -47,10 +50,30 @@
         return int(last.rpartition(":")[2]) + 1 if last else 0
 
 
-class FakeCalls:
+class EndConfirmations:
+    """Records the ends of answers that wait for evidence, which a test gives."""
+
+    def __init__(self):
+        self.waiting_ends = []
+        self.alive = []
+
+    def confirm_end(self, address, on_evidence):
+        self.waiting_ends.append((address, on_evidence))
+
+    def record_alive(self, call):
+        self.alive.append(call.address)
+
+    def give_evidence(self, evidence):
+        waiting, self.waiting_ends = self.waiting_ends, []
+        for _, on_evidence in waiting:
+            on_evidence(evidence)
+
+
+class FakeCalls(EndConfirmations):
     """Records every call."""
 
     def __init__(self):
+        super().__init__()
         self.made = []
 
     def open(self, address, request, listener, *, fresh=False, is_head=False):
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -99,7 +99,6 @@
         self.is_answer_complete = False
         self.has_head = False
         self.is_reused = False
-        self.framing = Framing.CHUNKED
         self.ending = None
 
     @property
@@ -132,10 +131,11 @@
         self.listener.on_call_lost(reason)
 
 
-class GatewayCalls:
+class GatewayCalls(fakes.EndConfirmations):
     """Records all calls to instances."""
 
     def __init__(self):
+        super().__init__()
         self.made = []
 
     def open(self, address, request, listener, *, fresh=False, is_head=False):
--- a/tests/unit/test_answer_end.py
+++ b/tests/unit/test_answer_end.py
@@ -37,7 +37,7 @@
 
 
 def test_a_marked_end_is_complete_without_framing():
-    outcome = answer_end.decide(Framing.CONNECTION, Ending.CLOSED, Content.END_MARKER)
+    outcome = answer_end.decide(Framing.CONNECTION, Ending.CLOSED, Content.MARKED_END)
     assert outcome is Outcome.COMPLETE
 
 
