--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -52,6 +52,7 @@
     :ivar is_connected: the connection was established.
     :ivar is_closed: the connection has ended.
     :ivar sent_bytes: bytes that were written to the socket.
+    :ivar send_error: error of a failed write; empty without one.
     :ivar sock: its socket.
     :ivar listener: receives the callbacks; may be replaced on an idle link.
     """
@@ -63,6 +64,7 @@
         "connect_timer",
         "is_closed",
         "is_connected",
+        "send_error",
         "sent_bytes",
         "sock",
         "listener",
@@ -80,6 +82,7 @@
         self.is_connected = False
         self.is_closed = False
         self.sent_bytes = 0
+        self.send_error = ""
 
     def send(self, data: bytes) -> None:
         """Send bytes; bytes that cannot be written immediately are buffered.
@@ -108,7 +111,8 @@
             except OSError as error:
                 if error.errno in _RETRYABLE_ERRNOS:
                     break
-                self._owner.abort_later(self, os.strerror(error.errno or 0))
+                self.send_error = os.strerror(error.errno or 0)
+                self._owner.abort_later(self, self.send_error)
                 return False
             self.sent_bytes += sent
             if sent < len(data):
@@ -160,7 +164,8 @@
         if link.is_closed:
             return
         self.drop(link)
-        link.listener.on_lost(reason)
+        # The kernel reports an error once; after a failed write, a reset reads as an orderly end.
+        link.listener.on_lost(link.send_error or reason)
 
     def abort_later(self, link: Link, reason: str) -> None:
         """Abort a link in the next loop iteration: its user must not be called while it sends."""
