--- a/src/spoolhead/_internal/policy/end_confirmation.py
+++ b/src/spoolhead/_internal/policy/end_confirmation.py
@@ -11,9 +11,9 @@
 SETTLE_S = 0.01
 """Time after an end from which a new connection counts. A process that crashes closes its
 connections before its listening socket, or after it."""
-PROBE_INTERVAL_S = 0.05
+PROBE_INTERVAL_S = 0.02
 """Minimum time between two probes of an instance; one probe serves all ends before it."""
-MAX_PROBES = 2
+MAX_PROBES = 3
 """Probes without a result after which nothing is known of an end."""
 
 OnEvidence = Callable[[answer_end.Evidence], None]
