--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -1,5 +1,7 @@
 """Injects the faults of a plan into a running fleet from outside its processes."""
 
+import contextlib
+import http.client
 import itertools
 import json
 import resource
@@ -109,6 +111,8 @@
                 self._make_statement(step)
             elif step.kind in _LOADS:
                 self._state_load(step)
+            elif step.kind == "unframed":
+                self._leave_unframed(step)
             elif step.kind in ("burst", "mute"):
                 self._add_callers(step)
             elif step.kind in ("deadly", "hasty"):
@@ -139,6 +143,12 @@
         time.sleep(step.for_s)
         self._fleet.set_instance(step.target, load="", pace=1.0)
 
+    def _leave_unframed(self, step):
+        """Let the answers of an instance end with their connection for a time."""
+        self._fleet.set_instance(step.target, unframed=True)
+        time.sleep(step.for_s)
+        self._fleet.set_instance(step.target, unframed=False)
+
     def _add_callers(self, step):
         """Add the callers of a burst within its time, or callers that do not read for that time."""
         is_burst = step.kind == "burst"
@@ -289,14 +299,16 @@
         number = 0
         while time.monotonic() < until_s:
             number += 1
-            self._fleet.send(
-                plan.ENTRIES[number % 2],
-                f"/{step.target}/x",
-                body=platform.CRASH_BODY,
-                timeout_s=timeout_s,
-                X_Request_Id=f"{records.DEADLY}-{number}",
-                **headers,
-            )
+            # The answer of an engine that has begun to stream is cut off.
+            with contextlib.suppress(http.client.IncompleteRead):
+                self._fleet.send(
+                    plan.ENTRIES[number % 2],
+                    f"/{step.target}/x",
+                    body=platform.CRASH_BODY,
+                    timeout_s=timeout_s,
+                    X_Request_Id=f"{records.DEADLY}-{number}",
+                    **headers,
+                )
             time.sleep(DEADLY_PAUSE_S)
 
     def _evacuate(self, step):
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -34,6 +34,11 @@
 seed."""
 CUT_FROM_SEED = 70_000
 """Seeds from here on cut entries off from all instances, beside the faults of a lower seed."""
+UNFRAMED_FROM_SEED = 80_000
+"""Seeds from here on have instances whose answers end with their connection, and streams that
+instances break off, beside the faults of a lower seed."""
+BREAK_FRACTION = 0.2
+"""Share of the generations that their instance breaks off in these seeds."""
 ENGINE_MEMORY_TOKENS = 2_000
 """Memory of each engine in these seeds: two generations of a burst."""
 ENTRY_MEMORY_MB = 10
@@ -75,6 +80,11 @@
 
 def make_plan(seed):
     """Draw the steps of one run, sorted by time."""
+    if seed >= UNFRAMED_FROM_SEED:
+        lowest = (0, DEADLY_FROM_SEED, HASTY_FROM_SEED)[seed % 3]
+        steps = make_plan(lowest + seed % 10_000)
+        steps += _draw_unframed(random.Random(f"end-{seed}"), steps)
+        return sorted(steps, key=lambda step: step.at_s)
     if seed >= CUT_FROM_SEED:
         lowest = (0, DEADLY_FROM_SEED, STATEMENTS_FROM_SEED)[seed % 3]
         steps = make_plan(lowest + seed % 10_000) + _draw_cuts(random.Random(f"cut-{seed}"))
@@ -103,6 +113,16 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
+def has_cuts(seed):
+    """Return whether entries are cut off from all instances in a run."""
+    return CUT_FROM_SEED <= seed < UNFRAMED_FROM_SEED
+
+
+def has_breaks(seed):
+    """Return whether instances break streams off in a run."""
+    return seed >= UNFRAMED_FROM_SEED
+
+
 def has_pressure(seed):
     """Return whether generations compete for the memory of engines in a run."""
     return PRESSURE_FROM_SEED <= seed < CUT_FROM_SEED
@@ -113,6 +133,21 @@
     return has_pressure(seed) and seed % 4 != 3
 
 
+def _draw_unframed(rng, steps):
+    """Draw times in which the answers of an instance end with their connection.
+
+    Instances that restart in place are left out: they end connections in order and accept new ones
+    at once, so that the bytes of a stream and its connection show nothing of the break.
+    """
+    restarted = {step.target for step in steps if step.kind == "reborn"}
+    names = [name for name in (*MODEL_INSTANCES, *PLAIN_INSTANCES) if name not in restarted]
+    chosen = rng.sample(names, rng.randint(2, len(names)))
+    return [
+        Step(at_s=rng.uniform(0.2, 2.0), kind="unframed", target=name, for_s=rng.uniform(3.0, 7.0))
+        for name in chosen
+    ]
+
+
 def _draw_processes(rng):
     steps = []
     for target in ENTRIES:
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -24,6 +24,7 @@
     :ivar prompt_tokens: length of its prompt.
     :ivar added_bytes: bytes that each event has beside its own.
     :ivar unread_s: time for which its caller does not read the answer.
+    :ivar broken_by: how its instance breaks the answer off; empty for not at all.
     :ivar answered_s: time when the head of the answer was received; 0 for none.
     :ivar retry_after_s: pause that the answer asks for; 0 for none.
     """
@@ -42,6 +43,7 @@
     prompt_tokens: int = 100
     added_bytes: int = 0
     unread_s: float = 0.0
+    broken_by: str = ""
     answered_s: float = 0.0
     retry_after_s: float = 0.0
 
--- a/tools/standins/proxy.py
+++ b/tools/standins/proxy.py
@@ -14,6 +14,8 @@
 import contextlib
 import json
 import signal
+import socket
+import struct
 import sys
 
 CHUNK_BYTES = 65_536
@@ -78,7 +80,7 @@
             self._is_refusing = order["refuse"]
         if order.get("cut"):
             for writer in self._writers:
-                writer.transport.abort()
+                _reset(writer)
         if "direction" not in order:
             return
         faults = self._faults[order["direction"]]
@@ -107,6 +109,13 @@
                     return
 
 
+def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
 async def run(options: argparse.Namespace) -> None:
     """Forward connections until SIGTERM."""
     proxy = Proxy(options.target)
