--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -62,13 +62,14 @@
     :ivar is_disconnected: the connection has ended.
     :ivar is_started: the head of the answer has been sent.
     :ivar is_finished: the answer is complete or was aborted.
+    :ivar ends_with_connection: the end of the connection is that of the answer.
     """
 
     __slots__ = (
         "_connection",
-        "_ends_with_connection",
         "_front",
         "_response",
+        "ends_with_connection",
         "is_finished",
         "is_disconnected",
         "is_started",
@@ -89,7 +90,7 @@
         self._front = front
         self._connection = connection
         self._response = response
-        self._ends_with_connection = False
+        self.ends_with_connection = False
         self.request = request
         self.request_id = ""
         self.remote = connection.remote
@@ -138,7 +139,8 @@
         else:
             self._response.close = True
             head["Connection"] = "close"
-            self._ends_with_connection = True
+            self.ends_with_connection = True
+            self._front.set_reset_on_close(self._connection, True)
         self.is_started = True
         self._front.send(self._connection, self._get_head_bytes() + self._encode_chunk(first))
 
@@ -157,12 +159,14 @@
             return
         if self._response.chunked:
             self._front.send(self._connection, _LAST_CHUNK)
+        if self.ends_with_connection:
+            self._front.set_reset_on_close(self._connection, False)
         self._finish()
 
     def abort(self) -> None:
         """End the connection, so that the caller sees an incomplete answer."""
         self.is_finished = True
-        if self.is_started and self._ends_with_connection:
+        if self.ends_with_connection:
             self._front.reset_after_send(self._connection)
         else:
             self._front.close(self._connection)
@@ -209,6 +213,7 @@
     :ivar deadline_s: monotonic time by which the awaited bytes must arrive; None while a request
         is being served.
     :ivar is_closing: no further requests are served.
+    :ivar is_resetting: it is reset once the caller has what was sent.
     :ivar must_linger: the last request was refused, so incoming bytes are read and discarded
         before the socket is closed.
     :ivar lingered_bytes: bytes that were read and discarded.
@@ -218,6 +223,7 @@
         "current",
         "deadline_s",
         "is_closing",
+        "is_resetting",
         "last_request_id",
         "lingered_bytes",
         "must_linger",
@@ -240,6 +246,7 @@
         self.phase = request_reader.Phase.IDLE
         self.deadline_s: float | None = None
         self.is_closing = False
+        self.is_resetting = False
         self.must_linger = False
         self.lingered_bytes = 0
 
@@ -351,6 +358,8 @@
         self._server.stop_listening()
         for connection in list(self._connections.values()):
             connection.is_closing = True
+            if connection.is_resetting:
+                continue
             if connection.current is None and not connection.waiting:
                 self._server.close_after_send(connection.sock)
 
@@ -370,9 +379,14 @@
         """Close a connection immediately."""
         self._server.close_now(connection.sock)
 
+    def set_reset_on_close(self, connection: _Connection, enabled: bool) -> None:
+        """Set whether the caller sees a reset if this process ends."""
+        self._server.set_reset_on_close(connection.sock, enabled)
+
     def reset_after_send(self, connection: _Connection) -> None:
         """Reset a connection once the caller has what was sent, or after a timeout."""
         connection.is_closing = True
+        connection.is_resetting = True
         connection.current = None
         connection.waiting.clear()
         self._reset_when_sent(connection, clocks.get_s() + RESET_TIMEOUT_S)
@@ -420,7 +434,10 @@
         if self._on_drop is not None:
             self._on_drop(request_id, drop, caller is not None)
         # Closed first, so that a refusal is not buffered, which might exceed the budget again.
-        self._server.close_now(connection.sock)
+        if caller is not None and caller.ends_with_connection:
+            self._server.reset(connection.sock)
+        else:
+            self._server.close_now(connection.sock)
         if caller is not None and caller.on_drop is not None:
             caller.on_drop(f"the caller left {drop.unread_bytes} bytes unread")
 
--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -21,6 +21,7 @@
 
 _RETRYABLE_ERRNOS = (errno.EAGAIN, errno.EWOULDBLOCK, errno.EINTR, errno.ENOBUFS)
 _NO_BYTES = struct.pack("i", 0)
+_CLOSE_IN_ORDER = struct.pack("ii", 0, 0)
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 READ_BYTES = 65_536
 PIECE_BYTES = 16_384
@@ -99,11 +100,17 @@
         """
         # The library shuts a socket down before it closes it, which would end the stream in order.
         self._poller.discard(sock)
+        self.set_reset_on_close(sock, True)
         with contextlib.suppress(OSError):
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             sock.close()
         self._close(sock)
 
+    def set_reset_on_close(self, sock: socket.socket, enabled: bool) -> None:
+        """Set whether the kernel resets a connection if this process ends."""
+        with contextlib.suppress(OSError):
+            option = _RESET_ON_CLOSE if enabled else _CLOSE_IN_ORDER
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+
     def count_unacknowledged_bytes(self, sock: socket.socket) -> int:
         """Return the number of bytes in the kernel's send buffer of a connection."""
         (kernel_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES))
--- a/tests/functional/test_broken_answers.py
+++ b/tests/functional/test_broken_answers.py
@@ -7,6 +7,7 @@
 
 import http
 import itertools
+import threading
 import time
 
 import pytest
@@ -87,6 +88,20 @@
     assert not answer.is_complete
 
 
+# Guards against an entry whose own crash looks like the end of the answer.
+def test_a_caller_of_http_1_0_can_tell_that_its_entry_was_killed(running, is_unframed):
+    timer = threading.Timer(0.3, running.kill, ["entry-2"])
+    timer.start()
+    headers = {"X_Model": "m", "X_Token_Usage": "100,200", "X_Request_Id": "killed"}
+    answer = raw_caller.send(running, "entry-2", "/talk/x", version="1.0", **headers)
+    timer.join()
+    running.start_entry("entry-2")
+    running.wait_until_ready("entry-2")
+    assert answer.status == 200
+    assert answer.body and platform_fleet.make_events(200).startswith(answer.body)
+    assert not answer.is_complete
+
+
 # Guards against a crash between two events, whose bytes are those of a complete stream.
 @pytest.mark.parametrize("version", VERSIONS)
 def test_a_stream_whose_engine_crashes_after_an_event_never_looks_complete(
