--- a/src/spoolhead/_internal/relay/event_splicer.py
+++ b/src/spoolhead/_internal/relay/event_splicer.py
@@ -31,35 +31,37 @@
     :ivar events: number of forwarded events.
     """
 
-    __slots__ = ("_content", "_last_number", "_splitter", "events", "last_event_id")
+    __slots__ = ("_last_event", "_last_number", "_splitter", "events", "last_event_id")
 
     def __init__(self, last_event_id: str = "") -> None:
         self.last_event_id = last_event_id
         self.events = 0
         self._last_number = int(last_event_id) if last_event_id.isdigit() else -1
         self._splitter = raw_events.RawEventSplitter()
-        self._content = answer_end.Content.NO_EVENT
+        self._last_event: raw_events.RawEvent | None = None
 
     @property
     def content(self) -> answer_end.Content:
-        """What the current connection shows of the end of its stream."""
+        """What the stream shows of its end."""
         if event_stream.has_field(self._splitter.remainder):
             return answer_end.Content.PARTIAL_EVENT
-        return self._content
+        if self._last_event is None:
+            return answer_end.Content.NO_EVENT
+        if self._last_event.is_end_marker:
+            return answer_end.Content.MARKED_END
+        return answer_end.Content.WHOLE_EVENTS
 
     def begin_connection(self) -> None:
         """Begin another connection; the incomplete event of the previous one is discarded."""
         self._splitter = raw_events.RawEventSplitter()
-        if self.events:
-            # A run that goes on may have no further event.
-            self._content = answer_end.Content.WHOLE_EVENTS
 
     def feed(self, data: bytes) -> SpliceResult:
         """Process bytes of the current connection."""
         result = SpliceResult()
         forwarded: list[bytes] = []
         for event in self._splitter.feed(data):
-            self._record_content(event)
+            if event.event_id or event_stream.has_field(event.data):
+                self._last_event = event
             if not event.event_id.isdigit():
                 forwarded.append(event.data)
                 continue
@@ -79,13 +81,6 @@
         result.data = b"".join(forwarded)
         return result
 
-    def _record_content(self, event: raw_events.RawEvent) -> None:
-        if event_stream.has_field(event.data):
-            is_end = event.is_end_marker
-            self._content = (
-                answer_end.Content.MARKED_END if is_end else answer_end.Content.WHOLE_EVENTS
-            )
-
     def finish(self) -> bytes:
         """Return the bytes after the last event of a complete answer."""
         remainder, self._splitter.remainder = self._splitter.remainder, b""
--- a/src/spoolhead/_internal/relay/raw_events.py
+++ b/src/spoolhead/_internal/relay/raw_events.py
@@ -3,7 +3,8 @@
 from spoolhead._internal.relay import event_stream
 
 _ID = b"id:"
-_END_MARKER = b"data: [DONE]"
+_DATA = b"data:"
+_END_MARKER = b"[DONE]"
 
 
 class RawEvent:
@@ -22,7 +23,9 @@
     @property
     def is_end_marker(self) -> bool:
         """Whether the event marks the end of the stream."""
-        return any(line.strip() == _END_MARKER for line in self.data.splitlines())
+        lines = self.data.splitlines()
+        values = [line[len(_DATA) :].strip() for line in lines if line.startswith(_DATA)]
+        return values == [_END_MARKER]
 
 
 class RawEventSplitter:
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -9,7 +9,7 @@
 from lib import gateway_setting
 from spoolhead._internal.models import route_table, shared_load
 from spoolhead._internal.policy import upstream_registry
-from spoolhead._internal.relay import event_splicer
+from spoolhead._internal.relay import answer_end, event_splicer
 from spoolhead._internal.utils import clocks
 
 STREAM = route_table.RequestKind.STREAM
@@ -313,3 +313,13 @@
     assert setting.end_queries == [upstream]
     setting.contents.record_terminated(upstream.instance.incarnation_id, "refused")
     assert setting.contents.is_suspect(content_id)
+
+
+def test_a_resumed_run_without_a_further_event_is_no_stream_without_events():
+    setting = _start(tokens="3000,2000")
+    setting.last.answer(200, SIGNED, make_events(1, 3), whole=False)
+    _make_copy(setting)
+    setting.last.answer(200, SIGNED, framing=Framing.CONNECTION)
+    setting.calls.give_evidence(answer_end.Evidence.ALIVE)
+    assert setting.caller.data == make_events(1, 3)
+    assert setting.caller.is_finished and not setting.caller.is_aborted
