--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -11,8 +11,8 @@
 from spoolhead._internal.entry import answers, api, flow_attempt, flow_context, relayed_answers
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front, links, upstream_calls
-from spoolhead._internal.policy import placement, quarantine, replicas, retry
-from spoolhead._internal.relay import answer_end, sequencer, stream_relay
+from spoolhead._internal.policy import answer_end, placement, quarantine, replicas, retry
+from spoolhead._internal.relay import sequencer, stream_relay
 from spoolhead._internal.utils import decimals, metrics
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -4,8 +4,7 @@
 
 from spoolhead._internal.models import dialects
 from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import upstream_registry
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, upstream_registry
 from spoolhead._internal.utils import clocks
 
 
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -13,13 +13,13 @@
 from spoolhead._internal.models import codes, dialects, fault
 from spoolhead._internal.network import forward_server, links, upstream_calls
 from spoolhead._internal.policy import (
+    answer_end,
     quarantine,
     run_admission,
     run_placement,
     upstream_choice,
     upstream_registry,
 )
-from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -17,8 +17,7 @@
     scheduler,
     upstream_calls,
 )
-from spoolhead._internal.policy import quarantine
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, quarantine
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -6,8 +6,7 @@
 from spoolhead._internal.gateway import attempts, exchange, exchange_context, routed_job
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import forward_server
-from spoolhead._internal.policy import upstream_registry
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, upstream_registry
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -15,6 +15,7 @@
 from spoolhead._internal.models import codes, dialects, route_table
 from spoolhead._internal.network import forward_server
 from spoolhead._internal.policy import (
+    answer_end,
     length_estimate,
     run_admission,
     run_migration_policy,
@@ -23,7 +24,7 @@
     upstream_choice,
     upstream_registry,
 )
-from spoolhead._internal.relay import answer_end, block_meter, event_splicer, pace_meter
+from spoolhead._internal.relay import block_meter, event_splicer, pace_meter
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/network/end_probes.py
+++ b/src/spoolhead/_internal/network/end_probes.py
@@ -3,8 +3,7 @@
 import logging
 
 from spoolhead._internal.network import links, scheduler
-from spoolhead._internal.policy import end_confirmation
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, end_confirmation
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -14,8 +14,7 @@
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import end_probes, links
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.policy import end_confirmation
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, end_confirmation
 from spoolhead._internal.utils import clocks
 
 Headers = Sequence[tuple[str, str]]
--- a/src/spoolhead/_internal/policy/end_confirmation.py
+++ b/src/spoolhead/_internal/policy/end_confirmation.py
@@ -6,7 +6,7 @@
 
 from collections.abc import Callable
 
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end
 
 SETTLE_S = 0.01
 """Time after an end from which a new connection counts. A process that crashes closes its
--- a/src/spoolhead/_internal/relay/event_splicer.py
+++ b/src/spoolhead/_internal/relay/event_splicer.py
@@ -4,7 +4,8 @@
 has, because the run resumed a little earlier, are omitted.
 """
 
-from spoolhead._internal.relay import answer_end, event_stream, raw_events
+from spoolhead._internal.policy import answer_end
+from spoolhead._internal.relay import event_stream, raw_events
 
 
 class SpliceResult:
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -2,8 +2,7 @@
 
 from spoolhead._internal.entry import flow, flow_context
 from spoolhead._internal.models import codes, requests, rows
-from spoolhead._internal.policy import placement, policy_set, replicas
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, placement, policy_set, replicas
 from spoolhead._internal.utils import metrics
 
 SHARED_KEY = "a-shared-key-for-tests"
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -26,6 +26,7 @@
 )
 from spoolhead._internal.network import request_reader
 from spoolhead._internal.policy import (
+    answer_end,
     cold_start,
     limit_registry,
     permit_backoff,
@@ -33,7 +34,6 @@
     upstream_gate,
     upstream_registry,
 )
-from spoolhead._internal.relay import answer_end
 from spoolhead._internal.utils import clocks, prometheus_metrics
 from spoolhead.platform import dialect
 
--- a/tests/patterns/test_answers_without_framing.py
+++ b/tests/patterns/test_answers_without_framing.py
@@ -14,8 +14,7 @@
 import pytest
 
 from spoolhead._internal.network import end_probes
-from spoolhead._internal.policy import end_confirmation
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, end_confirmation
 
 DURATION_S = 30.0
 CRASHES_S = (10.0, 20.0)
--- a/tests/unit/test_answer_end.py
+++ b/tests/unit/test_answer_end.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end
 
 Content = answer_end.Content
 Ending = answer_end.Ending
--- a/tests/unit/test_gateway_streams.py
+++ b/tests/unit/test_gateway_streams.py
@@ -8,8 +8,8 @@
 
 from lib import gateway_setting
 from spoolhead._internal.models import route_table, shared_load
-from spoolhead._internal.policy import upstream_registry
-from spoolhead._internal.relay import answer_end, event_splicer
+from spoolhead._internal.policy import answer_end, upstream_registry
+from spoolhead._internal.relay import event_splicer
 from spoolhead._internal.utils import clocks
 
 STREAM = route_table.RequestKind.STREAM
--- a/tests/unit/test_unconfirmed_ends.py
+++ b/tests/unit/test_unconfirmed_ends.py
@@ -5,8 +5,7 @@
 from lib import fakes, gateway_setting
 from spoolhead._internal.models import codes, route_table
 from spoolhead._internal.network import end_probes, links
-from spoolhead._internal.policy import end_confirmation
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end, end_confirmation
 from spoolhead._internal.utils import clocks
 
 ADDRESS = "10.0.0.9:80"
--- a/tests/unit/test_upstream_calls.py
+++ b/tests/unit/test_upstream_calls.py
@@ -5,7 +5,7 @@
 from lib import fakes
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import links, upstream_calls
-from spoolhead._internal.relay import answer_end
+from spoolhead._internal.policy import answer_end
 
 ADDRESS = "10.0.0.9:80"
 WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
