--- a/src/spoolhead/_internal/relay/event_stream.py
+++ b/src/spoolhead/_internal/relay/event_stream.py
@@ -74,6 +74,10 @@
     A carriage return at the end of the data counts as a line end. If a line feed follows it, that
     line feed is left as a blank line before the next event.
     """
+    if b"\r" not in data:
+        # Much faster than the expression for large events.
+        end = data.find(b"\n\n")
+        return end + 2 if end >= 0 else -1
     match = _EVENT_END.search(data)
     return match.end() if match is not None else -1
 
