--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -175,12 +175,9 @@
         if self.request.wants_stream and attempt.status == _OK:
             self.handle_loss(attempt, "the stream ended without its mark")
             return
-        call = attempt.call
-        assert call is not None and call.framing is not None and call.ending is not None
-        content = answer_end.Content.OPAQUE
-        if call.framing is answer_end.Framing.CONNECTION:
-            content = answer_end.get_json_content(b"".join(self._body))
-        outcome = answer_end.decide(call.framing, call.ending, content)
+        assert attempt.call is not None
+        content = answer_end.get_body_content(attempt.call.framing, self._body)
+        outcome = attempt.call.decide_outcome(content)
         if outcome is answer_end.Outcome.UNKNOWN:
             address = attempt.replica.row.address
             self._context.calls.confirm_end(
@@ -200,10 +197,10 @@
         if outcome is answer_end.Outcome.COMPLETE:
             self._finish_whole(attempt)
         elif outcome is answer_end.Outcome.BROKEN_OFF:
-            self.handle_loss(attempt, "the answer was broken off")
+            self.handle_loss(attempt, answer_end.BROKEN_OFF_TEXT)
         else:
-            text = "the answer may be incomplete: it ended with its connection"
-            self._fail_attempt(codes.ResultCode.UPSTREAM_LOST, text, is_conclusive=False)
+            code = codes.ResultCode.UPSTREAM_LOST
+            self._fail_attempt(code, answer_end.UNKNOWN_TEXT, is_conclusive=False)
 
     def handle_loss(self, attempt: flow_attempt.Attempt, reason: str) -> None:
         """Handle the loss of an attempt's connection.
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -78,15 +78,6 @@
             "outcome": self.outcome.value if self.outcome is not None else "",
         }
 
-    def decide_outcome(self, content: answer_end.Content) -> answer_end.Outcome:
-        """Return whether the answer, which has ended, is complete.
-
-        :param content: what its body shows of its end.
-        """
-        assert self.call is not None
-        assert self.call.framing is not None and self.call.ending is not None
-        return answer_end.decide(self.call.framing, self.call.ending, content)
-
     def on_answer_head(self, status: int, headers: upstream_calls.Headers) -> None:
         """Forward the head to the owner."""
         self._owner.handle_head(self, status, headers)
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -24,9 +24,6 @@
 
 logger = logging.getLogger(__name__)
 
-BROKEN_OFF = "the answer was broken off"
-"""Reason for the end of an answer that is not complete, however its connection ended."""
-UNKNOWN_END = "the answer may be incomplete: it ended with its connection"
 RETRY_AFTER_MS = 300
 """Value of Retry-After for refusals because of failures: about the time in which the load balancer
 cycles through its connections, and about the length of the shortest ejection of an upstream."""
@@ -390,11 +387,11 @@
 
     def handle_end(self, attempt: attempts.Attempt) -> None:
         """Handle the end of an attempt's answer, which may not be complete."""
-        if attempt is not self._attempt or attempt.head is None:
+        if attempt is not self._attempt or attempt.head is None or attempt.call is None:
             return
         outcome = answer_end.Outcome.COMPLETE
         if not attempt.head.has_not_run:
-            outcome = attempt.decide_outcome(self.get_content(attempt))
+            outcome = attempt.call.decide_outcome(self.get_content(attempt))
         if outcome is not answer_end.Outcome.UNKNOWN:
             self._apply_outcome(attempt, outcome)
             return
@@ -421,7 +418,7 @@
             case answer_end.Outcome.COMPLETE:
                 self.handle_complete(attempt, attempt.head)
             case answer_end.Outcome.BROKEN_OFF:
-                self.handle_loss(attempt, BROKEN_OFF)
+                self.handle_loss(attempt, answer_end.BROKEN_OFF_TEXT)
             case answer_end.Outcome.UNKNOWN:
                 self.handle_unknown_end(attempt)
 
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -151,7 +151,7 @@
         if self.is_over or self._head is None:
             return
         if not self._is_complete():
-            self.on_call_lost(exchange.BROKEN_OFF)
+            self.on_call_lost(answer_end.BROKEN_OFF_TEXT)
             return
         result = self._result
         if result is not None and self._is_unable(result):
@@ -246,9 +246,8 @@
 
     def _is_complete(self) -> bool:
         """Return whether the answer has the framing and the end that entries give each answer."""
-        call = self._call
-        assert call is not None and call.framing is not None and call.ending is not None
-        outcome = answer_end.decide(call.framing, call.ending, answer_end.Content.OPAQUE)
+        assert self._call is not None
+        outcome = self._call.decide_outcome(answer_end.Content.OPAQUE)
         return outcome is answer_end.Outcome.COMPLETE
 
     def _is_stream(self) -> bool:
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -85,13 +85,12 @@
 
     def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
         """Return what the body shows of its end, if its framing does not show it."""
-        if attempt.call is None or attempt.call.framing is not answer_end.Framing.CONNECTION:
-            return answer_end.Content.OPAQUE
-        return answer_end.get_json_content(b"".join(attempt.body))
+        assert attempt.call is not None
+        return answer_end.get_body_content(attempt.call.framing, attempt.body)
 
     def handle_unknown_end(self, attempt: attempts.Attempt) -> None:
         """Make another attempt, if the request may be repeated."""
-        self._retry(codes.ResultCode.UPSTREAM_LOST, exchange.UNKNOWN_END)
+        self._retry(codes.ResultCode.UPSTREAM_LOST, answer_end.UNKNOWN_TEXT)
 
     def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Deliver a complete answer, or retry if the answer is not usable."""
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -221,8 +221,8 @@
 
     def handle_unknown_end(self, attempt: attempts.Attempt) -> None:
         """Break off the caller's stream; the run may not be repeated."""
-        self._log_attempt_failure(attempt, exchange.UNKNOWN_END)
-        self._fail_lost(exchange.UNKNOWN_END)
+        self._log_attempt_failure(attempt, answer_end.UNKNOWN_TEXT)
+        self._fail_lost(answer_end.UNKNOWN_TEXT)
 
     def handle_loss(self, attempt: attempts.Attempt, reason: str) -> None:
         """Handle the loss of the connection; a run that may have begun is not repeated."""
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -151,10 +151,13 @@
         """
         return self._sent_bytes_before > 0
 
-    @property
-    def is_answer_complete(self) -> bool:
-        """Whether the answer ended where its framing says, and not with the connection."""
-        return self._is_complete
+    def decide_outcome(self, content: answer_end.Content) -> answer_end.Outcome:
+        """Return whether the answer, which has ended, is complete.
+
+        :param content: what its body shows of its end.
+        """
+        assert self.framing is not None and self.ending is not None
+        return answer_end.decide(self.framing, self.ending, content)
 
     def begin(self, link: links.Link) -> None:
         """Send the request on a link that is connected or connecting."""
--- a/src/spoolhead/_internal/policy/answer_end.py
+++ b/src/spoolhead/_internal/policy/answer_end.py
@@ -7,6 +7,8 @@
 import json
 from collections.abc import Sequence
 
+BROKEN_OFF_TEXT = "the answer was broken off"
+UNKNOWN_TEXT = "the answer may be incomplete: it ended with its connection"
 _NO_BODY_STATUSES = (204, 304)
 _CHUNKED = "chunked"
 _IDENTITY = "identity"
@@ -91,8 +93,14 @@
             return Outcome.UNKNOWN
 
 
-def get_json_content(body: bytes) -> Content:
-    """Return whether a body is a whole JSON object or array, which shows its own end."""
+def get_body_content(framing: Framing | None, parts: Sequence[bytes]) -> Content:
+    """Return what a buffered body shows of its end, if its framing does not show it.
+
+    A whole JSON object or array shows its own end.
+    """
+    if framing is not Framing.CONNECTION:
+        return Content.OPAQUE
+    body = b"".join(parts)
     if not body.lstrip().startswith((b"{", b"[")):
         return Content.OPAQUE
     try:
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -22,6 +22,9 @@
     def cancel(self):
         self.is_over = True
 
+    def decide_outcome(self, content):
+        return answer_end.decide(self.framing, self.ending, content)
+
     def get_header(self, name):
         for line in self.head.decode().split("\r\n")[1:]:
             key, _, value = line.partition(": ")
--- a/tests/lib/gateway_setting.py
+++ b/tests/lib/gateway_setting.py
@@ -96,7 +96,6 @@
         super().__init__(request, listener)
         self.address = address
         self.fresh = fresh
-        self.is_answer_complete = False
         self.has_head = False
         self.is_reused = False
         self.ending = None
@@ -122,7 +121,6 @@
         self.is_over = True
         is_closed = self.framing is Framing.CONNECTION
         self.ending = answer_end.Ending.CLOSED if is_closed else answer_end.Ending.FRAMED
-        self.is_answer_complete = not is_closed
         self.listener.on_answer_end()
 
     def lose(self, reason="Connection reset by peer"):
