--- a/review/1/run.py
+++ b/review/1/run.py
@@ -158,6 +158,7 @@
 
 
 def main():
+    small_fleet.exit_on_sigterm()
     record = small_fleet.Record(HERE / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = small_fleet.Fleet(record, limits={"memory_mb": MEMORY_MB})
--- a/review/2/run.py
+++ b/review/2/run.py
@@ -172,6 +172,7 @@
 
 
 def main():
+    small_fleet.exit_on_sigterm()
     record = small_fleet.Record(HERE / "record.txt")
     trouble = os.environ.get("TROUBLE", "1") != "0"
     fleet = small_fleet.Fleet(record)
--- a/review/lib/small_fleet.py
+++ b/review/lib/small_fleet.py
@@ -28,6 +28,15 @@
 CONTRACTS = "base drain config cost retry recover engine stream tenants".split()
 
 
+def exit_on_sigterm():
+    """Let SIGTERM end the test in order, so that it ends the processes that it started."""
+
+    def _exit(*_details):
+        sys.exit(2)
+
+    signal.signal(signal.SIGTERM, _exit)
+
+
 def find_port():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
