--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import pathlib
 import random
@@ -423,6 +424,7 @@
 
     Exit status 0 says that the rule held, 2 that the case could not run.
     """
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(pathlib.Path(folder) / "record.txt")
     record(f"trouble: {trouble}")
