--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -51,15 +51,11 @@
 ]
 LogOption = Annotated[
     list[str] | None,
-    typer.Option(
-        "--log", help="File with log lines, or - for standard input; may be repeated."
-    ),
+    typer.Option("--log", help="File with log lines, or - for standard input; may be repeated."),
 ]
 RequiredLogOption = Annotated[
     list[str],
-    typer.Option(
-        "--log", help="File with log lines, or - for standard input; may be repeated."
-    ),
+    typer.Option("--log", help="File with log lines, or - for standard input; may be repeated."),
 ]
 JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
 AuthorOption = Annotated[str, typer.Option("--author", help="Author of the edit.")]
@@ -101,9 +97,7 @@
 @_exit_with
 def _show(
     settings_file: SettingsOption,
-    sheet: Annotated[
-        rows.Sheet | None, typer.Argument(help="Print only this sheet.")
-    ] = None,
+    sheet: Annotated[rows.Sheet | None, typer.Argument(help="Print only this sheet.")] = None,
     name: Annotated[str, typer.Argument(help="Print only this row.")] = "",
     as_json: JsonOption = False,
 ) -> exit_codes.ExitCode:
@@ -133,9 +127,7 @@
     as_json: JsonOption = False,
 ) -> exit_codes.ExitCode:
     """Make the table equal to a file, as one edit."""
-    options = keepers.EditOptions(
-        author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json
-    )
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
     return apply.run(_read(settings_file), path, options)
 
 
@@ -145,9 +137,7 @@
     settings_file: SettingsOption,
     sheet: Annotated[rows.Sheet, typer.Argument(help="Sheet of the row.")],
     name: Annotated[str, typer.Argument(help="Name of the row.")],
-    assignments: Annotated[
-        list[str] | None, typer.Argument(help="COLUMN=VALUE ...")
-    ] = None,
+    assignments: Annotated[list[str] | None, typer.Argument(help="COLUMN=VALUE ...")] = None,
     remove: Annotated[bool, typer.Option("--remove", help="Remove the row.")] = False,
     expected_version: Annotated[
         int | None,
@@ -166,9 +156,7 @@
         is_removal=remove,
         expected_version=expected_version,
     )
-    options = keepers.EditOptions(
-        author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json
-    )
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
     return edit.run(_read(settings_file), change, options)
 
 
@@ -186,21 +174,15 @@
     as_json: JsonOption = False,
 ) -> exit_codes.ExitCode:
     """Stop new requests to the upstreams of a hall; requests that are running there finish."""
-    options = keepers.EditOptions(
-        author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json
-    )
-    return evacuate.run(
-        _read(settings_file), hall, is_withdrawal=withdraw, options=options
-    )
+    options = keepers.EditOptions(author=author, edit_id=edit_id, wait_ms=wait_ms, as_json=as_json)
+    return evacuate.run(_read(settings_file), hall, is_withdrawal=withdraw, options=options)
 
 
 @app.command("held")
 @_exit_with
 def _held(
     settings_file: SettingsOption,
-    hold: Annotated[
-        str, typer.Option("--hold", help="Hold the content with this id.")
-    ] = "",
+    hold: Annotated[str, typer.Option("--hold", help="Hold the content with this id.")] = "",
     release: Annotated[
         str, typer.Option("--release", help="Release the content with this id.")
     ] = "",
@@ -218,9 +200,7 @@
 @_exit_with
 def _history(
     settings_file: SettingsOption,
-    limit: Annotated[
-        int, typer.Option("--limit", min=1, help="Maximum number of changes.")
-    ] = 20,
+    limit: Annotated[int, typer.Option("--limit", min=1, help="Maximum number of changes.")] = 20,
     as_json: JsonOption = False,
 ) -> exit_codes.ExitCode:
     """Print the latest changes, newest first."""
@@ -229,9 +209,7 @@
 
 @app.command("status")
 @_exit_with
-def _status(
-    settings_file: SettingsOption, as_json: JsonOption = False
-) -> exit_codes.ExitCode:
+def _status(settings_file: SettingsOption, as_json: JsonOption = False) -> exit_codes.ExitCode:
     """Print the state of keepers, entries and upstreams."""
     return status.run(_read(settings_file), as_json=as_json)
 
--- a/src/spoolhead/_internal/cli/output.py
+++ b/src/spoolhead/_internal/cli/output.py
@@ -14,10 +14,7 @@
 
 def print_table(titles: Cells, lines: Sequence[Cells]) -> None:
     """Print rows in aligned columns under titles; without rows, only the titles."""
-    widths = [
-        max(len(row[column]) for row in [titles, *lines])
-        for column in range(len(titles))
-    ]
+    widths = [max(len(row[column]) for row in [titles, *lines]) for column in range(len(titles))]
     for row in [titles, *lines]:
         cells = [cell.ljust(width) for cell, width in zip(row, widths, strict=True)]
         print("  ".join(cells).rstrip())
--- a/src/spoolhead/_internal/cli/start.py
+++ b/src/spoolhead/_internal/cli/start.py
@@ -30,9 +30,7 @@
         settings_file: Annotated[
             str, typer.Option("--settings", help="Settings file, JSON with comments.")
         ],
-        check: Annotated[
-            bool, typer.Option(help="Check the settings and exit.")
-        ] = False,
+        check: Annotated[bool, typer.Option(help="Check the settings and exit.")] = False,
     ) -> None:
         try:
             config = settings.read_settings(settings_class, settings_file)
--- a/src/spoolhead/_internal/commands/apply.py
+++ b/src/spoolhead/_internal/commands/apply.py
@@ -15,9 +15,7 @@
     differences = documents.get_differences(table_rows, document)
     if not differences:
         if options.as_json:
-            output.print_json(
-                {"result_code": 0, "result": "OK", "faults": [], "conflicts": []}
-            )
+            output.print_json({"result_code": 0, "result": "OK", "faults": [], "conflicts": []})
         else:
             print("no differences, nothing to do")
         return exit_codes.ExitCode.OK
--- a/src/spoolhead/_internal/commands/diff.py
+++ b/src/spoolhead/_internal/commands/diff.py
@@ -6,9 +6,7 @@
 from spoolhead._internal.table import documents
 
 
-def run(
-    config: settings.OperatorSettings, path: str, *, as_json: bool
-) -> exit_codes.ExitCode:
+def run(config: settings.OperatorSettings, path: str, *, as_json: bool) -> exit_codes.ExitCode:
     """Print the differences between the table and a file.
 
     :returns: ``DIFFERENT`` if there are any, so that scripts can detect them.
--- a/src/spoolhead/_internal/commands/edit.py
+++ b/src/spoolhead/_internal/commands/edit.py
@@ -44,9 +44,7 @@
     if change.is_removal == bool(change.assignments):
         output.print_error("name columns as COLUMN=VALUE, or give --remove, not both")
         return exit_codes.ExitCode.BAD_INPUT
-    malformed = [
-        assignment for assignment in change.assignments if "=" not in assignment
-    ]
+    malformed = [assignment for assignment in change.assignments if "=" not in assignment]
     if malformed:
         output.print_error(f"not COLUMN=VALUE: {', '.join(malformed)}")
         return exit_codes.ExitCode.BAD_INPUT
--- a/src/spoolhead/_internal/commands/explain.py
+++ b/src/spoolhead/_internal/commands/explain.py
@@ -15,9 +15,7 @@
         try:
             with peer_call.PeerCall(address, config) as call:
                 question = messages.GetDecision(request=1, request_id=request_id)
-                decisions.extend(
-                    call.request(question, messages.DecisionAnswer).decisions
-                )
+                decisions.extend(call.request(question, messages.DecisionAnswer).decisions)
         except exceptions.PeerError as error:
             output.print_error(str(error))
     if not decisions:
@@ -36,9 +34,7 @@
     code = f"{decision['result']} [{decision['result_code']}]"
     place = f" at {decision['upstream']}" if decision["upstream"] else ""
     print(f"after {decision['wait_ms']} ms: {decision['action']}{place}, {code}")
-    print(
-        f"  workspace {decision['workspace'] or '-'}, service {decision['service'] or '-'}"
-    )
+    print(f"  workspace {decision['workspace'] or '-'}, service {decision['service'] or '-'}")
     if decision["detail"]:
         print(f"  {decision['detail']}")
     for candidate in decision["candidates"]:
--- a/src/spoolhead/_internal/commands/explain_logs.py
+++ b/src/spoolhead/_internal/commands/explain_logs.py
@@ -26,9 +26,7 @@
         output.print_error(f"{text} [{int(codes.ResultCode.DECISION_NOT_FOUND)}]")
         return exit_codes.ExitCode.NOT_FOUND
     if as_json:
-        output.print_json(
-            [_as_dict(line) for line in (*trace.request_lines, *trace.context_lines)]
-        )
+        output.print_json([_as_dict(line) for line in (*trace.request_lines, *trace.context_lines)])
         return exit_codes.ExitCode.OK
     start_s = trace.request_lines[0].time_s
     for line in trace.request_lines:
@@ -69,9 +67,7 @@
         for name, value in line.fields.items()
         if name != "request"
     )
-    print(
-        f"{(line.time_s - start_s) * 1000:+8.0f} ms  {line.process}  {line.text}  {fields}"
-    )
+    print(f"{(line.time_s - start_s) * 1000:+8.0f} ms  {line.process}  {line.text}  {fields}")
 
 
 def _as_dict(line: log_trace.Line) -> dict[str, object]:
--- a/src/spoolhead/_internal/commands/history.py
+++ b/src/spoolhead/_internal/commands/history.py
@@ -8,9 +8,7 @@
 from spoolhead.coordination import versioned_table
 
 
-def run(
-    config: settings.OperatorSettings, *, limit: int, as_json: bool
-) -> exit_codes.ExitCode:
+def run(config: settings.OperatorSettings, *, limit: int, as_json: bool) -> exit_codes.ExitCode:
     """Print the latest changes, newest first."""
     with peer_call.open_to_any(config.keepers, config) as call:
         question = messages.GetHistory(request=1, limit=limit)
@@ -40,9 +38,7 @@
         "time_ms": proposal.time_ms,
         "author": proposal.author,
         "edit_id": proposal.edit_id,
-        "rows": [
-            {"row": str(edit.key), "value": edit.value} for edit in proposal.edits
-        ],
+        "rows": [{"row": str(edit.key), "value": edit.value} for edit in proposal.edits],
     }
 
 
--- a/src/spoolhead/_internal/commands/keepers.py
+++ b/src/spoolhead/_internal/commands/keepers.py
@@ -29,9 +29,7 @@
 
     __slots__ = ("as_json", "author", "edit_id", "wait_ms")
 
-    def __init__(
-        self, *, author: str, edit_id: str, wait_ms: int, as_json: bool
-    ) -> None:
+    def __init__(self, *, author: str, edit_id: str, wait_ms: int, as_json: bool) -> None:
         self.author = author or getpass.getuser()
         self.edit_id = edit_id or secrets.token_hex(8)
         self.wait_ms = wait_ms
@@ -71,9 +69,7 @@
     }
     result = exit_codes.get_exit_code(code)
     if code is codes.ResultCode.OK and options.wait_ms:
-        report["entries"] = _wait_until_in_force(
-            config, answer.version, options.wait_ms
-        )
+        report["entries"] = _wait_until_in_force(config, answer.version, options.wait_ms)
         if not all(entry["is_in_force"] for entry in report["entries"]):
             result = exit_codes.ExitCode.NOT_IN_FORCE
     _print_report(report, code, as_json=options.as_json)
@@ -102,9 +98,7 @@
                 raise
             if not attempts_left:
                 text = f"{error}; send it again with --edit-id {options.edit_id}"
-                raise exceptions.PeerError(
-                    codes.ResultCode.EDIT_OUTCOME_UNKNOWN, text
-                ) from error
+                raise exceptions.PeerError(codes.ResultCode.EDIT_OUTCOME_UNKNOWN, text) from error
             time.sleep(POLL_INTERVAL_S)
     raise AssertionError("unreachable")
 
@@ -125,9 +119,7 @@
         time.sleep(POLL_INTERVAL_S)
 
 
-def _print_report(
-    report: dict[str, object], code: codes.ResultCode, *, as_json: bool
-) -> None:
+def _print_report(report: dict[str, object], code: codes.ResultCode, *, as_json: bool) -> None:
     if as_json:
         output.print_json(report)
         return
@@ -138,9 +130,7 @@
         for fault in report["faults"]:
             output.print_error(f"  {fault['path']}: {fault['text']}")
         for row in report["conflicts"]:
-            output.print_error(
-                f"  {row['row']} is now version {row['version']}: {row['value']}"
-            )
+            output.print_error(f"  {row['row']} is now version {row['version']}: {row['value']}")
         return
     print(f"accepted as version {report['version']}, edit id {report['edit_id']}")
     for entry in report.get("entries", []):
--- a/src/spoolhead/_internal/commands/losses.py
+++ b/src/spoolhead/_internal/commands/losses.py
@@ -19,18 +19,12 @@
         return exit_codes.ExitCode.BAD_INPUT
     ordered = sorted(counts.items(), key=lambda item: (item[0][0], -item[1].requests))
     if as_json:
-        output.print_json(
-            [_as_dict(route, cause, count) for (route, cause), count in ordered]
-        )
+        output.print_json([_as_dict(route, cause, count) for (route, cause), count in ordered])
         return exit_codes.ExitCode.OK
     for route in sorted({route for route, _ in counts}):
         _print_route(
             route,
-            {
-                cause: route_count
-                for (name, cause), route_count in ordered
-                if name == route
-            },
+            {cause: route_count for (name, cause), route_count in ordered if name == route},
         )
     return exit_codes.ExitCode.OK
 
@@ -43,14 +37,10 @@
         percent = 100 * count.requests / total
         print(f"  {count.requests:6d} {percent:5.1f}%  {cause.value:38s} {bar}")
         if cause is not log_losses.Cause.IN_TIME:
-            print(
-                f"          {count.events} events passed on; {' '.join(count.examples)}"
-            )
+            print(f"          {count.events} events passed on; {' '.join(count.examples)}")
 
 
-def _as_dict(
-    route: str, cause: log_losses.Cause, count: log_losses.Count
-) -> dict[str, object]:
+def _as_dict(route: str, cause: log_losses.Cause, count: log_losses.Count) -> dict[str, object]:
     return {
         "route": route,
         "cause": cause.value,
--- a/src/spoolhead/_internal/commands/show.py
+++ b/src/spoolhead/_internal/commands/show.py
@@ -51,13 +51,9 @@
         output.print_error(f"there is no row {name}")
         return exit_codes.ExitCode.NOT_FOUND
     if as_json:
-        versions = {
-            str(key): row.version for key, row in sorted(table_rows.items(), key=str)
-        }
+        versions = {str(key): row.version for key, row in sorted(table_rows.items(), key=str)}
         document = documents.make_document(table_rows)
-        output.print_json(
-            {"version": answer.version, "table": document, "rows": versions}
-        )
+        output.print_json({"version": answer.version, "table": document, "rows": versions})
         return exit_codes.ExitCode.OK
     print(f"version {answer.version}")
     for shown in rows.Sheet if sheet is None else [sheet]:
--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -193,9 +193,7 @@
         reason = f"{run.incarnation_id} terminated: {evidence}"
         changed = []
         for key in lost.get_suspect_keys():
-            record = self._quarantine.record_crash(
-                key, instance_key, run.sent_s, lost.lost_s
-            )
+            record = self._quarantine.record_crash(key, instance_key, run.sent_s, lost.lost_s)
             if record is not None:
                 changed.append(record)
                 self._publish(record, reason, part_id=run.keys.parts.get(key, ""))
@@ -255,9 +253,7 @@
             if quarantine.must_cancel_running(record):
                 self._on_held(record.content_id)
 
-    def _log(
-        self, record: content_record.ContentRecord, reason: str, *, part_id: str = ""
-    ) -> None:
+    def _log(self, record: content_record.ContentRecord, reason: str, *, part_id: str = "") -> None:
         fields = {
             "content": record.content_id.hex(),
             "part": part_id,
--- a/src/spoolhead/_internal/contents/saved_contents.py
+++ b/src/spoolhead/_internal/contents/saved_contents.py
@@ -38,9 +38,7 @@
 
     :param wall_s: the time of day, in seconds.
     """
-    payload = msgpack.packb(
-        [FORMAT_VERSION, int(wall_s * 1000), content_record.pack(items)]
-    )
+    payload = msgpack.packb([FORMAT_VERSION, int(wall_s * 1000), content_record.pack(items)])
     return changelog.make_record(payload)
 
 
@@ -62,9 +60,7 @@
         raise ValueError(f"unknown format version {version!r}")
     since_ms = max(0, int(wall_s * 1000) - wall_ms)
     items = content_record.unpack(values)
-    return [
-        content_record.AgedRecord(item.record, item.age_ms + since_ms) for item in items
-    ]
+    return [content_record.AgedRecord(item.record, item.age_ms + since_ms) for item in items]
 
 
 class SavedContents:
@@ -99,9 +95,7 @@
         self._condition = threading.Condition()
         self._unwritten_data: bytes | None = None
         self._is_synced = True
-        threading.Thread(
-            target=self._write_changes, name="saved-contents", daemon=True
-        ).start()
+        threading.Thread(target=self._write_changes, name="saved-contents", daemon=True).start()
 
     def schedule_save(self) -> None:
         """Schedule a write of the records if they have changed."""
--- a/src/spoolhead/_internal/contents/termination_watch.py
+++ b/src/spoolhead/_internal/contents/termination_watch.py
@@ -35,9 +35,7 @@
 
     __slots__ = ("address", "instance_id", "incarnation_id", "path")
 
-    def __init__(
-        self, incarnation_id: str, *, instance_id: str, address: str, path: str
-    ) -> None:
+    def __init__(self, incarnation_id: str, *, instance_id: str, address: str, path: str) -> None:
         self.incarnation_id = incarnation_id
         self.instance_id = instance_id
         self.address = address
@@ -49,9 +47,7 @@
 
     __slots__ = ("target", "call", "instance_id", "number", "owner", "timer")
 
-    def __init__(
-        self, owner: "TerminationWatch", target: TerminationQuery, number: int
-    ) -> None:
+    def __init__(self, owner: "TerminationWatch", target: TerminationQuery, number: int) -> None:
         self.number = number
         self.owner = owner
         self.target = target
@@ -118,9 +114,7 @@
             return
         query = self._queries[target.incarnation_id] = _Query(self, target, number)
         query.timer = self._timers.call_later(ANSWER_TIMEOUT_S, query.on_timeout)
-        request = upstream_calls.make_request(
-            "GET", target.path, target.address, (), b""
-        )
+        request = upstream_calls.make_request("GET", target.path, target.address, (), b"")
         query.call = self._calls.open(target.address, request, query, fresh=True)
 
     def handle_answer(self, query: _Query) -> None:
@@ -128,9 +122,7 @@
         self._remove(query)
         target = query.target
         if query.instance_id and query.instance_id != target.instance_id:
-            self._handle_terminated(
-                query, f"{query.instance_id} answers at its address"
-            )
+            self._handle_terminated(query, f"{query.instance_id} answers at its address")
         elif query.instance_id or not target.instance_id:
             self._log(query, "instance answered")
             self._contents.record_alive(target.incarnation_id)
@@ -146,9 +138,7 @@
         self._log(query, reason)
         if query.number < MAX_QUERIES:
             target, number = query.target, query.number + 1
-            self._timers.call_later(
-                RETRY_INTERVAL_S, lambda: self._send_query(target, number)
-            )
+            self._timers.call_later(RETRY_INTERVAL_S, lambda: self._send_query(target, number))
 
     def handle_timeout(self, query: _Query) -> None:
         """Handle a missing answer; the query is not repeated, since another would time out too."""
--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -136,9 +136,7 @@
             they were.
         """
         if self._faults and not self._instances:
-            self._fail(
-                f"none of {len(self._faults)} entries can be read: {self._faults[0].text}"
-            )
+            self._fail(f"none of {len(self._faults)} entries can be read: {self._faults[0].text}")
             return
         if self._faults or not is_whole:
             self.on_fault()
@@ -149,16 +147,12 @@
         listed = instances.remove_duplicates(self._instances, self._memory.current)
         if len(listed) < len(self._instances):
             fields = {"entries": len(self._instances), "ids": len(listed)}
-            logger.warning(
-                "instance list names ids more than once", extra={"fields": fields}
-            )
+            logger.warning("instance list names ids more than once", extra={"fields": fields})
         update = self._memory.update(listed, is_whole=is_whole, now_s=clocks.get_s())
         self._log_completeness(is_whole, reason, update)
         self._on_list(update.listed)
 
-    def _log_completeness(
-        self, is_whole: bool, reason: str, update: list_memory.Update
-    ) -> None:
+    def _log_completeness(self, is_whole: bool, reason: str, update: list_memory.Update) -> None:
         """Log the first incomplete read in a row, and the first complete read after it."""
         if is_whole and self._is_incomplete:
             logger.info("instance list is complete again")
@@ -173,18 +167,14 @@
         self._is_incomplete = not is_whole
         if update.expired:
             fields = {"count": update.expired}
-            logger.warning(
-                "instances that no read shows are dropped", extra={"fields": fields}
-            )
+            logger.warning("instances that no read shows are dropped", extra={"fields": fields})
 
     def _log_faults(self) -> None:
         """Log the first entry that could not be decoded, unless it was logged by the last read."""
         first = self._faults[0].text if self._faults else ""
         if first and first != self._last_logged_fault:
             fields = {"entries": len(self._faults), "first": first}
-            logger.warning(
-                "entries of the instance list are passed over", extra={"fields": fields}
-            )
+            logger.warning("entries of the instance list are passed over", extra={"fields": fields})
         self._last_logged_fault = first
 
     def _request_page(self, target: str) -> None:
@@ -194,9 +184,7 @@
         self._body = bytearray()
         address = self._config.address
         request = upstream_calls.make_request("GET", target, address, (), b"")
-        self._call = self._calls.open(
-            address, request, self, fresh=True, max_body_bytes=None
-        )
+        self._call = self._calls.open(address, request, self, fresh=True, max_body_bytes=None)
 
     def _fail(self, reason: str) -> None:
         self._call = None
--- a/src/spoolhead/_internal/entry/api.py
+++ b/src/spoolhead/_internal/entry/api.py
@@ -95,9 +95,7 @@
         return _refuse(codes.ResultCode.KEY_MISSING, text)
     workspace = table.get_workspace_of(api_key.strip())
     if workspace is None:
-        return _refuse(
-            codes.ResultCode.KEY_UNKNOWN, "the API key belongs to no workspace"
-        )
+        return _refuse(codes.ResultCode.KEY_UNKNOWN, "the API key belongs to no workspace")
     return expression.Ok(workspace)
 
 
@@ -133,9 +131,7 @@
     try:
         body = json.loads(wire.body)
     except (ValueError, RecursionError) as error:
-        return _refuse(
-            codes.ResultCode.MALFORMED_JSON, f"the body is not JSON: {error}"
-        )
+        return _refuse(codes.ResultCode.MALFORMED_JSON, f"the body is not JSON: {error}")
     if not isinstance(body, dict):
         return _refuse(codes.ResultCode.MALFORMED_JSON, "the body is not a JSON object")
     problem = _check_body(path, body)
@@ -175,16 +171,10 @@
 ) -> Parsed:
     if wire.method != "GET":
         return _refuse(codes.ResultCode.METHOD_NOT_ALLOWED, f"{STREAMS_PATH} takes GET")
-    token = stream_token.parse_token(
-        context.shared_key, path.removeprefix(STREAMS_PATH)
-    )
+    token = stream_token.parse_token(context.shared_key, path.removeprefix(STREAMS_PATH))
     # A token of another workspace gets the same answer as an invalid token, so that callers
     # cannot probe for streams of other workspaces.
-    if (
-        token is None
-        or token.workspace != workspace
-        or token.service not in table.services
-    ):
+    if token is None or token.workspace != workspace or token.service not in table.services:
         return _refuse(codes.ResultCode.UNKNOWN_PATH, "no such stream")
     match = _LAST_EVENT.match(wire.get_header(LAST_EVENT_HEADER) or "")
     if match is None or match["generation"] not in (None, token.generation):
@@ -205,9 +195,7 @@
     )
     request.wants_stream = True
     request.limit_tokens = row.max_output_tokens
-    request.resume = requests.ResumePoint(
-        token.upstream, token.generation, int(match["index"]) + 1
-    )
+    request.resume = requests.ResumePoint(token.upstream, token.generation, int(match["index"]) + 1)
     return expression.Ok(request)
 
 
@@ -255,18 +243,12 @@
     for name, check in _get_checks(path).items():
         problem = check(body.get(name))
         if problem:
-            return fault.Fault(
-                codes.ResultCode.WRONG_FIELD, f"{name} {problem}", path=name
-            )
+            return fault.Fault(codes.ResultCode.WRONG_FIELD, f"{name} {problem}", path=name)
     return None
 
 
 def _check_model(value: object) -> str:
-    return (
-        ""
-        if isinstance(value, str) and value
-        else "must be a string that names a model"
-    )
+    return "" if isinstance(value, str) and value else "must be a string that names a model"
 
 
 def _check_stream(value: object) -> str:
@@ -314,9 +296,7 @@
 
 
 def _check_prompt(value: object) -> str:
-    return (
-        "" if isinstance(value, str | list) and value else "must be a string or a list"
-    )
+    return "" if isinstance(value, str | list) and value else "must be a string or a list"
 
 
 _LIMIT_NAMES = ("max_tokens", "max_completion_tokens")
@@ -362,9 +342,7 @@
             table.workspaces[workspace].services,
         )
     if row is None or row.kind is not kind:
-        return _refuse(
-            unknown, f"no {kind.value} service is named {name}", path="model"
-        )
+        return _refuse(unknown, f"no {kind.value} service is named {name}", path="model")
     if name not in allowed:
         text = f"workspace {workspace} may not use {name}"
         return _refuse(codes.ResultCode.NOT_PERMITTED, text)
@@ -381,17 +359,13 @@
     """
     word = (wire.get_header(ONCE_HEADER) or "no").lower()
     if word not in _TRUE_WORDS | _FALSE_WORDS:
-        return _refuse(
-            codes.ResultCode.WRONG_FIELD, "must be yes or no", path=ONCE_HEADER
-        )
+        return _refuse(codes.ResultCode.WRONG_FIELD, "must be yes or no", path=ONCE_HEADER)
     return expression.Ok(word in _TRUE_WORDS or wire.method in service.once_methods)
 
 
 def _may_forward(wire: request_reader.WireRequest, name: str) -> bool:
     listed = (wire.get_header("connection") or "").lower()
-    return name not in _HOP_HEADERS and name not in {
-        part.strip() for part in listed.split(",")
-    }
+    return name not in _HOP_HEADERS and name not in {part.strip() for part in listed.split(",")}
 
 
 def _refuse(
--- a/src/spoolhead/_internal/entry/control.py
+++ b/src/spoolhead/_internal/entry/control.py
@@ -36,18 +36,14 @@
         """Stop sending load reports to a neighbour."""
         self._neighbours.remove_session(session)
 
-    def on_message(
-        self, session: peer_server.PeerSession, message: messages.Message
-    ) -> None:
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
         """Answer a request for the status or for decisions.
 
         :raises messages.MessageError: if the message is of another type.
         """
         match message:
             case messages.GetStatus():
-                answer = messages.StatusAnswer(
-                    request=message.request, status=self._get_status()
-                )
+                answer = messages.StatusAnswer(request=message.request, status=self._get_status())
             case messages.GetDecision():
                 decisions = self._decisions.get(message.request_id)
                 answer = messages.DecisionAnswer(
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -98,9 +98,7 @@
         self._calls = calls
         self._admission = policies.make_admission(table.workspaces)
         self._lengths = policies.make_lengths()
-        self._placement = policies.make_placement(
-            config.hall, self._lengths, random.Random()
-        )
+        self._placement = policies.make_placement(config.hall, self._lengths, random.Random())
         self._pools = upstream_pools.UpstreamPools(calls.close_idle_to)
         self._flows: set[flow.Flow] = set()
         self._decisions = decisions
@@ -148,9 +146,7 @@
         """Apply the table's current upstreams; leaving upstreams receive no new requests."""
         now_s = clocks.get_s()
         is_new = now_s - self._started_s > replicas.REPORT_STALE_S
-        self._pools.update(
-            self._table.upstreams, self._table.halls, now_s, is_new=is_new
-        )
+        self._pools.update(self._table.upstreams, self._table.halls, now_s, is_new=is_new)
         self._start_waiting()
 
     def submit(
@@ -172,9 +168,7 @@
             return
         content_id = request_content.get_content_id(request, "", request.workspace)
         # A service is a model here.
-        parts = request_content.get_part_keys(
-            request.service_name, "", request.part_ids
-        )
+        parts = request_content.get_part_keys(request.service_name, "", request.part_ids)
         request.keys = request_keys.RequestKeys(content_id, parts)
         match self._contents.evaluate(request.keys):
             case quarantine.Verdict.REFUSE:
@@ -184,9 +178,7 @@
             case _:
                 self._admit(request, caller, now_s)
 
-    def _claim_trial(
-        self, request: requests.CallerRequest, caller: caller_front.Caller
-    ) -> None:
+    def _claim_trial(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         """Run a held request as a single trial, unless another entry runs the trial."""
 
         def _on_settled(is_own: bool) -> None:
@@ -201,9 +193,7 @@
     def reject_held(self, key: bytes) -> None:
         """Abort running requests that are now held because of one of their keys, except trials."""
         for running_flow in list(self._flows):
-            if key in running_flow.request.keys.all and self._is_held(
-                running_flow.request
-            ):
+            if key in running_flow.request.keys.all and self._is_held(running_flow.request):
                 running_flow.reject_held()
 
     def _admit(
@@ -247,9 +237,7 @@
         self._decisions.record(
             request, "wait", code, text="no upstream has room for another attempt"
         )
-        waiting = self._make_waiting(
-            _QueuedRequest(request, running_flow.caller, running_flow)
-        )
+        waiting = self._make_waiting(_QueuedRequest(request, running_flow.caller, running_flow))
         self._admission.put_back(waiting, clocks.get_s())
         running_flow.caller.on_disconnect = lambda: self._withdraw(waiting)
         return True
@@ -259,29 +247,21 @@
         self._metrics.increment(metrics.Metric.TOKENS, tokens)
         self._admission.charge(running_flow.request.workspace, tokens, clocks.get_s())
 
-    def handle_flow_end(
-        self, running_flow: flow.Flow, result: flow_context.FlowResult
-    ) -> None:
+    def handle_flow_end(self, running_flow: flow.Flow, result: flow_context.FlowResult) -> None:
         """Remove a flow that has ended, and record its length, stall time and result."""
         request = running_flow.request
         self._flows.discard(running_flow)
         self._admission.finish(request.workspace)
         if result.is_natural_end and 0 < result.tokens < request.limit_tokens:
-            self._lengths.observe(
-                request.workspace, request.service_name, result.tokens
-            )
+            self._lengths.observe(request.workspace, request.service_name, result.tokens)
         if request.wants_stream:
-            self._metrics.record_duration(
-                metrics.Metric.STALL_MS, running_flow.stalled_s * 1000
-            )
+            self._metrics.record_duration(metrics.Metric.STALL_MS, running_flow.stalled_s * 1000)
         text = f"ran: {result.ran.value}, tokens: {result.tokens}"
         self._decisions.record(request, "end", result.code, text=text)
         self._call_on_end(request, result)
         self._start_waiting_of(request.service_name)
 
-    def _get_early_refusal(
-        self, request: requests.CallerRequest
-    ) -> admission.Refusal | None:
+    def _get_early_refusal(self, request: requests.CallerRequest) -> admission.Refusal | None:
         if self.request_count >= self._config.max_requests:
             return _make_refusal(
                 codes.ResultCode.ENTRY_FULL,
@@ -318,26 +298,18 @@
     def _withdraw(self, waiting: admission.WaitingRequest) -> None:
         request = waiting.owner.request
         self._admission.withdraw(waiting)
-        self._decisions.record(
-            request, "withdraw", codes.ResultCode.OK, text="the caller left"
-        )
+        self._decisions.record(request, "withdraw", codes.ResultCode.OK, text="the caller left")
         self._call_on_end(
             request, flow_context.FlowResult(codes.ResultCode.OK, waiting.owner.ran, 0)
         )
 
-    def _resume(
-        self, request: requests.CallerRequest, caller: caller_front.Caller
-    ) -> None:
+    def _resume(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         point = request.resume
         replica = self._pools.get(point.upstream)
         if replica is None:
-            cause = fault.Fault(
-                codes.ResultCode.GENERATION_LOST, "its upstream is gone"
-            )
+            cause = fault.Fault(codes.ResultCode.GENERATION_LOST, "its upstream is gone")
             self._decisions.record(request, "refuse", cause.code, text=cause.text)
-            answers.send_error(
-                caller, cause, ran=codes.Ran.YES, request_id=request.request_id
-            )
+            answers.send_error(caller, cause, ran=codes.Ran.YES, request_id=request.request_id)
             return
         self._admission.start_unqueued(request.workspace, request.arrived_s)
         running_flow = flow.Flow(request, caller, self._context)
@@ -347,9 +319,7 @@
         )
         running_flow.resume(replica, point.generation)
 
-    def handle_report(
-        self, replica: replicas.Replica, report: load_report.LoadReport
-    ) -> None:
+    def handle_report(self, replica: replicas.Replica, report: load_report.LoadReport) -> None:
         """Apply an upstream's load report and start waiting requests that now fit."""
         replica.handle_report(report)
         if self._admission.waiting_count:
@@ -393,9 +363,7 @@
         wait_ms = (now_s - request.arrived_s) * 1000
         self._metrics.record_duration(metrics.Metric.QUEUE_WAIT_MS, wait_ms)
         self._decisions.record(request, "run", codes.ResultCode.OK, choice=choice)
-        running_flow = queued.existing_flow or flow.Flow(
-            request, queued.caller, self._context
-        )
+        running_flow = queued.existing_flow or flow.Flow(request, queued.caller, self._context)
         self._flows.add(running_flow)
         running_flow.start(choice)
 
@@ -436,10 +404,7 @@
             if pool is not None and pool.has_available(now_s):
                 self._last_available_s[service] = now_s
                 continue
-            if (
-                now_s - self._last_available_s.setdefault(service, now_s)
-                < NO_UPSTREAM_TIMEOUT_S
-            ):
+            if now_s - self._last_available_s.setdefault(service, now_s) < NO_UPSTREAM_TIMEOUT_S:
                 continue
             refusal = _make_refusal(
                 codes.ResultCode.NO_UPSTREAM, f"no upstream of {service} answers"
@@ -449,12 +414,8 @@
 
     def _refuse(self, queued: _QueuedRequest, refused: admission.Refusal) -> None:
         request = queued.request
-        self._decisions.record(
-            request, "refuse", refused.fault.code, text=refused.fault.text
-        )
-        self._call_on_end(
-            request, flow_context.FlowResult(refused.fault.code, queued.ran, 0)
-        )
+        self._decisions.record(request, "refuse", refused.fault.code, text=refused.fault.text)
+        self._call_on_end(request, flow_context.FlowResult(refused.fault.code, queued.ran, 0))
         answers.send_error(
             queued.caller,
             refused.fault,
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -114,25 +114,15 @@
         now_s = self._context.clock()
         if now_s >= self.request.deadline_s:
             text = "the deadline passed while the request was running"
-            self._give_up(
-                codes.ResultCode.DEADLINE_DURING_RUN, text, self._get_ran_now()
-            )
+            self._give_up(codes.ResultCode.DEADLINE_DURING_RUN, text, self._get_ran_now())
         elif self._is_silent(now_s):
-            self._fail_attempt(
-                codes.ResultCode.UPSTREAM_SILENT, "the upstream is silent"
-            )
+            self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the upstream is silent")
         elif self._has_stalled(now_s):
-            self._fail_attempt(
-                codes.ResultCode.UPSTREAM_SILENT, "the stream has stalled"
-            )
+            self._fail_attempt(codes.ResultCode.UPSTREAM_SILENT, "the stream has stalled")
 
     def reject_held(self) -> None:
         """Abort the request because its content crashes upstreams, unless a part was delivered."""
-        if (
-            self.is_over
-            or self._relay.sequencer.has_delivered
-            or self.request.resume is not None
-        ):
+        if self.is_over or self._relay.sequencer.has_delivered or self.request.resume is not None:
             return
         held, ran = fault.make_held_fault(), self._get_ran_now()
         # REQUEST_HELD states that the request did not run, so it must not be sent if the request
@@ -207,9 +197,7 @@
             self.handle_loss(attempt, "the stream ended without its mark")
             return
         assert attempt.call is not None
-        content = answer_end.get_body_content(
-            attempt.call.framing, self._body, attempt.headers
-        )
+        content = answer_end.get_body_content(attempt.call.framing, self._body, attempt.headers)
         outcome = attempt.call.decide_outcome(content)
         if outcome is answer_end.Outcome.UNKNOWN:
             address = attempt.replica.row.address
@@ -233,9 +221,7 @@
         outcome = answer_end.decide_by_evidence(evidence, may_have_been_stopped=False)
         self._apply_outcome(attempt, outcome)
 
-    def _apply_outcome(
-        self, attempt: flow_attempt.Attempt, outcome: answer_end.Outcome
-    ) -> None:
+    def _apply_outcome(self, attempt: flow_attempt.Attempt, outcome: answer_end.Outcome) -> None:
         if outcome is answer_end.Outcome.COMPLETE:
             self._finish_whole(attempt)
         elif outcome is answer_end.Outcome.BROKEN_OFF:
@@ -257,9 +243,7 @@
             if reason == links.REFUSED:
                 self._context.contents.record_unreachable(attempt.replica)
         else:
-            self._context.contents.record_lost(
-                attempt.replica, self._make_sent_run(attempt)
-            )
+            self._context.contents.record_lost(attempt.replica, self._make_sent_run(attempt))
         if attempt is not self._attempt:
             # The recorded loss caused the content to be held, which aborted this attempt.
             return
@@ -293,9 +277,7 @@
         address = attempt.replica.row.address
         attempt.call = self._context.calls.open(
             address,
-            upstream_calls.make_head(
-                method, target, address, headers, body_bytes=len(body)
-            ),
+            upstream_calls.make_head(method, target, address, headers, body_bytes=len(body)),
             attempt,
             fresh=self.request.is_once,
             is_head=method == "HEAD",
@@ -312,9 +294,7 @@
             return
         if relayed.fault is not None:
             code, text = relayed.fault.code, relayed.fault.text
-            self._fail_attempt(
-                code, text, is_final=not self._relay.sequencer.can_resume
-            )
+            self._fail_attempt(code, text, is_final=not self._relay.sequencer.can_resume)
         elif relayed.is_done:
             self._finish_stream(attempt)
 
@@ -368,12 +348,8 @@
 
     def _record_whole_answer(self, attempt: flow_attempt.Attempt) -> None:
         """Record a complete answer, which may show the request to be harmless."""
-        if quarantine.is_harmless_status(
-            attempt.status, is_trial=self.request.is_trial
-        ):
-            self._context.contents.record_answered(
-                attempt.replica, self._make_sent_run(attempt)
-            )
+        if quarantine.is_harmless_status(attempt.status, is_trial=self.request.is_trial):
+            self._context.contents.record_answered(attempt.replica, self._make_sent_run(attempt))
 
     def _record_alive(self, attempt: flow_attempt.Attempt) -> None:
         """Record tokens as evidence that the run and its upstream are sound."""
@@ -413,13 +389,9 @@
         self._record_whole_answer(attempt)
         body = b"".join(self._body)
         if self.request.is_model:
-            self.running_request.generated_tokens = relayed_answers.get_usage_tokens(
-                body
-            )
+            self.running_request.generated_tokens = relayed_answers.get_usage_tokens(body)
             self._context.host.charge(self, self.running_request.generated_tokens)
-        headers = relayed_answers.make_whole_headers(
-            attempt.headers, self.request.request_id
-        )
+        headers = relayed_answers.make_whole_headers(attempt.headers, self.request.request_id)
         self.caller.send_answer(attempt.status, headers, body)
         attempt.replica.health.record_success(self._context.clock())
         self._release_attempt(cancel=False)
@@ -473,9 +445,7 @@
         self._release_attempt(cancel=step is not retry.NextStep.RESUME)
         if step is retry.NextStep.RESUME:
             self._reconnect(attempt, code)
-        elif step is not retry.NextStep.RETRY or not self._retry_elsewhere(
-            attempt, code
-        ):
+        elif step is not retry.NextStep.RETRY or not self._retry_elsewhere(attempt, code):
             self._give_up(_get_final_code(code, has_begun), text, ran)
 
     def _get_attempts_left(self) -> int:
@@ -491,9 +461,7 @@
         self._pace.record_resume(self._context.clock())
         self.resume(attempt.replica, attempt.generation)
 
-    def _retry_elsewhere(
-        self, attempt: flow_attempt.Attempt, code: codes.ResultCode
-    ) -> bool:
+    def _retry_elsewhere(self, attempt: flow_attempt.Attempt, code: codes.ResultCode) -> bool:
         self._failed_upstreams.add(attempt.replica.name)
         self._relay = stream_relay.StreamRelay()
         self._context.collector.increment(metrics.Metric.RETRIES)
@@ -530,13 +498,9 @@
             cause,
             ran=ran,
             request_id=self.request.request_id,
-            retry_after_ms=(
-                RETRY_AFTER_MS if ran is codes.Ran.NO and may_retry else None
-            ),
-        )
-        self._end(
-            flow_context.FlowResult(code, ran, self.running_request.generated_tokens)
+            retry_after_ms=(RETRY_AFTER_MS if ran is codes.Ran.NO and may_retry else None),
         )
+        self._end(flow_context.FlowResult(code, ran, self.running_request.generated_tokens))
 
     def _on_caller_disconnect(self) -> None:
         if self.is_over:
@@ -547,9 +511,7 @@
             return
         self._release_attempt(cancel=True)
         self._end(
-            flow_context.FlowResult(
-                codes.ResultCode.OK, ran, self.running_request.generated_tokens
-            )
+            flow_context.FlowResult(codes.ResultCode.OK, ran, self.running_request.generated_tokens)
         )
 
     def _release_attempt(self, *, cancel: bool) -> None:
@@ -562,9 +524,7 @@
             return
         arrived = call.may_have_arrived
         if cancel and arrived and not call.is_over:
-            self._context.contents.record_abandoned(
-                attempt.replica, self._make_sent_run(attempt)
-            )
+            self._context.contents.record_abandoned(attempt.replica, self._make_sent_run(attempt))
         if not call.is_over:
             call.cancel()
         if cancel and arrived and self.request.is_model:
@@ -590,9 +550,7 @@
 def _make_sequencer(request: requests.CallerRequest) -> sequencer.Sequencer:
     if request.resume is None:
         return sequencer.Sequencer()
-    return sequencer.Sequencer(
-        request.resume.generation.encode(), request.resume.next_index
-    )
+    return sequencer.Sequencer(request.resume.generation.encode(), request.resume.next_index)
 
 
 def _get_final_code(code: codes.ResultCode, has_begun: bool) -> codes.ResultCode:
--- a/src/spoolhead/_internal/entry/flow_attempt.py
+++ b/src/spoolhead/_internal/entry/flow_attempt.py
@@ -9,9 +9,7 @@
 class AttemptOwner(Protocol):
     """The flow that made an attempt and handles its events."""
 
-    def handle_head(
-        self, attempt: "Attempt", status: int, headers: upstream_calls.Headers
-    ) -> None:
+    def handle_head(self, attempt: "Attempt", status: int, headers: upstream_calls.Headers) -> None:
         """Handle the status and headers of the answer."""
 
     def handle_body(self, attempt: "Attempt", data: bytes) -> None:
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -70,9 +70,7 @@
         :param is_head: the method is HEAD, so the answer has no body.
         """
 
-    def confirm_end(
-        self, address: str, on_evidence: end_confirmation.OnEvidence
-    ) -> None:
+    def confirm_end(self, address: str, on_evidence: end_confirmation.OnEvidence) -> None:
         """Check whether an upstream crashed as it ended a connection."""
 
     def finish_in_background(self, call: upstream_calls.UpstreamCall) -> None:
@@ -91,9 +89,7 @@
     def record_lost(self, replica: replicas.Replica, run: sent_run.SentRun) -> None:
         """Record a request that an upstream received and lost."""
 
-    def record_abandoned(
-        self, replica: replicas.Replica, run: sent_run.SentRun
-    ) -> None:
+    def record_abandoned(self, replica: replicas.Replica, run: sent_run.SentRun) -> None:
         """Record a request that an upstream received and this entry abandoned."""
 
     def record_unreachable(self, replica: replicas.Replica) -> None:
@@ -112,9 +108,7 @@
 class FlowHost(Protocol):
     """The part of the dispatcher that flows use."""
 
-    def choose_upstream(
-        self, flow: "flow.Flow", excluded: frozenset[str]
-    ) -> placement.Choice:
+    def choose_upstream(self, flow: "flow.Flow", excluded: frozenset[str]) -> placement.Choice:
         """Choose an upstream for the next attempt.
 
         :param excluded: names of upstreams that failed for this request.
--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -62,9 +62,7 @@
         )
         self._saved: saved_contents.SavedContents | None = None
         if folder is not None:
-            self._saved = saved_contents.SavedContents(
-                folder, self._watch.registry, timers
-            )
+            self._saved = saved_contents.SavedContents(folder, self._watch.registry, timers)
         self._termination_watch = termination_watch.TerminationWatch(
             calls,
             timers,
@@ -119,9 +117,7 @@
         """Return the id of an upstream's current incarnation, as counted by this entry."""
         return f"{upstream}@{self._name}.{self._restart_counts.get(upstream, 0)}"
 
-    def record_abandoned(
-        self, replica: replicas.Replica, run: sent_run.SentRun
-    ) -> None:
+    def record_abandoned(self, replica: replicas.Replica, run: sent_run.SentRun) -> None:
         """Record a request that an upstream received and this entry abandoned."""
         if replica.row.state is not rows.UpstreamState.LEAVING:
             self._watch.record_abandoned(run)
@@ -129,9 +125,8 @@
     def record_unreachable(self, replica: replicas.Replica) -> None:
         """Query an upstream that refuses connections if a request was abandoned there recently."""
         incarnation_id = self.get_incarnation_id(replica.name)
-        if (
-            replica.row.state is rows.UpstreamState.LEAVING
-            or not self._watch.has_abandoned(incarnation_id)
+        if replica.row.state is rows.UpstreamState.LEAVING or not self._watch.has_abandoned(
+            incarnation_id
         ):
             return
         self._query_termination(replica, incarnation_id)
@@ -143,9 +138,7 @@
         self._watch.record_lost(run)
         self._query_termination(replica, run.incarnation_id)
 
-    def _query_termination(
-        self, replica: replicas.Replica, incarnation_id: str
-    ) -> None:
+    def _query_termination(self, replica: replicas.Replica, incarnation_id: str) -> None:
         query = termination_watch.TerminationQuery(
             incarnation_id,
             instance_id="",
@@ -170,9 +163,7 @@
     def _query_alive(self, incarnation_id: str) -> None:
         """Query whether an upstream is still alive."""
         replica = self._answered_replicas.get(incarnation_id.rpartition("@")[0])
-        if replica is not None and incarnation_id == self.get_incarnation_id(
-            replica.name
-        ):
+        if replica is not None and incarnation_id == self.get_incarnation_id(replica.name):
             self._query_termination(replica, incarnation_id)
 
     def _send_changed(self) -> None:
--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -139,9 +139,7 @@
         """Number of finished claims that no keeper has confirmed yet."""
         return len(self._unconfirmed)
 
-    def claim(
-        self, key: str, fingerprint: bytes, on_answer: Callable[[ClaimResult], None]
-    ) -> None:
+    def claim(self, key: str, fingerprint: bytes, on_answer: Callable[[ClaimResult], None]) -> None:
         """Claim a key whose request may run only once.
 
         While :data:`MAX_UNCONFIRMED` ends wait for a keeper, nothing is claimed: an end must not be
@@ -179,9 +177,7 @@
         if self._client.is_ready:
             self._client.reconnect("ends of claimed requests are not confirmed")
 
-    def finish(
-        self, key: str, ran: codes.Ran, outcome: once_journal.Outcome | None
-    ) -> None:
+    def finish(self, key: str, ran: codes.Ran, outcome: once_journal.Outcome | None) -> None:
         """Report the end of a claimed request; the report is resent until a keeper has stored it.
 
         :param outcome: the answer; its body is not sent if it exceeds
@@ -211,13 +207,9 @@
         """Introduce this entry, request newer versions and resend unconfirmed claim results."""
         self._ready_s = clocks.get_s()
         logger.info("connected to keeper at %s", self._client.address)
+        self._client.send(messages.Introduce(hall=self._hall, address=self._control_address))
         self._client.send(
-            messages.Introduce(hall=self._hall, address=self._control_address)
-        )
-        self._client.send(
-            messages.Follow(
-                log_id=self._followed.log_id, version=self._followed.version
-            )
+            messages.Follow(log_id=self._followed.log_id, version=self._followed.version)
         )
         for message in self._unconfirmed.values():
             self._client.send(message)
@@ -274,9 +266,7 @@
         self._folder_lock = files.FolderLock(folder)
         self._saved_copy = saved_copy.SavedCopy(folder)
         if self._saved_copy.load(self._followed):
-            self._table.replace(
-                (key, row.value) for key, row in self._followed.rows.items()
-            )
+            self._table.replace((key, row.value) for key, row in self._followed.rows.items())
             self._table.version = self._followed.version
             logger.info("loaded table version %d from disk", self._followed.version)
 
@@ -322,9 +312,7 @@
     def _activate_version(self) -> None:
         self._table.version = self._followed.version
         self._listener.on_table()
-        logger.info(
-            "table in force", extra={"fields": {"version": self._table.version}}
-        )
+        logger.info("table in force", extra={"fields": {"version": self._table.version}})
         if self._saved_copy is not None and not self._is_save_scheduled:
             # Changes arrive in bursts; one write covers all that arrive in the same loop iteration.
             self._is_save_scheduled = True
@@ -380,7 +368,5 @@
         return ClaimResult(None)
     outcome = None
     if message.status:
-        outcome = once_journal.Outcome(
-            message.status, message.content_type, message.body
-        )
+        outcome = once_journal.Outcome(message.status, message.content_type, message.body)
     return ClaimResult(once_journal.ClaimState(message.state), outcome)
--- a/src/spoolhead/_internal/entry/load_reports.py
+++ b/src/spoolhead/_internal/entry/load_reports.py
@@ -67,9 +67,7 @@
 class _Fetch:
     """A fetch in progress."""
 
-    def __init__(
-        self, owner: "LoadReports", replica: replicas.Replica, now_s: float
-    ) -> None:
+    def __init__(self, owner: "LoadReports", replica: replicas.Replica, now_s: float) -> None:
         self._owner = owner
         self._replica = replica
         self._status = 0
@@ -155,18 +153,13 @@
         self._fetched.append(entry_neighbours.NamedReport(replica.name, report))
         self._dispatcher.handle_report(replica, report)
 
-    def handle_neighbour_report(
-        self, reports: Sequence[entry_neighbours.NamedReport]
-    ) -> None:
+    def handle_neighbour_report(self, reports: Sequence[entry_neighbours.NamedReport]) -> None:
         """Apply a neighbour's reports that are newer than the known reports."""
         for item in reports:
             replica = self._dispatcher.get_upstream(item.upstream)
             if replica is None:
                 continue
-            if (
-                replica.report is None
-                or item.report.received_s > replica.report.received_s
-            ):
+            if replica.report is None or item.report.received_s > replica.report.received_s:
                 self._dispatcher.handle_report(replica, item.report)
 
     def handle_failure(self, replica: replicas.Replica, reason: str) -> None:
@@ -182,14 +175,10 @@
         self._interval_number += 1
         live_entries = self._neighbours.get_live_entries(now_s)
         for replica in self._dispatcher.upstreams:
-            if replica.name not in self._fetches and self._is_due(
-                replica, live_entries, now_s
-            ):
+            if replica.name not in self._fetches and self._is_due(replica, live_entries, now_s):
                 self._fetch(replica, now_s)
 
-    def _is_due(
-        self, replica: replicas.Replica, live_entries: Sequence[str], now_s: float
-    ) -> bool:
+    def _is_due(self, replica: replicas.Replica, live_entries: Sequence[str], now_s: float) -> bool:
         """Return whether this entry fetches the upstream's report in this interval."""
         is_near = replica.row.hall == self._hall
         interval = 1 if is_near else OTHER_HALL_INTERVAL_TURNS
@@ -205,9 +194,7 @@
         self._fetches[replica.name] = fetch
         address = replica.row.address
         request = upstream_calls.make_request("GET", REPORT_PATH, address, [], b"")
-        fetch.call = self._calls.open(
-            address, request, fetch, max_body_bytes=MAX_REPORT_BYTES
-        )
+        fetch.call = self._calls.open(address, request, fetch, max_body_bytes=MAX_REPORT_BYTES)
 
     def _cancel_overdue(self, now_s: float) -> None:
         for name, fetch in list(self._fetches.items()):
--- a/src/spoolhead/_internal/entry/neighbours.py
+++ b/src/spoolhead/_internal/entry/neighbours.py
@@ -99,9 +99,7 @@
             if name not in self._neighbours:
                 self._neighbours[name] = _Neighbour(self, member)
 
-    def make_client(
-        self, member: Member, listener: _Neighbour
-    ) -> peer_client.PeerClient:
+    def make_client(self, member: Member, listener: _Neighbour) -> peer_client.PeerClient:
         """Connect to a neighbour."""
         return peer_client.PeerClient(
             self._loop,
@@ -118,8 +116,7 @@
         live_names = [
             name
             for name, item in self._neighbours.items()
-            if item.client.is_ready
-            and now_s - item.client.heard_s < NEIGHBOUR_TIMEOUT_S
+            if item.client.is_ready and now_s - item.client.heard_s < NEIGHBOUR_TIMEOUT_S
         ]
         return [self._config.name, *live_names]
 
@@ -173,9 +170,7 @@
     if not isinstance(item, list) or len(item) != 7:
         raise messages.MessageError("malformed load report")
     upstream, *numbers = item
-    if not isinstance(upstream, str) or not all(
-        isinstance(number, int) for number in numbers
-    ):
+    if not isinstance(upstream, str) or not all(isinstance(number, int) for number in numbers):
         raise messages.MessageError("malformed load report")
     running, waiting, used, capacity, preemptions, age_ms = numbers
     if age_ms < 0:
--- a/src/spoolhead/_internal/entry/once_requests.py
+++ b/src/spoolhead/_internal/entry/once_requests.py
@@ -52,9 +52,7 @@
         self._keeper = keeper
         self.claiming_count = 0
 
-    def submit(
-        self, request: requests.CallerRequest, caller: caller_front.Caller
-    ) -> None:
+    def submit(self, request: requests.CallerRequest, caller: caller_front.Caller) -> None:
         """Claim the request's key and run the request if the claim is granted."""
         key = make_claim_key(request)
         self.claiming_count += 1
@@ -74,17 +72,12 @@
     ) -> None:
         if result.state is once_journal.ClaimState.GRANTED:
             self._run(request, caller, key)
-        elif (
-            result.state is once_journal.ClaimState.FINISHED
-            and result.outcome is not None
-        ):
+        elif result.state is once_journal.ClaimState.FINISHED and result.outcome is not None:
             self._replay(request, caller, result.outcome)
         else:
             self._refuse(request, caller, result)
 
-    def _run(
-        self, request: requests.CallerRequest, caller: caller_front.Caller, key: str
-    ) -> None:
+    def _run(self, request: requests.CallerRequest, caller: caller_front.Caller, key: str) -> None:
         if caller.is_disconnected:
             self._keeper.finish(key, codes.Ran.NO, None)
             return
@@ -92,9 +85,7 @@
         def _on_end(result: flow_context.FlowResult) -> None:
             outcome = None
             if result.status:
-                outcome = once_journal.Outcome(
-                    result.status, result.content_type, result.body
-                )
+                outcome = once_journal.Outcome(result.status, result.content_type, result.body)
             self._keeper.finish(key, result.ran, outcome)
 
         self._dispatcher.submit(request, caller, _on_end)
@@ -128,9 +119,7 @@
             code, ran = _REFUSAL_CODES[state], codes.Ran.UNKNOWN
         if code is codes.ResultCode.ONCE_KEY_REUSED:
             ran = codes.Ran.NO
-        cause = fault.Fault(
-            code, codes.CODE_INFO[code].meaning, path=api.ONCE_KEY_HEADER
-        )
+        cause = fault.Fault(code, codes.CODE_INFO[code].meaning, path=api.ONCE_KEY_HEADER)
         self._decisions.record_refusal(
             request.request_id, request.workspace, cause, request.arrived_s
         )
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -48,9 +48,7 @@
     :param policies: admission, placement, pace and retry policies.
     """
 
-    def __init__(
-        self, config: settings.EntrySettings, policies: policy_set.PolicySet
-    ) -> None:
+    def __init__(self, config: settings.EntrySettings, policies: policy_set.PolicySet) -> None:
         self._config = config
         self._is_stopping = False
         self._started_s = clocks.get_s()
@@ -60,9 +58,7 @@
         self._table = view.TableView()
         outgoing = links.Links(self._loop, channel="links").register(self._loop)
         calls = upstream_calls.UpstreamCalls(self._loop, outgoing, config.upstreams)
-        self._decisions = decision_history.DecisionHistory(
-            config, self._metrics, clocks.get_s
-        )
+        self._decisions = decision_history.DecisionHistory(config, self._metrics, clocks.get_s)
         self._contents = held_contents.HeldContents(
             config.name,
             calls,
@@ -70,9 +66,7 @@
             probe_path=load_reports.REPORT_PATH,
             send_records=lambda records: self._keeper.send_contents(records),
             on_held=lambda key: self._dispatcher.reject_held(key),
-            folder=(
-                pathlib.Path(config.data_dir) if config.data_dir is not None else None
-            ),
+            folder=(pathlib.Path(config.data_dir) if config.data_dir is not None else None),
         )
         self._dispatcher = dispatcher.Dispatcher(
             self._loop,
@@ -104,16 +98,12 @@
             (config.control_host, config.control_port),
             name=config.name,
             shared_key=config.shared_key,
-            service=control.ControlService(
-                self._decisions, self._neighbours, self.get_status
-            ),
+            service=control.ControlService(self._decisions, self._neighbours, self.get_status),
         ).register(self._loop)
         self._keeper = keeper_link.KeeperLink(
             self._loop, outgoing, config, self._table, self, self._control.address
         )
-        self._once = once_requests.OnceRequests(
-            self._dispatcher, self._decisions, self._keeper
-        )
+        self._once = once_requests.OnceRequests(self._dispatcher, self._decisions, self._keeper)
         self._dispatcher.update_upstreams()
         self._front = caller_front.CallerFront(
             self._loop,
@@ -162,24 +152,18 @@
                 "name": replica.name,
                 "hall": replica.row.hall,
                 "service": replica.row.service,
-                "state": (
-                    "evacuated" if replica.is_evacuated else str(replica.row.state)
-                ),
+                "state": ("evacuated" if replica.is_evacuated else str(replica.row.state)),
                 "ejected": replica.health.is_ejected(now_s),
                 "running_here": len(replica.running),
                 "running": replica.report.running if replica.report else None,
                 "waiting": replica.report.waiting if replica.report else None,
-                "kv_used_tokens": (
-                    replica.report.kv_used_tokens if replica.report else None
-                ),
+                "kv_used_tokens": (replica.report.kv_used_tokens if replica.report else None),
                 "kv_capacity_tokens": (
                     replica.report.kv_capacity_tokens if replica.report else None
                 ),
                 "preemptions": replica.report.preemptions if replica.report else None,
                 "planning_limit": round(replica.operating_point.limit, 3),
-                "reports_fetched_here": self._reports.fetched_counts.get(
-                    replica.name, 0
-                ),
+                "reports_fetched_here": self._reports.fetched_counts.get(replica.name, 0),
                 "has_fresh_report": replica.has_fresh_report(now_s),
             }
             for replica in self._dispatcher.upstreams
@@ -248,13 +232,9 @@
             return fault.Fault(codes.ResultCode.NO_TABLE, "this entry has no table yet")
         return None
 
-    def _answer_probe(
-        self, caller: caller_front.Caller, path: str, request_id: str
-    ) -> None:
+    def _answer_probe(self, caller: caller_front.Caller, path: str, request_id: str) -> None:
         if caller.request.method not in ("GET", "HEAD"):
-            cause = fault.Fault(
-                codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET"
-            )
+            cause = fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET")
             answers.send_error(caller, cause, ran=codes.Ran.NO, request_id=request_id)
         elif path == api.LIVE_PATH:
             answers.send_json(caller, 200, {"live": True})
@@ -277,15 +257,12 @@
         now_s: float,
     ) -> None:
         if caller.request.method not in ("GET", "HEAD"):
-            cause = fault.Fault(
-                codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET"
-            )
+            cause = fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, f"{path} takes GET")
             answers.send_error(caller, cause, ran=codes.Ran.NO, request_id=request_id)
             return
         names = self._table.workspaces[workspace].models
         models = [
-            {"id": name, "object": "model", "created": 0, "owned_by": "spoolhead"}
-            for name in names
+            {"id": name, "object": "model", "created": 0, "owned_by": "spoolhead"} for name in names
         ]
         wanted = path.removeprefix(api.MODELS_PATH).removeprefix("/")
         if not wanted:
@@ -293,9 +270,7 @@
         elif wanted in names:
             answers.send_json(caller, 200, models[names.index(wanted)])
         else:
-            cause = fault.Fault(
-                codes.ResultCode.UNKNOWN_MODEL, f"no model is named {wanted}"
-            )
+            cause = fault.Fault(codes.ResultCode.UNKNOWN_MODEL, f"no model is named {wanted}")
             self._refuse_by_table(caller, request_id, workspace, cause, now_s)
 
     def _refuse_by_table(
@@ -337,18 +312,14 @@
             retry_after_ms=retry_after_ms,
         )
 
-    def _refuse_malformed(
-        self, caller: caller_front.Caller, cause: fault.Fault
-    ) -> None:
+    def _refuse_malformed(self, caller: caller_front.Caller, cause: fault.Fault) -> None:
         request_id = f"{self._config.name}-{secrets.token_hex(8)}"
         self._refuse(caller, request_id, "", cause, clocks.get_s())
 
     def _begin_stop(self) -> None:
         self._is_stopping = True
         self._idle_since_s = clocks.get_s()
-        logger.info(
-            "stopping with %d requests in flight", self._dispatcher.request_count
-        )
+        logger.info("stopping with %d requests in flight", self._dispatcher.request_count)
         self._loop.scheduler.call_every(STOP_CHECK_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
--- a/src/spoolhead/_internal/entry/stream_token.py
+++ b/src/spoolhead/_internal/entry/stream_token.py
@@ -25,9 +25,7 @@
 
     __slots__ = ("generation", "service", "upstream", "workspace")
 
-    def __init__(
-        self, *, workspace: str, service: str, upstream: str, generation: str
-    ) -> None:
+    def __init__(self, *, workspace: str, service: str, upstream: str, generation: str) -> None:
         self.workspace = workspace
         self.service = service
         self.upstream = upstream
@@ -45,9 +43,7 @@
 def parse_token(shared_key: str, text: str) -> StreamToken | None:
     """Return a token's content, or None if it was not signed with this fleet's key."""
     try:
-        data = base64.b64decode(
-            text + "=" * (-len(text) % 4), altchars=b"-_", validate=True
-        )
+        data = base64.b64decode(text + "=" * (-len(text) % 4), altchars=b"-_", validate=True)
     except (binascii.Error, ValueError):
         return None
     signature, payload = data[:_SIGNATURE_BYTES], data[_SIGNATURE_BYTES:]
--- a/src/spoolhead/_internal/entry/upstream_pools.py
+++ b/src/spoolhead/_internal/entry/upstream_pools.py
@@ -53,11 +53,7 @@
         for name, row in table_rows.items():
             known = self._replicas.get(name)
             is_evacuated = row.hall in halls and halls[row.hall].evacuated
-            if (
-                known is not None
-                and known.row is row
-                and known.is_evacuated is is_evacuated
-            ):
+            if known is not None and known.row is row and known.is_evacuated is is_evacuated:
                 continue
             if known is not None and known.row.address != row.address:
                 self._remove(name)
--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -120,10 +120,7 @@
 
     def is_failure_due(self, incarnation_id: str, now_s: float) -> bool:
         """Return whether an alarm about a lost request is due, and record its time if so."""
-        if (
-            now_s - self._reported_failure_s.get(incarnation_id, 0.0)
-            < FAILURE_REPORT_INTERVAL_S
-        ):
+        if now_s - self._reported_failure_s.get(incarnation_id, 0.0) < FAILURE_REPORT_INTERVAL_S:
             return False
         if len(self._reported_failure_s) > MAX_REPORTED_FAILURES:
             self._reported_failure_s.clear()
@@ -211,9 +208,7 @@
                 logger.info("upstream asked for rest", extra={"fields": rest_fields})
             case shared_load.AlarmKind.REPLACED:
                 if upstream.record_replaced(now_s):
-                    logger.info(
-                        "peer reported upstream replaced", extra={"fields": fields}
-                    )
+                    logger.info("peer reported upstream replaced", extra={"fields": fields})
             case _:
                 if upstream.raise_alarm(now_s, alarm.kind):
                     alarm_fields = {**fields, "kind": alarm.kind.name.lower()}
--- a/src/spoolhead/_internal/gateway/answer_lengths.py
+++ b/src/spoolhead/_internal/gateway/answer_lengths.py
@@ -22,9 +22,7 @@
     :param get_other_load: returns the load that other entries publish under a key.
     """
 
-    def __init__(
-        self, get_other_load: Callable[[int], shared_load.InstanceLoad | None]
-    ) -> None:
+    def __init__(self, get_other_load: Callable[[int], shared_load.InstanceLoad | None]) -> None:
         self._get_other_load = get_other_load
         self._ended: dict[str, length_estimate.RouteLengths] = collections.defaultdict(
             length_estimate.RouteLengths
@@ -70,6 +68,4 @@
         running_tokens = sum(
             run.generated_tokens for run, name in self._running.items() if name == route
         )
-        return length_estimate.RouteLengths(
-            ended.generated_tokens + running_tokens, ended.answers
-        )
+        return length_estimate.RouteLengths(ended.generated_tokens + running_tokens, ended.answers)
--- a/src/spoolhead/_internal/gateway/attempts.py
+++ b/src/spoolhead/_internal/gateway/attempts.py
@@ -12,9 +12,7 @@
 class AttemptOwner(Protocol):
     """The exchange that owns an attempt and handles its events."""
 
-    def handle_head(
-        self, attempt: "Attempt", status: int, headers: upstream_calls.Headers
-    ) -> None:
+    def handle_head(self, attempt: "Attempt", status: int, headers: upstream_calls.Headers) -> None:
         """Handle the head of the answer."""
 
     def handle_body(self, attempt: "Attempt", data: bytes) -> None:
@@ -66,11 +64,7 @@
     )
 
     def __init__(
-        self,
-        owner: AttemptOwner,
-        upstream: upstream_registry.Upstream,
-        *,
-        is_resumed: bool = False
+        self, owner: AttemptOwner, upstream: upstream_registry.Upstream, *, is_resumed: bool = False
     ) -> None:
         self._owner = owner
         self.upstream = upstream
@@ -80,9 +74,7 @@
         self.is_established = False
         self.call: upstream_calls.UpstreamCall | None = None
         self.head: dialects.AnswerHead | None = None
-        self.body = answer_buffers.AnswerBuffer(
-            self._pause_reading, self._resume_reading
-        )
+        self.body = answer_buffers.AnswerBuffer(self._pause_reading, self._resume_reading)
         self.outcome: answer_end.Outcome | None = None
         self.has_ended = False
         self.stop_orders: list[copy_order.CopyOrder] = []
--- a/src/spoolhead/_internal/gateway/conclusion_check.py
+++ b/src/spoolhead/_internal/gateway/conclusion_check.py
@@ -69,9 +69,7 @@
         self._pending: list[_Pending] = []
         self._checked_s: dict[tuple[str, str], float] = {}
 
-    def confirm(
-        self, incarnation_id: str, kind: str, action: Callable[[], None]
-    ) -> None:
+    def confirm(self, incarnation_id: str, kind: str, action: Callable[[], None]) -> None:
         """Perform an action once it is confirmed that an instance's failure is its own.
 
         If the instance is the only one, there is nothing to compare it with, and the action is
@@ -80,10 +78,7 @@
         :param kind: what was concluded, for the log.
         """
         now_s = self._clock()
-        if (
-            now_s - self._checked_s.get((incarnation_id, kind), -MIN_INTERVAL_S)
-            < MIN_INTERVAL_S
-        ):
+        if now_s - self._checked_s.get((incarnation_id, kind), -MIN_INTERVAL_S) < MIN_INTERVAL_S:
             return
         others = self._get_others(incarnation_id)
         if not others:
@@ -93,16 +88,12 @@
         item = _Pending(incarnation_id, kind, now_s, action)
         self._pending.append(item)
         self._timers.call_later(CONFIRM_TIMEOUT_S, lambda: self._drop(item))
-        available = [
-            upstream for upstream in others if not upstream.rest.is_resting(now_s)
-        ]
+        available = [upstream for upstream in others if not upstream.rest.is_resting(now_s)]
         count = min(PROBES_AT_ONCE, len(available))
         for upstream in self._rng.sample(available, count):
             self._probe(upstream)
 
-    def record_answered(
-        self, upstream: upstream_registry.Upstream, opened_s: float
-    ) -> None:
+    def record_answered(self, upstream: upstream_registry.Upstream, opened_s: float) -> None:
         """Record that an instance answered a call on a new connection."""
         if not self._pending:
             return
@@ -121,16 +112,13 @@
             return
         self._pending.remove(item)
         fields = {"upstream": item.incarnation_id, "kind": item.kind}
-        logger.warning(
-            "conclusion about upstream is not reported", extra={"fields": fields}
-        )
+        logger.warning("conclusion about upstream is not reported", extra={"fields": fields})
 
     def _get_others(self, incarnation_id: str) -> Sequence[upstream_registry.Upstream]:
         return [
             upstream
             for upstream in self._registry.get_all()
-            if upstream.instance.incarnation_id != incarnation_id
-            and not upstream.is_leaving
+            if upstream.instance.incarnation_id != incarnation_id and not upstream.is_leaving
         ]
 
     def _record_check(self, incarnation_id: str, kind: str, now_s: float) -> None:
--- a/src/spoolhead/_internal/gateway/copy_order.py
+++ b/src/spoolhead/_internal/gateway/copy_order.py
@@ -10,9 +10,7 @@
 class OrderOwner(Protocol):
     """The copy that an order belongs to."""
 
-    def on_order_answered(
-        self, order: "CopyOrder", answer: dialects.CopyAnswer
-    ) -> None:
+    def on_order_answered(self, order: "CopyOrder", answer: dialects.CopyAnswer) -> None:
         """Called with the complete answer to an order."""
 
     def on_order_lost(self, order: "CopyOrder", reason: str) -> None:
--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -55,12 +55,8 @@
             "Repeats rejected for want of allowance, by reason.",
             "reason",
         )
-        self.moves = metrics.make_counter(
-            "spoolhead_moves", "Runs that went on elsewhere."
-        )
-        self.alarms = metrics.make_counter(
-            "spoolhead_alarms", "Instances said not to be well."
-        )
+        self.moves = metrics.make_counter("spoolhead_moves", "Runs that went on elsewhere.")
+        self.alarms = metrics.make_counter("spoolhead_alarms", "Instances said not to be well.")
         self.keepers_lost = metrics.make_counter(
             "spoolhead_keepers_lost", "Streams to keepers that ended."
         )
@@ -157,9 +153,7 @@
             "spoolhead_longest_pause_ms", "Longest pause between events of a stream."
         )
 
-    def record_end(
-        self, kind: route_table.RequestKind, outcome: str, age_ms: float
-    ) -> None:
+    def record_end(self, kind: route_table.RequestKind, outcome: str, age_ms: float) -> None:
         """Record a finished request.
 
         :param outcome: ``answered``, ``refused``, ``failed`` or ``left``.
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -91,9 +91,7 @@
 
     def get_log_fields(self) -> dict[str, object]:
         """Return the log fields that are common to all log lines of the request."""
-        fields = (
-            {"forwarded_by": self.job.forwarded_by} if self.job.forwarded_by else {}
-        )
+        fields = {"forwarded_by": self.job.forwarded_by} if self.job.forwarded_by else {}
         return {
             **fields,
             "request": self.job.head.request_id,
@@ -117,9 +115,7 @@
             case quarantine.Verdict.REFUSE:
                 self.reject_held()
             case quarantine.Verdict.CLAIM:
-                logger.info(
-                    "trial of a held request", extra={"fields": self.get_log_fields()}
-                )
+                logger.info("trial of a held request", extra={"fields": self.get_log_fields()})
                 self._is_trial = True
                 self._context.contents.claim_trial(keys)
                 self._context.timers.call_later(
@@ -176,9 +172,7 @@
             context=choice_context,
             generation=generation,
         )
-        if self._prefers_least_loaded or self._context.contents.is_suspect(
-            self.job.keys
-        ):
+        if self._prefers_least_loaded or self._context.contents.is_suspect(self.job.keys):
             # A suspect request may crash its instance; few other requests should run there.
             choice = choice.prefer_least_loaded()
         return choice.prefer(
@@ -218,19 +212,13 @@
 
     def _get_permit_wait_ms(self, choice: upstream_choice.Choice) -> int:
         """Return how long the request may wait for a permit; 0 if unlimited instances remain."""
-        if not all(
-            self._context.gate.is_limited(item.upstream) for item in choice.candidates
-        ):
+        if not all(self._context.gate.is_limited(item.upstream) for item in choice.candidates):
             return 0
-        max_wait_ms = min(
-            self._wait_ms * PERMIT_WAIT_FRACTION, self.job.route.objective_ms
-        )
+        max_wait_ms = min(self._wait_ms * PERMIT_WAIT_FRACTION, self.job.route.objective_ms)
         wait_until_s = self._arrived_s + max_wait_ms / 1000
         return max(0, int((wait_until_s - clocks.get_s()) * 1000))
 
-    def _handle_permit(
-        self, upstream: upstream_registry.Upstream, is_granted: bool
-    ) -> None:
+    def _handle_permit(self, upstream: upstream_registry.Upstream, is_granted: bool) -> None:
         self._is_awaiting_permit = False
         fields = {**self.get_log_fields(), "upstream": upstream.instance.incarnation_id}
         fields["is_granted"] = is_granted
@@ -243,11 +231,7 @@
 
     def log_choice(self, action: str, choice: upstream_choice.Choice) -> None:
         """Log the chosen instance and the best candidates."""
-        chosen = (
-            choice.upstream.instance.incarnation_id
-            if choice.upstream is not None
-            else ""
-        )
+        chosen = choice.upstream.instance.incarnation_id if choice.upstream is not None else ""
         fields = {
             **self.get_log_fields(),
             **self.get_part_fields(),
@@ -263,16 +247,12 @@
         if placement is not None:
             fields["placement"] = placement.get_log_fields()
         if choice.blocked:
-            fields["barred"] = {
-                reason.value: count for reason, count in choice.blocked.items()
-            }
+            fields["barred"] = {reason.value: count for reason, count in choice.blocked.items()}
         logger.info(action, extra={"fields": fields})
 
     def try_acquire_repeat(self, reason: retry_allowance.RepeatReason) -> bool:
         """Acquire one more arrival of the request at its service; return whether one was left."""
-        return self._context.allowances.try_acquire(
-            self.job, reason, self.get_log_fields()
-        )
+        return self._context.allowances.try_acquire(self.job, reason, self.get_log_fields())
 
     def send_attempt(
         self,
@@ -285,9 +265,7 @@
             reason = retry_allowance.RepeatReason.RETRY
             if parameters.resume is not None:
                 reason = retry_allowance.RepeatReason.MOVE
-            self._context.allowances.record_sent(
-                self.job, reason, self.get_log_fields()
-            )
+            self._context.allowances.record_sent(self.job, reason, self.get_log_fields())
         wire = self.caller.request
         headers = self._context.dialect.write_request(self.job.head, parameters)
         head = upstream_calls.make_head(
@@ -447,9 +425,7 @@
 
     def record_ending(self, attempt: attempts.Attempt) -> None:
         """Count the framing of an attempt's answer and how it ended."""
-        self._context.metrics.answer_ends.labels(
-            attempt.framing_text, attempt.ending_text
-        ).inc()
+        self._context.metrics.answer_ends.labels(attempt.framing_text, attempt.ending_text).inc()
         if attempt.outcome is not None:
             self._context.metrics.answer_outcomes.labels(attempt.outcome.value).inc()
 
@@ -468,15 +444,11 @@
             lambda evidence: self._handle_evidence(attempt, evidence),
         )
 
-    def _handle_evidence(
-        self, attempt: attempts.Attempt, evidence: answer_end.Evidence
-    ) -> None:
+    def _handle_evidence(self, attempt: attempts.Attempt, evidence: answer_end.Evidence) -> None:
         """Handle evidence about an answer whose end alone shows nothing."""
         if self.is_over or attempt is not self._attempt:
             return
-        if attempt.upstream.has_restarted or attempt.upstream.is_replaced(
-            clocks.get_s()
-        ):
+        if attempt.upstream.has_restarted or attempt.upstream.is_replaced(clocks.get_s()):
             # Whatever accepts connections is not the process of the answer.
             evidence = answer_end.Evidence.TERMINATED
         is_terminated = evidence is answer_end.Evidence.TERMINATED
@@ -496,9 +468,7 @@
         logger.info("end of answer decided", extra={"fields": fields})
         self._apply_outcome(attempt, outcome)
 
-    def _apply_outcome(
-        self, attempt: attempts.Attempt, outcome: answer_end.Outcome
-    ) -> None:
+    def _apply_outcome(self, attempt: attempts.Attempt, outcome: answer_end.Outcome) -> None:
         assert attempt.head is not None
         attempt.outcome = outcome
         self._context.metrics.answer_outcomes.labels(outcome.value).inc()
@@ -521,9 +491,7 @@
         """Return what the body of an attempt's answer shows of its end."""
         raise NotImplementedError
 
-    def handle_complete(
-        self, attempt: attempts.Attempt, head: dialects.AnswerHead
-    ) -> None:
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Handle a complete answer."""
         raise NotImplementedError
 
@@ -540,18 +508,14 @@
         assert attempt.call is not None
         is_unreachable = not attempt.call.may_have_arrived
         if reason == links.CONNECT_TIMEOUT:
-            self._context.reach.record_timeout(
-                attempt.upstream.instance.hall, clocks.get_s()
-            )
+            self._context.reach.record_timeout(attempt.upstream.instance.hall, clocks.get_s())
         if not is_unreachable and attempt.head is None:
             self._context.on_lost_request(attempt.upstream.instance.incarnation_id)
         if not is_unreachable:
             self._record_lost_run(attempt)
         elif reason == links.REFUSED:
             self._context.query_termination_if_abandoned(attempt.upstream)
-        if attempt.upstream.record_failure(
-            clocks.get_s(), is_unreachable=is_unreachable
-        ):
+        if attempt.upstream.record_failure(clocks.get_s(), is_unreachable=is_unreachable):
             fields = {
                 "upstream": attempt.upstream.instance.incarnation_id,
                 "reason": reason,
@@ -570,10 +534,7 @@
         """Record that the request was abandoned at an instance, which it may still crash."""
         assert attempt.call is not None
         upstream = attempt.upstream
-        if (
-            upstream.is_expected_to_terminate(clocks.get_s())
-            or not attempt.call.may_have_arrived
-        ):
+        if upstream.is_expected_to_terminate(clocks.get_s()) or not attempt.call.may_have_arrived:
             return
         self._context.contents.record_abandoned(self._make_sent_run(attempt))
 
@@ -629,9 +590,7 @@
         self.fail(codes.ResultCode.NO_UPSTREAM, text, retry_after_ms=retry_after_ms)
 
     def _on_deadline(self) -> None:
-        self.fail(
-            codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over"
-        )
+        self.fail(codes.ResultCode.DEADLINE_DURING_RUN, "the time for the request is over")
 
     def _run_claimed_trial(self) -> None:
         """Run the trial of a held content, unless another entry has claimed it."""
--- a/src/spoolhead/_internal/gateway/exchange_context.py
+++ b/src/spoolhead/_internal/gateway/exchange_context.py
@@ -99,9 +99,7 @@
         rng: random.Random,
         on_change: Callable[[], None],
         on_lost_request: Callable[[str], None],
-        on_answer: Callable[
-            [upstream_registry.Upstream, dialects.AnswerHead, float], None
-        ],
+        on_answer: Callable[[upstream_registry.Upstream, dialects.AnswerHead, float], None],
         on_replaced: Callable[[upstream_registry.Upstream], None],
         contents: content_watch.ContentWatch,
         limits: upstream_limits.UpstreamLimits,
@@ -139,20 +137,14 @@
         self.limits = limits
         self.paces = paces
         self.permits = permits
-        self.gate = upstream_gate.Gate(
-            self.cold_starts, limits.registry, permits.backoff
-        )
-        self.allowances = allowances or shared_allowances.SharedAllowances(
-            config, metrics
-        )
+        self.gate = upstream_gate.Gate(self.cold_starts, limits.registry, permits.backoff)
+        self.allowances = allowances or shared_allowances.SharedAllowances(config, metrics)
 
     def get_cut_off_halls(self, now_s: float) -> frozenset[str]:
         """Return the halls that are currently cut off."""
         return self.reach.get_cut_off_halls(self.get_silent_halls(), now_s)
 
-    def query_termination_if_abandoned(
-        self, upstream: upstream_registry.Upstream
-    ) -> None:
+    def query_termination_if_abandoned(self, upstream: upstream_registry.Upstream) -> None:
         """Query whether an unhealthy instance has terminated, if requests were abandoned there.
 
         One of these requests may have crashed the instance, and no connection is left to show it.
--- a/src/spoolhead/_internal/gateway/followed_keeper.py
+++ b/src/spoolhead/_internal/gateway/followed_keeper.py
@@ -40,17 +40,13 @@
 class Follower(Protocol):
     """The owner of a followed keeper, which handles its events."""
 
-    def make_client(
-        self, address: str, keeper: "FollowedKeeper"
-    ) -> peer_client.PeerClient:
+    def make_client(self, address: str, keeper: "FollowedKeeper") -> peer_client.PeerClient:
         """Return a client for a new stream to a keeper."""
 
     def on_keeper_ready(self, keeper: "FollowedKeeper") -> None:
         """Called when the stream is established."""
 
-    def on_keeper_message(
-        self, keeper: "FollowedKeeper", message: messages.Message
-    ) -> None:
+    def on_keeper_message(self, keeper: "FollowedKeeper", message: messages.Message) -> None:
         """Called with a message of the keeper."""
 
     def on_keeper_lost(self, keeper: "FollowedKeeper") -> None:
@@ -102,9 +98,7 @@
         self.fleet = None
         self._follower.on_keeper_lost(self)
 
-    def handle_version(
-        self, message: route_messages.RouteTableVersion, taken_version: int
-    ) -> None:
+    def handle_version(self, message: route_messages.RouteTableVersion, taken_version: int) -> None:
         """Handle the table version that the keeper reports.
 
         :param taken_version: version of the table that the entry has in force; only logged.
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -69,9 +69,7 @@
         self._accept_timer: scheduler.Timer | None = None
         self._head: dialects.AnswerHead | None = None
         self._result: forward_messages.PeerResult | None = None
-        self._body = answer_buffers.AnswerBuffer(
-            self._pause_reading, self._resume_reading
-        )
+        self._body = answer_buffers.AnswerBuffer(self._pause_reading, self._resume_reading)
 
     @property
     def has_sent(self) -> bool:
@@ -135,9 +133,7 @@
             return
         self._head = self._context.dialect.read_answer(status, headers)
         self._head.headers = [
-            item
-            for item in self._head.headers
-            if item[0] != forward_messages.RESULT_HEADER
+            item for item in self._head.headers if item[0] != forward_messages.RESULT_HEADER
         ]
         if self._head.request_id not in ("", self.job.head.request_id):
             self._fail_lost("the answer belongs to another request")
@@ -164,14 +160,8 @@
         result = self._result
         if result is not None and self._is_unable(result):
             self._ask_next(result.code.name.lower(), is_unable=True)
-        elif (
-            result is not None
-            and result.ran is codes.Ran.NO
-            and self._ran is not codes.Ran.NO
-        ):
-            self._fail_lost(
-                f"an earlier attempt was lost; then {result.code.name.lower()}"
-            )
+        elif result is not None and result.ran is codes.Ran.NO and self._ran is not codes.Ran.NO:
+            self._fail_lost(f"an earlier attempt was lost; then {result.code.name.lower()}")
         elif self._is_stream():
             self._finish_stream(self._head)
         else:
@@ -316,9 +306,7 @@
             # The caller was dropped.
             return
         assert self._peer is not None
-        self._forwarding.peers.record_served(
-            self.job.service.name, self._peer.name, clocks.get_s()
-        )
+        self._forwarding.peers.record_served(self.job.service.name, self._peer.name, clocks.get_s())
         fields = {
             **self.get_log_fields(),
             "peer": self._peer.name,
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -141,9 +141,7 @@
         self._silent_probes: dict[str, int] = {}
         loop.scheduler.call_every(config.health_interval_ms / 1000, self._probe_all)
 
-    def handle_probe_end(
-        self, probe: _Probe, outcome: str, *, is_silent: bool = False
-    ) -> None:
+    def handle_probe_end(self, probe: _Probe, outcome: str, *, is_silent: bool = False) -> None:
         """Handle the answer to a probe, or its failure.
 
         :param outcome: description of the result for the log.
@@ -189,9 +187,7 @@
         logger.info("upstream says that it is not well", extra={"fields": fields})
         self._on_alarm(upstream, kind)
 
-    def _handle_replaced(
-        self, upstream: upstream_registry.Upstream, instance_id: str
-    ) -> None:
+    def _handle_replaced(self, upstream: upstream_registry.Upstream, instance_id: str) -> None:
         """Record that another instance answers at this one's address."""
         if not upstream.record_replaced(clocks.get_s()):
             return
@@ -243,10 +239,7 @@
         if not self._is_limited(upstream):
             self._probed_s.pop(incarnation_id, None)
             return True
-        if (
-            now_s - self._probed_s.get(incarnation_id, -math.inf)
-            < LIMITED_PROBE_INTERVAL_S
-        ):
+        if now_s - self._probed_s.get(incarnation_id, -math.inf) < LIMITED_PROBE_INTERVAL_S:
             return False
         self._probed_s[incarnation_id] = now_s
         return True
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -144,9 +144,7 @@
             for keeper in known.keepers
         ]
         for number, entry in enumerate(self._get_entry_hubs(self._hall)):
-            candidates.append(
-                hub_choice.Candidate(entry.endpoint, _FIRST_ENTRY_HUB + number)
-            )
+            candidates.append(hub_choice.Candidate(entry.endpoint, _FIRST_ENTRY_HUB + number))
         self._hub_choice.set_candidates(candidates)
         self._check_hub()
 
@@ -223,9 +221,7 @@
         else:
             self._hub_port.handle_datagram(message, sender)
 
-    def _handle_update(
-        self, update: shared_load.Update, sender: endpoints.Endpoint
-    ) -> None:
+    def _handle_update(self, update: shared_load.Update, sender: endpoints.Endpoint) -> None:
         now_s = self._clock()
         self._alarms.handle_alarms(update.alarms, now_s)
         self._contents.handle_update(update.hub, update.contents)
@@ -248,9 +244,7 @@
         now_s = self._clock()
         if self._hub_choice.choose(now_s) and self._hub_choice.probing is not None:
             self._send(self._make_report(is_reporter=True), self._hub_choice.probing)
-        interval_s = (
-            REPORT_INTERVAL_S if self._load_view.has_snapshot else HUB_CHECK_INTERVAL_S
-        )
+        interval_s = REPORT_INTERVAL_S if self._load_view.has_snapshot else HUB_CHECK_INTERVAL_S
         if now_s - self._reported_s >= interval_s:
             self._report()
         if now_s - self._beacon_sent_s >= BEACON_INTERVAL_S:
@@ -319,16 +313,12 @@
         return shared_load.encode_report(report)
 
     def _get_known_hubs(self) -> Iterable[endpoints.Endpoint]:
-        return [
-            keeper.endpoint for keeper in self._fleet.keepers
-        ] or self._get_other_hall_hubs()
+        return [keeper.endpoint for keeper in self._fleet.keepers] or self._get_other_hall_hubs()
 
     def _get_other_hall_hubs(self) -> list[endpoints.Endpoint]:
         """Return the entries of other halls that can serve as hubs there."""
         halls = sorted({entry.hall for entry in self._fleet.entries} - {self._hall})
-        return [
-            entry.endpoint for hall in halls for entry in self._get_entry_hubs(hall)
-        ]
+        return [entry.endpoint for hall in halls for entry in self._get_entry_hubs(hall)]
 
     def _get_entry_hubs(self, hall: str) -> list[fleet.Process]:
         return self._get_hall_entries(hall)[:ENTRY_HUBS]
--- a/src/spoolhead/_internal/gateway/memory_copy.py
+++ b/src/spoolhead/_internal/gateway/memory_copy.py
@@ -33,9 +33,7 @@
         :param has_handle: whether the answer names a copy.
         """
 
-    def on_stop_lost(
-        self, copy: "MemoryCopy", order: copy_order.CopyOrder, reason: str
-    ) -> None:
+    def on_stop_lost(self, copy: "MemoryCopy", order: copy_order.CopyOrder, reason: str) -> None:
         """Called when an order to stop the run got no answer.
 
         :param reason: how its connection ended.
@@ -128,9 +126,7 @@
         if not self.is_pending:
             self._release()
 
-    def on_order_answered(
-        self, order: copy_order.CopyOrder, answer: dialects.CopyAnswer
-    ) -> None:
+    def on_order_answered(self, order: copy_order.CopyOrder, answer: dialects.CopyAnswer) -> None:
         """Evaluate a complete answer and notify the owner."""
         self.status = answer.status
         self.handle = answer.handle or self.handle
@@ -162,9 +158,7 @@
             return
         self._freed_handle = self.handle
         order = self._dialect.write_release(self.handle)
-        _send_order(
-            self._calls, self.source_address, order, upstream_calls.DiscardedAnswer()
-        )
+        _send_order(self._calls, self.source_address, order, upstream_calls.DiscardedAnswer())
 
 
 def _send_order(
@@ -174,7 +168,5 @@
     listener: upstream_calls.CallListener,
 ) -> upstream_calls.UpstreamCall:
     headers = [("content-type", "application/json")] if order.body else []
-    request = upstream_calls.make_request(
-        order.method, order.target, address, headers, order.body
-    )
+    request = upstream_calls.make_request(order.method, order.target, address, headers, order.body)
     return calls.open(address, request, listener, fresh=True)
--- a/src/spoolhead/_internal/gateway/permit_exchange.py
+++ b/src/spoolhead/_internal/gateway/permit_exchange.py
@@ -125,9 +125,7 @@
         }
         self._missed_replies.clear()
         self._silent_until_s = {
-            name: until_s
-            for name, until_s in self._silent_until_s.items()
-            if name in known
+            name: until_s for name, until_s in self._silent_until_s.items() if name in known
         }
 
     def request_permit(
@@ -167,9 +165,7 @@
         self._granter.expire(now_s)
         self.backoff.expire(now_s)
 
-    def _get_granters(
-        self, upstream: upstream_registry.Upstream
-    ) -> list[fleet.Process]:
+    def _get_granters(self, upstream: upstream_registry.Upstream) -> list[fleet.Process]:
         incarnation_id = upstream.instance.incarnation_id
         granters = self._granters.get(incarnation_id)
         if granters is None:
@@ -177,9 +173,7 @@
             self._granters[incarnation_id] = granters
         return granters
 
-    def _find_responsive_turn(
-        self, upstream: upstream_registry.Upstream, from_turn: int
-    ) -> int:
+    def _find_responsive_turn(self, upstream: upstream_registry.Upstream, from_turn: int) -> int:
         """Return the index of the first granter that is not silent, beginning at an index.
 
         :returns: the number of granters if the remaining ones are all silent.
@@ -221,9 +215,7 @@
             turn=pending.turn,
             rank=pending.terms.request_priority.rank,
             is_retry=pending.terms.is_retry,
-            workspace=xxhash.xxh32_intdigest(
-                pending.terms.request_priority.workspace.encode()
-            ),
+            workspace=xxhash.xxh32_intdigest(pending.terms.request_priority.workspace.encode()),
             wait_ms=pending.terms.wait_ms,
             is_final=pending.terms.is_final,
             stated=stated[0] if stated else rate_limit.AgedLimit(key, None, 0),
--- a/src/spoolhead/_internal/gateway/plain_exchange.py
+++ b/src/spoolhead/_internal/gateway/plain_exchange.py
@@ -106,14 +106,10 @@
         """Make another attempt, if the request may be repeated."""
         self._retry(codes.ResultCode.UPSTREAM_LOST, answer_end.UNKNOWN_TEXT)
 
-    def handle_complete(
-        self, attempt: attempts.Attempt, head: dialects.AnswerHead
-    ) -> None:
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Deliver a complete answer, or retry if the answer is not usable."""
         if head.request_id and head.request_id != self.job.head.request_id:
-            self._retry(
-                codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request"
-            )
+            self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer belongs to another request")
         elif head.has_not_run:
             attempt.upstream.record_answer()
             if self.is_replaced(attempt):
@@ -121,9 +117,7 @@
                 self._attempt_count -= 1
             self._retry(codes.ResultCode.UPSTREAM_REFUSED, "not run", has_run=False)
         elif head.status in _SUCCESS and (not head.is_signed or head.is_encoded):
-            self._retry(
-                codes.ResultCode.UPSTREAM_LOST, "the answer is not the upstream's own"
-            )
+            self._retry(codes.ResultCode.UPSTREAM_LOST, "the answer is not the upstream's own")
         elif head.status in _SERVER_ERRORS:
             attempt.upstream.record_answer()
             if self._last_server_error is not None:
@@ -144,16 +138,10 @@
         if self.is_over:
             # This loss caused the content to be held, which ended the exchange.
             return
-        code = (
-            codes.ResultCode.UPSTREAM_LOST
-            if arrived
-            else codes.ResultCode.UPSTREAM_UNREACHABLE
-        )
+        code = codes.ResultCode.UPSTREAM_LOST if arrived else codes.ResultCode.UPSTREAM_UNREACHABLE
         self._retry(code, reason, has_run=arrived)
 
-    def _retry(
-        self, code: codes.ResultCode, text: str, *, has_run: bool = True
-    ) -> None:
+    def _retry(self, code: codes.ResultCode, text: str, *, has_run: bool = True) -> None:
         attempt = self._attempt
         assert attempt is not None and attempt.call is not None
         if has_run:
@@ -179,10 +167,7 @@
 
     def _may_retry(self, arrived: bool) -> bool:
         kind = self.job.route.kind
-        if (
-            kind is not route_table.RequestKind.REPEATABLE
-            and self._ran is not codes.Ran.NO
-        ):
+        if kind is not route_table.RequestKind.REPEATABLE and self._ran is not codes.Ran.NO:
             return False
         if not arrived:
             return True
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -81,9 +81,7 @@
     :ivar loop: event loop of the program.
     """
 
-    def __init__(
-        self, config: settings.GatewaySettings, dialect: dialects.EntryDialect
-    ) -> None:
+    def __init__(self, config: settings.GatewaySettings, dialect: dialects.EntryDialect) -> None:
         self._config = config
         self._dialect = dialect
         self._matcher: matcher.Matcher | None = None
@@ -118,9 +116,7 @@
             request_broadcast=lambda: self._load_sharing.broadcast_limits(),
             on_change=self._on_limit_change,
         )
-        self._metrics.limited_upstreams.set_function(
-            lambda: self._limits.registry.limited_count
-        )
+        self._metrics.limited_upstreams.set_function(lambda: self._limits.registry.limited_count)
         self._paces = upstream_paces.UpstreamPaces(
             self._registry,
             request_broadcast=lambda: self._load_sharing.schedule_report(),
@@ -164,21 +160,15 @@
         calls.observer = self._reach_watch
         readers = slow_readers.SlowReaders(config, self._metrics)
         held = readers.bodies
-        room = room_sharing.make(
-            config, self._registry, self._load_sharing, self._metrics
-        )
+        room = room_sharing.make(config, self._registry, self._load_sharing, self._metrics)
         if room is not None:
             self.loop.scheduler.call_every(FLOW_INTERVAL_S, room.forecast.record_flows)
-        self._allowances = shared_allowances.make(
-            config, self._load_sharing, self._metrics
-        )
+        self._allowances = shared_allowances.make(config, self._load_sharing, self._metrics)
         self._termination_watch = termination_watch.TerminationWatch(
             calls,
             self.loop.scheduler,
             self._contents,
-            read_instance_id=lambda status, head: dialect.read_answer(
-                status, head
-            ).instance_id,
+            read_instance_id=lambda status, head: dialect.read_answer(status, head).instance_id,
             on_terminated=lambda incarnation_id: self._load_sharing.broadcast_alarm(
                 incarnation_id, shared_load.AlarmKind.ENDED
             ),
@@ -194,9 +184,7 @@
             on_change=self._on_own_change,
             on_lost_request=self._report_lost_request,
             on_answer=self._handle_answer,
-            on_replaced=lambda upstream: self._upstream_events.handle_replaced(
-                upstream
-            ),
+            on_replaced=lambda upstream: self._upstream_events.handle_replaced(upstream),
             contents=self._contents,
             limits=self._limits,
             paces=self._paces,
@@ -233,9 +221,7 @@
             self.loop,
             config,
             on_request=self._handle_request,
-            on_bad_request=lambda caller, item: self._intake.refuse_unread(
-                caller, item
-            ),
+            on_bad_request=lambda caller, item: self._intake.refuse_unread(caller, item),
             unread=readers.unread,
             on_drop=readers.record_drop,
             bodies=bodies,
@@ -253,9 +239,7 @@
             answer=self._answer_probe,
         ).register(self.loop)
         metrics.serve(self.loop, config)
-        self._table_feed = table_feed.TableFeed(
-            self.loop, outgoing, calls, config, dialect, self
-        )
+        self._table_feed = table_feed.TableFeed(self.loop, outgoing, calls, config, dialect, self)
         self._table_feed.count_list_faults(self._metrics.list_faults.inc)
         self._intake = request_intake.RequestIntake(
             self._context,
@@ -339,9 +323,7 @@
         """Apply changed settings; only the keepers' addresses can change."""
         self._table_feed.set_keeper_addresses(config.keepers)
 
-    def _handle_datagram(
-        self, message: shared_load.Message, sender: endpoints.Endpoint
-    ) -> None:
+    def _handle_datagram(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
         if isinstance(message, permits.PermitRequest | permits.PermitReply):
             self._permits.handle_datagram(message, sender)
         else:
@@ -400,17 +382,13 @@
         self._load_sharing.schedule_report()
         self._context.queue.schedule_check()
 
-    def _answer_probe(
-        self, request: request_reader.WireRequest
-    ) -> small_server.SmallAnswer:
+    def _answer_probe(self, request: request_reader.WireRequest) -> small_server.SmallAnswer:
         del request
         status = HTTPStatus.OK if self._can_serve() else HTTPStatus.SERVICE_UNAVAILABLE
         return small_server.SmallAnswer(status)
 
     def _can_serve(self) -> bool:
-        return (
-            self._is_ready and not self._is_stopping and not self._unreachable_service
-        )
+        return self._is_ready and not self._is_stopping and not self._unreachable_service
 
     def _check_ready(self) -> None:
         if self._is_ready:
@@ -489,22 +467,14 @@
             caller.send_answer(200 if self._can_serve() else 503, [], b"")
             return
         age_s = clocks.get_s() - self._started_s
-        if (
-            not self._is_ready
-            and age_s < EARLY_REQUEST_WAIT_S
-            and not self._is_stopping
-        ):
+        if not self._is_ready and age_s < EARLY_REQUEST_WAIT_S and not self._is_stopping:
             self._early_callers.append(caller)
             return
         self._intake.serve_caller(caller)
 
     def _query_termination(self, upstream: upstream_registry.Upstream) -> None:
         """Query whether an instance that lost a request has terminated."""
-        service = (
-            self._matcher.get_service(upstream.instance.service)
-            if self._matcher
-            else None
-        )
+        service = self._matcher.get_service(upstream.instance.service) if self._matcher else None
         query = termination_watch.TerminationQuery(
             upstream.instance.incarnation_id,
             instance_id=upstream.instance.instance_id,
@@ -525,17 +495,13 @@
         fields = {"in_flight": len(self._exchanges)}
         logger.info("entry stops", extra={"fields": fields})
         self._front.close_after_answers()
-        self.loop.scheduler.call_later(
-            STOP_LISTEN_DURATION_S, self._front.close_when_idle
-        )
+        self.loop.scheduler.call_later(STOP_LISTEN_DURATION_S, self._front.close_when_idle)
         self.loop.scheduler.call_every(STOP_CHECK_INTERVAL_S, self._finish_stop)
 
     def _finish_stop(self) -> None:
         age_s = clocks.get_s() - self._stop_started_s
         is_due = age_s > self._config.stop_ms / 1000 - STOP_MARGIN_S
-        connection_count = (
-            self._front.connection_count + self._forward_server.connection_count
-        )
+        connection_count = self._front.connection_count + self._forward_server.connection_count
         is_empty = age_s > STOP_LISTEN_DURATION_S and not connection_count
         if is_empty or is_due:
             logger.info("entry ends", extra={"fields": {"cut": len(self._exchanges)}})
--- a/src/spoolhead/_internal/gateway/reach_watch.py
+++ b/src/spoolhead/_internal/gateway/reach_watch.py
@@ -132,9 +132,7 @@
         if upstream is None:
             return
         instance = upstream.instance
-        self._reach.record_unreached(
-            instance.service, instance.incarnation_id, self._clock()
-        )
+        self._reach.record_unreached(instance.service, instance.incarnation_id, self._clock())
         self._update(instance.service)
         if not self.is_out_of_reach(instance.service):
             self._probe_others(instance.service)
@@ -147,13 +145,11 @@
             self._update(service)
 
     def _update(self, service: str) -> None:
-        current = [
-            item.instance.incarnation_id for item in self._get_remaining(service)
-        ]
+        current = [item.instance.incarnation_id for item in self._get_remaining(service)]
         # Without a health path, nothing would show that the service is within reach again.
-        is_out_of_reach = bool(
-            self._get_health_path(service)
-        ) and self._reach.is_out_of_reach(service, current)
+        is_out_of_reach = bool(self._get_health_path(service)) and self._reach.is_out_of_reach(
+            service, current
+        )
         if is_out_of_reach == self.is_out_of_reach(service):
             return
         if is_out_of_reach:
@@ -190,10 +186,7 @@
     def _probe_others(self, service: str) -> None:
         """Find out whether other instances can be reached than those that failed."""
         now_s = self._clock()
-        if (
-            now_s - self._probed_s.get(service, -SUSPICION_INTERVAL_S)
-            < SUSPICION_INTERVAL_S
-        ):
+        if now_s - self._probed_s.get(service, -SUSPICION_INTERVAL_S) < SUSPICION_INTERVAL_S:
             return
         self._probed_s[service] = now_s
         unreached = set(self._reach.get_unreached(service))
@@ -232,9 +225,7 @@
         self._timers.call_later(PROBE_TIMEOUT_S, probe.on_timeout)
 
     def _get_remaining(self, service: str) -> list[upstream_registry.Upstream]:
-        return [
-            item for item in self._registry.get_service(service) if not item.is_leaving
-        ]
+        return [item for item in self._registry.get_service(service) if not item.is_leaving]
 
     def _get_health_path(self, service: str) -> str:
         table = self._get_table()
--- a/src/spoolhead/_internal/gateway/refusals.py
+++ b/src/spoolhead/_internal/gateway/refusals.py
@@ -8,9 +8,7 @@
 _NOT_RUN_STATUS = 503
 _UNKNOWN_STATUS = 502
 _TIMEOUT_STATUS = 504
-_TIMEOUT_CODES = frozenset(
-    {codes.ResultCode.DEADLINE_DURING_RUN, codes.ResultCode.UPSTREAM_SILENT}
-)
+_TIMEOUT_CODES = frozenset({codes.ResultCode.DEADLINE_DURING_RUN, codes.ResultCode.UPSTREAM_SILENT})
 
 
 def get_status(item: fault.Fault, ran: codes.Ran) -> int:
--- a/src/spoolhead/_internal/gateway/request_intake.py
+++ b/src/spoolhead/_internal/gateway/request_intake.py
@@ -67,9 +67,7 @@
     ) -> None:
         """Serve a request that another entry has forwarded."""
         if self._is_stopping():
-            self.refuse(
-                caller, "", fault.Fault(codes.ResultCode.STOPPING, "this entry stops")
-            )
+            self.refuse(caller, "", fault.Fault(codes.ResultCode.STOPPING, "this entry stops"))
             return
         job = self._make_job(caller, wait_ms=forwarded.remaining_ms)
         if job is None:
@@ -104,9 +102,7 @@
             if handler.job.service.name == service:
                 handler.handle_service_lost()
 
-    def refuse(
-        self, caller: forward_server.AnyCaller, request_id: str, item: fault.Fault
-    ) -> None:
+    def refuse(self, caller: forward_server.AnyCaller, request_id: str, item: fault.Fault) -> None:
         """Refuse a request that no exchange was begun for."""
         status = refusals.send(
             caller,
@@ -127,9 +123,7 @@
         }
         logger.info("refused", extra={"fields": fields})
 
-    def refuse_unread(
-        self, caller: forward_server.AnyCaller, item: fault.Fault
-    ) -> None:
+    def refuse_unread(self, caller: forward_server.AnyCaller, item: fault.Fault) -> None:
         """Refuse a request that could not be received whole."""
         decoded = self._context.dialect.read_request(caller.request)
         request_id = decoded.ok.request_id if decoded.is_ok() else ""
@@ -159,9 +153,7 @@
         self._context.allowances.count_request(job)
         is_stream = job.route.kind is route_table.RequestKind.STREAM
         exchange_class = (
-            stream_exchange.StreamExchange
-            if is_stream
-            else plain_exchange.PlainExchange
+            stream_exchange.StreamExchange if is_stream else plain_exchange.PlainExchange
         )
         self._begin(exchange_class, job, caller)
 
@@ -187,23 +179,15 @@
             return fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no route leads there")
         workspace = table.get_owner(head.api_key) if head.api_key else None
         if table.needs_key(route) and workspace is None:
-            code = (
-                codes.ResultCode.KEY_UNKNOWN
-                if head.api_key
-                else codes.ResultCode.KEY_MISSING
-            )
+            code = codes.ResultCode.KEY_UNKNOWN if head.api_key else codes.ResultCode.KEY_MISSING
             return fault.Fault(code, "the API key belongs to no workspace")
         service = table.get_service(matcher.choose_service(route, self._context.rng))
         assert service is not None
         workspace_name = workspace.name if workspace is not None else ""
-        content_id = request_content.get_content_id(
-            caller.request, head.host, workspace_name
-        )
+        content_id = request_content.get_content_id(caller.request, head.host, workspace_name)
         keys = request_keys.RequestKeys(content_id, _get_part_keys(head, service))
         tightest_ms = table.get_tightest_objective_ms(service.name)
-        return routed_job.Job(
-            head, route, service, workspace, table.version, keys, tightest_ms
-        )
+        return routed_job.Job(head, route, service, workspace, table.version, keys, tightest_ms)
 
     def _adjust_refusal(self, item: fault.Fault) -> fault.Fault:
         """Return the fault to send for a request that the table refuses.
@@ -217,12 +201,8 @@
         return fault.make_unconfirmed_fault(item)
 
 
-def _get_part_keys(
-    head: dialects.RequestHead, service: route_table.Service
-) -> dict[bytes, str]:
+def _get_part_keys(head: dialects.RequestHead, service: route_table.Service) -> dict[bytes, str]:
     generation = head.generation
     if generation is None:
         return {}
-    return request_content.get_part_keys(
-        service.name, generation.model, generation.shared_part_ids
-    )
+    return request_content.get_part_keys(service.name, generation.model, generation.shared_part_ids)
--- a/src/spoolhead/_internal/gateway/room_forecast.py
+++ b/src/spoolhead/_internal/gateway/room_forecast.py
@@ -108,9 +108,7 @@
             returning_tokens=self._places.get_returning_tokens(request.service, now_s),
         )
         measured_per_s = memory.flows[request.rank].get_rate_per_s(now_s)
-        return Forecast(
-            demand, start_forecast.compute_rate_per_s(running, measured_per_s)
-        )
+        return Forecast(demand, start_forecast.compute_rate_per_s(running, measured_per_s))
 
     def should_refuse(
         self,
@@ -129,13 +127,9 @@
             admission, timeout_ms, forecast.wait_ms, self._clock(), is_return=is_return
         )
 
-    def give_place(
-        self, job: routed_job.Job, forecast: Forecast, *, remaining_ms: int
-    ) -> int:
+    def give_place(self, job: routed_job.Job, forecast: Forecast, *, remaining_ms: int) -> int:
         """Give a refused request a place, and return the time after which it should return."""
-        return_ms = start_forecast.compute_return_ms(
-            forecast.demand, forecast.rate_per_s
-        )
+        return_ms = start_forecast.compute_return_ms(forecast.demand, forecast.rate_per_s)
         if return_ms is not None and forecast.rate_per_s:
             return_ms = self._places.add(
                 job.content_id,
@@ -160,12 +154,8 @@
                     rows[key] = shared_load.InstanceLoad(tokens)
         return rows
 
-    def _record_flow(
-        self, service: str, memory: _ServiceMemory, rank: int, now_s: float
-    ) -> None:
-        other_released = self._get_other_load(
-            queue_rows.get_released_key(service)
-        ).tokens
+    def _record_flow(self, service: str, memory: _ServiceMemory, rank: int, now_s: float) -> None:
+        other_released = self._get_other_load(queue_rows.get_released_key(service)).tokens
         urgent_keys = queue_rows.get_acquired_keys(service)[:rank]
         other_acquired = sum(self._get_other_load(key).tokens for key in urgent_keys)
         memory.flows[rank].record(
--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -312,9 +312,7 @@
         ]
         # The workspaces that are not reported by name use little, so they get all that they want.
         rest = _get_demand(self._get_total(queue_rows.get_rest_key(service), own))
-        queue.shares = workspace_shares.WorkspaceShares(
-            tables, max(0, queue.capacity - rest)
-        )
+        queue.shares = workspace_shares.WorkspaceShares(tables, max(0, queue.capacity - rest))
 
     def _get_known(
         self, upstreams: Sequence[upstream_registry.Upstream], now_s: float
@@ -323,9 +321,7 @@
         if self._awaits_update(now_s):
             return ()
         self._record_silent_halls(now_s)
-        known = [
-            item for item in upstreams if item.instance.hall not in self._silent_at_s
-        ]
+        known = [item for item in upstreams if item.instance.hall not in self._silent_at_s]
         return known or upstreams
 
     def _record_silent_halls(self, now_s: float) -> None:
@@ -344,9 +340,7 @@
             self._stale_since_s = now_s
         return now_s - self._stale_since_s < STALE_WAIT_S
 
-    def _get_total(
-        self, key: int, own: shared_load.LoadByInstance
-    ) -> shared_load.InstanceLoad:
+    def _get_total(self, key: int, own: shared_load.LoadByInstance) -> shared_load.InstanceLoad:
         total = own.get(key, shared_load.InstanceLoad()).copy()
         other = self._get_other_load(key)
         if other is not None:
--- a/src/spoolhead/_internal/gateway/routed_job.py
+++ b/src/spoolhead/_internal/gateway/routed_job.py
@@ -102,7 +102,5 @@
     @property
     def request_priority(self) -> upstream_gate.RequestPriority:
         """Rank and workspace for sharing out scarce capacity."""
-        rank = self.workspace_rank * RANKS_PER_WORKSPACE + min(
-            self.route.priority, MAX_ENGINE_RANK
-        )
+        rank = self.workspace_rank * RANKS_PER_WORKSPACE + min(self.route.priority, MAX_ENGINE_RANK)
         return upstream_gate.RequestPriority(rank, self.workspace_name)
--- a/src/spoolhead/_internal/gateway/run_copies.py
+++ b/src/spoolhead/_internal/gateway/run_copies.py
@@ -14,9 +14,7 @@
 
     __slots__ = ("address", "handle", "upstream")
 
-    def __init__(
-        self, upstream: upstream_registry.Upstream, address: str, handle: str
-    ) -> None:
+    def __init__(self, upstream: upstream_registry.Upstream, address: str, handle: str) -> None:
         self.upstream = upstream
         self.address = address
         self.handle = handle
@@ -27,18 +25,14 @@
 
     __slots__ = ("copy", "target")
 
-    def __init__(
-        self, target: upstream_registry.Upstream, copy: memory_copy.MemoryCopy
-    ) -> None:
+    def __init__(self, target: upstream_registry.Upstream, copy: memory_copy.MemoryCopy) -> None:
         self.target = target
         self.copy = copy
 
     @property
     def is_usable(self) -> bool:
         """Whether the run can resume from the copy."""
-        return bool(self.copy.handle) and not (
-            self.target.is_gone or self.target.is_evacuated
-        )
+        return bool(self.copy.handle) and not (self.target.is_gone or self.target.is_evacuated)
 
 
 class ResumedCopy:
--- a/src/spoolhead/_internal/gateway/run_migration.py
+++ b/src/spoolhead/_internal/gateway/run_migration.py
@@ -218,9 +218,7 @@
         else:
             self._run.on_run_stopped()
 
-    def on_stop_answered(
-        self, copy: memory_copy.MemoryCopy, *, has_handle: bool
-    ) -> None:
+    def on_stop_answered(self, copy: memory_copy.MemoryCopy, *, has_handle: bool) -> None:
         """Handle the answer to an order to stop the run."""
         fields = {"status": copy.status, "has_handle": has_handle}
         self._log_stop("order to stop answered", fields)
@@ -246,9 +244,7 @@
                 self._apply(self._handover.handle_order_refused(self._run.events))
             else:
                 is_pending = copy.is_pending
-                self._apply(
-                    self._handover.handle_order_lost(is_other_pending=is_pending)
-                )
+                self._apply(self._handover.handle_order_lost(is_other_pending=is_pending))
         elif self._resumed is not None and self._resumed.copy is copy:
             self._handle_update(self._resumed)
 
@@ -326,16 +322,12 @@
                     run_handover.ORDER_INTERVAL_S, self._order_stop
                 )
             case run_handover.Step.RESUME:
-                assert (
-                    self._handover is not None and self._handover.evidence is not None
-                )
+                assert self._handover is not None and self._handover.evidence is not None
                 self._resume(self._handover.evidence)
             case run_handover.Step.KEEP:
                 self._give_up_handover()
             case run_handover.Step.FAIL:
-                self._run.on_handover_failed(
-                    "it is not known whether the run has ended"
-                )
+                self._run.on_handover_failed("it is not known whether the run has ended")
 
     def _resume(self, evidence: run_handover.Evidence) -> None:
         self._log_stop("run has ended at its instance", {"evidence": evidence.value})
@@ -361,9 +353,7 @@
         self._log_stop("order to stop lost", fields)
 
     def _log_stop(self, text: str, fields: dict[str, object]) -> None:
-        logger.info(
-            text, extra={"fields": {"request": self._job.head.request_id, **fields}}
-        )
+        logger.info(text, extra={"fields": {"request": self._job.head.request_id, **fields}})
 
     def on_copy_failed(self, copy: memory_copy.MemoryCopy) -> None:
         """Retry at another target if this one has no free memory, otherwise after an interval."""
@@ -379,9 +369,7 @@
         self.release_copy()
         self._retry_elsewhere(target, copy.status)
 
-    def _retry_elsewhere(
-        self, target: upstream_registry.Upstream | None, status: int
-    ) -> None:
+    def _retry_elsewhere(self, target: upstream_registry.Upstream | None, status: int) -> None:
         """Make another copy: at once if this target has no room, otherwise after an interval."""
         if status == NO_ROOM_STATUS and target is not None:
             self._excluded_targets.add(target.instance.incarnation_id)
--- a/src/spoolhead/_internal/gateway/run_queue.py
+++ b/src/spoolhead/_internal/gateway/run_queue.py
@@ -55,9 +55,7 @@
     def add(self, item: QueuedRun) -> None:
         """Add a generation."""
         self._waiting.append(item)
-        self._waiting.sort(
-            key=lambda each: (each.admission.rank, each.admission.arrived_s)
-        )
+        self._waiting.sort(key=lambda each: (each.admission.rank, each.admission.arrived_s))
         if self._room is not None and item.waiting is not None:
             self._room.add(item.waiting)
         self._check_within(self._get_check_delay_s())
@@ -106,6 +104,4 @@
         if self._room is None:
             return list(self._waiting)
         places = self._room.get_places()
-        return sorted(
-            self._waiting, key=lambda item: places.get(item.waiting, (0, 0.0))
-        )
+        return sorted(self._waiting, key=lambda item: places.get(item.waiting, (0, 0.0)))
--- a/src/spoolhead/_internal/gateway/run_room.py
+++ b/src/spoolhead/_internal/gateway/run_room.py
@@ -104,13 +104,9 @@
         if decision is None or decision.upstream is None:
             return
         if self._room.record_start(self.waiting, decision):
-            logger.info(
-                "gets room", extra={"fields": {**log_fields, **self.get_log_fields()}}
-            )
+            logger.info("gets room", extra={"fields": {**log_fields, **self.get_log_fields()}})
 
-    def record_refused(
-        self, log_fields: dict[str, object], *, remaining_ms: int
-    ) -> int:
+    def record_refused(self, log_fields: dict[str, object], *, remaining_ms: int) -> int:
         """Log the refusal, and return the time after which the caller should return.
 
         :param remaining_ms: time until the request's deadline.
@@ -120,9 +116,7 @@
         self._room.record_refused(is_return=self._is_return)
         if self._forecast is None:
             return run_admission.compute_retry_after_ms(remaining_ms)
-        return self._room.forecast.give_place(
-            self._job, self._forecast, remaining_ms=remaining_ms
-        )
+        return self._room.forecast.give_place(self._job, self._forecast, remaining_ms=remaining_ms)
 
     def record_acquired(self, run: answer_lengths.MeasuredRun, tokens: int) -> None:
         """Record the memory of a run that starts; ignored if it had started before."""
@@ -130,9 +124,7 @@
             return
         self._acquired_tokens = tokens
         self._room.lengths.add(run, self._job.route.name)
-        self._room.forecast.record_acquired(
-            self._job.service.name, self.waiting.rank, tokens
-        )
+        self._room.forecast.record_acquired(self._job.service.name, self.waiting.rank, tokens)
 
     def record_released(
         self,
@@ -149,9 +141,7 @@
             return
         self._room.lengths.remove(run, is_complete=is_complete)
         if upstream is not None and not upstream.may_be_leaving(clocks.get_s()):
-            self._room.forecast.record_released(
-                self._job.service.name, self._acquired_tokens
-            )
+            self._room.forecast.record_released(self._job.service.name, self._acquired_tokens)
         self._acquired_tokens = 0
 
     def get_log_fields(self) -> dict[str, object]:
--- a/src/spoolhead/_internal/gateway/shared_allowances.py
+++ b/src/spoolhead/_internal/gateway/shared_allowances.py
@@ -42,9 +42,7 @@
         self._entry_count = 0
         self._entry_index = 0
         self._allowances: dict[str, retry_allowance.RetryAllowance] = {}
-        self._get_other_load: Callable[[int], shared_load.InstanceLoad | None] = (
-            lambda key: None
-        )
+        self._get_other_load: Callable[[int], shared_load.InstanceLoad | None] = lambda key: None
         self._is_current: Callable[[], bool] = lambda: False
 
     def connect(
@@ -87,9 +85,7 @@
             self.get(job.service.name).record_request(self._clock())
             job.is_counted = True
 
-    def has_room(
-        self, job: routed_job.Job, reason: retry_allowance.RepeatReason
-    ) -> bool:
+    def has_room(self, job: routed_job.Job, reason: retry_allowance.RepeatReason) -> bool:
         """Return whether one more arrival of a request at its service would be granted."""
         if job.granted_repeats:
             return True
@@ -178,8 +174,7 @@
     allowances = SharedAllowances(config, metrics, clock=clock)
     allowances.connect(
         sharing.get_other_load,
-        is_current=lambda: sharing.has_snapshot
-        and 0 <= sharing.get_load_age_ms() <= STALE_MS,
+        is_current=lambda: sharing.has_snapshot and 0 <= sharing.get_load_age_ms() <= STALE_MS,
     )
     sharing.share_rows(allowances.get_rows)
     return allowances
--- a/src/spoolhead/_internal/gateway/slow_readers.py
+++ b/src/spoolhead/_internal/gateway/slow_readers.py
@@ -30,9 +30,7 @@
         self._metrics = metrics
         metrics.unread_bytes.set_function(lambda: self.unread.total_bytes)
 
-    def record_drop(
-        self, request_id: str, drop: unread_budget.Drop, is_running: bool
-    ) -> None:
+    def record_drop(self, request_id: str, drop: unread_budget.Drop, is_running: bool) -> None:
         """Record a dropped caller.
 
         :param request_id: id of its request; empty if the request was refused.
--- a/src/spoolhead/_internal/gateway/startup.py
+++ b/src/spoolhead/_internal/gateway/startup.py
@@ -77,9 +77,7 @@
     if state.has_table:
         has_hub_data = state.has_contents and state.has_limits
         is_complete = state.is_sure and state.has_instances and has_hub_data
-        return (
-            Step.SERVE if is_complete or state.age_s > CONFIRMED_WAIT_S else Step.WAIT
-        )
+        return Step.SERVE if is_complete or state.age_s > CONFIRMED_WAIT_S else Step.WAIT
     if state.age_s > UNCONFIRMED_WAIT_S and not state.reaches_majority:
         return Step.TAKE_UNCONFIRMED
     return Step.WAIT
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -159,9 +159,7 @@
     ) -> tuple[upstream_choice.Choice, run_admission.Verdict]:
         """Decide on the request; the choice is returned with the preferred engine first."""
         request = self.admission
-        choice = choice.prefer(
-            lambda item: run_admission.has_room(engine, item, request)
-        )
+        choice = choice.prefer(lambda item: run_admission.has_room(engine, item, request))
         if self._room is not None and not self._permitted_id:
             return self._room.admit(engine, choice, request)
         return choice, run_admission.decide(engine, choice, request, clocks.get_s())
@@ -176,9 +174,7 @@
         self._context.queue.remove(self)
         self._migration.close()
         if self._room is not None:
-            self._room.record_released(
-                self, self.upstream, is_complete=self._is_complete
-            )
+            self._room.record_released(self, self.upstream, is_complete=self._is_complete)
         self.cancel_attempt()
 
     def on_instances_changed(self) -> None:
@@ -197,9 +193,7 @@
         """Record an order to stop the run; return how many there are for this instance."""
         assert self._attempt is not None
         self._attempt.stop_orders.append(order)
-        orders = self._stop_orders.setdefault(
-            self._attempt.upstream.instance.incarnation_id, []
-        )
+        orders = self._stop_orders.setdefault(self._attempt.upstream.instance.incarnation_id, [])
         orders.append(order)
         return len(orders)
 
@@ -250,17 +244,12 @@
             super().handle_end(attempt)
             return
         assert attempt.call is not None
-        if (
-            attempt.call.decide_outcome(self.get_content(attempt))
-            is answer_end.Outcome.UNKNOWN
-        ):
+        if attempt.call.decide_outcome(self.get_content(attempt)) is answer_end.Outcome.UNKNOWN:
             self._handle_stopped(attempt, run_handover.StreamEnd.IN_ORDER)
         else:
             super().handle_end(attempt)
 
-    def _handle_stopped(
-        self, attempt: attempts.Attempt, end: run_handover.StreamEnd
-    ) -> None:
+    def _handle_stopped(self, attempt: attempts.Attempt, end: run_handover.StreamEnd) -> None:
         """Handle the end of a stream whose run was ordered to stop."""
         if not self._migration.is_stopping:
             # The handover was given up, so a crash may have ended the stream as well.
@@ -276,9 +265,7 @@
             self.buffer_body(attempt, data)
             return
         self._record_prefill_end(attempt)
-        self._context.reach.record_answer(
-            attempt.upstream.instance.hall, clocks.get_s()
-        )
+        self._context.reach.record_answer(attempt.upstream.instance.hall, clocks.get_s())
         events_before = self._splicer.events
         result = self._splicer.feed(data)
         if result.events:
@@ -301,9 +288,7 @@
         if attempt.begun_s is None:
             attempt.begun_s = now_s
         if attempt.is_established:
-            self._context.contents.record_instance_answer(
-                attempt.upstream.instance.incarnation_id
-            )
+            self._context.contents.record_instance_answer(attempt.upstream.instance.incarnation_id)
         elif now_s - attempt.begun_s >= sound_runs.SETTLE_S:
             attempt.is_established = True
             self._context.contents.record_established(self._make_sent_run(attempt))
@@ -311,11 +296,7 @@
     def get_content(self, attempt: attempts.Attempt) -> answer_end.Content:
         """Return what the events of a stream show of its end."""
         head = attempt.head
-        if (
-            head is None
-            or not self._is_event_stream(head)
-            or not _may_have_events(head)
-        ):
+        if head is None or not self._is_event_stream(head) or not _may_have_events(head):
             return answer_end.Content.OPAQUE
         content = self._splicer.content
         if content is answer_end.Content.WHOLE_EVENTS and self._lacks_events(attempt):
@@ -328,9 +309,7 @@
             return False
         return self.events < self._migration.event_count
 
-    def handle_complete(
-        self, attempt: attempts.Attempt, head: dialects.AnswerHead
-    ) -> None:
+    def handle_complete(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         """Finish the stream, or handle an answer that is no stream."""
         if not self._is_event_stream(head):
             self._handle_unusable_answer(attempt, head)
@@ -380,9 +359,7 @@
             prompt_tokens=generation.prompt_tokens if generation is not None else 0,
             objective_ms=self.job.route.objective_ms,
             arrived_s=self._arrived_s,
-            max_prefill_ms=(
-                self._room.get_max_prefill_ms() if self._room is not None else None
-            ),
+            max_prefill_ms=(self._room.get_max_prefill_ms() if self._room is not None else None),
         )
         if not self.try_start():
             if not self._is_awaiting_permit:
@@ -440,15 +417,9 @@
             and head.request_id in ("", request_id)
         )
 
-    def _handle_unusable_answer(
-        self, attempt: attempts.Attempt, head: dialects.AnswerHead
-    ) -> None:
+    def _handle_unusable_answer(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
         self._log_attempt_failure(attempt, f"status {head.status}")
-        if (
-            attempt.is_resumed
-            and head.has_not_run
-            and self._migration.resume_from_update()
-        ):
+        if attempt.is_resumed and head.has_not_run and self._migration.resume_from_update():
             return
         if attempt.is_resumed or self._splicer.events:
             self._fail_lost(f"the run could not go on: status {head.status}")
@@ -460,13 +431,9 @@
             is_replaced = self.is_replaced(attempt)
             self._misdirected_count += is_replaced
             self._rejected_count += not is_replaced
-            attempt_count = (
-                len(self._tried_ids) - self._misdirected_count + self.job.attempts
-            )
+            attempt_count = len(self._tried_ids) - self._misdirected_count + self.job.attempts
             may_retry = attempt_count < self.job.route.attempts
-            if may_retry and self.try_acquire_repeat(
-                retry_allowance.RepeatReason.RETRY
-            ):
+            if may_retry and self.try_acquire_repeat(retry_allowance.RepeatReason.RETRY):
                 self._start_run()
             else:
                 self.fail(codes.ResultCode.UPSTREAM_REFUSED, "the upstream has no room")
@@ -504,9 +471,7 @@
     def _send_run(
         self, upstream: upstream_registry.Upstream, resume: dialects.ResumePoint | None
     ) -> None:
-        attempt = self._attempt = attempts.Attempt(
-            self, upstream, is_resumed=resume is not None
-        )
+        attempt = self._attempt = attempts.Attempt(self, upstream, is_resumed=resume is not None)
         # An order of an earlier stay at the instance names the same run.
         orders = self._stop_orders.get(upstream.instance.incarnation_id, ())
         attempt.stop_orders = [order for order in orders if order.answered_s is None]
@@ -624,9 +589,7 @@
         }
         logger.info("answered", extra={"fields": fields})
         self._context.metrics.first_event_ms.observe(self._pace_meter.first_ms or 0)
-        self._context.metrics.longest_pause_ms.observe(
-            self._pace_meter.longest_pause_ms
-        )
+        self._context.metrics.longest_pause_ms.observe(self._pace_meter.longest_pause_ms)
         self.end()
 
     def _fail_lost(self, reason: str) -> None:
@@ -659,6 +622,4 @@
 ) -> length_estimate.ExpectedLength:
     if generation is None:
         return length_estimate.ExpectedLength(0, 0)
-    return length_estimate.ExpectedLength(
-        generation.hinted_tokens, generation.limit_tokens
-    )
+    return length_estimate.ExpectedLength(generation.hinted_tokens, generation.limit_tokens)
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -147,9 +147,7 @@
             if item.fleet is not None
             for address in item.fleet.keepers
         }
-        agreeing_addresses = {
-            item.address for item in confirming if item.version <= self.version
-        }
+        agreeing_addresses = {item.address for item in confirming if item.version <= self.version}
         return len(agreeing_addresses & members) * 2 > len(members)
 
     def accept_unconfirmed(self, is_accepted: bool) -> None:
@@ -186,13 +184,9 @@
 
     def on_keeper_ready(self, keeper: followed_keeper.FollowedKeeper) -> None:
         """Subscribe to a keeper whose stream is established."""
-        logger.info(
-            "keeper is reachable", extra={"fields": {"address": keeper.address}}
-        )
+        logger.info("keeper is reachable", extra={"fields": {"address": keeper.address}})
         address = f"{self._config.host}:{self._config.peer_port}"
-        keeper.client.send(
-            route_messages.Subscribe(hall=self._config.hall, address=address)
-        )
+        keeper.client.send(route_messages.Subscribe(hall=self._config.hall, address=address))
 
     def on_keeper_lost(self, keeper: followed_keeper.FollowedKeeper) -> None:
         """Notify the owner that the stream to a keeper has ended."""
@@ -230,9 +224,7 @@
         keeper.handle_fleet(message)
         self._entry_count = max(self._entry_count, len(keeper.fleet.entries))
         self._follow()
-        reported = {
-            item.address: item.fleet for item in self._keepers.values() if item.fleet
-        }
+        reported = {item.address: item.fleet for item in self._keepers.values() if item.fleet}
         keepers = [
             fleet.Process(name=address, hall=keeper_fleet.hall, address=address)
             for address, keeper_fleet in reported.items()
@@ -266,10 +258,7 @@
             return
         now_s = clocks.get_s()
         known_version = max(self.version, self._unusable_version)
-        if (
-            keeper.version <= known_version
-            or now_s - keeper.fetch_sent_s < FETCH_RETRY_INTERVAL_S
-        ):
+        if keeper.version <= known_version or now_s - keeper.fetch_sent_s < FETCH_RETRY_INTERVAL_S:
             return
         if self._is_fetch_pending(keeper.version, now_s):
             return
@@ -279,17 +268,14 @@
 
     def _fetch_from_any(self) -> None:
         """Request a table that has not arrived yet; the least recently asked keeper comes first."""
-        for keeper in sorted(
-            self._keepers.values(), key=lambda item: item.fetch_sent_s
-        ):
+        for keeper in sorted(self._keepers.values(), key=lambda item: item.fetch_sent_s):
             if keeper.client.is_ready:
                 self._fetch(keeper)
 
     def _is_fetch_pending(self, version: int, now_s: float) -> bool:
         """Return whether a version or a newer one was recently requested from a keeper."""
         return any(
-            keeper.version >= version
-            and now_s - keeper.fetch_sent_s < PENDING_FETCH_TTL_S
+            keeper.version >= version and now_s - keeper.fetch_sent_s < PENDING_FETCH_TTL_S
             for keeper in self._keepers.values()
             if keeper.client.is_ready
         )
@@ -330,9 +316,7 @@
             is_in_force = self._listener.on_table(version, document)
         except Exception:
             fields = {"version": version}
-            logger.exception(
-                "table could not be put in force", extra={"fields": fields}
-            )
+            logger.exception("table could not be put in force", extra={"fields": fields})
             return False
         if not is_in_force:
             self._unusable_version = version
@@ -354,19 +338,10 @@
         message: route_messages.InstanceList,
     ) -> None:
         now_s = clocks.get_s()
-        other_lists = [
-            item.listed for item in self._keepers.values() if item is not keeper
-        ]
-        keeper.apply_list(
-            message, [listed for listed in other_lists if listed is not None]
-        )
-        is_stale = (
-            now_s - self._list_received_s
-            > self._config.instance_list.fallback_ms / 1000
-        )
-        if keeper.listed is None or (
-            message.reader_term < self._reader_term and not is_stale
-        ):
+        other_lists = [item.listed for item in self._keepers.values() if item is not keeper]
+        keeper.apply_list(message, [listed for listed in other_lists if listed is not None])
+        is_stale = now_s - self._list_received_s > self._config.instance_list.fallback_ms / 1000
+        if keeper.listed is None or (message.reader_term < self._reader_term and not is_stale):
             return
         self._reader_term = message.reader_term
         self._list_received_s = now_s
@@ -398,9 +373,6 @@
             self._reads_directly = True
             fields = {"age_ms": int(age_s * 1000)}
             logger.warning("instance list is read directly", extra={"fields": fields})
-        if (
-            clocks.get_s() - self._last_read_s
-            >= MIN_READ_INTERVAL_PER_ENTRY_S * self._entry_count
-        ):
+        if clocks.get_s() - self._last_read_s >= MIN_READ_INTERVAL_PER_ENTRY_S * self._entry_count:
             self._last_read_s = clocks.get_s()
             self._reader.read()
--- a/src/spoolhead/_internal/gateway/upstream_events.py
+++ b/src/spoolhead/_internal/gateway/upstream_events.py
@@ -45,15 +45,11 @@
         previous = registry.get_all()
         previous_ids = {upstream.instance.incarnation_id for upstream in previous}
         leaving = registry.update_instances(listed, clocks.get_s())
-        current_ids = {
-            upstream.instance.incarnation_id for upstream in registry.get_all()
-        }
+        current_ids = {upstream.instance.incarnation_id for upstream in registry.get_all()}
         for incarnation_id in sorted(current_ids - previous_ids):
             logger.info("upstream came", extra={"fields": {"upstream": incarnation_id}})
         for incarnation_id in sorted(previous_ids - current_ids):
-            logger.info(
-                "upstream is gone", extra={"fields": {"upstream": incarnation_id}}
-            )
+            logger.info("upstream is gone", extra={"fields": {"upstream": incarnation_id}})
         self._record_terminated(previous)
         self._load_sharing.refresh()
         self._context.cold_starts.clear_quotas()
@@ -69,9 +65,7 @@
     def _record_terminated(self, previous: list[upstream_registry.Upstream]) -> None:
         """Record as terminated the instances that left the list without an announcement."""
         for upstream in previous:
-            has_announced = (
-                upstream.instance.is_leaving or upstream.has_announced_leaving
-            )
+            has_announced = upstream.instance.is_leaving or upstream.has_announced_leaving
             if upstream.is_gone and not has_announced:
                 self._context.contents.record_terminated(
                     upstream.instance.incarnation_id, "no longer listed"
@@ -104,9 +98,7 @@
     def handle_cold(self, upstream: upstream_registry.Upstream, cold_ms: int) -> None:
         """Report to the others that an instance is cold."""
         kind = shared_load.AlarmKind.COLD
-        self._load_sharing.broadcast_alarm(
-            upstream.instance.incarnation_id, kind, for_ms=cold_ms
-        )
+        self._load_sharing.broadcast_alarm(upstream.instance.incarnation_id, kind, for_ms=cold_ms)
 
     def handle_answer(
         self,
@@ -124,9 +116,7 @@
             upstream.rest.record_accepted()
         self._record_max_rejections(upstream, head)
         if head.is_rest_unreadable:
-            logger.warning(
-                "upstream asked for an unreadable rest", extra={"fields": fields}
-            )
+            logger.warning("upstream asked for an unreadable rest", extra={"fields": fields})
         if head.rest_ms is not None:
             self._handle_rest(upstream, head.rest_ms, now_s)
         if head.is_leaving:
@@ -151,9 +141,7 @@
         """Record how many rejections in a second an instance survives, by its latest answer."""
         fields = {"upstream": upstream.instance.incarnation_id}
         if head.is_max_rejections_unreadable:
-            logger.warning(
-                "upstream stated unreadable rejections", extra={"fields": fields}
-            )
+            logger.warning("upstream stated unreadable rejections", extra={"fields": fields})
             return
         previous_per_s = upstream.max_rejections_per_s
         if head.max_rejections_per_s == previous_per_s:
@@ -161,9 +149,7 @@
         upstream.max_rejections_per_s = head.max_rejections_per_s
         fields["max_rejections_per_s"] = head.max_rejections_per_s
         fields["before_per_s"] = previous_per_s
-        logger.info(
-            "upstream changed how many rejections it survives", extra={"fields": fields}
-        )
+        logger.info("upstream changed how many rejections it survives", extra={"fields": fields})
 
     def handle_announced_leaving(self, upstream: upstream_registry.Upstream) -> None:
         """Drain an instance that announced its departure, and report it to the others."""
@@ -172,9 +158,7 @@
         incarnation_id = upstream.instance.incarnation_id
         fields = {"upstream": incarnation_id, "reported_by": ""}
         logger.info("upstream announced that it leaves", extra={"fields": fields})
-        self._load_sharing.broadcast_alarm(
-            incarnation_id, shared_load.AlarmKind.LEAVING
-        )
+        self._load_sharing.broadcast_alarm(incarnation_id, shared_load.AlarmKind.LEAVING)
         self.drain(upstream)
 
     def _handle_rest(
@@ -227,9 +211,7 @@
     def _recheck_runs(self) -> None:
         """Have each run check whether it or its copy must be migrated."""
         runs = [
-            item
-            for item in self._exchanges
-            if isinstance(item, stream_exchange.StreamExchange)
+            item for item in self._exchanges if isinstance(item, stream_exchange.StreamExchange)
         ]
         # Instances execute copy orders in sequence, so the last copies may be made too late.
         runs.sort(key=lambda item: (item.job.workspace_rank, -item.rank))
--- a/src/spoolhead/_internal/gateway/upstream_limits.py
+++ b/src/spoolhead/_internal/gateway/upstream_limits.py
@@ -104,9 +104,7 @@
             return
         self._unreadable_keys.add(upstream.key)
         fields = {"upstream": upstream.instance.incarnation_id}
-        logger.warning(
-            "upstream stated an unreadable rate limit", extra={"fields": fields}
-        )
+        logger.warning("upstream stated an unreadable rate limit", extra={"fields": fields})
 
     def _record_change(
         self, key: int, previous_limit_per_s: float | None, *, reported_by: str
--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -55,13 +55,13 @@
         self._request_broadcast = request_broadcast
         self._measures_pace = measures_pace
         self._on_overruled = on_overruled
-        self._measurements: dict[str, pace_measurement.PaceMeasurement] = (
-            collections.defaultdict(pace_measurement.PaceMeasurement)
+        self._measurements: dict[str, pace_measurement.PaceMeasurement] = collections.defaultdict(
+            pace_measurement.PaceMeasurement
         )
         self._paces = pace_registry.PaceRegistry()
         self._to_report = pace_broadcast.PaceBroadcast(self._paces)
-        self._slow_periods: dict[str, slow_periods.SlowPeriods] = (
-            collections.defaultdict(slow_periods.SlowPeriods)
+        self._slow_periods: dict[str, slow_periods.SlowPeriods] = collections.defaultdict(
+            slow_periods.SlowPeriods
         )
         self._own_s: dict[int, float] = {}
         self._logged_factors: dict[int, float] = {}
@@ -100,10 +100,7 @@
 
         :param meter: measures the stream's connection.
         """
-        if (
-            not self._measures_pace
-            and not self._slow_periods[upstream.instance.service].is_used
-        ):
+        if not self._measures_pace and not self._slow_periods[upstream.instance.service].is_used:
             return
         interval_s = meter.record_events(count, now_s)
         if interval_s is None:
@@ -182,9 +179,7 @@
         self._own_s = {key: at_s for key, at_s in self._own_s.items() if key in known}
         listed = self._upstreams.get_by_key
         self._logged_factors = {
-            key: factor
-            for key, factor in self._logged_factors.items()
-            if listed(key) is not None
+            key: factor for key, factor in self._logged_factors.items() if listed(key) is not None
         }
 
     def _bind(self, upstream: upstream_registry.Upstream) -> bool:
@@ -194,9 +189,7 @@
         upstream.pace.slow_periods = pool
         return is_new
 
-    def _report(
-        self, key: int, factor: float, now_s: float, *, is_measured: bool
-    ) -> None:
+    def _report(self, key: int, factor: float, now_s: float, *, is_measured: bool) -> None:
         """Schedule the report of a pace, unless the other entries know about the same one."""
         percent = instance_pace.compute_percent(factor)
         if not self._paces.is_due(key, percent, now_s, is_measured=is_measured):
@@ -218,9 +211,7 @@
         upstream.pace.record_reported(
             pace.percent, pace.determined_s, now_s, is_measured=pace.is_measured
         )
-        self._handle_change(
-            upstream, now_s, was_overruled=was_overruled, reported_by=reported_by
-        )
+        self._handle_change(upstream, now_s, was_overruled=was_overruled, reported_by=reported_by)
 
     def _handle_change(
         self,
--- a/src/spoolhead/_internal/keeper/content_relay.py
+++ b/src/spoolhead/_internal/keeper/content_relay.py
@@ -41,9 +41,7 @@
         if items:
             session.send(messages.Contents(items=items))
 
-    def handle_contents(
-        self, session: peer_server.PeerSession, message: messages.Contents
-    ) -> None:
+    def handle_contents(self, session: peer_server.PeerSession, message: messages.Contents) -> None:
         """Merge the records of an entry, and relay the changed records."""
         try:
             records = content_record.unpack(message.items)
@@ -113,6 +111,4 @@
                 session.send_encoded(data)
 
     def _pack(self, content_ids: list[bytes]) -> list[list[object]]:
-        return content_record.pack(
-            self._registry.get_all_aged(content_ids, clocks.get_s())
-        )
+        return content_record.pack(self._registry.get_all_aged(content_ids, clocks.get_s()))
--- a/src/spoolhead/_internal/keeper/log_file.py
+++ b/src/spoolhead/_internal/keeper/log_file.py
@@ -39,9 +39,7 @@
         self._length = scan_result.good_bytes
         if scan_result.torn:
             cut_bytes = len(data) - scan_result.good_bytes
-            logger.warning(
-                "%s: truncated %d bytes of a torn last write", self._path, cut_bytes
-            )
+            logger.warning("%s: truncated %d bytes of a torn last write", self._path, cut_bytes)
         self._truncate()
         files.sync_folder(folder)
 
@@ -71,9 +69,7 @@
     def _write(self, record: bytes) -> None:
         written = 0
         while written < len(record):
-            written += os.pwrite(
-                self._descriptor, record[written:], self._length + written
-            )
+            written += os.pwrite(self._descriptor, record[written:], self._length + written)
 
     def _discard_partial_write(self) -> None:
         try:
--- a/src/spoolhead/_internal/keeper/records.py
+++ b/src/spoolhead/_internal/keeper/records.py
@@ -35,11 +35,7 @@
 
 def make_finish(key: str, owner: str, outcome: once_journal.Outcome | None) -> bytes:
     """Return the record of the end of a claimed request."""
-    packed = (
-        None
-        if outcome is None
-        else [outcome.status, outcome.content_type, outcome.body]
-    )
+    packed = None if outcome is None else [outcome.status, outcome.content_type, outcome.body]
     return msgpack.packb([RecordKind.FINISH, key, owner, packed])
 
 
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -94,9 +94,7 @@
             follower.seen_s = clocks.get_s()
             self._broadcast_members()
 
-    def on_message(
-        self, session: peer_server.PeerSession, message: messages.Message
-    ) -> None:
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
         """Handle one message."""
         _dispatch(message, self, session)
 
@@ -106,17 +104,13 @@
         """Record an entry's hall and address, and send the new list of members to all entries."""
         follower = self._followers.get(session.name)
         if follower is None or follower.session is not session:
-            raise messages.MessageError(
-                "an entry must introduce itself on its current stream"
-            )
+            raise messages.MessageError("an entry must introduce itself on its current stream")
         follower.hall = message.hall
         follower.address = message.address
         self._broadcast_members()
         self.contents.send_known(session)
 
-    def handle_follow(
-        self, session: peer_server.PeerSession, message: messages.Follow
-    ) -> None:
+    def handle_follow(self, session: peer_server.PeerSession, message: messages.Follow) -> None:
         """Send a follower the changes that it has missed, or the whole table."""
         follower = self._followers.get(session.name)
         if follower is None or follower.session is not session:
@@ -136,18 +130,14 @@
             session.send_encoded(self._encode_change(change))
         session.send(messages.Current(version=self.version))
 
-    def record_in_force(
-        self, session: peer_server.PeerSession, message: messages.InForce
-    ) -> None:
+    def record_in_force(self, session: peer_server.PeerSession, message: messages.InForce) -> None:
         """Record the version that is in force at an entry."""
         follower = self._followers.get(session.name)
         if follower is not None:
             follower.version = message.version
             follower.seen_s = clocks.get_s()
 
-    def handle_propose(
-        self, session: peer_server.PeerSession, message: messages.Propose
-    ) -> None:
+    def handle_propose(self, session: peer_server.PeerSession, message: messages.Propose) -> None:
         """Accept an edit, or refuse it as a whole."""
         answer = self._decide(message)
         session.send(answer)
@@ -164,9 +154,7 @@
             },
         )
 
-    def send_table(
-        self, session: peer_server.PeerSession, message: messages.GetTable
-    ) -> None:
+    def send_table(self, session: peer_server.PeerSession, message: messages.GetTable) -> None:
         """Send all rows to an operator."""
         session.send(
             messages.TableAnswer(
@@ -177,17 +165,13 @@
             )
         )
 
-    def send_history(
-        self, session: peer_server.PeerSession, message: messages.GetHistory
-    ) -> None:
+    def send_history(self, session: peer_server.PeerSession, message: messages.GetHistory) -> None:
         """Send the latest changes to an operator."""
         history = self._state.table.get_history()[::-1][: max(0, message.limit)]
         changes = [change.pack() for change in history]
         session.send(messages.HistoryAnswer(request=message.request, changes=changes))
 
-    def send_status(
-        self, session: peer_server.PeerSession, message: messages.GetStatus
-    ) -> None:
+    def send_status(self, session: peer_server.PeerSession, message: messages.GetStatus) -> None:
         """Send the status of the keeper and its followers to an operator."""
         now_s = clocks.get_s()
         entries = [
@@ -211,9 +195,7 @@
         }
         session.send(messages.StatusAnswer(request=message.request, status=status))
 
-    def handle_claim(
-        self, session: peer_server.PeerSession, message: messages.ClaimOnce
-    ) -> None:
+    def handle_claim(self, session: peer_server.PeerSession, message: messages.ClaimOnce) -> None:
         """Grant a claim, or answer with the state of the first claim of the key."""
         time_ms = _get_time_ms()
         claim = self._state.once.claims.get(message.key)
@@ -228,9 +210,7 @@
         if claim_state is once_journal.ClaimState.GRANTED:
             state_name = self._grant(session.name, message, time_ms)
         outcome = (
-            claim.outcome
-            if claim_state is once_journal.ClaimState.FINISHED and claim
-            else None
+            claim.outcome if claim_state is once_journal.ClaimState.FINISHED and claim else None
         )
         session.send(
             messages.ClaimAnswer(
@@ -242,9 +222,7 @@
             )
         )
 
-    def handle_finish(
-        self, session: peer_server.PeerSession, message: messages.FinishOnce
-    ) -> None:
+    def handle_finish(self, session: peer_server.PeerSession, message: messages.FinishOnce) -> None:
         """Record the end of a claimed request; confirm it only if the record is durable."""
         claim = self._state.once.claims.get(message.key)
         if claim is not None and claim.owner == session.name and not claim.is_finished:
@@ -260,9 +238,7 @@
             try:
                 self._state.replay(payload)
             except (ValueError, TypeError) as error:
-                raise exceptions.LogDamagedError(
-                    "table.log", number, str(error)
-                ) from error
+                raise exceptions.LogDamagedError("table.log", number, str(error)) from error
         self._log.payloads = []
         if not self._state.log_id:
             log_id = secrets.token_hex(8)
@@ -295,9 +271,7 @@
                     error,
                 )
                 faults = [["", str(error)]]
-                return self._refuse(
-                    message, codes.ResultCode.DISK_FAILED, faults=faults
-                )
+                return self._refuse(message, codes.ResultCode.DISK_FAILED, faults=faults)
             self._state.apply_change(change)
             self._broadcast_change(change)
         return messages.ProposeAnswer(
@@ -352,23 +326,18 @@
             if follower.session is not None and follower.address
         }
         entries = [
-            [name, follower.hall, follower.address]
-            for name, follower in sorted(present.items())
+            [name, follower.hall, follower.address] for name, follower in sorted(present.items())
         ]
         data = messages.encode(messages.Members(entries=entries))
         for follower in present.values():
             follower.session.send_encoded(data)
 
     def _encode_change(self, change: versioned_table.Change) -> bytes:
-        return messages.encode(
-            messages.ChangeMade(log_id=self._state.log_id, change=change.pack())
-        )
+        return messages.encode(messages.ChangeMade(log_id=self._state.log_id, change=change.pack()))
 
     def _grant(self, owner: str, message: messages.ClaimOnce, time_ms: int) -> str:
         try:
-            self._log.append(
-                records.make_claim(message.key, message.fingerprint, owner, time_ms)
-            )
+            self._log.append(records.make_claim(message.key, message.fingerprint, owner, time_ms))
         except exceptions.DiskError as error:
             logger.error("claim refused because it cannot be recorded: %s", error)
             return "failed"
@@ -382,9 +351,7 @@
             return
         outcome = None
         if message.status:
-            outcome = once_journal.Outcome(
-                message.status, message.content_type, message.body
-            )
+            outcome = once_journal.Outcome(message.status, message.content_type, message.body)
         self._log.append(records.make_finish(message.key, owner, outcome))
         self._state.once.finish(message.key, owner, outcome)
 
@@ -413,9 +380,7 @@
 
 
 @functools.singledispatch
-def _dispatch(
-    message: messages.Message, service: KeeperService, session: _Session
-) -> None:
+def _dispatch(message: messages.Message, service: KeeperService, session: _Session) -> None:
     raise messages.MessageError(f"unexpected {type(message).__name__}")
 
 
@@ -436,9 +401,7 @@
 _register_handler(messages.GetTable, KeeperService.send_table)
 _register_handler(messages.GetHistory, KeeperService.send_history)
 _register_handler(messages.GetStatus, KeeperService.send_status)
-_register_handler(
-    messages.Contents, lambda service, *args: service.contents.handle_contents(*args)
-)
+_register_handler(messages.Contents, lambda service, *args: service.contents.handle_contents(*args))
 _register_handler(
     messages.HoldContent,
     lambda service, *args: service.contents.handle_hold_order(*args),
--- a/src/spoolhead/_internal/keeper/state.py
+++ b/src/spoolhead/_internal/keeper/state.py
@@ -63,9 +63,7 @@
         self.table.apply(change)
         self._recent.append(change)
 
-    def get_changes_after(
-        self, log_id: str, version: int
-    ) -> list[versioned_table.Change] | None:
+    def get_changes_after(self, log_id: str, version: int) -> list[versioned_table.Change] | None:
         """Return the changes that a follower has missed.
 
         :param log_id: id of the log of the follower's copy.
--- a/src/spoolhead/_internal/load_broadcast/hub_port.py
+++ b/src/spoolhead/_internal/load_broadcast/hub_port.py
@@ -139,9 +139,7 @@
             sent_bytes / self._bytes_per_s,
         )
         self._earliest_send_s = now_s + interval_s
-        self._schedule(
-            now_s, 0.0 if self._hub.has_unsent_updates else HEARTBEAT_INTERVAL_S
-        )
+        self._schedule(now_s, 0.0 if self._hub.has_unsent_updates else HEARTBEAT_INTERVAL_S)
 
     def _send_totals(self, now_s: float) -> _SendSizes:
         if not self._hub.has_unsent_totals and not _is_due(self._totals_sent_s, now_s):
@@ -154,9 +152,7 @@
         return _SendSizes(len(data) + HEADER_BYTES, len(addresses))
 
     def _send_updates(self, now_s: float) -> _SendSizes:
-        if not self._hub.has_unsent_updates and not _is_due(
-            self._updates_sent_s, now_s
-        ):
+        if not self._hub.has_unsent_updates and not _is_due(self._updates_sent_s, now_s):
             return _SendSizes(0, 0)
         self._updates_sent_s = now_s
         encoded = shared_load.encode_update(self._hub.make_update(now_s))
@@ -164,9 +160,7 @@
         for reporter in reporters:
             data = shared_load.complete_update(encoded, reporter.counted)
             self._send(data, reporter.address)
-        return _SendSizes(
-            len(encoded) + MAX_COUNTED_BYTES + HEADER_BYTES, len(reporters)
-        )
+        return _SendSizes(len(encoded) + MAX_COUNTED_BYTES + HEADER_BYTES, len(reporters))
 
 
 def _is_due(sent_s: float, now_s: float) -> bool:
--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -111,9 +111,7 @@
 
 CODE_INFO: dict[ResultCode, CodeInfo] = {
     ResultCode.OK: CodeInfo(_S.OK, "The request or edit succeeded."),
-    ResultCode.MALFORMED_REQUEST: CodeInfo(
-        _S.BAD_REQUEST, "The bytes are not valid HTTP."
-    ),
+    ResultCode.MALFORMED_REQUEST: CodeInfo(_S.BAD_REQUEST, "The bytes are not valid HTTP."),
     ResultCode.CONFLICTING_LENGTHS: CodeInfo(
         _S.BAD_REQUEST,
         "The length of the body is stated twice, wrongly or in two ways.",
@@ -127,9 +125,7 @@
     ResultCode.REQUEST_TOO_SLOW: CodeInfo(
         _S.REQUEST_TIMEOUT, "The request did not arrive whole within its time."
     ),
-    ResultCode.MALFORMED_JSON: CodeInfo(
-        _S.BAD_REQUEST, "The body is not a JSON object."
-    ),
+    ResultCode.MALFORMED_JSON: CodeInfo(_S.BAD_REQUEST, "The body is not a JSON object."),
     ResultCode.WRONG_FIELD: CodeInfo(
         _S.BAD_REQUEST, "A field or header is missing or of a wrong type or value."
     ),
@@ -141,9 +137,7 @@
         _S.BAD_REQUEST, "Too many requests were sent ahead on one connection."
     ),
     ResultCode.KEY_MISSING: CodeInfo(_S.UNAUTHORIZED, "The request has no API key."),
-    ResultCode.KEY_UNKNOWN: CodeInfo(
-        _S.UNAUTHORIZED, "The API key belongs to no workspace."
-    ),
+    ResultCode.KEY_UNKNOWN: CodeInfo(_S.UNAUTHORIZED, "The API key belongs to no workspace."),
     ResultCode.NOT_PERMITTED: CodeInfo(
         _S.FORBIDDEN, "The workspace may not use this model or service."
     ),
@@ -224,9 +218,7 @@
     ResultCode.ANSWER_TOO_LARGE: CodeInfo(
         _S.BAD_GATEWAY, "The upstream's answer exceeds the limit for whole answers."
     ),
-    ResultCode.EDIT_INVALID: CodeInfo(
-        _S.BAD_REQUEST, "The edit has faults; nothing was changed."
-    ),
+    ResultCode.EDIT_INVALID: CodeInfo(_S.BAD_REQUEST, "The edit has faults; nothing was changed."),
     ResultCode.EDIT_CONFLICT: CodeInfo(
         None, "A row has changed since it was read; nothing was changed."
     ),
@@ -242,16 +234,10 @@
     ResultCode.LOG_DAMAGED: CodeInfo(
         None, "The table's log is damaged before its end; the keeper does not start."
     ),
-    ResultCode.DISK_FAILED: CodeInfo(
-        None, "Writing or syncing failed; the edit is not accepted."
-    ),
+    ResultCode.DISK_FAILED: CodeInfo(None, "Writing or syncing failed; the edit is not accepted."),
     ResultCode.PEER_UNREACHABLE: CodeInfo(None, "The other process cannot be reached."),
-    ResultCode.PEER_REFUSED: CodeInfo(
-        None, "The other process did not accept the shared key."
-    ),
-    ResultCode.PEER_PROTOCOL: CodeInfo(
-        None, "The other process sent an unexpected message."
-    ),
+    ResultCode.PEER_REFUSED: CodeInfo(None, "The other process did not accept the shared key."),
+    ResultCode.PEER_PROTOCOL: CodeInfo(None, "The other process sent an unexpected message."),
     ResultCode.DECISION_NOT_FOUND: CodeInfo(
         None, "No entry that was asked remembers a decision for this request id."
     ),
--- a/src/spoolhead/_internal/models/dialects.py
+++ b/src/spoolhead/_internal/models/dialects.py
@@ -81,9 +81,7 @@
     ) -> expression.Result[route_table.RouteTable, list[fault.Fault]]:
         """Decode a route table."""
 
-    def decode_instances(
-        self, document: bytes
-    ) -> expression.Result[InstancePage, fault.Fault]:
+    def decode_instances(self, document: bytes) -> expression.Result[InstancePage, fault.Fault]:
         """Decode a page of the list of instances."""
 
 
@@ -307,9 +305,7 @@
     def read_wait_ms(self, wire: request_reader.WireRequest) -> int | None:
         """Return the time that a request has; None if it states none, or none that is valid."""
 
-    def write_request(
-        self, head: RequestHead, parameters: AttemptParameters
-    ) -> Headers:
+    def write_request(self, head: RequestHead, parameters: AttemptParameters) -> Headers:
         """Return the headers of an attempt other than Host and Content-Length."""
 
     def read_answer(self, status: int, headers: Headers) -> AnswerHead:
--- a/src/spoolhead/_internal/models/evacuations.py
+++ b/src/spoolhead/_internal/models/evacuations.py
@@ -15,9 +15,7 @@
 
 def is_hall_name(text: str) -> bool:
     """Return whether a text is a valid name of a hall."""
-    return (
-        0 < len(text) <= MAX_HALL_NAME_LENGTH and text.isprintable() and "/" not in text
-    )
+    return 0 < len(text) <= MAX_HALL_NAME_LENGTH and text.isprintable() and "/" not in text
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, frozen=True)
@@ -63,9 +61,7 @@
     @property
     def evacuated_halls(self) -> frozenset[str]:
         """Names of the evacuated halls."""
-        return frozenset(
-            name for name, state in self._halls.items() if state.is_evacuated
-        )
+        return frozenset(name for name, state in self._halls.items() if state.is_evacuated)
 
     def get_revision(self, hall: str) -> int:
         """Return the revision of a hall; 0 before its first order."""
@@ -94,10 +90,7 @@
 
     def pack(self) -> list[object]:
         """Return the encoding on disk and in messages."""
-        halls = [
-            [name, item.is_evacuated, item.revision]
-            for name, item in self._halls.items()
-        ]
+        halls = [[name, item.is_evacuated, item.revision] for name, item in self._halls.items()]
         return [self.revision, sorted(halls)]
 
     def restore(self, values: list) -> None:
@@ -111,9 +104,7 @@
 
 def pack_order(order: HallOrder) -> bytes:
     """Return the encoding of an order in the log."""
-    return msgpack.packb(
-        [order.hall, order.is_evacuated, order.base_revision, order.order_id]
-    )
+    return msgpack.packb([order.hall, order.is_evacuated, order.base_revision, order.order_id])
 
 
 def unpack_order(values: list) -> HallOrder:
--- a/src/spoolhead/_internal/models/fault.py
+++ b/src/spoolhead/_internal/models/fault.py
@@ -42,6 +42,4 @@
 
 def make_unconfirmed_fault(item: Fault) -> Fault:
     """Return the fault for a refusal that is based on a table that may be outdated."""
-    return Fault(
-        codes.ResultCode.TABLE_UNCONFIRMED, f"unconfirmed: {item.text}", path=item.path
-    )
+    return Fault(codes.ResultCode.TABLE_UNCONFIRMED, f"unconfirmed: {item.text}", path=item.path)
--- a/src/spoolhead/_internal/models/instance_pace.py
+++ b/src/spoolhead/_internal/models/instance_pace.py
@@ -30,9 +30,7 @@
 
     __slots__ = ("age_ms", "is_measured", "key", "percent")
 
-    def __init__(
-        self, key: int, percent: int, age_ms: int, *, is_measured: bool = False
-    ) -> None:
+    def __init__(self, key: int, percent: int, age_ms: int, *, is_measured: bool = False) -> None:
         self.key = key
         self.percent = percent
         self.age_ms = age_ms
--- a/src/spoolhead/_internal/models/instances.py
+++ b/src/spoolhead/_internal/models/instances.py
@@ -33,11 +33,7 @@
     @property
     def incarnation_id(self) -> str:
         """Id of this incarnation; equals ``instance_id`` if the time of the start is not listed."""
-        return (
-            f"{self.instance_id}@{self.started_ms}"
-            if self.started_ms
-            else self.instance_id
-        )
+        return f"{self.instance_id}@{self.started_ms}" if self.started_ms else self.instance_id
 
 
 _FIELDS = tuple(field.name for field in dataclasses.fields(Instance))
@@ -66,9 +62,7 @@
     return Instance(**dict(zip(_FIELDS, value, strict=True)))
 
 
-def remove_duplicates(
-    listed: list[Instance], before: dict[str, Instance]
-) -> list[Instance]:
+def remove_duplicates(listed: list[Instance], before: dict[str, Instance]) -> list[Instance]:
     """Return one instance for each id.
 
     If an id is listed more than once, the instance with the latest start is kept. Among instances
--- a/src/spoolhead/_internal/models/queue_rows.py
+++ b/src/spoolhead/_internal/models/queue_rows.py
@@ -44,17 +44,13 @@
 @functools.lru_cache(maxsize=64)
 def get_waiting_keys(service: str) -> tuple[int, ...]:
     """Return the key of each waiting class of a service."""
-    return tuple(
-        shared_load.get_key(f"waiting/{service}/{each}") for each in range(CLASS_COUNT)
-    )
+    return tuple(shared_load.get_key(f"waiting/{service}/{each}") for each in range(CLASS_COUNT))
 
 
 @functools.lru_cache(maxsize=64)
 def get_running_keys(service: str) -> tuple[int, ...]:
     """Return the keys of the memory in flight of a service, by rank."""
-    return tuple(
-        shared_load.get_key(f"running/{service}/{rank}") for rank in range(RANKS)
-    )
+    return tuple(shared_load.get_key(f"running/{service}/{rank}") for rank in range(RANKS))
 
 
 @functools.lru_cache(maxsize=64)
@@ -66,9 +62,7 @@
 @functools.lru_cache(maxsize=64)
 def get_acquired_keys(service: str) -> tuple[int, ...]:
     """Return the keys of the memory that a service's runs have acquired so far, by rank."""
-    return tuple(
-        shared_load.get_key(f"acquired/{service}/{rank}") for rank in range(RANKS)
-    )
+    return tuple(shared_load.get_key(f"acquired/{service}/{rank}") for rank in range(RANKS))
 
 
 @functools.lru_cache(maxsize=1024)
--- a/src/spoolhead/_internal/models/rate_limit.py
+++ b/src/spoolhead/_internal/models/rate_limit.py
@@ -62,9 +62,7 @@
         key, limit_per_s, age_ms = values[start : start + _ROW_FIELDS]
         if not 0 <= key <= MAX_KEY or age_ms > MAX_AGE_MS:
             raise ValueError("the key or age of a limit is out of range")
-        limits.append(
-            AgedLimit(int(key), _read_limit(float(limit_per_s)), max(0, int(age_ms)))
-        )
+        limits.append(AgedLimit(int(key), _read_limit(float(limit_per_s)), max(0, int(age_ms))))
     return limits
 
 
--- a/src/spoolhead/_internal/models/request_keys.py
+++ b/src/spoolhead/_internal/models/request_keys.py
@@ -13,9 +13,7 @@
 
     __slots__ = ("all", "content", "parts")
 
-    def __init__(
-        self, content: bytes = b"", parts: dict[bytes, str] | None = None
-    ) -> None:
+    def __init__(self, content: bytes = b"", parts: dict[bytes, str] | None = None) -> None:
         self.content = content
         self.parts = parts or {}
         contents = (content,) if content else ()
--- a/src/spoolhead/_internal/models/rows.py
+++ b/src/spoolhead/_internal/models/rows.py
@@ -26,9 +26,7 @@
 
 Name = Annotated[str, pydantic.StringConstraints(pattern=NAME_PATTERN)]
 KeyHash = Annotated[str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{64}$")]
-Address = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")
-]
+Address = Annotated[str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Method = Annotated[str, pydantic.StringConstraints(pattern=r"^[A-Z]{1,20}$")]
 Positive = Annotated[int, pydantic.Field(gt=0)]
 
@@ -137,9 +135,7 @@
 }
 
 
-def parse_row(
-    sheet: Sheet, name: str, value: object
-) -> expression.Result[Row, list[fault.Fault]]:
+def parse_row(sheet: Sheet, name: str, value: object) -> expression.Result[Row, list[fault.Fault]]:
     """Validate a row.
 
     :param sheet: sheet of the row.
@@ -150,13 +146,9 @@
     place = f"{sheet}.{name}"
     faults = []
     if not re.match(NAME_PATTERN, name):
-        faults.append(
-            _make_fault(place, "the row's name has characters that are not allowed")
-        )
+        faults.append(_make_fault(place, "the row's name has characters that are not allowed"))
     if sheet is Sheet.SERVICES and name in RESERVED_SERVICES:
-        faults.append(
-            _make_fault(place, "the name is reserved for the entry's own paths")
-        )
+        faults.append(_make_fault(place, "the name is reserved for the entry's own paths"))
     try:
         # In strict mode, pydantic accepts an object for a row only from JSON text, not from a dict.
         row = _ADAPTERS[sheet].validate_json(json.dumps(value))
@@ -205,13 +197,9 @@
         row = parsed[sheet].get(name)
         place = f"{sheet}.{name}"
         if isinstance(row, WorkspaceRow):
-            faults.extend(
-                _check_names(f"{place}.models", row.models, services, ServiceKind.MODEL)
-            )
+            faults.extend(_check_names(f"{place}.models", row.models, services, ServiceKind.MODEL))
             plain = ServiceKind.PLAIN
-            faults.extend(
-                _check_names(f"{place}.services", row.services, services, plain)
-            )
+            faults.extend(_check_names(f"{place}.services", row.services, services, plain))
         elif isinstance(row, UpstreamRow) and row.service not in services:
             text = f"no service is named {row.service}"
             faults.append(_make_fault(f"{place}.service", text))
@@ -237,9 +225,7 @@
         return [_make_fault(f"{place}.address", "not an IP number and a port")]
     if isinstance(row, ServiceRow) and row.kind is ServiceKind.PLAIN:
         if not SERVICE_PATTERN.match(name):
-            return [
-                _make_fault(place, "a plain service's name must fit one part of a path")
-            ]
+            return [_make_fault(place, "a plain service's name must fit one part of a path")]
     elif isinstance(row, ServiceRow) and row.once_methods:
         return [_make_fault(f"{place}.once_methods", "only plain services have it")]
     return []
--- a/src/spoolhead/_internal/models/settings.py
+++ b/src/spoolhead/_internal/models/settings.py
@@ -21,14 +21,10 @@
 Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
 Positive = Annotated[int, pydantic.Field(gt=0)]
 NotNegative = Annotated[int, pydantic.Field(ge=0)]
-IpNumber = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")
-]
+IpNumber = Annotated[str, pydantic.StringConstraints(pattern=r"^\d{1,3}(\.\d{1,3}){3}$")]
 SharedKey = Annotated[str, pydantic.StringConstraints(min_length=16)]
 LogFormat = Annotated[str, pydantic.StringConstraints(pattern="^(json|text)$")]
-LogLevel = Annotated[
-    str, pydantic.StringConstraints(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
-]
+LogLevel = Annotated[str, pydantic.StringConstraints(pattern="^(DEBUG|INFO|WARNING|ERROR)$")]
 
 
 @pydantic.dataclasses.dataclass(slots=True, kw_only=True, config=_CONFIG)
@@ -41,9 +37,7 @@
     """
 
     format: LogFormat = "json"
-    output: Annotated[str, pydantic.StringConstraints(pattern="^(stderr|stdout)$")] = (
-        "stderr"
-    )
+    output: Annotated[str, pydantic.StringConstraints(pattern="^(stderr|stdout)$")] = "stderr"
     level: LogLevel = "INFO"
 
 
@@ -318,9 +312,7 @@
         adapter: pydantic.TypeAdapter[Any] = pydantic.TypeAdapter(kind)
         return expression.Ok(adapter.validate_json(json.dumps(parsed.ok)))
     except pydantic.ValidationError as error:
-        return expression.Error(
-            rows.get_faults(error, "", codes.ResultCode.SETTINGS_INVALID)
-        )
+        return expression.Error(rows.get_faults(error, "", codes.ResultCode.SETTINGS_INVALID))
 
 
 def read_settings(kind: type[_SettingsT], path: str) -> _SettingsT:
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -153,9 +153,7 @@
 
     __slots__ = ("digest", "records")
 
-    def __init__(
-        self, records: Sequence[content_record.AgedRecord] = (), digest: int = 0
-    ) -> None:
+    def __init__(self, records: Sequence[content_record.AgedRecord] = (), digest: int = 0) -> None:
         self.records = list(records)
         self.digest = digest
 
--- a/src/spoolhead/_internal/network/body_admission.py
+++ b/src/spoolhead/_internal/network/body_admission.py
@@ -55,9 +55,7 @@
         wire.body_lease = lease
         if lease.state is body_budget.State.WAITING:
             lease.on_decided = lambda: self._handle_decision(lease, on_decided)
-            logger.info(
-                "body waits for memory", extra={"fields": self._get_fields(lease)}
-            )
+            logger.info("body waits for memory", extra={"fields": self._get_fields(lease)})
         return lease.state
 
     def release(self, wire: request_reader.WireRequest) -> None:
@@ -84,9 +82,7 @@
         has_stalled = lease.has_stalled(reader.body_bytes)
         return has_stalled or lease.is_too_slow(reader.body_bytes, clocks.get_s())
 
-    def _handle_decision(
-        self, lease: body_budget.Lease, on_decided: Callable[[], None]
-    ) -> None:
+    def _handle_decision(self, lease: body_budget.Lease, on_decided: Callable[[], None]) -> None:
         fields = {**self._get_fields(lease), "state": lease.state.value}
         fields["waited_ms"] = int((clocks.get_s() - lease.requested_s) * 1000)
         logger.info("wait for memory ended", extra={"fields": fields})
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -120,9 +120,7 @@
         data = body if self.request.method != "HEAD" else b""
         self.is_started = True
         head_bytes = self._get_head_bytes()
-        parts = (
-            (head_bytes, data) if len(data) > MAX_JOINED_BYTES else (head_bytes + data,)
-        )
+        parts = (head_bytes, data) if len(data) > MAX_JOINED_BYTES else (head_bytes + data,)
         for part in parts:
             self._front.send(self._connection, part)
         self._finish()
@@ -146,9 +144,7 @@
             self.ends_with_connection = True
             self._front.require_reset(self._connection)
         self.is_started = True
-        self._front.send(
-            self._connection, self._get_head_bytes() + self._encode_chunk(first)
-        )
+        self._front.send(self._connection, self._get_head_bytes() + self._encode_chunk(first))
 
     def send_body_part(self, data: bytes) -> int:
         """Send a part of the body after :meth:`start_stream`.
@@ -247,15 +243,11 @@
         "waiting_bytes",
     )
 
-    def __init__(
-        self, sock: socket.socket, remote: str, limits: settings.CallerLimits
-    ) -> None:
+    def __init__(self, sock: socket.socket, remote: str, limits: settings.CallerLimits) -> None:
         self.sock = sock
         self.remote = remote
         self.reader = request_reader.RequestReader(limits)
-        self.waiting: collections.deque[request_reader.WireRequest] = (
-            collections.deque()
-        )
+        self.waiting: collections.deque[request_reader.WireRequest] = collections.deque()
         self.waiting_bytes = 0
         self.current: Caller | None = None
         self.last_request_id = ""
@@ -318,9 +310,7 @@
         self._unread = unread if unread is not None else unread_budget.UnreadBudget(0)
         self._on_drop = on_drop
         if bodies is None:
-            bodies = body_admission.BodyAdmission(
-                body_budget.BodyBudget(0), lambda _wire: None
-            )
+            bodies = body_admission.BodyAdmission(body_budget.BodyBudget(0), lambda _wire: None)
         self._bodies = bodies
         self._connections: dict[socket.socket, _Connection] = {}
         self._is_closing_after_answers = False
@@ -477,9 +467,7 @@
 
     def _drop(self, connection: _Connection, drop: unread_budget.Drop) -> None:
         caller = connection.current
-        request_id = (
-            caller.request_id if caller is not None else connection.last_request_id
-        )
+        request_id = caller.request_id if caller is not None else connection.last_request_id
         if self._on_drop is not None:
             self._on_drop(request_id, drop, caller is not None)
         # Closed first, so that a refusal is not buffered, which might exceed the budget again.
@@ -577,9 +565,7 @@
                 return False
         return True
 
-    def _on_body_decided(
-        self, connection: _Connection, wire: request_reader.WireRequest
-    ) -> None:
+    def _on_body_decided(self, connection: _Connection, wire: request_reader.WireRequest) -> None:
         lease = wire.body_lease
         if lease is None:
             return
@@ -591,9 +577,7 @@
     def _proceed(self, connection: _Connection, *, has_completed: bool) -> None:
         """Read on unless a body waits for room, and serve the next request."""
         sock = connection.sock
-        if any(
-            body_admission.is_waiting(wire) for wire, _ in connection.get_received()
-        ):
+        if any(body_admission.is_waiting(wire) for wire, _ in connection.get_received()):
             self._server.pause_reading(sock)
         else:
             self._server.resume_reading(sock)
@@ -603,16 +587,12 @@
         self._set_deadline(connection, restart=has_completed)
         self._serve_next(connection)
 
-    def _reject_body(
-        self, connection: _Connection, wire: request_reader.WireRequest
-    ) -> None:
+    def _reject_body(self, connection: _Connection, wire: request_reader.WireRequest) -> None:
         # The rest of the body is read and discarded, or the caller might not see the answer.
         connection.max_linger_bytes += self._limits.body_bytes
         connection.linger_until_s = clocks.get_s() + self._limits.body_ms / 1000
         text = "there is no memory for the body of the request at present"
-        self._refuse_request(
-            connection, fault.Fault(codes.ResultCode.ENTRY_FULL, text), wire
-        )
+        self._refuse_request(connection, fault.Fault(codes.ResultCode.ENTRY_FULL, text), wire)
 
     def _discard_received(self, connection: _Connection) -> None:
         """Discard the requests that are not being served, and return the room of their bodies."""
@@ -623,9 +603,7 @@
         connection.reader = request_reader.RequestReader(self._limits)
 
     @circuits.handler("read", priority=1.0)
-    def _on_library_read(
-        self, event: circuits.Event, sock: socket.socket, _data: bytes
-    ) -> None:
+    def _on_library_read(self, event: circuits.Event, sock: socket.socket, _data: bytes) -> None:
         # The caller may have disconnected since the event was fired. The library would then raise
         # an exception when it gets the socket's peer. The disconnect event handles this case.
         try:
@@ -634,15 +612,9 @@
             event.stop()
 
     @circuits.handler("request")
-    def _on_request(
-        self, request: wrappers.Request, response: wrappers.Response
-    ) -> bool:
+    def _on_request(self, request: wrappers.Request, response: wrappers.Response) -> bool:
         connection = self._connections.get(request.sock)
-        if (
-            connection is None
-            or not connection.waiting
-            or connection.current is not None
-        ):
+        if connection is None or not connection.waiting or connection.current is not None:
             return True
         wire = connection.waiting.popleft()
         connection.waiting_bytes -= len(wire.body)
@@ -700,8 +672,7 @@
     def _is_over_pipeline_limit(self, connection: _Connection) -> bool:
         return (
             len(connection.waiting) > self._limits.pipelined
-            or connection.waiting_bytes
-            > self._limits.pipelined * self._limits.body_bytes
+            or connection.waiting_bytes > self._limits.pipelined * self._limits.body_bytes
         )
 
     def _set_deadline(self, connection: _Connection, *, restart: bool) -> None:
@@ -711,29 +682,19 @@
             connection.deadline_s = None
             return
         phase = connection.reader.phase
-        if (
-            phase is connection.phase
-            and connection.deadline_s is not None
-            and not restart
-        ):
+        if phase is connection.phase and connection.deadline_s is not None and not restart:
             return
         connection.phase = phase
-        connection.deadline_s = (
-            clocks.get_s() + _get_timeout_ms(self._limits, phase) / 1000
-        )
+        connection.deadline_s = clocks.get_s() + _get_timeout_ms(self._limits, phase) / 1000
 
     def _close_expired(self) -> None:
         self._bodies.check_waiting()
         now_s = clocks.get_s()
         for connection in list(self._connections.values()):
-            if not connection.is_closing and self._bodies.is_too_slow(
-                connection.reader
-            ):
+            if not connection.is_closing and self._bodies.is_too_slow(connection.reader):
                 text = "the body of the request arrived too slowly while others waited for memory"
                 item = fault.Fault(codes.ResultCode.REQUEST_TOO_SLOW, text)
-                self._refuse_request(
-                    connection, item, connection.reader.incomplete_request
-                )
+                self._refuse_request(connection, item, connection.reader.incomplete_request)
                 continue
             if connection.deadline_s is None or now_s < connection.deadline_s:
                 continue
@@ -742,9 +703,7 @@
                 self._server.close_now(connection.sock)
                 continue
             text = f"the {connection.phase.value} of the request took too long"
-            self._refuse_request(
-                connection, fault.Fault(codes.ResultCode.REQUEST_TOO_SLOW, text)
-            )
+            self._refuse_request(connection, fault.Fault(codes.ResultCode.REQUEST_TOO_SLOW, text))
 
 
 def _get_timeout_ms(limits: settings.CallerLimits, phase: request_reader.Phase) -> int:
--- a/src/spoolhead/_internal/network/direct_poller.py
+++ b/src/spoolhead/_internal/network/direct_poller.py
@@ -24,9 +24,7 @@
         self._before_dispatch = before_dispatch
         self._direct_readers: dict[socket.socket, Reader] = {}
 
-    def add_direct_reader(
-        self, source: object, sock: socket.socket, reader: Reader
-    ) -> None:
+    def add_direct_reader(self, source: object, sock: socket.socket, reader: Reader) -> None:
         """Call a function whenever a socket is readable.
 
         :param source: component whose channel receives the socket's other events.
@@ -43,9 +41,7 @@
     def _process(self, fileno: int, event: int) -> None:
         self._before_dispatch()
         reader = (
-            self._direct_readers.get(self._map.get(fileno))
-            if event == select.EPOLLIN
-            else None
+            self._direct_readers.get(self._map.get(fileno)) if event == select.EPOLLIN else None
         )
         if reader is None:
             super()._process(fileno, event)
--- a/src/spoolhead/_internal/network/direct_server.py
+++ b/src/spoolhead/_internal/network/direct_server.py
@@ -59,9 +59,7 @@
             options.append((socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes))
         if receive_buffer_bytes is not None:
             options.append((socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes))
-        super().__init__(
-            bind, channel=channel, bufsize=READ_BYTES, socket_options=options
-        )
+        super().__init__(bind, channel=channel, bufsize=READ_BYTES, socket_options=options)
         self._unread = unread if unread is not None else unread_budget.UnreadBudget(0)
         self._paused: set[socket.socket] = set()
         self._resetting: set[socket.socket] = set()
@@ -141,9 +139,7 @@
 
     def count_unacknowledged_bytes(self, sock: socket.socket) -> int:
         """Return the number of bytes in the kernel's send buffer of a connection."""
-        (kernel_bytes,) = struct.unpack(
-            "i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES)
-        )
+        (kernel_bytes,) = struct.unpack("i", fcntl.ioctl(sock, termios.TIOCOUTQ, _NO_BYTES))
         return kernel_bytes
 
     def stop_listening(self) -> None:
--- a/src/spoolhead/_internal/network/end_probes.py
+++ b/src/spoolhead/_internal/network/end_probes.py
@@ -41,9 +41,7 @@
         if self.timer is not None:
             self.timer.cancel()
         is_refused = reason == links.REFUSED
-        evidence = (
-            answer_end.Evidence.TERMINATED if is_refused else answer_end.Evidence.NONE
-        )
+        evidence = answer_end.Evidence.TERMINATED if is_refused else answer_end.Evidence.NONE
         self._owner.handle_result(self, evidence, reason)
 
     def _on_stayed(self) -> None:
@@ -85,14 +83,10 @@
         if state is not None:
             _notify(state.pop_alive(opened_s), answer_end.Evidence.ALIVE)
 
-    def handle_result(
-        self, probe: _Probe, evidence: answer_end.Evidence, reason: str
-    ) -> None:
+    def handle_result(self, probe: _Probe, evidence: answer_end.Evidence, reason: str) -> None:
         """Handle the result of a probe."""
         # A later answer may have decided all ends meanwhile, and the state may be removed.
-        state = self._states.setdefault(
-            probe.address, end_confirmation.EndConfirmation()
-        )
+        state = self._states.setdefault(probe.address, end_confirmation.EndConfirmation())
         fields = {
             "address": probe.address,
             "evidence": evidence.value,
@@ -120,9 +114,7 @@
         if due_s is None or address in self._scheduled:
             return
         self._scheduled.add(address)
-        self.timers.call_later(
-            max(0.0, due_s - clocks.get_s()), lambda: self._begin(address)
-        )
+        self.timers.call_later(max(0.0, due_s - clocks.get_s()), lambda: self._begin(address))
 
     def _begin(self, address: str) -> None:
         self._scheduled.discard(address)
@@ -136,8 +128,6 @@
         self._schedule(address)
 
 
-def _notify(
-    ends: list[end_confirmation.WaitingEnd], evidence: answer_end.Evidence
-) -> None:
+def _notify(ends: list[end_confirmation.WaitingEnd], evidence: answer_end.Evidence) -> None:
     for item in ends:
         item.on_evidence(evidence)
