--- a/src/spoolhead/_internal/network/forward_server.py
+++ b/src/spoolhead/_internal/network/forward_server.py
@@ -84,9 +84,7 @@
         """Record that the next answer is this entry's own, to be stated in its head."""
         self._result = forward_messages.format_result(code, ran)
 
-    def send_answer(
-        self, status: int, headers: upstream_calls.Headers, body: bytes
-    ) -> None:
+    def send_answer(self, status: int, headers: upstream_calls.Headers, body: bytes) -> None:
         """Send a complete answer; ignored if the sender is gone or has its answer."""
         if self.is_disconnected or self.is_finished:
             return
@@ -95,9 +93,7 @@
         if status in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED):
             length = []
         self.is_started = True
-        self._server.send_now(
-            self._sock, self._make_head(status, [*headers, *length]) + data
-        )
+        self._server.send_now(self._sock, self._make_head(status, [*headers, *length]) + data)
         self._finish()
 
     def start_stream(
@@ -189,9 +185,7 @@
         loop: loops.Loop,
         config: settings.GatewaySettings,
         *,
-        on_request: Callable[
-            [ForwardedCaller, forward_messages.ForwardedRequest], None
-        ],
+        on_request: Callable[[ForwardedCaller, forward_messages.ForwardedRequest], None],
         bodies: body_admission.BodyAdmission | None = None,
     ) -> None:
         super().__init__()
@@ -200,9 +194,7 @@
         self._limits = config.callers
         self._handle_request = on_request
         if bodies is None:
-            bodies = body_admission.BodyAdmission(
-                body_budget.BodyBudget(0), lambda _wire: None
-            )
+            bodies = body_admission.BodyAdmission(body_budget.BodyBudget(0), lambda _wire: None)
         self._bodies = bodies
         self._connections: dict[socket.socket, _Connection] = {}
         self._server = direct_server.DirectServer(
@@ -221,14 +213,10 @@
     @circuits.handler("connect")
     def _on_connect(self, sock: socket.socket, remote: str, _port: int) -> None:
         if len(self._connections) >= MAX_CONNECTIONS:
-            logger.warning(
-                "connection from %s closed: too many forwarded requests", remote
-            )
+            logger.warning("connection from %s closed: too many forwarded requests", remote)
             self._server.close_now(sock)
             return
-        timer = self._timers.call_later(
-            REQUEST_TIMEOUT_S, lambda: self._server.close_now(sock)
-        )
+        timer = self._timers.call_later(REQUEST_TIMEOUT_S, lambda: self._server.close_now(sock))
         reader = request_reader.RequestReader(_widen(self._limits))
         self._connections[sock] = _Connection(remote, reader, timer)
 
@@ -255,9 +243,7 @@
             return
         result = connection.reader.feed(data)
         if result.is_error():
-            logger.warning(
-                "forwarded request from %s ignored: %s", connection.remote, result.error
-            )
+            logger.warning("forwarded request from %s ignored: %s", connection.remote, result.error)
             self._server.close_now(sock)
         elif result.ok:
             self._receive(sock, connection, result.ok[0])
@@ -292,9 +278,7 @@
                 raise ValueError("its proof is not valid")
             forwarded = forward_messages.decode(wire.body)
         except ValueError as error:
-            logger.warning(
-                "forwarded request from %s ignored: %s", connection.remote, error
-            )
+            logger.warning("forwarded request from %s ignored: %s", connection.remote, error)
             self._bodies.release(wire)
             self._server.close_now(sock)
             return
--- a/src/spoolhead/_internal/network/handshake.py
+++ b/src/spoolhead/_internal/network/handshake.py
@@ -14,20 +14,13 @@
 
 
 def make_hello(
-    shared_key: str,
-    challenge: messages.Challenge,
-    *,
-    role: str,
-    name: str,
-    nonce: bytes
+    shared_key: str, challenge: messages.Challenge, *, role: str, name: str, nonce: bytes
 ) -> messages.Hello:
     """Return the answer to a challenge.
 
     :param nonce: fresh random bytes for the accepting side to sign.
     """
-    proof = _sign(
-        shared_key, b"hello", challenge.nonce, nonce, role.encode(), name.encode()
-    )
+    proof = _sign(shared_key, b"hello", challenge.nonce, nonce, role.encode(), name.encode())
     return messages.Hello(role=role, name=name, nonce=nonce, proof=proof)
 
 
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -74,9 +74,7 @@
         self, owner: "Links", sock: socket.socket, address: str, listener: LinkListener
     ) -> None:
         self._owner = owner
-        self._unsent: collections.deque[bytes | bytearray | memoryview] = (
-            collections.deque()
-        )
+        self._unsent: collections.deque[bytes | bytearray | memoryview] = collections.deque()
         self.sock = sock
         self.address = address
         self.listener = listener
--- a/src/spoolhead/_internal/network/messages.py
+++ b/src/spoolhead/_internal/network/messages.py
@@ -474,9 +474,7 @@
     """Incremental decoder for a stream of messages."""
 
     def __init__(self) -> None:
-        self._unpacker = msgpack.Unpacker(
-            max_buffer_size=MAX_MESSAGE_BYTES, strict_map_key=True
-        )
+        self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_MESSAGE_BYTES, strict_map_key=True)
 
     def feed(self, data: bytes) -> list[Message]:
         """Add bytes and return the messages that they complete.
--- a/src/spoolhead/_internal/network/peer_call.py
+++ b/src/spoolhead/_internal/network/peer_call.py
@@ -30,13 +30,9 @@
         self._reader = messages.MessageReader()
         self._received: list[messages.Message] = []
         try:
-            self._sock = socket.create_connection(
-                endpoints.split(address), self._timeout_s
-            )
+            self._sock = socket.create_connection(endpoints.split(address), self._timeout_s)
         except OSError as error:
-            raise self._make_error(
-                codes.ResultCode.PEER_UNREACHABLE, str(error)
-            ) from error
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
         self._perform_handshake(config.shared_key)
 
     def __enter__(self) -> "PeerCall":
@@ -67,17 +63,13 @@
             text = "closed the connection after the handshake; is the shared key right?"
             raise self._make_error(codes.ResultCode.PEER_REFUSED, text) from error
         if not handshake.check_welcome(shared_key, nonce, welcome):
-            raise self._make_error(
-                codes.ResultCode.PEER_REFUSED, "does not know the shared key"
-            )
+            raise self._make_error(codes.ResultCode.PEER_REFUSED, "does not know the shared key")
 
     def _send(self, message: messages.Message) -> None:
         try:
             self._sock.sendall(messages.encode(message))
         except OSError as error:
-            raise self._make_error(
-                codes.ResultCode.PEER_UNREACHABLE, str(error)
-            ) from error
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
 
     def _receive(self, kind: type[_MessageT]) -> _MessageT:
         deadline_s = clocks.get_s() + self._timeout_s
@@ -96,26 +88,20 @@
             self._sock.settimeout(max(0.001, deadline_s - clocks.get_s()))
             data = self._sock.recv(READ_BYTES)
         except OSError as error:
-            raise self._make_error(
-                codes.ResultCode.PEER_UNREACHABLE, str(error)
-            ) from error
+            raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, str(error)) from error
         if not data:
             text = "closed the connection"
             raise self._make_error(codes.ResultCode.PEER_UNREACHABLE, text)
         try:
             self._received.extend(self._reader.feed(data))
         except messages.MessageError as error:
-            raise self._make_error(
-                codes.ResultCode.PEER_PROTOCOL, str(error)
-            ) from error
+            raise self._make_error(codes.ResultCode.PEER_PROTOCOL, str(error)) from error
 
     def _make_error(self, code: codes.ResultCode, text: str) -> exceptions.PeerError:
         return exceptions.PeerError(code, f"{self.address}: {text}")
 
 
-def open_to_any(
-    addresses: Sequence[str], config: settings.OperatorSettings
-) -> PeerCall:
+def open_to_any(addresses: Sequence[str], config: settings.OperatorSettings) -> PeerCall:
     """Connect to the first of several equivalent processes that answers.
 
     :raises exceptions.PeerError: if none answers; the error is that of the last one.
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -170,13 +170,8 @@
                 if not self._is_closed:
                     self._handle_message(message)
             self._received_bytes += len(data)
-            if (
-                not self.is_ready
-                and self._received_bytes > messages.MAX_HANDSHAKE_BYTES
-            ):
-                raise messages.MessageError(
-                    "too many bytes before the handshake is complete"
-                )
+            if not self.is_ready and self._received_bytes > messages.MAX_HANDSHAKE_BYTES:
+                raise messages.MessageError("too many bytes before the handshake is complete")
         except messages.MessageError as error:
             self.reconnect(str(error))
         except Exception:
@@ -202,9 +197,7 @@
         self._received_bytes = 0
         address = self._addresses[self._address_index % len(self._addresses)]
         self._heard_s = clocks.get_s()
-        self._link = self._outgoing.open(
-            address, self, connect_ms=self._timing.connect_ms
-        )
+        self._link = self._outgoing.open(address, self, connect_ms=self._timing.connect_ms)
 
     def _handle_message(self, message: messages.Message) -> None:
         if self.is_ready:
@@ -219,9 +212,7 @@
 
     def _answer_challenge(self, challenge: messages.Challenge) -> None:
         if challenge.protocol != messages.PROTOCOL_VERSION:
-            raise messages.MessageError(
-                f"unsupported protocol version {challenge.protocol}"
-            )
+            raise messages.MessageError(f"unsupported protocol version {challenge.protocol}")
         self._nonce = secrets.token_bytes(handshake.NONCE_BYTES)
         hello = handshake.make_hello(
             self._shared_key,
--- a/src/spoolhead/_internal/network/peer_server.py
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -93,9 +93,7 @@
         service: PeerService,
     ) -> None:
         super().__init__()
-        self._server = direct_server.DirectServer(bind, channel=self.channel).register(
-            self
-        )
+        self._server = direct_server.DirectServer(bind, channel=self.channel).register(self)
         self._scheduler = loop.scheduler
         self._name = name
         self._shared_key = shared_key
@@ -117,24 +115,18 @@
         except Exception:
             # A failure with one peer must not prevent a broadcast to the other peers. The failed
             # peer reconnects and requests the current state.
-            logger.exception(
-                "cannot send to peer %s; its connection is closed", session.name
-            )
+            logger.exception("cannot send to peer %s; its connection is closed", session.name)
             self._server.close_now(session.sock)
             return
         if unsent_bytes > MAX_UNSENT_BYTES:
-            logger.warning(
-                "peer %s does not read; its connection is closed", session.name
-            )
+            logger.warning("peer %s does not read; its connection is closed", session.name)
             self._server.close_now(session.sock)
 
     @circuits.handler("connect")
     def _on_connect(self, sock: socket.socket, *_address: object) -> None:
         session = PeerSession(self, sock)
         self._sessions[sock] = session
-        session.send(
-            messages.Challenge(protocol=messages.PROTOCOL_VERSION, nonce=session.nonce)
-        )
+        session.send(messages.Challenge(protocol=messages.PROTOCOL_VERSION, nonce=session.nonce))
 
     @circuits.handler("disconnect")
     def _on_disconnect(self, sock: socket.socket) -> None:
@@ -152,17 +144,10 @@
             for message in session.reader.feed(data):
                 self._handle_message(session, message)
             session.received_bytes += len(data)
-            if (
-                not session.role
-                and session.received_bytes > messages.MAX_HANDSHAKE_BYTES
-            ):
-                raise messages.MessageError(
-                    "too many bytes before the handshake is complete"
-                )
+            if not session.role and session.received_bytes > messages.MAX_HANDSHAKE_BYTES:
+                raise messages.MessageError("too many bytes before the handshake is complete")
         except messages.MessageError as error:
-            logger.warning(
-                "peer %s: %s; its connection is closed", session.name or "?", error
-            )
+            logger.warning("peer %s: %s; its connection is closed", session.name or "?", error)
             self._server.close_now(sock)
         except Exception:
             # Otherwise a follower whose registration failed would stay connected and receive
@@ -190,9 +175,7 @@
         for session in list(self._sessions.values()):
             timeout_s = SILENCE_TIMEOUT_S if session.role else HELLO_TIMEOUT_S
             if now_s - session.heard_s > timeout_s and session.role != "operator":
-                logger.warning(
-                    "peer %s is silent; its connection is closed", session.name or "?"
-                )
+                logger.warning("peer %s is silent; its connection is closed", session.name or "?")
                 self._server.close_now(session.sock)
             elif session.role:
                 self.send(session, heartbeat)
--- a/src/spoolhead/_internal/network/request_reader.py
+++ b/src/spoolhead/_internal/network/request_reader.py
@@ -162,9 +162,7 @@
             elif not began_in_body and not self._complete_requests:
                 self._count_unfinished_head(len(data))
         except httptools.HttpParserUpgrade:
-            return self._fail(
-                codes.ResultCode.MALFORMED_REQUEST, "upgrades are not served"
-            )
+            return self._fail(codes.ResultCode.MALFORMED_REQUEST, "upgrades are not served")
         except httptools.HttpParserCallbackError as error:
             if isinstance(error.__context__, _ReaderError):
                 return expression.Error(error.__context__.fault)
@@ -197,9 +195,7 @@
         if self.phase is not Phase.HEAD:
             return
         self._add_head_bytes(len(name) + len(value) + 4)
-        self._request.headers.append(
-            (name.decode("latin-1").lower(), value.decode("latin-1"))
-        )
+        self._request.headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Check the head; called by the parser."""
@@ -208,21 +204,15 @@
         request.http_version = self._parser.get_http_version()
         request.keep_alive = self._parser.should_keep_alive()
         if request.http_version not in ("1.0", "1.1"):
-            raise _ReaderError(
-                codes.ResultCode.MALFORMED_REQUEST, "not HTTP/1.0 or HTTP/1.1"
-            )
+            raise _ReaderError(codes.ResultCode.MALFORMED_REQUEST, "not HTTP/1.0 or HTTP/1.1")
         hosts = sum(1 for name, _ in request.headers if name == "host")
         if hosts > 1 or (hosts == 0 and request.http_version == "1.1"):
-            raise _ReaderError(
-                codes.ResultCode.MALFORMED_REQUEST, "not exactly one Host header"
-            )
+            raise _ReaderError(codes.ResultCode.MALFORMED_REQUEST, "not exactly one Host header")
         length = request.get_header("content-length")
         if length is not None and int(length) > self._limits.body_bytes:
             self._refuse_body()
         self._has_length = length is not None
-        self._max_body_bytes = (
-            self._limits.body_bytes if length is None else int(length)
-        )
+        self._max_body_bytes = self._limits.body_bytes if length is None else int(length)
         self.wants_continue = request.get_header("expect") == "100-continue"
         self.phase = Phase.BODY
 
@@ -239,9 +229,7 @@
         self.phase = Phase.IDLE
         self.wants_continue = False
         if len(self._complete_requests) > self._limits.pipelined:
-            raise _ReaderError(
-                codes.ResultCode.TOO_MANY_PIPELINED, "too many requests sent ahead"
-            )
+            raise _ReaderError(codes.ResultCode.TOO_MANY_PIPELINED, "too many requests sent ahead")
 
     def _add_body(self, data: bytes) -> None:
         # The request holds the body, so that it is freed with its lease. The reader and its parser
@@ -269,10 +257,7 @@
         self._idle_body_bytes = 0 if has_progress else self._idle_body_bytes + fed_bytes
         if self._idle_body_bytes > self._limits.head_bytes:
             self._refuse_body()
-        if (
-            self._raw_body_bytes
-            > MAX_RAW_BODY_RATIO * self._limits.body_bytes + READ_SLACK_BYTES
-        ):
+        if self._raw_body_bytes > MAX_RAW_BODY_RATIO * self._limits.body_bytes + READ_SLACK_BYTES:
             self._refuse_body()
 
     def _add_head_bytes(self, count: int) -> None:
--- a/src/spoolhead/_internal/network/scheduler.py
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -59,9 +59,7 @@
 
     __slots__ = ("_callback", "_interval_s", "_scheduler", "_timer")
 
-    def __init__(
-        self, scheduler: "Scheduler", interval_s: float, call: Callable[[], None]
-    ) -> None:
+    def __init__(self, scheduler: "Scheduler", interval_s: float, call: Callable[[], None]) -> None:
         self._scheduler = scheduler
         self._interval_s = interval_s
         self._callback: Callable[[], None] | None = call
@@ -102,9 +100,7 @@
         heapq.heappush(self._heap, (timer.due_s, next(self._counter), timer))
         return timer
 
-    def call_every(
-        self, interval_s: float, call: Callable[[], None]
-    ) -> "RepeatingTimer":
+    def call_every(self, interval_s: float, call: Callable[[], None]) -> "RepeatingTimer":
         """Schedule a call at intervals until it is cancelled.
 
         :param interval_s: seconds between the end of a call and the next call.
@@ -145,9 +141,7 @@
             fields = {"late_ms": int(late_s * 1000)}
             logger.warning("process stood still", extra={"fields": fields})
         ran = False
-        while self._heap and (
-            self._heap[0][2].is_cancelled or self._heap[0][0] <= now_s
-        ):
+        while self._heap and (self._heap[0][2].is_cancelled or self._heap[0][0] <= now_s):
             timer = heapq.heappop(self._heap)[2]
             ran = ran or not timer.is_cancelled
             self._run(timer, event)
--- a/src/spoolhead/_internal/network/small_server.py
+++ b/src/spoolhead/_internal/network/small_server.py
@@ -20,9 +20,7 @@
 
     __slots__ = ("body", "content_type", "status")
 
-    def __init__(
-        self, status: HTTPStatus, body: bytes = b"", content_type: str = ""
-    ) -> None:
+    def __init__(self, status: HTTPStatus, body: bytes = b"", content_type: str = "") -> None:
         self.status = status
         self.body = body
         self.content_type = content_type
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -78,9 +78,7 @@
         """Ignore the loss."""
 
 
-def make_request(
-    method: str, target: str, host: str, headers: Headers, body: bytes
-) -> bytes:
+def make_request(method: str, target: str, host: str, headers: Headers, body: bytes) -> bytes:
     """Return an encoded request with a small body, which is copied.
 
     :param target: path and query.
@@ -90,9 +88,7 @@
     return make_head(method, target, host, headers, body_bytes=len(body)) + body
 
 
-def make_head(
-    method: str, target: str, host: str, headers: Headers, *, body_bytes: int
-) -> bytes:
+def make_head(method: str, target: str, host: str, headers: Headers, *, body_bytes: int) -> bytes:
     """Return the encoded head of a request; see :func:`make_request`."""
     lines = [f"{method} {target} HTTP/1.1", f"host: {host}"]
     lines.extend(f"{name}: {value}" for name, value in headers)
@@ -245,9 +241,7 @@
         if not self.has_head:
             self._owner.record_unanswered(self)
         is_closed = reason == links.CLOSED_CLEANLY
-        self.ending = (
-            answer_end.Ending.CLOSED if is_closed else answer_end.Ending.BROKEN
-        )
+        self.ending = answer_end.Ending.CLOSED if is_closed else answer_end.Ending.BROKEN
         if is_closed and self.framing is answer_end.Framing.CONNECTION:
             self._listener.on_answer_end()
         else:
@@ -262,9 +256,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Add a header; called by the parser. Trailers after the body are ignored."""
         if not self.has_head:
-            self._headers.append(
-                (name.decode("latin-1").lower(), value.decode("latin-1"))
-            )
+            self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
         """Pass on the head; called by the parser."""
@@ -304,9 +296,7 @@
         if self._status_kind is answer_status.StatusKind.FINAL:
             self._is_complete = True
             # The parser discards the framing after this callback.
-            self._may_reuse_link = (
-                self._parser.should_keep_alive() and not self._is_fresh
-            )
+            self._may_reuse_link = self._parser.should_keep_alive() and not self._is_fresh
 
     def _send_withheld(self) -> None:
         withheld, self._body = self._body, ()
@@ -429,9 +419,7 @@
         )
         link = None if fresh else self._pop_idle(address)
         if link is None:
-            link = self._outgoing.open(
-                address, call, connect_ms=self._config.connect_ms
-            )
+            link = self._outgoing.open(address, call, connect_ms=self._config.connect_ms)
         call.begin(link)
         return call
 
@@ -445,9 +433,7 @@
         if self.observer is not None and not call.is_reused:
             self.observer.record_unanswered(call.address)
 
-    def confirm_end(
-        self, address: str, on_evidence: end_confirmation.OnEvidence
-    ) -> None:
+    def confirm_end(self, address: str, on_evidence: end_confirmation.OnEvidence) -> None:
         """Check whether an upstream crashed as it ended a connection.
 
         :param address: ``IP:PORT`` of the upstream.
@@ -492,8 +478,7 @@
     def _close_idle(self) -> None:
         oldest_s = clocks.get_s() - self._config.idle_ms / 1000
         while self._background_calls and (
-            self._background_calls[0].call.is_over
-            or self._background_calls[0].since_s < oldest_s
+            self._background_calls[0].call.is_over or self._background_calls[0].since_s < oldest_s
         ):
             item = self._background_calls.popleft()
             if not item.call.is_over:
--- a/src/spoolhead/_internal/policy/admission.py
+++ b/src/spoolhead/_internal/policy/admission.py
@@ -152,9 +152,7 @@
         account = self._accounts.get(workspace)
         return account.running if account else 0
 
-    def offer(
-        self, waiting: WaitingRequest, now_s: float
-    ) -> expression.Result[None, Refusal]:
+    def offer(self, waiting: WaitingRequest, now_s: float) -> expression.Result[None, Refusal]:
         """Queue a request, or refuse it at once.
 
         :returns: None, or a refusal if the queue is full or the expected wait exceeds the deadline.
@@ -166,16 +164,12 @@
         # max_waiting = 0 still admits requests.
         allowed = row.max_waiting + max(0, row.max_running - account.running)
         if account.waiting >= allowed:
-            text = (
-                f"workspace {waiting.workspace} has {account.waiting} requests waiting"
-            )
+            text = f"workspace {waiting.workspace} has {account.waiting} requests waiting"
             return self._refuse(codes.ResultCode.QUEUE_FULL, text, queue, now_s)
         wait_s = self._get_expected_wait_s(queue, waiting, now_s)
         if now_s + wait_s > waiting.deadline_s:
             text = f"the expected wait of {wait_s:.1f} s is longer than the deadline"
-            return self._refuse(
-                codes.ResultCode.DEADLINE_UNREACHABLE, text, queue, now_s
-            )
+            return self._refuse(codes.ResultCode.DEADLINE_UNREACHABLE, text, queue, now_s)
         self._append(queue, account, waiting)
         return expression.Ok(None)
 
@@ -213,9 +207,7 @@
         if queue.last_start_s is not None:
             gap_s = now_s - queue.last_start_s
             average_s = queue.start_gap_s if queue.start_gap_s is not None else gap_s
-            queue.start_gap_s = (
-                RATE_SMOOTHING * average_s + (1 - RATE_SMOOTHING) * gap_s
-            )
+            queue.start_gap_s = RATE_SMOOTHING * average_s + (1 - RATE_SMOOTHING) * gap_s
         queue.last_start_s = now_s if queue.total else None
 
     def start_unqueued(self, workspace: str, now_s: float) -> None:
@@ -305,9 +297,7 @@
         level = row.priority + int(waited_ms / AGING_MS_PER_PRIORITY)
         return -level, self._accounts[name].consumed, first.arrived_s
 
-    def _get_expected_wait_s(
-        self, queue: _Queue, waiting: WaitingRequest, now_s: float
-    ) -> float:
+    def _get_expected_wait_s(self, queue: _Queue, waiting: WaitingRequest, now_s: float) -> float:
         gap_s = self._get_gap_s(queue, now_s)
         if gap_s is None or not queue.total:
             return 0.0
@@ -323,14 +313,10 @@
             return queue.start_gap_s
         return max(queue.start_gap_s, IDLE_GAP_FRACTION * (now_s - queue.last_start_s))
 
-    def _append(
-        self, queue: _Queue, account: _Account, waiting: WaitingRequest
-    ) -> None:
+    def _append(self, queue: _Queue, account: _Account, waiting: WaitingRequest) -> None:
         if account.running == 0 and account.waiting == 0:
             self._level_consumption(account)
-        queue.by_workspace.setdefault(waiting.workspace, collections.deque()).append(
-            waiting
-        )
+        queue.by_workspace.setdefault(waiting.workspace, collections.deque()).append(waiting)
         queue.total += 1
         account.waiting += 1
 
--- a/src/spoolhead/_internal/policy/alarm_broadcast.py
+++ b/src/spoolhead/_internal/policy/alarm_broadcast.py
@@ -54,9 +54,7 @@
         if alarm.kind in standing_alarms.STANDING_KINDS:
             self._repeats.add([standing_alarms.get_name(alarm)], now_s)
 
-    def send_again(
-        self, names: Iterable[standing_alarms.AlarmName], now_s: float
-    ) -> None:
+    def send_again(self, names: Iterable[standing_alarms.AlarmName], now_s: float) -> None:
         """Schedule previously sent alarms to be sent again."""
         self._repeats.add_due(names, now_s)
 
--- a/src/spoolhead/_internal/policy/answer_progress.py
+++ b/src/spoolhead/_internal/policy/answer_progress.py
@@ -45,9 +45,7 @@
             return f"{self._idle_bytes} bytes without progress of the answer"
         overhead_bytes = self._read_bytes - self._body_bytes
         if overhead_bytes > 2 * MAX_IDLE_BYTES + MAX_OVERHEAD_RATIO * self._body_bytes:
-            return (
-                f"{overhead_bytes} bytes of framing for {self._body_bytes} of the body"
-            )
+            return f"{overhead_bytes} bytes of framing for {self._body_bytes} of the body"
         if self._max_body_bytes is not None and self._body_bytes > self._max_body_bytes:
             return f"the body has over {self._max_body_bytes} bytes"
         return ""
--- a/src/spoolhead/_internal/policy/body_budget.py
+++ b/src/spoolhead/_internal/policy/body_budget.py
@@ -75,16 +75,12 @@
         "state",
     )
 
-    def __init__(
-        self, owner: str, size_bytes: int, *, wait_ms: int | None, now_s: float
-    ) -> None:
+    def __init__(self, owner: str, size_bytes: int, *, wait_ms: int | None, now_s: float) -> None:
         self.owner = owner
         self.size_bytes = size_bytes
         self.requested_s = now_s
         self.granted_s = now_s
-        max_wait_ms = (
-            DEFAULT_WAIT_MS if wait_ms is None else wait_ms
-        ) * MAX_WAIT_FRACTION
+        max_wait_ms = (DEFAULT_WAIT_MS if wait_ms is None else wait_ms) * MAX_WAIT_FRACTION
         self.expires_s = now_s + max_wait_ms / 1000
         self.state = State.WAITING
         self.on_decided: Callable[[], None] | None = None
@@ -98,9 +94,7 @@
     def is_too_slow(self, received_bytes: int, now_s: float) -> bool:
         """Return whether a granted body arrives too slowly to keep others waiting."""
         age_s = now_s - self.granted_s
-        return (
-            age_s > RECEIVE_GRACE_S and received_bytes < age_s * MIN_RECEIVE_BYTES_PER_S
-        )
+        return age_s > RECEIVE_GRACE_S and received_bytes < age_s * MIN_RECEIVE_BYTES_PER_S
 
     def has_stalled(self, received_bytes: int) -> bool:
         """Record a check while others wait; return whether too little arrived over the last ones.
@@ -110,10 +104,7 @@
         checked = self._checked_bytes = (*self._checked_bytes, received_bytes)[
             -RECEIVE_CHECKS - 1 :
         ]
-        return (
-            len(checked) > RECEIVE_CHECKS
-            and received_bytes - checked[0] < MIN_CHECKED_BYTES
-        )
+        return len(checked) > RECEIVE_CHECKS and received_bytes - checked[0] < MIN_CHECKED_BYTES
 
 
 class BodyBudget:
@@ -139,9 +130,7 @@
         "rejected_count",
     )
 
-    def __init__(
-        self, budget_bytes: int, get_other_bytes: Callable[[], int] = lambda: 0
-    ) -> None:
+    def __init__(self, budget_bytes: int, get_other_bytes: Callable[[], int] = lambda: 0) -> None:
         self.budget_bytes = budget_bytes
         self.answers = answer_buffers.AnswerBuffers(lambda: self.is_exceeded)
         self.rejected_count = 0
@@ -181,9 +170,7 @@
         """Whether more is held than the budget allows."""
         return 0 < self.budget_bytes < self.held_bytes
 
-    def request(
-        self, owner: str, size_bytes: int, *, wait_ms: int | None, now_s: float
-    ) -> Lease:
+    def request(self, owner: str, size_bytes: int, *, wait_ms: int | None, now_s: float) -> Lease:
         """Request the room for a body.
 
         :param owner: whose body it is.
@@ -234,9 +221,7 @@
             self._decide(lease, State.REJECTED)
         self._grant_waiting(now_s)
 
-    def estimate_wait_s(
-        self, now_s: float, *, ahead_bytes: int | None = None
-    ) -> float | None:
+    def estimate_wait_s(self, now_s: float, *, ahead_bytes: int | None = None) -> float | None:
         """Return the expected wait of a new request; None if it is not known.
 
         :param ahead_bytes: bytes that must be released first; None for those of all that wait.
@@ -323,11 +308,7 @@
         small = next((lease for lease in self._waiting if lease.is_small), None)
         if small is not None and self._fits(small):
             return small
-        large = [
-            lease
-            for lease in self._waiting
-            if not lease.is_small and self._fits_owner(lease)
-        ]
+        large = [lease for lease in self._waiting if not lease.is_small and self._fits_owner(lease)]
         if not large:
             return None
         first = min(large, key=lambda lease: self._granted_by_owner[lease.owner])
--- a/src/spoolhead/_internal/policy/changed_rows.py
+++ b/src/spoolhead/_internal/policy/changed_rows.py
@@ -94,9 +94,7 @@
     __slots__ = ("_buckets", "_loads")
 
     def __init__(self) -> None:
-        self._loads = _RowGroup(
-            MAX_CHANGED_ROWS_PER_DATAGRAM, MAX_REPEATED_ROWS_PER_DATAGRAM
-        )
+        self._loads = _RowGroup(MAX_CHANGED_ROWS_PER_DATAGRAM, MAX_REPEATED_ROWS_PER_DATAGRAM)
         self._buckets = _RowGroup(
             MAX_CHANGED_BUCKETS_PER_DATAGRAM, MAX_REPEATED_BUCKETS_PER_DATAGRAM
         )
--- a/src/spoolhead/_internal/policy/cold_start.py
+++ b/src/spoolhead/_internal/policy/cold_start.py
@@ -68,9 +68,7 @@
         return []
 
     def _get_sort_key(entry: fleet.Process) -> tuple[bool, int]:
-        weight = xxhash.xxh3_64_intdigest(
-            f"{entry.name}/{instance.incarnation_id}".encode()
-        )
+        weight = xxhash.xxh3_64_intdigest(f"{entry.name}/{instance.incarnation_id}".encode())
         return entry.hall != instance.hall, weight
 
     return sorted(entries, key=_get_sort_key)[: max(1, math.floor(cold_per_s))]
@@ -110,14 +108,10 @@
         sent = upstream.count_sent(now_s - quota.window_s)
         return sent + upstream.copy_count < quota.requests
 
-    def _get_quota(
-        self, service: route_table.Service, instance: instances.Instance
-    ) -> Quota:
+    def _get_quota(self, service: route_table.Service, instance: instances.Instance) -> Quota:
         quota = self._quotas.get(instance.incarnation_id)
         if quota is None:
-            quota = get_quota(
-                self._own_process.name, self._entries, instance, service.cold_per_s
-            )
+            quota = get_quota(self._own_process.name, self._entries, instance, service.cold_per_s)
             self._quotas[instance.incarnation_id] = quota
         return quota
 
--- a/src/spoolhead/_internal/policy/content_registry.py
+++ b/src/spoolhead/_internal/policy/content_registry.py
@@ -72,16 +72,12 @@
         known = self._records.get(content_id)
         return known.changed_s if known is not None else -math.inf
 
-    def get_aged(
-        self, content_id: bytes, now_s: float
-    ) -> content_record.AgedRecord | None:
+    def get_aged(self, content_id: bytes, now_s: float) -> content_record.AgedRecord | None:
         """Return a record with its age, as it is sent to other processes."""
         known = self._records.get(content_id)
         if known is None:
             return None
-        return content_record.AgedRecord(
-            known.record, int((now_s - known.changed_s) * 1000)
-        )
+        return content_record.AgedRecord(known.record, int((now_s - known.changed_s) * 1000))
 
     def get_all_aged(
         self, content_ids: Iterable[bytes], now_s: float
@@ -190,9 +186,7 @@
     @property
     def has_new(self) -> bool:
         """Whether any changed record has not been sent yet."""
-        return any(
-            sends_left == RECORD_SEND_COUNT for sends_left in self._sends_left.values()
-        )
+        return any(sends_left == RECORD_SEND_COUNT for sends_left in self._sends_left.values())
 
     @property
     def has_pending(self) -> bool:
--- a/src/spoolhead/_internal/policy/end_confirmation.py
+++ b/src/spoolhead/_internal/policy/end_confirmation.py
@@ -96,7 +96,5 @@
                 item.probe_s = None
                 item.probe_count += 1
         unknown = [item for item in self._waiting if item.probe_count >= MAX_PROBES]
-        self._waiting = [
-            item for item in self._waiting if item.probe_count < MAX_PROBES
-        ]
+        self._waiting = [item for item in self._waiting if item.probe_count < MAX_PROBES]
         return unknown
--- a/src/spoolhead/_internal/policy/explained_crashes.py
+++ b/src/spoolhead/_internal/policy/explained_crashes.py
@@ -46,9 +46,7 @@
         """
         self._update()
         own_keys = set(keys.all)
-        return sum(
-            self._held_by_crash.get(end, own_keys) <= own_keys for end in record.ends
-        )
+        return sum(self._held_by_crash.get(end, own_keys) <= own_keys for end in record.ends)
 
     def has_proved(
         self, record: content_record.ContentRecord, keys: request_keys.RequestKeys
@@ -60,9 +58,7 @@
         """
         self._update()
         own_keys = set(keys.all)
-        return any(
-            self._proved_by_crash.get(end, own_keys) - own_keys for end in record.ends
-        )
+        return any(self._proved_by_crash.get(end, own_keys) - own_keys for end in record.ends)
 
     def _update(self) -> None:
         """Collect the crashes of held keys anew if any record has changed."""
--- a/src/spoolhead/_internal/policy/granter_choice.py
+++ b/src/spoolhead/_internal/policy/granter_choice.py
@@ -21,9 +21,7 @@
     """Return the entries to ask for permits, the primary granter first."""
 
     def _get_sort_key(entry: fleet.Process) -> tuple[bool, int]:
-        weight = xxhash.xxh3_64_intdigest(
-            f"permit/{entry.name}/{instance.incarnation_id}".encode()
-        )
+        weight = xxhash.xxh3_64_intdigest(f"permit/{entry.name}/{instance.incarnation_id}".encode())
         return entry.hall != instance.hall, weight
 
     return sorted(entries, key=_get_sort_key)[:MAX_GRANTERS]
--- a/src/spoolhead/_internal/policy/hall_reach.py
+++ b/src/spoolhead/_internal/policy/hall_reach.py
@@ -51,9 +51,7 @@
         """Record an answer from an instance of a hall."""
         self._get(hall).answered_s = now_s
 
-    def get_cut_off_halls(
-        self, silent_halls: Collection[str], now_s: float
-    ) -> frozenset[str]:
+    def get_cut_off_halls(self, silent_halls: Collection[str], now_s: float) -> frozenset[str]:
         """Return the halls that no request should be sent to.
 
         :param silent_halls: halls whose entries are silent.
--- a/src/spoolhead/_internal/policy/hub_choice.py
+++ b/src/spoolhead/_internal/policy/hub_choice.py
@@ -78,9 +78,7 @@
             candidates, key=lambda item: (item.distance, self._get_weight(item.address))
         )
         known = {item.address for item in self._candidates}
-        self._states = {
-            key: state for key, state in self._states.items() if key in known
-        }
+        self._states = {key: state for key, state in self._states.items() if key in known}
 
     def record_update(self, address: endpoints.Endpoint, now_s: float) -> UpdateSource:
         """Record an update and return its source."""
@@ -147,6 +145,4 @@
         return self._states.setdefault(address, _CandidateState())
 
     def _get_weight(self, address: endpoints.Endpoint) -> int:
-        return xxhash.xxh3_64_intdigest(
-            f"{self._name}\0{address[0]}:{address[1]}".encode()
-        )
+        return xxhash.xxh3_64_intdigest(f"{self._name}\0{address[0]}:{address[1]}".encode())
--- a/src/spoolhead/_internal/policy/length_estimate.py
+++ b/src/spoolhead/_internal/policy/length_estimate.py
@@ -39,9 +39,7 @@
         return self.generated_tokens / self.answers
 
 
-def estimate_tokens(
-    guess_tokens: int, limit_tokens: int, mean_tokens: float | None
-) -> int:
+def estimate_tokens(guess_tokens: int, limit_tokens: int, mean_tokens: float | None) -> int:
     """Return the expected length of an answer.
 
     :param guess_tokens: guess of its caller; 0 for none.
@@ -75,9 +73,7 @@
 
     def set_mean(self, mean_tokens: float | None) -> None:
         """Take the mean length of the route's answers into account; None if unknown."""
-        self.tokens = estimate_tokens(
-            self._guess_tokens, self._limit_tokens, mean_tokens
-        )
+        self.tokens = estimate_tokens(self._guess_tokens, self._limit_tokens, mean_tokens)
 
     def record_generated(self, generated_tokens: int) -> bool:
         """Record the length so far; return whether that changed the expected length.
--- a/src/spoolhead/_internal/policy/lengths.py
+++ b/src/spoolhead/_internal/policy/lengths.py
@@ -62,9 +62,7 @@
     def get_probability(self, index: int) -> float:
         """Return the probability of a class, with the parent distribution as the prior."""
         parent_probability = (
-            self._parent.get_probability(index)
-            if self._parent
-            else _DEFAULT_PROBABILITIES[index]
+            self._parent.get_probability(index) if self._parent else _DEFAULT_PROBABILITIES[index]
         )
         return (self.counts[index] + PRIOR_ANSWERS * parent_probability) / (
             self.answers + PRIOR_ANSWERS
@@ -73,9 +71,7 @@
     def get_tail(self, length: float) -> float:
         """Return the probability that an answer becomes longer than a length."""
         if self._is_stale:
-            self._tails = _get_tails(
-                [self.get_probability(index) for index in range(len(_BOUNDS))]
-            )
+            self._tails = _get_tails([self.get_probability(index) for index in range(len(_BOUNDS))])
             self._is_stale = False
         index = _get_class(max(1, int(length)))
         if index + 1 >= len(_BOUNDS):
@@ -87,8 +83,7 @@
     def get_mean(self) -> float:
         probabilities = [self.get_probability(index) for index in range(len(_BOUNDS))]
         return sum(
-            probability * _get_middle(index)
-            for index, probability in enumerate(probabilities)
+            probability * _get_middle(index) for index, probability in enumerate(probabilities)
         )
 
 
@@ -134,9 +129,7 @@
                 profile.append(0.0)
                 continue
             survival = (
-                distribution.get_tail(length) / reach_probability
-                if reach_probability > 0
-                else 0.0
+                distribution.get_tail(length) / reach_probability if reach_probability > 0 else 0.0
             )
             profile.append(survival * (held_tokens + ahead))
         return profile
@@ -162,11 +155,7 @@
 
 
 def _get_middle(index: int) -> float:
-    upper = (
-        _BOUNDS[index + 1]
-        if index + 1 < len(_BOUNDS)
-        else _BOUNDS[index] * _CLASS_GROWTH
-    )
+    upper = _BOUNDS[index + 1] if index + 1 < len(_BOUNDS) else _BOUNDS[index] * _CLASS_GROWTH
     return (_BOUNDS[index] + upper - 1) / 2
 
 
--- a/src/spoolhead/_internal/policy/limit_broadcast.py
+++ b/src/spoolhead/_internal/policy/limit_broadcast.py
@@ -50,9 +50,7 @@
             self._sends_left[key] -= 1
             if not self._sends_left[key]:
                 del self._sends_left[key]
-        keys_to_send += self._repeats.pop_due(
-            MAX_LIMITS_PER_DATAGRAM - len(keys_to_send), now_s
-        )
+        keys_to_send += self._repeats.pop_due(MAX_LIMITS_PER_DATAGRAM - len(keys_to_send), now_s)
         return self._registry.get_aged(keys_to_send, now_s)
 
     def clear(self) -> None:
--- a/src/spoolhead/_internal/policy/limit_registry.py
+++ b/src/spoolhead/_internal/policy/limit_registry.py
@@ -34,11 +34,7 @@
     def get_limit_per_s(self, key: int) -> float | None:
         """Return the limit in force, or None if there is none."""
         stated = self._stated.get(key)
-        if (
-            stated is None
-            or stated.limit_per_s is None
-            or stated.limit_per_s >= UNLIMITED_PER_S
-        ):
+        if stated is None or stated.limit_per_s is None or stated.limit_per_s >= UNLIMITED_PER_S:
             return None
         return stated.limit_per_s
 
@@ -64,9 +60,7 @@
         known_per_s = known.limit_per_s if known is not None else None
         if known_per_s != limit_per_s:
             return True
-        return (
-            known is not None and limit_per_s is not None and _is_old(known, stated_s)
-        )
+        return known is not None and limit_per_s is not None and _is_old(known, stated_s)
 
     def merge(self, limits: Iterable[rate_limit.AgedLimit], now_s: float) -> list[int]:
         """Merge limits reported by another process; return the keys to broadcast."""
@@ -83,9 +77,7 @@
             stated = self._stated.get(key)
             if stated is not None:
                 age_ms = math.ceil((now_s - stated.stated_s) * 1000)
-                aged.append(
-                    rate_limit.AgedLimit(key, stated.limit_per_s, max(0, age_ms))
-                )
+                aged.append(rate_limit.AgedLimit(key, stated.limit_per_s, max(0, age_ms)))
         return aged
 
     def get_all_aged(self, now_s: float) -> list[rate_limit.AgedLimit]:
--- a/src/spoolhead/_internal/policy/list_memory.py
+++ b/src/spoolhead/_internal/policy/list_memory.py
@@ -24,9 +24,7 @@
 
     __slots__ = ("expired", "kept", "listed")
 
-    def __init__(
-        self, listed: list[instances.Instance], *, kept: int, expired: int
-    ) -> None:
+    def __init__(self, listed: list[instances.Instance], *, kept: int, expired: int) -> None:
         self.listed = listed
         self.kept = kept
         self.expired = expired
@@ -56,22 +54,13 @@
         """
         before = self._current
         current = {item.instance_id: item for item in shown}
-        unread = (
-            []
-            if is_whole
-            else [item for name, item in before.items() if name not in current]
-        )
-        kept = [
-            item
-            for item in unread
-            if now_s - self._shown_s[item.instance_id] < KEPT_TTL_S
-        ]
+        unread = [] if is_whole else [item for name, item in before.items() if name not in current]
+        kept = [item for item in unread if now_s - self._shown_s[item.instance_id] < KEPT_TTL_S]
         kept = kept[-MAX_KEPT:]
         # The order is that of the time at which they were last shown.
         self._current = {**{item.instance_id: item for item in kept}, **current}
         self._shown_s = {
-            name: now_s if name in current else self._shown_s[name]
-            for name in self._current
+            name: now_s if name in current else self._shown_s[name] for name in self._current
         }
         listed = list(self._current.values())
         return Update(listed, kept=len(kept), expired=len(unread) - len(kept))
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -114,12 +114,8 @@
         self._alarms_seen_s: dict[tuple[str, int], float] = {}
         self._standing_alarms = standing_alarms.StandingAlarms()
         self._alarms_to_hubs = alarm_broadcast.AlarmBroadcast(self._standing_alarms)
-        self._alarms_to_reporters = alarm_broadcast.AlarmBroadcast(
-            self._standing_alarms
-        )
-        self._contents = (
-            contents if contents is not None else content_registry.ContentRegistry()
-        )
+        self._alarms_to_reporters = alarm_broadcast.AlarmBroadcast(self._standing_alarms)
+        self._contents = contents if contents is not None else content_registry.ContentRegistry()
         self._contents_to_hubs = content_registry.ContentBroadcast(self._contents)
         self._contents_to_reporters = content_registry.ContentBroadcast(self._contents)
         self._limits = limit_registry.LimitRegistry()
@@ -141,18 +137,12 @@
     def has_unsent_totals(self) -> bool:
         """Whether any data is left to send to the other hubs."""
         has_rows = self._reporter_totals.has_changes or self._alarms_to_hubs.has_pending
-        return (
-            has_rows
-            or self._contents_to_hubs.has_pending
-            or self._limits_to_hubs.has_pending
-        )
+        return has_rows or self._contents_to_hubs.has_pending or self._limits_to_hubs.has_pending
 
     @property
     def has_unsent_updates(self) -> bool:
         """Whether any data is left to send to the reporters."""
-        has_rows = (
-            self._fleet_totals.has_changes or self._alarms_to_reporters.has_pending
-        )
+        has_rows = self._fleet_totals.has_changes or self._alarms_to_reporters.has_pending
         return (
             has_rows
             or self._contents_to_reporters.has_pending
@@ -185,9 +175,7 @@
         if not report.is_reporter:
             self._remove_reporter(report.sender)
             return False
-        is_new = known is None or datagram_order.is_restarted(
-            report.sequence, known.counted
-        )
+        is_new = known is None or datagram_order.is_restarted(report.sequence, known.counted)
         reporter = known
         if reporter is None:
             reporter = self._reporters[report.sender] = Reporter(address)
@@ -201,9 +189,7 @@
             self._alarms_to_hubs.add(alarm, now_s)
         for content_id in self._handle_contents(report.contents, now_s):
             self._contents_to_hubs.record_changed(content_id)
-        self._contents_to_reporters.record_digest(
-            report.sender, report.contents.digest, now_s
-        )
+        self._contents_to_reporters.record_digest(report.sender, report.contents.digest, now_s)
         changed_limits = self._limits.merge(report.limits, now_s)
         self._limits_to_hubs.add(changed_limits, now_s)
         self._limits_to_reporters.add(changed_limits, now_s)
@@ -217,9 +203,7 @@
         if totals.hub == self._name:
             return
         hub = self._hubs.get(totals.hub)
-        if hub is None or datagram_order.is_restarted(
-            totals.sequence, hub.newest_sequence
-        ):
+        if hub is None or datagram_order.is_restarted(totals.sequence, hub.newest_sequence):
             self._resend_to_new_hub(now_s)
         if hub is None:
             hub = self._hubs[totals.hub] = _PeerHub(address)
@@ -318,20 +302,14 @@
         once; the others follow with the next full sync for all reporters. So do the paces for
         which a datagram has no room, at the rate of other paces.
         """
-        content_ids = self._contents.get_most_severe(
-            content_registry.MAX_RECORDS_PER_DATAGRAM
-        )
+        content_ids = self._contents.get_most_severe(content_registry.MAX_RECORDS_PER_DATAGRAM)
         records = self._contents.get_all_aged(content_ids, now_s)
         contents = shared_load.ContentUpdate(records, self._contents.digest)
         limits = self._limits.get_all_aged(now_s)
         alarms = self._standing_alarms.get_all(now_s)
-        update = self._make_update(
-            self._fleet_totals.get_all(), alarms, contents, limits, now_s
-        )
+        update = self._make_update(self._fleet_totals.get_all(), alarms, contents, limits, now_s)
         update.is_snapshot = True
-        free_bytes = shared_load.MAX_DATAGRAM_BYTES - len(
-            shared_load.encode_update(update)
-        )
+        free_bytes = shared_load.MAX_DATAGRAM_BYTES - len(shared_load.encode_update(update))
         update.paces = self._paces.get_for_snapshot(free_bytes, now_s)
         return update
 
@@ -360,13 +338,9 @@
     def _make_contents(
         self, broadcast: content_registry.ContentBroadcast, now_s: float
     ) -> shared_load.ContentUpdate:
-        return shared_load.ContentUpdate(
-            broadcast.pop_batch(now_s), self._contents.digest
-        )
+        return shared_load.ContentUpdate(broadcast.pop_batch(now_s), self._contents.digest)
 
-    def _handle_contents(
-        self, contents: shared_load.ContentUpdate, now_s: float
-    ) -> list[bytes]:
+    def _handle_contents(self, contents: shared_load.ContentUpdate, now_s: float) -> list[bytes]:
         """Merge the content records of a process; return the ids of the changed contents."""
         changed = self._contents.merge(contents.records, now_s)
         changed_ids = [record.content_id for record in changed]
--- a/src/spoolhead/_internal/policy/load_view.py
+++ b/src/spoolhead/_internal/policy/load_view.py
@@ -109,9 +109,7 @@
             self.has_snapshot = False
         for upstream in self._registry.get_all():
             row = self._rows.get(upstream.key)
-            upstream.other_load = (
-                row.other_load if row is not None else shared_load.InstanceLoad()
-            )
+            upstream.other_load = row.other_load if row is not None else shared_load.InstanceLoad()
 
     def get_silent_halls(self, now_s: float) -> frozenset[str]:
         """Return the known halls that are silent, as behind a network partition.
@@ -124,8 +122,7 @@
             hall
             for hall, heard_s in self._halls_heard_s.items()
             if hall != self._hall
-            and at_s - max(heard_s, self._silence_from_s.get(hall, heard_s))
-            > HALL_SILENCE_S
+            and at_s - max(heard_s, self._silence_from_s.get(hall, heard_s)) > HALL_SILENCE_S
         )
 
     def is_isolated(self, now_s: float) -> bool:
@@ -139,11 +136,7 @@
 
     def get_age_ms(self, now_s: float) -> int:
         """Return the age of the newest update in milliseconds; -1 if there is none."""
-        return (
-            int((now_s - self._updated_s) * 1000)
-            if math.isfinite(self._updated_s)
-            else -1
-        )
+        return int((now_s - self._updated_s) * 1000) if math.isfinite(self._updated_s) else -1
 
     def _handle_row(
         self,
--- a/src/spoolhead/_internal/policy/lost_runs.py
+++ b/src/spoolhead/_internal/policy/lost_runs.py
@@ -89,8 +89,7 @@
     def has_abandoned(self, incarnation_id: str, now_s: float) -> bool:
         """Return whether this entry recently abandoned a request at an instance."""
         return any(
-            now_s - run.lost_s <= ABANDONED_TTL_S
-            for run in self._abandoned.get(incarnation_id, [])
+            now_s - run.lost_s <= ABANDONED_TTL_S for run in self._abandoned.get(incarnation_id, [])
         )
 
     def record_crashed(self, incarnation_id: str, now_s: float) -> list[LostRun]:
@@ -132,13 +131,9 @@
         oldest_s = now_s - RETENTION_S
         if len(self._crashed_s) + len(self._lost) > MAX_INSTANCES:
             oldest_s = now_s
-        self._crashed_s = {
-            name: at_s for name, at_s in self._crashed_s.items() if at_s >= oldest_s
-        }
+        self._crashed_s = {name: at_s for name, at_s in self._crashed_s.items() if at_s >= oldest_s}
         self._lost = {
-            name: runs
-            for name, runs in self._lost.items()
-            if runs[-1].lost_s >= oldest_s
+            name: runs for name, runs in self._lost.items() if runs[-1].lost_s >= oldest_s
         }
         abandoned_s = max(oldest_s, now_s - ABANDONED_TTL_S)
         self._abandoned = {
--- a/src/spoolhead/_internal/policy/operating_point.py
+++ b/src/spoolhead/_internal/policy/operating_point.py
@@ -29,9 +29,7 @@
         self._last_report_s: float | None = None
         self._decreased_s = 0.0
 
-    def handle_report(
-        self, *, preemptions: int, was_limiting: bool, now_s: float
-    ) -> None:
+    def handle_report(self, *, preemptions: int, was_limiting: bool, now_s: float) -> None:
         """Adjust the limit to a load report.
 
         :param preemptions: preemptions since the engine started.
--- a/src/spoolhead/_internal/policy/pace_broadcast.py
+++ b/src/spoolhead/_internal/policy/pace_broadcast.py
@@ -70,28 +70,20 @@
         self.to_hubs = PaceBroadcast(self._registry)
         self.to_reporters = PaceBroadcast(self._registry)
 
-    def handle_report(
-        self, paces: Iterable[instance_pace.AgedPace], now_s: float
-    ) -> None:
+    def handle_report(self, paces: Iterable[instance_pace.AgedPace], now_s: float) -> None:
         """Merge the paces that an entry reports."""
         changed = self._registry.merge(paces, now_s)
         self.to_hubs.add(changed)
         self.to_reporters.add(changed)
 
-    def handle_totals(
-        self, paces: Iterable[instance_pace.AgedPace], now_s: float
-    ) -> None:
+    def handle_totals(self, paces: Iterable[instance_pace.AgedPace], now_s: float) -> None:
         """Merge the paces that another hub sends."""
         self.to_reporters.add(self._registry.merge(paces, now_s))
 
-    def get_for_snapshot(
-        self, free_bytes: int, now_s: float
-    ) -> list[instance_pace.AgedPace]:
+    def get_for_snapshot(self, free_bytes: int, now_s: float) -> list[instance_pace.AgedPace]:
         """Return the paces that fit into a snapshot, and schedule the others for all reporters."""
         max_bytes = max(0, free_bytes - SNAPSHOT_RESERVE_BYTES)
-        max_count = min(
-            MAX_PACES_PER_SNAPSHOT, max_bytes // instance_pace.MAX_PACE_BYTES
-        )
+        max_count = min(MAX_PACES_PER_SNAPSHOT, max_bytes // instance_pace.MAX_PACE_BYTES)
         keys = self._registry.get_keys()
         first = max(0, len(keys) - max_count)
         self.to_reporters.add(keys[:first])
--- a/src/spoolhead/_internal/policy/pace_estimate.py
+++ b/src/spoolhead/_internal/policy/pace_estimate.py
@@ -171,9 +171,7 @@
         :param determined_s: monotonic time at which that entry determined it.
         :param is_measured: whether it measured the pace, instead of reading it from answers.
         """
-        pace = _Pace(
-            _clamp(percent / instance_pace.USUAL_PERCENT), determined_s, Source.REPORTED
-        )
+        pace = _Pace(_clamp(percent / instance_pace.USUAL_PERCENT), determined_s, Source.REPORTED)
         if not is_measured:
             self._reported = pace
             self.slow_periods.is_used = True
@@ -209,9 +207,7 @@
         assert self._figures is not None
         while self._figures:
             has_enough = len(self._figures) >= MIN_FIGURES
-            if now_s - self._figures[0][0] <= (
-                WINDOW_S if has_enough else MAX_WINDOW_S
-            ):
+            if now_s - self._figures[0][0] <= (WINDOW_S if has_enough else MAX_WINDOW_S):
                 break
             self._figures.popleft()
 
--- a/src/spoolhead/_internal/policy/pace_measurement.py
+++ b/src/spoolhead/_internal/policy/pace_measurement.py
@@ -39,14 +39,10 @@
     __slots__ = ("at_s", "blocks", "factors", "factors_s", "interval_s")
 
     def __init__(self) -> None:
-        self.blocks: collections.deque[tuple[float, float]] = collections.deque(
-            maxlen=MAX_BLOCKS
-        )
+        self.blocks: collections.deque[tuple[float, float]] = collections.deque(maxlen=MAX_BLOCKS)
         self.interval_s = 0.0
         self.at_s = 0.0
-        self.factors: collections.deque[float] = collections.deque(
-            maxlen=MIN_MEASUREMENTS
-        )
+        self.factors: collections.deque[float] = collections.deque(maxlen=MIN_MEASUREMENTS)
         self.factors_s = 0.0
 
 
@@ -108,8 +104,6 @@
         intervals = [
             measured.interval_s / self._stated_factors[other]
             for other, measured in self._instances.items()
-            if other != key
-            and measured.interval_s
-            and now_s - measured.at_s <= PEER_TTL_S
+            if other != key and measured.interval_s and now_s - measured.at_s <= PEER_TTL_S
         ]
         return statistics.median(intervals) if len(intervals) >= MIN_PEERS else None
--- a/src/spoolhead/_internal/policy/pace_registry.py
+++ b/src/spoolhead/_internal/policy/pace_registry.py
@@ -37,9 +37,7 @@
         """Return the keys of the instances with a known pace, the last recorded at the end."""
         return list(self._paces)
 
-    def is_due(
-        self, key: int, percent: int, now_s: float, *, is_measured: bool
-    ) -> bool:
+    def is_due(self, key: int, percent: int, now_s: float, *, is_measured: bool) -> bool:
         """Return whether a pace that this process determined must be reported to others."""
         known = self._paces.get(key)
         if known is None:
@@ -73,16 +71,12 @@
             determined_s = now_s - item.age_ms / 1000
             if now_s - determined_s > pace_estimate.RETENTION_S:
                 continue
-            pace = instance_pace.TimedPace(
-                item.percent, determined_s, is_measured=item.is_measured
-            )
+            pace = instance_pace.TimedPace(item.percent, determined_s, is_measured=item.is_measured)
             if self.record(item.key, pace):
                 replaced.append(item.key)
         return replaced
 
-    def get_aged(
-        self, keys: Iterable[int], now_s: float
-    ) -> list[instance_pace.AgedPace]:
+    def get_aged(self, keys: Iterable[int], now_s: float) -> list[instance_pace.AgedPace]:
         """Return the paces of some instances with their ages, as sent to other processes."""
         aged = []
         for key in keys:
@@ -90,9 +84,7 @@
             if pace is not None:
                 age_ms = max(0, math.ceil((now_s - pace.determined_s) * 1000))
                 aged.append(
-                    instance_pace.AgedPace(
-                        key, pace.percent, age_ms, is_measured=pace.is_measured
-                    )
+                    instance_pace.AgedPace(key, pace.percent, age_ms, is_measured=pace.is_measured)
                 )
         return aged
 
--- a/src/spoolhead/_internal/policy/peer_choice.py
+++ b/src/spoolhead/_internal/policy/peer_choice.py
@@ -71,27 +71,16 @@
 
     def set_entries(self, entries: Sequence[fleet.Process]) -> None:
         """Set the known entries; this entry itself is ignored."""
-        self._peers = {
-            entry.name: entry for entry in entries if entry.name != self._name
-        }
+        self._peers = {entry.name: entry for entry in entries if entry.name != self._name}
         self._backoffs = {
-            key: backoff
-            for key, backoff in self._backoffs.items()
-            if key[1] in self._peers
+            key: backoff for key, backoff in self._backoffs.items() if key[1] in self._peers
         }
         self._served_s = {
-            key: served_s
-            for key, served_s in self._served_s.items()
-            if key[1] in self._peers
+            key: served_s for key, served_s in self._served_s.items() if key[1] in self._peers
         }
 
     def choose(
-        self,
-        service: str,
-        *,
-        asked: Collection[str],
-        silent_halls: Collection[str],
-        now_s: float
+        self, service: str, *, asked: Collection[str], silent_halls: Collection[str], now_s: float
     ) -> fleet.Process | None:
         """Choose the entry to ask next for a request, or None if no further one is to be asked.
 
@@ -119,8 +108,7 @@
         return min(
             candidates,
             key=lambda peer: (
-                len(asked) >= EXPLORED_PEERS
-                and not self._has_served(service, peer.name, now_s),
+                len(asked) >= EXPLORED_PEERS and not self._has_served(service, peer.name, now_s),
                 asked_halls[peer.hall],
                 prefers_own_hall and peer.hall != self._hall,
                 self._in_flight[peer.name],
@@ -149,9 +137,7 @@
 
     def get_retry_after_ms(self, service: str, now_s: float) -> int:
         """Return the time until an entry will be asked again; 0 if one can be asked now."""
-        waits_s = [
-            self._get_backoff_end_s(service, name) - now_s for name in self._peers
-        ]
+        waits_s = [self._get_backoff_end_s(service, name) - now_s for name in self._peers]
         return max(0, int(min(waits_s, default=0.0) * 1000))
 
     def _prefers_own_hall(self, candidates: Sequence[fleet.Process]) -> bool:
--- a/src/spoolhead/_internal/policy/permit_backoff.py
+++ b/src/spoolhead/_internal/policy/permit_backoff.py
@@ -49,9 +49,7 @@
         :param retry_after_ms: time after which a request that is refused now should retry.
         :param backoff_ms: time for which the entry must not request a permit again.
         """
-        rejection = _Rejection(
-            rank, workspace, retry_at_s=now_s + max(0, retry_after_ms) / 1000
-        )
+        rejection = _Rejection(rank, workspace, retry_at_s=now_s + max(0, retry_after_ms) / 1000)
         backoff_s = max(0, backoff_ms) / 1000
         rejection.until_s = now_s + backoff_s
         rejection.others_until_s = now_s + backoff_s * OTHER_WORKSPACES_FRACTION
--- a/src/spoolhead/_internal/policy/permit_granter.py
+++ b/src/spoolhead/_internal/policy/permit_granter.py
@@ -109,9 +109,7 @@
         self._registry = registry
         self._instances: dict[int, _InstancePermits] = {}
 
-    def handle_request(
-        self, request: permits.PermitRequest, now_s: float
-    ) -> list[AddressedReply]:
+    def handle_request(self, request: permits.PermitRequest, now_s: float) -> list[AddressedReply]:
         """Handle a permit request; return the replies now due, to this request or to others."""
         state = self._instances.get(request.key)
         if state is None:
@@ -158,9 +156,7 @@
                 continue
             rate_per_s = self._get_rate_per_s(key, state, now_s)
             token_s = now_s + max(0.0, 1.0 - state.bucket.tokens) / rate_per_s
-            due_times_s.append(
-                min(token_s, *(item.expires_s for item in state.waiting))
-            )
+            due_times_s.append(min(token_s, *(item.expires_s for item in state.waiting)))
         return min(due_times_s, default=None)
 
     def _get_rate_per_s(self, key: int, state: _InstancePermits, now_s: float) -> float:
@@ -187,27 +183,18 @@
             state.waiting.sort(key=lambda each: _get_sort_key(state, each))
         kept = []
         for item in state.waiting:
-            expected_grant_s = (
-                now_s + (len(kept) + 1 - state.bucket.tokens) / rate_per_s
-            )
+            expected_grant_s = now_s + (len(kept) + 1 - state.bucket.tokens) / rate_per_s
             if expected_grant_s <= item.expires_s and len(kept) < MAX_WAITING:
                 kept.append(item)
                 continue
-            replies.append(
-                self._reject(state, item.request, expected_grant_s, rate_per_s, now_s)
-            )
+            replies.append(self._reject(state, item.request, expected_grant_s, rate_per_s, now_s))
         state.waiting = kept
         return replies
 
-    def _release_waiting(
-        self, state: _InstancePermits, now_s: float
-    ) -> list[AddressedReply]:
+    def _release_waiting(self, state: _InstancePermits, now_s: float) -> list[AddressedReply]:
         """Reply to all waiting requests, as the instance has lifted its limit."""
         waiting, state.waiting = state.waiting, []
-        return [
-            self._reply(item.request, permits.Verdict.UNLIMITED, now_s)
-            for item in waiting
-        ]
+        return [self._reply(item.request, permits.Verdict.UNLIMITED, now_s) for item in waiting]
 
     def _reject(
         self,
@@ -262,9 +249,7 @@
 ) -> tuple[int, bool, int, int, float]:
     """Return the sort key: rank, first attempts first, then workspaces and halls in turn."""
     request = item.request
-    workspace_grants = sum(
-        workspace == request.workspace for workspace, _ in state.recent_grants
-    )
+    workspace_grants = sum(workspace == request.workspace for workspace, _ in state.recent_grants)
     hall_grants = sum(hall == request.hall for _, hall in state.recent_grants)
     return request.rank, request.is_retry, workspace_grants, hall_grants, item.arrived_s
 
--- a/src/spoolhead/_internal/policy/placement.py
+++ b/src/spoolhead/_internal/policy/placement.py
@@ -107,9 +107,7 @@
     :ivar entry_count: number of entries that share the upstreams, including this one.
     """
 
-    def __init__(
-        self, hall: str, length_model: lengths.LengthModel, rng: random.Random
-    ) -> None:
+    def __init__(self, hall: str, length_model: lengths.LengthModel, rng: random.Random) -> None:
         self._hall = hall
         self._length_model = length_model
         self._rng = rng
@@ -139,16 +137,12 @@
         candidates: list[Candidate] = []
         for hall in pool.get_halls(first=self._hall):
             sample = self._sample(pool.get_hall(hall))
-            best = self._choose_in_hall(
-                demand, service, sample, planned_profile, candidates, now_s
-            )
+            best = self._choose_in_hall(demand, service, sample, planned_profile, candidates, now_s)
             if best is not None:
                 return Choice(best, max(planned_profile), candidates)
         return Choice(None, max(planned_profile), candidates)
 
-    def _sample(
-        self, hall_replicas: Sequence[replicas.Replica]
-    ) -> Sequence[replicas.Replica]:
+    def _sample(self, hall_replicas: Sequence[replicas.Replica]) -> Sequence[replicas.Replica]:
         if len(hall_replicas) <= SAMPLE_SIZE:
             return hall_replicas
         return self._rng.sample(hall_replicas, SAMPLE_SIZE)
@@ -194,12 +188,8 @@
         if replica.health.is_ejected(now_s):
             return Candidate(replica.name, 0.0, "ejected")
         capacity_fraction = replica.health.get_capacity_fraction(now_s)
-        if running_count >= max(
-            1, int(service.max_running_per_upstream * capacity_fraction)
-        ):
-            return Candidate(
-                replica.name, 1.0, "as many running as the service's row allows"
-            )
+        if running_count >= max(1, int(service.max_running_per_upstream * capacity_fraction)):
+            return Candidate(replica.name, 1.0, "as many running as the service's row allows")
         if service.kind is rows.ServiceKind.PLAIN:
             reported_count = replica.report.running if replica.report else 0
             fill = max(running_count, reported_count) / service.max_running_per_upstream
@@ -216,20 +206,13 @@
         report = replica.report
         if report is None or not replica.has_fresh_report(now_s):
             # Its memory is unknown, so it gets one request at a time, to find out whether it works.
-            return Candidate(
-                replica.name, 1.0, "no fresh report" if replica.running else ""
-            )
-        capacity = (
-            report.kv_capacity_tokens
-            * replica.operating_point.limit
-            * capacity_fraction
-        )
+            return Candidate(replica.name, 1.0, "no fresh report" if replica.running else "")
+        capacity = report.kv_capacity_tokens * replica.operating_point.limit * capacity_fraction
         if capacity <= 0:
             return Candidate(replica.name, float(len(replica.running)), "")
         held_profile = replica.get_profile(self._length_model, now_s)
         peak = max(
-            known + added
-            for known, added in zip(held_profile, planned_profile, strict=True)
+            known + added for known, added in zip(held_profile, planned_profile, strict=True)
         )
         fill = peak / capacity
         if not report.running and not replica.running:
--- a/src/spoolhead/_internal/policy/probe_assignment.py
+++ b/src/spoolhead/_internal/policy/probe_assignment.py
@@ -57,9 +57,7 @@
     :param watchers: all entries that are alive, this one among them.
     """
     same_hall = [watcher for watcher in watchers if watcher.hall == instance.hall]
-    chosen = max(
-        same_hall or watchers, key=lambda watcher: _get_weight(watcher, instance)
-    )
+    chosen = max(same_hall or watchers, key=lambda watcher: _get_weight(watcher, instance))
     return chosen.name == own_name
 
 
--- a/src/spoolhead/_internal/policy/quarantine.py
+++ b/src/spoolhead/_internal/policy/quarantine.py
@@ -77,9 +77,7 @@
         self._crash_recorded_s: dict[bytes, float] = {}
         self._started_trials: set[bytes] = set()
         self._sound_runs = sound_runs.SoundRuns()
-        self._explained = explained_crashes.ExplainedCrashes(
-            self.registry, is_held, is_proved
-        )
+        self._explained = explained_crashes.ExplainedCrashes(self.registry, is_held, is_proved)
 
     @property
     def held_count(self) -> int:
@@ -133,9 +131,7 @@
         changed = []
         for record in self._get_held(keys, now_s):
             self._started_trials.discard(record.content_id)
-            claimed = dataclasses.replace(
-                record, trials=record.trials + 1, trier=self._name
-            )
+            claimed = dataclasses.replace(record, trials=record.trials + 1, trier=self._name)
             changed.append(self._store(claimed, now_s))
         return changed
 
@@ -193,9 +189,7 @@
         """Return the latest run of a key if it is not known whether its instance lived on."""
         return self._sound_runs.get_unproved(key)
 
-    def clear_if_harmless(
-        self, key: bytes, now_s: float
-    ) -> content_record.ContentRecord | None:
+    def clear_if_harmless(self, key: bytes, now_s: float) -> content_record.ContentRecord | None:
         """Clear a suspect key that runs of this entry show to be harmless.
 
         :returns: the record of the key, if that changed.
@@ -230,9 +224,7 @@
         self._sound_runs.end_series(key)
         return self._store(content_record.begin_epoch(key, record), now_s)
 
-    def _get_records(
-        self, keys: request_keys.RequestKeys
-    ) -> list[content_record.ContentRecord]:
+    def _get_records(self, keys: request_keys.RequestKeys) -> list[content_record.ContentRecord]:
         records = [self.registry.get(key) for key in keys.all]
         return [record for record in records if record is not None]
 
@@ -256,9 +248,7 @@
             return True
         return record.content_id in keys.parts and self._is_explained(record, keys)
 
-    def _is_presumed_harmless(
-        self, record: content_record.ContentRecord, now_s: float
-    ) -> bool:
+    def _is_presumed_harmless(self, record: content_record.ContentRecord, now_s: float) -> bool:
         if record.is_by_hand or is_proved(record):
             return False
         return self._sound_runs.is_presumed_harmless(
@@ -286,9 +276,7 @@
         self, record: content_record.ContentRecord, keys: request_keys.RequestKeys
     ) -> bool:
         """Return whether a part was at so many crashes that it is held whatever else was there."""
-        return (
-            record.content_id in keys.parts and len(record.ends) >= MAX_EXPLAINED_ENDS
-        )
+        return record.content_id in keys.parts and len(record.ends) >= MAX_EXPLAINED_ENDS
 
     def _is_doubtful(
         self, record: content_record.ContentRecord, keys: request_keys.RequestKeys
@@ -371,9 +359,7 @@
 
 def is_held(record: content_record.ContentRecord) -> bool:
     """Return whether the content of a record is held."""
-    has_enough_crashes = (
-        record.waves >= WAVES_TO_HOLD or len(record.ends) >= ENDS_TO_HOLD
-    )
+    has_enough_crashes = record.waves >= WAVES_TO_HOLD or len(record.ends) >= ENDS_TO_HOLD
     return record.is_by_hand or has_enough_crashes
 
 
--- a/src/spoolhead/_internal/policy/repeats.py
+++ b/src/spoolhead/_internal/policy/repeats.py
@@ -44,9 +44,7 @@
     def add_due(self, items: Iterable[Item], now_s: float) -> None:
         """Schedule items for the next datagram and for repetitions after it."""
         due = {item: _Repeat(now_s, now_s + REPEAT_DURATION_S) for item in items}
-        others = {
-            item: repeat for item, repeat in self._repeats.items() if item not in due
-        }
+        others = {item: repeat for item, repeat in self._repeats.items() if item not in due}
         self._repeats = {**due, **others}
 
     def pop_due(self, max_items: int, now_s: float) -> list[Item]:
--- a/src/spoolhead/_internal/policy/replicas.py
+++ b/src/spoolhead/_internal/policy/replicas.py
@@ -72,9 +72,7 @@
         "sent_tokens",
     )
 
-    def __init__(
-        self, name: str, row: rows.UpstreamRow, now_s: float, *, is_new: bool
-    ) -> None:
+    def __init__(self, name: str, row: rows.UpstreamRow, now_s: float, *, is_new: bool) -> None:
         self.name = name
         self.row = row
         self.health = health.Health(now_s, is_new=is_new)
@@ -99,9 +97,7 @@
     @property
     def own_tokens(self) -> int:
         """Memory of this entry's running requests on the upstream, in tokens."""
-        return sum(
-            request.prompt_tokens + request.generated_tokens for request in self.running
-        )
+        return sum(request.prompt_tokens + request.generated_tokens for request in self.running)
 
     def handle_report(self, report: load_report.LoadReport) -> None:
         """Apply a load report."""
@@ -121,9 +117,7 @@
 
     def has_fresh_report(self, now_s: float) -> bool:
         """Return whether the last load report is recent enough for planning."""
-        return (
-            self.report is not None and now_s - self.report.received_s < REPORT_STALE_S
-        )
+        return self.report is not None and now_s - self.report.received_s < REPORT_STALE_S
 
     def start(self, request: RunningRequest, planned_tokens: float) -> None:
         """Record a request that was sent to the upstream."""
--- a/src/spoolhead/_internal/policy/request_content.py
+++ b/src/spoolhead/_internal/policy/request_content.py
@@ -42,9 +42,7 @@
     return digest.digest()
 
 
-def get_part_keys(
-    service: str, model: str, part_ids: Iterable[str]
-) -> dict[bytes, str]:
+def get_part_keys(service: str, model: str, part_ids: Iterable[str]) -> dict[bytes, str]:
     """Return the keys of the parts of a prompt, and for each the id of its part.
 
     The same part has the same key in all workspaces: it is the same text for the same engines, and
@@ -58,9 +56,7 @@
     prefix = _pack_texts(service, model)
     distinct_ids = list(dict.fromkeys(part_ids))[:MAX_PARTS]
     return {
-        hashlib.blake2b(
-            prefix + _pack_texts(part_id), digest_size=DIGEST_BYTES
-        ).digest(): part_id
+        hashlib.blake2b(prefix + _pack_texts(part_id), digest_size=DIGEST_BYTES).digest(): part_id
         for part_id in distinct_ids
     }
 
--- a/src/spoolhead/_internal/policy/requested_rest.py
+++ b/src/spoolhead/_internal/policy/requested_rest.py
@@ -83,9 +83,7 @@
         """
         if now_s < self._backoff_until_s:
             return True
-        is_trial_running = (
-            self._needs_trial and now_s - self._trial_sent_s < TRIAL_TIMEOUT_S
-        )
+        is_trial_running = self._needs_trial and now_s - self._trial_sent_s < TRIAL_TIMEOUT_S
         return is_trial_running or self.has_reports(now_s)
 
     def has_reports(self, now_s: float) -> bool:
--- a/src/spoolhead/_internal/policy/retry_allowance.py
+++ b/src/spoolhead/_internal/policy/retry_allowance.py
@@ -63,9 +63,7 @@
     :ivar others: what the other entries have published.
     """
 
-    def __init__(
-        self, *, ratio: float, slack: int, window_ms: int, started_s: float
-    ) -> None:
+    def __init__(self, *, ratio: float, slack: int, window_ms: int, started_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_ms / 1000
@@ -160,10 +158,7 @@
         return len(self._acquired) + others_count
 
     def _get_allowed(self, now_s: float) -> float:
-        return (
-            self._ratio * self._count_requests()
-            + self._slack * self._get_slack_part(now_s)
-        )
+        return self._ratio * self._count_requests() + self._slack * self._get_slack_part(now_s)
 
     def _count_requests(self) -> int:
         return len(self._requests) + (self.others.requests if self._is_shared else 0)
@@ -172,17 +167,11 @@
         """Return the part of the slack that the entries share whose repeats are known here."""
         if not self.entry_count:
             return 0.0
-        weight = self._get_weight(now_s) + (
-            self.others.weight if self._is_shared else 0
-        )
+        weight = self._get_weight(now_s) + (self.others.weight if self._is_shared else 0)
         return min(1.0, weight / (FULL_WEIGHT * self.entry_count))
 
     def _get_weight(self, now_s: float) -> int:
-        return (
-            FULL_WEIGHT
-            if now_s - self._started_s >= self._window_s
-            else STARTING_WEIGHT
-        )
+        return FULL_WEIGHT if now_s - self._started_s >= self._window_s else STARTING_WEIGHT
 
     def _expire(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
--- a/src/spoolhead/_internal/policy/return_places.py
+++ b/src/spoolhead/_internal/policy/return_places.py
@@ -49,9 +49,7 @@
 
     __slots__ = ("_get_other_load", "_last_due_s", "_places")
 
-    def __init__(
-        self, get_other_load: Callable[[int], shared_load.InstanceLoad]
-    ) -> None:
+    def __init__(self, get_other_load: Callable[[int], shared_load.InstanceLoad]) -> None:
         self._get_other_load = get_other_load
         self._last_due_s: dict[str, float] = {}
         self._places: collections.OrderedDict[bytes, _Place] = collections.OrderedDict()
@@ -84,9 +82,7 @@
         due_s = max(now_s + return_ms / 1000, earliest_s)
         self._last_due_s[service] = due_s
         self._places.pop(content_id, None)
-        self._places[content_id] = _Place(
-            get_place_key(content_id), service, need_tokens, due_s
-        )
+        self._places[content_id] = _Place(get_place_key(content_id), service, need_tokens, due_s)
         while len(self._places) > MAX_PLACES:
             self._places.popitem(last=False)
         return math.ceil((due_s - now_s) * 1000)
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -107,14 +107,10 @@
     engine: route_table.Engine, upstream: upstream_registry.Upstream, request: Request
 ) -> bool:
     """Return whether a generation would start at an engine within its objective."""
-    limit = engine.memory_tokens * (
-        MAX_FILL_FRACTION - FILL_FRACTION_PER_RANK * request.rank
-    )
+    limit = engine.memory_tokens * (MAX_FILL_FRACTION - FILL_FRACTION_PER_RANK * request.rank)
     if upstream.count and upstream.tokens + request.need_tokens > limit:
         return False
-    prefill_ms = (
-        upstream.prefill_tokens + request.prompt_tokens
-    ) / PREFILL_TOKENS_PER_MS
+    prefill_ms = (upstream.prefill_tokens + request.prompt_tokens) / PREFILL_TOKENS_PER_MS
     prefill_ms *= upstream.pace.typical_factor
     return not upstream.prefill_tokens or prefill_ms <= request.max_prefill_ms
 
@@ -133,9 +129,7 @@
 
 def get_min_fill(engine: route_table.Engine, choice: upstream_choice.Choice) -> float:
     """Return the fill of the emptiest engine of a choice."""
-    return min(
-        item.upstream.tokens / engine.memory_tokens for item in choice.candidates
-    )
+    return min(item.upstream.tokens / engine.memory_tokens for item in choice.candidates)
 
 
 def decide(
--- a/src/spoolhead/_internal/policy/run_handover.py
+++ b/src/spoolhead/_internal/policy/run_handover.py
@@ -80,9 +80,7 @@
             return self._resume(Evidence.STREAM_CLOSED)
         return Step.WAIT
 
-    def handle_answer(
-        self, status: int, *, has_handle: bool, is_other_pending: bool
-    ) -> Step:
+    def handle_answer(self, status: int, *, has_handle: bool, is_other_pending: bool) -> Step:
         """Decide after the answer to an order to stop the run.
 
         :param status: HTTP status.
--- a/src/spoolhead/_internal/policy/run_migration_policy.py
+++ b/src/spoolhead/_internal/policy/run_migration_policy.py
@@ -57,9 +57,7 @@
         for upstream in upstreams
         if upstream is not source
         and upstream.instance.incarnation_id not in excluded
-        and gate.get_block_reason(
-            service, upstream, now_s, request_priority=request_priority
-        )
+        and gate.get_block_reason(service, upstream, now_s, request_priority=request_priority)
         is None
     ]
 
@@ -89,9 +87,7 @@
     :param expected_tokens: total number of tokens that it is expected to generate.
     :param generated_tokens: tokens that it has generated.
     """
-    value = prompt_tokens + GENERATED_TOKEN_VALUE * max(
-        expected_tokens, generated_tokens
-    )
+    value = prompt_tokens + GENERATED_TOKEN_VALUE * max(expected_tokens, generated_tokens)
     if 0 < expected_tokens - generated_tokens < NEARLY_DONE_TOKENS:
         value *= NEARLY_DONE_FRACTION
     return value / max(1, prompt_tokens + generated_tokens)
--- a/src/spoolhead/_internal/policy/run_placement.py
+++ b/src/spoolhead/_internal/policy/run_placement.py
@@ -157,16 +157,12 @@
 
     __slots__ = ("_default", "_now_s", "is_known")
 
-    def __init__(
-        self, upstreams: Sequence[upstream_registry.Upstream], now_s: float
-    ) -> None:
+    def __init__(self, upstreams: Sequence[upstream_registry.Upstream], now_s: float) -> None:
         known = [upstream.pace for upstream in upstreams if upstream.pace.is_known]
         self._now_s = now_s
         self.is_known = bool(known)
         usual = pace_estimate.USUAL_FACTOR
-        typical = (
-            sum(pace.typical_factor for pace in known) / len(known) if known else usual
-        )
+        typical = sum(pace.typical_factor for pace in known) / len(known) if known else usual
         slow = sum(pace.slow_factor for pace in known) / len(known) if known else usual
         self._default = Pace(typical, typical, slow)
 
--- a/src/spoolhead/_internal/policy/run_refusal.py
+++ b/src/spoolhead/_internal/policy/run_refusal.py
@@ -32,9 +32,7 @@
 
     :param timeout_ms: time from its arrival to its deadline.
     """
-    return int(
-        min(request.objective_ms * MAX_WAIT_OBJECTIVES, timeout_ms * MAX_WAIT_FRACTION)
-    )
+    return int(min(request.objective_ms * MAX_WAIT_OBJECTIVES, timeout_ms * MAX_WAIT_FRACTION))
 
 
 def should_refuse(
--- a/src/spoolhead/_internal/policy/service_reach.py
+++ b/src/spoolhead/_internal/policy/service_reach.py
@@ -51,8 +51,6 @@
     def retain(self, incarnation_ids: Collection[str]) -> None:
         """Forget instances that no longer exist."""
         self._unreached_s = {
-            name: {
-                key: at_s for key, at_s in failures.items() if key in incarnation_ids
-            }
+            name: {key: at_s for key, at_s in failures.items() if key in incarnation_ids}
             for name, failures in self._unreached_s.items()
         }
--- a/src/spoolhead/_internal/policy/shared_queue.py
+++ b/src/spoolhead/_internal/policy/shared_queue.py
@@ -105,18 +105,14 @@
             self.spread = rng.random()
             self._draw_until_s = now_s + DRAW_INTERVAL_S * (0.5 + rng.random())
 
-    def get_class(
-        self, shares: workspace_shares.WorkspaceShares | None, now_s: float
-    ) -> int:
+    def get_class(self, shares: workspace_shares.WorkspaceShares | None, now_s: float) -> int:
         """Return its waiting class."""
         age = (now_s - self.arrived_s) / self.objective_s
         is_promoted = self._is_promoted and age >= PROMOTE_FRACTION
         age_class = int(age / START_FRACTION * queue_rows.AGE_CLASSES)
         is_over = shares is not None and shares.is_over(self.workspace)
         # Of a workspace below its share, only as many requests as fit come first.
-        exceeds = shares is not None and shares.is_over(
-            self.workspace, self._share_draw
-        )
+        exceeds = shares is not None and shares.is_over(self.workspace, self._share_draw)
         return queue_rows.get_class(
             max(0, self.rank - is_promoted),
             is_late=age_class >= queue_rows.AGE_CLASSES or (exceeds and not is_over),
@@ -247,9 +243,7 @@
     room_tokens = sum(room.tokens for room in rooms)
     is_scarce = room_tokens < SCARCE_FRACTION * demand.capacity
     place = request.spread * room_tokens if is_scarce else ahead
-    starts = (
-        bool(rooms) and ahead + request.need_tokens * (1 - START_SLACK) <= room_tokens
-    )
+    starts = bool(rooms) and ahead + request.need_tokens * (1 - START_SLACK) <= room_tokens
     return Decision(
         _find_engine(rooms, place) if starts else None,
         waiting_class=waiting_class,
@@ -259,9 +253,7 @@
     )
 
 
-def _find_engine(
-    rooms: Sequence[EngineRoom], place: float
-) -> upstream_registry.Upstream:
+def _find_engine(rooms: Sequence[EngineRoom], place: float) -> upstream_registry.Upstream:
     """Return the engine that has the room at a place, counted in tokens over all engines."""
     for room in rooms:
         if place < room.tokens:
@@ -291,9 +283,7 @@
         :param is_unused: whether a request waits although an engine has room for it.
         """
         tokens = {upstream.key: upstream.tokens for upstream in upstreams}
-        has_start = any(
-            each > self._tokens.get(key, each) for key, each in tokens.items()
-        )
+        has_start = any(each > self._tokens.get(key, each) for key, each in tokens.items())
         self._tokens = tokens
         if not is_unused:
             self._since_s = None
--- a/src/spoolhead/_internal/policy/slow_periods.py
+++ b/src/spoolhead/_internal/policy/slow_periods.py
@@ -51,6 +51,4 @@
         self._update()
 
     def _update(self) -> None:
-        self.ratio = statistics.median(
-            item[1] for item in self._ratios.values() or [(0.0, 1.0)]
-        )
+        self.ratio = statistics.median(item[1] for item in self._ratios.values() or [(0.0, 1.0)])
--- a/src/spoolhead/_internal/policy/sound_runs.py
+++ b/src/spoolhead/_internal/policy/sound_runs.py
@@ -81,15 +81,9 @@
     """The runs of one entry, by key."""
 
     def __init__(self) -> None:
-        self._runs: collections.OrderedDict[bytes, _KnownRun] = (
-            collections.OrderedDict()
-        )
-        self._last_answer_s: collections.OrderedDict[str, float] = (
-            collections.OrderedDict()
-        )
-        self._series: collections.OrderedDict[bytes, _Series] = (
-            collections.OrderedDict()
-        )
+        self._runs: collections.OrderedDict[bytes, _KnownRun] = collections.OrderedDict()
+        self._last_answer_s: collections.OrderedDict[str, float] = collections.OrderedDict()
+        self._series: collections.OrderedDict[bytes, _Series] = collections.OrderedDict()
 
     def record_run(self, key: bytes, incarnation_id: str, begun_s: float) -> None:
         """Record a run whose answer was complete or has gone on.
@@ -98,12 +92,8 @@
         """
         proved_s = self._get_proved_s(key)
         known = self._runs.get(key)
-        is_proved = (
-            self._last_answer_s.get(incarnation_id, -math.inf) >= begun_s + SETTLE_S
-        )
-        is_awaited = known is not None and known.begun_s > max(
-            proved_s, begun_s - PROOF_WAIT_S
-        )
+        is_proved = self._last_answer_s.get(incarnation_id, -math.inf) >= begun_s + SETTLE_S
+        is_awaited = known is not None and known.begun_s > max(proved_s, begun_s - PROOF_WAIT_S)
         if is_proved or not is_awaited:
             self._runs[key] = _KnownRun(incarnation_id, begun_s, proved_s)
         self._runs.move_to_end(key)
@@ -120,8 +110,7 @@
         """Record that an instance has crashed with a key in flight."""
         series = self._series.get(key)
         is_over = series is not None and (
-            now_s - series.last_s > SERIES_GAP_S
-            or self._get_proved_s(key) >= series.first_s
+            now_s - series.last_s > SERIES_GAP_S or self._get_proved_s(key) >= series.first_s
         )
         if series is None or is_over:
             self._series[key] = _Series(now_s)
--- a/src/spoolhead/_internal/policy/standing_alarms.py
+++ b/src/spoolhead/_internal/policy/standing_alarms.py
@@ -74,9 +74,7 @@
     def get(self, names: Iterable[AlarmName], now_s: float) -> list[shared_load.Alarm]:
         """Return the named alarms that are still in force, each with its remaining time."""
         standing = [self._standing[name] for name in names if name in self._standing]
-        return [
-            _make_remaining(item, now_s) for item in standing if now_s < item.until_s
-        ]
+        return [_make_remaining(item, now_s) for item in standing if now_s < item.until_s]
 
     def get_all(self, now_s: float) -> list[shared_load.Alarm]:
         """Return the alarms that are still in force, each with their remaining time."""
--- a/src/spoolhead/_internal/policy/start_forecast.py
+++ b/src/spoolhead/_internal/policy/start_forecast.py
@@ -57,10 +57,7 @@
         """
         last = self._samples[-1] if self._samples else None
         if last is not None:
-            if (
-                released_tokens < last.released_tokens
-                or acquired_tokens < last.acquired_tokens
-            ):
+            if released_tokens < last.released_tokens or acquired_tokens < last.acquired_tokens:
                 self._samples.clear()
             elif now_s - last.at_s < SAMPLE_INTERVAL_S:
                 return
@@ -160,9 +157,7 @@
     :returns: None if there is no room and the rate is unknown or zero.
     """
     ahead_tokens = demand.ahead_tokens + demand.returning_tokens
-    return _compute_release_ms(
-        ahead_tokens + demand.need_tokens - demand.free_tokens, rate_per_s
-    )
+    return _compute_release_ms(ahead_tokens + demand.need_tokens - demand.free_tokens, rate_per_s)
 
 
 def _compute_release_ms(missing_tokens: int, rate_per_s: float | None) -> int | None:
--- a/src/spoolhead/_internal/policy/unread_budget.py
+++ b/src/spoolhead/_internal/policy/unread_budget.py
@@ -42,9 +42,7 @@
 
     __slots__ = ("key", "total_bytes", "unread_bytes", "unread_s")
 
-    def __init__(
-        self, key: Hashable, backlog: Backlog, total_bytes: int, now_s: float
-    ) -> None:
+    def __init__(self, key: Hashable, backlog: Backlog, total_bytes: int, now_s: float) -> None:
         self.key = key
         self.unread_bytes = backlog.unread_bytes
         self.unread_s = now_s - backlog.read_s
@@ -133,9 +131,7 @@
         if backlog.unread_bytes <= 0:
             del self._backlogs[key]
 
-    def record_kernel_bytes(
-        self, key: Hashable, kernel_bytes: int, now_s: float
-    ) -> None:
+    def record_kernel_bytes(self, key: Hashable, kernel_bytes: int, now_s: float) -> None:
         """Record the bytes in the kernel's send buffer; fewer than before show that it is read.
 
         The kernel accepts more bytes only when a large part of its buffer is free, long after a
@@ -166,9 +162,7 @@
         )
         for key, backlog in ranked:
             has_stopped = now_s - backlog.read_s >= STOPPED_S
-            if not self.is_exceeded or not (
-                has_stopped or self._is_shared_budget_exceeded()
-            ):
+            if not self.is_exceeded or not (has_stopped or self._is_shared_budget_exceeded()):
                 break
             drops.append(Drop(key, backlog, self.total_bytes, now_s))
             self.remove(key)
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -83,9 +83,7 @@
         self.retry_after_ms = retry_after_ms
         self.upstream = candidates[0].upstream if candidates else None
 
-    def prefer(
-        self, is_preferred: Callable[[upstream_registry.Upstream], bool]
-    ) -> "Choice":
+    def prefer(self, is_preferred: Callable[[upstream_registry.Upstream], bool]) -> "Choice":
         """Return the choice with the candidates that satisfy a predicate moved to the front."""
         return self._order(lambda upstream: not is_preferred(upstream))
 
@@ -200,9 +198,7 @@
     return Choice(
         candidates,
         is_cut_off=_is_cut_off(reasons),
-        blocked=collections.Counter(
-            reason for _, reason in untried if reason is not None
-        ),
+        blocked=collections.Counter(reason for _, reason in untried if reason is not None),
         retry_after_ms=_get_retry_after_ms(untried, context),
     )
 
@@ -223,9 +219,7 @@
 
 
 def _get_retry_after_ms(
-    untried: Sequence[
-        tuple[upstream_registry.Upstream, upstream_gate.BlockReason | None]
-    ],
+    untried: Sequence[tuple[upstream_registry.Upstream, upstream_gate.BlockReason | None]],
     context: ChoiceContext,
 ) -> int | None:
     waits_ms = [
@@ -241,9 +235,7 @@
     return bool(remaining) and all(reason in _UNREACHABLE for reason in remaining)
 
 
-def _get_other_hall_cost(
-    usable: Sequence[upstream_registry.Upstream], hall: str
-) -> float:
+def _get_other_hall_cost(usable: Sequence[upstream_registry.Upstream], hall: str) -> float:
     own_hall_count = sum(upstream.instance.hall == hall for upstream in usable)
     return OTHER_HALL_COST * min(max(1, own_hall_count - 1), MAX_OTHER_HALL_FACTOR)
 
@@ -281,9 +273,7 @@
     return (known + 1) / slots * paces.get(upstream).current
 
 
-def _add_place_cost(
-    candidate: Candidate, context: ChoiceContext, other_hall_cost: float
-) -> None:
+def _add_place_cost(candidate: Candidate, context: ChoiceContext, other_hall_cost: float) -> None:
     """Add the cost of the instance's hall and of its start, whatever its load."""
     upstream = candidate.upstream
     if upstream.instance.hall != context.hall:
--- a/src/spoolhead/_internal/policy/upstream_registry.py
+++ b/src/spoolhead/_internal/policy/upstream_registry.py
@@ -204,9 +204,7 @@
     def is_usable(self, now_s: float) -> bool:
         """Return whether new requests may be sent to the instance."""
         is_open = not self.is_evacuated and not self.may_be_leaving(now_s)
-        is_accepting = (
-            now_s >= self._ejected_until_s and not self.rest.is_likely_to_reject(now_s)
-        )
+        is_accepting = now_s >= self._ejected_until_s and not self.rest.is_likely_to_reject(now_s)
         return is_open and not self.is_replaced(now_s) and is_accepting
 
     @property
@@ -379,11 +377,7 @@
 
     def get_service(self, service: str) -> list[Upstream]:
         """Return the instances of a service."""
-        return [
-            item
-            for item in self._upstreams.values()
-            if item.instance.service == service
-        ]
+        return [item for item in self._upstreams.values() if item.instance.service == service]
 
     def get_all(self) -> list[Upstream]:
         """Return all instances."""
@@ -408,9 +402,7 @@
             else:
                 self._keep_current(instance, before)
         self._by_key = {item.key: item for item in self._upstreams.values()}
-        self._by_address = {
-            item.instance.address: item for item in self._upstreams.values()
-        }
+        self._by_address = {item.instance.address: item for item in self._upstreams.values()}
         self._starts.evict_oldest(len(self._upstreams))
         for upstream in before.values():
             upstream.is_leaving = True
@@ -432,9 +424,7 @@
         self._evacuated_halls = halls
         for upstream in self._upstreams.values():
             upstream.is_evacuated = upstream.instance.hall in halls
-        return [
-            item for item in self._upstreams.values() if item.instance.hall in reopened
-        ]
+        return [item for item in self._upstreams.values() if item.instance.hall in reopened]
 
     def _update_listed(
         self,
@@ -444,9 +434,7 @@
         now_s: float,
     ) -> None:
         known = before.pop(instance.incarnation_id, None)
-        upstream = (
-            known if known is not None and _has_same_endpoint(known, instance) else None
-        )
+        upstream = known if known is not None and _has_same_endpoint(known, instance) else None
         if upstream is None:
             upstream = Upstream(instance)
             if known is not None:
@@ -464,9 +452,7 @@
             leaving.append(upstream)
         self._upstreams[instance.incarnation_id] = upstream
 
-    def _keep_current(
-        self, previous: instances.Instance, before: dict[str, Upstream]
-    ) -> None:
+    def _keep_current(self, previous: instances.Instance, before: dict[str, Upstream]) -> None:
         incarnation_id = self._starts.get_current_incarnation_id(previous)
         upstream = before.pop(incarnation_id, None)
         if upstream is not None:
--- a/src/spoolhead/_internal/policy/workspace_shares.py
+++ b/src/spoolhead/_internal/policy/workspace_shares.py
@@ -34,14 +34,10 @@
 
     __slots__ = ("_levels", "_tables")
 
-    def __init__(
-        self, tables: Sequence[Sequence[shared_load.InstanceLoad]], capacity: int
-    ) -> None:
+    def __init__(self, tables: Sequence[Sequence[shared_load.InstanceLoad]], capacity: int) -> None:
         self._tables = tables
         self._levels = [
-            compute_level(
-                [load.tokens + load.prefill_tokens for load in table], capacity
-            )
+            compute_level([load.tokens + load.prefill_tokens for load in table], capacity)
             for table in tables
         ]
 
@@ -52,9 +48,7 @@
         """
         if not workspace:
             return False
-        places = zip(
-            self._tables, self._levels, queue_rows.get_buckets(workspace), strict=True
-        )
+        places = zip(self._tables, self._levels, queue_rows.get_buckets(workspace), strict=True)
         return all(
             table[bucket].tokens + draw * table[bucket].prefill_tokens > level
             for table, level, bucket in places
--- a/src/spoolhead/_internal/quorum/feed.py
+++ b/src/spoolhead/_internal/quorum/feed.py
@@ -113,9 +113,7 @@
             only the difference is sent.
         """
         table = self._retain_document()
-        session.send(
-            self._pack_table(table, digest if digest in self._documents else 0)
-        )
+        session.send(self._pack_table(table, digest if digest in self._documents else 0))
 
     def broadcast_version(self) -> None:
         """Send all followers the table's version, and the evacuated halls if these have changed."""
@@ -162,9 +160,7 @@
             self._documents.popitem(last=False)
         return table
 
-    def _pack_table(
-        self, table: CommittedTable, digest: int
-    ) -> route_messages.RouteTableDocument:
+    def _pack_table(self, table: CommittedTable, digest: int) -> route_messages.RouteTableDocument:
         """Return the encoded table; cached, since all entries fetch it at about the same time."""
         packed = self._packed_tables.get(digest)
         if packed is None:
@@ -176,9 +172,7 @@
             )
         return packed
 
-    def _make_evacuated_halls(
-        self, table: CommittedTable
-    ) -> route_messages.EvacuatedHalls:
+    def _make_evacuated_halls(self, table: CommittedTable) -> route_messages.EvacuatedHalls:
         state = self._get_evacuations()
         return route_messages.EvacuatedHalls(
             revision=state.revision,
@@ -228,6 +222,4 @@
 
 
 def _make_table_version(table: CommittedTable) -> route_messages.RouteTableVersion:
-    return route_messages.RouteTableVersion(
-        version=table.version, is_confirmed=table.is_confirmed
-    )
+    return route_messages.RouteTableVersion(version=table.version, is_confirmed=table.is_confirmed)
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -138,33 +138,23 @@
         sock = load_socket.LoadSocket(self.loop, address, self._handle_datagram)
         return hub_port.HubPort(
             self.loop.scheduler,
-            load_hub.LoadHub(
-                self._config.name, int(time.time() * 1000), self._contents
-            ),
+            load_hub.LoadHub(self._config.name, int(time.time() * 1000), self._contents),
             send=sock.send,
             get_hubs=self._get_other_hubs,
             bytes_per_s=self._config.hub_bytes_per_s,
         )
 
-    def _handle_datagram(
-        self, message: shared_load.Message, sender: endpoints.Endpoint
-    ) -> None:
+    def _handle_datagram(self, message: shared_load.Message, sender: endpoints.Endpoint) -> None:
         if not isinstance(message, shared_load.Report | shared_load.Totals):
             fields = {"kind": type(message).__name__}
-            logger.warning(
-                "datagram that is not for a keeper", extra={"fields": fields}
-            )
+            logger.warning("datagram that is not for a keeper", extra={"fields": fields})
             return
         self._hub_port.handle_datagram(message, sender)
         self._saved_contents.schedule_save()
 
     def _get_other_hubs(self) -> list[endpoints.Endpoint]:
         own_address = f"{self._config.host}:{self._config.peer_port}"
-        others = [
-            address
-            for address in self._member.member_addresses
-            if address != own_address
-        ]
+        others = [address for address in self._member.member_addresses if address != own_address]
         return [endpoints.split(address) for address in others]
 
     def on_opened(self, session: peer_server.PeerSession) -> None:
@@ -174,9 +164,7 @@
         """Remove the follower whose stream has closed."""
         self._feed.remove_follower(session)
 
-    def on_message(
-        self, session: peer_server.PeerSession, message: messages.Message
-    ) -> None:
+    def on_message(self, session: peer_server.PeerSession, message: messages.Message) -> None:
         """Handle a message from an entry or from another keeper."""
         match message:
             case route_messages.Subscribe():
@@ -192,9 +180,7 @@
             case _ if isinstance(message, tuple(consensus_messages.CLASSES.values())):
                 self._member.receive(message)
             case _:
-                logger.warning(
-                    "unexpected %s of %s", type(message).__name__, session.name
-                )
+                logger.warning("unexpected %s of %s", type(message).__name__, session.name)
 
     def _handle_request(self, caller: caller_front.Caller) -> None:
         order = self._dialect.read_order(caller.request)
@@ -209,9 +195,7 @@
             case dialects.ReadTable():
                 self._read_table(caller)
 
-    def _set_evacuation(
-        self, caller: caller_front.Caller, order: dialects.SetEvacuation
-    ) -> None:
+    def _set_evacuation(self, caller: caller_front.Caller, order: dialects.SetEvacuation) -> None:
         start_s = clocks.get_s()
 
         def _answer(is_sure: bool) -> None:
@@ -272,9 +256,7 @@
             if not is_sure:
                 self._send_unsure(caller)
             elif not register.version:
-                refusal = fault.Fault(
-                    codes.ResultCode.NO_TABLE, "there is no table yet"
-                )
+                refusal = fault.Fault(codes.ResultCode.NO_TABLE, "there is no table yet")
                 self._refuse(caller, refusal)
             else:
                 headers = [("Content-Type", "application/json")]
--- a/src/spoolhead/_internal/quorum/keeper_metrics.py
+++ b/src/spoolhead/_internal/quorum/keeper_metrics.py
@@ -19,19 +19,13 @@
         self.table_version = registry.make_gauge(
             "spoolhead_table_version", "Version of the committed route table."
         )
-        self.is_leader = registry.make_gauge(
-            "spoolhead_is_leader", "1 while this keeper leads."
-        )
-        self.term = registry.make_gauge(
-            "spoolhead_term", "Latest term of the agreement."
-        )
+        self.is_leader = registry.make_gauge("spoolhead_is_leader", "1 while this keeper leads.")
+        self.term = registry.make_gauge("spoolhead_term", "Latest term of the agreement.")
         self.list_faults = registry.make_counter(
             "spoolhead_list_faults",
             "Reads of the instance list with a page or an entry that could not be read.",
         )
-        self.followers = registry.make_gauge(
-            "spoolhead_followers", "Entries that follow."
-        )
+        self.followers = registry.make_gauge("spoolhead_followers", "Entries that follow.")
         self.order_ms = registry.make_histogram(
             "spoolhead_table_order_ms", "Time from an operator's table to its answer."
         )
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -106,9 +106,7 @@
     @property
     def member_addresses(self) -> list[str]:
         """``IP:PORT`` of each member; during a change of members, of all involved."""
-        return sorted(
-            {messages.get_address(member) for member in self._consensus.members}
-        )
+        return sorted({messages.get_address(member) for member in self._consensus.members})
 
     def propose(self, version: int, document: bytes) -> bool:
         """Propose a table; return False if this keeper is not the leader."""
@@ -140,23 +138,12 @@
         self._consensus.receive(message, clocks.get_s())
         self._apply_effects()
 
-    def _open_log(
-        self, address: str, folder: pathlib.Path
-    ) -> replicated_log.ReplicatedLog:
+    def _open_log(self, address: str, folder: pathlib.Path) -> replicated_log.ReplicatedLog:
         saved = storage.read(folder)
-        seeds = [
-            messages.make_member_id(seed, FIRST_START_MARK)
-            for seed in self._config.keepers
-        ]
-        mark = (
-            FIRST_START_MARK
-            if self._config.is_first_start
-            else secrets.token_hex(MARK_BYTES)
-        )
+        seeds = [messages.make_member_id(seed, FIRST_START_MARK) for seed in self._config.keepers]
+        mark = FIRST_START_MARK if self._config.is_first_start else secrets.token_hex(MARK_BYTES)
         self.member_id = saved.member_id or messages.make_member_id(address, mark)
-        initial_members = (
-            seeds if self.member_id in seeds and self._config.is_first_start else []
-        )
+        initial_members = seeds if self.member_id in seeds and self._config.is_first_start else []
         log = replicated_log.ReplicatedLog(
             replicated_log.Snapshot(0, 0, initial_members, len(initial_members), b"")
         )
@@ -205,9 +192,7 @@
             member=self.member_id, is_first_start=self._config.is_first_start
         )
         own_address = messages.get_address(self.member_id)
-        addresses = {*self._config.keepers, *self._consensus.get_known_addresses()} - {
-            own_address
-        }
+        addresses = {*self._config.keepers, *self._consensus.get_known_addresses()} - {own_address}
         if addresses != self._join_addresses:
             self._join_addresses = addresses
             fields = {
@@ -221,10 +206,7 @@
 
     def _log_join_request(self, request: messages.JoinRequest) -> None:
         """Log the first request of each process that is not a member."""
-        if (
-            request.member in self._consensus.members
-            or request.member in self._join_requesters
-        ):
+        if request.member in self._consensus.members or request.member in self._join_requesters:
             return
         self._join_requesters.add(request.member)
         fields = {
--- a/src/spoolhead/_internal/quorum/pending_operations.py
+++ b/src/spoolhead/_internal/quorum/pending_operations.py
@@ -120,15 +120,11 @@
         :param answer: called with True once this or a higher version is committed, or with False on
             a timeout.
         """
-        order = _TableOrder(
-            version, document, answer, clocks.get_s() + self._answer_timeout_s
-        )
+        order = _TableOrder(version, document, answer, clocks.get_s() + self._answer_timeout_s)
         self._table_orders.append(order)
         self._check()
 
-    def put_hall_order(
-        self, hall: str, is_evacuated: bool, answer: AnswerCallback
-    ) -> None:
+    def put_hall_order(self, hall: str, is_evacuated: bool, answer: AnswerCallback) -> None:
         """Have an order on a hall committed.
 
         :param answer: called with whether the order had taken effect when it was committed; with
@@ -149,9 +145,7 @@
 
         :param answer: called with True once this is confirmed, or with False on a timeout.
         """
-        read = _Read(
-            next(self._request_numbers), answer, clocks.get_s() + self._answer_timeout_s
-        )
+        read = _Read(next(self._request_numbers), answer, clocks.get_s() + self._answer_timeout_s)
         self._reads.append(read)
         self._check()
 
@@ -166,9 +160,7 @@
         if self._member.is_leader and message.version > self._member.register.version:
             self._member.propose(message.version, message.document)
 
-    def handle_forwarded_hall_order(
-        self, message: route_messages.ForwardHallOrder
-    ) -> None:
+    def handle_forwarded_hall_order(self, message: route_messages.ForwardHallOrder) -> None:
         """Propose an order on a hall that another keeper has forwarded."""
         if self._member.is_leader:
             self._member.propose_hall_order(message.order)
@@ -223,9 +215,7 @@
             order.sent_s = now_s
             self._member.propose(order.version, order.document)
         elif self._member.leader_address:
-            message = route_messages.ForwardTable(
-                version=order.version, document=order.document
-            )
+            message = route_messages.ForwardTable(version=order.version, document=order.document)
             if self._peers.send(self._member.leader_address, message):
                 order.sent_s = now_s
 
@@ -264,9 +254,7 @@
     def _is_confirmed(self, read: _Read) -> bool:
         if read.version is not None:
             return self._member.register.version >= read.version
-        return read.round_number is not None and self._member.is_confirmed(
-            read.round_number
-        )
+        return read.round_number is not None and self._member.is_confirmed(read.round_number)
 
     def _request_confirmation(self, read: _Read, now_s: float) -> None:
         if self._member.is_leader:
--- a/src/spoolhead/_internal/quorum/storage.py
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -120,9 +120,7 @@
         except OSError as error:
             raise exceptions.DiskError(f"{folder}: {error.strerror}") from error
         self._create_file(self._encode_file(records))
-        self._thread = threading.Thread(
-            target=self._run_writer, name="storage", daemon=True
-        )
+        self._thread = threading.Thread(target=self._run_writer, name="storage", daemon=True)
         self._thread.start()
 
     @property
@@ -194,9 +192,7 @@
     def _append(self, data: bytes) -> None:
         written = 0
         while written < len(data):
-            written += os.pwrite(
-                self._descriptor, data[written:], self._length + written
-            )
+            written += os.pwrite(self._descriptor, data[written:], self._length + written)
         os.fdatasync(self._descriptor)
         self._length += len(data)
 
--- a/src/spoolhead/_internal/relay/raw_events.py
+++ b/src/spoolhead/_internal/relay/raw_events.py
@@ -24,9 +24,7 @@
     def is_end_marker(self) -> bool:
         """Whether the event marks the end of the stream."""
         lines = self.data.splitlines()
-        values = [
-            line[len(_DATA) :].strip() for line in lines if line.startswith(_DATA)
-        ]
+        values = [line[len(_DATA) :].strip() for line in lines if line.startswith(_DATA)]
         return values == [_END_MARKER]
 
 
--- a/src/spoolhead/_internal/relay/stream_relay.py
+++ b/src/spoolhead/_internal/relay/stream_relay.py
@@ -33,9 +33,7 @@
     """
 
     def __init__(self, event_sequencer: sequencer.Sequencer | None = None) -> None:
-        self.sequencer = (
-            event_sequencer if event_sequencer is not None else sequencer.Sequencer()
-        )
+        self.sequencer = event_sequencer if event_sequencer is not None else sequencer.Sequencer()
         self.is_done = False
         self._splitter = event_stream.EventSplitter()
 
@@ -54,9 +52,7 @@
         try:
             events = self._splitter.feed(data)
         except event_stream.EventTooLargeError as error:
-            relayed.fault = fault.Fault(
-                codes.ResultCode.STREAM_OUT_OF_ORDER, str(error)
-            )
+            relayed.fault = fault.Fault(codes.ResultCode.STREAM_OUT_OF_ORDER, str(error))
             return relayed
         parts: list[bytes] = []
         for event in events:
--- a/src/spoolhead/_internal/routing/table_checks.py
+++ b/src/spoolhead/_internal/routing/table_checks.py
@@ -19,9 +19,7 @@
         faults.extend(_check_route(route, services))
     for (host, prefix), count in route_counts.items():
         if count > 1:
-            faults.append(
-                _make_fault("routes", f"{count} routes stand at {host}{prefix}")
-            )
+            faults.append(_make_fault("routes", f"{count} routes stand at {host}{prefix}"))
     faults.extend(_check_keys(table))
     return faults
 
@@ -31,9 +29,7 @@
     path = f"routes.{route.name}"
     for share in route.shares:
         if share.service not in services:
-            faults.append(
-                _make_fault(path, f"names the unknown service {share.service}")
-            )
+            faults.append(_make_fault(path, f"names the unknown service {share.service}"))
         if share.weight < 0:
             faults.append(_make_fault(path, f"has the weight {share.weight}"))
     if sum(share.weight for share in route.shares) <= 0:
@@ -41,9 +37,7 @@
     if route.timeout_ms <= 0:
         faults.append(_make_fault(path, "its time limit must be above 0"))
     if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
-        faults.append(
-            _make_fault(path, "its path prefix must begin and end with a slash")
-        )
+        faults.append(_make_fault(path, "its path prefix must begin and end with a slash"))
     return faults
 
 
--- a/src/spoolhead/_internal/table/checking.py
+++ b/src/spoolhead/_internal/table/checking.py
@@ -20,9 +20,7 @@
         for key, value in values.items():
             if key.sheet not in parsed:
                 text = "no such sheet"
-                faults.append(
-                    fault.Fault(codes.ResultCode.EDIT_INVALID, text, path=key.sheet)
-                )
+                faults.append(fault.Fault(codes.ResultCode.EDIT_INVALID, text, path=key.sheet))
                 continue
             row = self._parse(key, value, faults)
             if row is not None:
@@ -34,17 +32,13 @@
             self._accepted_values = dict(values)
         return faults
 
-    def _get_changed(
-        self, values: versioned_table.RowValues
-    ) -> list[tuple[rows.Sheet, str]]:
+    def _get_changed(self, values: versioned_table.RowValues) -> list[tuple[rows.Sheet, str]]:
         """Return the rows whose references must be checked.
 
         These are the changed rows, or all rows if a service was changed or removed.
         """
         accepted = self._accepted_values
-        changed = [
-            key for key, value in values.items() if accepted.get(key) is not value
-        ]
+        changed = [key for key, value in values.items() if accepted.get(key) is not value]
         removed = [key for key in accepted if key not in values]
         if any(key.sheet == rows.Sheet.SERVICES for key in (*changed, *removed)):
             changed = list(values)
--- a/src/spoolhead/_internal/table/documents.py
+++ b/src/spoolhead/_internal/table/documents.py
@@ -68,9 +68,7 @@
     if parsed.is_error():
         return expression.Error([parsed.error])
     if not isinstance(parsed.ok, dict):
-        return expression.Error(
-            [_make_fault("", "the file is not an object of sheets")]
-        )
+        return expression.Error([_make_fault("", "the file is not an object of sheets")])
     document: Document = {}
     faults = []
     for sheet, sheet_rows in parsed.ok.items():
--- a/src/spoolhead/_internal/table/packing.py
+++ b/src/spoolhead/_internal/table/packing.py
@@ -9,9 +9,7 @@
 
 def pack_rows(table_rows: Rows) -> list[list[object]]:
     """Encode each row as a list of sheet, name, version and value."""
-    return [
-        [key.sheet, key.name, row.version, row.value] for key, row in table_rows.items()
-    ]
+    return [[key.sheet, key.name, row.version, row.value] for key, row in table_rows.items()]
 
 
 def unpack_rows(
--- a/src/spoolhead/_internal/table/saved_copy.py
+++ b/src/spoolhead/_internal/table/saved_copy.py
@@ -49,9 +49,7 @@
         """Save a table if it is newer than the saved one; a disk error is only logged."""
         if table.version <= self._saved_version:
             return
-        payload = msgpack.packb(
-            [table.log_id, table.version, packing.pack_rows(table.rows)]
-        )
+        payload = msgpack.packb([table.log_id, table.version, packing.pack_rows(table.rows)])
         try:
             files.replace_file(self._path, changelog.make_record(payload))
         except exceptions.DiskError as error:
--- a/src/spoolhead/_internal/table/view.py
+++ b/src/spoolhead/_internal/table/view.py
@@ -70,9 +70,7 @@
             for digest in parsed.ok.key_sha256:
                 self._workspaces_by_digest[digest] = key.name
 
-    def replace(
-        self, table_rows: Iterable[tuple[versioned_table.RowKey, object]]
-    ) -> None:
+    def replace(self, table_rows: Iterable[tuple[versioned_table.RowKey, object]]) -> None:
         """Replace the whole table."""
         new_rows = dict(table_rows)
         for sheet, known in self._sheets.items():
--- a/src/spoolhead/_internal/utils/document_delta.py
+++ b/src/spoolhead/_internal/utils/document_delta.py
@@ -31,11 +31,7 @@
         index = indexes.get(piece)
         if index is None:
             parts.append(piece)
-        elif (
-            parts
-            and isinstance(parts[-1], list)
-            and parts[-1][0] + parts[-1][1] == index
-        ):
+        elif parts and isinstance(parts[-1], list) and parts[-1][0] + parts[-1][1] == index:
             parts[-1][1] += 1
         else:
             parts.append([index, 1])
--- a/src/spoolhead/_internal/utils/log_losses.py
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -73,9 +73,7 @@
 
     def record_line(self, line: log_trace.Line) -> None:
         if line.text in _DEPARTURE_TEXTS:
-            self._departure_noticed_s.setdefault(
-                str(line.fields.get("upstream")), line.time_s
-            )
+            self._departure_noticed_s.setdefault(str(line.fields.get("upstream")), line.time_s)
         elif line.text in ("hall is silent", "hall is heard again"):
             changes = self._silence_changes.setdefault(line.process, [])
             changes.append((line.time_s, line.text == "hall is silent"))
@@ -107,11 +105,7 @@
     counts: dict[tuple[str, Cause], Count] = collections.defaultdict(Count)
     for request_id, request_lines in requests.items():
         route = next(
-            (
-                str(x.fields[ROUTE_FIELD])
-                for x in request_lines
-                if ROUTE_FIELD in x.fields
-            ),
+            (str(x.fields[ROUTE_FIELD]) for x in request_lines if ROUTE_FIELD in x.fields),
             "",
         )
         counts[route, _get_cause(request_lines, observed)].add(
@@ -120,9 +114,7 @@
     return dict(counts)
 
 
-def _get_cause(
-    request_lines: Sequence[log_trace.Line], observed: _ObservedState
-) -> Cause:
+def _get_cause(request_lines: Sequence[log_trace.Line], observed: _ObservedState) -> Cause:
     ends = [line for line in request_lines if line.text in log_trace.END_TEXTS]
     if not ends:
         return Cause.NO_END
@@ -140,16 +132,12 @@
     return _get_failure_cause(request_lines, end, observed)
 
 
-def _get_answer_cause(
-    request_lines: Sequence[log_trace.Line], end: log_trace.Line
-) -> Cause:
+def _get_answer_cause(request_lines: Sequence[log_trace.Line], end: log_trace.Line) -> Cause:
     texts = {line.text for line in request_lines}
     if end.fields.get("is_late"):
         return Cause.LATE_AFTER_WAIT if "waits for room" in texts else Cause.LATE_FIRST
     if end.fields.get("has_long_pause"):
-        return (
-            Cause.LATE_MOVED if "run goes on elsewhere" in texts else Cause.LATE_PAUSE
-        )
+        return Cause.LATE_MOVED if "run goes on elsewhere" in texts else Cause.LATE_PAUSE
     return Cause.IN_TIME
 
 
@@ -158,11 +146,7 @@
     end: log_trace.Line,
     observed: _ObservedState,
 ) -> Cause:
-    attempts = [
-        line
-        for line in request_lines
-        if line.text in ("attempt", "run goes on elsewhere")
-    ]
+    attempts = [line for line in request_lines if line.text in ("attempt", "run goes on elsewhere")]
     if not attempts:
         return Cause.LOST
     last = attempts[-1]
@@ -171,13 +155,9 @@
     later_texts = {line.text for line in request_lines if line.time_s >= last.time_s}
     if "copy failed" in later_texts:
         return Cause.CUT_COPY_REFUSED
-    return (
-        Cause.CUT_COPY_LATE if "copy ordered" in later_texts else Cause.CUT_NOT_COPIED
-    )
+    return Cause.CUT_COPY_LATE if "copy ordered" in later_texts else Cause.CUT_NOT_COPIED
 
 
 def _get_event_count(request_lines: Sequence[log_trace.Line]) -> int:
-    events = [
-        line.fields["events"] for line in request_lines if "events" in line.fields
-    ]
+    events = [line.fields["events"] for line in request_lines if "events" in line.fields]
     return max((item for item in events if isinstance(item, int)), default=0)
--- a/src/spoolhead/_internal/utils/log_trace.py
+++ b/src/spoolhead/_internal/utils/log_trace.py
@@ -49,9 +49,7 @@
 
     __slots__ = ("fields", "process", "text", "time_s")
 
-    def __init__(
-        self, process: str, time_s: float, text: str, fields: dict[str, object]
-    ) -> None:
+    def __init__(self, process: str, time_s: float, text: str, fields: dict[str, object]) -> None:
         self.process = process
         self.time_s = time_s
         self.text = text
@@ -92,9 +90,7 @@
     except (ValueError, KeyError, TypeError):
         return None
     words = prefix.split()
-    others = {
-        name: value for name, value in fields.items() if name not in _COMMON_FIELDS
-    }
+    others = {name: value for name, value in fields.items() if name not in _COMMON_FIELDS}
     return Line(words[-1] if words else process, time_s, message, others)
 
 
@@ -104,9 +100,7 @@
     :param lines: lines of all processes, in any order.
     """
     ordered = sorted(lines, key=lambda line: line.time_s)
-    request_lines = [
-        line for line in ordered if line.fields.get("request") == request_id
-    ]
+    request_lines = [line for line in ordered if line.fields.get("request") == request_id]
     if not request_lines:
         return RequestTrace([], [])
     processes = {line.process for line in request_lines}
@@ -121,9 +115,7 @@
     lasting_state = {
         line.process: line
         for line in ordered
-        if line.text == LASTING_STATE_TEXT
-        and line.process in processes
-        and line.time_s < from_s
+        if line.text == LASTING_STATE_TEXT and line.process in processes and line.time_s < from_s
     }
     context_lines = list(lasting_state.values())
     context_lines += [
--- a/src/spoolhead/_internal/utils/logs.py
+++ b/src/spoolhead/_internal/utils/logs.py
@@ -83,9 +83,7 @@
             self._dropped += 1
 
     def _report_dropped(self) -> bool:
-        record = logging.LogRecord(
-            __name__, logging.WARNING, "", 0, "log lines dropped", (), None
-        )
+        record = logging.LogRecord(__name__, logging.WARNING, "", 0, "log lines dropped", (), None)
         record.fields = {"count": self._dropped}
         if not self._write(self.format(record)):
             return False
--- a/src/spoolhead/_internal/utils/metrics.py
+++ b/src/spoolhead/_internal/utils/metrics.py
@@ -103,9 +103,7 @@
 
     def __init__(self, config: settings.StatsdSettings, metrics: Metrics) -> None:
         self._metrics = metrics
-        self._client = statsd.StatsClient(
-            host=config.host, port=config.port, prefix=config.prefix
-        )
+        self._client = statsd.StatsClient(host=config.host, port=config.port, prefix=config.prefix)
 
     def send(self) -> None:
         """Send all values; packets that get lost are not sent again."""
--- a/src/spoolhead/_internal/utils/prometheus_metrics.py
+++ b/src/spoolhead/_internal/utils/prometheus_metrics.py
@@ -36,9 +36,7 @@
     def __init__(self) -> None:
         self._registry = registry.CollectorRegistry(auto_describe=False)
 
-    def make_counter(
-        self, name: str, text: str, *labels: str
-    ) -> prometheus_client.Counter:
+    def make_counter(self, name: str, text: str, *labels: str) -> prometheus_client.Counter:
         """Register a new counter and return it.
 
         :param text: description of the counter.
@@ -52,9 +50,7 @@
         """
         return prometheus_client.Gauge(name, text, registry=self._registry)
 
-    def make_histogram(
-        self, name: str, text: str, *labels: str
-    ) -> prometheus_client.Histogram:
+    def make_histogram(self, name: str, text: str, *labels: str) -> prometheus_client.Histogram:
         """Register a new histogram of durations in milliseconds and return it.
 
         :param text: description of the histogram.
--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -48,6 +48,8 @@
     :ivar has_caught_up: whether this member, since its start, has learned from a leader up to which
         index entries are committed, and has applied them. Before that, the state is that of the
         last snapshot on its disk, which may be arbitrarily old.
+    :ivar conflict: a committed entry that differs from the leader's; None as long as the members
+        agree. No message is answered any more, since the state cannot be repaired from the log.
     """
 
     def __init__(
@@ -63,6 +65,7 @@
         self.leader = ""
         self.commit_index = log.snapshot.index
         self.has_caught_up = False
+        self.conflict: consensus_types.Conflict | None = None
         self._log = log
         self._machine = machine
         self._timing = timing
@@ -78,9 +81,7 @@
         self._leader_heard_s = now_s
         # After a start no leader is known, so the first election need not wait for one. If there is
         # a leader, the other members refuse the trial vote.
-        self._election_due_s = (
-            now_s + self._draw_election_timeout_s() * FIRST_ELECTION_PART
-        )
+        self._election_due_s = now_s + self._draw_election_timeout_s() * FIRST_ELECTION_PART
         if log.snapshot.state:
             machine.load(log.snapshot.state)
 
@@ -135,6 +136,8 @@
 
     def tick(self, now_s: float) -> None:
         """Check timeouts; must be called several times per heartbeat interval."""
+        if self.conflict is not None:
+            return
         if self.is_leader:
             self._tick_leader(now_s)
         elif now_s >= self._election_due_s and self.is_member:
@@ -180,6 +183,8 @@
 
     def receive(self, message: messages.Message, now_s: float) -> None:
         """Handle a message from another process."""
+        if self.conflict is not None:
+            return
         match message:
             case messages.VoteRequest():
                 self._handle_vote_request(message, now_s)
@@ -215,11 +220,7 @@
             is_trial=is_trial,
         )
         for member in self._get_others():
-            self._send(
-                member,
-                request,
-                after_record=0 if is_trial else self._sync_progress.written,
-            )
+            self._send(member, request, after_record=0 if is_trial else self._sync_progress.written)
         self._count_votes(now_s)
 
     def _handle_vote_request(self, request: messages.VoteRequest, now_s: float) -> None:
@@ -248,9 +249,7 @@
         reply = self._make_vote_reply(self.term, granted, False)
         self._send(request.candidate, reply, after_record=self._sync_progress.written)
 
-    def _make_vote_reply(
-        self, term: int, granted: bool, is_trial: bool
-    ) -> messages.VoteReply:
+    def _make_vote_reply(self, term: int, granted: bool, is_trial: bool) -> messages.VoteReply:
         return messages.VoteReply(
             term=term, voter=self.member_id, granted=granted, is_trial=is_trial
         )
@@ -347,9 +346,7 @@
 
     def _send_snapshot(self, member: str, peer: peer_progress.Peer) -> None:
         peer.next_index = self._log.snapshot.index + 1
-        offer = log_transfer.make_offer(
-            self._log, self.member_id, round_number=self._round_number
-        )
+        offer = log_transfer.make_offer(self._log, self.member_id, round_number=self._round_number)
         self._send(member, offer)
 
     def _handle_append_reply(self, reply: messages.AppendReply, now_s: float) -> None:
@@ -415,9 +412,7 @@
             # request did not reach the leader, the group would stay one member short, and further
             # lost disks could cost it its majority.
             forwarded = messages.JoinRequest(
-                member=request.member,
-                is_first_start=request.is_first_start,
-                is_forwarded=True,
+                member=request.member, is_first_start=request.is_first_start, is_forwarded=True
             )
             self._send(self.leader, forwarded)
 
@@ -427,18 +422,14 @@
         if not is_settled or self.commit_index < self._term_start_index:
             return
         current = self._log.membership
-        following = (
-            current.finish_change() if current.is_joint else self._begin_change(now_s)
-        )
+        following = current.finish_change() if current.is_joint else self._begin_change(now_s)
         if following is not None:
             self._append(logs.EntryKind.MEMBERS, following.pack())
             self._broadcast(now_s)
 
     def _begin_change(self, now_s: float) -> membership.Membership | None:
         """Return the membership during the next change, if it can be committed at present."""
-        lost = self._peers.find_lost(
-            self._get_others(), now_s - self._timing.lost_ms / 1000
-        )
+        lost = self._peers.find_lost(self._get_others(), now_s - self._timing.lost_ms / 1000)
         ready = {item for item in self._newcomers.get_ids() if self._has_log(item)}
         change = self._newcomers.get_change(self._log.membership, ready, lost)
         fresh_s = now_s - FRESH_HEARTBEATS * self._timing.heartbeat_ms / 1000
@@ -448,9 +439,7 @@
     def _has_log(self, newcomer: str) -> bool:
         """Whether a newcomer needs no more than the entries that are still held."""
         peer = self._peers.get(newcomer)
-        return peer is not None and peer.match_index >= max(
-            1, self._log.first_index - 1
-        )
+        return peer is not None and peer.match_index >= max(1, self._log.first_index - 1)
 
     # Following
 
@@ -465,29 +454,24 @@
         self._election_due_s = now_s + self._draw_election_timeout_s()
         return True
 
-    def _handle_append_request(
-        self, request: messages.AppendRequest, now_s: float
-    ) -> None:
+    def _handle_append_request(self, request: messages.AppendRequest, now_s: float) -> None:
         if not self._accept_leader(request.term, request.leader, now_s):
-            self._reply(
-                request.leader, False, self._log.last_index, request.round_number
-            )
+            self._reply(request.leader, False, self._log.last_index, request.round_number)
             return
         index = request.previous_index
+        if self._has_conflict(request.leader, index, request.previous_term):
+            return
         known_term = self._log.get_term(index)
         if index > self._log.last_index or (
             known_term != request.previous_term and index > self.commit_index
         ):
             hint = min(self._log.last_index, index - 1)
-            self._reply(
-                request.leader,
-                False,
-                max(hint, self.commit_index),
-                request.round_number,
-            )
+            self._reply(request.leader, False, max(hint, self.commit_index), request.round_number)
             return
         for entry in log_transfer.read_entries(request):
             index += 1
+            if self._has_conflict(request.leader, index, entry.term):
+                return
             if index <= self.commit_index or self._log.get_term(index) == entry.term:
                 continue
             self._sync_progress.note_void(index)
@@ -497,17 +481,27 @@
         self._update_caught_up(request.commit_index)
         self._reply(request.leader, True, index, request.round_number)
 
-    def _handle_snapshot_offer(
-        self, offer: messages.SnapshotOffer, now_s: float
-    ) -> None:
+    def _handle_snapshot_offer(self, offer: messages.SnapshotOffer, now_s: float) -> None:
         if not self._accept_leader(offer.term, offer.leader, now_s):
             self._reply(offer.leader, False, self._log.last_index, offer.round_number)
             return
+        if self._has_conflict(offer.leader, offer.index, offer.entry_term):
+            return
         if offer.index > self.commit_index:
             self._take_offer(offer)
         self._update_caught_up(offer.index)
         self._reply(offer.leader, True, offer.index, offer.round_number)
 
+    def _has_conflict(self, leader: str, index: int, leader_term: int) -> bool:
+        """Check an entry of the leader against the committed one here, and stop if they differ."""
+        term = self._log.get_term(index)
+        if index > self.commit_index or term in (None, leader_term):
+            return False
+        self.conflict = consensus_types.Conflict(index, term or 0, leader, leader_term)
+        self.leader = ""
+        self.has_caught_up = False
+        return True
+
     def _take_offer(self, offer: messages.SnapshotOffer) -> None:
         if self._log.get_term(offer.index) == offer.entry_term:
             # The log has all that the offer has. The entries behind it may be confirmed already.
@@ -517,9 +511,7 @@
         self._machine.load(offer.state)
         self.commit_index = offer.index
 
-    def _reply(
-        self, leader: str, accepted: bool, match_index: int, round_number: int
-    ) -> None:
+    def _reply(self, leader: str, accepted: bool, match_index: int, round_number: int) -> None:
         reply = messages.AppendReply(
             term=self.term,
             follower=self.member_id,
@@ -538,10 +530,6 @@
         self._effects.records.append(record)
         self._sync_progress.note_written(self._log.last_index)
 
-    def _send(
-        self, member: str, message: messages.Message, *, after_record: int = 0
-    ) -> None:
+    def _send(self, member: str, message: messages.Message, *, after_record: int = 0) -> None:
         address = messages.get_address(member)
-        self._effects.envelopes.append(
-            consensus_types.Envelope(address, message, after_record)
-        )
+        self._effects.envelopes.append(consensus_types.Envelope(address, message, after_record))
--- a/src/spoolhead/coordination/consensus_messages.py
+++ b/src/spoolhead/coordination/consensus_messages.py
@@ -147,9 +147,7 @@
     is_forwarded: bool = False
 
 
-Message = (
-    VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotOffer | JoinRequest
-)
+Message = VoteRequest | VoteReply | AppendRequest | AppendReply | SnapshotOffer | JoinRequest
 CLASSES: dict[int, type] = {
     60: VoteRequest,
     61: VoteReply,
--- a/src/spoolhead/coordination/consensus_types.py
+++ b/src/spoolhead/coordination/consensus_types.py
@@ -56,9 +56,7 @@
 
     __slots__ = ("address", "after_record", "message")
 
-    def __init__(
-        self, address: str, message: messages.Message, after_record: int
-    ) -> None:
+    def __init__(self, address: str, message: messages.Message, after_record: int) -> None:
         self.address = address
         self.message = message
         self.after_record = after_record
@@ -76,3 +74,21 @@
     def __init__(self) -> None:
         self.records: list[logs.Record] = []
         self.envelopes: list[Envelope] = []
+
+
+class Conflict:
+    """Two committed entries that differ; the member that has one of them has stopped taking part.
+
+    :ivar index: index of the entries.
+    :ivar term: term of this member's entry.
+    :ivar leader: id of the leader that sent the other entry.
+    :ivar leader_term: term of the leader's entry.
+    """
+
+    __slots__ = ("index", "leader", "leader_term", "term")
+
+    def __init__(self, index: int, term: int, leader: str, leader_term: int) -> None:
+        self.index = index
+        self.term = term
+        self.leader = leader
+        self.leader_term = leader_term
--- a/src/spoolhead/coordination/following.py
+++ b/src/spoolhead/coordination/following.py
@@ -75,8 +75,6 @@
             if edit.value is None:
                 self.rows.pop(edit.key, None)
             else:
-                self.rows[edit.key] = versioned_table.VersionedRow(
-                    change.version, edit.value
-                )
+                self.rows[edit.key] = versioned_table.VersionedRow(change.version, edit.value)
         self.version = change.version
         return expression.Ok(True)
--- a/src/spoolhead/coordination/log_transfer.py
+++ b/src/spoolhead/coordination/log_transfer.py
@@ -40,10 +40,7 @@
 
 def read_entries(request: messages.AppendRequest) -> list[logs.Entry]:
     """Return the entries in a message."""
-    return [
-        logs.Entry(term, logs.EntryKind(kind), data)
-        for term, kind, data in request.entries
-    ]
+    return [logs.Entry(term, logs.EntryKind(kind), data) for term, kind, data in request.entries]
 
 
 def make_offer(
--- a/src/spoolhead/coordination/peer_progress.py
+++ b/src/spoolhead/coordination/peer_progress.py
@@ -44,17 +44,11 @@
 
     def get_heard(self, since_s: float) -> set[str]:
         """Return the ids of the processes that have replied since a point in time."""
-        return {
-            member for member, peer in self._peers.items() if peer.heard_s > since_s
-        }
+        return {member for member, peer in self._peers.items() if peer.heard_s > since_s}
 
     def get_acked(self, round_number: int) -> set[str]:
         """Return the ids of the processes that have answered a broadcast or a later one."""
-        return {
-            member
-            for member, peer in self._peers.items()
-            if peer.acked_round >= round_number
-        }
+        return {member for member, peer in self._peers.items() if peer.acked_round >= round_number}
 
     def get_match_indexes(self) -> dict[str, int]:
         """Return the index up to which the log of each process matches."""
@@ -63,9 +57,7 @@
     def find_lost(self, members: Sequence[str], since_s: float) -> str | None:
         """Return the member that has been silent longest; None if all have replied since then."""
         heard = [
-            (self._peers[member].heard_s, member)
-            for member in members
-            if member in self._peers
+            (self._peers[member].heard_s, member) for member in members if member in self._peers
         ]
         if not heard:
             return None
--- a/src/spoolhead/coordination/replicated_log.py
+++ b/src/spoolhead/coordination/replicated_log.py
@@ -238,6 +238,4 @@
 
 
 def _get_snapshot_membership(snapshot: Snapshot) -> memberships.Membership:
-    return memberships.Membership(
-        snapshot.members, snapshot.target_size, snapshot.former
-    )
+    return memberships.Membership(snapshot.members, snapshot.target_size, snapshot.former)
--- a/src/spoolhead/coordination/versioned_table.py
+++ b/src/spoolhead/coordination/versioned_table.py
@@ -91,15 +91,9 @@
         :raises ValueError: if the list has another shape.
         """
         sheet, name, expected, value = packed
-        shape_ok = (
-            isinstance(sheet, str)
-            and isinstance(name, str)
-            and isinstance(expected, int)
-        )
+        shape_ok = isinstance(sheet, str) and isinstance(name, str) and isinstance(expected, int)
         if not shape_ok or not (value is None or isinstance(value, dict)):
-            raise ValueError(
-                "a row edit must be [sheet, name, expected version, value]"
-            )
+            raise ValueError("a row edit must be [sheet, name, expected version, value]")
         return cls(RowKey(sheet, name), expected, value)
 
 
@@ -243,9 +237,7 @@
         faults = self._check(self._get_values_after(proposal))
         if faults:
             return expression.Error(Refusal(RefusalKind.INVALID, faults=faults))
-        return expression.Ok(
-            Prepared(Change(self.version + 1, proposal), is_resend=False)
-        )
+        return expression.Ok(Prepared(Change(self.version + 1, proposal), is_resend=False))
 
     def apply(self, change: Change) -> None:
         """Apply a durable change to the table.
@@ -254,9 +246,7 @@
         :raises ValueError: if the change's version is not the next one.
         """
         if change.version != self.version + 1:
-            raise ValueError(
-                f"change {change.version} does not follow version {self.version}"
-            )
+            raise ValueError(f"change {change.version} does not follow version {self.version}")
         for edit in change.proposal.edits:
             if edit.value is None:
                 self.rows.pop(edit.key, None)
@@ -292,9 +282,7 @@
                 conflicts[edit.key] = row
         return conflicts
 
-    def _get_values_after(
-        self, proposal: Proposal
-    ) -> dict[RowKey, Mapping[str, object]]:
+    def _get_values_after(self, proposal: Proposal) -> dict[RowKey, Mapping[str, object]]:
         values = {key: row.value for key, row in self.rows.items()}
         for edit in proposal.edits:
             if edit.value is None:
--- a/src/spoolhead/platform/dialect.py
+++ b/src/spoolhead/platform/dialect.py
@@ -55,13 +55,9 @@
         """Decode an operator's request."""
         path = wire.target.partition("?")[0]
         if path.startswith(names.EVACUATION_PATH):
-            return _read_evacuation(
-                wire.method, path.removeprefix(names.EVACUATION_PATH)
-            )
+            return _read_evacuation(wire.method, path.removeprefix(names.EVACUATION_PATH))
         if path != names.TABLE_PATH:
-            return expression.Error(
-                fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no such path")
-            )
+            return expression.Error(fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no such path"))
         if wire.method == "PUT":
             return expression.Ok(dialects.PutTable(wire.body))
         if wire.method == "GET":
@@ -90,9 +86,7 @@
                 expects_version=wire.get_header(names.EXPECTED_VERSION) is not None,
             )
         except (ValueError, OverflowError) as error:
-            return expression.Error(
-                fault.Fault(codes.ResultCode.WRONG_FIELD, str(error))
-            )
+            return expression.Error(fault.Fault(codes.ResultCode.WRONG_FIELD, str(error)))
         return expression.Ok(head)
 
     def read_wait_ms(self, wire: request_reader.WireRequest) -> int | None:
@@ -119,9 +113,7 @@
                 headers.append((names.LAST_EVENT_ID, point.last_event_id))
         return headers
 
-    def read_answer(
-        self, status: int, headers: dialects.Headers
-    ) -> dialects.AnswerHead:
+    def read_answer(self, status: int, headers: dialects.Headers) -> dialects.AnswerHead:
         """Decode the head of an instance's answer."""
         values = dict(headers)
         hidden = {names.INSTANCE, names.LOAD, names.NOT_RUN, names.COLD, names.LIMIT}
@@ -131,9 +123,7 @@
         limit_per_s = _read_limit(stated_limits)
         stated_rejections = [value for name, value in headers if name == names.BRITTLE]
         max_rejections_per_s = _read_limit(stated_rejections)
-        rest_text = (
-            values.get(names.RETRY_AFTER, "") if status in _REST_STATUSES else ""
-        )
+        rest_text = values.get(names.RETRY_AFTER, "") if status in _REST_STATUSES else ""
         rest_ms = _read_rest(rest_text)
         return dialects.AnswerHead(
             status=status,
@@ -153,13 +143,10 @@
             is_rest_unreadable=bool(rest_text) and rest_ms is None,
             is_leaving=values.get(names.LEAVING, "").strip() == _YES,
             max_rejections_per_s=max_rejections_per_s,
-            is_max_rejections_unreadable=bool(stated_rejections)
-            and max_rejections_per_s is None,
+            is_max_rejections_unreadable=bool(stated_rejections) and max_rejections_per_s is None,
         )
 
-    def write_refusal(
-        self, request_id: str, retry_after_ms: int | None
-    ) -> dialects.Headers:
+    def write_refusal(self, request_id: str, retry_after_ms: int | None) -> dialects.Headers:
         """Return the headers of an answer that the entry itself creates."""
         headers: list[tuple[str, str]] = []
         if request_id:
@@ -189,9 +176,7 @@
         handle = str(value.get("handle") or "")
         made = value.get("made")
         event_count = made if isinstance(made, int) else 0
-        return dialects.CopyAnswer(
-            status=status, handle=handle, event_count=event_count
-        )
+        return dialects.CopyAnswer(status=status, handle=handle, event_count=event_count)
 
     def write_release(self, handle: str) -> dialects.UpstreamOrder:
         """Return the encoded order to release a copy."""
@@ -205,15 +190,11 @@
 ) -> expression.Result[dialects.OperatorOrder, fault.Fault]:
     hall = urllib.parse.unquote(name)
     if not evacuations.is_hall_name(hall):
-        return expression.Error(
-            fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no hall is named")
-        )
+        return expression.Error(fault.Fault(codes.ResultCode.UNKNOWN_PATH, "no hall is named"))
     if method not in _EVACUATION_METHODS:
         text = f"{names.EVACUATION_PATH}HALL takes POST and DELETE"
         return expression.Error(fault.Fault(codes.ResultCode.METHOD_NOT_ALLOWED, text))
-    return expression.Ok(
-        dialects.SetEvacuation(hall, is_evacuated=_EVACUATION_METHODS[method])
-    )
+    return expression.Ok(dialects.SetEvacuation(hall, is_evacuated=_EVACUATION_METHODS[method]))
 
 
 def _encode_name(name: str) -> str:
--- a/src/spoolhead/platform/keeper.py
+++ b/src/spoolhead/platform/keeper.py
@@ -6,9 +6,7 @@
 
 def main() -> None:
     """Run a keeper with the platform's settings file."""
-    starting.start(
-        node_file.read_keeper, lambda config: keeper.Keeper(config, dialect.Dialect())
-    )
+    starting.start(node_file.read_keeper, lambda config: keeper.Keeper(config, dialect.Dialect()))
 
 
 if __name__ == "__main__":
--- a/src/spoolhead/platform/node_file.py
+++ b/src/spoolhead/platform/node_file.py
@@ -63,9 +63,7 @@
     try:
         return make(fields)
     except KeyError as error:
-        item = fault.Fault(
-            codes.ResultCode.SETTINGS_INVALID, "is missing", path=str(error)
-        )
+        item = fault.Fault(codes.ResultCode.SETTINGS_INVALID, "is missing", path=str(error))
         raise exceptions.SettingsError(path, [item]) from error
     except (ValueError, TypeError) as error:
         item = fault.Fault(codes.ResultCode.SETTINGS_INVALID, str(error))
@@ -135,9 +133,7 @@
     memory_mb = fields.get("limits", {}).get("memory_mb", 0)
     if not memory_mb:
         return settings.CallerLimits()
-    return settings.CallerLimits(
-        held_bytes=int(memory_mb * BYTES_PER_MB * HELD_FRACTION)
-    )
+    return settings.CallerLimits(held_bytes=int(memory_mb * BYTES_PER_MB * HELD_FRACTION))
 
 
 def _make_list_settings(fields: dict[str, Any]) -> settings.InstanceListSettings:
--- a/src/spoolhead/platform/tables.py
+++ b/src/spoolhead/platform/tables.py
@@ -86,9 +86,7 @@
 
     def get_objects(self, name: str) -> list["_Fields"]:
         items = self.get(name, list)
-        return [
-            _Fields(item, f"{self._path}{name}.{i}.") for i, item in enumerate(items)
-        ]
+        return [_Fields(item, f"{self._path}{name}.{i}.") for i, item in enumerate(items)]
 
 
 def decode_table(
@@ -160,9 +158,7 @@
     if not fields.has("traffic_split"):
         return (route_table.Share(service=fields.get("service", str), weight=1),)
     return tuple(
-        route_table.Share(
-            service=item.get("service", str), weight=item.get("weight", int)
-        )
+        route_table.Share(service=item.get("service", str), weight=item.get("weight", int))
         for item in fields.get_objects("traffic_split")
     )
 
@@ -227,9 +223,7 @@
     page = dialects.InstancePage([], "")
     for number, entry in enumerate(entries):
         try:
-            page.instances.append(
-                _read_instance(_Fields(entry, f"instances.{number}."))
-            )
+            page.instances.append(_read_instance(_Fields(entry, f"instances.{number}.")))
         except _FieldError as error:
             page.faults.append(_make_fault(str(error)))
     return page
--- a/tests/unit/test_consensus.py
+++ b/tests/unit/test_consensus.py
@@ -457,3 +457,61 @@
 TestGroupMachine.settings = hypothesis.settings(
     max_examples=25, stateful_step_count=40, deadline=None
 )
+
+
+def _make_two_histories():
+    """Return a group whose follower has another committed entry than the leader at one index.
+
+    No sequence of messages leads there; a released version could.
+    """
+    group = consensus_group.Group(5)
+    group.settle(2.0)
+    leader = next(node for node in group.up() if node.consensus.is_leader)
+    group.propose(leader)
+    group.settle(1.0)
+    follower = next(node for node in group.up() if not node.consensus.is_leader)
+    index = follower.consensus.commit_index
+    follower.log.get_entry(index).term -= 1
+    return group, leader, follower, index
+
+
+@pytest.mark.parametrize("how", ["previous entry", "entry", "snapshot"])
+def test_a_member_with_another_committed_history_stops_to_take_part(how):
+    """Guards against a follower that acknowledges what differs from its own committed entries."""
+    group, leader, follower, index = _make_two_histories()
+    member = follower.consensus
+    request = {"commit_index": index, "round_number": 90}
+    if how == "snapshot":
+        offer = log_transfer.make_offer(leader.log, leader.member_id, round_number=90)
+        member.receive(offer, group.now_s)
+    else:
+        first = index + 1 if how == "previous entry" else index
+        append = log_transfer.make_append(leader.log, leader.member_id, first, **request)
+        member.receive(append, group.now_s)
+    assert (member.conflict.index, member.conflict.leader) == (index, leader.member_id)
+    assert not member.take_effects().envelopes
+    assert not member.has_caught_up
+    group.settle(3.0)
+    assert not member.is_leader
+    assert len(leader.consensus.get_heard_members(group.now_s)) == 2
+
+
+def test_members_that_agree_go_on_without_one_that_has_another_history():
+    """Guards against counting a member with another history for the leader's majority."""
+    group, leader, follower, _ = _make_two_histories()
+    group.settle(1.0)
+    assert follower.consensus.conflict is not None
+    group.propose(leader)
+    group.settle(1.0)
+    assert group.acknowledged == [b"change-1", b"change-2"]
+    other = next(node for node in group.up() if node not in (leader, follower))
+    other.crash()
+    group.propose(leader)
+    group.settle(2.0)
+    assert group.acknowledged == [b"change-1", b"change-2"]
+
+
+def test_defect_a_history_below_the_commit_index_is_not_compared(monkeypatch):
+    monkeypatch.setattr(consensus.Consensus, "_has_conflict", lambda *_: False)
+    with pytest.raises(AssertionError):
+        test_members_that_agree_go_on_without_one_that_has_another_history()
