Keepers: log why there is no leader or a change of members takes long

An operator could not tell a change of members that is stuck from an election under way: both showed as 'leader changed' without a leader. A test reads a folder written by the released version (4 records, no former members).

--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -123,6 +123,10 @@
         self._metrics.is_leader.set_function(lambda: int(self._member.is_leader))
         self._metrics.term.set_function(lambda: self._member.term)
         self._metrics.followers.set_function(lambda: self._feed.follower_count)
+        self._metrics.members.set_function(lambda: len(self._member.member_addresses))
+        self._metrics.members_heard.set_function(lambda: self._member.heard_count)
+        self._metrics.member_change.set_function(lambda: int(self._member.is_changing_members))
+        self._metrics.log_conflict.set_function(lambda: int(self._member.has_conflict))
         registry.serve(self.loop, config)
         interval_s = config.instance_list.interval_ms / 1000
         self.loop.scheduler.call_every(interval_s, self._read_instances)
--- a/src/spoolhead/_internal/quorum/keeper_metrics.py
+++ b/src/spoolhead/_internal/quorum/keeper_metrics.py
@@ -21,6 +21,18 @@
         )
         self.is_leader = registry.make_gauge("spoolhead_is_leader", "1 while this keeper leads.")
         self.term = registry.make_gauge("spoolhead_term", "Latest term of the agreement.")
+        self.members = registry.make_gauge("spoolhead_members", "Members of the agreement.")
+        self.members_heard = registry.make_gauge(
+            "spoolhead_members_heard",
+            "Members that the leader can count on; 0 at others.",
+        )
+        self.member_change = registry.make_gauge(
+            "spoolhead_member_change", "1 while a change of members is in progress."
+        )
+        self.log_conflict = registry.make_gauge(
+            "spoolhead_log_conflict",
+            "1 if a committed entry differs from the leader's.",
+        )
         self.list_faults = registry.make_counter(
             "spoolhead_list_faults",
             "Reads of the instance list with a page or an entry that could not be read.",
--- a/src/spoolhead/_internal/quorum/member.py
+++ b/src/spoolhead/_internal/quorum/member.py
@@ -9,7 +9,13 @@
 
 from spoolhead._internal.models import settings
 from spoolhead._internal.network import loop as loops
-from spoolhead._internal.quorum import mesh, replicated_state, storage, table_register
+from spoolhead._internal.quorum import (
+    group_report,
+    mesh,
+    replicated_state,
+    storage,
+    table_register,
+)
 from spoolhead._internal.utils import clocks
 from spoolhead.coordination import consensus, consensus_types, replicated_log
 from spoolhead.coordination import consensus_messages as messages
@@ -74,6 +80,7 @@
             random.Random(),
             clocks.get_s(),
         )
+        self._group_report = group_report.GroupReport(self._consensus, clocks.get_s())
         self._wake_read, self._wake_write = socket.socketpair()
         self._wake_read.setblocking(False)
         self._wake_write.setblocking(False)
@@ -108,6 +115,21 @@
         """``IP:PORT`` of each member; during a change of members, of all involved."""
         return sorted({messages.get_address(member) for member in self._consensus.members})
 
+    @property
+    def heard_count(self) -> int:
+        """Number of members that this leader can count on; 0 if it does not lead."""
+        return len(self._consensus.get_heard_members(clocks.get_s())) if self.is_leader else 0
+
+    @property
+    def is_changing_members(self) -> bool:
+        """Whether a change of members is in progress."""
+        return self._consensus.is_changing_members
+
+    @property
+    def has_conflict(self) -> bool:
+        """Whether a committed entry differs from the leader's; this keeper then takes no part."""
+        return self._consensus.conflict is not None
+
     def propose(self, version: int, document: bytes) -> bool:
         """Propose a table; return False if this keeper is not the leader."""
         return self._propose(table_register.pack_change(version, document))
@@ -180,6 +202,7 @@
     def _tick(self) -> None:
         now_s = clocks.get_s()
         self._consensus.tick(now_s)
+        self._group_report.update(now_s)
         if not self._consensus.leader or not self._consensus.is_member:
             self._request_join(now_s)
         self._apply_effects()
--- a/tests/unit/test_quorum_storage.py
+++ b/tests/unit/test_quorum_storage.py
@@ -5,6 +5,7 @@
 import threading
 
 import hypothesis
+import msgpack
 import pytest
 from hypothesis import strategies
 
@@ -45,6 +46,30 @@
     assert saved.records == RECORDS
 
 
+def test_a_folder_of_the_released_version_is_read(tmp_path):
+    """Snapshots and members of changes were written without the former members."""
+    members = ["a#1", "b#1", "c#1"]
+    records = [
+        ["identity", "a#1"],
+        ["vote", 4, ""],
+        ["snapshot", 7, 3, members, 3, b"state"],
+        ["entry", 8, 4, 2, msgpack.packb([["a#1", "b#1"], 3])],
+    ]
+    data = b"".join(changelog.make_record(msgpack.packb(record)) for record in records)
+    (tmp_path / storage.FILE_NAME).write_bytes(data)
+    saved = storage.read(tmp_path)
+    log = replicated_log.ReplicatedLog(replicated_log.Snapshot(0, 0, [], 0, b""))
+    for record in saved.records:
+        log.restore(record)
+    assert saved.member_id == "a#1"
+    assert (log.snapshot.members, log.snapshot.former, log.snapshot.state) == (
+        members,
+        [],
+        b"state",
+    )
+    assert (log.membership.members, log.membership.is_joint) == (("a#1", "b#1"), False)
+
+
 def test_an_empty_folder_has_no_memory(tmp_path):
     saved = storage.read(tmp_path / "new")
     assert (saved.member_id, saved.records) == ("", [])
