Moves: a refused connection is no end of an instance whose connections are open

What callers saw: nothing, but two replicas worked on one request.

Cause: ten refused orders without an event counted as the end of the process although the run's own connection was open; with a broken stream one refusal was enough. A refused connection shows that nobody listens, no more. A process that ends has its connections closed or reset by its kernel.

Change: policy/process_evidence.py says what each observation shows, for handovers, for probes after answers that ended with their connection, and for queries after lost requests (a deaf instance is no crash, so its requests do not become suspects). A refusal shows the end only if no connection of this entry to the instance is established; one whose reading is paused does not count, since its end would not be seen. A handover goes on ordering, every 0.1 to 0.4 s, and over an idle connection if there is one: the instance still reads those. Once the stream breaks, an order follows within 0.1 s, so runs of a process that is really gone are not held up longer than before.

--- a/src/spoolhead/_internal/contents/termination_watch.py
+++ b/src/spoolhead/_internal/contents/termination_watch.py
@@ -1,7 +1,7 @@
 """Checks whether an instance that lost a request has crashed, or only its connection was lost.
 
 The query is sent at once, on a new connection: a crashed process refuses connections, and restarts
-within some seconds.
+within some seconds. A process that only stopped listening keeps its other connections.
 """
 
 import logging
@@ -9,6 +9,7 @@
 
 from spoolhead._internal.contents import content_watch
 from spoolhead._internal.network import links, scheduler, upstream_calls
+from spoolhead._internal.policy import process_evidence
 
 logger = logging.getLogger(__name__)
 
@@ -132,7 +133,7 @@
     def handle_loss(self, query: _Query, reason: str) -> None:
         """Handle a lost query; if its connection was refused, the instance has crashed."""
         self._remove(query)
-        if reason == links.REFUSED:
+        if reason == links.REFUSED and self._has_terminated(query.target.address):
             self._handle_refused(query)
             return
         self._log(query, reason)
@@ -145,6 +146,14 @@
         self._remove(query)
         self._log(query, "no answer")
 
+    def _has_terminated(self, address: str) -> bool:
+        """Return whether the refusal of a query shows that the process has ended."""
+        state = process_evidence.judge(
+            process_evidence.Observation.REFUSED,
+            has_open_connection=self._calls.has_open_connection(address),
+        )
+        return state is process_evidence.ProcessState.TERMINATED
+
     def _handle_refused(self, query: _Query) -> None:
         if self._confirm is None:
             self._handle_terminated(query, links.REFUSED)
--- a/src/spoolhead/_internal/gateway/memory_copy.py
+++ b/src/spoolhead/_internal/gateway/memory_copy.py
@@ -90,12 +90,13 @@
         """Whether the source has restarted, which loses the memory of its runs."""
         return self._source.has_restarted
 
-    def start(self, *, stops_run: bool = False) -> copy_order.CopyOrder:
+    def start(self, *, stops_run: bool = False, uses_idle: bool = False) -> copy_order.CopyOrder:
         """Order the copy, or an update of it; return the order.
 
         Earlier orders without an answer stay open: the instance may still answer them.
 
         :param stops_run: whether the run must end at the source first.
+        :param uses_idle: whether to use an idle connection to the source, if there is one.
         """
         order = copy_order.CopyOrder(self, self._dialect, stops_run=stops_run)
         encoded = self._dialect.write_copy_order(
@@ -105,7 +106,9 @@
                 stops_run=stops_run,
             )
         )
-        order.call = _send_order(self._calls, self.source_address, encoded, order)
+        order.call = _send_order(
+            self._calls, self.source_address, encoded, order, is_fresh=not uses_idle
+        )
         self._orders.append(order)
         return order
 
@@ -166,7 +169,9 @@
     address: str,
     order: dialects.UpstreamOrder,
     listener: upstream_calls.CallListener,
+    *,
+    is_fresh: bool = True,
 ) -> upstream_calls.UpstreamCall:
     headers = [("content-type", "application/json")] if order.body else []
     request = upstream_calls.make_request(order.method, order.target, address, headers, order.body)
-    return calls.open(address, request, listener, fresh=True)
+    return calls.open(address, request, listener, fresh=is_fresh)
--- a/src/spoolhead/_internal/gateway/run_migration.py
+++ b/src/spoolhead/_internal/gateway/run_migration.py
@@ -214,7 +214,8 @@
         The order may have arrived although the handover was given up meanwhile.
         """
         if self._handover is not None:
-            self._apply(self._handover.handle_stream_end(end))
+            is_pending = self._copy is not None and self._copy.is_pending
+            self._apply(self._handover.handle_stream_end(end, is_order_pending=is_pending))
         else:
             self._run.on_run_stopped()
 
@@ -241,7 +242,8 @@
         self._log_stop_lost(order, reason)
         if self._handover is not None and copy is self._copy:
             if reason == links.REFUSED:
-                self._apply(self._handover.handle_order_refused(self._run.events))
+                is_open = self._context.calls.has_open_connection(copy.source_address)
+                self._apply(self._handover.handle_order_refused(has_open_connection=is_open))
             else:
                 is_pending = copy.is_pending
                 self._apply(self._handover.handle_order_lost(is_other_pending=is_pending))
@@ -292,7 +294,8 @@
         copy = self._copy
         if copy is None or self._handover is None:
             return
-        order = copy.start(stops_run=True)
+        # An instance that no longer listens still reads its established connections.
+        order = copy.start(stops_run=True, uses_idle=self._handover.is_refused)
         count = self._run.record_stop_order(order)
         fields = {
             "order": count,
@@ -317,9 +320,10 @@
             case run_handover.Step.WAIT:
                 return
             case run_handover.Step.ORDER_AGAIN:
+                assert self._handover is not None
                 self._cancel_timer()
                 self._timer = self._context.timers.call_later(
-                    run_handover.ORDER_INTERVAL_S, self._order_stop
+                    self._handover.order_interval_s, self._order_stop
                 )
             case run_handover.Step.RESUME:
                 assert self._handover is not None and self._handover.evidence is not None
--- a/src/spoolhead/_internal/network/end_probes.py
+++ b/src/spoolhead/_internal/network/end_probes.py
@@ -3,7 +3,7 @@
 import logging
 
 from spoolhead._internal.network import links, scheduler
-from spoolhead._internal.policy import answer_end, end_confirmation
+from spoolhead._internal.policy import answer_end, end_confirmation, process_evidence
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -40,8 +40,9 @@
         """Handle the end of the connection, which shows something only if it was refused."""
         if self.timer is not None:
             self.timer.cancel()
-        is_refused = reason == links.REFUSED
-        evidence = answer_end.Evidence.TERMINATED if is_refused else answer_end.Evidence.NONE
+        evidence = answer_end.Evidence.NONE
+        if reason == links.REFUSED and self._owner.has_terminated(self.address):
+            evidence = answer_end.Evidence.TERMINATED
         self._owner.handle_result(self, evidence, reason)
 
     def _on_stayed(self) -> None:
@@ -77,6 +78,14 @@
         state.add(clocks.get_s(), on_evidence)
         self._schedule(address)
 
+    def has_terminated(self, address: str) -> bool:
+        """Return whether a connection that an instance has just refused shows that it crashed."""
+        state = process_evidence.judge(
+            process_evidence.Observation.REFUSED,
+            has_open_connection=self._outgoing.has_established(address),
+        )
+        return state is process_evidence.ProcessState.TERMINATED
+
     def record_alive(self, address: str, opened_s: float) -> None:
         """Record that an instance itself answered a call that was made at a time."""
         state = self._states.get(address)
--- a/src/spoolhead/_internal/network/links.py
+++ b/src/spoolhead/_internal/network/links.py
@@ -51,6 +51,7 @@
     :ivar connect_timer: ends the attempt to connect after its timeout.
     :ivar is_connected: the connection was established.
     :ivar is_closed: the connection has ended.
+    :ivar is_paused: received bytes, and so the end of the connection, are not read.
     :ivar sent_bytes: bytes that were written to the socket.
     :ivar send_error: error of a failed write; empty without one.
     :ivar sock: its socket.
@@ -64,6 +65,7 @@
         "connect_timer",
         "is_closed",
         "is_connected",
+        "is_paused",
         "send_error",
         "sent_bytes",
         "sock",
@@ -81,6 +83,7 @@
         self.connect_timer: scheduler.Timer | None = None
         self.is_connected = False
         self.is_closed = False
+        self.is_paused = False
         self.sent_bytes = 0
         self.send_error = ""
 
@@ -174,6 +177,13 @@
         self.set_write_interest(link, True)
         return link
 
+    def has_established(self, address: str) -> bool:
+        """Return whether a connection to an address is established, as far as is known."""
+        return any(
+            link.address == address and link.is_connected and not link.is_paused
+            for link in self._links.values()
+        )
+
     def abort(self, link: Link, reason: str) -> None:
         """Close a link and call its listener's ``on_lost`` with the reason."""
         if link.is_closed:
@@ -201,6 +211,7 @@
 
     def set_reading(self, link: Link, enabled: bool) -> None:
         """Set whether the socket of a link is read."""
+        link.is_paused = not enabled
         self._poller.removeReader(link.sock)
         if enabled:
             self._poller.add_direct_reader(self, link.sock, self._on_read)
--- a/src/spoolhead/_internal/network/upstream_calls.py
+++ b/src/spoolhead/_internal/network/upstream_calls.py
@@ -441,6 +441,10 @@
         """
         self._end_probes.confirm(address, on_evidence)
 
+    def has_open_connection(self, address: str) -> bool:
+        """Return whether a connection to an upstream is established, idle ones included."""
+        return self._outgoing.has_established(address)
+
     def record_alive(self, call: UpstreamCall) -> None:
         """Record that the upstream itself, and not another process at its address, answered."""
         self._end_probes.record_alive(call.address, call.opened_s)
--- a/src/spoolhead/_internal/policy/run_handover.py
+++ b/src/spoolhead/_internal/policy/run_handover.py
@@ -10,15 +10,19 @@
 
 import enum
 
+from spoolhead._internal.policy import process_evidence
+
 MAX_ORDERS = 4
 """Maximum number of orders to stop one run."""
 ORDER_INTERVAL_S = 0.1
 """Interval after an order without an answer that shows the end of the run."""
 ORDER_TIMEOUT_S = 1.0
 """Time after which an order without an answer is repeated."""
-MAX_REFUSALS = 10
-"""Orders in a row that are refused, without any event of the stream between them, after which the
-instance has terminated although its stream is open."""
+REFUSED_INTERVAL_S = 0.4
+"""Longest interval after an order that was refused; it doubles with each one up to this."""
+MAX_REFUSALS = 15
+"""Refused orders after which a run whose stream is broken is given up: its copy is then about 5 s
+old, and the target may have dropped it."""
 
 _OK = 200
 _NO_SUCH_RUN = 404
@@ -62,22 +66,38 @@
     :ivar stream_end: how its stream ended; None while that is open.
     """
 
-    __slots__ = ("_events_at_refusal", "_orders", "_refusals", "evidence", "stream_end")
+    __slots__ = ("_orders", "_refusals", "evidence", "stream_end")
 
     def __init__(self) -> None:
         self._orders = 1
         self._refusals = 0
-        self._events_at_refusal = 0
         self.evidence: Evidence | None = None
         self.stream_end: StreamEnd | None = None
 
-    def handle_stream_end(self, end: StreamEnd) -> Step:
-        """Decide after the stream of the run has ended."""
+    @property
+    def is_refused(self) -> bool:
+        """Whether the instance has refused a connection, so that it may no longer listen."""
+        return self._refusals > 0
+
+    @property
+    def order_interval_s(self) -> float:
+        """Time until an order is repeated."""
+        return min(REFUSED_INTERVAL_S, ORDER_INTERVAL_S * 2 ** max(0, self._refusals - 1))
+
+    def handle_stream_end(self, end: StreamEnd, *, is_order_pending: bool = True) -> Step:
+        """Decide after the stream of the run has ended.
+
+        :param is_order_pending: whether an order is still to be answered.
+        """
         self.stream_end = end
         if end is StreamEnd.TERMINATED:
             return self._resume(Evidence.TERMINATED)
         if end is StreamEnd.IN_ORDER:
             return self._resume(Evidence.STREAM_CLOSED)
+        if self.is_refused and not is_order_pending:
+            # The end of the process may be what broke the stream.
+            self._refusals = 1
+            return Step.ORDER_AGAIN
         return Step.WAIT
 
     def handle_answer(self, status: int, *, has_handle: bool, is_other_pending: bool) -> Step:
@@ -105,21 +125,20 @@
         """
         return Step.WAIT if is_other_pending else self._order_again()
 
-    def handle_order_refused(self, events: int) -> Step:
+    def handle_order_refused(self, *, has_open_connection: bool) -> Step:
         """Decide after an order was refused: no process listens at the instance's address.
 
-        An instance that leaves may stop listening before its last stream ends.
-
-        :param events: number of events of the stream so far.
+        :param has_open_connection: whether any connection to the instance is still established.
         """
-        if self.stream_end is not None:
+        is_connected = has_open_connection or self.stream_end is None
+        state = process_evidence.judge(
+            process_evidence.Observation.REFUSED, has_open_connection=is_connected
+        )
+        if state is process_evidence.ProcessState.TERMINATED:
             return self._resume(Evidence.TERMINATED)
-        if events != self._events_at_refusal:
-            self._events_at_refusal = events
-            self._refusals = 0
         self._refusals += 1
-        if self._refusals > MAX_REFUSALS:
-            return self._resume(Evidence.TERMINATED)
+        if self.stream_end is not None and self._refusals > MAX_REFUSALS:
+            return Step.FAIL
         return Step.ORDER_AGAIN
 
     def handle_order_timeout(self) -> Step:
--- a/tests/lib/fakes.py
+++ b/tests/lib/fakes.py
@@ -58,6 +58,7 @@
     def __init__(self):
         self.waiting_ends = []
         self.alive = []
+        self.open_connections = set()
 
     def confirm_end(self, address, on_evidence):
         self.waiting_ends.append((address, on_evidence))
@@ -65,6 +66,9 @@
     def record_alive(self, call):
         self.alive.append(call.address)
 
+    def has_open_connection(self, address):
+        return address in self.open_connections
+
     def finish_in_background(self, call):
         assert not call.is_over
 
@@ -283,6 +287,10 @@
 
     def __init__(self):
         self.opened = []
+        self.established = set()
+
+    def has_established(self, address):
+        return address in self.established
 
     def open(self, address, listener, *, connect_ms):
         self.opened.append(FakeLink(address, listener))
--- a/tests/lib/platform_fleet.py
+++ b/tests/lib/platform_fleet.py
@@ -311,6 +311,11 @@
         """Return the orders to stop a run that reached instances, and the step taken for each."""
         return json.loads(send(self.list_address, "GET", "/_stops").body)
 
+    def get_copy_orders(self, id_prefix):
+        """Return the orders to copy the memory of some runs that reached instances."""
+        orders = json.loads(send(self.list_address, "GET", "/_copies").body)
+        return [item for item in orders if item["id"].startswith(id_prefix)]
+
     def get_all_runs(self):
         return json.loads(send(self.list_address, "GET", "/_runs").body)
 
--- a/tests/unit/test_held_requests.py
+++ b/tests/unit/test_held_requests.py
@@ -260,6 +260,29 @@
     assert entry.ended == ["i-1"]
 
 
+def test_an_instance_that_only_stopped_listening_has_not_ended(clock):
+    """Guards against requests that become suspects because their instance leaves."""
+    entry = QueryingEntry(clock)
+    entry.calls.open_connections.add("i-1:80")
+    for number in range(termination_watch.MAX_QUERIES):
+        entry.calls.made[number].lose(links.REFUSED)
+        entry.timers.run_due(termination_watch.RETRY_INTERVAL_S)
+    assert not entry.is_suspect
+    assert not entry.ended
+
+
+def test_an_instance_whose_connections_close_after_the_refusal_has_ended(clock):
+    """Guards against a crash that is missed: its connections close a moment after its listener."""
+    entry = QueryingEntry(clock)
+    entry.calls.open_connections.add("i-1:80")
+    entry.calls.made[0].lose(links.REFUSED)
+    assert not entry.is_suspect
+    entry.calls.open_connections.clear()
+    entry.timers.run_due(termination_watch.RETRY_INTERVAL_S)
+    entry.calls.made[1].lose(links.REFUSED)
+    assert entry.is_suspect
+
+
 def test_an_instance_at_whose_address_another_answers_has_ended(clock):
     entry = QueryingEntry(clock)
     entry.calls.made[0].answer(200, [("x-replica-id", "i-9")])
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -57,3 +57,22 @@
         link.send(b"request")
         outgoing._on_read(link.sock)
     assert listener.reasons == [os.strerror(errno.ECONNRESET)]
+
+
+def test_a_paused_connection_is_not_known_to_be_established():
+    """Guards against a connection whose end is not read, taken for evidence of a process."""
+    program = loop.Loop(lambda: None)
+    outgoing = links.Links(program, channel="links").register(program)
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        address = f"127.0.0.1:{server.getsockname()[1]}"
+        link = outgoing.open(address, _Listener(), connect_ms=1_000)
+        assert not outgoing.has_established(address)
+        outgoing._finish_connecting(link)
+        assert outgoing.has_established(address)
+        assert not outgoing.has_established("127.0.0.1:1")
+        link.pause_reading()
+        assert not outgoing.has_established(address)
+        link.resume_reading()
+        assert outgoing.has_established(address)
+        link.close()
+        assert not outgoing.has_established(address)
--- a/tests/unit/test_unconfirmed_ends.py
+++ b/tests/unit/test_unconfirmed_ends.py
@@ -218,3 +218,14 @@
     assert probing.evidence == [Evidence.ALIVE]
     probing.wait(1.0)
     assert probing.links.opened == []
+
+
+def test_a_refused_probe_shows_nothing_while_another_connection_is_established(probing):
+    """Guards against an instance that stops listening, taken for one that crashed."""
+    probing.links.established.add(ADDRESS)
+    probing.end_answer()
+    for number in range(end_confirmation.MAX_PROBES):
+        assert probing.evidence == []
+        probing.wait(end_confirmation.PROBE_INTERVAL_S)
+        probing.links.opened[number].listener.on_lost(links.REFUSED)
+    assert probing.evidence == [Evidence.NONE]
