--- a/src/spoolhead/_internal/cli/keeper.py
+++ b/src/spoolhead/_internal/cli/keeper.py
@@ -8,9 +8,7 @@
 def main() -> None:
     """Run the keeper program."""
     start.start(
-        settings.KeeperSettings,
-        program.run,
-        "Store the table on disk and push it to the entries.",
+        settings.KeeperSettings, program.run, "Store the table on disk and push it to the entries."
     )
 
 
--- a/src/spoolhead/_internal/cli/operator.py
+++ b/src/spoolhead/_internal/cli/operator.py
@@ -36,17 +36,13 @@
 SettingsOption = Annotated[
     str,
     typer.Option(
-        "--settings",
-        envvar="SPOOLHEAD_SETTINGS",
-        help="Settings file, JSON with comments.",
+        "--settings", envvar="SPOOLHEAD_SETTINGS", help="Settings file, JSON with comments."
     ),
 ]
 OptionalSettingsOption = Annotated[
     str,
     typer.Option(
-        "--settings",
-        envvar="SPOOLHEAD_SETTINGS",
-        help="Settings file; not required with --log.",
+        "--settings", envvar="SPOOLHEAD_SETTINGS", help="Settings file; not required with --log."
     ),
 ]
 LogOption = Annotated[
@@ -62,13 +58,11 @@
 EditIdOption = Annotated[
     str,
     typer.Option(
-        "--edit-id",
-        help="Id of an earlier edit, to send it again after its answer was lost.",
+        "--edit-id", help="Id of an earlier edit, to send it again after its answer was lost."
     ),
 ]
 WaitOption = Annotated[
-    int,
-    typer.Option("--wait-ms", min=0, help="Longest wait until the edit is in force."),
+    int, typer.Option("--wait-ms", min=0, help="Longest wait until the edit is in force.")
 ]
 
 
@@ -140,8 +134,7 @@
     assignments: Annotated[list[str] | None, typer.Argument(help="COLUMN=VALUE ...")] = None,
     remove: Annotated[bool, typer.Option("--remove", help="Remove the row.")] = False,
     expected_version: Annotated[
-        int | None,
-        typer.Option("--expected-version", help="Version that the row must have."),
+        int | None, typer.Option("--expected-version", help="Version that the row must have.")
     ] = None,
     author: AuthorOption = "",
     edit_id: EditIdOption = "",
--- a/src/spoolhead/_internal/commands/losses.py
+++ b/src/spoolhead/_internal/commands/losses.py
@@ -23,8 +23,7 @@
         return exit_codes.ExitCode.OK
     for route in sorted({route for route, _ in counts}):
         _print_route(
-            route,
-            {cause: route_count for (name, cause), route_count in ordered if name == route},
+            route, {cause: route_count for (name, cause), route_count in ordered if name == route}
         )
     return exit_codes.ExitCode.OK
 
--- a/src/spoolhead/_internal/commands/show.py
+++ b/src/spoolhead/_internal/commands/show.py
@@ -17,12 +17,7 @@
         "models",
         "services",
     ),
-    rows.Sheet.SERVICES: (
-        "kind",
-        "once_methods",
-        "max_running_per_upstream",
-        "silence_ms",
-    ),
+    rows.Sheet.SERVICES: ("kind", "once_methods", "max_running_per_upstream", "silence_ms"),
     rows.Sheet.UPSTREAMS: ("service", "hall", "address", "state"),
     rows.Sheet.HALLS: ("evacuated",),
 }
@@ -30,11 +25,7 @@
 
 
 def run(
-    config: settings.OperatorSettings,
-    *,
-    sheet: rows.Sheet | None,
-    name: str,
-    as_json: bool,
+    config: settings.OperatorSettings, *, sheet: rows.Sheet | None, name: str, as_json: bool
 ) -> exit_codes.ExitCode:
     """Print the table, one of its sheets, or one row.
 
--- a/src/spoolhead/_internal/commands/status.py
+++ b/src/spoolhead/_internal/commands/status.py
@@ -34,31 +34,13 @@
 
 
 def _print_processes(statuses: list[dict]) -> None:
-    titles = [
-        "process",
-        "address",
-        "name",
-        "hall",
-        "version",
-        "ready",
-        "running",
-        "waiting",
-    ]
+    titles = ["process", "address", "name", "hall", "version", "ready", "running", "waiting"]
     lines = []
     for status in statuses:
         if not status["reachable"]:
             lines.append(["UNREACHABLE", status["address"], *["-"] * 6])
             continue
-        names = (
-            "role",
-            "address",
-            "name",
-            "hall",
-            "version",
-            "ready",
-            "running",
-            "waiting",
-        )
+        names = ("role", "address", "name", "hall", "version", "ready", "running", "waiting")
         lines.append([output.format_cell(status.get(name)) for name in names])
     output.print_table(titles, lines)
 
@@ -76,25 +58,10 @@
 
 
 def _print_upstreams(statuses: list[dict]) -> None:
-    titles = [
-        "entry",
-        "upstream",
-        "service",
-        "hall",
-        "state",
-        "ejected",
-        "here",
-        "running",
-    ]
+    titles = ["entry", "upstream", "service", "hall", "state", "ejected", "here", "running"]
     titles += ["waiting", "kv used", "kv size", "preempted", "limit"]
     names = ("name", "service", "hall", "state", "ejected", "running_here", "running")
-    names += (
-        "waiting",
-        "kv_used_tokens",
-        "kv_capacity_tokens",
-        "preemptions",
-        "planning_limit",
-    )
+    names += ("waiting", "kv_used_tokens", "kv_capacity_tokens", "preemptions", "planning_limit")
     lines = [
         [status["name"], *(output.format_cell(upstream[name]) for name in names)]
         for status in statuses
--- a/src/spoolhead/_internal/contents/content_watch.py
+++ b/src/spoolhead/_internal/contents/content_watch.py
@@ -7,12 +7,7 @@
 import random
 from collections.abc import Callable
 
-from spoolhead._internal.models import (
-    content_record,
-    request_keys,
-    sent_run,
-    shared_load,
-)
+from spoolhead._internal.models import content_record, request_keys, sent_run, shared_load
 from spoolhead._internal.network import scheduler
 from spoolhead._internal.policy import content_registry, lost_runs, quarantine
 from spoolhead._internal.utils import clocks
--- a/src/spoolhead/_internal/discovery/list_reader.py
+++ b/src/spoolhead/_internal/discovery/list_reader.py
@@ -190,10 +190,6 @@
         self._call = None
         self.on_fault()
         if not self._is_failing:
-            fields = {
-                "address": self._config.address,
-                "page": self._page_count,
-                "reason": reason,
-            }
+            fields = {"address": self._config.address, "page": self._page_count, "reason": reason}
             logger.warning("instance list is not readable", extra={"fields": fields})
         self._is_failing = True
--- a/src/spoolhead/_internal/entry/api.py
+++ b/src/spoolhead/_internal/entry/api.py
@@ -100,10 +100,7 @@
 
 
 def parse(
-    wire: request_reader.WireRequest,
-    workspace: str,
-    table: view.TableView,
-    context: ParseContext,
+    wire: request_reader.WireRequest, workspace: str, table: view.TableView, context: ParseContext
 ) -> Parsed:
     """Parse and validate a request of an authenticated workspace.
 
@@ -200,10 +197,7 @@
 
 
 def _parse_plain(
-    wire: request_reader.WireRequest,
-    workspace: str,
-    table: view.TableView,
-    context: ParseContext,
+    wire: request_reader.WireRequest, workspace: str, table: view.TableView, context: ParseContext
 ) -> Parsed:
     name, slash, rest = wire.target.removeprefix("/").partition("/")
     name, question, query = name.partition("?")
@@ -332,15 +326,9 @@
 ) -> expression.Result[rows.ServiceRow, fault.Fault]:
     row = table.services.get(name)
     if kind is rows.ServiceKind.MODEL:
-        unknown, allowed = (
-            codes.ResultCode.UNKNOWN_MODEL,
-            table.workspaces[workspace].models,
-        )
+        unknown, allowed = codes.ResultCode.UNKNOWN_MODEL, table.workspaces[workspace].models
     else:
-        unknown, allowed = (
-            codes.ResultCode.UNKNOWN_SERVICE,
-            table.workspaces[workspace].services,
-        )
+        unknown, allowed = codes.ResultCode.UNKNOWN_SERVICE, table.workspaces[workspace].services
     if row is None or row.kind is not kind:
         return _refuse(unknown, f"no {kind.value} service is named {name}", path="model")
     if name not in allowed:
--- a/src/spoolhead/_internal/entry/control.py
+++ b/src/spoolhead/_internal/entry/control.py
@@ -47,8 +47,7 @@
             case messages.GetDecision():
                 decisions = self._decisions.get(message.request_id)
                 answer = messages.DecisionAnswer(
-                    request=message.request,
-                    decisions=[item.get_fields() for item in decisions],
+                    request=message.request, decisions=[item.get_fields() for item in decisions]
                 )
             case _:
                 raise messages.MessageError(f"unexpected {type(message).__name__}")
--- a/src/spoolhead/_internal/entry/dispatcher.py
+++ b/src/spoolhead/_internal/entry/dispatcher.py
@@ -264,8 +264,7 @@
     def _get_early_refusal(self, request: requests.CallerRequest) -> admission.Refusal | None:
         if self.request_count >= self._config.max_requests:
             return _make_refusal(
-                codes.ResultCode.ENTRY_FULL,
-                f"this entry holds {self.request_count} requests",
+                codes.ResultCode.ENTRY_FULL, f"this entry holds {self.request_count} requests"
             )
         pool = self._pools.get_pool(request.service_name)
         if pool is None or not pool.has_available(request.arrived_s):
--- a/src/spoolhead/_internal/entry/flow.py
+++ b/src/spoolhead/_internal/entry/flow.py
@@ -8,13 +8,7 @@
 
 import logging
 
-from spoolhead._internal.entry import (
-    answers,
-    api,
-    flow_attempt,
-    flow_context,
-    relayed_answers,
-)
+from spoolhead._internal.entry import answers, api, flow_attempt, flow_context, relayed_answers
 from spoolhead._internal.models import codes, fault, requests, sent_run
 from spoolhead._internal.network import caller_front, links, upstream_calls
 from spoolhead._internal.policy import (
@@ -135,10 +129,7 @@
         return codes.Ran.UNKNOWN if self._may_have_run else codes.Ran.NO
 
     def handle_head(
-        self,
-        attempt: flow_attempt.Attempt,
-        status: int,
-        headers: upstream_calls.Headers,
+        self, attempt: flow_attempt.Attempt, status: int, headers: upstream_calls.Headers
     ) -> None:
         """Handle the status and headers of an attempt's answer."""
         if attempt is not self._attempt:
@@ -484,12 +475,7 @@
         return codes.Ran.UNKNOWN if arrived or self._may_have_run else codes.Ran.NO
 
     def _give_up(
-        self,
-        code: codes.ResultCode,
-        text: str,
-        ran: codes.Ran,
-        *,
-        may_retry: bool = True,
+        self, code: codes.ResultCode, text: str, ran: codes.Ran, *, may_retry: bool = True
     ) -> None:
         self._release_attempt(cancel=True)
         cause = fault.Fault(code, text)
@@ -498,7 +484,7 @@
             cause,
             ran=ran,
             request_id=self.request.request_id,
-            retry_after_ms=(RETRY_AFTER_MS if ran is codes.Ran.NO and may_retry else None),
+            retry_after_ms=RETRY_AFTER_MS if ran is codes.Ran.NO and may_retry else None,
         )
         self._end(flow_context.FlowResult(code, ran, self.running_request.generated_tokens))
 
--- a/src/spoolhead/_internal/entry/flow_context.py
+++ b/src/spoolhead/_internal/entry/flow_context.py
@@ -5,13 +5,7 @@
 
 from spoolhead._internal.models import codes, request_keys, sent_run
 from spoolhead._internal.network import upstream_calls
-from spoolhead._internal.policy import (
-    end_confirmation,
-    placement,
-    policy_set,
-    replicas,
-    retry,
-)
+from spoolhead._internal.policy import end_confirmation, placement, policy_set, replicas, retry
 from spoolhead._internal.utils import metrics
 
 if TYPE_CHECKING:
@@ -31,15 +25,7 @@
     :ivar body: body of that answer.
     """
 
-    __slots__ = (
-        "body",
-        "code",
-        "content_type",
-        "is_natural_end",
-        "ran",
-        "status",
-        "tokens",
-    )
+    __slots__ = ("body", "code", "content_type", "is_natural_end", "ran", "status", "tokens")
 
     def __init__(self, code: codes.ResultCode, ran: codes.Ran, tokens: int) -> None:
         self.code = code
@@ -115,11 +101,7 @@
         """
 
     def record_attempt(
-        self,
-        flow: "flow.Flow",
-        action: str,
-        choice: placement.Choice,
-        code: codes.ResultCode,
+        self, flow: "flow.Flow", action: str, choice: placement.Choice, code: codes.ResultCode
     ) -> None:
         """Record the next attempt.
 
--- a/src/spoolhead/_internal/entry/held_contents.py
+++ b/src/spoolhead/_internal/entry/held_contents.py
@@ -9,11 +9,7 @@
 import pathlib
 from collections.abc import Callable
 
-from spoolhead._internal.contents import (
-    content_watch,
-    saved_contents,
-    termination_watch,
-)
+from spoolhead._internal.contents import content_watch, saved_contents, termination_watch
 from spoolhead._internal.models import content_record, request_keys, rows, sent_run
 from spoolhead._internal.network import scheduler, upstream_calls
 from spoolhead._internal.policy import quarantine, replicas
@@ -109,8 +105,7 @@
         """
         self._watch.claim_trial(keys)
         self._timers.call_later(
-            quarantine.TRIAL_CLAIM_WAIT_S,
-            lambda: on_settled(self._watch.may_run_trial(keys)),
+            quarantine.TRIAL_CLAIM_WAIT_S, lambda: on_settled(self._watch.may_run_trial(keys))
         )
 
     def get_incarnation_id(self, upstream: str) -> str:
--- a/src/spoolhead/_internal/entry/keeper_link.py
+++ b/src/spoolhead/_internal/entry/keeper_link.py
@@ -219,8 +219,7 @@
         """Continue with the last known table."""
         self._unconfirmed_since_s = clocks.get_s()
         logger.warning(
-            "no keeper confirms the table",
-            extra={"fields": {"version": self._table.version}},
+            "no keeper confirms the table", extra={"fields": {"version": self._table.version}}
         )
 
     def on_peer_message(self, message: messages.Message) -> None:
--- a/src/spoolhead/_internal/entry/once_requests.py
+++ b/src/spoolhead/_internal/entry/once_requests.py
@@ -8,13 +8,7 @@
 import hashlib
 import logging
 
-from spoolhead._internal.entry import (
-    answers,
-    api,
-    decision_history,
-    flow_context,
-    keeper_link,
-)
+from spoolhead._internal.entry import answers, api, decision_history, flow_context, keeper_link
 from spoolhead._internal.entry import dispatcher as dispatchers
 from spoolhead._internal.models import codes, fault, requests
 from spoolhead._internal.network import caller_front
@@ -144,11 +138,7 @@
 def make_fingerprint(request: requests.CallerRequest) -> bytes:
     """Return a digest that distinguishes a resend from another request with the same key."""
     digest = hashlib.sha256()
-    for part in (
-        request.method.encode(),
-        request.target.encode("latin-1"),
-        request.body,
-    ):
+    for part in (request.method.encode(), request.target.encode("latin-1"), request.body):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
     return digest.digest()
--- a/src/spoolhead/_internal/entry/program.py
+++ b/src/spoolhead/_internal/entry/program.py
@@ -66,7 +66,7 @@
             probe_path=load_reports.REPORT_PATH,
             send_records=lambda records: self._keeper.send_contents(records),
             on_held=lambda key: self._dispatcher.reject_held(key),
-            folder=(pathlib.Path(config.data_dir) if config.data_dir is not None else None),
+            folder=pathlib.Path(config.data_dir) if config.data_dir is not None else None,
         )
         self._dispatcher = dispatcher.Dispatcher(
             self._loop,
@@ -152,12 +152,12 @@
                 "name": replica.name,
                 "hall": replica.row.hall,
                 "service": replica.row.service,
-                "state": ("evacuated" if replica.is_evacuated else str(replica.row.state)),
+                "state": "evacuated" if replica.is_evacuated else str(replica.row.state),
                 "ejected": replica.health.is_ejected(now_s),
                 "running_here": len(replica.running),
                 "running": replica.report.running if replica.report else None,
                 "waiting": replica.report.waiting if replica.report else None,
-                "kv_used_tokens": (replica.report.kv_used_tokens if replica.report else None),
+                "kv_used_tokens": replica.report.kv_used_tokens if replica.report else None,
                 "kv_capacity_tokens": (
                     replica.report.kv_capacity_tokens if replica.report else None
                 ),
--- a/src/spoolhead/_internal/gateway/alarm_exchange.py
+++ b/src/spoolhead/_internal/gateway/alarm_exchange.py
@@ -97,12 +97,7 @@
         self._handled_s: dict[tuple[str, int], float] = {}
 
     def raise_alarm(
-        self,
-        incarnation_id: str,
-        kind: shared_load.AlarmKind,
-        now_s: float,
-        *,
-        for_ms: int = 0,
+        self, incarnation_id: str, kind: shared_load.AlarmKind, now_s: float, *, for_ms: int = 0
     ) -> None:
         """Include an alarm in the next reports, which reach all other entries.
 
@@ -110,11 +105,7 @@
         """
         self._sequence += 1
         alarm = shared_load.Alarm(
-            incarnation_id,
-            kind,
-            reporter=self._name,
-            sequence=self._sequence,
-            for_ms=for_ms,
+            incarnation_id, kind, reporter=self._name, sequence=self._sequence, for_ms=for_ms
         )
         self._raised.append(_RaisedAlarm(alarm, now_s))
 
@@ -172,10 +163,7 @@
         return alarm.reporter == self._name and alarm.sequence > self._first_sequence
 
     def _apply_alarm(
-        self,
-        alarm: shared_load.Alarm,
-        upstream: upstream_registry.Upstream,
-        now_s: float,
+        self, alarm: shared_load.Alarm, upstream: upstream_registry.Upstream, now_s: float
     ) -> None:
         fields = {"upstream": alarm.incarnation_id, "told_by": alarm.reporter}
         match alarm.kind:
@@ -197,8 +185,7 @@
                         "reported_by": alarm.reporter,
                     }
                     logger.info(
-                        "upstream announced that it leaves",
-                        extra={"fields": leaving_fields},
+                        "upstream announced that it leaves", extra={"fields": leaving_fields}
                     )
                     self._on_alarm(upstream)
             case shared_load.AlarmKind.RESTING:
@@ -212,17 +199,11 @@
             case _:
                 if upstream.raise_alarm(now_s, alarm.kind):
                     alarm_fields = {**fields, "kind": alarm.kind.name.lower()}
-                    logger.info(
-                        "peer reported upstream unhealthy",
-                        extra={"fields": alarm_fields},
-                    )
+                    logger.info("peer reported upstream unhealthy", extra={"fields": alarm_fields})
                     self._on_alarm(upstream)
 
     def _handle_rest(
-        self,
-        alarm: shared_load.Alarm,
-        upstream: upstream_registry.Upstream,
-        now_s: float,
+        self, alarm: shared_load.Alarm, upstream: upstream_registry.Upstream, now_s: float
     ) -> None:
         if alarm.reporter == self._name:
             upstream.rest.record(alarm.for_ms, now_s)
--- a/src/spoolhead/_internal/gateway/copy_order.py
+++ b/src/spoolhead/_internal/gateway/copy_order.py
@@ -30,15 +30,7 @@
     :ivar answered_s: monotonic time of the complete answer; None without one.
     """
 
-    __slots__ = (
-        "_body",
-        "_dialect",
-        "_owner",
-        "_status",
-        "answered_s",
-        "call",
-        "stops_run",
-    )
+    __slots__ = ("_body", "_dialect", "_owner", "_status", "answered_s", "call", "stops_run")
 
     def __init__(
         self, owner: OrderOwner, dialect: dialects.EntryDialect, *, stops_run: bool
--- a/src/spoolhead/_internal/gateway/entry_metrics.py
+++ b/src/spoolhead/_internal/gateway/entry_metrics.py
@@ -12,10 +12,7 @@
 
     def __init__(self, metrics: prometheus_metrics.PrometheusMetrics) -> None:
         self.requests = metrics.make_counter(
-            "spoolhead_requests",
-            "Requests ended, by kind and outcome.",
-            "kind",
-            "outcome",
+            "spoolhead_requests", "Requests ended, by kind and outcome.", "kind", "outcome"
         )
         self.attempts = metrics.make_counter(
             "spoolhead_attempts", "Attempts at instances, by kind.", "kind"
@@ -37,9 +34,7 @@
             "outcome",
         )
         self.forwarded_requests = metrics.make_counter(
-            "spoolhead_forwarded_requests",
-            "Requests sent to other entries, by outcome.",
-            "outcome",
+            "spoolhead_forwarded_requests", "Requests sent to other entries, by outcome.", "outcome"
         )
         self.copies = metrics.make_counter(
             "spoolhead_copies", "Orders to copy a run's memory, by outcome.", "outcome"
@@ -73,8 +68,7 @@
             "spoolhead_known_paces", "Instances whose pace was stated or measured."
         )
         self.overruled_paces = metrics.make_counter(
-            "spoolhead_overruled_paces",
-            "Instances measured to be clearly slower than stated.",
+            "spoolhead_overruled_paces", "Instances measured to be clearly slower than stated."
         )
         self.held_contents = metrics.make_gauge(
             "spoolhead_held_contents",
@@ -86,12 +80,10 @@
         )
         self.in_flight = metrics.make_gauge("spoolhead_in_flight", "Requests in hand.")
         self.waiting = metrics.make_gauge(
-            "spoolhead_waiting",
-            "Generations that wait at this entry for an engine with room.",
+            "spoolhead_waiting", "Generations that wait at this entry for an engine with room."
         )
         self.news_age_ms = metrics.make_gauge(
-            "spoolhead_news_age_ms",
-            "Age of what is known of other entries' work; -1 for none.",
+            "spoolhead_news_age_ms", "Age of what is known of other entries' work; -1 for none."
         )
         self.unread_bytes = metrics.make_gauge(
             "spoolhead_unread_bytes", "Bytes buffered for callers that read slowly."
@@ -105,20 +97,16 @@
             "Reads of the instance list with a page or an entry that could not be read.",
         )
         self.body_bytes = metrics.make_gauge(
-            "spoolhead_body_bytes",
-            "Bytes held for bodies of requests and answers, read or unread.",
+            "spoolhead_body_bytes", "Bytes held for bodies of requests and answers, read or unread."
         )
         self.waiting_bodies = metrics.make_gauge(
-            "spoolhead_waiting_bodies",
-            "Requests whose bodies are not read for want of memory.",
+            "spoolhead_waiting_bodies", "Requests whose bodies are not read for want of memory."
         )
         self.rejected_bodies = metrics.make_gauge(
-            "spoolhead_rejected_bodies",
-            "Requests rejected for want of memory for their bodies.",
+            "spoolhead_rejected_bodies", "Requests rejected for want of memory for their bodies."
         )
         self.room_wait_ms = metrics.make_histogram(
-            "spoolhead_room_wait_ms",
-            "Time for which a generation waited before it was sent.",
+            "spoolhead_room_wait_ms", "Time for which a generation waited before it was sent."
         )
         self.room_refusals = metrics.make_counter(
             "spoolhead_room_refusals",
@@ -141,13 +129,10 @@
             "Time for which room had stayed unused when a generation got it that had waited.",
         )
         self.request_ms = metrics.make_histogram(
-            "spoolhead_request_ms",
-            "Time from arrival to the end of the answer.",
-            "kind",
+            "spoolhead_request_ms", "Time from arrival to the end of the answer.", "kind"
         )
         self.first_event_ms = metrics.make_histogram(
-            "spoolhead_first_event_ms",
-            "Time from arrival to the first event of a stream.",
+            "spoolhead_first_event_ms", "Time from arrival to the first event of a stream."
         )
         self.longest_pause_ms = metrics.make_histogram(
             "spoolhead_longest_pause_ms", "Longest pause between events of a stream."
--- a/src/spoolhead/_internal/gateway/exchange.py
+++ b/src/spoolhead/_internal/gateway/exchange.py
@@ -200,9 +200,7 @@
         fields["wait_ms"] = request.wait_ms
         logger.info("waits for a permit", extra={"fields": fields})
         self._context.permits.request_permit(
-            upstream,
-            request,
-            lambda is_granted: self._handle_permit(upstream, is_granted),
+            upstream, request, lambda is_granted: self._handle_permit(upstream, is_granted)
         )
         return True
 
@@ -269,11 +267,7 @@
         wire = self.caller.request
         headers = self._context.dialect.write_request(self.job.head, parameters)
         head = upstream_calls.make_head(
-            wire.method,
-            wire.target,
-            self.job.head.host,
-            headers,
-            body_bytes=len(wire.body),
+            wire.method, wire.target, self.job.head.host, headers, body_bytes=len(wire.body)
         )
         self._context.metrics.attempts.labels(self.job.route.kind.value).inc()
         upstream.record_sent(clocks.get_s())
@@ -516,10 +510,7 @@
         elif reason == links.REFUSED:
             self._context.query_termination_if_abandoned(attempt.upstream)
         if attempt.upstream.record_failure(clocks.get_s(), is_unreachable=is_unreachable):
-            fields = {
-                "upstream": attempt.upstream.instance.incarnation_id,
-                "reason": reason,
-            }
+            fields = {"upstream": attempt.upstream.instance.incarnation_id, "reason": reason}
             logger.warning("upstream ejected", extra={"fields": fields})
 
     def _record_lost_run(self, attempt: attempts.Attempt) -> None:
--- a/src/spoolhead/_internal/gateway/forward_exchange.py
+++ b/src/spoolhead/_internal/gateway/forward_exchange.py
@@ -17,12 +17,7 @@
     scheduler,
     upstream_calls,
 )
-from spoolhead._internal.policy import (
-    answer_buffers,
-    answer_end,
-    quarantine,
-    retry_allowance,
-)
+from spoolhead._internal.policy import answer_buffers, answer_end, quarantine, retry_allowance
 from spoolhead._internal.utils import clocks
 
 logger = logging.getLogger(__name__)
@@ -307,11 +302,7 @@
             return
         assert self._peer is not None
         self._forwarding.peers.record_served(self.job.service.name, self._peer.name, clocks.get_s())
-        fields = {
-            **self.get_log_fields(),
-            "peer": self._peer.name,
-            "status": head.status,
-        }
+        fields = {**self.get_log_fields(), "peer": self._peer.name, "status": head.status}
         if self._result is None:
             logger.info("answered", extra={"fields": fields})
             self.end()
--- a/src/spoolhead/_internal/gateway/forwarding.py
+++ b/src/spoolhead/_internal/gateway/forwarding.py
@@ -31,14 +31,7 @@
     :ivar take_over: called with a job and its caller, to forward the request from now on.
     """
 
-    __slots__ = (
-        "_calls",
-        "_config",
-        "_reach",
-        "get_silent_halls",
-        "peers",
-        "take_over",
-    )
+    __slots__ = ("_calls", "_config", "_reach", "get_silent_halls", "peers", "take_over")
 
     def __init__(
         self,
--- a/src/spoolhead/_internal/gateway/health_watch.py
+++ b/src/spoolhead/_internal/gateway/health_watch.py
@@ -176,10 +176,7 @@
         )
 
     def _raise_alarm(
-        self,
-        upstream: upstream_registry.Upstream,
-        kind: shared_load.AlarmKind,
-        outcome: str,
+        self, upstream: upstream_registry.Upstream, kind: shared_load.AlarmKind, outcome: str
     ) -> None:
         if not upstream.raise_alarm(clocks.get_s(), kind):
             return
--- a/src/spoolhead/_internal/gateway/load_sharing.py
+++ b/src/spoolhead/_internal/gateway/load_sharing.py
@@ -15,12 +15,7 @@
 from spoolhead._internal.load_broadcast import hub_port
 from spoolhead._internal.models import fleet, settings, shared_load
 from spoolhead._internal.network import scheduler
-from spoolhead._internal.policy import (
-    hub_choice,
-    load_hub,
-    load_view,
-    upstream_registry,
-)
+from spoolhead._internal.policy import hub_choice, load_hub, load_view, upstream_registry
 from spoolhead._internal.utils import clocks, endpoints
 
 logger = logging.getLogger(__name__)
--- a/src/spoolhead/_internal/gateway/permit_exchange.py
+++ b/src/spoolhead/_internal/gateway/permit_exchange.py
@@ -146,9 +146,7 @@
         self._send_request(self._last_id)
 
     def handle_datagram(
-        self,
-        message: permits.PermitRequest | permits.PermitReply,
-        sender: endpoints.Endpoint,
+        self, message: permits.PermitRequest | permits.PermitReply, sender: endpoints.Endpoint
     ) -> None:
         """Handle a datagram of another entry."""
         if isinstance(message, permits.PermitReply):
@@ -241,10 +239,7 @@
             return
         del self._missed_replies[granter.name]
         self._silent_until_s[granter.name] = self._clock() + SILENT_GRANTER_TTL_S
-        fields = {
-            "entry": granter.name,
-            "upstream": pending.upstream.instance.incarnation_id,
-        }
+        fields = {"entry": granter.name, "upstream": pending.upstream.instance.incarnation_id}
         logger.warning("granter of permits does not reply", extra={"fields": fields})
 
     def _reject_unanswered(self, permit_id: int) -> None:
--- a/src/spoolhead/_internal/gateway/program.py
+++ b/src/spoolhead/_internal/gateway/program.py
@@ -351,10 +351,7 @@
         self._context.queue.schedule_check()
 
     def _handle_answer(
-        self,
-        upstream: upstream_registry.Upstream,
-        head: dialects.AnswerHead,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
     ) -> None:
         self._paces.handle_answer(upstream, head, now_s)
         self._upstream_events.handle_answer(upstream, head, now_s)
--- a/src/spoolhead/_internal/gateway/room_sharing.py
+++ b/src/spoolhead/_internal/gateway/room_sharing.py
@@ -114,12 +114,7 @@
         self._stale_since_s: float | None = None
 
     def make_request(
-        self,
-        job: routed_job.Job,
-        *,
-        need_tokens: int,
-        arrived_s: float,
-        deadline_s: float,
+        self, job: routed_job.Job, *, need_tokens: int, arrived_s: float, deadline_s: float
     ) -> shared_queue.WaitingRequest:
         """Return the request of a job for the shared queue."""
         return shared_queue.WaitingRequest(
@@ -250,11 +245,7 @@
         for service, queue in self._queues.items():
             keys = queue_rows.get_waiting_keys(service)
             for request, waiting_class in queue.waiting.items():
-                _add(
-                    rows,
-                    keys[waiting_class],
-                    shared_load.InstanceLoad(request.need_tokens, 1),
-                )
+                _add(rows, keys[waiting_class], shared_load.InstanceLoad(request.need_tokens, 1))
         return rows
 
     def _add_running_rows(self, rows: shared_load.LoadByInstance, service: str) -> None:
@@ -272,9 +263,7 @@
             _add(rows, queue_rows.get_rest_key(service), load)
         for workspace, load in largest[:MAX_WORKSPACES_PER_REPORT]:
             places = zip(
-                queue_rows.get_bucket_keys(service),
-                queue_rows.get_buckets(workspace),
-                strict=True,
+                queue_rows.get_bucket_keys(service), queue_rows.get_buckets(workspace), strict=True
             )
             for keys, bucket in places:
                 _add(rows, keys[bucket], load)
--- a/src/spoolhead/_internal/gateway/run_copies.py
+++ b/src/spoolhead/_internal/gateway/run_copies.py
@@ -46,10 +46,7 @@
     __slots__ = ("copy", "is_awaited", "target", "used_handle")
 
     def __init__(
-        self,
-        target: upstream_registry.Upstream,
-        copy: memory_copy.MemoryCopy,
-        used_handle: str,
+        self, target: upstream_registry.Upstream, copy: memory_copy.MemoryCopy, used_handle: str
     ) -> None:
         self.target = target
         self.copy = copy
--- a/src/spoolhead/_internal/gateway/run_migration.py
+++ b/src/spoolhead/_internal/gateway/run_migration.py
@@ -297,11 +297,7 @@
         # An instance that no longer listens still reads its established connections.
         order = copy.start(stops_run=True, uses_idle=self._handover.is_refused)
         count = self._run.record_stop_order(order)
-        fields = {
-            "order": count,
-            "target": copy.target_address,
-            "events": self._run.events,
-        }
+        fields = {"order": count, "target": copy.target_address, "events": self._run.events}
         self._log_stop("run ordered to stop", fields)
         self._cancel_timer()
         self._timer = self._context.timers.call_later(
@@ -446,10 +442,7 @@
         self._copy.start()
 
     def _log(
-        self,
-        text: str,
-        source: upstream_registry.Upstream,
-        target: upstream_registry.Upstream,
+        self, text: str, source: upstream_registry.Upstream, target: upstream_registry.Upstream
     ) -> None:
         fields = {
             "request": self._job.head.request_id,
--- a/src/spoolhead/_internal/gateway/run_room.py
+++ b/src/spoolhead/_internal/gateway/run_room.py
@@ -2,12 +2,7 @@
 
 import logging
 
-from spoolhead._internal.gateway import (
-    answer_lengths,
-    room_forecast,
-    room_sharing,
-    routed_job,
-)
+from spoolhead._internal.gateway import answer_lengths, room_forecast, room_sharing, routed_job
 from spoolhead._internal.models import route_table
 from spoolhead._internal.policy import (
     run_admission,
--- a/src/spoolhead/_internal/gateway/shared_allowances.py
+++ b/src/spoolhead/_internal/gateway/shared_allowances.py
@@ -94,10 +94,7 @@
         return self.get(service).has_room(self._clock(), reason)
 
     def try_acquire(
-        self,
-        job: routed_job.Job,
-        reason: retry_allowance.RepeatReason,
-        log_fields: LogFields,
+        self, job: routed_job.Job, reason: retry_allowance.RepeatReason, log_fields: LogFields
     ) -> bool:
         """Acquire one more arrival of a request at its service; return whether one was left.
 
@@ -116,10 +113,7 @@
         return True
 
     def record_sent(
-        self,
-        job: routed_job.Job,
-        reason: retry_allowance.RepeatReason,
-        log_fields: LogFields,
+        self, job: routed_job.Job, reason: retry_allowance.RepeatReason, log_fields: LogFields
     ) -> None:
         """Record that a request is about to arrive at its service again.
 
--- a/src/spoolhead/_internal/gateway/stream_exchange.py
+++ b/src/spoolhead/_internal/gateway/stream_exchange.py
@@ -359,7 +359,7 @@
             prompt_tokens=generation.prompt_tokens if generation is not None else 0,
             objective_ms=self.job.route.objective_ms,
             arrived_s=self._arrived_s,
-            max_prefill_ms=(self._room.get_max_prefill_ms() if self._room is not None else None),
+            max_prefill_ms=self._room.get_max_prefill_ms() if self._room is not None else None,
         )
         if not self.try_start():
             if not self._is_awaiting_permit:
@@ -401,11 +401,7 @@
         else:
             retry_after_ms = run_admission.compute_retry_after_ms(self.remaining_ms)
         code = codes.ResultCode.DEADLINE_UNREACHABLE
-        self.fail(
-            code,
-            "no engine is expected to have room in time",
-            retry_after_ms=retry_after_ms,
-        )
+        self.fail(code, "no engine is expected to have room in time", retry_after_ms=retry_after_ms)
 
     def _is_event_stream(self, head: dialects.AnswerHead) -> bool:
         """Return whether an answer is the instance's own event stream for this request."""
@@ -449,11 +445,7 @@
         if self.is_over:
             # The caller was dropped.
             return
-        fields = {
-            **self.get_log_fields(),
-            **attempt.get_log_fields(),
-            "status": head.status,
-        }
+        fields = {**self.get_log_fields(), **attempt.get_log_fields(), "status": head.status}
         logger.info("answered", extra={"fields": fields})
         self.end()
 
@@ -531,9 +523,7 @@
 
     def _resume_run(self, copy: run_copies.ReadyCopy) -> None:
         resume_point = dialects.ResumePoint(
-            address=copy.address,
-            handle=copy.handle,
-            last_event_id=self._splicer.last_event_id,
+            address=copy.address, handle=copy.handle, last_event_id=self._splicer.last_event_id
         )
         fields = {
             **self.get_log_fields(),
@@ -557,10 +547,7 @@
             return not self.is_over
         unsent = self.caller.send_body_part(data)
         if unsent > MAX_UNREAD_BYTES:
-            self.fail(
-                codes.ResultCode.CALLER_TOO_SLOW,
-                f"the caller left {unsent} bytes unread",
-            )
+            self.fail(codes.ResultCode.CALLER_TOO_SLOW, f"the caller left {unsent} bytes unread")
         return not self.is_over
 
     def _finish(self, attempt: attempts.Attempt, head: dialects.AnswerHead) -> None:
--- a/src/spoolhead/_internal/gateway/table_feed.py
+++ b/src/spoolhead/_internal/gateway/table_feed.py
@@ -14,13 +14,7 @@
 from spoolhead._internal.discovery import list_reader
 from spoolhead._internal.gateway import followed_keeper
 from spoolhead._internal.models import dialects, fleet, instances, settings
-from spoolhead._internal.network import (
-    links,
-    messages,
-    peer_client,
-    route_messages,
-    upstream_calls,
-)
+from spoolhead._internal.network import links, messages, peer_client, route_messages, upstream_calls
 from spoolhead._internal.network import loop as loops
 from spoolhead._internal.utils import clocks, deflate, document_delta
 
@@ -28,11 +22,7 @@
 
 ROLE = "entry"
 TIMING = peer_client.PeerTiming(
-    connect_ms=700,
-    initial_retry_ms=50,
-    max_retry_ms=700,
-    heartbeat_ms=500,
-    silence_ms=1_600,
+    connect_ms=700, initial_retry_ms=50, max_retry_ms=700, heartbeat_ms=500, silence_ms=1_600
 )
 """A keeper sends something each quarter of a second. A partition and its end must be detected well
 within the time in which an accepted table has to be in force (two seconds)."""
@@ -281,9 +271,7 @@
         )
 
     def _handle_table(
-        self,
-        keeper: followed_keeper.FollowedKeeper,
-        message: route_messages.RouteTableDocument,
+        self, keeper: followed_keeper.FollowedKeeper, message: route_messages.RouteTableDocument
     ) -> None:
         keeper.fetch_sent_s = 0.0
         if message.version > self.version:
@@ -333,9 +321,7 @@
         return document_delta.apply(self._document, data)
 
     def _handle_instance_list(
-        self,
-        keeper: followed_keeper.FollowedKeeper,
-        message: route_messages.InstanceList,
+        self, keeper: followed_keeper.FollowedKeeper, message: route_messages.InstanceList
     ) -> None:
         now_s = clocks.get_s()
         other_lists = [item.listed for item in self._keepers.values() if item is not keeper]
--- a/src/spoolhead/_internal/gateway/upstream_events.py
+++ b/src/spoolhead/_internal/gateway/upstream_events.py
@@ -3,12 +3,7 @@
 import logging
 from collections.abc import Callable, Set
 
-from spoolhead._internal.gateway import (
-    exchange,
-    exchange_context,
-    load_sharing,
-    stream_exchange,
-)
+from spoolhead._internal.gateway import exchange, exchange_context, load_sharing, stream_exchange
 from spoolhead._internal.models import dialects, instances, shared_load
 from spoolhead._internal.policy import upstream_registry
 from spoolhead._internal.routing import matcher
@@ -101,10 +96,7 @@
         self._load_sharing.broadcast_alarm(upstream.instance.incarnation_id, kind, for_ms=cold_ms)
 
     def handle_answer(
-        self,
-        upstream: upstream_registry.Upstream,
-        head: dialects.AnswerHead,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
     ) -> None:
         """Handle the state that an instance reports in an answer: rest, rejection or departure."""
         fields = {"upstream": upstream.instance.incarnation_id}
--- a/src/spoolhead/_internal/gateway/upstream_limits.py
+++ b/src/spoolhead/_internal/gateway/upstream_limits.py
@@ -44,10 +44,7 @@
         self._unreadable_keys: set[int] = set()
 
     def handle_answer(
-        self,
-        upstream: upstream_registry.Upstream,
-        head: dialects.AnswerHead,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
     ) -> None:
         """Record the limit in an answer to a request; an answer without one removes the limit."""
         if head.is_misdirected:
@@ -65,10 +62,7 @@
         self._request_broadcast()
 
     def handle_health_answer(
-        self,
-        upstream: upstream_registry.Upstream,
-        head: dialects.AnswerHead,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
     ) -> None:
         """Record the limit in an answer to a health probe.
 
--- a/src/spoolhead/_internal/gateway/upstream_paces.py
+++ b/src/spoolhead/_internal/gateway/upstream_paces.py
@@ -72,10 +72,7 @@
         return sum(upstream.pace.is_known for upstream in self._upstreams.get_all())
 
     def handle_answer(
-        self,
-        upstream: upstream_registry.Upstream,
-        head: dialects.AnswerHead,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, head: dialects.AnswerHead, now_s: float
     ) -> None:
         """Record the pace in an answer to a request or to a health probe, if any is stated."""
         load = head.load
--- a/src/spoolhead/_internal/keeper/content_relay.py
+++ b/src/spoolhead/_internal/keeper/content_relay.py
@@ -81,8 +81,7 @@
             self._answer(session, message.request, [message.content_id])
         else:
             self._timers.call_later(
-                SYNC_CHECK_INTERVAL_S,
-                lambda: self._confirm_when_synced(session, message),
+                SYNC_CHECK_INTERVAL_S, lambda: self._confirm_when_synced(session, message)
             )
 
     def send_contents(
@@ -98,10 +97,7 @@
         session.send(messages.ContentsAnswer(request=request, items=items))
 
     def _broadcast(
-        self,
-        content_ids: list[bytes],
-        *,
-        except_to: peer_server.PeerSession | None = None,
+        self, content_ids: list[bytes], *, except_to: peer_server.PeerSession | None = None
     ) -> None:
         if not content_ids:
             return
--- a/src/spoolhead/_internal/keeper/program.py
+++ b/src/spoolhead/_internal/keeper/program.py
@@ -28,11 +28,7 @@
         shared_key=config.shared_key,
         service=keeper,
     ).register(root)
-    fields = {
-        "peers": server.address,
-        "data_dir": config.data_dir,
-        "version": keeper.version,
-    }
+    fields = {"peers": server.address, "data_dir": config.data_dir, "version": keeper.version}
     logger.info("keeper %s serves", config.name, extra={"fields": fields})
     root.run()
     del lock
--- a/src/spoolhead/_internal/keeper/service.py
+++ b/src/spoolhead/_internal/keeper/service.py
@@ -201,10 +201,7 @@
         claim = self._state.once.claims.get(message.key)
         owner_is_gone = claim is not None and self._is_owner_gone(claim.owner)
         claim_state = self._state.once.get_state(
-            message.key,
-            message.fingerprint,
-            owner_is_gone=owner_is_gone,
-            now_ms=time_ms,
+            message.key, message.fingerprint, owner_is_gone=owner_is_gone, now_ms=time_ms
         )
         state_name = claim_state.value
         if claim_state is once_journal.ClaimState.GRANTED:
@@ -266,9 +263,7 @@
                 self._log.append(records.make_change(change))
             except exceptions.DiskError as error:
                 logger.error(
-                    "edit %s refused because it cannot be recorded: %s",
-                    message.edit_id,
-                    error,
+                    "edit %s refused because it cannot be recorded: %s", message.edit_id, error
                 )
                 faults = [["", str(error)]]
                 return self._refuse(message, codes.ResultCode.DISK_FAILED, faults=faults)
@@ -385,12 +380,10 @@
 
 
 def _register_handler(
-    message_class: type,
-    handler: typing.Callable[[KeeperService, _Session, typing.Any], None],
+    message_class: type, handler: typing.Callable[[KeeperService, _Session, typing.Any], None]
 ) -> None:
     _dispatch.register(
-        message_class,
-        lambda message, service, session: handler(service, session, message),
+        message_class, lambda message, service, session: handler(service, session, message)
     )
 
 
@@ -403,8 +396,7 @@
 _register_handler(messages.GetStatus, KeeperService.send_status)
 _register_handler(messages.Contents, lambda service, *args: service.contents.handle_contents(*args))
 _register_handler(
-    messages.HoldContent,
-    lambda service, *args: service.contents.handle_hold_order(*args),
+    messages.HoldContent, lambda service, *args: service.contents.handle_hold_order(*args)
 )
 _register_handler(
     messages.GetContents, lambda service, *args: service.contents.send_contents(*args)
--- a/src/spoolhead/_internal/load_broadcast/hub_port.py
+++ b/src/spoolhead/_internal/load_broadcast/hub_port.py
@@ -81,9 +81,7 @@
         self._updates_sent_s = 0.0
 
     def handle_datagram(
-        self,
-        message: shared_load.Report | shared_load.Totals,
-        sender: endpoints.Endpoint,
+        self, message: shared_load.Report | shared_load.Totals, sender: endpoints.Endpoint
     ) -> None:
         """Handle a datagram of an entry or of another hub."""
         now_s = self._clock()
--- a/src/spoolhead/_internal/models/codes.py
+++ b/src/spoolhead/_internal/models/codes.py
@@ -113,8 +113,7 @@
     ResultCode.OK: CodeInfo(_S.OK, "The request or edit succeeded."),
     ResultCode.MALFORMED_REQUEST: CodeInfo(_S.BAD_REQUEST, "The bytes are not valid HTTP."),
     ResultCode.CONFLICTING_LENGTHS: CodeInfo(
-        _S.BAD_REQUEST,
-        "The length of the body is stated twice, wrongly or in two ways.",
+        _S.BAD_REQUEST, "The length of the body is stated twice, wrongly or in two ways."
     ),
     ResultCode.HEAD_TOO_LARGE: CodeInfo(
         _S.REQUEST_HEADER_FIELDS_TOO_LARGE, "Request line and headers exceed the limit."
@@ -144,8 +143,7 @@
     ResultCode.UNKNOWN_MODEL: CodeInfo(_S.NOT_FOUND, "No such model is served."),
     ResultCode.UNKNOWN_SERVICE: CodeInfo(_S.NOT_FOUND, "No such service is served."),
     ResultCode.QUEUE_FULL: CodeInfo(
-        _S.TOO_MANY_REQUESTS,
-        "The workspace has as many requests waiting as its row allows.",
+        _S.TOO_MANY_REQUESTS, "The workspace has as many requests waiting as its row allows."
     ),
     ResultCode.DEADLINE_BEFORE_START: CodeInfo(
         _S.SERVICE_UNAVAILABLE, "The deadline passed while the request was waiting."
@@ -203,8 +201,7 @@
         _S.CONFLICT, "The same key was sent before and its outcome is not known."
     ),
     ResultCode.ONCE_KEY_REUSED: CodeInfo(
-        _S.UNPROCESSABLE_ENTITY,
-        "The same key was sent before with a different request.",
+        _S.UNPROCESSABLE_ENTITY, "The same key was sent before with a different request."
     ),
     ResultCode.ONCE_IN_PROGRESS: CodeInfo(
         _S.CONFLICT, "The same key was sent before and that request is still running."
--- a/src/spoolhead/_internal/models/evacuations.py
+++ b/src/spoolhead/_internal/models/evacuations.py
@@ -111,8 +111,5 @@
     """Return the order from the unpacked values of a log record."""
     hall, is_evacuated, base_revision, order_id = values
     return HallOrder(
-        hall=hall,
-        is_evacuated=is_evacuated,
-        base_revision=base_revision,
-        order_id=order_id,
+        hall=hall, is_evacuated=is_evacuated, base_revision=base_revision, order_id=order_id
     )
--- a/src/spoolhead/_internal/models/permits.py
+++ b/src/spoolhead/_internal/models/permits.py
@@ -126,12 +126,7 @@
 def encode_reply(reply: PermitReply) -> bytes:
     """Return a reply as a datagram."""
     stated = rate_limit.pack([reply.stated] if reply.stated is not None else [])
-    fields = [
-        reply.permit_id,
-        int(reply.verdict),
-        reply.retry_after_ms,
-        reply.backoff_ms,
-    ]
+    fields = [reply.permit_id, int(reply.verdict), reply.retry_after_ms, reply.backoff_ms]
     return msgpack.packb([REPLY, *fields, stated])
 
 
--- a/src/spoolhead/_internal/models/shared_load.py
+++ b/src/spoolhead/_internal/models/shared_load.py
@@ -13,12 +13,7 @@
 import msgpack
 import xxhash
 
-from spoolhead._internal.models import (
-    content_record,
-    instance_pace,
-    permits,
-    rate_limit,
-)
+from spoolhead._internal.models import content_record, instance_pace, permits, rate_limit
 
 MAX_DATAGRAM_BYTES = 60_000
 """Maximum size of a datagram; receivers cut off the rest."""
@@ -54,11 +49,7 @@
     __slots__ = ("answer_tokens", "count", "prefill_tokens", "tokens")
 
     def __init__(
-        self,
-        tokens: int = 0,
-        count: int = 0,
-        prefill_tokens: int = 0,
-        answer_tokens: int = 0,
+        self, tokens: int = 0, count: int = 0, prefill_tokens: int = 0, answer_tokens: int = 0
     ) -> None:
         self.tokens = tokens
         self.count = count
@@ -129,13 +120,7 @@
     __slots__ = ("reporter", "for_ms", "kind", "incarnation_id", "sequence")
 
     def __init__(
-        self,
-        incarnation_id: str,
-        kind: AlarmKind,
-        *,
-        reporter: str,
-        sequence: int,
-        for_ms: int = 0,
+        self, incarnation_id: str, kind: AlarmKind, *, reporter: str, sequence: int, for_ms: int = 0
     ) -> None:
         self.incarnation_id = incarnation_id
         self.kind = kind
@@ -240,16 +225,7 @@
     :ivar paces: typical paces of instances.
     """
 
-    __slots__ = (
-        "ages",
-        "alarms",
-        "contents",
-        "hub",
-        "limits",
-        "paces",
-        "rows",
-        "sequence",
-    )
+    __slots__ = ("ages", "alarms", "contents", "hub", "limits", "paces", "rows", "sequence")
 
     def __init__(
         self,
@@ -343,15 +319,7 @@
     """Return a hub's totals as a datagram."""
     rows, alarms = _pack_rows(totals.rows), _pack_alarms(totals.alarms)
     contents, limits = _pack_contents(totals.contents), rate_limit.pack(totals.limits)
-    fields = [
-        totals.hub,
-        totals.sequence,
-        rows,
-        _pack_ages(totals.ages),
-        alarms,
-        contents,
-        limits,
-    ]
+    fields = [totals.hub, totals.sequence, rows, _pack_ages(totals.ages), alarms, contents, limits]
     return msgpack.packb([TOTALS, *fields, *_pack_paces(totals.paces)])
 
 
@@ -359,15 +327,7 @@
     """Return the part of an update's datagram that is the same for all reporters."""
     rows, alarms = _pack_rows(update.rows), _pack_alarms(update.alarms)
     contents, limits = _pack_contents(update.contents), rate_limit.pack(update.limits)
-    fields = [
-        update.hub,
-        update.sequence,
-        rows,
-        _pack_ages(update.ages),
-        alarms,
-        contents,
-        limits,
-    ]
+    fields = [update.hub, update.sequence, rows, _pack_ages(update.ages), alarms, contents, limits]
     fields.append(update.is_snapshot)
     return msgpack.packb([UPDATE, *fields, *_pack_paces(update.paces)])
 
@@ -484,13 +444,7 @@
 def _pack_rows(rows: LoadByInstance) -> list[int]:
     values: list[int] = []
     for key, load in rows.items():
-        values += (
-            key,
-            load.tokens,
-            load.count,
-            load.prefill_tokens,
-            load.answer_tokens,
-        )
+        values += (key, load.tokens, load.count, load.prefill_tokens, load.answer_tokens)
     return values
 
 
--- a/src/spoolhead/_internal/network/caller_front.py
+++ b/src/spoolhead/_internal/network/caller_front.py
@@ -556,9 +556,7 @@
             if not size_bytes:
                 continue
             state = self._bodies.admit(
-                wire,
-                size_bytes,
-                lambda wire=wire: self._on_body_decided(connection, wire),
+                wire, size_bytes, lambda wire=wire: self._on_body_decided(connection, wire)
             )
             if state is body_budget.State.REJECTED:
                 self._reject_body(connection, wire)
--- a/src/spoolhead/_internal/network/direct_poller.py
+++ b/src/spoolhead/_internal/network/direct_poller.py
@@ -49,7 +49,4 @@
         try:
             reader(self._map[fileno])
         except Exception as error:
-            self.fire(
-                events.exception(type(error), error, error.__traceback__, None, None),
-                "*",
-            )
+            self.fire(events.exception(type(error), error, error.__traceback__, None, None), "*")
--- a/src/spoolhead/_internal/network/end_probes.py
+++ b/src/spoolhead/_internal/network/end_probes.py
@@ -96,11 +96,7 @@
         """Handle the result of a probe."""
         # A later answer may have decided all ends meanwhile, and the state may be removed.
         state = self._states.setdefault(probe.address, end_confirmation.EndConfirmation())
-        fields = {
-            "address": probe.address,
-            "evidence": evidence.value,
-            "reason": reason,
-        }
+        fields = {"address": probe.address, "evidence": evidence.value, "reason": reason}
         fields["took_ms"] = int((clocks.get_s() - probe.opened_s) * 1000)
         logger.info("end of answers checked", extra={"fields": fields})
         match evidence:
--- a/src/spoolhead/_internal/network/forward_messages.py
+++ b/src/spoolhead/_internal/network/forward_messages.py
@@ -87,17 +87,9 @@
     :raises ValueError: if the data is not a request of this version.
     """
     try:
-        (
-            version,
-            sender,
-            method,
-            target,
-            headers,
-            body,
-            remaining_ms,
-            attempts,
-            is_counted,
-        ) = msgpack.unpackb(data)
+        version, sender, method, target, headers, body, remaining_ms, attempts, is_counted = (
+            msgpack.unpackb(data)
+        )
         if version != FORMAT_VERSION:
             raise ValueError(f"unknown format version {version!r}")
         wire = request_reader.WireRequest()
--- a/src/spoolhead/_internal/network/forward_server.py
+++ b/src/spoolhead/_internal/network/forward_server.py
@@ -251,10 +251,7 @@
             self._admit_body(sock, connection, connection.reader.incomplete_request)
 
     def _admit_body(
-        self,
-        sock: socket.socket,
-        connection: _Connection,
-        wire: request_reader.WireRequest,
+        self, sock: socket.socket, connection: _Connection, wire: request_reader.WireRequest
     ) -> None:
         """Request the body, or close the connection, so that the sender asks another entry."""
         state = self._bodies.admit(wire, connection.reader.max_body_bytes, lambda: None)
@@ -267,10 +264,7 @@
             self._server.send_now(sock, _CONTINUE)
 
     def _receive(
-        self,
-        sock: socket.socket,
-        connection: _Connection,
-        wire: request_reader.WireRequest,
+        self, sock: socket.socket, connection: _Connection, wire: request_reader.WireRequest
     ) -> None:
         proof = wire.get_header(forward_messages.PROOF_HEADER) or ""
         try:
--- a/src/spoolhead/_internal/network/loop.py
+++ b/src/spoolhead/_internal/network/loop.py
@@ -68,7 +68,5 @@
         event.stop()
         self.exceptions += 1
         logger.error(
-            "exception while handling %s",
-            fevent,
-            exc_info=(kind, error, error.__traceback__),
+            "exception while handling %s", fevent, exc_info=(kind, error, error.__traceback__)
         )
--- a/src/spoolhead/_internal/network/peer_client.py
+++ b/src/spoolhead/_internal/network/peer_client.py
@@ -215,11 +215,7 @@
             raise messages.MessageError(f"unsupported protocol version {challenge.protocol}")
         self._nonce = secrets.token_bytes(handshake.NONCE_BYTES)
         hello = handshake.make_hello(
-            self._shared_key,
-            challenge,
-            role=self._role,
-            name=self._name,
-            nonce=self._nonce,
+            self._shared_key, challenge, role=self._role, name=self._name, nonce=self._nonce
         )
         assert self._link is not None
         self._link.send(messages.encode(hello))
--- a/src/spoolhead/_internal/network/peer_server.py
+++ b/src/spoolhead/_internal/network/peer_server.py
@@ -28,16 +28,7 @@
     :ivar received_bytes: number of bytes received so far.
     """
 
-    __slots__ = (
-        "_server",
-        "heard_s",
-        "name",
-        "nonce",
-        "reader",
-        "received_bytes",
-        "role",
-        "sock",
-    )
+    __slots__ = ("_server", "heard_s", "name", "nonce", "reader", "received_bytes", "role", "sock")
 
     def __init__(self, server: "PeerServer", sock: socket.socket) -> None:
         self._server = server
--- a/src/spoolhead/_internal/network/request_reader.py
+++ b/src/spoolhead/_internal/network/request_reader.py
@@ -125,10 +125,7 @@
     def unserved_requests(self) -> list[WireRequest]:
         """The requests that :meth:`feed` has not returned; the last one may be incomplete."""
         incomplete = self.incomplete_request
-        return [
-            *self._complete_requests,
-            *([incomplete] if incomplete is not None else []),
-        ]
+        return [*self._complete_requests, *([incomplete] if incomplete is not None else [])]
 
     @property
     def max_body_bytes(self) -> int:
--- a/src/spoolhead/_internal/network/scheduler.py
+++ b/src/spoolhead/_internal/network/scheduler.py
@@ -153,7 +153,4 @@
         try:
             timer.run()
         except Exception as error:
-            self.fire(
-                events.exception(type(error), error, error.__traceback__, None, event),
-                "*",
-            )
+            self.fire(events.exception(type(error), error, error.__traceback__, None, event), "*")
--- a/src/spoolhead/_internal/policy/changed_rows.py
+++ b/src/spoolhead/_internal/policy/changed_rows.py
@@ -110,10 +110,7 @@
             self._get_group(key).add(key, load, sign)
 
     def replace(
-        self,
-        key: int,
-        old: shared_load.InstanceLoad | None,
-        new: shared_load.InstanceLoad,
+        self, key: int, old: shared_load.InstanceLoad | None, new: shared_load.InstanceLoad
     ) -> None:
         """Replace one contribution to a row by another."""
         if old == new:
--- a/src/spoolhead/_internal/policy/cold_start.py
+++ b/src/spoolhead/_internal/policy/cold_start.py
@@ -96,10 +96,7 @@
             self._quotas.clear()
 
     def may_send(
-        self,
-        service: route_table.Service,
-        upstream: upstream_registry.Upstream,
-        now_s: float,
+        self, service: route_table.Service, upstream: upstream_registry.Upstream, now_s: float
     ) -> bool:
         """Return whether one more request may be sent to an instance now."""
         if not service.cold_per_s or not upstream.is_cold(now_s):
--- a/src/spoolhead/_internal/policy/content_registry.py
+++ b/src/spoolhead/_internal/policy/content_registry.py
@@ -213,8 +213,7 @@
         if self.has_pending or (now_s - since_s < DIGEST_MISMATCH_S and not is_new):
             return
         interval_s = max(
-            MIN_FULL_SYNC_INTERVAL_S,
-            FULL_SYNC_INTERVAL_PER_RECORD_S * len(self._registry),
+            MIN_FULL_SYNC_INTERVAL_S, FULL_SYNC_INTERVAL_PER_RECORD_S * len(self._registry)
         )
         if now_s - self._last_sync_s >= interval_s:
             self._last_sync_s = now_s
--- a/src/spoolhead/_internal/policy/health.py
+++ b/src/spoolhead/_internal/policy/health.py
@@ -15,13 +15,7 @@
     :param is_new: whether it was added after this entry had started, so that it starts slowly.
     """
 
-    __slots__ = (
-        "_ejected_until_s",
-        "_ejections",
-        "_failures",
-        "_ramp_from_s",
-        "_rest_until_s",
-    )
+    __slots__ = ("_ejected_until_s", "_ejections", "_failures", "_ramp_from_s", "_rest_until_s")
 
     def __init__(self, now_s: float, *, is_new: bool) -> None:
         self._failures = 0
--- a/src/spoolhead/_internal/policy/load_hub.py
+++ b/src/spoolhead/_internal/policy/load_hub.py
@@ -45,14 +45,7 @@
     :ivar snapshot_sent_s: monotonic time at which a snapshot was last sent to it.
     """
 
-    __slots__ = (
-        "address",
-        "counted",
-        "heard_s",
-        "rows",
-        "snapshot_sent_s",
-        "wants_snapshot",
-    )
+    __slots__ = ("address", "counted", "heard_s", "rows", "snapshot_sent_s", "wants_snapshot")
 
     def __init__(self, address: endpoints.Endpoint) -> None:
         self.address = address
--- a/src/spoolhead/_internal/policy/permit_granter.py
+++ b/src/spoolhead/_internal/policy/permit_granter.py
@@ -227,9 +227,7 @@
     ) -> permits.PermitReply:
         stated = self._registry.get_aged([request.key], now_s)
         return permits.PermitReply(
-            permit_id=request.permit_id,
-            verdict=verdict,
-            stated=stated[0] if stated else None,
+            permit_id=request.permit_id, verdict=verdict, stated=stated[0] if stated else None
         )
 
 
--- a/src/spoolhead/_internal/policy/policy_set.py
+++ b/src/spoolhead/_internal/policy/policy_set.py
@@ -24,13 +24,7 @@
     :ivar decide_retry: decides what to do after a failed attempt.
     """
 
-    __slots__ = (
-        "decide_retry",
-        "make_admission",
-        "make_lengths",
-        "make_pace",
-        "make_placement",
-    )
+    __slots__ = ("decide_retry", "make_admission", "make_lengths", "make_pace", "make_placement")
 
     def __init__(
         self,
--- a/src/spoolhead/_internal/policy/run_admission.py
+++ b/src/spoolhead/_internal/policy/run_admission.py
@@ -133,10 +133,7 @@
 
 
 def decide(
-    engine: route_table.Engine,
-    choice: upstream_choice.Choice,
-    request: Request,
-    now_s: float,
+    engine: route_table.Engine, choice: upstream_choice.Choice, request: Request, now_s: float
 ) -> Verdict:
     """Decide on a generation.
 
--- a/src/spoolhead/_internal/policy/run_placement.py
+++ b/src/spoolhead/_internal/policy/run_placement.py
@@ -53,12 +53,7 @@
     __slots__ = ("answer_tokens", "objective_ms", "pause_ms", "prompt_tokens")
 
     def __init__(
-        self,
-        *,
-        prompt_tokens: int,
-        answer_tokens: int,
-        objective_ms: int,
-        pause_ms: int,
+        self, *, prompt_tokens: int, answer_tokens: int, objective_ms: int, pause_ms: int
     ) -> None:
         self.prompt_tokens = prompt_tokens
         self.answer_tokens = answer_tokens
@@ -102,14 +97,7 @@
     :ivar harm_cost: cost of its prompt for the answers at risk there.
     """
 
-    __slots__ = (
-        "fill_cost",
-        "first_cost",
-        "first_ms",
-        "harm_cost",
-        "pace",
-        "risk_cost",
-    )
+    __slots__ = ("fill_cost", "first_cost", "first_ms", "harm_cost", "pace", "risk_cost")
 
     def __init__(
         self,
--- a/src/spoolhead/_internal/policy/shared_queue.py
+++ b/src/spoolhead/_internal/policy/shared_queue.py
@@ -166,10 +166,7 @@
         """Return the memory needed by the requests ahead of one, as expected."""
         ahead = sum(self.by_class[:own_class]) + request.draw * self.by_class[own_class]
         for other, other_class in self.own.items():
-            if other is not request and (other_class, other.draw) < (
-                own_class,
-                request.draw,
-            ):
+            if other is not request and (other_class, other.draw) < (own_class, request.draw):
                 ahead += other.need_tokens
         return ahead
 
@@ -198,13 +195,7 @@
     :ivar is_released: whether the room was open to all because it stayed unused.
     """
 
-    __slots__ = (
-        "ahead_tokens",
-        "is_released",
-        "room_tokens",
-        "upstream",
-        "waiting_class",
-    )
+    __slots__ = ("ahead_tokens", "is_released", "room_tokens", "upstream", "waiting_class")
 
     def __init__(
         self,
@@ -272,11 +263,7 @@
         self._since_s: float | None = None
 
     def record(
-        self,
-        upstreams: Iterable[upstream_registry.Upstream],
-        now_s: float,
-        *,
-        is_unused: bool,
+        self, upstreams: Iterable[upstream_registry.Upstream], now_s: float, *, is_unused: bool
     ) -> None:
         """Record the load of the engines.
 
--- a/src/spoolhead/_internal/policy/standing_alarms.py
+++ b/src/spoolhead/_internal/policy/standing_alarms.py
@@ -15,11 +15,7 @@
 MAX_ALARMS = 64
 """Maximum number of stored alarms, the newest ones; a new reporter gets all in one datagram."""
 STANDING_KINDS = frozenset(
-    {
-        shared_load.AlarmKind.COLD,
-        shared_load.AlarmKind.RESTING,
-        shared_load.AlarmKind.LEAVING,
-    }
+    {shared_load.AlarmKind.COLD, shared_load.AlarmKind.RESTING, shared_load.AlarmKind.LEAVING}
 )
 """Kinds that stay in force for a time stated by the instance, or until it terminates."""
 
--- a/src/spoolhead/_internal/policy/unread_budget.py
+++ b/src/spoolhead/_internal/policy/unread_budget.py
@@ -69,13 +69,7 @@
     :ivar total_bytes: unread bytes of all callers.
     """
 
-    __slots__ = (
-        "_backlogs",
-        "_cost",
-        "_get_shared_bytes",
-        "budget_bytes",
-        "total_bytes",
-    )
+    __slots__ = ("_backlogs", "_cost", "_get_shared_bytes", "budget_bytes", "total_bytes")
 
     def __init__(
         self,
@@ -156,9 +150,7 @@
         if not self.is_exceeded:
             return drops
         ranked = sorted(
-            self._backlogs.items(),
-            key=lambda item: self._cost(item[1], now_s),
-            reverse=True,
+            self._backlogs.items(), key=lambda item: self._cost(item[1], now_s), reverse=True
         )
         for key, backlog in ranked:
             has_stopped = now_s - backlog.read_s >= STOPPED_S
--- a/src/spoolhead/_internal/policy/upstream_choice.py
+++ b/src/spoolhead/_internal/policy/upstream_choice.py
@@ -204,9 +204,7 @@
 
 
 def _get_block_reason(
-    service: route_table.Service,
-    upstream: upstream_registry.Upstream,
-    context: ChoiceContext,
+    service: route_table.Service, upstream: upstream_registry.Upstream, context: ChoiceContext
 ) -> upstream_gate.BlockReason | None:
     return context.gate.get_block_reason(
         service,
@@ -261,9 +259,7 @@
 
 
 def _get_plain_cost(
-    upstream: upstream_registry.Upstream,
-    context: ChoiceContext,
-    paces: run_placement.Paces,
+    upstream: upstream_registry.Upstream, context: ChoiceContext, paces: run_placement.Paces
 ) -> float:
     known = max(upstream.count, upstream.get_reported_count(context.now_s))
     slots = max(1, upstream.instance.slots)
--- a/src/spoolhead/_internal/policy/upstream_gate.py
+++ b/src/spoolhead/_internal/policy/upstream_gate.py
@@ -11,12 +11,7 @@
 from collections.abc import Collection
 
 from spoolhead._internal.models import route_table
-from spoolhead._internal.policy import (
-    cold_start,
-    limit_registry,
-    permit_backoff,
-    upstream_registry,
-)
+from spoolhead._internal.policy import cold_start, limit_registry, permit_backoff, upstream_registry
 
 
 class BlockReason(enum.Enum):
@@ -115,10 +110,7 @@
         return None
 
     def _must_back_off(
-        self,
-        upstream: upstream_registry.Upstream,
-        request_priority: RequestPriority,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, request_priority: RequestPriority, now_s: float
     ) -> bool:
         if not self.is_limited(upstream):
             return False
@@ -131,10 +123,7 @@
         return self.limits.get_limit_per_s(upstream.key) is not None
 
     def get_retry_after_ms(
-        self,
-        upstream: upstream_registry.Upstream,
-        reason: BlockReason | None,
-        now_s: float,
+        self, upstream: upstream_registry.Upstream, reason: BlockReason | None, now_s: float
     ) -> int | None:
         """Return the time after which a request may retry a blocked instance.
 
--- a/src/spoolhead/_internal/quorum/group_report.py
+++ b/src/spoolhead/_internal/quorum/group_report.py
@@ -18,12 +18,7 @@
     :param now_s: monotonic time in seconds.
     """
 
-    __slots__ = (
-        "_changing_since_s",
-        "_is_conflict_logged",
-        "_leaderless_since_s",
-        "_member",
-    )
+    __slots__ = ("_changing_since_s", "_is_conflict_logged", "_leaderless_since_s", "_member")
 
     def __init__(self, member: consensus.Consensus, now_s: float) -> None:
         self._member = member
--- a/src/spoolhead/_internal/quorum/keeper.py
+++ b/src/spoolhead/_internal/quorum/keeper.py
@@ -27,13 +27,7 @@
     upstream_calls,
 )
 from spoolhead._internal.policy import content_registry, load_hub
-from spoolhead._internal.quorum import (
-    feed,
-    keeper_metrics,
-    member,
-    mesh,
-    pending_operations,
-)
+from spoolhead._internal.quorum import feed, keeper_metrics, member, mesh, pending_operations
 from spoolhead._internal.routing import table_checks
 from spoolhead._internal.utils import clocks, endpoints, prometheus_metrics
 from spoolhead.coordination import consensus_messages
@@ -87,12 +81,7 @@
         )
         self._hub_port = self._make_hub_port((config.host, config.peer_port))
         self._member = member.Member(
-            self.loop,
-            config,
-            address,
-            self._mesh,
-            self._on_change,
-            self._read_instances,
+            self.loop, config, address, self._mesh, self._on_change, self._read_instances
         )
         self._saved_contents = saved_contents.SavedContents(
             pathlib.Path(config.data_dir), self._contents, self.loop.scheduler
@@ -111,10 +100,7 @@
             service=self,
         ).register(self.loop)
         self._front = caller_front.CallerFront(
-            self.loop,
-            config,
-            on_request=self._handle_request,
-            on_bad_request=self._refuse,
+            self.loop, config, on_request=self._handle_request, on_bad_request=self._refuse
         ).register(self.loop)
         registry = prometheus_metrics.PrometheusMetrics()
         self._metrics = keeper_metrics.KeeperMetrics(registry)
--- a/src/spoolhead/_internal/quorum/keeper_metrics.py
+++ b/src/spoolhead/_internal/quorum/keeper_metrics.py
@@ -23,15 +23,13 @@
         self.term = registry.make_gauge("spoolhead_term", "Latest term of the agreement.")
         self.members = registry.make_gauge("spoolhead_members", "Members of the agreement.")
         self.members_heard = registry.make_gauge(
-            "spoolhead_members_heard",
-            "Members that the leader can count on; 0 at others.",
+            "spoolhead_members_heard", "Members that the leader can count on; 0 at others."
         )
         self.member_change = registry.make_gauge(
             "spoolhead_member_change", "1 while a change of members is in progress."
         )
         self.log_conflict = registry.make_gauge(
-            "spoolhead_log_conflict",
-            "1 if a committed entry differs from the leader's.",
+            "spoolhead_log_conflict", "1 if a committed entry differs from the leader's."
         )
         self.list_faults = registry.make_counter(
             "spoolhead_list_faults",
--- a/src/spoolhead/_internal/quorum/mesh.py
+++ b/src/spoolhead/_internal/quorum/mesh.py
@@ -8,11 +8,7 @@
 
 ROLE = "keeper"
 TIMING = peer_client.PeerTiming(
-    connect_ms=500,
-    initial_retry_ms=50,
-    max_retry_ms=500,
-    heartbeat_ms=250,
-    silence_ms=1_000,
+    connect_ms=500, initial_retry_ms=50, max_retry_ms=500, heartbeat_ms=250, silence_ms=1_000
 )
 """A cut connection and its recovery must be detected well within the second or so for which
 operators wait. All times are about ten to a hundred round trips between halls."""
--- a/src/spoolhead/_internal/quorum/storage.py
+++ b/src/spoolhead/_internal/quorum/storage.py
@@ -68,11 +68,7 @@
     scan_result = changelog.scan(data)
     if scan_result.good_bytes < len(data):
         cut_bytes = len(data) - scan_result.good_bytes
-        fields = {
-            "path": str(path),
-            "bytes": cut_bytes,
-            "reason": scan_result.damage or "torn",
-        }
+        fields = {"path": str(path), "bytes": cut_bytes, "reason": scan_result.damage or "torn"}
         logger.warning("unsynced end of the log ignored", extra={"fields": fields})
     for payload in scan_result.payloads:
         tag, *values = msgpack.unpackb(payload)
--- a/src/spoolhead/_internal/utils/log_losses.py
+++ b/src/spoolhead/_internal/utils/log_losses.py
@@ -105,8 +105,7 @@
     counts: dict[tuple[str, Cause], Count] = collections.defaultdict(Count)
     for request_id, request_lines in requests.items():
         route = next(
-            (str(x.fields[ROUTE_FIELD]) for x in request_lines if ROUTE_FIELD in x.fields),
-            "",
+            (str(x.fields[ROUTE_FIELD]) for x in request_lines if ROUTE_FIELD in x.fields), ""
         )
         counts[route, _get_cause(request_lines, observed)].add(
             request_id, _get_event_count(request_lines)
@@ -142,9 +141,7 @@
 
 
 def _get_failure_cause(
-    request_lines: Sequence[log_trace.Line],
-    end: log_trace.Line,
-    observed: _ObservedState,
+    request_lines: Sequence[log_trace.Line], end: log_trace.Line, observed: _ObservedState
 ) -> Cause:
     attempts = [line for line in request_lines if line.text in ("attempt", "run goes on elsewhere")]
     if not attempts:
--- a/src/spoolhead/_internal/utils/metrics.py
+++ b/src/spoolhead/_internal/utils/metrics.py
@@ -86,9 +86,7 @@
 
 
 def _send_times(
-    pipeline: statsd.client.base.PipelineBase,
-    name: str,
-    times: collections.Counter[int],
+    pipeline: statsd.client.base.PipelineBase, name: str, times: collections.Counter[int]
 ) -> None:
     durations = histogram.HdrHistogram(1, _MAX_DURATION_MS, _SIGNIFICANT_DIGITS)
     for duration_ms, count in times.items():
--- a/src/spoolhead/_internal/utils/prometheus_metrics.py
+++ b/src/spoolhead/_internal/utils/prometheus_metrics.py
@@ -10,22 +10,7 @@
 from spoolhead._internal.network import request_reader, small_server
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
-LATENCY_BUCKETS_MS = (
-    5,
-    10,
-    25,
-    50,
-    100,
-    180,
-    250,
-    400,
-    800,
-    1_500,
-    1_800,
-    3_000,
-    6_000,
-    40_000,
-)
+LATENCY_BUCKETS_MS = (5, 10, 25, 50, 100, 180, 250, 400, 800, 1_500, 1_800, 3_000, 6_000, 40_000)
 """Upper bounds of the buckets: customary steps, and the target latencies and acceptable pauses of
 the routes in use."""
 
@@ -60,9 +45,7 @@
         )
 
     def serve(
-        self,
-        loop: loops.Loop,
-        config: settings.GatewaySettings | settings.QuorumKeeperSettings,
+        self, loop: loops.Loop, config: settings.GatewaySettings | settings.QuorumKeeperSettings
     ) -> None:
         """Serve the metrics at the port in the settings; do nothing if there is none."""
         if config.metrics_port is None:
--- a/src/spoolhead/coordination/consensus.py
+++ b/src/spoolhead/coordination/consensus.py
@@ -18,21 +18,17 @@
     consensus_types,
     joining,
     log_transfer,
-    membership,
     peer_progress,
     sync_progress,
 )
 from spoolhead.coordination import consensus_messages as messages
+from spoolhead.coordination import membership as memberships
 from spoolhead.coordination import replicated_log as logs
 
 FIRST_ELECTION_PART = 0.4
 """Fraction of an election timeout after which a member that has just started becomes a candidate:
 long enough for the other members to start and for a heartbeat of an existing leader to arrive."""
 
-FRESH_HEARTBEATS = 3
-"""Heartbeat intervals within which a majority must have replied when a change of members begins. A
-change that needs a member that is gone cannot be committed."""
-
 
 class Consensus:
     """One member of the group.
@@ -74,7 +70,7 @@
         self._sync_progress = sync_progress.SyncProgress(log.last_index)
         self._ballot = ballot.Ballot()
         self._peers = peer_progress.PeerProgress()
-        self._newcomers = joining.Newcomers(timing.newcomer_ms)
+        self._newcomers = joining.Newcomers(timing)
         self._round_number = 0
         self._term_start_index = 0
         self._next_broadcast_s = now_s
@@ -422,25 +418,14 @@
         if not is_settled or self.commit_index < self._term_start_index:
             return
         current = self._log.membership
-        following = current.finish_change() if current.is_joint else self._begin_change(now_s)
+        if current.is_joint:
+            following: memberships.Membership | None = current.finish_change()
+        else:
+            following = self._newcomers.begin_change(self._log, self._peers, self.member_id, now_s)
         if following is not None:
             self._append(logs.EntryKind.MEMBERS, following.pack())
             self._broadcast(now_s)
 
-    def _begin_change(self, now_s: float) -> membership.Membership | None:
-        """Return the membership during the next change, if it can be committed at present."""
-        lost = self._peers.find_lost(self._get_others(), now_s - self._timing.lost_ms / 1000)
-        ready = {item for item in self._newcomers.get_ids() if self._has_log(item)}
-        change = self._newcomers.get_change(self._log.membership, ready, lost)
-        fresh_s = now_s - FRESH_HEARTBEATS * self._timing.heartbeat_ms / 1000
-        heard = {*self._peers.get_heard(fresh_s), self.member_id}
-        return change if change is not None and change.has_majority(heard) else None
-
-    def _has_log(self, newcomer: str) -> bool:
-        """Whether a newcomer needs no more than the entries that are still held."""
-        peer = self._peers.get(newcomer)
-        return peer is not None and peer.match_index >= max(1, self._log.first_index - 1)
-
     # Following
 
     def _accept_leader(self, term: int, leader: str, now_s: float) -> bool:
--- a/src/spoolhead/coordination/joining.py
+++ b/src/spoolhead/coordination/joining.py
@@ -6,7 +6,13 @@
 from collections.abc import Set
 
 from spoolhead.coordination import consensus_messages as messages
+from spoolhead.coordination import consensus_types, peer_progress
 from spoolhead.coordination import membership as memberships
+from spoolhead.coordination import replicated_log as logs
+
+FRESH_HEARTBEATS = 3
+"""Heartbeat intervals within which a majority must have replied when a change of members begins. A
+change that needs a member that is gone cannot be committed."""
 
 
 class _Newcomer:
@@ -20,11 +26,11 @@
 class Newcomers:
     """Processes that have requested to become members, as known to the leader.
 
-    :param kept_ms: time for which a request is valid, in milliseconds.
+    :param timing: time for which a request is valid, and other intervals.
     """
 
-    def __init__(self, kept_ms: int) -> None:
-        self._ttl_s = kept_ms / 1000
+    def __init__(self, timing: consensus_types.Timing) -> None:
+        self._timing = timing
         self._newcomers: dict[str, _Newcomer] = {}
 
     def clear(self) -> None:
@@ -37,7 +43,7 @@
 
     def remove_expired(self, members: Set[str], now_s: float) -> None:
         """Remove the requests that are no longer valid, and those of members."""
-        oldest_s = now_s - self._ttl_s
+        oldest_s = now_s - self._timing.newcomer_ms / 1000
         for member, newcomer in list(self._newcomers.items()):
             if newcomer.requested_s < oldest_s or member in members:
                 del self._newcomers[member]
@@ -46,6 +52,28 @@
         """Return the ids of the newcomers, in a fixed order."""
         return sorted(self._newcomers)
 
+    def begin_change(
+        self,
+        log: logs.ReplicatedLog,
+        peers: peer_progress.PeerProgress,
+        leader: str,
+        now_s: float,
+    ) -> memberships.Membership | None:
+        """Return the membership during the next change, if it can be committed at present.
+
+        :param log: the leader's log.
+        :param peers: the leader's view of the other members and the newcomers.
+        :param leader: id of the leader.
+        :param now_s: monotonic time in seconds.
+        """
+        others = [member for member in log.membership.members if member != leader]
+        lost = peers.find_lost(others, now_s - self._timing.lost_ms / 1000)
+        ready = {item for item in self._newcomers if _has_log(peers.get(item), log)}
+        change = self.get_change(log.membership, ready, lost)
+        fresh_s = now_s - FRESH_HEARTBEATS * self._timing.heartbeat_ms / 1000
+        heard = {*peers.get_heard(fresh_s), leader}
+        return change if change is not None and change.has_majority(heard) else None
+
     def get_change(
         self, membership: memberships.Membership, ready: Set[str], lost: str | None
     ) -> memberships.Membership | None:
@@ -87,3 +115,8 @@
         if lost is not None:
             return membership.begin_change(members - {lost}, target_size)
         return None
+
+
+def _has_log(peer: peer_progress.Peer | None, log: logs.ReplicatedLog) -> bool:
+    """Return whether a newcomer needs no more than the entries that are still held."""
+    return peer is not None and peer.match_index >= max(1, log.first_index - 1)
--- a/src/spoolhead/coordination/log_transfer.py
+++ b/src/spoolhead/coordination/log_transfer.py
@@ -8,12 +8,7 @@
 
 
 def make_append(
-    log: logs.ReplicatedLog,
-    leader: str,
-    next_index: int,
-    *,
-    commit_index: int,
-    round_number: int,
+    log: logs.ReplicatedLog, leader: str, next_index: int, *, commit_index: int, round_number: int
 ) -> messages.AppendRequest | None:
     """Return a message with the entries from an index on; without entries at the log's end.
 
--- a/src/spoolhead/coordination/versioned_table.py
+++ b/src/spoolhead/coordination/versioned_table.py
@@ -134,13 +134,7 @@
         """Return the change as a plain list for serialization."""
         proposal = self.proposal
         edits = [edit.pack() for edit in proposal.edits]
-        return [
-            self.version,
-            proposal.edit_id,
-            proposal.author,
-            proposal.time_ms,
-            edits,
-        ]
+        return [self.version, proposal.edit_id, proposal.author, proposal.time_ms, edits]
 
     @classmethod
     def unpack(cls, packed: Sequence[object]) -> "Change":
--- a/src/spoolhead/platform/names.py
+++ b/src/spoolhead/platform/names.py
@@ -35,16 +35,7 @@
 """0 is the most urgent, in spite of the name."""
 
 SYSTEM_HEADERS = frozenset(
-    {
-        WORKSPACE,
-        EXPECTED_INSTANCE,
-        RESUME_FROM,
-        BACKUP_TO,
-        FETCH_FROM,
-        PIN,
-        HOLD,
-        URGENCY,
-    }
+    {WORKSPACE, EXPECTED_INSTANCE, RESUME_FROM, BACKUP_TO, FETCH_FROM, PIN, HOLD, URGENCY}
 )
 """Headers that only the system sets; they are removed from callers' requests."""
 
--- a/src/spoolhead/platform/tables.py
+++ b/src/spoolhead/platform/tables.py
@@ -199,9 +199,7 @@
     )
 
 
-def decode_instances(
-    document: bytes,
-) -> expression.Result[dialects.InstancePage, fault.Fault]:
+def decode_instances(document: bytes) -> expression.Result[dialects.InstancePage, fault.Fault]:
     """Decode a page of the list of instances."""
     try:
         fields = _Fields(pages.parse_page(document), "")
--- a/tests/unit/test_membership.py
+++ b/tests/unit/test_membership.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies
 
 from spoolhead.coordination import consensus_messages as messages
-from spoolhead.coordination import joining, membership
+from spoolhead.coordination import consensus_types, joining, membership
 
 IDS = strategies.sets(strategies.sampled_from("abcdefg"), min_size=1, max_size=6)
 
@@ -53,7 +53,7 @@
 
 
 def _get_change(members, newcomers, *, lost=None, target_size=3, is_first_start=False):
-    requests = joining.Newcomers(1_500)
+    requests = joining.Newcomers(consensus_types.Timing())
     for member in newcomers:
         requests.add(messages.JoinRequest(member=member, is_first_start=is_first_start), 10.0)
     group = membership.Membership(members, target_size)
