Soak: engines that leave and stop listening; a keeper's disk lost beside a pause

The soak's engines left by the book, and its keepers lost a disk only beside no other fault of keepers. The proxy before an instance can stop listening, so that the kernel refuses connections while open ones go on.

--- a/tests/functional/test_soak.py
+++ b/tests/functional/test_soak.py
@@ -19,6 +19,7 @@
     100_101,
     110_101,
     120_103,
+    130_101,
 )
 """One seed for each kind of plan."""
 PRESSURE_SEED = 60_101
@@ -131,6 +132,22 @@
     assert {step for item in answers for step in item.split("+")} == set(run_stops.STEPS)
 
 
+def test_plans_of_instances_that_stop_listening_add_to_those_of_lower_seeds():
+    silences = set()
+    for seed in range(plan.REFUSALS_FROM_SEED, plan.REFUSALS_FROM_SEED + 60):
+        steps = plan.make_plan(seed)
+        assert steps == plan.make_plan(seed)
+        lowest = (0, plan.HALLS_FROM_SEED)[seed % 2]
+        lower = plan.make_plan(lowest + seed - plan.REFUSALS_FROM_SEED)
+        added = [step for step in steps if step not in lower]
+        kinds = sorted(step.kind for step in added)
+        assert kinds == ["burst", "burst", "pause", "stop_listening", "stop_listening", "wipe"]
+        silences |= {step.target.partition(":")[2] for step in added if ":" in step.target}
+        pause, wipe = (step for step in added if step.target in plan.KEEPERS)
+        assert pause.target != wipe.target
+    assert silences == {"0", "900", "1500", "2200"}
+
+
 def test_plans_of_answers_without_framing_add_to_those_of_lower_seeds():
     for seed in range(plan.UNFRAMED_FROM_SEED, plan.UNFRAMED_FROM_SEED + 30):
         steps = plan.make_plan(seed)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -61,6 +61,10 @@
     "claim_invalid": {"load": "0,0,8,0.001"},
 }
 """Changes by which an instance states a load and a pace; all but the first are false."""
+COPY_S = 0.6
+"""Time that copies of the runs of an instance take that stops listening meanwhile."""
+LIST_S = 1.5
+"""Longest wait until entries know that an instance leaves and order copies."""
 _CLOSE_DELAYS_S = {"leave": 0.0, "leave_late": 0.8}
 """Time from the stop of a run to the close of its stream, for each kind of departure."""
 _RESTART_KINDS = ("stop", "kill", "wipe", "tear")
@@ -130,6 +134,8 @@
                 self._depart(step)
             elif step.kind in _CLOSE_DELAYS_S:
                 self._leave(step)
+            elif step.kind == "stop_listening":
+                self._stop_listening(step)
             elif step.kind in ("deadly", "hasty", "parts"):
                 self._repeat_deadly(step)
             else:
@@ -187,6 +193,21 @@
         disturbance = records.Disturbance(target=target, kind="leave", began_s=time.monotonic())
         self._observed.disturbances.append(disturbance)
 
+    def _stop_listening(self, step):
+        """List an instance as leaving, and let it refuse connections once copies are made."""
+        target, _, silent_ms = step.target.partition(":")
+        copies = len(self._fleet.get_copy_orders(""))
+        self._fleet.set_instance(target, state="draining", copy_s=COPY_S)
+        disturbance = records.Disturbance(target=target, kind="leave", began_s=time.monotonic())
+        self._observed.disturbances.append(disturbance)
+        limit_s = time.monotonic() + LIST_S
+        while len(self._fleet.get_copy_orders("")) == copies and time.monotonic() < limit_s:
+            time.sleep(0.02)
+        self._fleet.send_link_order(target, {"listen": False})
+        self._fleet.set_instance(target, silent_s=int(silent_ms) / 1000)
+        time.sleep(step.for_s)
+        self._fleet.send_link_order(target, {"listen": True})
+
     def _make_statement(self, step):
         """Make an instance state a limit, ask for rest or announce that it leaves, for a time."""
         begin, end = _STATEMENTS[step.kind]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -51,6 +51,10 @@
 """Seeds from here on have engines whose streams end with their connection, some by HTTP/1.0, and
 which leave under load and lose the orders to stop their runs, or answer them late or with another
 status; half of the callers use HTTP/1.0. All this beside the faults of a lower seed."""
+REFUSALS_FROM_SEED = 130_000
+"""Seeds from here on have engines that leave under load and stop listening while the copies of
+their runs are made; they work on, some after a silence. A keeper loses its disk while another one
+stands still. All this beside the faults of a lower seed, without its faults of keepers."""
 STOP_ANSWERS = (
     "handle",
     "late",
@@ -126,6 +130,14 @@
 
 def make_plan(seed):
     """Draw the steps of one run, sorted by time."""
+    if seed >= REFUSALS_FROM_SEED:
+        lowest = (0, HALLS_FROM_SEED)[seed % 2]
+        lower_steps = make_plan(lowest + seed % 10_000)
+        steps = [
+            step for step in lower_steps if step.kind != "drain" and not _is_keeper_fault(step)
+        ]
+        steps += _draw_refusals(random.Random(f"refusal-{seed}"))
+        return sorted(steps, key=lambda step: step.at_s)
     if seed >= STOPS_FROM_SEED:
         lowest = (0, POWER_FROM_SEED)[seed % 2]
         # An engine that dies in place ends its streams in order, and its stand-in still accepts
@@ -211,7 +223,12 @@
 
 def has_stops(seed):
     """Return whether engines lose orders to stop their runs in a run."""
-    return seed >= STOPS_FROM_SEED
+    return STOPS_FROM_SEED <= seed < REFUSALS_FROM_SEED
+
+
+def has_refusals(seed):
+    """Return whether engines that leave stop listening in a run."""
+    return seed >= REFUSALS_FROM_SEED
 
 
 def shares_room(seed):
@@ -291,6 +308,30 @@
     return steps
 
 
+def _is_keeper_fault(step):
+    is_order = step.kind in ("table", "race", "bad_table", "evacuate")
+    return step.target in KEEPERS and not is_order
+
+
+def _draw_refusals(rng):
+    """Draw two bursts of generations, two departures, and a lost disk beside a pause."""
+    steps = []
+    for target in rng.sample(MODEL_INSTANCES, 2):
+        at_s = rng.uniform(0.3, 5.0)
+        steps.append(Step(at_s=at_s, kind="burst", target="talk", for_s=rng.uniform(0.1, 0.4)))
+        at_s += rng.uniform(0.5, 0.9)
+        for_s = rng.uniform(2.0, 4.0)
+        silent_ms = rng.choice((0, 900, 1_500, 2_200))
+        target = f"{target}:{silent_ms}"
+        steps.append(Step(at_s=at_s, kind="stop_listening", target=target, for_s=for_s))
+    paused, wiped = rng.sample(KEEPERS, 2)
+    at_s = rng.uniform(0.5, 3.0)
+    steps.append(Step(at_s=at_s, kind="pause", target=paused, for_s=rng.uniform(0.3, 4.0)))
+    at_s += rng.uniform(0.0, 2.0)
+    steps.append(Step(at_s=at_s, kind="wipe", target=wiped, for_s=rng.uniform(0.0, 0.5)))
+    return steps
+
+
 def _draw_processes(rng):
     steps = []
     for target in ENTRIES:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -169,6 +169,9 @@
             fleet.set_instance(plan.WORKING_ON[0], page_entries=plan.PAGE_ENTRIES)
             for name in plan.WORKING_ON:
                 fleet.set_instance(name, works_on=True)
+        if plan.has_refusals(seed):
+            for name in plan.MODEL_INSTANCES:
+                fleet.set_instance(name, works_on=True)
         if plan.has_stops(seed):
             fleet.set_instance(plan.OLD_HTTP_INSTANCE, http_version="1.0")
             for name in plan.MODEL_INSTANCES:
@@ -214,7 +217,7 @@
             "limits": {"memory_mb": plan.LARGE_MEMORY_MB},
             "retry_slack": plan.REPEAT_SLACK,
         }
-    if plan.has_stops(seed):
+    if plan.has_stops(seed) or plan.has_refusals(seed):
         return {"retry_slack": plan.STOPS_SLACK}
     if plan.has_large_bodies(seed):
         return {"limits": {"memory_mb": plan.LARGE_MEMORY_MB}}
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -30,7 +30,7 @@
 import time
 from collections.abc import Coroutine
 
-from standins import http_server, run_stops
+from standins import http_server, proxy, run_stops
 
 SIGNATURE = "X-Response-Signature"
 BREAK_AFTER_EVENTS = 3
@@ -211,7 +211,7 @@
     def _stop_listening(self) -> socket.socket:
         self.server.close()
         # A bound socket that does not listen refuses connections and reserves the port.
-        return _bind_socket(*self.listens)
+        return proxy.bind_socket(*self.listens)
 
     def start_again(self, started_ms: int) -> None:
         """Restart under the same name, with a new start time and without previous state."""
@@ -633,14 +633,6 @@
     return b"x" * int(request.headers.get("x-added-bytes", "0"))
 
 
-def _bind_socket(host: str, port: int) -> socket.socket:
-    """Return a socket bound to an address, even if connections of a previous one are open."""
-    sock = socket.socket()
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind((host, port))
-    return sock
-
-
 async def run(options: argparse.Namespace) -> None:
     """Serve until SIGTERM."""
     platform = Platform(options.step_ms)
@@ -649,7 +641,7 @@
     for item in options.instance:
         name, service, zone = item.split(":")
         instance = Instance(name, service, "", zone)
-        await platform.listen(instance, _bind_socket(options.host, 0))
+        await platform.listen(instance, proxy.bind_socket(options.host, 0))
         platform.instances[name] = instance
     print(f"ready port={ports[0]}", flush=True)
     stop = asyncio.Event()
--- a/tools/standins/proxy.py
+++ b/tools/standins/proxy.py
@@ -5,7 +5,8 @@
 
     {"direction": "down", "delay_ms": 50, "stall": false, "drop_after_bytes": null}
 
-``{"cut": true}`` resets all connections at once, ``{"refuse": true}`` refuses new ones. The answer
+``{"cut": true}`` resets all connections at once, ``{"refuse": true}`` closes new ones, and
+``{"listen": false}`` lets the kernel refuse them; open ones go on in both cases. The answer
 to each line is a line with the number of bytes forwarded so far in each direction.
 """
 
@@ -40,8 +41,25 @@
         self._port = int(port)
         self._faults = {"up": Faults(), "down": Faults()}
         self._is_refusing = False
+        self._server: asyncio.Server | None = None
+        self._unused_socket: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
+    async def listen(self, sock: socket.socket) -> None:
+        """Accept connections on a bound socket."""
+        self._server = await asyncio.start_server(self.forward, sock=sock)
+
+    async def _set_listening(self, is_listening: bool) -> None:
+        if is_listening and self._unused_socket is not None:
+            sock, self._unused_socket = self._unused_socket, None
+            await self.listen(sock)
+        elif not is_listening and self._server is not None:
+            address = self._server.sockets[0].getsockname()
+            self._server.close()
+            self._server = None
+            # A bound socket that does not listen refuses connections and reserves the port.
+            self._unused_socket = bind_socket(*address)
+
     async def forward(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one connection until either side closes it."""
         if self._is_refusing:
@@ -69,7 +87,10 @@
     async def control(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Handle orders from the control port, one a line."""
         while line := await reader.readline():
-            self._apply_order(json.loads(line))
+            order = json.loads(line)
+            self._apply_order(order)
+            if "listen" in order:
+                await self._set_listening(order["listen"])
             forwarded = {name: faults.forwarded_bytes for name, faults in self._faults.items()}
             writer.write(json.dumps(forwarded).encode() + b"\n")
             await writer.drain()
@@ -116,13 +137,22 @@
     writer.transport.abort()
 
 
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Return a socket bound to an address, even if connections of a previous one are open."""
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind((host, port))
+    return sock
+
+
 async def run(options: argparse.Namespace) -> None:
     """Forward connections until SIGTERM."""
     proxy = Proxy(options.target)
-    server = await asyncio.start_server(proxy.forward, options.host, options.port)
+    sock = bind_socket(options.host, options.port)
+    port = sock.getsockname()[1]
+    await proxy.listen(sock)
     control = await asyncio.start_server(proxy.control, options.host, 0)
-    ports = [item.sockets[0].getsockname()[1] for item in (server, control)]
-    print(f"ready port={ports[0]} control={ports[1]}", flush=True)
+    print(f"ready port={port} control={control.sockets[0].getsockname()[1]}", flush=True)
     stop = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop.set)
     await stop.wait()
